--- /dev/null
+++ b/src/yuccascale/kernel/policy/fleet.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/plugin_registry.hpp"
+#include "yuccascale/kernel/state/tables.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Decisions of the control leader: roles of engines, and which endpoints to order.
+
+namespace yuccascale::kernel::policy {
+
+/// \brief An engine as the leader sees it.
+struct engine_view
+{
+    const state::endpoint *row = nullptr;
+    state::engine_role role = state::engine_role::Mixed; ///< in force now
+    bool changing = false;                               ///< an order for it is open
+    bool leaving = false;
+    int running = 0;
+    instant roleSince{};
+};
+
+/// \brief The work of a pool over the last interval, from all entries.
+struct pool_demand
+{
+    instant measuredAt{};
+    double prefillTokensPerSecond = 0; ///< offered, cached parts taken off
+    double decodeTokensPerSecond = 0;  ///< offered
+    double prefillBacklogTokens = 0;
+    double decodeBacklogTokens = 0;
+    double nonIdempotentShare = 0; ///< of the work
+};
+
+/// \brief What one engine of a pool can do, learnt online.
+struct engine_rates
+{
+    double prefillTokensPerSecond = 8'000;
+    double decodeTokensPerSecond = 1'600;
+    nanoseconds roleChange = std::chrono::seconds(6); ///< time an engine is away for a change
+};
+
+/// \brief A role change that the policy asks for.
+struct role_change
+{
+    std::string endpoint;
+    state::engine_role to = state::engine_role::Mixed;
+    std::string reason;
+};
+
+/// \brief Follows the prompt-to-output mix with the engines' roles.
+class role_policy
+{
+public:
+    virtual ~role_policy() = default;
+
+    [[nodiscard]] virtual std::vector<role_change> decide(instant now, const pool_demand &demand,
+                                                          const engine_rates &rates,
+                                                          std::span<const engine_view> engines)
+            = 0;
+};
+
+/// \brief A kind of endpoint that the platform sells in one availability zone.
+struct endpoint_offer
+{
+    std::string kind;
+    std::string zone;
+    state::endpoint_tenure tenure = state::endpoint_tenure::Steady;
+    double pricePerHour = 1.0;
+    nanoseconds startTime = std::chrono::seconds(90);
+};
+
+/// \brief A start or stop that the policy asks for.
+struct placement_change
+{
+    bool start = true;
+    std::string endpoint; ///< to stop
+    endpoint_offer offer; ///< to start
+    std::string reason;
+};
+
+/// \brief Decides how many endpoints of which kind run where.
+class placement_policy
+{
+public:
+    virtual ~placement_policy() = default;
+
+    /// \param starting offers already ordered and not yet serving
+    [[nodiscard]] virtual std::vector<placement_change>
+    decide(instant now, const pool_demand &demand, const engine_rates &rates,
+           std::span<const engine_view> engines, std::span<const endpoint_offer> starting,
+           std::span<const endpoint_offer> offers)
+            = 0;
+
+    /// \brief Learns that cheap endpoints of a kind were reclaimed or an order was refused.
+    virtual void reclaimed(instant now, const std::string &zone, const std::string &kind) = 0;
+};
+
+using role_policy_registry = plugin_registry<role_policy>;
+using placement_policy_registry = plugin_registry<placement_policy>;
+
+} // namespace yuccascale::kernel::policy
--- /dev/null
+++ b/src/yuccascale/kernel/state/commands.hpp
@@ -0,0 +1,208 @@
+#pragma once
+
+#include "yuccascale/kernel/error.hpp"
+#include "yuccascale/kernel/state/tables.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// \file
+/// \brief Commands of the replicated log: everything that changes durable state, as typed structs.
+///
+/// A command is a pure input: applying the same commands in the same order gives the same state on
+/// every replica. Times in commands are readings that the proposer took.
+
+namespace yuccascale::kernel::state {
+
+/// \brief Replaces one row of a table, or removes it. Exactly one row field is set.
+struct edit_tables
+{
+    std::uint64_t fromRevision = 0; ///< the revision the operator edited
+    std::vector<route> putRoutes;
+    std::vector<pool> putPools;
+    std::vector<organisation> putOrganisations;
+    std::vector<key_record> putKeys;
+    std::vector<std::string> removeRoutes;
+    std::vector<std::string> removePools;
+    std::vector<std::string> removeOrganisations;
+    std::vector<std::string> removeKeys; ///< withdraws them
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(edit_tables, fromRevision, putRoutes, putPools,
+                                                putOrganisations, putKeys, removeRoutes,
+                                                removePools, removeOrganisations, removeKeys)
+};
+
+/// \brief Claims the single run of a non-idempotent request before it is dispatched.
+struct claim_request
+{
+    std::string organisation;
+    std::string route;
+    std::string idempotencyKey;
+    std::string fingerprint; ///< digest of method, path and body: one key never names two requests
+    std::string entry;       ///< node and incarnation that dispatches it
+    std::int64_t wallMs = 0; ///< when it was claimed
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(claim_request, organisation, route, idempotencyKey,
+                                                fingerprint, entry, wallMs)
+};
+
+/// \brief Ends of a claimed request.
+enum class claim_end { Answered, NotRun, Unknown };
+
+NLOHMANN_JSON_SERIALIZE_ENUM(claim_end,
+                             {{claim_end::Answered, "answered"},
+                              {claim_end::NotRun, "not_run"},
+                              {claim_end::Unknown, "unknown"}})
+
+/// \brief Records how a claimed request ended; the answer is kept for repeats.
+struct settle_claim
+{
+    std::string organisation;
+    std::string route;
+    std::string idempotencyKey;
+    std::string entry; ///< must be the claim's entry
+    claim_end end = claim_end::Unknown;
+    int status = 0; ///< HTTP status of the answer
+    std::string contentType;
+    std::string answer; ///< the whole answer, base64 not needed: CBOR keeps bytes
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(settle_claim, organisation, route, idempotencyKey,
+                                                entry, end, status, contentType, answer)
+};
+
+/// \brief Usage of one organisation on one route within one batch.
+struct usage_line
+{
+    std::string organisation;
+    std::string route;
+    std::int64_t windowStartMs = 0; ///< start of the usage window the answer ended in
+    std::uint64_t answers = 0;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0; ///< of the prompt tokens, those found in the prefix cache
+    std::uint64_t outputTokens = 0;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(usage_line, organisation, route, windowStartMs,
+                                                answers, promptTokens, cachedTokens, outputTokens)
+};
+
+/// \brief Usage that an entry counted; committed before the last piece of the answers it covers.
+struct record_usage
+{
+    std::string entry;          ///< node and incarnation
+    std::uint64_t sequence = 0; ///< rises by one per batch and entry; a repeat counts once
+    std::int64_t markMs = 0;    ///< no answer that ended before this will follow from this entry
+    std::vector<usage_line> lines;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(record_usage, entry, sequence, markMs, lines)
+};
+
+/// \brief Freezes a usage window's figures before they are reported.
+struct freeze_window
+{
+    std::int64_t windowStartMs = 0;
+    std::uint64_t fence = 0; ///< the reporter's fencing number
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(freeze_window, windowStartMs, fence)
+};
+
+/// \brief Records that the usage interface accepted a frozen window.
+struct settle_window
+{
+    std::int64_t windowStartMs = 0;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(settle_window, windowStartMs)
+};
+
+/// \brief What an order tells an engine or the platform to do.
+enum class order_kind {
+    LoadModel,
+    LoadAdapter,
+    ChangeRole,
+    Drain,
+    Resume,
+    StartEndpoint,
+    StopEndpoint
+};
+
+NLOHMANN_JSON_SERIALIZE_ENUM(order_kind,
+                             {{order_kind::LoadModel, "load_model"},
+                              {order_kind::LoadAdapter, "load_adapter"},
+                              {order_kind::ChangeRole, "change_role"},
+                              {order_kind::Drain, "drain"},
+                              {order_kind::Resume, "resume"},
+                              {order_kind::StartEndpoint, "start_endpoint"},
+                              {order_kind::StopEndpoint, "stop_endpoint"}})
+
+/// \brief Writes an order's intent; it is sent only after this is committed.
+struct open_order
+{
+    std::string target; ///< endpoint name, or "platform/ZONE/KIND" for the platform
+    order_kind kind = order_kind::Drain;
+    std::string argument;    ///< role, model@version, or endpoint kind
+    std::uint64_t fence = 0; ///< fencing number of the leader that wrote it
+    std::string reason;      ///< for the decision log and explain
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(open_order, target, kind, argument, fence, reason)
+};
+
+/// \brief Ends of an order.
+enum class order_end { Done, Refused, Abandoned };
+
+NLOHMANN_JSON_SERIALIZE_ENUM(order_end,
+                             {{order_end::Done, "done"},
+                              {order_end::Refused, "refused"},
+                              {order_end::Abandoned, "abandoned"}})
+
+/// \brief Records an order's outcome as its target told it.
+struct settle_order
+{
+    std::uint64_t orderId = 0; ///< log index of its open_order
+    order_end end = order_end::Done;
+    std::string detail;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(settle_order, orderId, end, detail)
+};
+
+/// \brief Stops a request that crashes endpoints, fleet-wide.
+struct ban_fingerprint
+{
+    std::string fingerprint;
+    std::string route;
+    std::int64_t untilWallMs = 0;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(ban_fingerprint, fingerprint, route, untilWallMs)
+};
+
+/// \brief One command with the id that makes its resend harmless.
+struct command
+{
+    using body_type
+            = std::variant<edit_tables, claim_request, settle_claim, record_usage, freeze_window,
+                           settle_window, open_order, settle_order, ban_fingerprint>;
+
+    std::string operationId; ///< a resend with the same id gets the first answer
+    body_type body;
+};
+
+void to_json(json &document, const command &value);
+void from_json(const json &document, command &value);
+
+/// \brief The state machine's answer to one command.
+struct command_result
+{
+    bool accepted = false;
+    error_kind kind = error_kind::Internal; ///< why not, when not accepted
+    std::string message;                    ///< remedy when not accepted
+    std::uint64_t index = 0;                ///< log index of the first application
+    std::uint64_t revision = 0;             ///< table revision after it
+    json detail; ///< command-specific: the claim's state and answer, the frozen figures, an order
+                 ///< id
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(command_result, accepted, kind, message, index,
+                                                revision, detail)
+};
+
+} // namespace yuccascale::kernel::state
--- /dev/null
+++ b/src/yuccascale/kernel/state/tables.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "yuccascale/kernel/json.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief The operators' tables: routes, pools, organisations and keys.
+
+namespace yuccascale::kernel::state {
+
+/// \brief Who may call a route.
+enum class route_access { Keyed, Open };
+
+/// \brief What stands behind a route or in a pool.
+enum class backend_kind { Model, Service };
+
+/// \brief Work an engine does. A service endpoint is always Mixed.
+enum class engine_role { Mixed, Prefill, Decode };
+
+/// \brief Whether an endpoint stays or may be reclaimed at a few seconds' notice.
+enum class endpoint_tenure { Steady, Cheap };
+
+NLOHMANN_JSON_SERIALIZE_ENUM(route_access,
+                             {{route_access::Keyed, "keyed"}, {route_access::Open, "open"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(backend_kind,
+                             {{backend_kind::Model, "model"}, {backend_kind::Service, "service"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(engine_role,
+                             {{engine_role::Mixed, "mixed"},
+                              {engine_role::Prefill, "prefill"},
+                              {engine_role::Decode, "decode"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(endpoint_tenure,
+                             {{endpoint_tenure::Steady, "steady"},
+                              {endpoint_tenure::Cheap, "cheap"}})
+
+/// \brief A named way in for callers; it refers to its pool by name.
+struct route
+{
+    std::string name;
+    std::string pool; ///< name of the pool that serves it
+    backend_kind kind = backend_kind::Model;
+    route_access access = route_access::Keyed;
+    bool idempotent = true; ///< false: an idempotency key is required and it runs at most once
+    std::int64_t deadlineMs = 30'000;  ///< time for the whole answer
+    std::int64_t firstTokenMs = 1'300; ///< target time to the first token
+    int priority = 0;                  ///< larger goes first within an organisation's share
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(route, name, pool, kind, access, idempotent,
+                                                deadlineMs, firstTokenMs, priority)
+};
+
+/// \brief An engine or a plain service that a pool lists.
+struct endpoint
+{
+    std::string name;
+    std::string address; ///< IP:port
+    std::string zone;    ///< availability zone
+    engine_role role = engine_role::Mixed;
+    endpoint_tenure tenure = endpoint_tenure::Steady;
+    bool fencesOrders = true; ///< refuses an order with an old fencing number
+    double pricePerHour = 1.0;
+    int slots = 16;        ///< requests it batches at once
+    bool draining = false; ///< set by an operator: no new work
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(endpoint, name, address, zone, role, tenure,
+                                                fencesOrders, pricePerHour, slots, draining)
+};
+
+/// \brief A named set of endpoints of one kind.
+struct pool
+{
+    std::string name;
+    backend_kind kind = backend_kind::Model;
+    std::string model; ///< model the engines must have loaded; empty for services
+    std::string version;
+    std::vector<std::string> adapters;
+    int minEndpoints = 1;
+    int maxEndpoints = 64;
+    std::vector<endpoint> endpoints;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(pool, name, kind, model, version, adapters,
+                                                minEndpoints, maxEndpoints, endpoints)
+};
+
+/// \brief A customer with its share of the fleet.
+struct organisation
+{
+    std::string name;
+    double weight = 1.0; ///< share relative to the others' weights
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(organisation, name, weight)
+};
+
+/// \brief A key's record; the key itself is shown once and never stored.
+struct key_record
+{
+    std::string id;
+    std::string organisation;
+    std::string digest; ///< SHA-256 of the key, lower-case hex
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(key_record, id, organisation, digest)
+};
+
+/// \brief A whole revision of the tables, as every node has it in force.
+///
+/// \example
+///     const auto found = tables.routes.find("briefing");
+struct table_set
+{
+    std::uint64_t revision = 0; ///< rises by one with each accepted edit
+    std::map<std::string, route> routes;
+    std::map<std::string, pool> pools;
+    std::map<std::string, organisation> organisations;
+    std::map<std::string, key_record> keys; ///< by key id
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(table_set, revision, routes, pools, organisations,
+                                                keys)
+};
+
+} // namespace yuccascale::kernel::state
--- /dev/null
+++ b/src/yuccascale/kernel/transport.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/error.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief Messages between nodes, as the rest of the program sees them.
+
+namespace yuccascale::kernel {
+
+/// \brief What a message is for; each channel has one handler on a node.
+enum class channel : std::uint8_t {
+    Consensus = 1, ///< log replication and elections
+    Submit = 2,    ///< a command for the leader
+    Feed = 3,      ///< tables in force and the freshness lease
+    Load = 4,      ///< load reports and what entries sent to endpoints
+    Usage = 5,     ///< usage records
+};
+
+/// \brief Sends to other nodes. Thread-safe.
+class transport
+{
+public:
+    /// \param peer name of the node that sent the message, authenticated
+    /// \returns the reply; ignored for post()
+    using handler = std::function<std::string(std::string_view peer, std::string_view payload)>;
+
+    virtual ~transport() = default;
+
+    /// \brief Sets the handler of a channel; before the transport is started.
+    virtual void handle(channel channel, handler handler) = 0;
+
+    /// \brief Sends without a reply. It may be lost, and is dropped when too many wait already.
+    virtual void post(std::string_view node, channel channel, std::string payload) = 0;
+
+    /// \brief Sends and waits for the reply.
+    /// \returns error_kind::Unavailable when it surely was not sent, error_kind::OutcomeUnknown
+    /// when
+    ///          it was sent and no reply came in time.
+    [[nodiscard]] virtual result<std::string> call(std::string_view node, channel channel,
+                                                   std::string payload, nanoseconds timeout)
+            = 0;
+};
+
+} // namespace yuccascale::kernel
--- /dev/null
+++ b/src/yuccascale/main.cpp
@@ -0,0 +1,6 @@
+#include "yuccascale/cli/command_line.hpp"
+
+int main(int argc, char **argv)
+{
+    return yuccascale::cli::runCommandLine(argc, argv);
+}
--- /dev/null
+++ b/src/yuccascale/runtime/yaml_reader.cpp
@@ -0,0 +1,187 @@
+#include "yuccascale/runtime/yaml_reader.hpp"
+
+#include "yuccascale/kernel/text_distance.hpp"
+#include "yuccascale/wire/socket.hpp"
+
+#include <charconv>
+#include <utility>
+
+namespace yuccascale::runtime {
+
+yaml_reader::yaml_reader(std::string file, const YAML::Node &node,
+                         std::vector<std::string> &problems)
+    : m_file(std::move(file))
+    , m_node(node)
+    , m_problems(&problems)
+{
+    if (!m_node.IsMap() && !m_node.IsNull())
+        problem("", "expected fields with values here");
+}
+
+YAML::Node yaml_reader::find(std::string_view field)
+{
+    m_known.emplace(field);
+    if (!m_node.IsMap())
+        return YAML::Node(YAML::NodeType::Undefined);
+    return std::as_const(m_node)[std::string(field)];
+}
+
+void yaml_reader::problem(std::string_view field, const std::string &message)
+{
+    int line = m_node.Mark().line;
+    if (m_node.IsMap() && !field.empty()) {
+        for (const auto &pair : m_node) {
+            if (pair.first.Scalar() == field)
+                line = pair.first.Mark().line;
+        }
+    }
+    std::string text = m_file + ":" + std::to_string(line + 1) + ": ";
+    if (!field.empty())
+        text += std::string(field) + ": ";
+    m_problems->push_back(text + message);
+}
+
+std::string yaml_reader::required(std::string_view field)
+{
+    std::string out;
+    text(field, out);
+    if (out.empty())
+        problem(field, "missing; add '" + std::string(field) + ": ...'");
+    return out;
+}
+
+void yaml_reader::text(std::string_view field, std::string &out)
+{
+    const YAML::Node value = find(field);
+    if (!value.IsDefined())
+        return;
+    if (value.IsScalar())
+        out = value.Scalar();
+    else
+        problem(field, "expected one value");
+}
+
+std::vector<std::string> yaml_reader::texts(std::string_view field)
+{
+    std::vector<std::string> out;
+    const YAML::Node value = find(field);
+    if (!value.IsDefined())
+        return out;
+    if (!value.IsSequence()) {
+        problem(field, "expected a list, such as [entry, control]");
+        return out;
+    }
+    for (const auto &item : value)
+        out.push_back(item.Scalar());
+    return out;
+}
+
+std::string yaml_reader::address(std::string_view field, bool mustExist)
+{
+    std::string out;
+    if (mustExist)
+        out = required(field);
+    else
+        text(field, out);
+    if (out.empty())
+        return out;
+    kernel::error wrong;
+    if (!kernel::succeeded([&] { return wire::parseAddress(out); }, wrong))
+        problem(field, "'" + out + "' is " + wrong.message);
+    return out;
+}
+
+bool yaml_reader::scalarWithUnit(std::string_view field,
+                                 const std::map<std::string, std::int64_t> &units,
+                                 std::string_view sample, std::int64_t &out)
+{
+    std::string value;
+    text(field, value);
+    if (value.empty())
+        return false;
+    std::int64_t number = 0;
+    const char *end = value.data() + value.size();
+    const auto [stop, wrong] = std::from_chars(value.data(), end, number);
+    std::string unit(stop, end);
+    unit.erase(0, unit.find_first_not_of(' '));
+    const auto found = units.find(unit);
+    if (wrong != std::errc() || found == units.end() || number <= 0) {
+        problem(field, "'" + value + "' has no known unit; write it as " + std::string(sample));
+        return false;
+    }
+    out = number * found->second;
+    return true;
+}
+
+void yaml_reader::duration(std::string_view field, kernel::milliseconds &out)
+{
+    std::int64_t value = 0;
+    if (scalarWithUnit(field, {{"ms", 1}, {"s", 1'000}, {"m", 60'000}, {"h", 3'600'000}},
+                       "250ms, 3s, 5m or 1h", value))
+        out = kernel::milliseconds(value);
+}
+
+void yaml_reader::bytes(std::string_view field, std::int64_t &out)
+{
+    std::int64_t value = 0;
+    if (scalarWithUnit(field, {{"B", 1}, {"KB", 1 << 10}, {"MB", 1 << 20}, {"GB", 1 << 30}},
+                       "512B, 64KB, 8MB or 1GB", value))
+        out = value;
+}
+
+bool yaml_reader::wholeNumber(std::string_view field, std::int64_t &out)
+{
+    return scalarWithUnit(field, {{"", 1}}, "a whole number above zero", out);
+}
+
+void yaml_reader::choose(std::string_view field,
+                         const std::map<std::string, std::function<void()>> &choices)
+{
+    std::string value;
+    text(field, value);
+    if (value.empty())
+        return;
+    const auto found = choices.find(value);
+    if (found != choices.end()) {
+        found->second();
+        return;
+    }
+    std::string words;
+    for (const auto &[word, action] : choices)
+        words += " " + word;
+    problem(field, "'" + value + "' is not known; use one of:" + words);
+}
+
+std::vector<yaml_reader> yaml_reader::list(std::string_view field)
+{
+    std::vector<yaml_reader> out;
+    const YAML::Node value = find(field);
+    if (!value.IsDefined() || !value.IsSequence() || value.size() == 0) {
+        problem(field, "missing or not a list; add at least one item");
+        return out;
+    }
+    for (const auto &item : value)
+        out.emplace_back(m_file, item, *m_problems);
+    return out;
+}
+
+yaml_reader yaml_reader::child(std::string_view field)
+{
+    const YAML::Node value = find(field);
+    return {m_file, value.IsDefined() ? value : YAML::Node(), *m_problems};
+}
+
+void yaml_reader::refuseUnknown()
+{
+    if (!m_node.IsMap())
+        return;
+    for (const auto &pair : m_node) {
+        const std::string name = pair.first.Scalar();
+        if (m_known.contains(name))
+            continue;
+        const std::vector<std::string> known(m_known.begin(), m_known.end());
+        problem(name, "unknown field; did you mean '" + kernel::nearestWord(name, known) + "'?");
+    }
+}
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/src/yuccascale/runtime/yaml_reader.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// \brief Reads typed fields of a YAML mapping and collects every problem with its line.
+
+namespace yuccascale::runtime {
+
+/// \brief One mapping of a settings file. Problems of all readers go into one list.
+class yaml_reader
+{
+public:
+    yaml_reader(std::string file, const YAML::Node &node, std::vector<std::string> &problems);
+
+    /// \returns the text of a field that must be there and not be empty.
+    [[nodiscard]] std::string required(std::string_view field);
+
+    /// \brief Reads a text, if the field is there.
+    void text(std::string_view field, std::string &out);
+
+    /// \returns the texts of a list field; empty when it is missing.
+    [[nodiscard]] std::vector<std::string> texts(std::string_view field);
+
+    /// \returns "IP:port", checked; empty when missing.
+    [[nodiscard]] std::string address(std::string_view field, bool mustExist);
+
+    /// \brief Reads a duration with its unit: ms, s, m or h.
+    void duration(std::string_view field, kernel::milliseconds &out);
+
+    /// \brief Reads a size with its unit: B, KB, MB or GB (powers of 1024).
+    void bytes(std::string_view field, std::int64_t &out);
+
+    /// \brief Reads a whole number above zero.
+    template<typename Number>
+    void count(std::string_view field, Number &out)
+    {
+        std::int64_t value = 0;
+        if (wholeNumber(field, value))
+            out = static_cast<Number>(value);
+    }
+
+    /// \brief Runs the action of the word that the field holds.
+    void choose(std::string_view field,
+                const std::map<std::string, std::function<void()>> &choices);
+
+    /// \returns readers for the mappings of a list field.
+    [[nodiscard]] std::vector<yaml_reader> list(std::string_view field);
+
+    /// \returns a reader for a mapping field; an empty one when it is missing.
+    [[nodiscard]] yaml_reader child(std::string_view field);
+
+    /// \brief Reports each field that no call above has asked for.
+    void refuseUnknown();
+
+    /// \brief Reports a problem of \a field with its line.
+    void problem(std::string_view field, const std::string &message);
+
+private:
+    [[nodiscard]] YAML::Node find(std::string_view field);
+    [[nodiscard]] bool wholeNumber(std::string_view field, std::int64_t &out);
+    [[nodiscard]] bool scalarWithUnit(std::string_view field,
+                                      const std::map<std::string, std::int64_t> &units,
+                                      std::string_view sample, std::int64_t &out);
+
+    std::string m_file;
+    YAML::Node m_node;
+    std::vector<std::string> *m_problems;
+    std::set<std::string, std::less<>> m_known;
+};
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/src/yuccascale/wire/peer_link.cpp
@@ -0,0 +1,189 @@
+#include "yuccascale/wire/peer_link.hpp"
+
+#include <utility>
+
+namespace yuccascale::wire {
+
+using kernel::error_kind;
+using kernel::fail;
+using kernel::result;
+
+namespace {
+
+constexpr kernel::milliseconds handshakeTimeout{1'000};
+constexpr kernel::milliseconds reconnectPause{50};
+
+} // namespace
+
+peer_link::peer_link(const transport_settings &settings, transport_counters &counters,
+                     std::string peer, kernel::channel channel)
+    : m_settings(settings)
+    , m_counters(counters)
+    , m_peer(std::move(peer))
+    , m_channel(channel)
+    , m_sender([this] { sendLoop(); })
+{ }
+
+peer_link::~peer_link()
+{
+    stop();
+}
+
+void peer_link::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopped = true;
+        if (m_connection)
+            m_connection->shutdown();
+    }
+    m_changed.notify_all();
+    if (m_sender.joinable())
+        m_sender.join();
+    if (m_reader.joinable())
+        m_reader.join();
+}
+
+void peer_link::post(std::string payload)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_queue.size() >= m_settings.maxQueuedFrames) {
+        ++m_counters.framesDropped;
+        return;
+    }
+    m_queue.push_back({encodeFrame({m_channel, 0, false, std::move(payload)}), 0});
+    m_changed.notify_all();
+}
+
+result<std::string> peer_link::call(std::string payload, kernel::nanoseconds timeout)
+{
+    std::unique_lock lock(m_mutex);
+    if (m_stopped || m_queue.size() >= m_settings.maxQueuedFrames)
+        return fail(error_kind::Unavailable, m_peer, "too many messages wait; try again");
+    const std::uint64_t correlation = m_nextCorrelation++;
+    const auto pending = std::make_shared<pending_call>();
+    m_calls[correlation] = pending;
+    m_queue.push_back(
+            {encodeFrame({m_channel, correlation, false, std::move(payload)}), correlation});
+    m_changed.notify_all();
+    m_changed.wait_for(lock, timeout, [&] {
+        return pending->state == call_state::Answered || pending->state == call_state::Lost;
+    });
+    m_calls.erase(correlation);
+    if (pending->state == call_state::Answered)
+        return std::move(pending->reply);
+    if (pending->state == call_state::Queued) {
+        std::erase_if(m_queue, [&](const auto &frame) { return frame.correlation == correlation; });
+        return fail(error_kind::Unavailable, m_peer, "not reached in time; try another node");
+    }
+    return fail(error_kind::OutcomeUnknown, m_peer,
+                "no reply in time; send it again with the same id");
+}
+
+void peer_link::sendLoop()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopped) {
+        m_changed.wait(lock, [&] { return m_stopped || !m_queue.empty(); });
+        if (m_stopped)
+            return;
+        lock.unlock();
+        const std::shared_ptr<socket> connection = connectedSocket();
+        lock.lock();
+        if (!connection) {
+            m_changed.wait_for(lock, reconnectPause, [&] { return m_stopped; });
+            // a peer that is away gets fresh messages later, not the old ones
+            std::erase_if(m_queue, [](const auto &frame) { return frame.correlation == 0; });
+            continue;
+        }
+        if (m_queue.empty())
+            continue;
+        const queued_frame frame = std::move(m_queue.front());
+        m_queue.pop_front();
+        const auto call = m_calls.find(frame.correlation);
+        if (call != m_calls.end())
+            call->second->state = call_state::Sent;
+        lock.unlock();
+        const bool sent = connection->writeAll(frame.bytes);
+        lock.lock();
+        if (!sent) {
+            dropConnection();
+            continue;
+        }
+        m_counters.bytesSent += frame.bytes.size();
+        ++m_counters.framesSent;
+    }
+}
+
+std::shared_ptr<socket> peer_link::connectedSocket()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_connection)
+            return m_connection;
+    }
+    if (m_reader.joinable())
+        m_reader.join();
+    std::shared_ptr<socket> fresh;
+    kernel::error ignored;
+    const bool opened = kernel::succeeded(
+            [&]() -> result<void> {
+                BOOST_LEAF_AUTO(connection,
+                                socket::connect(m_settings.peers.find(m_peer)->second,
+                                                m_settings.connectTimeout, m_settings.userTimeout));
+                connection.setReadTimeout(handshakeTimeout);
+                if (!openHandshake(connection, m_settings.self, m_peer, m_settings.secret))
+                    return fail(error_kind::Unauthorized, m_peer, "check the cluster secret");
+                connection.setReadTimeout(kernel::milliseconds(0));
+                fresh = std::make_shared<socket>(std::move(connection));
+                return {};
+            },
+            ignored);
+    if (!opened)
+        return nullptr;
+    const std::lock_guard lock(m_mutex);
+    if (m_stopped)
+        return nullptr;
+    m_connection = fresh;
+    m_reader = std::thread([this, fresh] { readLoop(fresh); });
+    return fresh;
+}
+
+void peer_link::readLoop(const std::shared_ptr<socket> &connection)
+{
+    while (std::optional<frame> received = readFrame(*connection)) {
+        const std::lock_guard lock(m_mutex);
+        m_counters.bytesReceived += received->payload.size();
+        ++m_counters.framesReceived;
+        const auto call = m_calls.find(received->correlation);
+        if (!received->reply || call == m_calls.end())
+            continue;
+        call->second->reply = std::move(received->payload);
+        call->second->state = call_state::Answered;
+        m_changed.notify_all();
+    }
+    const std::lock_guard lock(m_mutex);
+    if (m_connection == connection)
+        dropConnection();
+}
+
+/// Needs m_mutex.
+void peer_link::dropConnection()
+{
+    if (m_connection)
+        m_connection->shutdown();
+    m_connection.reset();
+    loseSentCalls();
+}
+
+/// Needs m_mutex. A call that was written may have run, so its caller must ask again.
+void peer_link::loseSentCalls()
+{
+    for (auto &[correlation, call] : m_calls) {
+        if (call->state == call_state::Sent)
+            call->state = call_state::Lost;
+    }
+    m_changed.notify_all();
+}
+
+} // namespace yuccascale::wire
--- /dev/null
+++ b/src/yuccascale/wire/peer_link.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "yuccascale/wire/framing.hpp"
+#include "yuccascale/wire/tcp_transport.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+/// \file
+/// \brief The sending side of one peer and channel.
+
+namespace yuccascale::wire {
+
+/// \brief Where a call stands.
+enum class call_state { Queued, Sent, Answered, Lost };
+
+/// \brief A call that waits for its reply; guarded by its link's mutex.
+struct pending_call
+{
+    call_state state = call_state::Queued;
+    std::string reply;
+};
+
+/// \brief Keeps one connection to a peer, reconnecting when there is something to send.
+class peer_link
+{
+public:
+    peer_link(const transport_settings &settings, transport_counters &counters, std::string peer,
+              kernel::channel channel);
+    ~peer_link();
+    peer_link(const peer_link &) = delete;
+    peer_link &operator=(const peer_link &) = delete;
+
+    /// \brief Queues a message; drops it when too many wait.
+    void post(std::string payload);
+
+    /// \brief Queues a call and waits for its reply (see kernel::transport::call()).
+    [[nodiscard]] kernel::result<std::string> call(std::string payload,
+                                                   kernel::nanoseconds timeout);
+
+    void stop();
+
+private:
+    struct queued_frame
+    {
+        std::string bytes;
+        std::uint64_t correlation = 0;
+    };
+
+    void sendLoop();
+    void readLoop(const std::shared_ptr<socket> &connection);
+    [[nodiscard]] std::shared_ptr<socket> connectedSocket();
+    void dropConnection();
+    void loseSentCalls();
+
+    const transport_settings &m_settings;
+    transport_counters &m_counters;
+    std::string m_peer;
+    kernel::channel m_channel;
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<queued_frame> m_queue;
+    std::map<std::uint64_t, std::shared_ptr<pending_call>> m_calls;
+    std::uint64_t m_nextCorrelation = 1;
+    std::shared_ptr<socket> m_connection;
+    bool m_stopped = false;
+
+    std::thread m_reader;
+    std::thread m_sender;
+};
+
+} // namespace yuccascale::wire
--- /dev/null
+++ b/src/yuccascale/wire/tcp_transport.cpp
@@ -0,0 +1,78 @@
+#include "yuccascale/wire/tcp_transport.hpp"
+
+#include "yuccascale/wire/inbound_connections.hpp"
+#include "yuccascale/wire/peer_link.hpp"
+
+#include <utility>
+
+namespace yuccascale::wire {
+
+using kernel::error_kind;
+using kernel::fail;
+using kernel::result;
+
+tcp_transport::tcp_transport(transport_settings settings)
+    : m_settings(std::move(settings))
+{ }
+
+tcp_transport::~tcp_transport()
+{
+    stop();
+}
+
+result<void> tcp_transport::start()
+{
+    BOOST_LEAF_AUTO(listener, socket::listen(m_settings.listen));
+    m_inbound = std::make_unique<inbound_connections>(m_settings, m_counters, m_handlers,
+                                                      std::move(listener));
+    return {};
+}
+
+void tcp_transport::stop()
+{
+    std::map<std::pair<std::string, kernel::channel>, std::shared_ptr<peer_link>> links;
+    {
+        const std::lock_guard lock(m_linksMutex);
+        m_stopped = true;
+        links.swap(m_links);
+    }
+    for (const auto &[key, link] : links)
+        link->stop();
+    if (m_inbound)
+        m_inbound->stop();
+}
+
+void tcp_transport::handle(kernel::channel channel, handler handler)
+{
+    m_handlers[channel] = std::move(handler);
+}
+
+void tcp_transport::post(std::string_view node, kernel::channel channel, std::string payload)
+{
+    if (const std::shared_ptr<peer_link> link = linkTo(node, channel))
+        link->post(std::move(payload));
+}
+
+result<std::string> tcp_transport::call(std::string_view node, kernel::channel channel,
+                                        std::string payload, kernel::nanoseconds timeout)
+{
+    const std::shared_ptr<peer_link> link = linkTo(node, channel);
+    if (!link) {
+        return fail(error_kind::Unavailable, std::string(node),
+                    "no such node; list it under 'nodes' in the settings");
+    }
+    return link->call(std::move(payload), timeout);
+}
+
+std::shared_ptr<peer_link> tcp_transport::linkTo(std::string_view node, kernel::channel channel)
+{
+    const std::lock_guard lock(m_linksMutex);
+    if (m_stopped || m_settings.peers.find(node) == m_settings.peers.end())
+        return nullptr;
+    std::shared_ptr<peer_link> &link = m_links[{std::string(node), channel}];
+    if (!link)
+        link = std::make_shared<peer_link>(m_settings, m_counters, std::string(node), channel);
+    return link;
+}
+
+} // namespace yuccascale::wire
--- /dev/null
+++ b/tests/unit/settings_test.cpp
@@ -0,0 +1,93 @@
+#include "yuccascale/runtime/settings.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+
+namespace yuccascale::runtime {
+
+namespace {
+
+/// A folder with a settings file and its secrets, removed at the end.
+class settings_test : public testing::Test
+{
+protected:
+    settings_test()
+        : m_folder(std::filesystem::temp_directory_path()
+                   / ("yuccascale-settings-" + std::to_string(::getpid())))
+    {
+        std::filesystem::create_directories(m_folder / "data");
+        writeFile("secret", "0123456789abcdef0123456789abcdef\n", true);
+    }
+    ~settings_test() override { std::filesystem::remove_all(m_folder); }
+
+    void writeFile(const std::string &name, const std::string &text, bool ownerOnly)
+    {
+        std::ofstream(m_folder / name) << text;
+        const auto rights = ownerOnly ? std::filesystem::perms(0600) : std::filesystem::perms(0644);
+        std::filesystem::permissions(m_folder / name, rights);
+    }
+
+    std::string problemsOf(const std::string &extra, const std::string &link = "127.0.0.1:7400")
+    {
+        const std::string folder = m_folder.string();
+        writeFile("node.yaml",
+                  "node: perth-a-1\ncluster_secret: " + folder + "/secret\noperator_key: " + folder
+                          + "/secret\ndata_folder: " + folder
+                          + "/data\nnodes:\n  - name: perth-a-1\n"
+                          + "    zone: perth-a\n    link: " + link
+                          + "\n    callers: 127.0.0.1:7500\n    roles: [entry, control]\n" + extra,
+                  false);
+        kernel::error problem;
+        const std::string file = (m_folder / "node.yaml").string();
+        if (kernel::succeeded([&] { return readSettings(file); }, problem))
+            return {};
+        return problem.message;
+    }
+
+    std::filesystem::path m_folder;
+};
+
+} // namespace
+
+TEST_F(settings_test, acceptsAWholeFile)
+{
+    EXPECT_EQ(problemsOf("control: {lease: 2s}\n"), "");
+}
+
+TEST_F(settings_test, namesLineAndNearestFieldOfAnUnknownOne)
+{
+    const std::string problems = problemsOf("htpp: {threads: 4}\n");
+    EXPECT_NE(problems.find("node.yaml:11: htpp: unknown field; did you mean 'http'?"),
+              std::string::npos)
+            << problems;
+}
+
+TEST_F(settings_test, refusesADurationWithoutAUnit)
+{
+    EXPECT_NE(problemsOf("control: {lease: 1500}\n").find("lease: '1500' has no known unit"),
+              std::string::npos);
+}
+
+TEST_F(settings_test, refusesAnAddressWithoutAPort)
+{
+    EXPECT_NE(problemsOf("", "127.0.0.1").find("link: '127.0.0.1' is not an address"),
+              std::string::npos);
+}
+
+TEST_F(settings_test, refusesASecretThatOthersMayRead)
+{
+    writeFile("secret", "0123456789abcdef0123456789abcdef\n", false);
+    EXPECT_NE(problemsOf("").find("chmod 600"), std::string::npos);
+}
+
+TEST_F(settings_test, reportsEveryProblemAtOnce)
+{
+    const std::string problems = problemsOf("htpp: {}\ncontrol: {lease: 1}\n", "nowhere");
+    EXPECT_EQ(std::ranges::count(problems, '\n'), 2) << problems;
+}
+
+} // namespace yuccascale::runtime
