Feed of the tables with a freshness lease, and submits through the leader

Cause: entries need the tables in force without a log of their own, and must stop acting on them when no leader confirms them any more. Ruled out: entries as observers of the whole log (claims and usage would reach 350 nodes); a lease counted from the answer's arrival (a late answer would prolong it); a second check against overtaken answers in install() (its removal changed no test: table_history already refuses, so it went). Before: none. After: 7 tests; seen red with the relay's remaining time, the relay's own confirmation, the revision order or the check for an overtaken answer taken out. Conclusion: a relay can only pass on what is left of its own lease, counted from its own question.

--- /dev/null
+++ b/src/yuccascale/kernel/feed/feed_state.cpp
@@ -0,0 +1,115 @@
+#include "yuccascale/kernel/feed/feed_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccascale::kernel::feed {
+
+namespace {
+
+/// A node that was not heard for this long is taken out of the addresses.
+constexpr seconds silentNodeWindow{3};
+
+} // namespace
+
+feed_state::feed_state(nanoseconds freshness, std::vector<std::string> entries)
+    : m_freshness(freshness)
+    , m_entries(std::move(entries))
+    , m_bans(std::make_shared<const std::set<std::string>>())
+{ }
+
+control_view feed_state::view() const
+{
+    return {m_history.newest(), m_freshUntil, m_bans, m_leader};
+}
+
+feed_request feed_state::request(instant now, const node_report &self) const
+{
+    feed_request out;
+    out.haveTables = m_history.newest() != nullptr;
+    out.haveRevision = out.haveTables ? m_history.newest()->revision : 0;
+    out.haveBans = m_bansVersion;
+    out.reports = m_directory.reports(now, silentNodeWindow);
+    std::erase_if(out.reports, [&](const auto &report) { return report.node == self.node; });
+    out.reports.insert(out.reports.begin(), self);
+    return out;
+}
+
+bool feed_state::install(instant askedAt, const feed_reply &reply)
+{
+    if (!reply.leader.empty())
+        m_leader = reply.leader;
+    if (!reply.confirmed)
+        return false;
+    const bool newer = installTables(reply);
+    if (!m_history.newest() || m_history.newest()->revision != reply.revision)
+        return newer; // an overtaken answer says nothing of what is in force now
+    installBans(reply.bansVersion, reply.bans);
+    m_unavailable = reply.unavailable;
+    renew(askedAt, std::min<nanoseconds>(milliseconds(reply.freshForMs), m_freshness));
+    return newer;
+}
+
+bool feed_state::installTables(const feed_reply &reply)
+{
+    if (!reply.whole.empty())
+        return m_history.advance(std::make_shared<state::table_set>(reply.whole.front()));
+    if (reply.edits.empty() || !m_history.newest())
+        return false;
+    auto next = std::make_shared<state::table_set>(*m_history.newest());
+    if (reply.edits.front().fromRevision != next->revision)
+        return false;
+    for (const state::edit_tables &edit : reply.edits)
+        applyRows(*next, edit, reply.revision);
+    return m_history.advance(next);
+}
+
+bool feed_state::installOwn(instant askedAt, instant now, const leader_reading &reading,
+                            const std::string &self)
+{
+    m_leader = self;
+    const bool newer = m_history.advance(reading.tables);
+    installBans(reading.bansVersion, reading.bans);
+    m_unavailable = m_directory.unavailable(now, silentNodeWindow, m_entries);
+    std::erase(m_unavailable, self);
+    renew(askedAt, m_freshness);
+    return newer;
+}
+
+void feed_state::installBans(std::uint64_t version, const std::vector<std::string> &bans)
+{
+    if (version <= m_bansVersion)
+        return;
+    m_bansVersion = version;
+    m_bans = std::make_shared<const std::set<std::string>>(bans.begin(), bans.end());
+}
+
+void feed_state::renew(instant askedAt, nanoseconds freshFor)
+{
+    m_freshUntil = std::max(m_freshUntil, askedAt + freshFor);
+}
+
+feed_reply feed_state::answer(instant now, std::string_view peer, const feed_request &request)
+{
+    m_directory.hear(now, peer, request.reports);
+    feed_reply reply;
+    reply.leader = m_leader;
+    const auto &newest = m_history.newest();
+    if (!newest || now >= m_freshUntil)
+        return reply;
+    reply.confirmed = true;
+    reply.freshForMs = std::chrono::duration_cast<milliseconds>(m_freshUntil - now).count();
+    reply.revision = newest->revision;
+    const auto edits = request.haveTables ? m_history.since(request.haveRevision) : std::nullopt;
+    if (edits)
+        reply.edits = *edits;
+    else if (!request.haveTables || request.haveRevision < newest->revision)
+        reply.whole.push_back(*newest);
+    reply.bansVersion = m_bansVersion;
+    if (request.haveBans != m_bansVersion)
+        reply.bans.assign(m_bans->begin(), m_bans->end());
+    reply.unavailable = m_unavailable;
+    return reply;
+}
+
+} // namespace yuccascale::kernel::feed
--- /dev/null
+++ b/src/yuccascale/kernel/feed/node_directory.cpp
@@ -0,0 +1,54 @@
+#include "yuccascale/kernel/feed/node_directory.hpp"
+
+namespace yuccascale::kernel::feed {
+
+void node_directory::hear(instant now, std::string_view peer,
+                          const std::vector<node_report> &reports)
+{
+    for (const node_report &report : reports) {
+        const instant heardAt = now - milliseconds(report.ageMs);
+        known_node &node = m_nodes[report.node];
+        if (heardAt < node.heardAt)
+            continue;
+        node = {report, heardAt, std::string(peer)};
+    }
+}
+
+std::vector<node_report> node_directory::reports(instant now, nanoseconds window) const
+{
+    std::vector<node_report> out;
+    for (const auto &[name, node] : m_nodes) {
+        if (now - node.heardAt > window)
+            continue;
+        node_report report = node.report;
+        report.ageMs = std::chrono::duration_cast<milliseconds>(now - node.heardAt).count();
+        out.push_back(report);
+    }
+    return out;
+}
+
+std::vector<std::string> node_directory::unavailable(instant now, nanoseconds window,
+                                                     const std::vector<std::string> &expected) const
+{
+    std::vector<std::string> out;
+    for (const std::string &name : expected) {
+        const auto found = m_nodes.find(name);
+        const bool serving = found != m_nodes.end() && now - found->second.heardAt <= window
+                && !found->second.report.leaving;
+        if (!serving)
+            out.push_back(name);
+    }
+    return out;
+}
+
+std::vector<std::string> node_directory::directPeers(instant now, nanoseconds window) const
+{
+    std::vector<std::string> out;
+    for (const auto &[name, node] : m_nodes) {
+        if (node.through == name && now - node.heardAt <= window)
+            out.push_back(name);
+    }
+    return out;
+}
+
+} // namespace yuccascale::kernel::feed
--- /dev/null
+++ b/src/yuccascale/kernel/feed/table_history.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "yuccascale/kernel/state/commands.hpp"
+#include "yuccascale/kernel/state/tables.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
+/// \file
+/// \brief Recent edits of the tables, so that a node is sent only what changed.
+
+namespace yuccascale::kernel::feed {
+
+/// \returns the edit that turns \a from into \a to.
+[[nodiscard]] state::edit_tables difference(const state::table_set &from,
+                                            const state::table_set &to);
+
+/// \brief Applies an edit's rows, unchecked, and sets the revision.
+void applyRows(state::table_set &tables, const state::edit_tables &edit, std::uint64_t revision);
+
+/// \brief The newest tables and the edits that led to them. Not thread-safe.
+class table_history
+{
+public:
+    using table_pointer = std::shared_ptr<const state::table_set>;
+
+    /// \brief One step from an older revision to a newer one.
+    struct step
+    {
+        std::uint64_t fromRevision = 0;
+        std::uint64_t toRevision = 0;
+        state::edit_tables edit;
+    };
+
+    /// \param maxSteps steps kept; a node further behind is sent the whole tables
+    explicit table_history(std::size_t maxSteps = 1'024)
+        : m_maxSteps(maxSteps)
+    { }
+
+    /// \returns the newest tables; null before the first.
+    [[nodiscard]] const table_pointer &newest() const noexcept { return m_newest; }
+
+    /// \brief Takes in newer tables; older or equal ones change nothing.
+    /// \returns true when they were newer.
+    bool advance(const table_pointer &tables);
+
+    /// \returns the edits from \a revision to the newest, or nothing when they are not kept.
+    [[nodiscard]] std::optional<std::vector<state::edit_tables>>
+    since(std::uint64_t revision) const;
+
+private:
+    std::size_t m_maxSteps;
+    table_pointer m_newest;
+    std::deque<step> m_steps;
+};
+
+} // namespace yuccascale::kernel::feed
--- /dev/null
+++ b/src/yuccascale/runtime/cluster_client.cpp
@@ -0,0 +1,118 @@
+#include "yuccascale/runtime/cluster_client.hpp"
+
+#include <algorithm>
+#include <thread>
+
+namespace yuccascale::runtime {
+
+using namespace kernel;
+
+namespace {
+
+/// One try at one node; a longer wait would outlive a change of leader.
+constexpr milliseconds tryTimeout{1'500};
+constexpr milliseconds pauseBetweenRounds{50};
+
+std::string failureReply(error_kind kind, std::string message)
+{
+    submit_reply reply;
+    reply.kind = kind;
+    reply.message = std::move(message);
+    return toCbor(reply);
+}
+
+} // namespace
+
+cluster_client::cluster_client(const settings &settings, clock &clock, transport &transport,
+                               feed_service &feed, command_proposer *proposer)
+    : m_settings(settings)
+    , m_clock(clock)
+    , m_transport(transport)
+    , m_feed(feed)
+    , m_proposer(proposer)
+{
+    for (const node_settings &node : settings.nodes) {
+        if (node.roles.control)
+            m_controlNodes.push_back(node.name);
+    }
+    m_transport.handle(channel::Submit, [this](std::string_view, std::string_view payload) {
+        state::command command;
+        error problem;
+        const bool good = succeeded(
+                [&]() -> result<void> {
+                    BOOST_LEAF_ASSIGN(command, fromCbor<state::command>(payload, "command"));
+                    return {};
+                },
+                problem);
+        if (!good)
+            return failureReply(error_kind::InvalidArgument, problem.message);
+        if (m_proposer == nullptr)
+            return failureReply(error_kind::NotLeader, "this node has no control role");
+        return toCbor(m_proposer->propose(command, m_clock.now() + tryTimeout));
+    });
+}
+
+std::string cluster_client::firstTarget() const
+{
+    const std::string leader = m_feed.view().leader;
+    return leader.empty() ? m_controlNodes.front() : leader;
+}
+
+result<state::command_result> cluster_client::submit(const state::command &command,
+                                                     instant deadline)
+{
+    if (command.operationId.empty()) {
+        return fail(error_kind::InvalidArgument, "command",
+                    "it has no operation id and could run twice; give it one");
+    }
+    bool maybeSent = false;
+    std::size_t next = 0;
+    std::string target = firstTarget();
+    while (m_clock.now() < deadline) {
+        submit_reply reply = tryOnce(command, target, deadline);
+        if (reply.answered)
+            return std::move(reply.answer);
+        maybeSent = maybeSent || reply.kind == error_kind::OutcomeUnknown;
+        if (reply.kind == error_kind::InvalidArgument)
+            return fail(reply.kind, "command", reply.message);
+        if (!reply.leader.empty() && reply.leader != target) {
+            target = reply.leader;
+            continue;
+        }
+        target = m_controlNodes[next++ % m_controlNodes.size()];
+        std::this_thread::sleep_for(pauseBetweenRounds);
+    }
+    if (maybeSent) {
+        return fail(error_kind::OutcomeUnknown, "control",
+                    "no answer in time; send it again with the same operation id");
+    }
+    return fail(error_kind::Unavailable, "control",
+                "no leader reached in time; nothing was done, try again");
+}
+
+submit_reply cluster_client::tryOnce(const state::command &command, const std::string &target,
+                                     instant deadline)
+{
+    if (target == m_settings.node && m_proposer != nullptr)
+        return m_proposer->propose(command, std::min(deadline, m_clock.now() + tryTimeout));
+    submit_reply reply;
+    error problem;
+    const bool answered = succeeded(
+            [&]() -> result<void> {
+                const nanoseconds timeout
+                        = std::min<nanoseconds>(tryTimeout, deadline - m_clock.now());
+                BOOST_LEAF_AUTO(
+                        bytes, m_transport.call(target, channel::Submit, toCbor(command), timeout));
+                BOOST_LEAF_ASSIGN(reply, fromCbor<submit_reply>(bytes, "reply of " + target));
+                return {};
+            },
+            problem);
+    if (!answered) {
+        reply.kind
+                = problem.kind == error_kind::Corrupt ? error_kind::OutcomeUnknown : problem.kind;
+        reply.message = problem.message;
+    }
+    return reply;
+}
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/src/yuccascale/runtime/cluster_client.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "yuccascale/kernel/control_client.hpp"
+#include "yuccascale/kernel/transport.hpp"
+#include "yuccascale/runtime/feed_service.hpp"
+#include "yuccascale/runtime/settings.hpp"
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief A node's access to the replicated state: commits through the leader, reads of the feed.
+
+namespace yuccascale::runtime {
+
+/// \brief The reply to a command that one node sent to another.
+struct submit_reply
+{
+    bool answered = false; ///< the state machine answered
+    kernel::state::command_result answer;
+    kernel::error_kind kind = kernel::error_kind::Internal; ///< why not, when not answered
+    std::string leader;                                     ///< who to ask, when known
+    std::string message;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(submit_reply, answered, answer, kind, leader,
+                                                message)
+};
+
+/// \brief Proposes commands on this node; absent on nodes without the control role.
+class command_proposer
+{
+public:
+    virtual ~command_proposer() = default;
+
+    /// \brief Commits a command if this node is the leader.
+    [[nodiscard]] virtual submit_reply propose(const kernel::state::command &command,
+                                               kernel::instant deadline)
+            = 0;
+};
+
+/// \brief The control_client of a running node. Thread-safe.
+class cluster_client final : public kernel::control_client
+{
+public:
+    /// \param proposer null on nodes without the control role
+    cluster_client(const settings &settings, kernel::clock &clock, kernel::transport &transport,
+                   feed_service &feed, command_proposer *proposer);
+
+    [[nodiscard]] kernel::result<kernel::state::command_result>
+    submit(const kernel::state::command &command, kernel::instant deadline) override;
+    [[nodiscard]] kernel::control_view view() const override { return m_feed.view(); }
+
+private:
+    [[nodiscard]] submit_reply tryOnce(const kernel::state::command &command,
+                                       const std::string &target, kernel::instant deadline);
+    [[nodiscard]] std::string firstTarget() const;
+
+    const settings &m_settings;
+    kernel::clock &m_clock;
+    kernel::transport &m_transport;
+    feed_service &m_feed;
+    command_proposer *m_proposer;
+    std::vector<std::string> m_controlNodes;
+};
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/tests/unit/feed_state_test.cpp
@@ -0,0 +1,128 @@
+#include "fakes/manual_clock.hpp"
+#include "yuccascale/kernel/feed/feed_state.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccascale::kernel::feed {
+
+namespace {
+
+constexpr seconds freshness{2};
+
+std::shared_ptr<state::table_set> tablesAt(std::uint64_t revision)
+{
+    auto tables = std::make_shared<state::table_set>();
+    tables->revision = revision;
+    for (std::uint64_t number = 1; number <= revision; ++number) {
+        const std::string id = "k" + std::to_string(number);
+        tables->keys[id] = {id, "north", "digest"};
+    }
+    return tables;
+}
+
+/// A leader, a relay and an entry in a row, under one clock.
+class feed_state_test : public testing::Test
+{
+protected:
+    feed_state m_leader{freshness, {"entry", "relay"}};
+    feed_state m_relay{freshness, {"entry", "relay"}};
+    feed_state m_entry{freshness, {"entry", "relay"}};
+    fakes::manual_clock m_clock;
+
+    void leaderReads(std::uint64_t revision, std::uint64_t bans = 0)
+    {
+        m_leader.installOwn(m_clock.now(), m_clock.now(),
+                            {tablesAt(revision), bans, {"fingerprint"}}, "leader");
+    }
+
+    bool ask(feed_state &from, feed_state &to, const std::string &name)
+    {
+        node_report self;
+        self.node = name;
+        const feed_request request = from.request(m_clock.now(), self);
+        return from.install(m_clock.now(), to.answer(m_clock.now(), name, request));
+    }
+};
+
+} // namespace
+
+TEST_F(feed_state_test, passesARevisionOnThroughARelay)
+{
+    leaderReads(3);
+    EXPECT_TRUE(ask(m_relay, m_leader, "relay"));
+    EXPECT_TRUE(ask(m_entry, m_relay, "entry"));
+    EXPECT_EQ(json(*m_entry.view().tables), json(*tablesAt(3)));
+    EXPECT_TRUE(m_entry.view().fresh(m_clock.now()));
+}
+
+TEST_F(feed_state_test, sendsOnlyTheEditsToANodeThatHasAnOlderRevision)
+{
+    leaderReads(3);
+    ask(m_entry, m_leader, "entry");
+    leaderReads(4);
+    leaderReads(5);
+    node_report self;
+    self.node = "entry";
+    const feed_reply reply
+            = m_leader.answer(m_clock.now(), "entry", m_entry.request(m_clock.now(), self));
+    EXPECT_EQ(reply.edits.size(), 2U);
+    EXPECT_TRUE(reply.whole.empty());
+    m_entry.install(m_clock.now(), reply);
+    EXPECT_EQ(json(*m_entry.view().tables), json(*tablesAt(5)));
+}
+
+TEST_F(feed_state_test, anOvertakenAnswerNeitherRevertsNorRenews)
+{
+    leaderReads(3);
+    node_report self;
+    self.node = "entry";
+    const feed_reply late
+            = m_leader.answer(m_clock.now(), "entry", m_entry.request(m_clock.now(), self));
+    leaderReads(4);
+    ask(m_entry, m_leader, "entry");
+    m_clock.advance(seconds(1));
+    EXPECT_FALSE(m_entry.install(m_clock.now(), late));
+    EXPECT_EQ(m_entry.view().tables->revision, 4U);
+    EXPECT_EQ(m_entry.view().freshUntil, instant(freshness));
+}
+
+TEST_F(feed_state_test, freshnessCountsFromWhenTheRelayAskedTheLeader)
+{
+    leaderReads(1);
+    ask(m_relay, m_leader, "relay");
+    m_clock.advance(milliseconds(1'500));
+    ask(m_entry, m_relay, "entry");
+    EXPECT_TRUE(m_entry.view().fresh(m_clock.now()));
+    m_clock.advance(milliseconds(500));
+    EXPECT_FALSE(m_entry.view().fresh(m_clock.now()));
+}
+
+TEST_F(feed_state_test, aRelayThatLostItsOwnConfirmationConfirmsNothing)
+{
+    leaderReads(1);
+    ask(m_relay, m_leader, "relay");
+    m_clock.advance(freshness);
+    ask(m_entry, m_relay, "entry");
+    EXPECT_EQ(m_entry.view().tables, nullptr);
+}
+
+TEST_F(feed_state_test, leavesSilentAndLeavingNodesOutOfTheAddresses)
+{
+    leaderReads(1);
+    ask(m_entry, m_leader, "entry");
+    leaderReads(1);
+    EXPECT_EQ(m_leader.unavailable(), std::vector<std::string>{"relay"});
+    m_clock.advance(seconds(4));
+    leaderReads(1);
+    EXPECT_EQ(m_leader.unavailable(), (std::vector<std::string>{"entry", "relay"}));
+}
+
+TEST_F(feed_state_test, passesBannedFingerprintsOn)
+{
+    leaderReads(1, 7);
+    ask(m_relay, m_leader, "relay");
+    ask(m_entry, m_relay, "entry");
+    EXPECT_TRUE(m_entry.view().bannedFingerprints->contains("fingerprint"));
+}
+
+} // namespace yuccascale::kernel::feed
