--- a/src/yuccascale/kernel/policy/admission.hpp
+++ b/src/yuccascale/kernel/policy/admission.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// \file
 /// \brief Admission and order of the queue at an entry.
@@ -73,6 +74,10 @@
     /// \returns false when it was not waiting.
     virtual bool remove(std::uint64_t ticket) = 0;
 
+    /// \brief Takes out the requests that can no longer be answered in time; each is refused at
+    /// once.
+    [[nodiscard]] virtual std::vector<waiting_request> takeLate(instant) { return {}; }
+
     /// \brief Corrects an organisation's charge once the true cost is known.
     virtual void charge(std::string_view organisation, double weight, double costDifference) = 0;
 
--- a/src/yuccascale/kernel/policy/fleet.hpp
+++ b/src/yuccascale/kernel/policy/fleet.hpp
@@ -36,6 +36,8 @@
     double prefillBacklogTokens = 0;
     double decodeBacklogTokens = 0;
     double nonIdempotentShare = 0; ///< of the work
+    int minEndpoints = 1;          ///< of the pool
+    int maxEndpoints = 64;         ///< of the pool
 };
 
 /// \brief What one engine of a pool can do, learnt online.
--- /dev/null
+++ b/src/yuccascale/plugins/admission_deadline.cpp
@@ -0,0 +1,77 @@
+#include "yuccascale/kernel/policy/admission.hpp"
+
+#include <algorithm>
+
+/// \file
+/// \brief Admission by deadline, and the baseline that admits everything.
+
+namespace yuccascale::plugins {
+
+namespace {
+
+using namespace kernel::policy;
+using kernel::instant;
+using kernel::nanoseconds;
+
+constexpr nanoseconds leastRetryAfter = kernel::milliseconds(100);
+constexpr nanoseconds greatestRetryAfter = kernel::seconds(60);
+constexpr int retrySpreadSteps = 16;     ///< callers refused together come back apart
+constexpr double retrySpread = 0.5 / 16; ///< added for each step
+constexpr double waitMargin = 1.0;       ///< factor on the predicted wait
+
+nanoseconds scaled(nanoseconds duration, double factor)
+{
+    return std::chrono::duration_cast<nanoseconds>(duration * factor);
+}
+
+/// The wait behind the organisation's own requests at its share, or behind all requests when that
+/// is sooner: an idle share is used by the others.
+nanoseconds expectedWait(const waiting_request &request, const queue_view &queue)
+{
+    if (queue.costPerSecond <= 0)
+        return queue.predictedWait;
+    const double own = queue.costWaitingOfOrganisation + request.cost;
+    const double share = std::max(queue.shareOfOrganisation, 1e-6);
+    const double wait = std::min(own / (queue.costPerSecond * share),
+                                 (queue.costWaiting + request.cost) / queue.costPerSecond);
+    return std::chrono::duration_cast<nanoseconds>(std::chrono::duration<double>(wait));
+}
+
+class deadline_admission final : public admission
+{
+public:
+    [[nodiscard]] std::optional<admission_refusal>
+    refuse(instant now, const waiting_request &request, const queue_view &queue) override
+    {
+        if (queue.waiting == 0)
+            return std::nullopt;
+        const nanoseconds wait = scaled(expectedWait(request, queue), waitMargin);
+        const nanoseconds late = now + wait + request.predictedService - request.deadline;
+        if (late <= nanoseconds::zero())
+            return std::nullopt;
+        const double spread
+                = 1.0 + retrySpread * static_cast<double>(request.ticket % retrySpreadSteps);
+        const nanoseconds retryAfter = scaled(std::max(late, leastRetryAfter), spread);
+        return admission_refusal{"would miss its deadline: waiting work of its organisation",
+                                 std::min(retryAfter, greatestRetryAfter)};
+    }
+};
+
+class always_admission final : public admission
+{
+public:
+    [[nodiscard]] std::optional<admission_refusal> refuse(instant, const waiting_request &,
+                                                          const queue_view &) override
+    {
+        return std::nullopt;
+    }
+};
+
+const admission_registry::registration addDeadline{
+        "deadline", [] { return std::make_unique<deadline_admission>(); }};
+const admission_registry::registration addAlways{
+        "always", [] { return std::make_unique<always_admission>(); }};
+
+} // namespace
+
+} // namespace yuccascale::plugins
--- /dev/null
+++ b/src/yuccascale/plugins/roles_baselines.cpp
@@ -0,0 +1,83 @@
+#include "yuccascale/kernel/policy/fleet_load.hpp"
+
+#include <algorithm>
+
+/// \file
+/// \brief Baselines: roles as the operators wrote them, and a rule with two thresholds.
+
+namespace yuccascale::plugins {
+
+namespace {
+
+using namespace kernel::policy;
+using kernel::instant;
+using kernel::state::engine_role;
+
+class fixed_roles final : public role_policy
+{
+public:
+    [[nodiscard]] std::vector<role_change> decide(instant, const pool_demand &,
+                                                  const engine_rates &,
+                                                  std::span<const engine_view>) override
+    {
+        return {};
+    }
+};
+
+constexpr double busy = 0.9;
+constexpr double slack = 0.75;
+constexpr kernel::nanoseconds coolDown = kernel::seconds(10);
+
+/// Moves one engine when one side is busy and the other is not.
+class threshold_roles final : public role_policy
+{
+public:
+    [[nodiscard]] std::vector<role_change> decide(instant now, const pool_demand &demand,
+                                                  const engine_rates &rates,
+                                                  std::span<const engine_view> engines) override
+    {
+        const fleet_load load = fleetLoad(demand, rates);
+        const double prefill = load.prefillEngines / std::max(countOf(engines, true), 1.0);
+        const double decode = load.decodeEngines / std::max(countOf(engines, false), 1.0);
+        if (now - m_last < coolDown)
+            return {};
+        if (prefill > busy && decode < slack)
+            return change(now, engines, engine_role::Prefill);
+        if (decode > busy && prefill < slack)
+            return change(now, engines, engine_role::Decode);
+        return {};
+    }
+
+private:
+    [[nodiscard]] static double countOf(std::span<const engine_view> engines, bool prefill)
+    {
+        return static_cast<double>(std::ranges::count_if(engines, [prefill](const auto &engine) {
+            return (engine.role == engine_role::Prefill) == prefill;
+        }));
+    }
+
+    std::vector<role_change> change(instant now, std::span<const engine_view> engines,
+                                    engine_role to)
+    {
+        for (const engine_view &engine : engines) {
+            if (engine.role == to || engine.changing || engine.leaving)
+                continue;
+            if (to == engine_role::Decode && engine.role == engine_role::Mixed)
+                continue;
+            m_last = now;
+            return {{engine.row->name, to, "utilisation passed the threshold"}};
+        }
+        return {};
+    }
+
+    instant m_last{};
+};
+
+const role_policy_registry::registration addFixed{"fixed",
+                                                  [] { return std::make_unique<fixed_roles>(); }};
+const role_policy_registry::registration addThreshold{
+        "threshold", [] { return std::make_unique<threshold_roles>(); }};
+
+} // namespace
+
+} // namespace yuccascale::plugins
--- /dev/null
+++ b/src/yuccascale/plugins/roles_mix_following.cpp
@@ -0,0 +1,189 @@
+#include "yuccascale/kernel/policy/fleet_load.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <set>
+
+/// \file
+/// \brief Gives roles to the steady part of the mix and leaves the swinging part to mixed engines.
+///
+/// The least load of each side over the last minutes is what dedicated engines can count on. It
+/// falls with the first reading and rises only when the window has passed, so an engine is freed
+/// fast and bound slowly.
+
+namespace yuccascale::plugins {
+
+namespace {
+
+using namespace kernel::policy;
+using kernel::instant;
+using kernel::nanoseconds;
+using kernel::state::engine_role;
+
+constexpr nanoseconds steadyWindow = kernel::seconds(90);
+constexpr nanoseconds leastTimeInRole = kernel::seconds(120); ///< before it is bound again
+constexpr nanoseconds gainHorizon = kernel::seconds(60);
+constexpr double boundShare = 0.8;          ///< of the steady load, given to dedicated engines
+constexpr double leastMixedShare = 0.25;    ///< of the pool, kept for the swing
+constexpr double releaseMargin = 0.5;       ///< engines of idle capacity that free one
+constexpr double roleGain = 0.15;           ///< throughput that a fitting role adds to an engine
+constexpr double concurrentShare = 1.0 / 6; ///< of the pool, changing at once
+
+struct reading
+{
+    instant at;
+    fleet_load load;
+};
+
+/// Engines by role, without those that leave.
+struct role_counts
+{
+    int prefill = 0;
+    int decode = 0;
+    int all = 0;
+};
+
+class mix_following_roles final : public role_policy
+{
+public:
+    [[nodiscard]] std::vector<role_change> decide(instant now, const pool_demand &demand,
+                                                  const engine_rates &rates,
+                                                  std::span<const engine_view> engines) override
+    {
+        m_readings.push_back({now, fleetLoad(demand, rates)});
+        while (now - m_readings.front().at > steadyWindow)
+            m_readings.pop_front();
+        const fleet_load steady = leastLoad();
+        const role_counts counts = countRoles(engines);
+        m_allowed = static_cast<int>(std::ceil(counts.all * concurrentShare));
+        m_zones.clear();
+        for (const engine_view &engine : engines) {
+            if (engine.changing)
+                occupy(engine);
+        }
+        std::vector<role_change> changes;
+        release(now, engines, counts, steady, changes);
+        if (changes.empty() && paysOff(rates) && windowIsFull(now))
+            bind(now, engines, counts, steady, changes);
+        return changes;
+    }
+
+private:
+    [[nodiscard]] fleet_load leastLoad() const
+    {
+        fleet_load least = m_readings.front().load;
+        for (const reading &each : m_readings) {
+            least.prefillEngines = std::min(least.prefillEngines, each.load.prefillEngines);
+            least.decodeEngines = std::min(least.decodeEngines, each.load.decodeEngines);
+        }
+        return least;
+    }
+
+    [[nodiscard]] static role_counts countRoles(std::span<const engine_view> engines)
+    {
+        role_counts counts;
+        for (const engine_view &engine : engines) {
+            if (engine.leaving)
+                continue;
+            ++counts.all;
+            counts.prefill += engine.role == engine_role::Prefill ? 1 : 0;
+            counts.decode += engine.role == engine_role::Decode ? 1 : 0;
+        }
+        return counts;
+    }
+
+    void occupy(const engine_view &engine)
+    {
+        --m_allowed;
+        m_zones.insert(engine.row->zone);
+    }
+
+    [[nodiscard]] bool windowIsFull(instant now) const
+    {
+        return now - m_readings.front().at >= steadyWindow * 9 / 10;
+    }
+
+    /// A change is worth it when the gain over the horizon exceeds the work lost meanwhile.
+    [[nodiscard]] static bool paysOff(const engine_rates &rates)
+    {
+        const double gain = roleGain * std::chrono::duration<double>(gainHorizon).count();
+        return gain > std::chrono::duration<double>(rates.roleChange).count();
+    }
+
+    /// Frees dedicated engines whose side no longer fills them.
+    void release(instant, std::span<const engine_view> engines, const role_counts &counts,
+                 const fleet_load &steady, std::vector<role_change> &changes)
+    {
+        const auto excess = [](int bound, double load) {
+            return static_cast<int>(std::floor(bound - load + 1.0 - releaseMargin));
+        };
+        take(engines, engine_role::Prefill, engine_role::Mixed,
+             excess(counts.prefill, steady.prefillEngines), steady, nanoseconds::zero(), {},
+             changes);
+        take(engines, engine_role::Decode, engine_role::Mixed,
+             excess(counts.decode, steady.decodeEngines), steady, nanoseconds::zero(), {}, changes);
+    }
+
+    void bind(instant now, std::span<const engine_view> engines, const role_counts &counts,
+              const fleet_load &steady, std::vector<role_change> &changes)
+    {
+        const int most = static_cast<int>(counts.all * (1.0 - leastMixedShare));
+        int free = most - counts.prefill - counts.decode;
+        const auto missing = [&free](double load, int bound) {
+            const int wanted = static_cast<int>(std::floor(load * boundShare)) - bound;
+            return std::clamp(wanted, 0, std::max(free, 0));
+        };
+        const int prefill = missing(steady.prefillEngines, counts.prefill);
+        free -= prefill;
+        const int decode = missing(steady.decodeEngines, counts.decode);
+        take(engines, engine_role::Mixed, engine_role::Prefill, prefill, steady, leastTimeInRole,
+             now, changes);
+        take(engines, engine_role::Mixed, engine_role::Decode, decode, steady, leastTimeInRole, now,
+             changes);
+    }
+
+    /// Changes up to \a count engines, one in each zone, the least busy first.
+    void take(std::span<const engine_view> engines, engine_role from, engine_role to, int count,
+              const fleet_load &steady, nanoseconds leastAge, instant now,
+              std::vector<role_change> &changes)
+    {
+        std::vector<const engine_view *> able;
+        for (const engine_view &engine : engines) {
+            const bool old = now - engine.roleSince >= leastAge || leastAge == nanoseconds::zero();
+            if (engine.role == from && !engine.changing && !engine.leaving && old)
+                able.push_back(&engine);
+        }
+        std::ranges::stable_sort(able, {}, &engine_view::running);
+        for (const engine_view *engine : able) {
+            if (count <= 0 || m_allowed <= 0)
+                return;
+            if (m_zones.contains(engine->row->zone))
+                continue;
+            occupy(*engine);
+            --count;
+            changes.push_back({engine->row->name, to, reasonOf(steady)});
+        }
+    }
+
+    [[nodiscard]] static std::string reasonOf(const fleet_load &steady)
+    {
+        const auto tenths = [](double value) {
+            return std::to_string(std::lround(value * 10) / 10) + "."
+                    + std::to_string(std::lround(value * 10) % 10);
+        };
+        return "steady load in engines: prefill " + tenths(steady.prefillEngines) + ", decode "
+                + tenths(steady.decodeEngines);
+    }
+
+    std::deque<reading> m_readings;
+    int m_allowed = 0;             ///< changes that may still start
+    std::set<std::string> m_zones; ///< with a change under way
+};
+
+const role_policy_registry::registration addMixFollowing{
+        "mix_following", [] { return std::make_unique<mix_following_roles>(); }};
+
+} // namespace
+
+} // namespace yuccascale::plugins
--- /dev/null
+++ b/src/yuccascale/plugins/router_least_outstanding.cpp
@@ -0,0 +1,72 @@
+#include "yuccascale/kernel/policy/engine_estimates.hpp"
+
+#include <algorithm>
+#include <random>
+
+/// \file
+/// \brief Baselines by request count: the least outstanding of all, or of two drawn at random.
+
+namespace yuccascale::plugins {
+
+namespace {
+
+using namespace kernel::policy;
+
+double outstanding(const endpoint_view &view)
+{
+    const int reported = view.report.running + view.report.queued + view.sentSinceReport;
+    return std::max(reported, view.outstandingHere);
+}
+
+class outstanding_router final : public router
+{
+public:
+    /// \param draws endpoints compared; 0 for all
+    outstanding_router(std::uint64_t seed, std::size_t draws)
+        : m_random(seed)
+        , m_draws(draws)
+    { }
+
+    [[nodiscard]] std::optional<routing_choice>
+    choose(kernel::instant, const routing_request &, std::span<const endpoint_view> views) override
+    {
+        m_usable.clear();
+        for (std::size_t index = 0; index < views.size(); ++index) {
+            if (views[index].usable)
+                m_usable.push_back(index);
+        }
+        if (m_usable.empty())
+            return std::nullopt;
+        // shuffling breaks ties at random, so entries don't all take the first
+        const std::size_t compared
+                = m_draws == 0 ? m_usable.size() : std::min(m_draws, m_usable.size());
+        for (std::size_t draw = 0; draw < compared; ++draw) {
+            std::uniform_int_distribution<std::size_t> pick(draw, m_usable.size() - 1);
+            std::swap(m_usable[draw], m_usable[pick(m_random)]);
+        }
+        const auto best = std::min_element(
+                m_usable.begin(), m_usable.begin() + static_cast<std::ptrdiff_t>(compared),
+                [&](std::size_t left, std::size_t right) {
+                    return outstanding(views[left]) < outstanding(views[right]);
+                });
+        return routing_choice{*best, std::nullopt, {}, {}, "least outstanding"};
+    }
+
+    void observe(kernel::instant, const routing_outcome &) override { }
+
+private:
+    std::mt19937_64 m_random;
+    std::size_t m_draws;
+    std::vector<std::size_t> m_usable;
+};
+
+const router_registry::registration addLeastOutstanding{
+        "least_outstanding",
+        [](std::uint64_t seed) { return std::make_unique<outstanding_router>(seed, 0); }};
+const router_registry::registration addTwoChoices{
+        "two_choices",
+        [](std::uint64_t seed) { return std::make_unique<outstanding_router>(seed, 2); }};
+
+} // namespace
+
+} // namespace yuccascale::plugins
