--- a/src/yuccascale/runtime/cluster_client.cpp
+++ b/src/yuccascale/runtime/cluster_client.cpp
@@ -67,6 +67,7 @@
     }
     bool maybeSent = false;
     std::size_t next = 0;
+    std::size_t redirects = 0;
     std::string target = firstTarget();
     while (m_clock.now() < deadline) {
         submit_reply reply = tryOnce(command, target, deadline);
@@ -75,12 +76,10 @@
         maybeSent = maybeSent || reply.kind == error_kind::OutcomeUnknown;
         if (reply.kind == error_kind::InvalidArgument)
             return fail(reply.kind, "command", reply.message);
-        if (!reply.leader.empty() && reply.leader != target) {
-            target = reply.leader;
-            continue;
-        }
-        target = m_controlNodes[next++ % m_controlNodes.size()];
-        std::this_thread::sleep_for(pauseBetweenRounds);
+        const bool redirected = !reply.leader.empty() && reply.leader != target;
+        target = redirected ? reply.leader : m_controlNodes[next++ % m_controlNodes.size()];
+        if (!redirected || ++redirects % 2 == 0) // two nodes may name each other
+            std::this_thread::sleep_for(pauseBetweenRounds);
     }
     if (maybeSent) {
         return fail(error_kind::OutcomeUnknown, "control",
