State machine: tables, claims, usage windows, order ledger and bans

Cause: only table edits were applied, without checks, and every other command was refused.

Added to shared headers: edit_tables.wallMs, claim_request.issuedMs, settle_claim.claimOperation (needed to settle), freeze_window.lengthMs, open_order.pool, settle_order.wallMs and started, commands retire_entry, hold_fetches and mark_leaving, endpoint.drainingForOrder, table_set.editableFrom.

Ruled out: remembering an operation id for every command, as 5,100 commands a second would not fit; claims, usage and orders are idempotent by their own fields. A machine clock for expiry was ruled out as one entry's wrong clock would expire every claim; counts decide.

--- /dev/null
+++ b/src/yuccascale/kernel/state/bans.cpp
@@ -0,0 +1,56 @@
+#include "yuccascale/kernel/state/bans.hpp"
+
+#include "yuccascale/kernel/state/answers.hpp"
+
+#include <algorithm>
+
+namespace yuccascale::kernel::state {
+
+command_result bans::ban(const ban_fingerprint &ban)
+{
+    if (ban.fingerprint.empty())
+        return refused(error_kind::InvalidArgument, "a ban needs a fingerprint");
+    const auto found = m_bans.find(ban.fingerprint);
+    if (found == m_bans.end() && m_bans.size() >= m_bounds.bans) {
+        const auto shortest = std::ranges::min_element(
+                m_bans, {}, [](const auto &entry) { return entry.second.untilWallMs; });
+        m_bans.erase(shortest);
+    }
+    ban_fingerprint &kept = m_bans[ban.fingerprint];
+    const std::int64_t until = std::max(kept.untilWallMs, ban.untilWallMs);
+    kept = ban;
+    kept.untilWallMs = until;
+    publish();
+    return accepted();
+}
+
+void bans::expire(std::int64_t wallMs)
+{
+    const std::size_t lifted = std::erase_if(
+            m_bans, [&](const auto &entry) { return entry.second.untilWallMs <= wallMs; });
+    if (lifted != 0)
+        publish();
+}
+
+void bans::publish()
+{
+    auto next = std::make_shared<std::set<std::string>>();
+    for (const auto &[fingerprint, ban] : m_bans)
+        next->insert(fingerprint);
+    m_fingerprints = std::move(next);
+}
+
+void bans::save(snapshot_writer &out) const
+{
+    out.put(m_bans.size());
+    for (const auto &[fingerprint, ban] : m_bans)
+        out.put(ban);
+}
+
+void bans::load(snapshot_reader &in)
+{
+    in.getAll<ban_fingerprint>([&](const ban_fingerprint &ban) { m_bans[ban.fingerprint] = ban; });
+    publish();
+}
+
+} // namespace yuccascale::kernel::state
--- /dev/null
+++ b/src/yuccascale/kernel/state/claims.cpp
@@ -0,0 +1,251 @@
+#include "yuccascale/kernel/state/claims.hpp"
+
+#include "yuccascale/kernel/state/answers.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace yuccascale::kernel::state {
+
+namespace {
+
+/// Length prefixes keep two different triples from giving the same text.
+std::string claimKey(const std::string &organisation, const std::string &route,
+                     const std::string &idempotencyKey)
+{
+    return std::to_string(organisation.size()) + ":" + organisation + std::to_string(route.size())
+            + ":" + route + idempotencyKey;
+}
+
+command_result tooOld()
+{
+    return refused(error_kind::OutcomeUnknown,
+                   "the idempotency key is too old to judge and the request may have run; ask the"
+                   " service, and use a new key for a new request",
+                   {{"state", "too_old"}});
+}
+
+} // namespace
+
+command_result claims::claim(const std::string &operationId, const claim_request &request)
+{
+    const std::string key = claimKey(request.organisation, request.route, request.idempotencyKey);
+    const auto found = m_records.find(key);
+    if (found != m_records.end())
+        return repeat(found->second, operationId, request);
+    const bool forgotten = request.issuedMs != 0 && request.issuedMs <= m_forgottenUntilMs;
+    if (forgotten || m_expired.contains(digestOf(key)))
+        return tooOld();
+    return grant(key, operationId, request);
+}
+
+command_result claims::repeat(claim_record &record, const std::string &operationId,
+                              const claim_request &request)
+{
+    if (record.fingerprint != request.fingerprint) {
+        return refused(error_kind::InvalidArgument,
+                       "the idempotency key belongs to another request; use a new key",
+                       {{"state", "other_request"}});
+    }
+    const bool sameOperation = !operationId.empty() && record.operationId == operationId;
+    if (sameOperation && (record.is(claim_state::Running) || record.is(claim_state::NotRun)))
+        return accepted({{"state", "claimed"}});
+    if (!record.is(claim_state::NotRun))
+        return answerTo(record);
+    record.operationId = operationId;
+    record.entry = request.entry;
+    record.wallMs = request.wallMs;
+    record.state = static_cast<int>(claim_state::Running);
+    return accepted({{"state", "claimed"}});
+}
+
+command_result claims::answerTo(const claim_record &record)
+{
+    if (record.is(claim_state::Running)) {
+        return refused(error_kind::Conflict,
+                       "a request with this key is still running; ask again later",
+                       {{"state", "running"}, {"entry", record.entry}});
+    }
+    if (record.is(claim_state::Unknown)) {
+        return refused(error_kind::OutcomeUnknown,
+                       "the request with this key may have run and its outcome is unknown; ask the"
+                       " service",
+                       {{"state", "unknown"}});
+    }
+    json detail{
+            {"state", "answered"}, {"status", record.status}, {"contentType", record.contentType}};
+    if (!record.answerKept) {
+        return refused(error_kind::Conflict,
+                       "the request with this key ran and was answered; its answer is not kept, ask"
+                       " the service",
+                       std::move(detail));
+    }
+    detail["answer"] = record.answer;
+    return refused(error_kind::Conflict, "the request with this key ran; its answer is recorded",
+                   std::move(detail));
+}
+
+command_result claims::grant(const std::string &key, const std::string &operationId,
+                             const claim_request &request)
+{
+    if (!makeRoom()) {
+        return refused(error_kind::Overloaded,
+                       "too many non-idempotent requests are running; send it again later",
+                       {{"state", "refused"}});
+    }
+    claim_record record;
+    record.key = key;
+    record.operationId = operationId;
+    record.fingerprint = request.fingerprint;
+    record.entry = request.entry;
+    record.wallMs = request.wallMs;
+    insert(std::move(record));
+    return accepted({{"state", "claimed"}});
+}
+
+void claims::insert(claim_record record)
+{
+    m_order.push_back(record.key);
+    std::string key = record.key;
+    m_records.emplace(std::move(key), std::move(record));
+}
+
+/// Expires the oldest claim that no longer runs. Running ones move to the end of the order.
+bool claims::makeRoom()
+{
+    for (std::size_t tried = m_order.size(); m_records.size() >= m_bounds.claims; --tried) {
+        if (tried == 0)
+            return false;
+        const std::string key = std::move(m_order.front());
+        m_order.pop_front();
+        const auto found = m_records.find(key);
+        if (found->second.is(claim_state::Running)) {
+            m_order.push_back(key);
+            continue;
+        }
+        expire(found->second);
+        m_records.erase(found);
+    }
+    while (!m_answerOrder.empty() && !m_records.contains(m_answerOrder.front()))
+        m_answerOrder.pop_front();
+    return true;
+}
+
+void claims::expire(const claim_record &record)
+{
+    if (record.answerKept)
+        m_answerBytes -= record.answer.size();
+    if (record.is(claim_state::NotRun))
+        return;
+    const digest key = digestOf(record.key);
+    if (m_expired.insert(key).second)
+        m_expiredOrder.push_back({key, record.wallMs});
+    while (m_expiredOrder.size() > m_bounds.expiredClaims) {
+        const expired_claim &oldest = m_expiredOrder.front();
+        m_forgottenUntilMs = std::max(m_forgottenUntilMs, oldest.wallMs);
+        m_expired.erase(oldest.key);
+        m_expiredOrder.pop_front();
+    }
+}
+
+command_result claims::settle(const settle_claim &settlement)
+{
+    const auto found = m_records.find(
+            claimKey(settlement.organisation, settlement.route, settlement.idempotencyKey));
+    if (found == m_records.end()) {
+        return refused(error_kind::NotFound, "no such claim, or it has expired; nothing to settle");
+    }
+    claim_record &record = found->second;
+    if (record.entry != settlement.entry) {
+        return refused(error_kind::Forbidden,
+                       "the claim belongs to " + record.entry + "; only its own entry settles it");
+    }
+    if (record.operationId != settlement.claimOperation) {
+        return refused(error_kind::InvalidArgument,
+                       "this settles an earlier claim of the key; name the operation id of the"
+                       " claim in claimOperation");
+    }
+    if (record.is(claim_state::Answered))
+        return accepted();
+    if (settlement.end == claim_end::Answered)
+        keepAnswer(record, settlement);
+    else if (settlement.end == claim_end::NotRun)
+        record.state = static_cast<int>(claim_state::NotRun);
+    else if (record.is(claim_state::Running))
+        record.state = static_cast<int>(claim_state::Unknown);
+    return accepted();
+}
+
+void claims::keepAnswer(claim_record &record, const settle_claim &settlement)
+{
+    record.state = static_cast<int>(claim_state::Answered);
+    record.status = settlement.status;
+    record.contentType = settlement.contentType;
+    if (settlement.answer.size() > m_bounds.largestAnswerBytes)
+        return;
+    record.answer = settlement.answer;
+    record.answerKept = true;
+    m_answerBytes += record.answer.size();
+    m_answerOrder.push_back(record.key);
+    dropOldAnswers();
+}
+
+void claims::dropOldAnswers()
+{
+    while (m_answerBytes > m_bounds.claimAnswerBytes) {
+        const auto found = m_records.find(m_answerOrder.front());
+        m_answerOrder.pop_front();
+        if (found == m_records.end() || !found->second.answerKept)
+            continue;
+        claim_record &oldest = found->second;
+        m_answerBytes -= oldest.answer.size();
+        oldest.answer = {};
+        oldest.answerKept = false;
+    }
+}
+
+std::size_t claims::retire(const std::string &entry)
+{
+    std::size_t open = 0;
+    for (auto &[key, record] : m_records) {
+        if (record.entry != entry || !record.is(claim_state::Running))
+            continue;
+        record.state = static_cast<int>(claim_state::Unknown);
+        ++open;
+    }
+    return open;
+}
+
+claims::digest claims::digestOf(const std::string &key) noexcept
+{
+    const XXH128_hash_t hash = XXH3_128bits(key.data(), key.size());
+    return {hash.low64, hash.high64};
+}
+
+void claims::save(snapshot_writer &out) const
+{
+    out.put(m_forgottenUntilMs);
+    out.putAll(m_expiredOrder);
+    out.putAll(m_answerOrder);
+    out.put(m_order.size());
+    for (const std::string &key : m_order)
+        out.put(m_records.at(key));
+}
+
+void claims::load(snapshot_reader &in)
+{
+    m_forgottenUntilMs = in.get<std::int64_t>();
+    in.getAll<expired_claim>([&](const expired_claim &claim) {
+        m_expired.insert(claim.key);
+        m_expiredOrder.push_back(claim);
+    });
+    in.getAll<std::string>([&](std::string key) { m_answerOrder.push_back(std::move(key)); });
+    in.getAll<claim_record>([&](claim_record record) {
+        if (record.answerKept)
+            m_answerBytes += record.answer.size();
+        insert(std::move(record));
+    });
+}
+
+} // namespace yuccascale::kernel::state
--- a/src/yuccascale/kernel/state/commands.hpp
+++ b/src/yuccascale/kernel/state/commands.hpp
@@ -29,10 +29,12 @@
     std::vector<std::string> removePools;
     std::vector<std::string> removeOrganisations;
     std::vector<std::string> removeKeys; ///< withdraws them
+    std::int64_t wallMs = 0; ///< when it was proposed; endpoints are charged from then on
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(edit_tables, fromRevision, putRoutes, putPools,
                                                 putOrganisations, putKeys, removeRoutes,
-                                                removePools, removeOrganisations, removeKeys)
+                                                removePools, removeOrganisations, removeKeys,
+                                                wallMs)
 };
 
 /// \brief Claims the single run of a non-idempotent request before it is dispatched.
@@ -44,9 +46,10 @@
     std::string fingerprint; ///< digest of method, path and body: one key never names two requests
     std::string entry;       ///< node and incarnation that dispatches it
     std::int64_t wallMs = 0; ///< when it was claimed
+    std::int64_t issuedMs = 0; ///< when the caller made the key, if the key tells; else 0
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(claim_request, organisation, route, idempotencyKey,
-                                                fingerprint, entry, wallMs)
+                                                fingerprint, entry, wallMs, issuedMs)
 };
 
 /// \brief Ends of a claimed request.
@@ -63,14 +66,17 @@
     std::string organisation;
     std::string route;
     std::string idempotencyKey;
-    std::string entry; ///< must be the claim's entry
+    std::string entry;          ///< must be the claim's entry
+    std::string claimOperation; ///< operation id of the claim, so that a late settlement of an
+                                ///< earlier claim never releases a later one
     claim_end end = claim_end::Unknown;
     int status = 0; ///< HTTP status of the answer
     std::string contentType;
     std::string answer; ///< the whole answer, base64 not needed: CBOR keeps bytes
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(settle_claim, organisation, route, idempotencyKey,
-                                                entry, end, status, contentType, answer)
+                                                entry, claimOperation, end, status, contentType,
+                                                answer)
 };
 
 /// \brief Usage of one organisation on one route within one batch.
@@ -103,9 +109,10 @@
 struct freeze_window
 {
     std::int64_t windowStartMs = 0;
-    std::uint64_t fence = 0; ///< the reporter's fencing number
+    std::uint64_t fence = 0;        ///< the reporter's fencing number
+    std::int64_t lengthMs = 60'000; ///< length of the window
 
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(freeze_window, windowStartMs, fence)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(freeze_window, windowStartMs, fence, lengthMs)
 };
 
 /// \brief Records that the usage interface accepted a frozen window.
@@ -144,8 +151,10 @@
     std::string argument;    ///< role, model@version, or endpoint kind
     std::uint64_t fence = 0; ///< fencing number of the leader that wrote it
     std::string reason;      ///< for the decision log and explain
+    std::string pool;        ///< of the endpoint to start; empty for other kinds
 
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(open_order, target, kind, argument, fence, reason)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(open_order, target, kind, argument, fence, reason,
+                                                pool)
 };
 
 /// \brief Ends of an order.
@@ -162,8 +171,10 @@
     std::uint64_t orderId = 0; ///< log index of its open_order
     order_end end = order_end::Done;
     std::string detail;
+    std::int64_t wallMs = 0;       ///< when the outcome was learnt; costs start or stop here
+    std::vector<endpoint> started; ///< the endpoint that a start_endpoint order brought, or none
 
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(settle_order, orderId, end, detail)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(settle_order, orderId, end, detail, wallMs, started)
 };
 
 /// \brief Stops a request that crashes endpoints, fleet-wide.
@@ -176,12 +187,37 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(ban_fingerprint, fingerprint, route, untilWallMs)
 };
 
+/// \brief Records that an entry is gone for good: its claims become unknown and its mark is no
+/// longer waited for.
+struct retire_entry
+{
+    std::string entry; ///< node and incarnation
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(retire_entry, entry)
+};
+
+/// \brief Keeps every leader from asking the weight store before its Retry-After has passed.
+struct hold_fetches
+{
+    std::int64_t untilWallMs = 0;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(hold_fetches, untilWallMs)
+};
+
+/// \brief Drains endpoints whose VM gave notice.
+struct mark_leaving
+{
+    std::vector<std::string> endpoints;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(mark_leaving, endpoints)
+};
+
 /// \brief One command with the id that makes its resend harmless.
 struct command
 {
-    using body_type
-            = std::variant<edit_tables, claim_request, settle_claim, record_usage, freeze_window,
-                           settle_window, open_order, settle_order, ban_fingerprint>;
+    using body_type = std::variant<edit_tables, claim_request, settle_claim, record_usage,
+                                   freeze_window, settle_window, open_order, settle_order,
+                                   ban_fingerprint, retire_entry, hold_fetches, mark_leaving>;
 
     std::string operationId; ///< a resend with the same id gets the first answer
     body_type body;
--- a/src/yuccascale/kernel/state/machine.cpp
+++ b/src/yuccascale/kernel/state/machine.cpp
@@ -1,119 +1,229 @@
 #include "yuccascale/kernel/state/machine.hpp"
 
-#include <map>
+#include "yuccascale/kernel/state/answers.hpp"
+#include "yuccascale/kernel/state/bans.hpp"
+#include "yuccascale/kernel/state/claims.hpp"
+#include "yuccascale/kernel/state/operation_answers.hpp"
+#include "yuccascale/kernel/state/table_store.hpp"
+
+#include <algorithm>
+#include <limits>
 
 namespace yuccascale::kernel::state {
 
-struct machine::detail_state
+namespace {
+
+constexpr std::uint64_t banCheckInterval = 64; ///< log entries between checks for ended bans
+
+} // namespace
+
+struct machine::parts
 {
-    std::shared_ptr<const table_set> tables = std::make_shared<table_set>();
+    explicit parts(const limits &bounds)
+        : operations(bounds)
+        , claimed(bounds)
+        , usage(bounds)
+        , orders(bounds)
+        , banned(bounds)
+    { }
+
     std::uint64_t appliedIndex = 0;
-    std::map<std::string, command_result> answers; ///< by operation id
+    table_store store;
+    operation_answers operations;
+    claims claimed;
+    usage_windows usage;
+    order_ledger orders;
+    bans banned;
+    std::int64_t fetchesHeldUntilMs = 0;
+
+    [[nodiscard]] command_result apply(const std::string &operationId, const edit_tables &edit)
+    {
+        if (auto first = operations.find(operationId, edit))
+            return *first;
+        command_result answer = store.edit(edit, orders);
+        answer.index = appliedIndex;
+        if (answer.accepted && (!edit.putPools.empty() || !edit.removePools.empty()))
+            usage.endpointsChanged(store.tables()->pools, edit.wallMs);
+        if (!operationId.empty())
+            operations.remember(operationId, edit, answer);
+        return answer;
+    }
+
+    [[nodiscard]] command_result apply(const std::string &operationId, const claim_request &request)
+    {
+        if (usage.retired(request.entry)) {
+            return refused(error_kind::Forbidden,
+                           "entry " + request.entry
+                                   + " was retired; restart it under a new incarnation",
+                           {{"state", "refused"}});
+        }
+        return claimed.claim(operationId, request);
+    }
+
+    [[nodiscard]] command_result apply(const std::string &, const settle_claim &settlement)
+    {
+        return claimed.settle(settlement);
+    }
+
+    [[nodiscard]] command_result apply(const std::string &, const record_usage &batch)
+    {
+        return usage.record(batch);
+    }
+
+    [[nodiscard]] command_result apply(const std::string &, const freeze_window &freeze)
+    {
+        return usage.freeze(freeze, appliedIndex);
+    }
+
+    [[nodiscard]] command_result apply(const std::string &, const settle_window &settlement)
+    {
+        return usage.settle(settlement);
+    }
+
+    [[nodiscard]] command_result apply(const std::string &operationId, const open_order &order)
+    {
+        const endpoint *row = store.findEndpoint(order.target);
+        command_result answer = orders.open(operationId, order, appliedIndex, row);
+        if (answer.accepted && answer.index == appliedIndex)
+            store.orderOpened(*orders.find(appliedIndex));
+        return answer;
+    }
+
+    [[nodiscard]] command_result apply(const std::string &, const settle_order &settlement)
+    {
+        command_result answer = orders.settle(settlement, appliedIndex);
+        const order_record *order = orders.find(settlement.orderId);
+        if (!answer.accepted || order == nullptr || order->settledIndex != appliedIndex)
+            return answer;
+        store.orderSettled(*order, settlement);
+        usage.endpointsChanged(store.tables()->pools, settlement.wallMs);
+        return answer;
+    }
+
+    [[nodiscard]] command_result apply(const std::string &, const ban_fingerprint &ban)
+    {
+        return banned.ban(ban);
+    }
+
+    [[nodiscard]] command_result apply(const std::string &, const retire_entry &retirement)
+    {
+        usage.retire(retirement.entry);
+        return accepted({{"unknownClaims", claimed.retire(retirement.entry)}});
+    }
+
+    [[nodiscard]] command_result apply(const std::string &, const hold_fetches &hold)
+    {
+        fetchesHeldUntilMs = std::max(fetchesHeldUntilMs, hold.untilWallMs);
+        return accepted();
+    }
+
+    [[nodiscard]] command_result apply(const std::string &, const mark_leaving &notice)
+    {
+        return store.markLeaving(notice);
+    }
 
-    command_result apply(const edit_tables &edit);
-    template<typename Other>
-    command_result apply(const Other &)
+    void expireBans()
     {
-        return {false, error_kind::InvalidArgument, "not applied by this version", 0, 0, {}};
+        const std::int64_t marks = usage.lowestMark();
+        if (appliedIndex % banCheckInterval == 0
+            && marks != std::numeric_limits<std::int64_t>::max())
+            banned.expire(marks);
     }
 };
 
-namespace {
+machine::machine(const limits &bounds)
+    : m_bounds(bounds)
+    , m_parts(std::make_unique<parts>(m_bounds))
+{ }
+machine::~machine() = default;
 
-template<typename Rows>
-void putRows(std::map<std::string, typename Rows::value_type> &table, const Rows &rows)
+std::shared_ptr<const table_set> machine::tables() const noexcept
 {
-    for (const auto &row : rows)
-        table[row.name] = row;
+    return m_parts->store.tables();
 }
 
-template<typename Table>
-void removeRows(Table &table, const std::vector<std::string> &names)
+std::shared_ptr<const std::set<std::string>> machine::bannedFingerprints() const noexcept
 {
-    for (const std::string &name : names)
-        table.erase(name);
+    return m_parts->banned.fingerprints();
 }
 
-} // namespace
-
-command_result machine::detail_state::apply(const edit_tables &edit)
+std::uint64_t machine::appliedIndex() const noexcept
 {
-    if (edit.fromRevision != tables->revision) {
-        return {false,
-                error_kind::Conflict,
-                "the tables are at revision " + std::to_string(tables->revision)
-                        + "; read them and edit again",
-                0,
-                tables->revision,
-                {}};
-    }
-    auto next = std::make_shared<table_set>(*tables);
-    putRows(next->routes, edit.putRoutes);
-    putRows(next->pools, edit.putPools);
-    putRows(next->organisations, edit.putOrganisations);
-    for (const key_record &key : edit.putKeys)
-        next->keys[key.id] = key;
-    removeRows(next->routes, edit.removeRoutes);
-    removeRows(next->pools, edit.removePools);
-    removeRows(next->organisations, edit.removeOrganisations);
-    removeRows(next->keys, edit.removeKeys);
-    ++next->revision;
-    tables = next;
-    return {true, error_kind::Internal, {}, 0, tables->revision, {}};
+    return m_parts->appliedIndex;
 }
 
-machine::machine()
-    : m_state(std::make_unique<detail_state>())
-{ }
-machine::~machine() = default;
+leader_view machine::leaderView() const
+{
+    leader_view seen;
+    seen.appliedIndex = m_parts->appliedIndex;
+    seen.tables = m_parts->store.tables();
+    seen.openOrders = m_parts->orders.openOrders();
+    seen.highestFence = m_parts->orders.highestFence();
+    seen.usage = m_parts->usage.view();
+    seen.fetchesHeldUntilMs = m_parts->fetchesHeldUntilMs;
+    return seen;
+}
 
-std::shared_ptr<const table_set> machine::tables() const noexcept
+std::optional<order_record> machine::order(std::uint64_t orderId) const
 {
-    return m_state->tables;
+    const order_record *found = m_parts->orders.find(orderId);
+    if (found == nullptr)
+        return std::nullopt;
+    return *found;
 }
 
-std::uint64_t machine::appliedIndex() const noexcept
+std::vector<std::string> machine::liveEntries() const
 {
-    return m_state->appliedIndex;
+    return m_parts->usage.liveEntries();
 }
 
 command_result machine::apply(std::uint64_t index, const command &command)
 {
-    m_state->appliedIndex = index;
-    const auto earlier = m_state->answers.find(command.operationId);
-    if (earlier != m_state->answers.end())
-        return earlier->second;
-    command_result answer
-            = std::visit([&](const auto &body) { return m_state->apply(body); }, command.body);
-    answer.index = index;
-    if (!command.operationId.empty())
-        m_state->answers[command.operationId] = answer;
+    m_parts->appliedIndex = index;
+    m_parts->expireBans();
+    command_result answer = std::visit(
+            [&](const auto &body) { return m_parts->apply(command.operationId, body); },
+            command.body);
+    if (answer.index == 0)
+        answer.index = index;
+    if (answer.revision == 0)
+        answer.revision = m_parts->store.tables()->revision;
     return answer;
 }
 
 std::string machine::snapshot() const
 {
-    std::string bytes;
-    json::to_cbor(json{{"index", m_state->appliedIndex},
-                       {"tables", *m_state->tables},
-                       {"answers", m_state->answers}},
-                  bytes);
-    return bytes;
+    snapshot_writer out;
+    out.put(m_parts->appliedIndex);
+    m_parts->store.save(out);
+    m_parts->operations.save(out);
+    m_parts->claimed.save(out);
+    m_parts->usage.save(out);
+    m_parts->orders.save(out);
+    m_parts->banned.save(out);
+    out.put(m_parts->fetchesHeldUntilMs);
+    return out.take();
 }
 
 result<void> machine::restore(std::string_view bytes)
 {
-    const json document = json::from_cbor(bytes, true, false);
-    if (document.is_discarded())
-        return fail(error_kind::Corrupt, "snapshot", "not CBOR; restore from another replica");
     try {
-        auto next = std::make_unique<detail_state>();
-        next->appliedIndex = document.at("index");
-        next->tables = std::make_shared<table_set>(document.at("tables").get<table_set>());
-        next->answers = document.at("answers").get<std::map<std::string, command_result>>();
-        m_state = std::move(next);
+        auto next = std::make_unique<parts>(m_bounds);
+        snapshot_reader in(bytes);
+        next->appliedIndex = in.get<std::uint64_t>();
+        next->store.load(in);
+        next->operations.load(in);
+        next->claimed.load(in);
+        next->usage.load(in);
+        next->orders.load(in);
+        next->banned.load(in);
+        next->fetchesHeldUntilMs = in.get<std::int64_t>();
+        if (!in.atEnd())
+            return fail(error_kind::Corrupt, "snapshot", "bytes follow it; restore from a replica");
+        m_parts = std::move(next);
     } catch (const json::exception &problem) {
-        return fail(error_kind::Corrupt, "snapshot", problem.what());
+        return fail(error_kind::Corrupt, "snapshot",
+                    std::string(problem.what()) + "; restore from another replica");
     }
     return {};
 }
--- a/src/yuccascale/kernel/state/machine.hpp
+++ b/src/yuccascale/kernel/state/machine.hpp
@@ -1,8 +1,12 @@
 #pragma once
 
 #include "yuccascale/kernel/state/commands.hpp"
+#include "yuccascale/kernel/state/leader_view.hpp"
+#include "yuccascale/kernel/state/limits.hpp"
 
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -13,13 +17,16 @@
 
 /// \brief Applies committed commands in log order. Not thread-safe; its owner serialises calls.
 ///
+/// Each kind of command belongs to one part (tables, claims, usage windows, orders, bans); the
+/// machine only hands it over.
+///
 /// \example
 ///     machine state;
 ///     const command_result answer = state.apply(1, command);
 class machine
 {
 public:
-    machine();
+    explicit machine(const limits &bounds = {});
     ~machine();
     machine(const machine &) = delete;
     machine &operator=(const machine &) = delete;
@@ -27,9 +34,21 @@
     /// \returns the tables in force; the pointer stays valid and unchanged after later edits.
     [[nodiscard]] std::shared_ptr<const table_set> tables() const noexcept;
 
+    /// \returns the fingerprints stopped fleet-wide; unchanged after later commands.
+    [[nodiscard]] std::shared_ptr<const std::set<std::string>> bannedFingerprints() const noexcept;
+
     /// \returns the log index applied last.
     [[nodiscard]] std::uint64_t appliedIndex() const noexcept;
 
+    /// \returns what the leader's duties read.
+    [[nodiscard]] leader_view leaderView() const;
+
+    /// \returns an order, open or settled, while it is kept.
+    [[nodiscard]] std::optional<order_record> order(std::uint64_t orderId) const;
+
+    /// \returns the entries whose usage marks are waited for.
+    [[nodiscard]] std::vector<std::string> liveEntries() const;
+
     /// \brief Applies the command at \a index.
     [[nodiscard]] command_result apply(std::uint64_t index, const command &command);
 
@@ -41,8 +60,9 @@
     [[nodiscard]] result<void> restore(std::string_view bytes);
 
 private:
-    struct detail_state;
-    std::unique_ptr<detail_state> m_state;
+    struct parts;
+    limits m_bounds;
+    std::unique_ptr<parts> m_parts;
 };
 
 } // namespace yuccascale::kernel::state
--- /dev/null
+++ b/src/yuccascale/kernel/state/operation_answers.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "yuccascale/kernel/state/commands.hpp"
+#include "yuccascale/kernel/state/limits.hpp"
+#include "yuccascale/kernel/state/snapshot_stream.hpp"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+/// \file
+/// \brief First answers to operators' edits, so that a resend never conflicts with itself.
+
+namespace yuccascale::kernel::state {
+
+/// \brief Answers by operation id; the oldest are dropped beyond the limit.
+///
+/// An edit whose answer was dropped can't be applied twice: its revision has passed. Its resend is
+/// told that it is too old to judge.
+class operation_answers
+{
+public:
+    explicit operation_answers(const limits &bounds)
+        : m_bounds(bounds)
+    { }
+
+    /// \returns the first answer to this operation, a refusal when the id belongs to another edit
+    ///          or is too old to judge, or nothing when the edit is new.
+    [[nodiscard]] std::optional<command_result> find(const std::string &operationId,
+                                                     const edit_tables &edit) const;
+
+    /// \brief Keeps the first answer to an operation.
+    void remember(const std::string &operationId, const edit_tables &edit,
+                  const command_result &answer);
+
+    void save(snapshot_writer &out) const;
+    void load(snapshot_reader &in);
+
+private:
+    struct first_answer
+    {
+        std::string operationId;
+        std::uint64_t editDigest = 0;
+        bool accepted = false;
+        error_kind kind = error_kind::Internal;
+        std::string message;
+        std::uint64_t index = 0;
+        std::uint64_t revision = 0;
+
+        NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(first_answer, operationId, editDigest, accepted,
+                                                    kind, message, index, revision)
+    };
+
+    void insert(first_answer answer);
+
+    const limits &m_bounds;
+    std::unordered_map<std::string, first_answer> m_answers;
+    std::deque<std::string> m_order;           ///< operation ids, oldest first
+    std::uint64_t m_droppedBeforeRevision = 0; ///< answers given at an earlier one may be gone
+};
+
+} // namespace yuccascale::kernel::state
--- a/src/yuccascale/kernel/state/tables.hpp
+++ b/src/yuccascale/kernel/state/tables.hpp
@@ -63,10 +63,12 @@
     bool fencesOrders = true; ///< refuses an order with an old fencing number
     double pricePerHour = 1.0;
     int slots = 16;        ///< requests it batches at once
-    bool draining = false; ///< set by an operator: no new work
+    bool draining = false; ///< no new work; set by an operator, a VM's notice or an open order
+    std::uint64_t drainingForOrder = 0; ///< the open order that set draining; 0: none
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(endpoint, name, address, zone, role, tenure,
-                                                fencesOrders, pricePerHour, slots, draining)
+                                                fencesOrders, pricePerHour, slots, draining,
+                                                drainingForOrder)
 };
 
 /// \brief A named set of endpoints of one kind.
@@ -110,14 +112,15 @@
 ///     const auto found = tables.routes.find("briefing");
 struct table_set
 {
-    std::uint64_t revision = 0; ///< rises by one with each accepted edit
+    std::uint64_t revision = 0;     ///< rises with each accepted edit and each change by an order
+    std::uint64_t editableFrom = 0; ///< an edit made from this revision or a later one is accepted
     std::map<std::string, route> routes;
     std::map<std::string, pool> pools;
     std::map<std::string, organisation> organisations;
     std::map<std::string, key_record> keys; ///< by key id
 
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(table_set, revision, routes, pools, organisations,
-                                                keys)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(table_set, revision, editableFrom, routes, pools,
+                                                organisations, keys)
 };
 
 } // namespace yuccascale::kernel::state
--- /dev/null
+++ b/src/yuccascale/kernel/state/usage_windows.cpp
@@ -0,0 +1,342 @@
+#include "yuccascale/kernel/state/usage_windows.hpp"
+
+#include "yuccascale/kernel/state/answers.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace yuccascale::kernel::state {
+
+namespace {
+
+constexpr std::int64_t millisecondsPerHour = 3'600'000;
+
+json usageJson(const usage_line &line)
+{
+    return {{"organisation", line.organisation},
+            {"route", line.route},
+            {"answers", line.answers},
+            {"prompt_tokens", line.promptTokens},
+            {"cached_tokens", line.cachedTokens},
+            {"output_tokens", line.outputTokens}};
+}
+
+json costJson(const cost_group &group, std::int64_t ranMs)
+{
+    return {{"pool", group.pool},
+            {"zone", group.zone},
+            {"tenure", group.tenure},
+            {"micro_per_hour", group.microPerHour},
+            {"endpoint_ms", ranMs}};
+}
+
+void add(usage_line &sum, const usage_line &line)
+{
+    sum.organisation = line.organisation;
+    sum.route = line.route;
+    sum.windowStartMs = line.windowStartMs;
+    sum.answers += line.answers;
+    sum.promptTokens += line.promptTokens;
+    sum.cachedTokens += line.cachedTokens;
+    sum.outputTokens += line.outputTokens;
+}
+
+} // namespace
+
+command_result usage_windows::record(const record_usage &batch)
+{
+    if (auto refusal = refuseBatch(batch))
+        return *refusal;
+    entry_record &entry = m_entries[batch.entry];
+    entry.entry = batch.entry;
+    if (batch.sequence <= entry.sequence || entry.beyond.contains(batch.sequence))
+        return accepted({{"state", "repeated"}});
+    for (const usage_line &line : batch.lines)
+        count(line);
+    advance(entry, batch);
+    return accepted({{"state", "counted"}});
+}
+
+std::optional<command_result> usage_windows::refuseBatch(const record_usage &batch) const
+{
+    const auto found = m_entries.find(batch.entry);
+    if (batch.entry.empty() || batch.sequence == 0) {
+        return refused(error_kind::InvalidArgument,
+                       "a usage batch needs its entry and a sequence from 1 on");
+    }
+    if (found == m_entries.end() && m_entries.size() >= m_bounds.entries) {
+        return refused(error_kind::Overloaded,
+                       "too many entries are counted; retire those that are gone and send it"
+                       " again");
+    }
+    if (found != m_entries.end() && found->second.beyond.size() >= m_bounds.pendingBatches
+        && batch.sequence > found->second.sequence + 1) {
+        return refused(error_kind::Conflict,
+                       "batch " + std::to_string(found->second.sequence + 1) + " of " + batch.entry
+                               + " is missing; send it first");
+    }
+    std::set<std::int64_t> newWindows;
+    for (const usage_line &line : batch.lines) {
+        if (line.windowStartMs >= m_frozenUntilMs && !m_open.contains(line.windowStartMs))
+            newWindows.insert(line.windowStartMs);
+    }
+    if (!newWindows.empty() && m_open.size() + newWindows.size() > m_bounds.openWindows) {
+        return refused(error_kind::Overloaded,
+                       "too many usage windows are open; check that the usage windows are being"
+                       " frozen and that the clock of "
+                               + batch.entry + " is right");
+    }
+    return std::nullopt;
+}
+
+void usage_windows::count(const usage_line &line)
+{
+    const std::int64_t into = std::max(line.windowStartMs, m_frozenUntilMs);
+    open_window &window = m_open[into];
+    window.startMs = into;
+    add(window.lines[{line.windowStartMs, line.organisation, line.route}], line);
+}
+
+void usage_windows::advance(entry_record &entry, const record_usage &batch)
+{
+    entry.beyond[batch.sequence] = batch.markMs;
+    for (auto next = entry.beyond.begin();
+         next != entry.beyond.end() && next->first == entry.sequence + 1;
+         next = entry.beyond.erase(next)) {
+        entry.sequence = next->first;
+        entry.markMs = std::max(entry.markMs, next->second);
+    }
+    m_highestMarkMs = std::max(m_highestMarkMs, entry.markMs);
+}
+
+void usage_windows::retire(const std::string &entry)
+{
+    entry_record &record = m_entries[entry];
+    record.entry = entry;
+    if (record.retired)
+        return;
+    record.retired = true;
+    m_retiredOrder.push_back(entry);
+    forgetRetired();
+}
+
+/// Keeps the sequences of the latest half of the entries, so that late batches still count once.
+void usage_windows::forgetRetired()
+{
+    while (m_retiredOrder.size() > m_bounds.entries / 2) {
+        m_entries.erase(m_retiredOrder.front());
+        m_retiredOrder.pop_front();
+    }
+}
+
+bool usage_windows::retired(const std::string &entry) const
+{
+    const auto found = m_entries.find(entry);
+    return found != m_entries.end() && found->second.retired;
+}
+
+void usage_windows::endpointsChanged(const std::map<std::string, pool> &pools, std::int64_t atMs)
+{
+    m_meter.update(pools, atMs != 0 ? atMs : m_highestMarkMs);
+}
+
+command_result usage_windows::freeze(const freeze_window &freeze, std::uint64_t index)
+{
+    const auto found = m_frozen.find(freeze.windowStartMs);
+    if (found != m_frozen.end())
+        return accepted({{"state", "frozen"}, {"figures", found->second.figures}});
+    if (auto refusal = refuseFreeze(freeze))
+        return *refusal;
+    m_highestFence = freeze.fence;
+    frozen_window window{freeze.windowStartMs, figuresOf(freeze), index};
+    m_frozenUntilMs = freeze.windowStartMs + freeze.lengthMs;
+    m_open.erase(m_open.begin(), m_open.lower_bound(m_frozenUntilMs));
+    json detail{{"state", "frozen"}, {"figures", window.figures}};
+    m_frozen.emplace(freeze.windowStartMs, std::move(window));
+    return accepted(std::move(detail));
+}
+
+std::optional<command_result> usage_windows::refuseFreeze(const freeze_window &freeze) const
+{
+    if (freeze.lengthMs <= 0)
+        return refused(error_kind::InvalidArgument, "a usage window needs a length above 0");
+    if (freeze.fence < m_highestFence) {
+        return refused(error_kind::Forbidden,
+                       "a reporter with fence " + std::to_string(m_highestFence)
+                               + " has frozen a window; stop reporting");
+    }
+    if (freeze.windowStartMs < m_frozenUntilMs) {
+        return refused(error_kind::Conflict,
+                       "the window is frozen already; the next one starts at "
+                               + std::to_string(m_frozenUntilMs));
+    }
+    if (m_frozenUntilMs != 0 && freeze.windowStartMs != m_frozenUntilMs) {
+        return refused(error_kind::Conflict,
+                       "freeze the windows in turn; the next one starts at "
+                               + std::to_string(m_frozenUntilMs));
+    }
+    if (!m_open.empty() && m_open.begin()->first < freeze.windowStartMs) {
+        return refused(error_kind::Conflict,
+                       "freeze the window that starts at " + std::to_string(m_open.begin()->first)
+                               + " first");
+    }
+    if (lowestMark() < freeze.windowStartMs + freeze.lengthMs) {
+        std::string waiting;
+        for (const std::string &entry : view().waitingFor)
+            waiting += " " + entry;
+        return refused(error_kind::NotReady,
+                       "these entries have not passed the window's end; wait for them or retire"
+                       " those that are gone:"
+                               + waiting);
+    }
+    return std::nullopt;
+}
+
+std::string usage_windows::figuresOf(const freeze_window &freeze)
+{
+    const std::int64_t endMs = freeze.windowStartMs + freeze.lengthMs;
+    std::map<line_key, usage_line> current;
+    std::map<line_key, usage_line> late;
+    for (auto open = m_open.begin(); open != m_open.end() && open->first < endMs; ++open) {
+        for (const auto &[key, line] : open->second.lines) {
+            if (line.windowStartMs >= freeze.windowStartMs)
+                add(current[{0, line.organisation, line.route}], line);
+            else
+                add(late[key], line);
+        }
+    }
+    json usage = json::array();
+    for (const auto &[key, line] : current)
+        usage.push_back(usageJson(line));
+    json lateUsage = json::array();
+    for (const auto &[key, line] : late) {
+        lateUsage.push_back(usageJson(line));
+        lateUsage.back()["window_start_ms"] = line.windowStartMs;
+    }
+    json endpoints = json::array();
+    for (const auto &[group, ranMs] : m_meter.close(freeze.windowStartMs, endMs)) {
+        endpoints.push_back(costJson(group, ranMs));
+        m_costRemainder += group.microPerHour * ranMs;
+    }
+    const std::int64_t cost = m_costRemainder / millisecondsPerHour;
+    m_costRemainder %= millisecondsPerHour;
+    return json{{"window_start_ms", freeze.windowStartMs},
+                {"window_length_ms", freeze.lengthMs},
+                {"usage", std::move(usage)},
+                {"late", std::move(lateUsage)},
+                {"endpoints", std::move(endpoints)},
+                {"cost_micro", cost}}
+            .dump();
+}
+
+command_result usage_windows::settle(const settle_window &settlement)
+{
+    const auto found = m_frozen.find(settlement.windowStartMs);
+    if (found != m_frozen.end()) {
+        const std::string &figures = found->second.figures;
+        m_reported.push_back(
+                {settlement.windowStartMs, XXH3_64bits(figures.data(), figures.size())});
+        m_frozen.erase(found);
+        if (m_reported.size() > m_bounds.reportedWindows)
+            m_reported.pop_front();
+        return accepted({{"state", "reported"}});
+    }
+    if (settlement.windowStartMs < m_frozenUntilMs)
+        return accepted({{"state", "reported"}});
+    return refused(error_kind::NotFound, "the window is not frozen; freeze it before reporting it");
+}
+
+std::int64_t usage_windows::lowestMark() const noexcept
+{
+    std::int64_t lowest = std::numeric_limits<std::int64_t>::max();
+    for (const auto &[name, entry] : m_entries) {
+        if (!entry.retired)
+            lowest = std::min(lowest, entry.markMs);
+    }
+    return lowest;
+}
+
+std::int64_t usage_windows::nextStart() const noexcept
+{
+    if (m_frozenUntilMs != 0)
+        return m_frozenUntilMs;
+    const std::int64_t ran = m_meter.earliestMs();
+    if (m_open.empty())
+        return ran;
+    return ran == 0 ? m_open.begin()->first : std::min(ran, m_open.begin()->first);
+}
+
+usage_view usage_windows::view() const
+{
+    usage_view seen;
+    seen.nextStartMs = nextStart();
+    seen.marksPassedMs = lowestMark();
+    for (const auto &[name, entry] : m_entries) {
+        if (!entry.retired && entry.markMs == seen.marksPassedMs)
+            seen.waitingFor.push_back(name);
+    }
+    if (!m_frozen.empty())
+        seen.unreported = m_frozen.begin()->second;
+    seen.unreportedCount = m_frozen.size();
+    return seen;
+}
+
+std::vector<std::string> usage_windows::liveEntries() const
+{
+    std::vector<std::string> live;
+    for (const auto &[name, entry] : m_entries) {
+        if (!entry.retired)
+            live.push_back(name);
+    }
+    return live;
+}
+
+void usage_windows::save(snapshot_writer &out) const
+{
+    out.put(m_frozenUntilMs);
+    out.put(m_highestFence);
+    out.put(m_highestMarkMs);
+    out.put(m_costRemainder);
+    out.put(m_entries.size());
+    for (const auto &[name, entry] : m_entries)
+        out.put(entry);
+    out.putAll(m_retiredOrder);
+    out.put(m_open.size());
+    for (const auto &[startMs, window] : m_open) {
+        out.put(startMs);
+        out.put(window.lines.size());
+        for (const auto &[key, line] : window.lines)
+            out.put(line);
+    }
+    out.put(m_frozen.size());
+    for (const auto &[startMs, window] : m_frozen)
+        out.put(window);
+    out.putAll(m_reported);
+    m_meter.save(out);
+}
+
+void usage_windows::load(snapshot_reader &in)
+{
+    m_frozenUntilMs = in.get<std::int64_t>();
+    m_highestFence = in.get<std::uint64_t>();
+    m_highestMarkMs = in.get<std::int64_t>();
+    m_costRemainder = in.get<std::int64_t>();
+    in.getAll<entry_record>([&](const entry_record &entry) { m_entries[entry.entry] = entry; });
+    in.getAll<std::string>([&](std::string entry) { m_retiredOrder.push_back(std::move(entry)); });
+    in.getAll<std::int64_t>([&](std::int64_t startMs) {
+        open_window &window = m_open[startMs];
+        window.startMs = startMs;
+        in.getAll<usage_line>([&](const usage_line &line) {
+            window.lines[{line.windowStartMs, line.organisation, line.route}] = line;
+        });
+    });
+    in.getAll<frozen_window>(
+            [&](const frozen_window &window) { m_frozen[window.windowStartMs] = window; });
+    in.getAll<reported_window>(
+            [&](const reported_window &window) { m_reported.push_back(window); });
+    m_meter.load(in);
+}
+
+} // namespace yuccascale::kernel::state
--- /dev/null
+++ b/src/yuccascale/kernel/state/usage_windows.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "yuccascale/kernel/state/commands.hpp"
+#include "yuccascale/kernel/state/endpoint_meter.hpp"
+#include "yuccascale/kernel/state/limits.hpp"
+#include "yuccascale/kernel/state/snapshot_stream.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+/// \file
+/// \brief Usage windows: counted once, frozen once, never changed after that.
+
+namespace yuccascale::kernel::state {
+
+/// \brief A frozen window with the exact bytes to report.
+struct frozen_window
+{
+    std::int64_t windowStartMs = 0;
+    std::string figures;           ///< JSON text; the same bytes on every try
+    std::uint64_t frozenIndex = 0; ///< log index of the freeze
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(frozen_window, windowStartMs, figures, frozenIndex)
+};
+
+/// \brief What the reporter needs to know of the windows.
+struct usage_view
+{
+    std::int64_t nextStartMs = 0;   ///< start of the next window to freeze; 0 when there is none
+    std::int64_t marksPassedMs = 0; ///< every live entry's mark has reached this
+    std::vector<std::string> waitingFor;     ///< entries whose marks are the lowest
+    std::optional<frozen_window> unreported; ///< the earliest frozen window not reported yet
+    std::size_t unreportedCount = 0;
+};
+
+/// \brief The usage ledger. Figures are integers; costs are in millionths of the currency unit.
+///
+/// A record that arrives after its window was frozen is a late line of the next window.
+class usage_windows
+{
+public:
+    explicit usage_windows(const limits &bounds)
+        : m_bounds(bounds)
+    { }
+
+    [[nodiscard]] command_result record(const record_usage &batch);
+    [[nodiscard]] command_result freeze(const freeze_window &freeze, std::uint64_t index);
+    [[nodiscard]] command_result settle(const settle_window &settlement);
+
+    /// \brief Stops waiting for an entry's mark; its late batches still count once.
+    void retire(const std::string &entry);
+
+    [[nodiscard]] bool retired(const std::string &entry) const;
+
+    /// \brief Takes in the endpoints that run from \a atMs on; 0 stands for the highest mark.
+    void endpointsChanged(const std::map<std::string, pool> &pools, std::int64_t atMs);
+
+    [[nodiscard]] usage_view view() const;
+
+    /// \returns the lowest mark of the live entries; the highest number when there are none.
+    [[nodiscard]] std::int64_t lowestMark() const noexcept;
+
+    /// \returns the entries that are not retired.
+    [[nodiscard]] std::vector<std::string> liveEntries() const;
+
+    void save(snapshot_writer &out) const;
+    void load(snapshot_reader &in);
+
+private:
+    using line_key = std::tuple<std::int64_t, std::string, std::string>; ///< window, organisation,
+                                                                         ///< route
+    struct entry_record
+    {
+        std::string entry;
+        std::uint64_t sequence = 0; ///< every batch up to this one was counted
+        std::int64_t markMs = 0;
+        std::map<std::uint64_t, std::int64_t> beyond; ///< marks of batches after a missing one
+        bool retired = false;
+
+        NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(entry_record, entry, sequence, markMs, beyond,
+                                                    retired)
+    };
+
+    /// Sums by their original window; in an open window lines of earlier windows are late ones.
+    struct open_window
+    {
+        std::int64_t startMs = 0;
+        std::map<line_key, usage_line> lines;
+    };
+
+    struct reported_window
+    {
+        std::int64_t windowStartMs = 0;
+        std::uint64_t digest = 0;
+
+        NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(reported_window, windowStartMs, digest)
+    };
+
+    [[nodiscard]] std::optional<command_result> refuseBatch(const record_usage &batch) const;
+    void count(const usage_line &line);
+    void advance(entry_record &entry, const record_usage &batch);
+    void forgetRetired();
+    [[nodiscard]] std::optional<command_result> refuseFreeze(const freeze_window &freeze) const;
+    [[nodiscard]] std::string figuresOf(const freeze_window &freeze);
+    [[nodiscard]] std::int64_t nextStart() const noexcept;
+
+    const limits &m_bounds;
+    std::map<std::string, entry_record> m_entries;
+    std::deque<std::string> m_retiredOrder;
+    std::map<std::int64_t, open_window> m_open; ///< by start
+    std::int64_t m_frozenUntilMs = 0;           ///< end of the last frozen window
+    std::uint64_t m_highestFence = 0;
+    std::map<std::int64_t, frozen_window> m_frozen; ///< not reported yet, by start
+    std::deque<reported_window> m_reported;
+    std::int64_t m_highestMarkMs = 0;
+    std::int64_t m_costRemainder = 0; ///< cost not reported yet, in micro-unit milliseconds an hour
+    endpoint_meter m_meter;
+};
+
+} // namespace yuccascale::kernel::state
