Stand-ins of the outside systems, and the command line

Cause: nothing outside of yuccascale existed to test it against, and operators had no commands. Stand-ins: engine (batch in steps, prefix cache, roles, resume, KV cache import, orders with or without fencing, crash and reclaim), plain service, weight store, endpoint orders, usage reports and VM list; each appends what it saw as JSON lines. Commands: route, pool, organisation, key, status, explain, wait, events, settings check; 'node' is a row whose function the node brings. Ruled out: a growing process count (one process hosts many stand-ins, single ones can be killed); gflags' own parser (it exits with code 1 and names no nearest flag, so flags are set one by one); BOOST_LEAF_CHECK (a statement expression, which the linter refuses).

--- a/src/yuccascale/cli/command_line.cpp
+++ b/src/yuccascale/cli/command_line.cpp
@@ -1,34 +1,153 @@
 #include "yuccascale/cli/command_line.hpp"
 
-#include "yuccascale/runtime/settings.hpp"
+#include "yuccascale/cli/flags.hpp"
+#include "yuccascale/cli/key_commands.hpp"
+#include "yuccascale/cli/local_commands.hpp"
+#include "yuccascale/cli/node_command.hpp"
+#include "yuccascale/cli/output.hpp"
+#include "yuccascale/cli/report_commands.hpp"
+#include "yuccascale/cli/table_commands.hpp"
+#include "yuccascale/kernel/text_distance.hpp"
 
+#include <algorithm>
+#include <array>
 #include <iostream>
-#include <string_view>
 
 namespace yuccascale::cli {
 
+using kernel::error_kind;
+using kernel::fail;
+using kernel::result;
+
 namespace {
 
-int checkSettings(const std::string &file)
+constexpr std::array<command, 19> commands{{
+        {"node", "", "", "runs this VM's process", "yuccascale node --settings=node.yaml", runNode},
+        {"route", "list", "", "lists the routes", "yuccascale route list --output=json",
+         listRoutes},
+        {"route", "put", "FILE", "adds or replaces the routes of a YAML file",
+         "yuccascale route put briefing.yaml --from-revision=7", putRoutes},
+        {"route", "remove", "NAME", "removes a route", "yuccascale route remove briefing",
+         removeRoute},
+        {"pool", "list", "", "lists the pools", "yuccascale pool list", listPools},
+        {"pool", "put", "FILE", "adds or replaces the pools of a YAML file",
+         "yuccascale pool put engines.yaml", putPools},
+        {"pool", "remove", "NAME", "removes a pool", "yuccascale pool remove engines", removePool},
+        {"organisation", "list", "", "lists the organisations", "yuccascale organisation list",
+         listOrganisations},
+        {"organisation", "put", "FILE", "adds or replaces the organisations of a YAML file",
+         "yuccascale organisation put organisations.yaml", putOrganisations},
+        {"organisation", "remove", "NAME", "removes an organisation",
+         "yuccascale organisation remove albany", removeOrganisation},
+        {"key", "create", "ORGANISATION ID", "makes a key and shows it once",
+         "yuccascale key create albany albany-1", createKey},
+        {"key", "list", "", "lists the keys' ids", "yuccascale key list", listKeys},
+        {"key", "withdraw", "ID", "withdraws a key", "yuccascale key withdraw albany-1",
+         withdrawKey},
+        {"status", "", "", "shows who leads, what is degraded and what to do", "yuccascale status",
+         showStatus},
+        {"explain", "", "ID", "tells what was decided for a request, role change or order",
+         "yuccascale explain req-42", explainId},
+        {"wait", "", "", "waits until a revision is in force at every --address",
+         "yuccascale wait --revision=8 --timeout=6s", waitForRevision},
+        {"events", "", "", "prints the catalogue of log events",
+         "yuccascale events --output=markdown", printEvents},
+        {"settings", "check", "FILE", "checks a node's settings file",
+         "yuccascale settings check node.yaml", checkSettings},
+        {"version", "", "", "prints the version", "yuccascale version", printVersion},
+}};
+
+std::string nameOf(const command &row)
 {
-    kernel::error problem;
-    if (kernel::succeeded([&] { return runtime::readSettings(file); }, problem)) {
-        std::cout << file << ": good\n";
-        return Success;
+    std::string name(row.group);
+    if (!row.action.empty())
+        name += " " + std::string(row.action);
+    return name;
+}
+
+void printCommand(const command &row)
+{
+    std::cout << "  yuccascale " << nameOf(row);
+    if (!row.arguments.empty())
+        std::cout << " " << row.arguments;
+    std::cout << "\n      " << row.summary << "\n      example: " << row.example << "\n";
+}
+
+/// Prints the commands of \a group, or all.
+void printHelp(std::string_view group)
+{
+    std::cout << "usage:\n";
+    for (const command &row : commands) {
+        if (group.empty() || row.group == group)
+            printCommand(row);
+    }
+    std::cout << "flags: --address=IP:port[,IP:port] --operator-key-file=FILE "
+                 "--output=json|table --timeout=10s --from-revision=N --revision=N --help\n"
+                 "exit codes: 0 done, 1 failed, 2 wrong use, 3 conflict, 4 no node could do it\n";
+}
+
+boost::leaf::error_id unknownWord(const std::string &word, const std::vector<std::string> &known)
+{
+    return fail(error_kind::InvalidArgument, "command line",
+                "unknown word '" + word + "'; did you mean '" + kernel::nearestWord(word, known)
+                        + "'?");
+}
+
+result<const command *> findCommand(command_words words)
+{
+    std::vector<std::string> groups;
+    std::vector<std::string> actions;
+    for (const command &row : commands) {
+        groups.emplace_back(row.group);
+        if (row.group != words[0])
+            continue;
+        if (row.action.empty() || (words.size() > 1 && row.action == words[1]))
+            return &row;
+        actions.emplace_back(row.action);
     }
-    std::cerr << problem.message << "\n";
-    return Usage;
+    if (actions.empty())
+        return unknownWord(words[0], groups);
+    if (words.size() > 1)
+        return unknownWord(words[1], actions);
+    return fail(error_kind::InvalidArgument, "command line",
+                "'" + words[0] + "' needs a second word; see 'yuccascale " + words[0] + " --help'");
+}
+
+result<void> runWords(const std::vector<std::string> &arguments)
+{
+    BOOST_LEAF_AUTO(words, takeFlags(arguments));
+    const bool wantsHelp = FLAGS_help || (!words.empty() && words[0] == "help");
+    if (wantsHelp || words.empty()) {
+        printHelp(words.empty() || words[0] == "help" ? "" : words[0]);
+        if (wantsHelp)
+            return {};
+        return fail(error_kind::InvalidArgument, "command line", "no command; add one of these");
+    }
+    BOOST_LEAF_AUTO(row, findCommand(words));
+    const command_words rest = command_words(words).subspan(row->action.empty() ? 1 : 2);
+    if (rest.size() != argumentCount(*row))
+        return fail(error_kind::InvalidArgument, "command line",
+                    "expected 'yuccascale " + nameOf(*row) + " " + std::string(row->arguments)
+                            + "'; example: " + std::string(row->example));
+    return row->run(rest);
 }
 
 } // namespace
 
+std::size_t argumentCount(const command &row)
+{
+    if (row.arguments.empty())
+        return 0;
+    return static_cast<std::size_t>(std::ranges::count(row.arguments, ' ')) + 1;
+}
+
 int runCommandLine(int argc, char **argv)
 {
-    if (argc == 4 && std::string_view(argv[1]) == "settings"
-        && std::string_view(argv[2]) == "check")
-        return checkSettings(argv[3]);
-    std::cerr << "usage: yuccascale settings check FILE\n";
-    return Usage;
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    kernel::error problem;
+    if (kernel::succeeded([&] { return runWords(arguments); }, problem))
+        return Success;
+    return reportError(problem);
 }
 
 } // namespace yuccascale::cli
--- /dev/null
+++ b/src/yuccascale/cli/key_commands.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "yuccascale/cli/command.hpp"
+
+/// \file
+/// \brief Commands for the organisations' keys.
+
+namespace yuccascale::cli {
+
+/// \brief Makes a key for an organisation and shows it once.
+[[nodiscard]] kernel::result<void> createKey(command_words words);
+
+/// \brief Lists the ids and organisations; the keys themselves are not stored.
+[[nodiscard]] kernel::result<void> listKeys(command_words words);
+
+/// \brief Withdraws a key; it stops working everywhere within seconds.
+[[nodiscard]] kernel::result<void> withdrawKey(command_words words);
+
+} // namespace yuccascale::cli
--- /dev/null
+++ b/src/yuccascale/cli/local_commands.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "yuccascale/cli/command.hpp"
+
+/// \file
+/// \brief Commands that need no running node.
+
+namespace yuccascale::cli {
+
+/// \brief Prints the catalogue of log events; as markdown it is docs/events.md.
+[[nodiscard]] kernel::result<void> printEvents(command_words words);
+
+/// \brief Checks a settings file as a node would before it starts.
+[[nodiscard]] kernel::result<void> checkSettings(command_words words);
+
+/// \brief Prints the version.
+[[nodiscard]] kernel::result<void> printVersion(command_words words);
+
+} // namespace yuccascale::cli
--- /dev/null
+++ b/src/yuccascale/cli/report_commands.cpp
@@ -0,0 +1,99 @@
+#include "yuccascale/cli/report_commands.hpp"
+
+#include "yuccascale/cli/flags.hpp"
+#include "yuccascale/cli/operator_client.hpp"
+#include "yuccascale/cli/output.hpp"
+
+#include <iostream>
+#include <thread>
+
+namespace yuccascale::cli {
+
+using kernel::error_kind;
+using kernel::fail;
+using kernel::result;
+
+namespace {
+
+constexpr kernel::milliseconds pollInterval{100};
+
+/// Keeps letters, digits and a few marks; writes the rest as %XX.
+std::string percentEncoded(const std::string &text)
+{
+    static constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string out;
+    for (const char letter : text) {
+        const auto byte = static_cast<unsigned char>(letter);
+        if (std::isalnum(byte) != 0 || letter == '-' || letter == '_' || letter == '.') {
+            out += letter;
+            continue;
+        }
+        out += '%';
+        out += digits[byte >> 4U];
+        out += digits[byte & 0xfU];
+    }
+    return out;
+}
+
+/// \returns the addresses among \a addresses where \a revision is not in force yet.
+std::vector<std::string> behind(const operator_client &client,
+                                const std::vector<std::string> &addresses, std::uint64_t revision)
+{
+    std::vector<std::string> out;
+    for (const std::string &address : addresses) {
+        std::uint64_t current = 0;
+        kernel::error problem;
+        const auto read = [&]() -> result<void> {
+            BOOST_LEAF_AUTO(tables, client.tablesAt(address));
+            current = tables.revision;
+            return {};
+        };
+        if (!kernel::succeeded(read, problem) || current < revision)
+            out.push_back(address);
+    }
+    return out;
+}
+
+} // namespace
+
+result<void> showStatus(command_words)
+{
+    BOOST_LEAF_AUTO(client, operator_client::fromFlags());
+    BOOST_LEAF_AUTO(status, client.get("/operator/status"));
+    printObject(status);
+    return {};
+}
+
+result<void> explainId(command_words words)
+{
+    BOOST_LEAF_AUTO(client, operator_client::fromFlags());
+    BOOST_LEAF_AUTO(story, client.get("/operator/explain?id=" + percentEncoded(words[0])));
+    printObject(story);
+    return {};
+}
+
+result<void> waitForRevision(command_words)
+{
+    if (FLAGS_revision == 0)
+        return fail(error_kind::InvalidArgument, "command line",
+                    "no revision; add --revision=N as an edit printed it");
+    BOOST_LEAF_AUTO(client, operator_client::fromFlags());
+    BOOST_LEAF_AUTO(timeout, flaggedTimeout());
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    std::vector<std::string> left = behind(client, client.addresses(), FLAGS_revision);
+    while (!left.empty() && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(pollInterval);
+        left = behind(client, left, FLAGS_revision);
+    }
+    if (left.empty()) {
+        std::cout << "revision " << FLAGS_revision << " is in force\n";
+        return {};
+    }
+    std::string names;
+    for (const std::string &address : left)
+        names += " " + address;
+    return fail(error_kind::DeadlineExceeded, "wait",
+                "not in force at" + names + "; see 'yuccascale status' there");
+}
+
+} // namespace yuccascale::cli
--- /dev/null
+++ b/src/yuccascale/cli/table_commands.cpp
@@ -0,0 +1,112 @@
+#include "yuccascale/cli/table_commands.hpp"
+
+#include "yuccascale/cli/flags.hpp"
+#include "yuccascale/cli/output.hpp"
+#include "yuccascale/cli/row_file.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace yuccascale::cli {
+
+using kernel::json;
+using kernel::result;
+namespace state = kernel::state;
+
+namespace {
+
+template<typename Table>
+result<void> listTable(Table state::table_set::*table, std::span<const std::string_view> columns)
+{
+    BOOST_LEAF_AUTO(client, operator_client::fromFlags());
+    BOOST_LEAF_AUTO(tables, client.tables());
+    json rows = json::array();
+    for (const auto &[name, row] : tables.*table)
+        rows.push_back(row);
+    printRows(rows, columns);
+    return {};
+}
+
+template<typename Rows>
+result<void> putRows(Rows state::edit_tables::*field, result<Rows> (*read)(const std::string &),
+                     const std::string &file)
+{
+    state::edit_tables edit;
+    BOOST_LEAF_ASSIGN(edit.*field, read(file));
+    BOOST_LEAF_AUTO(client, operator_client::fromFlags());
+    return commitEdit(client, std::move(edit));
+}
+
+result<void> removeRow(std::vector<std::string> state::edit_tables::*field, const std::string &name)
+{
+    state::edit_tables edit;
+    (edit.*field).push_back(name);
+    BOOST_LEAF_AUTO(client, operator_client::fromFlags());
+    return commitEdit(client, std::move(edit));
+}
+
+} // namespace
+
+result<void> commitEdit(const operator_client &client, state::edit_tables edit)
+{
+    edit.fromRevision = FLAGS_from_revision;
+    if (edit.fromRevision == 0) {
+        BOOST_LEAF_AUTO(tables, client.tables());
+        edit.fromRevision = tables.revision;
+    }
+    BOOST_LEAF_AUTO(outcome, client.edit(edit, newOperationId()));
+    printObject({{"accepted", true}, {"revision", outcome.revision}});
+    return {};
+}
+
+result<void> listRoutes(command_words)
+{
+    static constexpr std::array<std::string_view, 7> columns{
+            "name", "pool", "kind", "access", "idempotent", "deadlineMs", "priority"};
+    return listTable(&state::table_set::routes, columns);
+}
+
+result<void> putRoutes(command_words words)
+{
+    return putRows(&state::edit_tables::putRoutes, readRouteFile, words[0]);
+}
+
+result<void> removeRoute(command_words words)
+{
+    return removeRow(&state::edit_tables::removeRoutes, words[0]);
+}
+
+result<void> listPools(command_words)
+{
+    static constexpr std::array<std::string_view, 6> columns{
+            "name", "kind", "model", "version", "minEndpoints", "endpoints"};
+    return listTable(&state::table_set::pools, columns);
+}
+
+result<void> putPools(command_words words)
+{
+    return putRows(&state::edit_tables::putPools, readPoolFile, words[0]);
+}
+
+result<void> removePool(command_words words)
+{
+    return removeRow(&state::edit_tables::removePools, words[0]);
+}
+
+result<void> listOrganisations(command_words)
+{
+    static constexpr std::array<std::string_view, 2> columns{"name", "weight"};
+    return listTable(&state::table_set::organisations, columns);
+}
+
+result<void> putOrganisations(command_words words)
+{
+    return putRows(&state::edit_tables::putOrganisations, readOrganisationFile, words[0]);
+}
+
+result<void> removeOrganisation(command_words words)
+{
+    return removeRow(&state::edit_tables::removeOrganisations, words[0]);
+}
+
+} // namespace yuccascale::cli
--- /dev/null
+++ b/src/yuccascale/cli/table_commands.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "yuccascale/cli/command.hpp"
+#include "yuccascale/cli/operator_client.hpp"
+
+/// \file
+/// \brief Commands that list and edit the tables. Each edit is a compare-and-set on the revision.
+
+namespace yuccascale::cli {
+
+[[nodiscard]] kernel::result<void> listRoutes(command_words words);
+[[nodiscard]] kernel::result<void> putRoutes(command_words words);
+[[nodiscard]] kernel::result<void> removeRoute(command_words words);
+
+[[nodiscard]] kernel::result<void> listPools(command_words words);
+[[nodiscard]] kernel::result<void> putPools(command_words words);
+[[nodiscard]] kernel::result<void> removePool(command_words words);
+
+[[nodiscard]] kernel::result<void> listOrganisations(command_words words);
+[[nodiscard]] kernel::result<void> putOrganisations(command_words words);
+[[nodiscard]] kernel::result<void> removeOrganisation(command_words words);
+
+/// \brief Commits \a edit from --from-revision, or from the revision in force, and prints the new
+///        revision.
+[[nodiscard]] kernel::result<void> commitEdit(const operator_client &client,
+                                              kernel::state::edit_tables edit);
+
+} // namespace yuccascale::cli
--- /dev/null
+++ b/tests/fakes/batch.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "fakes/prefix_cache.hpp"
+#include "yuccascale/kernel/json.hpp"
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+/// \file
+/// \brief Continuous batching of an engine stand-in: one step generates a token for each stream.
+
+namespace yuccascale::fakes {
+
+/// \brief How fast an engine stand-in works.
+struct batch_settings
+{
+    int slots = 8;
+    int queueLimit = 64;
+    std::int64_t prefillTokensPerSecond = 8'000;
+    std::int64_t stepMicroseconds = 8'000;        ///< of a step with an empty batch
+    std::int64_t stepPerStreamMicroseconds = 500; ///< added by each stream of the batch
+    std::int64_t cacheTokens = 65'536;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(batch_settings, slots, queueLimit,
+                                                prefillTokensPerSecond, stepMicroseconds,
+                                                stepPerStreamMicroseconds, cacheTokens)
+};
+
+/// \brief How a job stands.
+enum class job_state { Running, Finished, Cancelled, Cut };
+
+/// \brief One request inside the engine. Its fields are guarded by the batch's lock.
+struct job
+{
+    std::string id;
+    int priority = 0;
+    std::string prompt;
+    bool prefillOnly = false;
+    std::int64_t importedTokens = 0; ///< of the KV cache, from another engine
+    std::int64_t firstPiece = 0;     ///< where generation starts; never changes
+    std::int64_t nextPiece = 0;
+    std::int64_t pieces = 0; ///< of the whole answer
+    std::int64_t cachedTokens = 0;
+    std::int64_t prefillLeft = 0;
+    job_state state = job_state::Running;
+};
+
+/// \brief Work inside an engine at one time.
+struct batch_load
+{
+    std::int64_t atMs = 0;
+    int running = 0;
+    int queued = 0;
+    std::int64_t prefillTokensWaiting = 0;
+    std::int64_t decodeTokensWaiting = 0;
+};
+
+/// \brief What a waiting thread learnt of its job.
+struct job_progress
+{
+    std::int64_t nextPiece = 0;
+    std::int64_t cachedTokens = 0;
+    job_state state = job_state::Running;
+};
+
+/// \brief Runs jobs in steps on a thread of its own. Thread-safe.
+class batch
+{
+public:
+    explicit batch(const batch_settings &settings);
+    ~batch();
+    batch(const batch &) = delete;
+    batch &operator=(const batch &) = delete;
+
+    /// \returns false when too many wait; the job has not run.
+    [[nodiscard]] bool submit(const std::shared_ptr<job> &work);
+
+    /// \brief Waits until the job has more than \a seen pieces or ended.
+    [[nodiscard]] job_progress wait(const std::shared_ptr<job> &work, std::int64_t seen);
+
+    /// \returns false when no such job runs.
+    bool cancel(const std::string &id);
+
+    /// \brief Ends every job without its answer. \returns how many there were.
+    int cutAll();
+
+    /// \param slowPrefill and \param slowDecode how many times slower the role makes each
+    void setSlowdown(std::int64_t slowPrefill, std::int64_t slowDecode);
+
+    /// \returns the newest load sampled at or before \a atMs.
+    [[nodiscard]] batch_load loadAt(std::int64_t atMs) const;
+
+    [[nodiscard]] std::vector<cache_event> cacheEvents(std::uint64_t since,
+                                                       std::int64_t lagMs) const;
+
+private:
+    void run();
+    void admitWaiting();
+    void sampleLoad();
+    [[nodiscard]] std::chrono::microseconds stepTime() const;
+    void applyStep();
+    void dropEnded();
+    [[nodiscard]] job *nextPrefill() const;
+
+    batch_settings m_settings;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_work;
+    std::condition_variable m_progress;
+    prefix_cache m_cache;
+    std::list<std::shared_ptr<job>> m_waiting; ///< sorted by priority
+    std::list<std::shared_ptr<job>> m_running;
+    std::deque<batch_load> m_loads;
+    std::int64_t m_slowPrefill = 1;
+    std::int64_t m_slowDecode = 1;
+    bool m_stopped = false;
+    std::thread m_thread;
+};
+
+} // namespace yuccascale::fakes
--- /dev/null
+++ b/tests/fakes/engine.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "fakes/batch.hpp"
+#include "fakes/history.hpp"
+#include "fakes/http_server.hpp"
+#include "fakes/standin.hpp"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+/// \file
+/// \brief An engine stand-in.
+
+namespace yuccascale::fakes {
+
+/// \brief An engine stand-in's own settings; times in milliseconds.
+struct engine_settings
+{
+    std::string name = "engine";
+    int port = 0;
+    std::string model = "model@1";
+    std::string role = "mixed";
+    batch_settings work;
+    bool fences = true; ///< refuses an order with an old fencing number
+    std::int64_t roleChangeMs = 6'000;
+    std::int64_t loadModelMs = 3'000;
+    std::int64_t loadLagMs = 200;
+    std::int64_t cacheEventLagMs = 300;
+    std::uint64_t cacheEventGap = 50; ///< one in so many events is lost; 0 loses none
+    std::int64_t restartMs = 2'000;   ///< after a crash; 0 ends the process instead
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(engine_settings, name, port, model, role, work,
+                                                fences, roleChangeMs, loadModelMs, loadLagMs,
+                                                cacheEventLagMs, cacheEventGap, restartMs)
+};
+
+/// \brief Marks a prompt that crashes the engine.
+constexpr std::string_view crashMarker = "CRASH-THE-ENGINE";
+
+/// \brief Serves the engine interface on one port and restarts after a crash. Thread-safe.
+class engine final : public standin
+{
+public:
+    engine(engine_settings settings, const history &evidence);
+    ~engine() override;
+    engine(const engine &) = delete;
+    engine &operator=(const engine &) = delete;
+
+private:
+    struct order_record
+    {
+        std::string kind;
+        std::string argument;
+        std::int64_t doneAtMs = 0;
+    };
+
+    void watch();
+    void tick();
+    void restart();
+    [[nodiscard]] http_reply handle(const http_request &request);
+    [[nodiscard]] http_reply answer(const http_request &request);
+    [[nodiscard]] http_reply cancel(const http_request &request);
+    [[nodiscard]] http_reply load(const http_request &request);
+    [[nodiscard]] http_reply cacheEvents(const http_request &request);
+    [[nodiscard]] http_reply takeOrder(const http_request &request);
+    [[nodiscard]] http_reply orderState(const http_request &request);
+    [[nodiscard]] http_reply exportKv(const http_request &request);
+    [[nodiscard]] http_reply reclaim(const http_request &request);
+    [[nodiscard]] http_reply crashNow(const http_request &request);
+
+    [[nodiscard]] http_reply notRun(const std::shared_ptr<job> &work, const std::string &why) const;
+    [[nodiscard]] std::string whyNotNow() const;
+    [[nodiscard]] std::shared_ptr<job> makeJob(const http_request &request,
+                                               const kernel::json &body);
+    [[nodiscard]] std::int64_t importKv(const http_request &request);
+    bool streamPieces(const std::shared_ptr<job> &work, const write_piece &write);
+    [[nodiscard]] http_reply plainAnswer(const std::shared_ptr<job> &work);
+    void recordEnd(const job &work, const job_progress &end) const;
+    void crash(const std::string &why);
+    void startOrder(std::uint64_t id, const std::string &kind, const std::string &argument);
+    void settleOrders();
+    void applyRole(const std::string &role);
+
+    engine_settings m_settings;
+    const history &m_history;
+    mutable std::mutex m_mutex;
+    std::string m_role;
+    std::string m_model;
+    std::uint64_t m_highestFence = 0;
+    std::map<std::uint64_t, order_record> m_orders;
+    std::uint64_t m_openOrder = 0;
+    bool m_draining = false;
+    bool m_leaving = false;
+    std::atomic<std::int64_t> m_leaveAtMs{0};
+    std::int64_t m_restartAtMs = 0;
+    std::int64_t m_incarnation = 0;
+    std::map<std::string, std::int64_t> m_kv; ///< tokens by request id
+    std::unique_ptr<batch> m_batch;
+    std::unique_ptr<http_server> m_server;
+    std::atomic<bool> m_stopped{false};
+    std::thread m_watch;
+};
+
+} // namespace yuccascale::fakes
--- /dev/null
+++ b/tests/fakes/history.cpp
@@ -0,0 +1,65 @@
+#include "fakes/history.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <chrono>
+#include <set>
+#include <stdexcept>
+
+namespace yuccascale::fakes {
+
+std::int64_t wallMs() noexcept
+{
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+history::history(const std::string &file)
+{
+    if (file.empty())
+        return;
+    m_descriptor = ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    if (m_descriptor < 0)
+        throw std::runtime_error("cannot write '" + file + "'; create its folder");
+}
+
+history::~history()
+{
+    if (m_descriptor >= 0)
+        ::close(m_descriptor);
+}
+
+void history::record(const std::string &who, const std::string &event, kernel::json facts) const
+{
+    if (m_descriptor < 0)
+        return;
+    facts["at_ms"] = wallMs();
+    facts["who"] = who;
+    facts["event"] = event;
+    const std::string line
+            = facts.dump(-1, ' ', false, kernel::json::error_handler_t::replace) + "\n";
+    if (::write(m_descriptor, line.data(), line.size()) < 0)
+        throw std::runtime_error("the history file cannot be written; free some disk space");
+}
+
+void history::recordRequest(const std::string &who, const http_request &request) const
+{
+    if (m_descriptor < 0)
+        return;
+    std::set<std::string> names;
+    for (const auto &[name, value] : request.headers)
+        names.insert(name);
+    record(who, "request",
+           {{"method", request.method},
+            {"path", request.path},
+            {"request_id", request.header("x-request-id")},
+            {"idempotency_key", request.header("idempotency-key")},
+            {"resume_from", request.header("x-resume-from")},
+            {"headers", names},
+            {"body_bytes", request.body.size()},
+            {"body_hash", XXH64(request.body.data(), request.body.size(), 0)}});
+}
+
+} // namespace yuccascale::fakes
--- /dev/null
+++ b/tests/fakes/prefix_cache.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// \brief The prompt-prefix cache of an engine stand-in, with its events.
+
+namespace yuccascale::fakes {
+
+/// \brief A block that came into the cache or left it.
+struct cache_event
+{
+    std::uint64_t sequence = 0;
+    std::int64_t atMs = 0;
+    std::string prefix; ///< hash of the prompt up to the block's end
+    std::int64_t tokens = 0;
+    bool added = true;
+};
+
+/// \brief Least-recently-used blocks of prompt prefixes. Not thread-safe.
+class prefix_cache
+{
+public:
+    static constexpr std::int64_t blockTokens = 64;
+
+    explicit prefix_cache(std::int64_t capacityTokens)
+        : m_capacityBlocks(static_cast<std::size_t>(capacityTokens / blockTokens))
+    { }
+
+    /// \returns how many tokens from the prompt's start are cached, and marks them as used.
+    [[nodiscard]] std::int64_t lookUp(std::string_view prompt);
+
+    /// \brief Keeps every whole block of \a prompt, and drops the blocks longest unused.
+    void keep(std::string_view prompt, std::int64_t nowMs);
+
+    /// \returns the events from \a since on that are at least \a lagMs old.
+    [[nodiscard]] std::vector<cache_event> events(std::uint64_t since, std::int64_t nowMs,
+                                                  std::int64_t lagMs) const;
+
+private:
+    struct block
+    {
+        std::list<std::string>::iterator use;
+        std::int64_t tokens;
+    };
+
+    [[nodiscard]] static std::vector<std::string> prefixes(std::string_view prompt);
+    void addEvent(const std::string &prefix, std::int64_t tokens, bool added, std::int64_t nowMs);
+
+    std::size_t m_capacityBlocks;
+    std::list<std::string> m_uses; ///< most recent first
+    std::map<std::string, block> m_blocks;
+    std::deque<cache_event> m_events;
+    std::uint64_t m_nextSequence = 1;
+};
+
+} // namespace yuccascale::fakes
