--- /dev/null
+++ b/src/yuccascale/http/caller_answers.cpp
@@ -0,0 +1,51 @@
+#include "yuccascale/http/caller_answers.hpp"
+
+#include "yuccascale/kernel/json.hpp"
+
+#include <array>
+
+namespace yuccascale::http {
+
+namespace {
+
+using kernel::json;
+
+/// By error_kind.
+constexpr std::array<int, 13> statuses{400, 404, 409, 401, 403, 503, 503,
+                                       429, 504, 503, 502, 502, 500};
+
+} // namespace
+
+int statusOf(kernel::error_kind kind) noexcept
+{
+    return statuses[static_cast<std::size_t>(kind)];
+}
+
+std::string errorBody(const kernel::requests::refusal &reason, const std::string &requestId,
+                      std::span<const offered_address> addresses)
+{
+    json error{{"kind", kernel::errorKindName(reason.kind)},
+               {"message", reason.message},
+               {"may_have_run", reason.mayHaveRun},
+               {"request_id", requestId}};
+    if (reason.retryAfter > kernel::nanoseconds::zero()) {
+        error["retry_after_ms"]
+                = std::chrono::ceil<kernel::milliseconds>(reason.retryAfter).count();
+    }
+    json others = json::array();
+    for (const offered_address &one : addresses)
+        others.push_back(one.address);
+    error["addresses"] = std::move(others);
+    return json{{"error", std::move(error)}}.dump();
+}
+
+std::string addressesBody(std::uint64_t revision, kernel::milliseconds timeToLive,
+                          std::span<const offered_address> addresses)
+{
+    json rows = json::array();
+    for (const offered_address &one : addresses)
+        rows.push_back({{"address", one.address}, {"zone", one.zone}, {"weight", one.weight}});
+    return json{{"revision", revision}, {"ttl_ms", timeToLive.count()}, {"addresses", rows}}.dump();
+}
+
+} // namespace yuccascale::http
--- /dev/null
+++ b/src/yuccascale/http/caller_answers.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "yuccascale/kernel/requests/request.hpp"
+
+#include <span>
+#include <string>
+
+/// \file
+/// \brief Answers to callers in their JSON form.
+
+namespace yuccascale::http {
+
+/// \brief An address that callers may use.
+struct offered_address
+{
+    std::string address; ///< IP:port
+    std::string zone;
+    int weight = 1;
+};
+
+/// \returns the HTTP status of an error.
+[[nodiscard]] int statusOf(kernel::error_kind kind) noexcept;
+
+/// \returns the body of a typed error.
+/// \param addresses others that the caller may try
+[[nodiscard]] std::string errorBody(const kernel::requests::refusal &reason,
+                                    const std::string &requestId,
+                                    std::span<const offered_address> addresses);
+
+/// \returns the body of `GET /v1/addresses`.
+[[nodiscard]] std::string addressesBody(std::uint64_t revision, kernel::milliseconds timeToLive,
+                                        std::span<const offered_address> addresses);
+
+} // namespace yuccascale::http
--- /dev/null
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -0,0 +1,227 @@
+#include "yuccascale/http/caller_pools.hpp"
+
+#include <functional>
+#include <utility>
+
+namespace yuccascale::http {
+
+using namespace kernel::requests;
+
+namespace {
+
+constexpr kernel::seconds removedPoolRetryAfter{1};
+
+[[nodiscard]] refusal noEndpoint()
+{
+    return {kernel::error_kind::Unavailable,
+            "no endpoint of this route takes work; come back later", false, removedPoolRetryAfter};
+}
+
+} // namespace
+
+caller_pools::caller_pools(runtime::policy_settings policy, const kernel::clock &clock,
+                           entry_position position)
+    : m_policy(std::move(policy))
+    , m_clock(clock)
+    , m_position(position)
+{ }
+
+kernel::result<std::unique_ptr<caller_pools>>
+caller_pools::make(const runtime::policy_settings &policy, const kernel::clock &clock,
+                   entry_position position)
+{
+    std::unique_ptr<caller_pools> pools(new caller_pools(policy, clock, position));
+    BOOST_LEAF_CHECK(pools->makeStrategies({}));
+    return pools;
+}
+
+kernel::result<pool_strategies> caller_pools::makeStrategies(const std::string &pool) const
+{
+    const std::uint64_t seed
+            = std::hash<std::string>{}(pool) + static_cast<std::uint64_t>(m_position.index);
+    BOOST_LEAF_AUTO(router, kernel::policy::router_registry::make(m_policy.routing, seed));
+    BOOST_LEAF_AUTO(admission, kernel::policy::admission_registry::make(m_policy.admission));
+    BOOST_LEAF_AUTO(queue, kernel::policy::fair_queue_registry::make(m_policy.fairness));
+    return pool_strategies{std::move(router), std::move(admission), std::move(queue)};
+}
+
+std::shared_ptr<caller_pools::shard> caller_pools::find(const std::string &pool) const
+{
+    const std::shared_lock guard(m_mutex);
+    const auto found = m_shards.find(pool);
+    return found == m_shards.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<caller_pools::shard>> caller_pools::all() const
+{
+    const std::shared_lock guard(m_mutex);
+    std::vector<std::shared_ptr<shard>> shards;
+    shards.reserve(m_shards.size());
+    for (const auto &[name, pool] : m_shards)
+        shards.push_back(pool);
+    return shards;
+}
+
+std::shared_ptr<caller_pools::shard> caller_pools::findOrMake(const std::string &pool)
+{
+    if (std::shared_ptr<shard> known = find(pool))
+        return known;
+    std::shared_ptr<shard> made;
+    kernel::error problem;
+    const bool succeeded = kernel::succeeded(
+            [&]() -> kernel::result<void> {
+                BOOST_LEAF_AUTO(strategies, makeStrategies(pool));
+                made = std::make_shared<shard>(std::move(strategies));
+                return {};
+            },
+            problem);
+    if (!succeeded)
+        return nullptr; // make() has tried the same strategies
+    made->scheduler.setPosition(m_position);
+    const std::unique_lock guard(m_mutex);
+    return m_shards.emplace(pool, made).first->second;
+}
+
+void caller_pools::setTables(const kernel::state::table_set &tables)
+{
+    std::vector<listed_endpoint> endpoints;
+    for (const auto &[name, row] : tables.pools) {
+        const std::shared_ptr<shard> pool = findOrMake(name);
+        if (!pool)
+            continue;
+        for (const kernel::state::endpoint &endpoint : row.endpoints)
+            endpoints.push_back({name, endpoint.name, endpoint.address, row.kind});
+        setRows(*pool, row);
+    }
+    std::map<std::string, std::shared_ptr<shard>> shards;
+    {
+        const std::unique_lock guard(m_mutex);
+        m_endpoints = std::move(endpoints);
+        shards = m_shards;
+    }
+    for (const auto &[name, pool] : shards) {
+        if (!tables.pools.contains(name))
+            setRows(*pool, {});
+    }
+}
+
+void caller_pools::setRows(shard &pool, const kernel::state::pool &row)
+{
+    const std::scoped_lock guard(pool.mutex);
+    pool.scheduler.setRows(row);
+    giveTurns(pool);
+}
+
+void caller_pools::giveTurns(shard &pool)
+{
+    for (const std::uint64_t ticket : pool.scheduler.takeUnservable()) {
+        const auto found = pool.mailboxes.find(ticket);
+        found->second->put(event{queue_refused{noEndpoint()}});
+        pool.mailboxes.erase(found);
+    }
+    for (scheduled_turn &turn : pool.scheduler.schedule(m_clock.now())) {
+        const auto found = pool.mailboxes.find(turn.ticket);
+        found->second->put(std::move(turn));
+        pool.mailboxes.erase(found);
+    }
+}
+
+std::optional<refusal> caller_pools::push(std::uint64_t ticket, const request &subject,
+                                          double weight, const enqueue &how,
+                                          std::shared_ptr<caller_mailbox> mailbox)
+{
+    const std::shared_ptr<shard> pool = find(subject.route.pool);
+    if (!pool)
+        return noEndpoint();
+    const std::scoped_lock guard(pool->mutex);
+    auto refused = pool->scheduler.push(m_clock.now(), ticket, subject, weight, how);
+    if (refused)
+        return refused;
+    pool->mailboxes.emplace(ticket, std::move(mailbox));
+    giveTurns(*pool);
+    return std::nullopt;
+}
+
+void caller_pools::remove(const std::string &pool, std::uint64_t ticket)
+{
+    const std::shared_ptr<shard> found = find(pool);
+    if (!found)
+        return;
+    const std::scoped_lock guard(found->mutex);
+    if (found->mailboxes.erase(ticket) > 0) {
+        found->scheduler.remove(ticket);
+        return;
+    }
+    // its turn came meanwhile and nobody will take it
+    attempt_result unused;
+    unused.blameless = true;
+    found->scheduler.finish(m_clock.now(), ticket, unused);
+    giveTurns(*found);
+}
+
+void caller_pools::firstPiece(const std::string &pool, std::uint64_t ticket)
+{
+    if (const std::shared_ptr<shard> found = find(pool)) {
+        const std::scoped_lock guard(found->mutex);
+        found->scheduler.firstPiece(ticket);
+    }
+}
+
+finish_findings caller_pools::finish(const std::string &pool, std::uint64_t ticket,
+                                     const attempt_result &result)
+{
+    const std::shared_ptr<shard> found = find(pool);
+    if (!found)
+        return {};
+    const std::scoped_lock guard(found->mutex);
+    finish_findings findings = found->scheduler.finish(m_clock.now(), ticket, result);
+    giveTurns(*found);
+    return findings;
+}
+
+bool caller_pools::report(const std::string &pool, const std::string &endpoint,
+                          const endpoint_report &report)
+{
+    const std::shared_ptr<shard> found = find(pool);
+    if (!found)
+        return false;
+    const std::scoped_lock guard(found->mutex);
+    const bool notice = found->scheduler.endpoints().report(endpoint, report);
+    giveTurns(*found);
+    return notice;
+}
+
+void caller_pools::setLeaving(const std::string &endpoint, bool leaving)
+{
+    for (const std::shared_ptr<shard> &pool : all()) {
+        const std::scoped_lock guard(pool->mutex);
+        pool->scheduler.endpoints().setLeaving(endpoint, leaving);
+        giveTurns(*pool);
+    }
+}
+
+void caller_pools::scheduleAll()
+{
+    for (const std::shared_ptr<shard> &pool : all()) {
+        const std::scoped_lock guard(pool->mutex);
+        giveTurns(*pool);
+    }
+}
+
+std::vector<listed_endpoint> caller_pools::endpoints() const
+{
+    const std::shared_lock guard(m_mutex);
+    return m_endpoints;
+}
+
+std::size_t caller_pools::waiting() const
+{
+    std::size_t sum = 0;
+    for (const std::shared_ptr<shard> &pool : all()) {
+        const std::scoped_lock guard(pool->mutex);
+        sum += pool->scheduler.waiting();
+    }
+    return sum;
+}
+
+} // namespace yuccascale::http
--- /dev/null
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "yuccascale/http/caller_mailbox.hpp"
+#include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/requests/pool_scheduler.hpp"
+#include "yuccascale/runtime/settings.hpp"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief The pools' queues at this entry, each under its own lock.
+
+namespace yuccascale::http {
+
+/// \brief An endpoint to be asked for its load.
+struct listed_endpoint
+{
+    std::string pool;
+    std::string name;
+    std::string address;
+    kernel::state::backend_kind kind = kernel::state::backend_kind::Model;
+};
+
+/// \brief Schedulers of all pools. Thread-safe.
+class caller_pools
+{
+public:
+    /// \param position this entry's place among the entries
+    /// \returns error_kind::NotFound when the settings name a strategy that there is not.
+    [[nodiscard]] static kernel::result<std::unique_ptr<caller_pools>>
+    make(const runtime::policy_settings &policy, const kernel::clock &clock,
+         kernel::requests::entry_position position);
+
+    /// \brief Takes over a revision of the tables.
+    void setTables(const kernel::state::table_set &tables);
+
+    /// \brief Puts a request into its pool's queue.
+    /// \param mailbox gets a scheduled_turn when its turn comes
+    [[nodiscard]] std::optional<kernel::requests::refusal>
+    push(std::uint64_t ticket, const kernel::requests::request &subject, double weight,
+         const kernel::requests::enqueue &how, std::shared_ptr<caller_mailbox> mailbox);
+
+    void remove(const std::string &pool, std::uint64_t ticket);
+    void firstPiece(const std::string &pool, std::uint64_t ticket);
+    kernel::requests::finish_findings finish(const std::string &pool, std::uint64_t ticket,
+                                             const kernel::requests::attempt_result &result);
+
+    /// \returns true when the endpoint gave notice.
+    bool report(const std::string &pool, const std::string &endpoint,
+                const kernel::requests::endpoint_report &report);
+
+    /// \brief Takes in what the VM list says of an endpoint.
+    void setLeaving(const std::string &endpoint, bool leaving);
+
+    /// \brief Gives out turns that time alone has made possible.
+    void scheduleAll();
+
+    [[nodiscard]] std::vector<listed_endpoint> endpoints() const;
+
+    /// \returns requests that wait in all pools.
+    [[nodiscard]] std::size_t waiting() const;
+
+private:
+    struct shard
+    {
+        explicit shard(kernel::requests::pool_strategies strategies)
+            : scheduler(std::move(strategies), {})
+        { }
+
+        std::mutex mutex;
+        kernel::requests::pool_scheduler scheduler;
+        std::map<std::uint64_t, std::shared_ptr<caller_mailbox>> mailboxes;
+    };
+
+    caller_pools(runtime::policy_settings policy, const kernel::clock &clock,
+                 kernel::requests::entry_position position);
+
+    [[nodiscard]] kernel::result<kernel::requests::pool_strategies>
+    makeStrategies(const std::string &pool) const;
+    [[nodiscard]] std::shared_ptr<shard> find(const std::string &pool) const;
+    [[nodiscard]] std::shared_ptr<shard> findOrMake(const std::string &pool);
+    [[nodiscard]] std::vector<std::shared_ptr<shard>> all() const;
+    void setRows(shard &pool, const kernel::state::pool &row);
+    void giveTurns(shard &pool);
+
+    runtime::policy_settings m_policy;
+    const kernel::clock &m_clock;
+    kernel::requests::entry_position m_position;
+    mutable std::shared_mutex m_mutex;
+    std::map<std::string, std::shared_ptr<shard>> m_shards; ///< by pool name
+    std::vector<listed_endpoint> m_endpoints;
+};
+
+} // namespace yuccascale::http
--- /dev/null
+++ b/src/yuccascale/http/caller_request.cpp
@@ -0,0 +1,242 @@
+#include "yuccascale/http/caller_request.hpp"
+
+#include "yuccascale/kernel/json.hpp"
+#include "yuccascale/kernel/requests/key_check.hpp"
+#include "yuccascale/kernel/requests/resume_token.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace yuccascale::http {
+
+namespace {
+
+using kernel::error_kind;
+using kernel::fail;
+using kernel::json;
+using kernel::result;
+using namespace kernel::requests;
+
+constexpr std::string_view bearerScheme = "Bearer ";
+constexpr std::string_view keyPrefix = "yk_";
+constexpr std::string_view servicePrefix = "/s/";
+constexpr std::array<std::string_view, 4> keyParameters{
+        "access_token=", "api_key=", "apikey=", "authorization="};
+constexpr std::size_t maxRequestIdBytes = 128;
+constexpr std::size_t maxIdempotencyKeyBytes = 255;
+constexpr std::int64_t bytesPerToken = 4;
+constexpr std::int64_t defaultOutputTokens = 256;
+constexpr std::size_t instanceDigits = 8;
+
+[[nodiscard]] bool usableId(const std::string &id)
+{
+    const auto usable = [](char character) {
+        const bool alphanumeric = (character >= '0' && character <= '9')
+                || (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+        return alphanumeric || character == '-' || character == '_' || character == '.';
+    };
+    return !id.empty() && id.size() <= maxRequestIdBytes && std::ranges::all_of(id, usable);
+}
+
+/// Two callers may pick the same id; endpoints must be able to tell their requests apart.
+[[nodiscard]] std::string endpointIdOf(const std::string &id, const reading_context &context)
+{
+    const std::string instance = digestOf(context.entry + "/" + std::to_string(context.number));
+    return id + "~" + instance.substr(0, instanceDigits);
+}
+
+[[nodiscard]] std::string presentedKey(const caller_message &message)
+{
+    const std::string_view text = message.authorization;
+    if (!text.starts_with(bearerScheme))
+        return {};
+    return std::string(text.substr(bearerScheme.size()));
+}
+
+[[nodiscard]] std::string lowerCase(std::string text)
+{
+    std::ranges::transform(text, text.begin(), [](unsigned char character) {
+        return static_cast<char>(std::tolower(character));
+    });
+    return text;
+}
+
+/// Keys in a query end up in logs along the way.
+[[nodiscard]] bool carriesKey(const std::string &parameter, const kernel::control_view &view)
+{
+    const std::string name = lowerCase(parameter.substr(0, parameter.find('=') + 1));
+    if (std::ranges::find(keyParameters, name) != keyParameters.end())
+        return true;
+    const std::string value = parameter.substr(parameter.find('=') + 1);
+    return value.starts_with(keyPrefix) || !organisationOf(*view.tables, digestOf(value)).empty();
+}
+
+[[nodiscard]] result<void> refuseLeakedKey(const caller_message &message, const std::string &key,
+                                           const kernel::control_view &view)
+{
+    for (const std::string &parameter : message.parameters) {
+        if (carriesKey(parameter, view)) {
+            return fail(error_kind::InvalidArgument, "query",
+                        "a key stands in the query; send it in the Authorization header only and "
+                        "replace it, since queries are logged");
+        }
+    }
+    if (key.empty())
+        return {};
+    const std::array<const std::string *, 6> passedOn{&message.path,           &message.target,
+                                                      &message.body,           &message.contentType,
+                                                      &message.idempotencyKey, &message.requestId};
+    for (const std::string *text : passedOn) {
+        if (text->find(key) != std::string::npos) {
+            return fail(error_kind::InvalidArgument, "key",
+                        "the key stands outside the Authorization header; send it only there");
+        }
+    }
+    return {};
+}
+
+[[nodiscard]] result<void> setOrganisation(request &subject, const caller_message &message,
+                                           const reading_context &context)
+{
+    const std::string key = presentedKey(message);
+    BOOST_LEAF_CHECK(refuseLeakedKey(message, key, context.view));
+    if (subject.route.access == kernel::state::route_access::Open)
+        return {};
+    if (!context.view.fresh(context.now)) {
+        return fail(error_kind::NotReady, "tables",
+                    "this entry cannot confirm its tables now; try another of the addresses");
+    }
+    subject.keyDigest = digestOf(key);
+    subject.organisation = organisationOf(*context.view.tables, subject.keyDigest);
+    if (key.empty() || subject.organisation.empty()) {
+        return fail(error_kind::Unauthorized, "Authorization",
+                    "no valid key; send 'Authorization: Bearer KEY'");
+    }
+    return {};
+}
+
+[[nodiscard]] result<kernel::state::route>
+findRoute(const reading_context &context, const std::string &name, kernel::state::backend_kind kind)
+{
+    if (!context.view.tables) {
+        return fail(error_kind::NotReady, "tables",
+                    "this entry has no tables yet; try another of the addresses");
+    }
+    const auto found = context.view.tables->routes.find(name);
+    if (found == context.view.tables->routes.end() || found->second.kind != kind)
+        return fail(error_kind::NotFound, "route/" + name, "no such route; check its name");
+    return found->second;
+}
+
+[[nodiscard]] result<void> setCommonFields(request &subject, const caller_message &message,
+                                           const reading_context &context)
+{
+    if (message.idempotencyKey.size() > maxIdempotencyKeyBytes) {
+        return fail(error_kind::InvalidArgument, "Idempotency-Key",
+                    "longer than 255 bytes; use a shorter one");
+    }
+    subject.id = requestIdOf(message, context);
+    subject.endpointId = endpointIdOf(subject.id, context);
+    subject.method = message.method;
+    subject.contentType = message.contentType;
+    subject.idempotencyKey = message.idempotencyKey;
+    subject.receivedAt = context.now;
+    subject.deadline = context.now + kernel::milliseconds(subject.route.deadlineMs);
+    return {};
+}
+
+[[nodiscard]] std::string fingerprintOf(const request &subject)
+{
+    return digestOf(subject.route.name + "\n" + subject.method + "\n" + subject.path + "\n"
+                    + subject.body);
+}
+
+[[nodiscard]] result<void> resume(request &subject, const caller_message &message,
+                                  const reading_context &context)
+{
+    if (message.resumeToken.empty())
+        return {};
+    BOOST_LEAF_AUTO(claim,
+                    readResumeToken(context.secret, message.resumeToken, subject.organisation,
+                                    subject.fingerprint));
+    const std::string &text = message.resumeFrom;
+    std::int64_t from = claim.delivered;
+    std::from_chars(text.data(), text.data() + text.size(), from);
+    if (from < claim.delivered) {
+        return fail(error_kind::InvalidArgument, "X-Resume-From",
+                    "fewer pieces than the token vouches for; send the number that arrived");
+    }
+    subject.id = claim.requestId;
+    subject.endpointId = endpointIdOf(subject.id, context);
+    subject.resumeFrom = from;
+    return {};
+}
+
+} // namespace
+
+std::string requestIdOf(const caller_message &message, const reading_context &context)
+{
+    if (usableId(message.requestId))
+        return message.requestId;
+    const std::string digest = digestOf(context.entry + "#" + std::to_string(context.number));
+    return "r-" + digest.substr(0, 2 * instanceDigits);
+}
+
+double weightOf(const kernel::control_view &view, const std::string &organisation)
+{
+    if (!view.tables)
+        return 1.0;
+    const auto found = view.tables->organisations.find(organisation);
+    return found == view.tables->organisations.end() ? 1.0 : found->second.weight;
+}
+
+result<request> readModelRequest(const caller_message &message, const reading_context &context)
+{
+    const json document = json::parse(message.body, nullptr, false);
+    if (!document.is_object() || !document.contains("model") || !document["model"].is_string()) {
+        return fail(error_kind::InvalidArgument, "body",
+                    "not a JSON object with a 'model'; name the route there");
+    }
+    request subject;
+    BOOST_LEAF_ASSIGN(subject.route,
+                      findRoute(context, document["model"].get<std::string>(),
+                                kernel::state::backend_kind::Model));
+    BOOST_LEAF_CHECK(setOrganisation(subject, message, context));
+    BOOST_LEAF_CHECK(setCommonFields(subject, message, context));
+    subject.path = message.path;
+    subject.body = message.body;
+    const auto stream = document.find("stream");
+    subject.streamed = stream != document.end() && *stream == json(true);
+    subject.promptTokens = static_cast<std::int64_t>(message.body.size()) / bytesPerToken + 1;
+    const auto maxTokens = document.find("max_tokens");
+    const bool bounded = maxTokens != document.end() && maxTokens->is_number_integer();
+    subject.outputTokens = bounded ? std::max<std::int64_t>(1, maxTokens->get<std::int64_t>())
+                                   : defaultOutputTokens;
+    subject.fingerprint = fingerprintOf(subject);
+    BOOST_LEAF_CHECK(resume(subject, message, context));
+    return subject;
+}
+
+result<request> readServiceRequest(const caller_message &message, const reading_context &context)
+{
+    const std::string_view afterPrefix
+            = std::string_view(message.target).substr(servicePrefix.size());
+    const std::size_t nameEnd = std::min(afterPrefix.find_first_of("/?"), afterPrefix.size());
+    request subject;
+    BOOST_LEAF_ASSIGN(subject.route,
+                      findRoute(context, std::string(afterPrefix.substr(0, nameEnd)),
+                                kernel::state::backend_kind::Service));
+    BOOST_LEAF_CHECK(setOrganisation(subject, message, context));
+    BOOST_LEAF_CHECK(setCommonFields(subject, message, context));
+    subject.path = std::string(afterPrefix.substr(nameEnd));
+    if (!subject.path.starts_with('/'))
+        subject.path.insert(0, "/");
+    subject.body = message.body;
+    subject.promptTokens = 1;
+    subject.outputTokens = 1;
+    subject.fingerprint = fingerprintOf(subject);
+    return subject;
+}
+
+} // namespace yuccascale::http
--- /dev/null
+++ b/src/yuccascale/kernel/requests/circuit_breaker.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+
+/// \file
+/// \brief Keeps work from an endpoint that fails, and brings it back gently.
+
+namespace yuccascale::kernel::requests {
+
+/// \brief Times and counts of a circuit breaker.
+struct breaker_limits
+{
+    int failuresToOpen = 3;              ///< in a row
+    nanoseconds firstPause = seconds(1); ///< before the first trial; doubles with each failed one
+    nanoseconds longestPause = seconds(30);
+    int trialsToClose = 4; ///< answered in a row; the number allowed at once doubles with each
+};
+
+/// \brief Circuit breaker of one endpoint.
+class circuit_breaker
+{
+public:
+    circuit_breaker() noexcept = default;
+    explicit circuit_breaker(breaker_limits limits) noexcept
+        : m_limits(limits)
+    { }
+
+    /// \param outstanding requests of this entry that the endpoint runs now
+    /// \returns true when one more request may be sent.
+    [[nodiscard]] bool allows(instant now, int outstanding) const noexcept;
+
+    /// \returns true when this closed the breaker.
+    bool succeeded() noexcept;
+
+    /// \param crashed opens the breaker at once
+    /// \returns true when this opened the breaker.
+    bool failed(instant now, bool crashed) noexcept;
+
+    [[nodiscard]] bool open() const noexcept { return m_open; }
+
+private:
+    breaker_limits m_limits;
+    bool m_open = false;
+    int m_failures = 0;
+    int m_trialsAnswered = 0;
+    nanoseconds m_pause{};
+    instant m_trialAt{};
+};
+
+} // namespace yuccascale::kernel::requests
--- /dev/null
+++ b/src/yuccascale/kernel/requests/endpoint_driver.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "yuccascale/kernel/plugin_registry.hpp"
+#include "yuccascale/kernel/requests/endpoint_table.hpp"
+#include "yuccascale/kernel/requests/request_actions.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+/// \file
+/// \brief How requests are put to one kind of endpoint, and how its answers are read.
+
+namespace yuccascale::kernel::requests {
+
+/// \brief An HTTP request to an endpoint.
+struct outbound_request
+{
+    std::string method;
+    std::string path;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string contentType;
+    std::string body;
+    bool freshConnection = false; ///< never one that the endpoint may be closing
+};
+
+/// \brief Start of an endpoint's answer.
+struct answer_head
+{
+    int status = 0;
+    std::string requestId; ///< its X-Request-Id
+    std::string contentType;
+    bool bounded = false; ///< its end is marked: by a length or by chunks
+    nanoseconds retryAfter{};
+};
+
+/// \brief One attempt, as far as a driver must know it.
+struct attempt_facts
+{
+    int attempt = 0;
+    std::int64_t resumeFrom = 0;
+    nanoseconds timeLeft{};
+    std::string prefillAddress; ///< IP:port of the engine that filled the prompt; may be empty
+};
+
+/// \brief Reads the answer of one attempt. Not thread-safe.
+class answer_reader
+{
+public:
+    virtual ~answer_reader() = default;
+
+    /// \returns false when the rest of the answer is of no use.
+    [[nodiscard]] virtual bool head(const answer_head &head, std::vector<event> &out) = 0;
+
+    /// \returns false when the rest of the answer is of no use.
+    [[nodiscard]] virtual bool feed(std::string_view bytes, std::vector<event> &out) = 0;
+
+    /// \brief The answer ended as HTTP has it.
+    virtual void end(std::vector<event> &out) = 0;
+
+    /// \returns true once an event that ends the attempt was given.
+    [[nodiscard]] virtual bool done() const noexcept = 0;
+};
+
+/// \brief Speaks to one kind of endpoint. Stateless and thread-safe.
+class endpoint_driver
+{
+public:
+    virtual ~endpoint_driver() = default;
+
+    [[nodiscard]] virtual outbound_request prepare(const request &subject,
+                                                   const attempt_facts &facts) const = 0;
+
+    [[nodiscard]] virtual std::unique_ptr<answer_reader>
+    reader(const request &subject, const attempt_facts &facts) const = 0;
+
+    /// \returns the call that stops a request, if the endpoint has one.
+    [[nodiscard]] virtual std::optional<outbound_request> cancel(const request &subject) const = 0;
+
+    /// \brief Reads an answer to the load call.
+    /// \param received when the answer came
+    [[nodiscard]] virtual result<endpoint_report> loadReport(instant received,
+                                                             std::string_view body) const = 0;
+};
+
+/// \brief Drivers by name: "engine" and "service".
+using endpoint_driver_registry = plugin_registry<endpoint_driver>;
+
+} // namespace yuccascale::kernel::requests
--- /dev/null
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -0,0 +1,209 @@
+#include "yuccascale/kernel/requests/endpoint_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccascale::kernel::requests {
+
+namespace {
+
+/// Requests that may wait inside an endpoint, per slot, while a report is on its way.
+constexpr double slotSlack = 0.25;
+/// A report older than this says nothing about the requests in the batch.
+constexpr seconds reportLife{3};
+
+[[nodiscard]] int roomOf(int slots)
+{
+    return slots + static_cast<int>(slots * slotSlack);
+}
+
+} // namespace
+
+endpoint_table::entry *endpoint_table::find(const std::string &endpoint)
+{
+    const auto found
+            = std::ranges::find(m_entries, endpoint, [](const entry &one) { return one.row.name; });
+    return found == m_entries.end() ? nullptr : &*found;
+}
+
+const endpoint_table::entry *endpoint_table::find(const std::string &endpoint) const
+{
+    return const_cast<endpoint_table *>(this)->find(endpoint);
+}
+
+void endpoint_table::setRows(const state::pool &pool)
+{
+    std::vector<entry> next;
+    next.reserve(pool.endpoints.size());
+    for (const state::endpoint &row : pool.endpoints) {
+        entry *known = find(row.name);
+        const bool kept = known && known->row.address == row.address;
+        next.push_back(kept ? std::move(*known) : entry{});
+        next.back().row = row;
+        if (!kept)
+            next.back().report.load.role = row.role;
+    }
+    m_entries = std::move(next);
+}
+
+bool endpoint_table::report(const std::string &endpoint, const endpoint_report &report)
+{
+    entry *known = find(endpoint);
+    if (!known || report.load.measuredAt < known->report.load.measuredAt)
+        return false;
+    const bool notice = report.load.leaving && !known->report.load.leaving;
+    known->report = report;
+    return notice;
+}
+
+void endpoint_table::setLeaving(const std::string &endpoint, bool leaving)
+{
+    if (entry *known = find(endpoint))
+        known->listedLeaving = leaving;
+}
+
+void endpoint_table::sent(instant now, const std::string &endpoint, std::uint64_t ticket,
+                          const endpoint_work &work)
+{
+    if (entry *known = find(endpoint))
+        known->running.push_back({ticket, now, work, false});
+}
+
+endpoint_table::running_request *endpoint_table::findRunning(const std::string &endpoint,
+                                                             std::uint64_t ticket)
+{
+    entry *known = find(endpoint);
+    if (!known)
+        return nullptr;
+    const auto found = std::ranges::find(known->running, ticket, &running_request::ticket);
+    return found == known->running.end() ? nullptr : &*found;
+}
+
+void endpoint_table::firstPiece(const std::string &endpoint, std::uint64_t ticket)
+{
+    if (running_request *running = findRunning(endpoint, ticket))
+        running->prefilled = true;
+}
+
+void endpoint_table::left(const std::string &endpoint, std::uint64_t ticket)
+{
+    if (entry *known = find(endpoint))
+        std::erase_if(known->running, [&](const auto &one) { return one.ticket == ticket; });
+}
+
+int endpoint_table::entry::sentSinceReport() const noexcept
+{
+    return static_cast<int>(std::ranges::count_if(running, [&](const running_request &one) {
+        return one.sentAt > report.load.measuredAt;
+    }));
+}
+
+bool endpoint_table::succeeded(const std::string &endpoint)
+{
+    entry *known = find(endpoint);
+    return known && known->breaker.succeeded();
+}
+
+bool endpoint_table::failed(instant now, const std::string &endpoint, bool crashed)
+{
+    entry *known = find(endpoint);
+    return known && known->breaker.failed(now, crashed);
+}
+
+bool endpoint_table::takesWork(const entry &entry, bool steadyOnly)
+{
+    const bool leaving = entry.report.load.leaving || entry.listedLeaving;
+    const bool tooCheap = steadyOnly && entry.row.tenure == state::endpoint_tenure::Cheap;
+    return !entry.row.draining && !leaving && !tooCheap;
+}
+
+bool endpoint_table::serves(bool steadyOnly) const
+{
+    return std::ranges::any_of(m_entries,
+                               [&](const entry &one) { return takesWork(one, steadyOnly); });
+}
+
+std::string_view endpoint_table::closedBecause(instant now, const entry &entry)
+{
+    if (entry.row.draining)
+        return "draining";
+    if (entry.report.load.leaving || entry.listedLeaving)
+        return "leaving";
+    if (!entry.breaker.allows(now, entry.outstanding()))
+        return "sick";
+    if (entry.outstanding() >= roomOf(entry.row.slots))
+        return "full";
+    const policy::load_report &load = entry.report.load;
+    const bool recent = load.measuredAt != instant{} && now - load.measuredAt < reportLife;
+    if (recent && load.running + load.queued + entry.sentSinceReport() >= roomOf(entry.row.slots))
+        return "full by its report";
+    return {};
+}
+
+std::string_view endpoint_table::unusableBecause(instant now, const entry &entry, bool steadyOnly)
+{
+    const std::string_view closed = closedBecause(now, entry);
+    if (!closed.empty())
+        return closed;
+    return takesWork(entry, steadyOnly) ? std::string_view() : "cheap";
+}
+
+void endpoint_table::countRunning(const entry &entry, policy::endpoint_view &view)
+{
+    view.outstandingHere = entry.outstanding();
+    for (const running_request &one : entry.running) {
+        const bool sinceReport = one.sentAt > entry.report.load.measuredAt;
+        if (sinceReport)
+            ++view.sentSinceReport;
+        if (!one.prefilled)
+            view.prefillTokensHere += one.work.promptTokens;
+        if (!one.prefilled && sinceReport)
+            view.prefillTokensSinceReport += one.work.promptTokens;
+        view.decodeTokensHere += one.work.outputTokens;
+    }
+}
+
+std::vector<policy::endpoint_view> endpoint_table::views(instant now,
+                                                         const endpoint_needs &needs) const
+{
+    const auto avoided = [&](const entry &one) {
+        return std::ranges::find(needs.avoidEndpoints, one.row.name) != needs.avoidEndpoints.end();
+    };
+    const bool others = std::ranges::any_of(m_entries, [&](const entry &one) {
+        return takesWork(one, needs.steadyOnly) && !avoided(one);
+    });
+    std::vector<policy::endpoint_view> all;
+    all.reserve(m_entries.size());
+    for (const entry &one : m_entries) {
+        policy::endpoint_view view;
+        view.row = &one.row;
+        view.unusableBecause = unusableBecause(now, one, needs.steadyOnly);
+        if (view.unusableBecause.empty() && others && avoided(one))
+            view.unusableBecause = "failed this request";
+        view.usable = view.unusableBecause.empty();
+        view.report = one.report.load;
+        countRunning(one, view);
+        all.push_back(view);
+    }
+    return all;
+}
+
+bool endpoint_table::hasRoom(instant now) const
+{
+    return std::ranges::any_of(m_entries,
+                               [&](const entry &one) { return closedBecause(now, one).empty(); });
+}
+
+const state::endpoint *endpoint_table::row(const std::string &endpoint) const
+{
+    const entry *known = find(endpoint);
+    return known ? &known->row : nullptr;
+}
+
+std::uint64_t endpoint_table::incarnation(const std::string &endpoint) const
+{
+    const entry *known = find(endpoint);
+    return known ? known->report.incarnation : 0;
+}
+
+} // namespace yuccascale::kernel::requests
--- /dev/null
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "yuccascale/kernel/policy/routing.hpp"
+#include "yuccascale/kernel/requests/circuit_breaker.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief What this entry knows of a pool's endpoints.
+
+namespace yuccascale::kernel::requests {
+
+/// \brief A load report as an endpoint gave it.
+struct endpoint_report
+{
+    policy::load_report load;
+    std::uint64_t incarnation = 0; ///< rises when the endpoint restarts; 0 when it gives none
+};
+
+/// \brief Who asks for an endpoint, as far as it bears on which are usable.
+struct endpoint_needs
+{
+    bool steadyOnly = false; ///< non-idempotent work stays on endpoints that are not reclaimed
+    std::vector<std::string> avoidEndpoints; ///< as long as another one takes work
+};
+
+/// \brief Tokens of a request that an endpoint is given.
+struct endpoint_work
+{
+    std::int64_t promptTokens = 0;
+    std::int64_t outputTokens = 0;
+};
+
+/// \brief Endpoints of one pool. Not thread-safe; its owner serialises calls.
+class endpoint_table
+{
+public:
+    /// \brief Takes over a pool's rows; what is known of kept endpoints stays.
+    void setRows(const state::pool &pool);
+
+    /// \brief Takes in a load report.
+    /// \returns true when the endpoint gave notice with it.
+    bool report(const std::string &endpoint, const endpoint_report &report);
+
+    /// \brief The VM list says that the endpoint's VM is leaving, or no longer does.
+    void setLeaving(const std::string &endpoint, bool leaving);
+
+    /// \brief A request was sent.
+    /// \param ticket unique at this entry
+    void sent(instant now, const std::string &endpoint, std::uint64_t ticket,
+              const endpoint_work &work);
+
+    /// \brief The first piece of a request came: its prompt is done.
+    void firstPiece(const std::string &endpoint, std::uint64_t ticket);
+
+    /// \brief A request left the endpoint.
+    void left(const std::string &endpoint, std::uint64_t ticket);
+
+    /// \returns true when this closed the endpoint's circuit breaker.
+    bool succeeded(const std::string &endpoint);
+
+    /// \returns true when this opened the endpoint's circuit breaker.
+    bool failed(instant now, const std::string &endpoint, bool crashed);
+
+    /// \brief Views of all endpoints for one request; valid until the next call of this object.
+    [[nodiscard]] std::vector<policy::endpoint_view> views(instant now,
+                                                           const endpoint_needs &needs) const;
+
+    /// \returns true when some endpoint that takes work has a free slot.
+    [[nodiscard]] bool hasRoom(instant now) const;
+
+    /// \returns true when some endpoint takes work at all, be it full or sick now.
+    [[nodiscard]] bool serves(bool steadyOnly) const;
+
+    /// \returns the row, or null when the pool does not list it.
+    [[nodiscard]] const state::endpoint *row(const std::string &endpoint) const;
+
+    /// \returns the last incarnation that the endpoint reported; 0 when none.
+    [[nodiscard]] std::uint64_t incarnation(const std::string &endpoint) const;
+
+    [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
+
+private:
+    struct running_request
+    {
+        std::uint64_t ticket = 0;
+        instant sentAt{};
+        endpoint_work work;
+        bool prefilled = false;
+    };
+
+    struct entry
+    {
+        state::endpoint row;
+        endpoint_report report;
+        bool listedLeaving = false;
+        std::vector<running_request> running;
+        circuit_breaker breaker;
+
+        [[nodiscard]] int outstanding() const noexcept { return static_cast<int>(running.size()); }
+        [[nodiscard]] int sentSinceReport() const noexcept;
+    };
+
+    [[nodiscard]] static bool takesWork(const entry &entry, bool steadyOnly);
+    [[nodiscard]] static std::string_view closedBecause(instant now, const entry &entry);
+    [[nodiscard]] static std::string_view unusableBecause(instant now, const entry &entry,
+                                                          bool steadyOnly);
+    static void countRunning(const entry &entry, policy::endpoint_view &view);
+    [[nodiscard]] running_request *findRunning(const std::string &endpoint, std::uint64_t ticket);
+    [[nodiscard]] entry *find(const std::string &endpoint);
+    [[nodiscard]] const entry *find(const std::string &endpoint) const;
+
+    std::vector<entry> m_entries;
+};
+
+} // namespace yuccascale::kernel::requests
--- /dev/null
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "yuccascale/kernel/policy/admission.hpp"
+#include "yuccascale/kernel/policy/routing.hpp"
+#include "yuccascale/kernel/requests/endpoint_table.hpp"
+#include "yuccascale/kernel/requests/request_actions.hpp"
+#include "yuccascale/kernel/requests/retry_budget.hpp"
+#include "yuccascale/kernel/requests/suspects.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief The queue of one pool at one entry, and the endpoints behind it.
+
+namespace yuccascale::kernel::requests {
+
+/// \brief Strategies of a pool.
+struct pool_strategies
+{
+    std::unique_ptr<policy::router> router;
+    std::unique_ptr<policy::admission> admission;
+    std::unique_ptr<policy::fair_queue> queue;
+};
+
+/// \brief Bounds of a pool's queue.
+struct queue_limits
+{
+    std::size_t maxWaiting = 2'048;
+};
+
+/// \brief This entry's place among the entries, by name.
+struct entry_position
+{
+    int index = 0;
+    int count = 1;
+};
+
+/// \brief A request that got an endpoint.
+struct scheduled_turn
+{
+    std::uint64_t ticket = 0;
+    std::string endpoint;
+    std::string zone;
+    std::string address;           ///< IP:port
+    std::uint64_t incarnation = 0; ///< of the endpoint when it was chosen; 0 when unknown
+    std::string prefillEndpoint;   ///< empty unless another engine fills the prompt first
+    std::string prefillAddress;
+    std::string reason; ///< for the decision log
+    nanoseconds predictedFirstToken{};
+};
+
+/// \brief How a request left its endpoint.
+struct attempt_result
+{
+    bool answered = false;
+    bool crashed = false;
+    bool blameless = false; ///< the endpoint is neither praised nor blamed: cancelled, said not run
+    token_usage usage;
+    nanoseconds firstToken{};
+    nanoseconds whole{};
+};
+
+/// \brief What finish() found out.
+struct finish_findings
+{
+    bool breakerOpened = false;
+    bool breakerClosed = false;
+    std::string guiltyFingerprint;
+};
+
+/// \brief Queue, admission, routing and slots of one pool. Not thread-safe; its owner serialises.
+class pool_scheduler
+{
+public:
+    pool_scheduler(pool_strategies strategies, queue_limits limits);
+
+    /// \brief Takes over the pool's rows.
+    void setRows(const state::pool &pool) { m_endpoints.setRows(pool); }
+    void setPosition(entry_position position) noexcept { m_position = position; }
+
+    [[nodiscard]] endpoint_table &endpoints() noexcept { return m_endpoints; }
+
+    /// \brief Puts a request into the queue.
+    /// \param weight of its organisation
+    /// \returns a refusal, or nothing when it waits.
+    [[nodiscard]] std::optional<refusal> push(instant now, std::uint64_t ticket,
+                                              const request &subject, double weight,
+                                              const enqueue &how);
+
+    /// \brief Takes a request out of the queue.
+    void remove(std::uint64_t ticket);
+
+    /// \brief Takes out the requests that no endpoint will ever take.
+    /// \returns their tickets.
+    [[nodiscard]] std::vector<std::uint64_t> takeUnservable();
+
+    /// \brief Gives endpoints to waiting requests for as long as there is room.
+    [[nodiscard]] std::vector<scheduled_turn> schedule(instant now);
+
+    /// \brief The first piece of an answer came.
+    void firstPiece(std::uint64_t ticket);
+
+    /// \brief The request left its endpoint, or gave back its turn.
+    finish_findings finish(instant now, std::uint64_t ticket, const attempt_result &result);
+
+    [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
+
+private:
+    struct waiting_entry
+    {
+        policy::waiting_request row;
+        std::string id;
+        std::string fingerprint;
+        endpoint_work work;
+        bool steadyOnly = false;
+        enqueue how;
+    };
+    struct running_entry
+    {
+        waiting_entry was;
+        std::string endpoint;
+        std::string zone;
+        int runningAtDispatch = 0;
+    };
+
+    [[nodiscard]] std::optional<scheduled_turn> place(instant now, const waiting_entry &waiting);
+    void keepSuspectsApart(const waiting_entry &waiting,
+                           std::vector<policy::endpoint_view> &views) const;
+    [[nodiscard]] std::optional<refusal> refuseRetry(instant now, const request &subject);
+    [[nodiscard]] policy::queue_view queueView(const policy::waiting_request &row) const;
+    void countThroughput(instant now, double cost);
+
+    pool_strategies m_strategies;
+    queue_limits m_limits;
+    suspects m_suspects;
+    entry_position m_position;
+    endpoint_table m_endpoints;
+    std::map<std::uint64_t, waiting_entry> m_waiting;
+    std::deque<std::uint64_t> m_parked; ///< taken from the queue, no endpoint for them yet
+    std::map<std::uint64_t, running_entry> m_running;
+    std::map<std::string, retry_budget> m_retries; ///< by route
+    double m_costPerSecond = 0;
+    instant m_countedAt{};
+    std::map<std::string, std::pair<double, int>> m_activeWeights; ///< weight and requests
+};
+
+} // namespace yuccascale::kernel::requests
--- /dev/null
+++ b/src/yuccascale/kernel/requests/request_life.cpp
@@ -0,0 +1,412 @@
+#include "yuccascale/kernel/requests/request_life.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace yuccascale::kernel::requests {
+
+namespace {
+
+/// Attempts of one request, the first included.
+constexpr int maxAttempts = 5;
+/// Time that must be left before the deadline for another attempt.
+constexpr milliseconds minRetryTime{20};
+/// Time that must be left before the deadline for sending a claim again.
+constexpr milliseconds minClaimTime{200};
+/// Advice to a caller whose entry has no fresh tables or no log to claim in.
+constexpr milliseconds controlRetryAfter{500};
+/// Advice to a caller whose endpoints failed.
+constexpr milliseconds endpointRetryAfter{1'000};
+
+constexpr std::array<std::string_view, 7> requestStateNames{
+        "received", "queued", "claiming", "dispatched", "streaming", "committing", "ended",
+};
+constexpr std::array<std::string_view, 6> attemptFailureNames{
+        "never_sent", "said_not_run", "broken", "crashed", "doubtful", "timed_out",
+};
+
+[[nodiscard]] refusal refusalOf(start_check check)
+{
+    switch (check) {
+    case start_check::KeyWithdrawn:
+        return {error_kind::Unauthorized, "the key is not valid; use a valid one", false, {}};
+    case start_check::NotFresh:
+        return {error_kind::NotReady,
+                "this entry cannot confirm its tables now; try another of the addresses", false,
+                controlRetryAfter};
+    case start_check::Banned:
+        return {error_kind::Forbidden,
+                "this request stopped the endpoints that ran it; change it before sending it again",
+                false,
+                {}};
+    case start_check::Allowed:
+        break;
+    }
+    return {};
+}
+
+/// Whether an endpoint cannot have run any of it.
+[[nodiscard]] bool surelyNotRun(attempt_failure how)
+{
+    return how == attempt_failure::NeverSent || how == attempt_failure::SaidNotRun;
+}
+
+void addOnce(std::vector<std::string> &names, const std::string &name)
+{
+    if (std::ranges::find(names, name) == names.end())
+        names.push_back(name);
+}
+
+} // namespace
+
+std::string_view requestStateName(request_state state) noexcept
+{
+    return requestStateNames[static_cast<std::size_t>(state)];
+}
+
+std::string_view attemptFailureName(attempt_failure failure) noexcept
+{
+    return attemptFailureNames[static_cast<std::size_t>(failure)];
+}
+
+request_life::request_life(request subject)
+    : m_request(std::move(subject))
+    , m_delivered(m_request.resumeFrom)
+{ }
+
+std::vector<action> request_life::start(instant now, start_check check)
+{
+    actions out;
+    if (check != start_check::Allowed) {
+        end(out, refusalOf(check));
+        return out;
+    }
+    if (!m_request.route.idempotent && m_request.idempotencyKey.empty()) {
+        end(out,
+            {error_kind::InvalidArgument,
+             "this route runs a request at most once; send an Idempotency-Key header",
+             false,
+             {}});
+        return out;
+    }
+    if (now >= m_request.deadline) {
+        end(out,
+            {error_kind::DeadlineExceeded, "the deadline had passed; send it again", false, {}});
+        return out;
+    }
+    m_state = request_state::Queued;
+    out.emplace_back(enqueue{});
+    return out;
+}
+
+std::vector<action> request_life::handle(instant now, const event &happened)
+{
+    actions out;
+    if (m_state != request_state::Ended)
+        std::visit([&](const auto &kind) { on(out, now, kind); }, happened);
+    return out;
+}
+
+void request_life::on(actions &out, instant now, const turn_came &turn)
+{
+    if (m_state != request_state::Queued)
+        return;
+    m_endpoint = turn.endpoint;
+    m_zone = turn.zone;
+    if (m_request.route.idempotent || m_claimed) {
+        sendNow(out, now, turn.check);
+        return;
+    }
+    if (turn.check != start_check::Allowed) {
+        sendNow(out, now, turn.check);
+        return;
+    }
+    m_state = request_state::Claiming;
+    out.emplace_back(submit_claim{});
+}
+
+void request_life::on(actions &out, instant, const queue_refused &refused)
+{
+    if (m_state == request_state::Queued)
+        end(out, refused.reason);
+}
+
+void request_life::on(actions &out, instant now, const claim_answered &answered)
+{
+    if (m_state != request_state::Claiming)
+        return;
+    const claim_verdict &verdict = answered.verdict;
+    switch (verdict.state) {
+    case claim_state::Granted:
+        m_claimed = true;
+        sendNow(out, now, answered.check);
+        return;
+    case claim_state::AnswerLost:
+        resendClaim(out, now, verdict.reason);
+        return;
+    case claim_state::Answered:
+        out.emplace_back(release_turn{m_endpoint});
+        out.emplace_back(give_answer{verdict.recorded, true});
+        m_state = request_state::Ended;
+        return;
+    case claim_state::Running:
+        out.emplace_back(release_turn{m_endpoint});
+        end(out,
+            {error_kind::Conflict,
+             "a request with this idempotency key is still running; send it again with the "
+             "same key to get its answer",
+             true, controlRetryAfter});
+        return;
+    case claim_state::Unknown:
+        out.emplace_back(release_turn{m_endpoint});
+        end(out,
+            {error_kind::OutcomeUnknown,
+             "a request with this idempotency key was sent and its outcome is unknown; ask the "
+             "service behind route '"
+                     + m_request.route.name + "' about the key before using a new one",
+             true,
+             {}});
+        return;
+    case claim_state::KeyReused:
+        out.emplace_back(release_turn{m_endpoint});
+        end(out,
+            {error_kind::InvalidArgument,
+             "this idempotency key was used for another request; use a new key",
+             false,
+             {}});
+        return;
+    case claim_state::NotSent:
+        out.emplace_back(release_turn{m_endpoint});
+        end(out,
+            {error_kind::Unavailable,
+             "the claim could not be committed; try another of the addresses", false,
+             controlRetryAfter});
+        return;
+    case claim_state::NotKept:
+        out.emplace_back(release_turn{m_endpoint});
+        end(out, {verdict.reason.kind, verdict.reason.message, true, {}});
+        return;
+    case claim_state::Refused:
+        out.emplace_back(release_turn{m_endpoint});
+        end(out, {verdict.reason.kind, verdict.reason.message, false, {}});
+        return;
+    }
+}
+
+void request_life::resendClaim(actions &out, instant now, const error &)
+{
+    if (now + minClaimTime < m_request.deadline) {
+        out.emplace_back(submit_claim{});
+        return;
+    }
+    out.emplace_back(release_turn{m_endpoint});
+    out.emplace_back(withdraw_claim{});
+    end(out,
+        {error_kind::Unavailable,
+         "the claim was not confirmed in time; send it again with the same key at another of "
+         "the addresses",
+         false, controlRetryAfter});
+}
+
+void request_life::sendNow(actions &out, instant now, start_check check)
+{
+    if (check != start_check::Allowed) {
+        out.emplace_back(release_turn{m_endpoint});
+        refusal reason = refusalOf(check);
+        reason.mayHaveRun = m_mayHaveRun;
+        end(out, std::move(reason));
+        return;
+    }
+    if (now >= m_request.deadline) {
+        out.emplace_back(release_turn{m_endpoint});
+        end(out,
+            {error_kind::DeadlineExceeded, "its deadline passed in the queue; come back later",
+             m_mayHaveRun, endpointRetryAfter});
+        return;
+    }
+    ++m_attempt;
+    m_state = request_state::Dispatched;
+    out.emplace_back(dispatch{m_attempt, m_endpoint, m_delivered});
+}
+
+bool request_life::running(int attempt) const noexcept
+{
+    const bool sent = m_state == request_state::Dispatched || m_state == request_state::Streaming;
+    return sent && attempt == m_attempt;
+}
+
+void request_life::on(actions &out, instant now, const piece_arrived &piece)
+{
+    if (!running(piece.attempt) || piece.index < m_delivered)
+        return;
+    if (piece.index > m_delivered) {
+        out.emplace_back(cancel{m_attempt, m_endpoint});
+        on(out, now, attempt_failed{m_attempt, attempt_failure::Doubtful, {}});
+        return;
+    }
+    m_state = request_state::Streaming;
+    ++m_delivered;
+    record(piece.payload);
+    out.emplace_back(forward{piece.index, piece.payload});
+}
+
+void request_life::on(actions &out, instant, const stream_finished &finished)
+{
+    if (!running(finished.attempt))
+        return;
+    m_state = request_state::Committing;
+    m_heldBack = finish_stream{finished.payload};
+    token_usage usage = finished.usage;
+    usage.completionTokens = std::max(usage.completionTokens, m_delivered - m_request.resumeFrom);
+    if (holdsClaim()) {
+        m_settled = true;
+        record(finished.payload);
+        record("[DONE]");
+        out.emplace_back(settle{state::claim_end::Answered,
+                                {200, "text/event-stream", std::move(m_recorded)}});
+    }
+    out.emplace_back(commit_usage{usage});
+}
+
+void request_life::record(const std::string &payload)
+{
+    if (holdsClaim() || m_settled)
+        m_recorded += "data: " + payload + "\n\n";
+}
+
+void request_life::on(actions &out, instant, const answer_arrived &arrived)
+{
+    if (!running(arrived.attempt))
+        return;
+    m_state = request_state::Committing;
+    m_heldBack = give_answer{arrived.answer, false};
+    if (holdsClaim()) {
+        m_settled = true;
+        out.emplace_back(settle{state::claim_end::Answered, arrived.answer});
+    }
+    out.emplace_back(commit_usage{arrived.usage});
+}
+
+void request_life::on(actions &out, instant, const usage_settled &settled)
+{
+    if (m_state != request_state::Committing)
+        return;
+    if (!settled.committed) {
+        end(out,
+            {error_kind::OutcomeUnknown,
+             "it ran, but its usage could not be recorded before the deadline; send it again "
+             "with the same idempotency key or resume token",
+             true, controlRetryAfter});
+        return;
+    }
+    m_state = request_state::Ended;
+    out.push_back(std::move(*m_heldBack));
+}
+
+void request_life::on(actions &out, instant now, const attempt_failed &failed)
+{
+    if (!running(failed.attempt))
+        return;
+    if (!surelyNotRun(failed.how))
+        m_mayHaveRun = true;
+    if (failed.how == attempt_failure::Crashed) {
+        m_suspect = true;
+        addOnce(m_avoidZones, m_zone);
+    }
+    addOnce(m_avoidEndpoints, m_endpoint);
+    if (failed.how == attempt_failure::TimedOut) {
+        endRunning(out, error_kind::DeadlineExceeded,
+                   "no answer came before the deadline; come back later");
+        return;
+    }
+    if (!m_request.route.idempotent && !surelyNotRun(failed.how)) {
+        endRunning(out, error_kind::OutcomeUnknown, "the endpoint's answer was lost");
+        return;
+    }
+    retry(out, now, failed);
+}
+
+void request_life::retry(actions &out, instant now, const attempt_failed &failed)
+{
+    if (m_attempt < maxAttempts && now + minRetryTime < m_request.deadline) {
+        m_state = request_state::Queued;
+        out.emplace_back(enqueue{true, m_suspect, m_avoidEndpoints, m_avoidZones});
+        return;
+    }
+    const nanoseconds retryAfter = std::max<nanoseconds>(failed.retryAfter, endpointRetryAfter);
+    end(out,
+        {error_kind::Unavailable, "the endpoints of this route failed; come back later",
+         m_mayHaveRun, retryAfter});
+}
+
+void request_life::on(actions &out, instant, const caller_left &)
+{
+    if (!m_request.route.idempotent && m_state != request_state::Queued)
+        return; // it runs to its end, so that a repeat gets the recorded answer
+    if (m_state == request_state::Queued)
+        out.emplace_back(dequeue{});
+    if (running(m_attempt))
+        out.emplace_back(cancel{m_attempt, m_endpoint});
+    m_state = request_state::Ended;
+    if (holdsClaim()) {
+        m_settled = true;
+        out.emplace_back(settle{state::claim_end::NotRun, {}});
+    }
+}
+
+void request_life::on(actions &out, instant now, const deadline_passed &)
+{
+    if (now < m_request.deadline)
+        return;
+    if (m_state == request_state::Queued) {
+        out.emplace_back(dequeue{});
+        end(out,
+            {error_kind::DeadlineExceeded, "its deadline passed in the queue; come back later",
+             m_mayHaveRun, endpointRetryAfter});
+    } else if (running(m_attempt)) {
+        m_mayHaveRun = true;
+        out.emplace_back(cancel{m_attempt, m_endpoint});
+        endRunning(out, error_kind::DeadlineExceeded,
+                   "no whole answer came before the deadline; come back later");
+    }
+}
+
+void request_life::on(actions &out, instant, const found_guilty &)
+{
+    if (m_state == request_state::Queued)
+        out.emplace_back(dequeue{});
+    if (running(m_attempt))
+        out.emplace_back(cancel{m_attempt, m_endpoint});
+    m_mayHaveRun = true;
+    refusal reason = refusalOf(start_check::Banned);
+    reason.mayHaveRun = true;
+    end(out, std::move(reason));
+}
+
+void request_life::endRunning(actions &out, error_kind kind, const std::string &message)
+{
+    if (m_request.route.idempotent) {
+        end(out, {kind, message, true, endpointRetryAfter});
+        return;
+    }
+    end(out,
+        {error_kind::OutcomeUnknown,
+         message + "; ask the service behind route '" + m_request.route.name
+                 + "' about the idempotency key before using a new one",
+         true,
+         {}});
+}
+
+void request_life::end(actions &out, refusal reason)
+{
+    if (holdsClaim()) {
+        m_settled = true;
+        const auto how = m_mayHaveRun ? state::claim_end::Unknown : state::claim_end::NotRun;
+        out.emplace_back(settle{how, {}});
+    }
+    m_state = request_state::Ended;
+    out.emplace_back(refuse{std::move(reason)});
+}
+
+} // namespace yuccascale::kernel::requests
--- /dev/null
+++ b/src/yuccascale/kernel/requests/request_life.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "yuccascale/kernel/requests/request_actions.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief The life of one request at an entry.
+
+namespace yuccascale::kernel::requests {
+
+/// \brief States of a request.
+enum class request_state {
+    Received,
+    Queued,
+    Claiming,   ///< its claim is on its way to the log
+    Dispatched, ///< sent; nothing came back
+    Streaming,  ///< pieces are coming
+    Committing, ///< its answer is whole and its usage on its way to the log
+    Ended,
+};
+
+/// \brief Decides what to do with one request. Not thread-safe; its owner serialises calls.
+///
+/// Once a byte went to an endpoint, only that endpoint's word makes the request "not run". A
+/// non-idempotent request is sent only under a granted claim, and again only after the endpoint
+/// said that it did not run it or no byte left.
+///
+/// \example
+///     request_life life(request);
+///     for (const action &next : life.start(clock.now()))
+///         perform(next);
+class request_life
+{
+public:
+    explicit request_life(request subject);
+
+    /// \returns what to do first.
+    [[nodiscard]] std::vector<action> start(instant now, start_check check);
+
+    /// \brief Takes in an event. Events of an earlier attempt, or after the end, do nothing.
+    /// \returns what to do, in order.
+    [[nodiscard]] std::vector<action> handle(instant now, const event &happened);
+
+    [[nodiscard]] request_state state() const noexcept { return m_state; }
+    [[nodiscard]] const request &subject() const noexcept { return m_request; }
+
+    /// \returns the attempt's number; 0 before the first.
+    [[nodiscard]] int attempt() const noexcept { return m_attempt; }
+
+    /// \returns the endpoint of the current attempt or turn; empty when there is none.
+    [[nodiscard]] const std::string &endpoint() const noexcept { return m_endpoint; }
+
+    /// \returns whether an endpoint can have run it, as far as is known.
+    [[nodiscard]] bool mayHaveRun() const noexcept { return m_mayHaveRun; }
+
+    /// \returns pieces that the caller has been given, those of earlier entries included.
+    [[nodiscard]] std::int64_t delivered() const noexcept { return m_delivered; }
+
+private:
+    using actions = std::vector<action>;
+
+    void on(actions &out, instant now, const turn_came &turn);
+    void on(actions &out, instant now, const queue_refused &refused);
+    void on(actions &out, instant now, const claim_answered &answered);
+    void on(actions &out, instant now, const piece_arrived &piece);
+    void on(actions &out, instant now, const stream_finished &finished);
+    void on(actions &out, instant now, const answer_arrived &arrived);
+    void on(actions &out, instant now, const attempt_failed &failed);
+    void on(actions &out, instant now, const usage_settled &settled);
+    void on(actions &out, instant now, const caller_left &);
+    void on(actions &out, instant now, const deadline_passed &);
+    void on(actions &out, instant now, const found_guilty &);
+
+    void sendNow(actions &out, instant now, start_check check);
+    void resendClaim(actions &out, instant now, const error &reason);
+    void retry(actions &out, instant now, const attempt_failed &failed);
+    void end(actions &out, refusal reason);
+    void record(const std::string &payload);
+    void endRunning(actions &out, error_kind kind, const std::string &message);
+    [[nodiscard]] bool running(int attempt) const noexcept;
+    [[nodiscard]] bool holdsClaim() const noexcept { return m_claimed && !m_settled; }
+
+    request m_request;
+    request_state m_state = request_state::Received;
+    int m_attempt = 0;
+    std::string m_endpoint;
+    std::string m_zone;
+    std::vector<std::string> m_avoidEndpoints;
+    std::vector<std::string> m_avoidZones;
+    std::int64_t m_delivered = 0;
+    bool m_mayHaveRun = false;
+    bool m_suspect = false;
+    bool m_claimed = false;
+    bool m_settled = false;
+    std::string m_recorded; ///< of a claimed stream, for repeats
+    std::optional<action>
+            m_heldBack; ///< the last piece or whole answer, until its usage is committed
+};
+
+/// \returns the name of \a state in logs, such as "queued".
+[[nodiscard]] std::string_view requestStateName(request_state state) noexcept;
+
+/// \returns the name of \a failure in logs, such as "never_sent".
+[[nodiscard]] std::string_view attemptFailureName(attempt_failure failure) noexcept;
+
+} // namespace yuccascale::kernel::requests
--- /dev/null
+++ b/src/yuccascale/kernel/requests/usage_batcher.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/requests/request.hpp"
+#include "yuccascale/kernel/state/commands.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+/// \file
+/// \brief Collects the usage of an entry into numbered batches for the log.
+
+namespace yuccascale::kernel::requests {
+
+/// \brief Batches of one incarnation of an entry. Not thread-safe; its owner serialises calls.
+///
+/// One batch is under way at a time. It keeps its number and its figures until the log has it, so
+/// that a repeat counts once.
+class usage_batcher
+{
+public:
+    /// \param entry node and incarnation
+    /// \param window length of a usage window
+    /// \param longestSilence between two marks of an entry without answers
+    usage_batcher(std::string entry, milliseconds window, milliseconds longestSilence);
+
+    /// \brief Counts an answer that ended at \a now.
+    /// \param ticket given back by committed()
+    void add(wall_time now, std::uint64_t ticket, const std::string &organisation,
+             const std::string &route, const token_usage &usage);
+
+    /// \brief Starts a batch, or repeats the one under way.
+    /// \returns nothing when there is nothing to say.
+    [[nodiscard]] std::optional<state::command> next(wall_time now);
+
+    /// \brief The log has the batch under way.
+    /// \returns the tickets that it covers.
+    [[nodiscard]] std::vector<std::uint64_t> committed();
+
+private:
+    struct line_key
+    {
+        std::int64_t windowStartMs = 0;
+        std::string organisation;
+        std::string route;
+
+        [[nodiscard]] bool operator<(const line_key &other) const
+        {
+            return std::tie(windowStartMs, organisation, route)
+                    < std::tie(other.windowStartMs, other.organisation, other.route);
+        }
+    };
+
+    [[nodiscard]] std::int64_t forwardOnly(wall_time now);
+
+    std::string m_entry;
+    milliseconds m_window;
+    milliseconds m_longestSilence;
+    std::uint64_t m_sequence = 0;
+    std::int64_t m_latestMs = 0; ///< latest reading; the wall clock may be set back
+    std::int64_t m_markMs = 0;
+    std::map<line_key, state::usage_line> m_lines;
+    std::vector<std::uint64_t> m_tickets;
+    std::optional<state::command> m_underWay;
+    std::vector<std::uint64_t> m_ticketsUnderWay;
+};
+
+} // namespace yuccascale::kernel::requests
--- /dev/null
+++ b/src/yuccascale/plugins/endpoint_model_engine.cpp
@@ -0,0 +1,210 @@
+#include "yuccascale/kernel/json.hpp"
+#include "yuccascale/kernel/requests/event_stream.hpp"
+#include "yuccascale/plugins/endpoint_load.hpp"
+
+/// \file
+/// \brief Driver for model engines with a chat and completion interface.
+
+namespace yuccascale::plugins {
+
+namespace {
+
+using kernel::json;
+using namespace kernel::requests;
+
+constexpr int statusOk = 200;
+/// Longest answer that is not streamed, and longest error body.
+constexpr std::size_t maxAnswerBytes = 8U << 20U;
+
+[[nodiscard]] token_usage usageFrom(const json &document)
+{
+    const json usage = document.value("usage", json::object());
+    return {usage.value("prompt_tokens", std::int64_t{0}),
+            usage.value("cached_tokens", std::int64_t{0}),
+            usage.value("completion_tokens", std::int64_t{0})};
+}
+
+/// Reads whole answers, and the bodies of refusals.
+class engine_answer_reader final : public answer_reader
+{
+public:
+    engine_answer_reader(const request &subject, int attempt)
+        : m_endpointId(subject.endpointId)
+        , m_callerId(subject.id)
+        , m_streamed(subject.streamed)
+        , m_attempt(attempt)
+    { }
+
+    [[nodiscard]] bool head(const answer_head &head, std::vector<event> &out) override
+    {
+        m_head = head;
+        if (head.requestId == m_endpointId && head.bounded)
+            return true;
+        fail(attempt_failure::Doubtful, out);
+        return false;
+    }
+
+    [[nodiscard]] bool feed(std::string_view bytes, std::vector<event> &out) override
+    {
+        if (m_streamed && m_head.status == statusOk)
+            return feedStream(bytes, out);
+        if (m_body.size() + bytes.size() > maxAnswerBytes) {
+            fail(attempt_failure::Doubtful, out);
+            return false;
+        }
+        m_body += bytes;
+        return true;
+    }
+
+    void end(std::vector<event> &out) override
+    {
+        if (m_done)
+            return;
+        if (saysNotRun(m_head.status, m_body))
+            fail(attempt_failure::SaidNotRun, out);
+        else if (m_streamed && m_head.status == statusOk)
+            fail(attempt_failure::Doubtful, out); // it ended without its finish piece
+        else
+            endWhole(out);
+    }
+
+    [[nodiscard]] bool done() const noexcept override { return m_done; }
+
+private:
+    void endWhole(std::vector<event> &out)
+    {
+        const bool serverFault = m_head.status >= 500;
+        json document = json::parse(m_body, nullptr, false);
+        if (serverFault || !document.is_object()) {
+            fail(serverFault ? attempt_failure::Broken : attempt_failure::Doubtful, out);
+            return;
+        }
+        if (m_head.status == statusOk && !takesWhole(document)) {
+            fail(attempt_failure::Doubtful, out);
+            return;
+        }
+        m_done = true;
+        if (document.contains("id"))
+            document["id"] = m_callerId;
+        out.emplace_back(answer_arrived{
+                m_attempt, {m_head.status, m_head.contentType, document.dump()}, m_usage});
+    }
+
+    [[nodiscard]] bool takesWhole(const json &document)
+    {
+        if (document.value("id", json()) != json(m_endpointId) || !document.contains("usage")
+            || !document.contains("choices"))
+            return false;
+        try {
+            m_usage = usageFrom(document);
+        } catch (const json::exception &) {
+            return false;
+        }
+        return true;
+    }
+
+    [[nodiscard]] bool feedStream(std::string_view bytes, std::vector<event> &out)
+    {
+        for (const std::string &data : m_events.feed(bytes)) {
+            if (m_done)
+                return true; // "[DONE]" follows the finish piece
+            if (!takePiece(data, out)) {
+                fail(attempt_failure::Doubtful, out);
+                return false;
+            }
+        }
+        if (m_events.pending() <= maxAnswerBytes)
+            return true;
+        fail(attempt_failure::Doubtful, out);
+        return false;
+    }
+
+    [[nodiscard]] bool takePiece(const std::string &data, std::vector<event> &out)
+    {
+        json piece = json::parse(data, nullptr, false);
+        if (!piece.is_object() || piece.value("id", json()) != json(m_endpointId))
+            return false;
+        piece["id"] = m_callerId;
+        try {
+            if (piece.value("finish", false)) {
+                out.emplace_back(stream_finished{m_attempt, usageFrom(piece), piece.dump()});
+                m_done = true;
+                return true;
+            }
+            out.emplace_back(
+                    piece_arrived{m_attempt, piece.at("index").get<std::int64_t>(), piece.dump()});
+        } catch (const json::exception &) {
+            return false;
+        }
+        return true;
+    }
+
+    void fail(attempt_failure how, std::vector<event> &out)
+    {
+        if (m_done)
+            return;
+        m_done = true;
+        out.emplace_back(attempt_failed{m_attempt, how, m_head.retryAfter});
+    }
+
+    std::string m_endpointId;
+    std::string m_callerId;
+    bool m_streamed;
+    int m_attempt;
+    answer_head m_head;
+    event_stream m_events;
+    std::string m_body;
+    token_usage m_usage;
+    bool m_done = false;
+};
+
+class model_engine_driver final : public endpoint_driver
+{
+public:
+    [[nodiscard]] outbound_request prepare(const request &subject,
+                                           const attempt_facts &facts) const override
+    {
+        outbound_request outbound;
+        outbound.method = "POST";
+        outbound.path = subject.path;
+        outbound.contentType = "application/json";
+        outbound.body = subject.body;
+        outbound.headers.emplace_back("X-Request-Id", subject.endpointId);
+        outbound.headers.emplace_back("X-Priority", std::to_string(subject.route.priority));
+        const auto timeLeft = std::chrono::ceil<kernel::milliseconds>(facts.timeLeft);
+        outbound.headers.emplace_back("X-Deadline-Ms", std::to_string(timeLeft.count()));
+        if (facts.resumeFrom > 0)
+            outbound.headers.emplace_back("X-Resume-From", std::to_string(facts.resumeFrom));
+        if (!facts.prefillAddress.empty())
+            outbound.headers.emplace_back("X-Kv-From", facts.prefillAddress);
+        outbound.freshConnection = !subject.route.idempotent;
+        return outbound;
+    }
+
+    [[nodiscard]] std::unique_ptr<answer_reader> reader(const request &subject,
+                                                        const attempt_facts &facts) const override
+    {
+        return std::make_unique<engine_answer_reader>(subject, facts.attempt);
+    }
+
+    [[nodiscard]] std::optional<outbound_request> cancel(const request &subject) const override
+    {
+        outbound_request outbound;
+        outbound.method = "POST";
+        outbound.path = "/v1/cancel/" + subject.endpointId;
+        return outbound;
+    }
+
+    [[nodiscard]] kernel::result<endpoint_report> loadReport(kernel::instant received,
+                                                             std::string_view body) const override
+    {
+        return readLoadReport(received, body);
+    }
+};
+
+const endpoint_driver_registry::registration addEngine{
+        "engine", [] { return std::make_unique<model_engine_driver>(); }};
+
+} // namespace
+
+} // namespace yuccascale::plugins
--- /dev/null
+++ b/src/yuccascale/plugins/endpoint_plain_service.cpp
@@ -0,0 +1,116 @@
+#include "yuccascale/plugins/endpoint_load.hpp"
+
+/// \file
+/// \brief Driver for plain services: calls are passed through.
+
+namespace yuccascale::plugins {
+
+namespace {
+
+using namespace kernel::requests;
+
+/// Longest answer of a service that an entry holds.
+constexpr std::size_t maxAnswerBytes = 8U << 20U;
+
+class service_answer_reader final : public answer_reader
+{
+public:
+    service_answer_reader(std::string requestId, int attempt)
+        : m_requestId(std::move(requestId))
+        , m_attempt(attempt)
+    { }
+
+    [[nodiscard]] bool head(const answer_head &head, std::vector<event> &out) override
+    {
+        m_head = head;
+        if (head.requestId == m_requestId && head.bounded)
+            return true;
+        fail(attempt_failure::Doubtful, out);
+        return false;
+    }
+
+    [[nodiscard]] bool feed(std::string_view bytes, std::vector<event> &out) override
+    {
+        if (m_body.size() + bytes.size() > maxAnswerBytes) {
+            fail(attempt_failure::Doubtful, out);
+            return false;
+        }
+        m_body += bytes;
+        return true;
+    }
+
+    void end(std::vector<event> &out) override
+    {
+        if (m_done)
+            return;
+        if (saysNotRun(m_head.status, m_body)) {
+            fail(attempt_failure::SaidNotRun, out);
+            return;
+        }
+        m_done = true;
+        out.emplace_back(answer_arrived{
+                m_attempt, {m_head.status, m_head.contentType, std::move(m_body)}, {}});
+    }
+
+    [[nodiscard]] bool done() const noexcept override { return m_done; }
+
+private:
+    void fail(attempt_failure how, std::vector<event> &out)
+    {
+        m_done = true;
+        out.emplace_back(attempt_failed{m_attempt, how, m_head.retryAfter});
+    }
+
+    std::string m_requestId;
+    int m_attempt;
+    answer_head m_head;
+    std::string m_body;
+    bool m_done = false;
+};
+
+class plain_service_driver final : public endpoint_driver
+{
+public:
+    [[nodiscard]] outbound_request prepare(const request &subject,
+                                           const attempt_facts &facts) const override
+    {
+        outbound_request outbound;
+        outbound.method = subject.method;
+        outbound.path = subject.path;
+        outbound.contentType = subject.contentType;
+        outbound.body = subject.body;
+        outbound.headers.emplace_back("X-Request-Id", subject.endpointId);
+        const auto timeLeft = std::chrono::ceil<kernel::milliseconds>(facts.timeLeft);
+        outbound.headers.emplace_back("X-Deadline-Ms", std::to_string(timeLeft.count()));
+        if (!subject.idempotencyKey.empty())
+            outbound.headers.emplace_back("Idempotency-Key", subject.idempotencyKey);
+        if (!subject.organisation.empty())
+            outbound.headers.emplace_back("X-Organisation", subject.organisation);
+        outbound.freshConnection = !subject.route.idempotent;
+        return outbound;
+    }
+
+    [[nodiscard]] std::unique_ptr<answer_reader> reader(const request &subject,
+                                                        const attempt_facts &facts) const override
+    {
+        return std::make_unique<service_answer_reader>(subject.endpointId, facts.attempt);
+    }
+
+    [[nodiscard]] std::optional<outbound_request> cancel(const request &) const override
+    {
+        return std::nullopt;
+    }
+
+    [[nodiscard]] kernel::result<endpoint_report> loadReport(kernel::instant received,
+                                                             std::string_view body) const override
+    {
+        return readLoadReport(received, body);
+    }
+};
+
+const endpoint_driver_registry::registration addService{
+        "service", [] { return std::make_unique<plain_service_driver>(); }};
+
+} // namespace
+
+} // namespace yuccascale::plugins
--- /dev/null
+++ b/tests/unit/http_caller_server_test.cpp
@@ -0,0 +1,218 @@
+#include "fakes/control_log.hpp"
+#include "http_fake_engine.hpp"
+#include "yuccascale/http/caller_server.hpp"
+#include "yuccascale/kernel/requests/key_check.hpp"
+#include "yuccascale/runtime/system_clock.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <memory>
+
+namespace yuccascale::http {
+
+namespace {
+
+using kernel::json;
+
+constexpr const char *briefingKey = "yk_swanfield";
+
+class silent_events final : public kernel::event_sink
+{
+public:
+    void record(const kernel::event_kind &, std::span<const kernel::event_field>) override { }
+};
+
+/// One entry before one pool of engines and one service.
+class caller_server_test : public testing::Test
+{
+protected:
+    caller_server_test()
+    {
+        m_settings.node = "perth-a-1";
+        m_settings.nodes = {{"perth-a-1", "perth-a", "127.0.0.1:0", "127.0.0.1:0", {true, true}},
+                            {"perth-b-1", "perth-b", "127.0.0.1:0", "127.0.0.1:9", {true, false}}};
+        m_settings.http.threads = 16;
+        m_settings.policy.routing = "round_robin";
+        m_settings.policy.admission = "always";
+        m_settings.policy.fairness = "first_come_first_served";
+    }
+
+    void start(const std::vector<const fakes::endpoint_server *> &engines,
+               const fakes::endpoint_server *service = nullptr)
+    {
+        kernel::state::edit_tables edit;
+        kernel::state::pool pool;
+        pool.name = "engines";
+        pool.model = "assistant";
+        for (const fakes::endpoint_server *engine : engines) {
+            kernel::state::endpoint row;
+            row.name = "e" + std::to_string(pool.endpoints.size());
+            row.address = engine->address();
+            row.zone = "perth-a";
+            pool.endpoints.push_back(row);
+        }
+        kernel::state::pool services;
+        services.name = "queues";
+        services.kind = kernel::state::backend_kind::Service;
+        if (service) {
+            kernel::state::endpoint row;
+            row.name = "s0";
+            row.zone = "perth-a";
+            row.address = service->address();
+            services.endpoints.push_back(row);
+        }
+        edit.putPools = {pool, services};
+        kernel::state::route briefing{"briefing", "engines"};
+        kernel::state::route tickets{"tickets", "queues", kernel::state::backend_kind::Service};
+        tickets.idempotent = false;
+        edit.putRoutes = {briefing, tickets};
+        edit.putOrganisations = {{"swanfield", 1.0}};
+        edit.putKeys = {{"k1", "swanfield", kernel::requests::digestOf(briefingKey)}};
+        const auto edited = m_control.edit(edit);
+        ASSERT_TRUE(edited.accepted) << edited.message;
+        m_server = std::make_unique<caller_server>(caller_server_parts{
+                m_settings, m_clock, m_events, m_control, "0123456789abcdef", 1, {}});
+        kernel::error problem;
+        ASSERT_TRUE(kernel::succeeded([&] { return m_server->start(); }, problem))
+                << problem.message;
+        m_caller = std::make_unique<httplib::Client>("127.0.0.1", m_server->port());
+        m_caller->set_read_timeout(20);
+    }
+
+    [[nodiscard]] httplib::Result ask(bool streamed, httplib::Headers extra = {})
+    {
+        extra.emplace("Authorization", std::string("Bearer ") + briefingKey);
+        const json body{
+                {"model", "briefing"}, {"prompt", "file of a member"}, {"stream", streamed}};
+        return m_caller->Post("/v1/chat/completions", extra, body.dump(), "application/json");
+    }
+
+    runtime::settings m_settings;
+    runtime::system_clock m_clock;
+    silent_events m_events;
+    fakes::control_log m_control;
+    std::unique_ptr<caller_server> m_server;
+    std::unique_ptr<httplib::Client> m_caller;
+};
+
+[[nodiscard]] std::string kindOf(const httplib::Result &answer)
+{
+    return json::parse(answer->body).at("error").at("kind").get<std::string>();
+}
+
+[[nodiscard]] bool mayHaveRun(const httplib::Result &answer)
+{
+    return json::parse(answer->body).at("error").at("may_have_run").get<bool>();
+}
+
+/// \returns the indexes of the pieces of a streamed answer.
+[[nodiscard]] std::vector<std::int64_t> indexesOf(const std::string &text)
+{
+    std::vector<std::int64_t> indexes;
+    for (std::size_t at = text.find("\"index\":"); at != std::string::npos;
+         at = text.find("\"index\":", at + 1))
+        indexes.push_back(std::stoll(text.substr(at + 8)));
+    return indexes;
+}
+
+} // namespace
+
+TEST_F(caller_server_test, answersWholeAndHidesTheKeyAndOrganisation)
+{
+    const fakes::endpoint_server engine([](const auto &request, auto &response) {
+        fakes::answerAsEngine(request, response, 3);
+    });
+    start({&engine});
+    const auto answer = ask(false, {{"X-Request-Id", "r1"}, {"X-Organisation", "other"}});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200) << answer->body;
+    EXPECT_EQ(answer->get_header_value("X-Request-Id"), "r1");
+    EXPECT_EQ(json::parse(answer->body).at("id"), "r1");
+    const auto received = engine.received();
+    ASSERT_EQ(received.size(), 1U);
+    for (const auto &[name, value] : received[0].headers) {
+        EXPECT_EQ(value.find(briefingKey), std::string::npos) << name;
+        EXPECT_EQ(value.find("other"), std::string::npos) << name;
+        EXPECT_EQ(value.find("swanfield"), std::string::npos) << name;
+    }
+}
+
+TEST_F(caller_server_test, streamsEveryPieceOnceThoughAnEngineBreaksOff)
+{
+    const auto serve
+            = [calls = std::make_shared<std::atomic<int>>(0)](const auto &request, auto &response) {
+                  fakes::answerAsEngine(request, response, 6, (*calls)++ == 0 ? 3 : -1);
+              };
+    const fakes::endpoint_server first(serve);
+    const fakes::endpoint_server second(serve);
+    start({&first, &second});
+    const auto answer = ask(true);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(indexesOf(answer->body), (std::vector<std::int64_t>{0, 1, 2, 3, 4, 5}));
+    EXPECT_NE(answer->body.find("data: [DONE]"), std::string::npos);
+    EXPECT_EQ(first.received().size() + second.received().size(), 2U);
+}
+
+TEST_F(caller_server_test, refusesWithoutAValidKeyAndWithAKeyInTheQuery)
+{
+    const fakes::endpoint_server engine([](const auto &, auto &) {});
+    start({&engine}, &engine);
+    const auto noKey = m_caller->Post("/v1/chat/completions", "{\"model\":\"briefing\"}",
+                                      "application/json");
+    EXPECT_EQ(noKey->status, 401);
+    const auto inQuery = m_caller->Get(std::string("/s/tickets/list?k=") + briefingKey,
+                                       {{"Authorization", std::string("Bearer ") + briefingKey}});
+    EXPECT_EQ(inQuery->status, 400);
+    EXPECT_EQ(engine.received().size(), 0U);
+}
+
+TEST_F(caller_server_test, refusesKeyedRequestsWithoutAFreshnessLease)
+{
+    const fakes::endpoint_server engine([](const auto &, auto &) {});
+    start({&engine});
+    m_control.setFreshUntil({});
+    const auto answer = ask(false);
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_EQ(kindOf(answer), "not_ready");
+    EXPECT_FALSE(mayHaveRun(answer));
+    EXPECT_EQ(json::parse(answer->body)["error"]["addresses"][0], "127.0.0.1:9");
+    EXPECT_EQ(m_caller->Get("/ready")->status, 503);
+}
+
+TEST_F(caller_server_test, runsANonIdempotentRequestOnceAndRepeatsItsAnswer)
+{
+    const fakes::endpoint_server service([](const auto &, auto &response) {
+        response.set_content("{\"ticket\":1}", "application/json");
+    });
+    start({}, &service);
+    const httplib::Headers headers{{"Authorization", std::string("Bearer ") + briefingKey},
+                                   {"Idempotency-Key", "member-7"}};
+    const auto first = m_caller->Post("/s/tickets/issue", headers, "{}", "application/json");
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->status, 200) << first->body;
+    auto repeat = m_caller->Post("/s/tickets/issue", headers, "{}", "application/json");
+    while (repeat->status == 409) // its settlement is under way
+        repeat = m_caller->Post("/s/tickets/issue", headers, "{}", "application/json");
+    EXPECT_EQ(repeat->body, first->body);
+    EXPECT_EQ(service.received().size(), 1U);
+    const auto other = m_caller->Post("/s/tickets/issue", headers, "{\"x\":1}", "application/json");
+    EXPECT_EQ(kindOf(other), "invalid_argument");
+}
+
+TEST_F(caller_server_test, leavesTheAddressesWhenItShutsDownAndServesOn)
+{
+    const fakes::endpoint_server engine([](const auto &request, auto &response) {
+        fakes::answerAsEngine(request, response, 1);
+    });
+    start({&engine});
+    EXPECT_EQ(json::parse(m_caller->Get("/v1/addresses")->body)["addresses"].size(), 2U);
+    m_server->beginShutdown();
+    EXPECT_EQ(json::parse(m_caller->Get("/v1/addresses")->body)["addresses"].size(), 1U);
+    EXPECT_EQ(m_caller->Get("/ready")->status, 503);
+    EXPECT_EQ(ask(false)->status, 200);
+    EXPECT_FALSE(m_server->drained());
+}
+
+} // namespace yuccascale::http
