--- a/tests/fakes/engine.cpp
+++ b/tests/fakes/engine.cpp
@@ -216,6 +216,7 @@
     static constexpr std::array<const char *, 4> names{"left", "finished", "cancelled", "cut"};
     json facts = usageOf(work, end);
     facts["request_id"] = work.id;
+    facts["prompt_hash"] = promptHash(work.prompt);
     facts["from"] = work.firstPiece;
     facts["to"] = end.nextPiece;
     facts["prefill_only"] = work.prefillOnly;
--- a/tests/fakes/main.cpp
+++ b/tests/fakes/main.cpp
@@ -1,3 +1,4 @@
+#include "fakes/load.hpp"
 #include "fakes/standin.hpp"
 
 #include <gflags/gflags.h>
@@ -22,6 +23,7 @@
 constexpr const char *usageText
         = "yuccascale-standin KIND [--name=N] [--port=P] [--options=JSON] [--history=FILE]\n"
           "yuccascale-standin all FILE [--history=FILE]\n"
+          "yuccascale-standin load PLAN [--history=FILE]\n"
           "FILE holds [{\"kind\":\"engine\",\"name\":..,\"port\":..}, ...]\n"
           "example: yuccascale-standin engine --name=e1 --port=8101 "
           "--options='{\"role\":\"decode\"}'";
@@ -66,6 +68,10 @@
         std::ifstream file(argv[2]);
         return serve(kernel::json::parse(file));
     }
+    if (argc == 3 && std::string(argv[1]) == "load") {
+        std::ifstream file(argv[2]);
+        return runLoad(kernel::json::parse(file).get<load_plan>(), FLAGS_history);
+    }
     if (argc == 2)
         return serve(oneRow(argv[1]));
     std::cerr << usageText << "\n";
