--- a/tests/fakes/load_caller.cpp
+++ b/tests/fakes/load_caller.cpp
@@ -117,6 +117,10 @@
     ++m_result.attempts;
     m_unread.clear();
     m_streamError = nullptr;
+    if (m_resumeToken.empty()) { // it starts over
+        m_text.clear();
+        m_pieces = 0;
+    }
     const http_answer answer = callHttp(makeCall(address));
     if (answer.status == 0) {
         m_addresses.failed(address);
