--- /dev/null
+++ b/src/yuccascale/kernel/consensus/messages.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "yuccascale/kernel/consensus/types.hpp"
+
+#include <variant>
+
+/// \file
+/// \brief Messages between replicas.
+
+namespace yuccascale::kernel::consensus {
+
+/// \brief Asks for a vote, or with \a preVote whether a vote would be granted.
+struct vote_request
+{
+    bool preVote = false;
+    term_number candidateTerm = 0;
+    log_index lastIndex = 0;
+    term_number lastTerm = 0;
+};
+
+/// \brief Answer to a vote_request.
+struct vote_reply
+{
+    bool preVote = false;
+    bool granted = false;
+    term_number candidateTerm = 0; ///< of the request
+};
+
+/// \brief Entries after \a previousIndex; without entries a heartbeat.
+struct append_request
+{
+    log_index previousIndex = 0;
+    term_number previousTerm = 0;
+    log_index commit = 0;
+    instant sentAt{}; ///< leader's clock before it sent; comes back in the reply
+    std::vector<log_entry> entries;
+};
+
+/// \brief Answer to an append_request, sent once its entries are durable.
+struct append_reply
+{
+    bool accepted = false;
+    log_index matched = 0;       ///< accepted: the logs agree up to here; refused: try after this
+    log_index previousIndex = 0; ///< of the request
+    instant sentAt{};            ///< of the request
+};
+
+/// \brief A piece of the leader's snapshot.
+struct snapshot_chunk
+{
+    log_index index = 0;
+    term_number snapshotTerm = 0;
+    membership members;
+    std::uint64_t offset = 0;
+    std::uint64_t total = 0; ///< bytes of the whole snapshot
+    instant sentAt{};
+    std::string bytes;
+};
+
+/// \brief Answer to a snapshot_chunk; once it is whole, sent after it is durable.
+struct snapshot_reply
+{
+    log_index index = 0;
+    std::uint64_t received = 0; ///< bytes so far
+    bool installed = false;
+    instant sentAt{}; ///< of the chunk
+};
+
+/// \brief A replica without a place in the cluster asks for one.
+struct hello
+{ };
+
+/// \brief Answer to a hello.
+struct hello_reply
+{
+    bool empty = false; ///< the replica has no log either
+};
+
+using message_body = std::variant<vote_request, vote_reply, append_request, append_reply,
+                                  snapshot_chunk, snapshot_reply, hello, hello_reply>;
+
+/// \brief A message with its sender and receiver. A receiver of another incarnation drops it.
+struct message
+{
+    member_id from;
+    member_id to;
+    term_number term = 0; ///< the sender's current term
+    message_body body;
+};
+
+} // namespace yuccascale::kernel::consensus
--- /dev/null
+++ b/src/yuccascale/kernel/consensus/replica.cpp
@@ -0,0 +1,303 @@
+#include "yuccascale/kernel/consensus/replica.hpp"
+
+#include "yuccascale/kernel/consensus/events.hpp"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace yuccascale::kernel::consensus {
+
+namespace {
+
+/// One step of the splitmix64 generator.
+std::uint64_t nextRandom(std::uint64_t &state) noexcept
+{
+    state += 0x9e3779b97f4a7c15U;
+    std::uint64_t mixed = state;
+    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
+    return mixed ^ (mixed >> 31U);
+}
+
+template<typename Body>
+bool holds(const message &received) noexcept
+{
+    return std::holds_alternative<Body>(received.body);
+}
+
+} // namespace
+
+replica::replica(replica_config config, const durable_state &recovered, event_sink &events,
+                 instant now)
+    : m_config(std::move(config))
+    , m_events(events)
+    , m_log(recovered)
+    , m_hard(recovered.hard)
+    , m_durableHard(recovered.hard)
+    , m_random(m_config.seed)
+    , m_leaderHeardAt(now)
+    , m_electionAt(now)
+    , m_durableIndex(m_log.lastIndex())
+    , m_helloAt(now)
+{
+    if (m_log.snapshot())
+        m_commit = m_handedOut = m_log.snapshot()->index;
+    // a replica that never voted and has no log has acknowledged no leader either
+    if (m_log.empty() && m_hard == hard_state{})
+        m_leaderHeardAt = instant::min();
+    if (m_log.members().voters != std::vector{m_config.self})
+        m_electionAt = now + randomBetween(m_config.electionTimeout, 2 * m_config.electionTimeout);
+    refreshRole();
+}
+
+void replica::tick(instant now)
+{
+    m_tickedAt = now;
+    if (m_role == replica_role::Leader) {
+        const instant confirmed
+                = m_acknowledgements.quorumSentAt(m_log.members(), m_config.self, now);
+        if (std::max(confirmed, m_electedAt) + m_config.electionTimeout < now) {
+            m_events.record(quorumLost, {{"term", m_hard.term}});
+            stepDown(now);
+            return;
+        }
+        confirmReads(now);
+        changeMembership(now);
+        sendDueHeartbeats(now);
+    } else if (m_log.members().hasVoter(m_config.self)) {
+        if (now >= m_electionAt)
+            startPreVote(now);
+    } else if (now >= m_helloAt) {
+        sayHello(now);
+    }
+}
+
+instant replica::nextTick() const noexcept
+{
+    if (m_role == replica_role::Leader)
+        return m_tickedAt + m_config.heartbeat;
+    if (m_role == replica_role::Follower || m_role == replica_role::Candidate)
+        return m_electionAt;
+    return m_helloAt;
+}
+
+void replica::receive(const message &received, instant now)
+{
+    if (received.to.name != m_config.self.name || fromOlderIncarnation(received.from))
+        return;
+    if (const auto *greeting = std::get_if<hello>(&received.body))
+        return on(received, *greeting, now);
+    if (received.to.incarnation != m_config.self.incarnation)
+        return;
+    if (const auto *greeting = std::get_if<hello_reply>(&received.body))
+        return on(received, *greeting, now);
+    if (received.term < m_hard.term && !holds<vote_reply>(received))
+        return answerLowerTerm(received);
+    if (received.term > m_hard.term && holds<vote_request>(received)
+        && !std::get<vote_request>(received.body).preVote && heardLeaderRecently(now))
+        return;
+    if (received.term > m_hard.term && adoptsHigherTerm(received, now))
+        adoptTerm(received.term, now);
+    dispatch(received, now);
+}
+
+void replica::dispatch(const message &received, instant now)
+{
+    std::visit([&](const auto &body) { on(received, body, now); }, received.body);
+}
+
+bool replica::fromOlderIncarnation(const member_id &from)
+{
+    std::uint64_t &newest = m_newestIncarnations[from.name];
+    if (from.incarnation < newest)
+        return true;
+    newest = from.incarnation;
+    return false;
+}
+
+/// Tells a leader or candidate of an older term that the term is over.
+void replica::answerLowerTerm(const message &received)
+{
+    if (const auto *append = std::get_if<append_request>(&received.body))
+        send(received.from, append_reply{false, 0, append->previousIndex, append->sentAt});
+    else if (const auto *chunk = std::get_if<snapshot_chunk>(&received.body))
+        send(received.from, snapshot_reply{chunk->index, 0, false, chunk->sentAt});
+    else if (const auto *vote = std::get_if<vote_request>(&received.body))
+        send(received.from, vote_reply{vote->preVote, false, vote->candidateTerm});
+}
+
+bool replica::adoptsHigherTerm(const message &received, instant) const
+{
+    if (const auto *request = std::get_if<vote_request>(&received.body))
+        return !request->preVote;
+    if (const auto *reply = std::get_if<vote_reply>(&received.body))
+        return !(reply->preVote && reply->granted);
+    return true;
+}
+
+void replica::adoptTerm(term_number term, instant now)
+{
+    if (m_role == replica_role::Leader)
+        m_events.record(leaderDeposed, {{"term", m_hard.term}, {"newer_term", term}});
+    m_hard = {term, std::nullopt};
+    stepDown(now);
+}
+
+void replica::follow(const member_id &leader, instant now)
+{
+    if (m_role == replica_role::Candidate)
+        stepDown(now);
+    if (m_leader != leader.name) {
+        m_leader = leader.name;
+        m_events.record(leaderFollowed, {{"leader", m_leader}, {"term", m_hard.term}});
+    }
+    m_leaderHeardAt = now;
+    m_electionAt = now + randomBetween(m_config.electionTimeout, 2 * m_config.electionTimeout);
+    m_helloAt = now + 2 * m_config.electionTimeout;
+}
+
+void replica::stepDown(instant now)
+{
+    failReads();
+    m_progress.clear();
+    m_votes.clear();
+    m_leader.clear();
+    m_authoritySince = {};
+    m_sendAll = false;
+    m_role = replica_role::Follower;
+    refreshRole();
+    m_electionAt = now + randomBetween(m_config.electionTimeout, 2 * m_config.electionTimeout);
+}
+
+void replica::failReads()
+{
+    for (const pending_read &read : m_reads)
+        m_actions.reads.push_back({read.id, read.index, false});
+    m_reads.clear();
+}
+
+void replica::refreshRole()
+{
+    if (m_role == replica_role::Leader || m_role == replica_role::Candidate)
+        return;
+    if (m_log.members().hasVoter(m_config.self))
+        m_role = replica_role::Follower;
+    else if (m_log.members().has(m_config.self))
+        m_role = replica_role::Learner;
+    else
+        m_role = replica_role::Joining;
+}
+
+nanoseconds replica::randomBetween(nanoseconds shortest, nanoseconds longest)
+{
+    const auto width = static_cast<std::uint64_t>((longest - shortest).count());
+    return shortest + nanoseconds(static_cast<std::int64_t>(nextRandom(m_random) % (width + 1)));
+}
+
+void replica::send(const member_id &to, message_body body)
+{
+    m_actions.messages.push_back({m_config.self, to, m_hard.term, std::move(body)});
+}
+
+void replica::sendEarly(const member_id &to, message_body body)
+{
+    m_actions.earlyMessages.push_back({m_config.self, to, m_hard.term, std::move(body)});
+}
+
+proposal replica::propose(std::string payload)
+{
+    if (m_role != replica_role::Leader)
+        return {proposal_outcome::NotLeader};
+    if (m_log.lastIndex() - m_commit >= m_config.maxUncommitted)
+        return {proposal_outcome::Overloaded};
+    const log_index index = appendOwn(entry_kind::Command, std::move(payload));
+    return {proposal_outcome::Accepted, index, m_hard.term};
+}
+
+bool replica::requestRead(std::uint64_t id, instant now)
+{
+    if (m_role != replica_role::Leader)
+        return false;
+    m_reads.push_back({id, std::max(m_commit, m_termStart), now});
+    m_sendAll = true;
+    return true;
+}
+
+void replica::compact(snapshot_data snapshot, log_index keepFrom)
+{
+    m_log.compact(std::move(snapshot), keepFrom);
+}
+
+snapshot_data replica::snapshotAt(log_index index, std::string bytes) const
+{
+    return {index, m_log.termAt(index).value_or(0), m_log.membersAt(index),
+            std::make_shared<const std::string>(std::move(bytes))};
+}
+
+actions replica::take(instant now)
+{
+    if (m_role == replica_role::Leader) {
+        confirmReads(now);
+        if (std::exchange(m_sendAll, false))
+            replicateNew(now);
+    }
+    actions todo = std::exchange(m_actions, {});
+    if (m_hard != m_durableHard) {
+        todo.hardState = m_hard;
+        m_durableHard = m_hard;
+        todo.messages.insert(todo.messages.begin(),
+                             std::make_move_iterator(todo.earlyMessages.begin()),
+                             std::make_move_iterator(todo.earlyMessages.end()));
+        todo.earlyMessages.clear();
+    }
+    todo.entries = m_log.takeUnstable();
+    while (m_handedOut < m_commit)
+        todo.committed.push_back(m_log.at(++m_handedOut));
+    return todo;
+}
+
+nanoseconds replica::effectiveLease() const noexcept
+{
+    // voters promise the election timeout by their clocks; a tenth allows for clock drift
+    const nanoseconds promised = m_config.electionTimeout;
+    return std::min<nanoseconds>(m_config.lease, promised - promised / 10);
+}
+
+std::optional<leadership> replica::leadershipAt(instant now) const
+{
+    if (m_role != replica_role::Leader || m_commit < m_termStart)
+        return std::nullopt;
+    const instant confirmed = m_acknowledgements.quorumSentAt(m_log.members(), m_config.self, now);
+    const instant until = confirmed + effectiveLease();
+    if (now >= until)
+        return std::nullopt;
+    return leadership{m_hard.term, m_authoritySince, until,
+                      m_electedAt + m_config.lease + m_config.orderLife};
+}
+
+std::vector<std::string> replica::degradedReasons(instant now) const
+{
+    std::vector<std::string> reasons;
+    const membership &members = m_log.members();
+    if (m_role == replica_role::Joining)
+        reasons.emplace_back("this replica has no place in the cluster yet; start the other "
+                             "control nodes and wait");
+    else if (m_leader.empty())
+        reasons.emplace_back("no leader; start the control nodes that are down");
+    if (m_log.membersIndex() > m_commit)
+        reasons.emplace_back("a membership change is not committed yet; wait");
+    for (const std::string &name : m_config.configured) {
+        const std::optional<member_id> member = members.named(name);
+        if (!member)
+            reasons.push_back(name + " has no replica; start it");
+        else if (!members.hasVoter(*member))
+            reasons.push_back(name + " is still catching up; keep the other control nodes up");
+        else if (m_role == replica_role::Leader && *member != m_config.self
+                 && m_acknowledgements.sentAt(*member) + m_config.electionTimeout < now)
+            reasons.push_back(name + " does not answer; restart it or mend its network");
+    }
+    return reasons;
+}
+
+} // namespace yuccascale::kernel::consensus
--- /dev/null
+++ b/src/yuccascale/kernel/consensus/replica.hpp
@@ -0,0 +1,255 @@
+#pragma once
+
+#include "yuccascale/kernel/consensus/acknowledgements.hpp"
+#include "yuccascale/kernel/consensus/entry_log.hpp"
+#include "yuccascale/kernel/consensus/messages.hpp"
+#include "yuccascale/kernel/events.hpp"
+#include "yuccascale/kernel/leadership.hpp"
+
+#include <map>
+#include <set>
+
+/// \file
+/// \brief The decisions of one replica of the replicated log: Raft with pre-vote, check-quorum,
+/// leases, snapshots and learners.
+
+namespace yuccascale::kernel::consensus {
+
+/// \brief What a replica is told at its start.
+struct replica_config
+{
+    member_id self;
+    std::vector<std::string> configured;    ///< names of all replicas that should vote, with self
+    milliseconds heartbeat{100};            ///< between a leader's messages to each follower
+    milliseconds electionTimeout{700};      ///< shortest; the longest is twice this
+    milliseconds lease{1'500};              ///< longest authority after a confirmed heartbeat
+    milliseconds orderLife{3'000};          ///< longest time that an order can be under way
+    std::size_t maxEntriesInFlight = 4'096; ///< per follower
+    std::size_t maxEntriesInMessage = 512;
+    std::size_t maxBytesInMessage = 1U << 20U;
+    std::size_t maxUncommitted = 16'384; ///< more proposals are refused
+    std::size_t snapshotChunkBytes = 256U << 10U;
+    std::uint64_t seed = 1; ///< of the random part of election timeouts
+};
+
+/// \brief What a replica does.
+enum class replica_role { Joining, Learner, Follower, Candidate, Leader };
+
+/// \brief Result of replica::propose().
+enum class proposal_outcome { Accepted, NotLeader, Overloaded };
+
+/// \brief Where a proposal went.
+struct proposal
+{
+    proposal_outcome outcome = proposal_outcome::NotLeader;
+    log_index index = 0;  ///< when accepted
+    term_number term = 0; ///< when accepted
+};
+
+/// \brief A read that the leader may answer once the log is applied up to \a index.
+struct confirmed_read
+{
+    std::uint64_t id = 0;
+    log_index index = 0;
+    bool confirmed = false; ///< false: this replica ceased to lead
+};
+
+/// \brief What the driver has to do, in this order: make hardState, installed and entries durable;
+/// then report persisted(), send messages, install, apply.
+struct actions
+{
+    std::optional<hard_state> hardState;
+    std::optional<snapshot_data> installed; ///< replaces the consumer's state and the log
+    std::vector<log_entry> entries;         ///< an entry at a known index replaces the tail from it
+    std::vector<message> earlyMessages;     ///< may be sent before the entries are durable
+    std::vector<message> messages;
+    std::vector<log_entry> committed; ///< to be applied
+    std::vector<confirmed_read> reads;
+
+    [[nodiscard]] bool mustSync() const noexcept
+    {
+        return hardState || installed || !entries.empty();
+    }
+};
+
+/// \brief One replica. Takes events with a clock reading and returns actions; not thread-safe.
+///
+/// \example
+///     replica.receive(message, clock.now());
+///     const actions todo = replica.take();
+class replica
+{
+public:
+    /// \param recovered what the store holds
+    replica(replica_config config, const durable_state &recovered, event_sink &events, instant now);
+
+    /// \brief Lets time pass; call it at nextTick() or earlier.
+    void tick(instant now);
+
+    /// \returns when tick() has something to do.
+    [[nodiscard]] instant nextTick() const noexcept;
+
+    /// \brief Handles a message from another replica.
+    void receive(const message &received, instant now);
+
+    /// \brief Adds a command to the log; only on the leader.
+    [[nodiscard]] proposal propose(std::string payload);
+
+    /// \brief Asks for a confirmation of leadership, which comes in actions::reads.
+    /// \returns false when this replica does not lead.
+    [[nodiscard]] bool requestRead(std::uint64_t id, instant now);
+
+    /// \brief Reports that the entries up to this one are durable here.
+    void persisted(log_index index, term_number term, instant now);
+
+    /// \brief Discards entries before \a keepFrom that a durable \a snapshot covers.
+    void compact(snapshot_data snapshot, log_index keepFrom);
+
+    /// \brief Takes what is to be done since the last call.
+    [[nodiscard]] actions take(instant now);
+
+    /// \returns a snapshot of the applied entries up to \a index, which must be in the log.
+    [[nodiscard]] snapshot_data snapshotAt(log_index index, std::string bytes) const;
+
+    [[nodiscard]] replica_role role() const noexcept { return m_role; }
+    [[nodiscard]] term_number term() const noexcept { return m_hard.term; }
+    [[nodiscard]] log_index commitIndex() const noexcept { return m_commit; }
+    [[nodiscard]] const entry_log &log() const noexcept { return m_log; }
+    [[nodiscard]] const member_id &self() const noexcept { return m_config.self; }
+
+    /// \returns the name of the leader last heard of in this term; may be empty.
+    [[nodiscard]] const std::string &leader() const noexcept { return m_leader; }
+
+    /// \returns this replica's authority, or nothing when it has none at \a now.
+    [[nodiscard]] std::optional<leadership> leadershipAt(instant now) const;
+
+    /// \returns why the next failure may not be survived, each with what to do; empty when all
+    ///          configured replicas vote and, seen from the leader, answer.
+    [[nodiscard]] std::vector<std::string> degradedReasons(instant now) const;
+
+    /// \returns how long authority lasts after a confirmed heartbeat was sent.
+    [[nodiscard]] nanoseconds effectiveLease() const noexcept;
+
+private:
+    enum class progress_state { Probe, Replicate, Snapshot };
+
+    /// What the leader knows of another member's log.
+    struct peer_progress
+    {
+        progress_state state = progress_state::Probe;
+        log_index matched = 0;
+        log_index next = 1;
+        instant lastSent{};
+        snapshot_data snapshot; ///< being sent in state Snapshot
+        std::uint64_t snapshotOffset = 0;
+    };
+
+    struct pending_read
+    {
+        std::uint64_t id = 0;
+        log_index index = 0;
+        instant askedAt{};
+    };
+
+    struct peer_greeting
+    {
+        std::uint64_t incarnation = 0;
+        term_number term = 0;
+        instant heardAt{};
+    };
+
+    // replica.cpp
+    void dispatch(const message &received, instant now);
+    void send(const member_id &to, message_body body);
+    void sendEarly(const member_id &to, message_body body);
+    [[nodiscard]] bool fromOlderIncarnation(const member_id &from);
+    void answerLowerTerm(const message &received);
+    [[nodiscard]] bool adoptsHigherTerm(const message &received, instant now) const;
+    void adoptTerm(term_number term, instant now);
+    void follow(const member_id &leader, instant now);
+    void stepDown(instant now);
+    void failReads();
+    void refreshRole();
+    [[nodiscard]] nanoseconds randomBetween(nanoseconds shortest, nanoseconds longest);
+
+    // replica_election.cpp
+    void startPreVote(instant now);
+    void startElection(instant now);
+    void askForVotes(bool preVote);
+    void countVote(const member_id &voter, instant now);
+    void becomeLeader(instant now);
+    [[nodiscard]] bool heardLeaderRecently(instant now) const;
+    [[nodiscard]] bool upToDate(log_index lastIndex, term_number lastTerm) const;
+    void on(const message &received, const vote_request &request, instant now);
+    void on(const message &received, const vote_reply &reply, instant now);
+
+    // replica_replication.cpp
+    log_index appendOwn(entry_kind kind, std::string payload);
+    void replicate(const member_id &to, peer_progress &progress, instant now);
+    void replicateNew(instant now);
+    void sendDueHeartbeats(instant now);
+    void confirmReads(instant now);
+    void advanceCommit(instant now);
+    void noteAcknowledged(const member_id &from, instant sentAt, instant now);
+    [[nodiscard]] append_reply acceptEntries(const append_request &request);
+    void handleRefusal(peer_progress &progress, const append_reply &reply);
+    [[nodiscard]] bool mayReplicate(const peer_progress &progress) const noexcept;
+    void on(const message &received, const append_request &request, instant now);
+    void on(const message &received, const append_reply &reply, instant now);
+
+    // replica_snapshot.cpp
+    void sendSnapshotChunk(const member_id &to, peer_progress &progress, instant now);
+    void installReceivedSnapshot();
+    void on(const message &received, const snapshot_chunk &chunk, instant now);
+    void on(const message &received, const snapshot_reply &reply, instant now);
+
+    // replica_membership.cpp
+    void sayHello(instant now);
+    void bootstrapIfAllEmpty(instant now);
+    void changeMembership(instant now);
+    [[nodiscard]] std::optional<membership> nextMembership(instant now);
+    [[nodiscard]] std::optional<membership> withJoiner(const member_id &joiner);
+    [[nodiscard]] bool caughtUp(const member_id &learner, instant now) const;
+    void refreshProgress();
+    void on(const message &received, const hello &request, instant now);
+    void on(const message &received, const hello_reply &reply, instant now);
+
+    replica_config m_config;
+    event_sink &m_events;
+    entry_log m_log;
+    hard_state m_hard;
+    hard_state m_durableHard;
+    replica_role m_role = replica_role::Joining;
+    std::string m_leader;
+    log_index m_commit = 0;
+    log_index m_handedOut = 0; ///< committed entries up to here were in actions
+    actions m_actions;
+    std::uint64_t m_random;
+    std::map<std::string, std::uint64_t> m_newestIncarnations; ///< by name
+
+    // follower and candidate
+    instant m_leaderHeardAt;
+    instant m_electionAt;
+    bool m_preVoting = false;
+    std::set<member_id> m_votes;
+    std::string m_snapshotBytes; ///< received so far
+    snapshot_chunk m_snapshotHead;
+
+    // leader
+    log_index m_durableIndex = 0;
+    log_index m_termStart = 0; ///< first entry of this leader's term
+    instant m_electedAt{};
+    instant m_tickedAt{};
+    instant m_authoritySince{};
+    bool m_sendAll = false; ///< something new for all members since the last take()
+    acknowledgements m_acknowledgements;
+    std::map<member_id, peer_progress> m_progress;
+    std::vector<pending_read> m_reads;
+    std::map<std::string, std::uint64_t> m_joiners; ///< incarnations that asked for a place
+
+    // joining
+    instant m_helloAt{};
+    std::map<std::string, peer_greeting> m_emptyPeers;
+};
+
+} // namespace yuccascale::kernel::consensus
--- /dev/null
+++ b/src/yuccascale/kernel/consensus/replica_membership.cpp
@@ -0,0 +1,143 @@
+#include "yuccascale/kernel/consensus/events.hpp"
+#include "yuccascale/kernel/consensus/replica.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccascale::kernel::consensus {
+
+namespace {
+
+/// A learner this close to the end of the log is promoted.
+constexpr log_index promotionLagEntries = 64;
+
+} // namespace
+
+/// Asks all configured replicas for a place in the cluster, and learns whether there is one.
+void replica::sayHello(instant now)
+{
+    m_helloAt = now + 2 * m_config.heartbeat;
+    for (const std::string &name : m_config.configured) {
+        if (name != m_config.self.name)
+            send({name, 0}, hello{});
+    }
+    bootstrapIfAllEmpty(now);
+}
+
+void replica::on(const message &received, const hello &, instant)
+{
+    send(received.from, hello_reply{m_log.empty()});
+    if (m_role == replica_role::Leader)
+        m_joiners[received.from.name] = received.from.incarnation;
+}
+
+void replica::on(const message &received, const hello_reply &reply, instant now)
+{
+    if (reply.empty)
+        m_emptyPeers[received.from.name] = {received.from.incarnation, received.term, now};
+    else
+        m_emptyPeers.erase(received.from.name);
+    bootstrapIfAllEmpty(now);
+}
+
+/// The replica with the lowest name begins the log once every configured replica has just said that
+/// it is empty. A replica that lost its disk thus never makes a second cluster beside one that
+/// lives on, since the survivors say that they are not empty.
+void replica::bootstrapIfAllEmpty(instant now)
+{
+    if (!m_log.empty() || m_config.self.name != *std::ranges::min_element(m_config.configured))
+        return;
+    membership members;
+    term_number newestTerm = m_hard.term;
+    for (const std::string &name : m_config.configured) {
+        if (name == m_config.self.name) {
+            members.voters.push_back(m_config.self);
+            continue;
+        }
+        const auto peer = m_emptyPeers.find(name);
+        if (peer == m_emptyPeers.end() || peer->second.heardAt + m_config.electionTimeout < now)
+            return;
+        members.voters.push_back({name, peer->second.incarnation});
+        newestTerm = std::max(newestTerm, peer->second.term);
+    }
+    m_hard = {newestTerm + 1, std::nullopt};
+    m_log.append({m_hard.term, 1, entry_kind::Membership, toCbor(members)});
+    m_events.record(clusterBootstrapped, {{"voters", members.voters.size()}});
+    refreshRole();
+    m_electionAt = now;
+}
+
+void replica::refreshProgress()
+{
+    const membership &members = m_log.members();
+    std::erase_if(m_progress, [&](const auto &row) { return !members.has(row.first); });
+    for (const member_id &member : members.all()) {
+        if (member == m_config.self)
+            continue;
+        const auto [row, isNew] = m_progress.try_emplace(member);
+        if (isNew)
+            row->second.next = m_log.lastIndex() + 1;
+    }
+}
+
+/// Makes the next change of membership, one at a time.
+void replica::changeMembership(instant now)
+{
+    if (m_role != replica_role::Leader || m_commit < m_termStart || m_log.membersIndex() > m_commit)
+        return;
+    const std::optional<membership> next = nextMembership(now);
+    if (!next)
+        return;
+    (void)appendOwn(entry_kind::Membership, toCbor(*next));
+    refreshProgress();
+}
+
+std::optional<membership> replica::nextMembership(instant now)
+{
+    for (const member_id &learner : m_log.members().learners) {
+        if (!caughtUp(learner, now))
+            continue;
+        membership next = m_log.members();
+        std::erase(next.learners, learner);
+        next.voters.push_back(learner);
+        m_events.record(memberPromoted, {{"member", learner.name}});
+        return next;
+    }
+    for (const auto &[name, incarnation] : std::exchange(m_joiners, {})) {
+        if (std::optional<membership> next = withJoiner({name, incarnation}))
+            return next;
+    }
+    return std::nullopt;
+}
+
+/// Takes the former incarnation out and the new one in as a learner; at most one voter changes.
+std::optional<membership> replica::withJoiner(const member_id &joiner)
+{
+    const std::optional<member_id> former = m_log.members().named(joiner.name);
+    const bool configured
+            = std::ranges::find(m_config.configured, joiner.name) != m_config.configured.end();
+    if (!configured || joiner.name == m_config.self.name || former == joiner)
+        return std::nullopt;
+    if (former && former->incarnation > joiner.incarnation) {
+        m_events.record(joinRefused, {{"member", joiner.name}});
+        return std::nullopt;
+    }
+    membership next = m_log.members();
+    if (former) {
+        std::erase(next.voters, *former);
+        std::erase(next.learners, *former);
+    }
+    next.learners.push_back(joiner);
+    m_events.record(memberReplaced, {{"member", joiner.name}});
+    return next;
+}
+
+bool replica::caughtUp(const member_id &learner, instant now) const
+{
+    const auto progress = m_progress.find(learner);
+    return progress != m_progress.end() && progress->second.matched >= m_termStart
+            && progress->second.matched + promotionLagEntries >= m_log.lastIndex()
+            && m_acknowledgements.sentAt(learner) + m_config.electionTimeout > now;
+}
+
+} // namespace yuccascale::kernel::consensus
--- /dev/null
+++ b/src/yuccascale/kernel/consensus/replica_replication.cpp
@@ -0,0 +1,200 @@
+#include "yuccascale/kernel/consensus/events.hpp"
+#include "yuccascale/kernel/consensus/replica.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace yuccascale::kernel::consensus {
+
+log_index replica::appendOwn(entry_kind kind, std::string payload)
+{
+    const log_index index = m_log.lastIndex() + 1;
+    m_log.append({m_hard.term, index, kind, std::move(payload)});
+    m_sendAll = true;
+    return index;
+}
+
+bool replica::mayReplicate(const peer_progress &progress) const noexcept
+{
+    return progress.state == progress_state::Probe
+            || progress.next - progress.matched <= m_config.maxEntriesInFlight;
+}
+
+/// Sends what a member lacks next, or a heartbeat when it lacks nothing.
+void replica::replicate(const member_id &to, peer_progress &progress, instant now)
+{
+    progress.lastSent = now;
+    if (progress.state != progress_state::Snapshot && !m_log.termAt(progress.next - 1)) {
+        progress.state = progress_state::Snapshot;
+        progress.snapshot = *m_log.snapshot();
+        progress.snapshotOffset = 0;
+        m_events.record(snapshotSent, {{"to", to.name}, {"index", progress.snapshot.index}});
+    }
+    if (progress.state == progress_state::Snapshot)
+        return sendSnapshotChunk(to, progress, now);
+    append_request request{progress.next - 1, *m_log.termAt(progress.next - 1), m_commit, now, {}};
+    if (mayReplicate(progress)) {
+        request.entries = m_log.slice(progress.next, m_config.maxEntriesInMessage,
+                                      m_config.maxBytesInMessage);
+    }
+    if (progress.state == progress_state::Replicate)
+        progress.next += request.entries.size();
+    sendEarly(to, std::move(request));
+}
+
+/// Sends new entries, the new commit index or a request for confirmation to all members that keep
+/// up; the others are served when they answer and with each heartbeat.
+void replica::replicateNew(instant now)
+{
+    for (auto &[member, progress] : m_progress) {
+        if (progress.state != progress_state::Replicate) {
+            if (progress.lastSent == instant{})
+                replicate(member, progress, now);
+            continue;
+        }
+        do
+            replicate(member, progress, now);
+        while (progress.state == progress_state::Replicate && progress.next <= m_log.lastIndex()
+               && mayReplicate(progress));
+    }
+}
+
+void replica::sendDueHeartbeats(instant now)
+{
+    for (auto &[member, progress] : m_progress) {
+        if (progress.lastSent + m_config.heartbeat <= now)
+            replicate(member, progress, now);
+    }
+}
+
+void replica::noteAcknowledged(const member_id &from, instant sentAt, instant now)
+{
+    m_acknowledgements.record(from, sentAt);
+    confirmReads(now);
+}
+
+void replica::confirmReads(instant now)
+{
+    const instant confirmed = m_acknowledgements.quorumSentAt(m_log.members(), m_config.self, now);
+    std::erase_if(m_reads, [&](const pending_read &read) {
+        const bool done = read.askedAt <= confirmed && read.index <= m_commit;
+        if (done)
+            m_actions.reads.push_back({read.id, read.index, true});
+        return done;
+    });
+    if (m_authoritySince == instant{} && leadershipAt(now)) {
+        m_authoritySince = now;
+        m_events.record(authorityGained, {{"fence", m_hard.term}});
+    }
+}
+
+void replica::persisted(log_index index, term_number term, instant now)
+{
+    if (m_log.termAt(index) == term)
+        m_durableIndex = std::max(m_durableIndex, index);
+    if (m_role == replica_role::Leader)
+        advanceCommit(now);
+}
+
+void replica::advanceCommit(instant now)
+{
+    const membership &members = m_log.members();
+    std::vector<log_index> matched;
+    for (const member_id &voter : members.voters) {
+        if (voter == m_config.self)
+            matched.push_back(m_durableIndex);
+        else
+            matched.push_back(m_progress[voter].matched);
+    }
+    if (matched.empty())
+        return;
+    std::ranges::sort(matched, std::greater<>());
+    const log_index onQuorum = matched[members.quorum() - 1];
+    if (onQuorum <= m_commit || m_log.termAt(onQuorum) != m_hard.term)
+        return;
+    m_commit = onQuorum;
+    m_sendAll = true;
+    confirmReads(now);
+    changeMembership(now);
+}
+
+void replica::on(const message &received, const append_request &request, instant now)
+{
+    if (m_role == replica_role::Leader)
+        return;
+    follow(received.from, now);
+    send(received.from, acceptEntries(request));
+    refreshRole();
+}
+
+append_reply replica::acceptEntries(const append_request &request)
+{
+    append_reply reply{true, m_commit, request.previousIndex, request.sentAt};
+    const log_index lastSent = request.previousIndex + request.entries.size();
+    if (lastSent <= m_commit)
+        return reply;
+    const bool previousIsCommitted = request.previousIndex <= m_commit;
+    if (!previousIsCommitted && m_log.termAt(request.previousIndex) != request.previousTerm) {
+        reply.accepted = false;
+        const log_index below = std::min(m_log.lastIndex(), request.previousIndex - 1);
+        reply.matched = std::max(m_commit, below);
+        // skips a whole term that differs, so that a long stale tail costs one message a term
+        const std::optional<term_number> term = m_log.termAt(reply.matched);
+        while (reply.matched > m_commit && term != request.previousTerm
+               && m_log.termAt(reply.matched) == term)
+            --reply.matched;
+        return reply;
+    }
+    std::vector<log_entry> fresh = request.entries;
+    std::erase_if(fresh, [&](const log_entry &entry) { return entry.index <= m_commit; });
+    for (const log_entry &entry : fresh) {
+        if (m_log.termAt(entry.index) != entry.term) {
+            m_durableIndex = std::min(m_durableIndex, entry.index - 1);
+            break;
+        }
+    }
+    m_log.merge(fresh);
+    m_commit = std::max(m_commit, std::min(request.commit, lastSent));
+    reply.matched = lastSent;
+    return reply;
+}
+
+void replica::on(const message &received, const append_reply &reply, instant now)
+{
+    const auto found = m_progress.find(received.from);
+    if (m_role != replica_role::Leader || found == m_progress.end())
+        return;
+    peer_progress &progress = found->second;
+    if (progress.state == progress_state::Snapshot && !reply.accepted)
+        return noteAcknowledged(received.from, reply.sentAt, now);
+    if (reply.accepted && reply.matched >= progress.matched) {
+        progress.matched = std::min(reply.matched, m_log.lastIndex());
+        progress.next = std::max(progress.next, progress.matched + 1);
+        if (progress.state == progress_state::Probe) {
+            progress.state = progress_state::Replicate;
+            progress.next = progress.matched + 1;
+        }
+        advanceCommit(now);
+        m_sendAll = m_sendAll || progress.next <= m_log.lastIndex();
+    } else if (!reply.accepted) {
+        handleRefusal(progress, reply);
+        if (progress.state == progress_state::Probe)
+            replicate(received.from, progress, now);
+    }
+    noteAcknowledged(received.from, reply.sentAt, now);
+}
+
+void replica::handleRefusal(peer_progress &progress, const append_reply &reply)
+{
+    const bool stale = progress.state == progress_state::Probe
+            ? reply.previousIndex != progress.next - 1
+            : reply.previousIndex <= progress.matched;
+    if (stale)
+        return;
+    progress.state = progress_state::Probe;
+    progress.next
+            = std::max(progress.matched, std::min(reply.matched, reply.previousIndex - 1)) + 1;
+}
+
+} // namespace yuccascale::kernel::consensus
--- /dev/null
+++ b/src/yuccascale/kernel/consensus/replica_snapshot.cpp
@@ -0,0 +1,89 @@
+#include "yuccascale/kernel/consensus/events.hpp"
+#include "yuccascale/kernel/consensus/replica.hpp"
+
+#include <utility>
+
+namespace yuccascale::kernel::consensus {
+
+void replica::sendSnapshotChunk(const member_id &to, peer_progress &progress, instant now)
+{
+    const std::string &whole = *progress.snapshot.bytes;
+    snapshot_chunk chunk{progress.snapshot.index,
+                         progress.snapshot.term,
+                         progress.snapshot.members,
+                         progress.snapshotOffset,
+                         whole.size(),
+                         now,
+                         whole.substr(progress.snapshotOffset, m_config.snapshotChunkBytes)};
+    send(to, std::move(chunk));
+}
+
+void replica::on(const message &received, const snapshot_chunk &chunk, instant now)
+{
+    if (m_role == replica_role::Leader)
+        return;
+    follow(received.from, now);
+    snapshot_reply reply{chunk.index, chunk.total, true, chunk.sentAt};
+    if (chunk.index <= m_commit) {
+        send(received.from, reply);
+        return;
+    }
+    const bool sameTransfer = m_snapshotHead.index == chunk.index
+            && m_snapshotHead.snapshotTerm == chunk.snapshotTerm
+            && m_snapshotHead.total == chunk.total;
+    if (!sameTransfer) {
+        m_snapshotHead = chunk;
+        m_snapshotHead.bytes.clear();
+        m_snapshotBytes.clear();
+    }
+    if (chunk.offset == m_snapshotBytes.size())
+        m_snapshotBytes += chunk.bytes;
+    reply.received = m_snapshotBytes.size();
+    reply.installed = reply.received == chunk.total;
+    if (reply.installed)
+        installReceivedSnapshot();
+    send(received.from, reply);
+    refreshRole();
+}
+
+void replica::installReceivedSnapshot()
+{
+    snapshot_data snapshot{m_snapshotHead.index, m_snapshotHead.snapshotTerm,
+                           m_snapshotHead.members,
+                           std::make_shared<const std::string>(std::move(m_snapshotBytes))};
+    m_snapshotBytes.clear();
+    m_snapshotHead = {};
+    m_commit = snapshot.index;
+    // the entries are here already: they are applied one by one and nothing after them is lost
+    if (m_log.termAt(snapshot.index) == snapshot.term)
+        return;
+    m_handedOut = m_commit;
+    m_durableIndex = m_commit;
+    m_events.record(snapshotInstalled, {{"index", snapshot.index}});
+    m_actions.installed = snapshot;
+    m_log.reset(std::move(snapshot));
+}
+
+void replica::on(const message &received, const snapshot_reply &reply, instant now)
+{
+    const auto found = m_progress.find(received.from);
+    if (m_role != replica_role::Leader || found == m_progress.end())
+        return;
+    peer_progress &progress = found->second;
+    noteAcknowledged(received.from, reply.sentAt, now);
+    if (progress.state != progress_state::Snapshot || reply.index != progress.snapshot.index)
+        return;
+    if (reply.installed) {
+        progress.matched = std::max(progress.matched, reply.index);
+        progress.next = progress.matched + 1;
+        progress.state = progress_state::Probe;
+        progress.snapshot = {};
+        replicate(received.from, progress, now);
+        advanceCommit(now);
+    } else if (reply.received != progress.snapshotOffset) {
+        progress.snapshotOffset = reply.received;
+        sendSnapshotChunk(received.from, progress, now);
+    }
+}
+
+} // namespace yuccascale::kernel::consensus
--- /dev/null
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -0,0 +1,477 @@
+#include "yuccascale/runtime/replicated_log.hpp"
+
+#include "yuccascale/kernel/consensus/events.hpp"
+#include "yuccascale/store/replica_store.hpp"
+#include "yuccascale/wire/consensus_codec.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace yuccascale::runtime {
+
+using kernel::error_kind;
+using kernel::fail;
+using kernel::instant;
+using kernel::result;
+using namespace kernel::consensus;
+
+namespace {
+
+constexpr std::size_t maxInboxMessages = 8'192;
+constexpr std::size_t maxInboxWaiters = 8'192;
+constexpr std::size_t maxPayloadBytes = 16U << 20U;
+constexpr std::uint64_t trailingShare = 4; ///< of snapshotEntries stays in the log
+
+/// Incarnations of one name rise as long as the wall clock does; the low bits make them unique.
+std::uint64_t makeIncarnation(kernel::wall_time now)
+{
+    constexpr unsigned randomBits = 16;
+    const auto milliseconds = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    return (milliseconds << randomBits) | (std::random_device{}() & 0xffffU);
+}
+
+std::string roleName(replica_role role)
+{
+    switch (role) {
+    case replica_role::Joining:
+        return "joining";
+    case replica_role::Learner:
+        return "learner";
+    case replica_role::Follower:
+        return "follower";
+    case replica_role::Candidate:
+        return "candidate";
+    case replica_role::Leader:
+        return "leader";
+    }
+    return {};
+}
+
+std::vector<std::string> namesOf(const std::vector<member_id> &members)
+{
+    std::vector<std::string> names;
+    names.reserve(members.size());
+    for (const member_id &member : members)
+        names.push_back(member.name);
+    return names;
+}
+
+replica_config configOf(const replicated_log_settings &settings, std::uint64_t incarnation)
+{
+    replica_config config;
+    config.self = {settings.self, incarnation};
+    config.configured = settings.voters;
+    config.heartbeat = settings.control.heartbeat;
+    config.electionTimeout = settings.control.electionTimeout;
+    config.lease = settings.control.lease;
+    config.orderLife = settings.control.orderLife;
+    config.seed = std::random_device{}();
+    return config;
+}
+
+} // namespace
+
+replicated_log::replicated_log(replicated_log_settings settings, kernel::transport &transport,
+                               kernel::clock &clock, kernel::event_sink &events,
+                               log_consumer &consumer)
+    : m_settings(std::move(settings))
+    , m_transport(transport)
+    , m_clock(clock)
+    , m_events(events)
+    , m_consumer(consumer)
+{
+    m_status.role = "stopped";
+    m_transport.handle(kernel::channel::Consensus,
+                       [this](std::string_view peer, std::string_view payload) {
+                           receive(peer, payload);
+                           return std::string();
+                       });
+}
+
+replicated_log::~replicated_log()
+{
+    stop();
+}
+
+result<void> replicated_log::start()
+{
+    BOOST_LEAF_ASSIGN(
+            m_store,
+            store::replica_store::open(m_settings.dataFolder, makeIncarnation(m_clock.wallNow())));
+    store::recovery found = m_store->takeRecovery();
+    if (found.tornTail)
+        m_events.record(tornTailDropped, {{"folder", m_settings.dataFolder}});
+    if (found.state.snapshot) {
+        BOOST_LEAF_CHECK(m_consumer.restore(*found.state.snapshot->bytes));
+        m_applied = m_snapshotIndex = found.state.snapshot->index;
+    }
+    m_replica = std::make_unique<replica>(configOf(m_settings, found.incarnation), found.state,
+                                          m_events, m_clock.now());
+    publish();
+    {
+        const std::lock_guard lock(m_inboxMutex);
+        m_running = true;
+    }
+    m_thread = std::thread([this] { run(); });
+    return {};
+}
+
+void replicated_log::stop()
+{
+    {
+        const std::lock_guard lock(m_inboxMutex);
+        m_running = false;
+    }
+    m_inboxChanged.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void replicated_log::receive(std::string_view peer, std::string_view payload)
+{
+    std::optional<message> decoded = wire::decodeConsensus(payload);
+    if (!decoded || decoded->from.name != peer) {
+        m_events.record(messageRefused, {{"peer", peer}});
+        return;
+    }
+    const std::lock_guard lock(m_inboxMutex);
+    if (!m_running || m_inbox.messages.size() >= maxInboxMessages)
+        return;
+    m_inbox.messages.push_back(std::move(*decoded));
+    m_inboxChanged.notify_all();
+}
+
+result<std::string> replicated_log::enqueue(std::vector<waiter_pointer> inbox::*queue,
+                                            std::string payload, instant deadline)
+{
+    const waiter_pointer waiting = std::make_shared<waiter>();
+    waiting->payload = std::move(payload);
+    std::future<outcome> future = waiting->promise.get_future();
+    {
+        const std::lock_guard lock(m_inboxMutex);
+        if (!m_running)
+            return fail(error_kind::Unavailable, m_settings.self, "stopped; ask another node");
+        if ((m_inbox.*queue).size() >= maxInboxWaiters)
+            return fail(error_kind::Overloaded, m_settings.self, "too many wait; try again later");
+        (m_inbox.*queue).push_back(waiting);
+    }
+    m_inboxChanged.notify_all();
+    if (future.wait_for(deadline - m_clock.now()) != std::future_status::ready) {
+        waiter_state queued = waiter_state::Queued;
+        if (waiting->state.compare_exchange_strong(queued, waiter_state::Withdrawn))
+            return fail(error_kind::Unavailable, m_settings.self,
+                        "not taken up in time; try again");
+        return fail(error_kind::OutcomeUnknown, m_settings.self,
+                    "not committed in time; send it again with the same operation id");
+    }
+    outcome answered = future.get();
+    if (!answered.succeeded)
+        return boost::leaf::new_error(std::move(answered.problem));
+    return std::move(answered.answer);
+}
+
+result<std::string> replicated_log::propose(std::string payload, instant deadline)
+{
+    if (payload.size() > maxPayloadBytes) {
+        return fail(error_kind::InvalidArgument, m_settings.self,
+                    "larger than " + std::to_string(maxPayloadBytes) + " bytes; split it");
+    }
+    return enqueue(&inbox::proposals, std::move(payload), deadline);
+}
+
+result<void> replicated_log::confirmLeadership(instant deadline)
+{
+    BOOST_LEAF_CHECK(enqueue(&inbox::reads, {}, deadline));
+    return {};
+}
+
+std::string replicated_log::leader() const
+{
+    const std::lock_guard lock(m_publishedMutex);
+    return m_status.leader;
+}
+
+std::optional<kernel::leadership> replicated_log::current(instant now) const
+{
+    const std::lock_guard lock(m_publishedMutex);
+    if (!m_leadership || now >= m_leadership->until)
+        return std::nullopt;
+    return m_leadership;
+}
+
+replicated_log_status replicated_log::status() const
+{
+    const std::lock_guard lock(m_publishedMutex);
+    return m_status;
+}
+
+void replicated_log::run()
+{
+    std::string reason = "stopped; ask another node";
+    inbox taken;
+    while (takeInbox(taken)) {
+        handle(taken);
+        kernel::error problem;
+        const bool worked = kernel::succeeded(
+                [&]() -> result<void> {
+                    bool more = true;
+                    while (more) {
+                        BOOST_LEAF_ASSIGN(more, work());
+                    }
+                    return {};
+                },
+                problem);
+        if (!worked) {
+            m_events.record(storeFailed, {{"where", problem.where}, {"problem", problem.message}});
+            reason = problem.where + ": " + problem.message;
+            break;
+        }
+        publish();
+    }
+    publishStopped(reason);
+    abandonWaiters(reason);
+}
+
+/// Waits for something to do; false once the log is stopped.
+bool replicated_log::takeInbox(inbox &taken)
+{
+    taken = {};
+    const kernel::nanoseconds pause = m_replica->nextTick() - m_clock.now();
+    std::unique_lock lock(m_inboxMutex);
+    m_inboxChanged.wait_for(lock, pause, [&] {
+        return !m_running || !m_inbox.messages.empty() || !m_inbox.proposals.empty()
+                || !m_inbox.reads.empty();
+    });
+    std::swap(taken, m_inbox);
+    return m_running;
+}
+
+void replicated_log::handle(inbox &taken)
+{
+    const instant now = m_clock.now();
+    for (const message &received : taken.messages)
+        m_replica->receive(received, now);
+    for (const waiter_pointer &proposal : taken.proposals)
+        handleProposal(proposal);
+    for (const waiter_pointer &read : taken.reads)
+        handleRead(read, now);
+    if (now >= m_replica->nextTick())
+        m_replica->tick(now);
+}
+
+void replicated_log::handleProposal(const waiter_pointer &proposal)
+{
+    waiter_state queued = waiter_state::Queued;
+    if (!proposal->state.compare_exchange_strong(queued, waiter_state::Taken))
+        return;
+    const kernel::consensus::proposal placed = m_replica->propose(std::move(proposal->payload));
+    switch (placed.outcome) {
+    case proposal_outcome::Accepted:
+        proposal->term = placed.term;
+        // whatever waits for this index was proposed in an earlier term and is replaced
+        resolve(placed.index, placed.term, {});
+        m_waitingProposals[placed.index] = proposal;
+        return;
+    case proposal_outcome::NotLeader:
+        return proposal->promise.set_value({false, {}, notLeader()});
+    case proposal_outcome::Overloaded:
+        return proposal->promise.set_value({false,
+                                            {},
+                                            {error_kind::Overloaded, m_settings.self,
+                                             "too many commands wait for a quorum; try again "
+                                             "later"}});
+    }
+}
+
+void replicated_log::handleRead(const waiter_pointer &read, instant now)
+{
+    waiter_state queued = waiter_state::Queued;
+    if (!read->state.compare_exchange_strong(queued, waiter_state::Taken))
+        return;
+    const std::uint64_t id = m_nextRead++;
+    if (m_replica->requestRead(id, now))
+        m_waitingReads[id] = read;
+    else
+        read->promise.set_value({false, {}, notLeader()});
+}
+
+kernel::error replicated_log::notLeader() const
+{
+    const std::string &leader = m_replica->leader();
+    if (leader.empty() || leader == m_settings.self)
+        return {error_kind::NotLeader, "", "no leader is known; try again in a second"};
+    return {error_kind::NotLeader, leader, "not the leader; ask " + leader};
+}
+
+/// Carries out one round of actions.
+/// \returns true when there were any.
+result<bool> replicated_log::work()
+{
+    const actions todo = m_replica->take(m_clock.now());
+    send(todo.earlyMessages);
+    if (todo.mustSync()) {
+        BOOST_LEAF_CHECK(makeDurable(todo));
+    }
+    if (!todo.entries.empty()) {
+        const log_entry &last = todo.entries.back();
+        m_replica->persisted(last.index, last.term, m_clock.now());
+    }
+    send(todo.messages);
+    if (todo.installed) {
+        BOOST_LEAF_CHECK(install(*todo.installed));
+    }
+    for (const log_entry &entry : todo.committed)
+        apply(entry);
+    finishReads(todo.reads);
+    BOOST_LEAF_CHECK(saveSnapshotWhenDue());
+    return todo.mustSync() || !todo.earlyMessages.empty() || !todo.messages.empty()
+            || !todo.committed.empty() || !todo.reads.empty();
+}
+
+result<void> replicated_log::makeDurable(const actions &todo)
+{
+    store::replica_write batch{todo.hardState, std::nullopt, todo.entries};
+    if (todo.installed) {
+        BOOST_LEAF_CHECK(m_store->saveSnapshot(*todo.installed));
+        batch.resetTo = todo.installed->index;
+    }
+    return m_store->write(batch);
+}
+
+void replicated_log::send(const std::vector<message> &messages)
+{
+    for (const message &message : messages) {
+        m_transport.post(message.to.name, kernel::channel::Consensus,
+                         wire::encodeConsensus(message));
+    }
+}
+
+void replicated_log::apply(const log_entry &entry)
+{
+    std::string answer;
+    if (entry.kind == entry_kind::Command)
+        answer = m_consumer.apply(entry.index, entry.payload);
+    m_applied = entry.index;
+    resolve(entry.index, entry.term, std::move(answer));
+}
+
+/// Answers the proposal for \a index; one of another term was replaced by another leader's entry.
+void replicated_log::resolve(std::uint64_t index, std::uint64_t term, std::string answer)
+{
+    const auto found = m_waitingProposals.find(index);
+    if (found == m_waitingProposals.end())
+        return;
+    const waiter_pointer proposal = std::move(found->second);
+    m_waitingProposals.erase(found);
+    if (proposal->term == term)
+        return proposal->promise.set_value({true, std::move(answer), {}});
+    proposal->promise.set_value({false,
+                                 {},
+                                 {error_kind::Unavailable, m_settings.self,
+                                  "the leader changed and it was not committed; send it again"}});
+}
+
+result<void> replicated_log::install(const snapshot_data &snapshot)
+{
+    BOOST_LEAF_CHECK(m_consumer.restore(*snapshot.bytes));
+    m_applied = m_snapshotIndex = snapshot.index;
+    for (auto row = m_waitingProposals.begin();
+         row != m_waitingProposals.end() && row->first <= snapshot.index;
+         row = m_waitingProposals.erase(row)) {
+        row->second->promise.set_value({false,
+                                        {},
+                                        {error_kind::OutcomeUnknown, m_settings.self,
+                                         "the leader changed; send it again with the same "
+                                         "operation id"}});
+    }
+    return {};
+}
+
+void replicated_log::finishReads(const std::vector<confirmed_read> &reads)
+{
+    for (const confirmed_read &read : reads) {
+        const auto found = m_waitingReads.find(read.id);
+        if (found == m_waitingReads.end())
+            continue;
+        if (read.confirmed)
+            found->second->promise.set_value({true, {}, {}});
+        else
+            found->second->promise.set_value({false, {}, notLeader()});
+        m_waitingReads.erase(found);
+    }
+}
+
+result<void> replicated_log::saveSnapshotWhenDue()
+{
+    const std::uint64_t interval = m_settings.control.snapshotEntries;
+    if (m_applied < m_snapshotIndex + interval)
+        return {};
+    snapshot_data snapshot = m_replica->snapshotAt(m_applied, m_consumer.snapshot());
+    BOOST_LEAF_CHECK(m_store->saveSnapshot(snapshot));
+    m_snapshotIndex = m_applied;
+    const std::uint64_t keepFrom = m_applied - std::min(m_applied, interval / trailingShare);
+    m_replica->compact(std::move(snapshot), keepFrom);
+    m_events.record(snapshotWritten, {{"index", m_applied}});
+    return m_store->compact(keepFrom);
+}
+
+void replicated_log::publish()
+{
+    const instant now = m_clock.now();
+    const std::optional<kernel::leadership> leadership = m_replica->leadershipAt(now);
+    replicated_log_status fresh;
+    fresh.term = m_replica->term();
+    fresh.role = roleName(m_replica->role());
+    fresh.leader = m_replica->leader();
+    fresh.commitIndex = m_replica->commitIndex();
+    fresh.appliedIndex = m_applied;
+    fresh.degraded = m_replica->degradedReasons(now);
+    fresh.voters = namesOf(m_replica->log().members().voters);
+    fresh.learners = namesOf(m_replica->log().members().learners);
+
+    std::optional<kernel::leadership> former;
+    {
+        const std::lock_guard lock(m_publishedMutex);
+        const bool unchanged = fresh.role == m_status.role && fresh.leader == m_status.leader;
+        fresh.since = unchanged ? m_status.since : now;
+        former = std::exchange(m_leadership, leadership);
+        m_status = std::move(fresh);
+    }
+    if (former && !leadership)
+        m_events.record(authorityLost, {{"fence", former->fence}});
+}
+
+void replicated_log::publishStopped(const std::string &reason)
+{
+    const std::lock_guard lock(m_publishedMutex);
+    m_leadership.reset();
+    m_status.role = "stopped";
+    m_status.leader.clear();
+    m_status.since = m_clock.now();
+    m_status.degraded = {reason};
+}
+
+void replicated_log::abandonWaiters(const std::string &reason)
+{
+    inbox left;
+    {
+        const std::lock_guard lock(m_inboxMutex);
+        m_running = false;
+        std::swap(left, m_inbox);
+    }
+    const outcome notRun{false, {}, {error_kind::Unavailable, m_settings.self, reason}};
+    const outcome unknown{false, {}, {error_kind::OutcomeUnknown, m_settings.self, reason}};
+    for (const waiter_pointer &waiting : left.proposals)
+        waiting->promise.set_value(notRun);
+    for (const waiter_pointer &waiting : left.reads)
+        waiting->promise.set_value(notRun);
+    for (const auto &[index, waiting] : m_waitingProposals)
+        waiting->promise.set_value(unknown);
+    for (const auto &[id, waiting] : m_waitingReads)
+        waiting->promise.set_value(notRun);
+    m_waitingProposals.clear();
+    m_waitingReads.clear();
+}
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -0,0 +1,196 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/consensus/replica.hpp"
+#include "yuccascale/kernel/error.hpp"
+#include "yuccascale/kernel/events.hpp"
+#include "yuccascale/kernel/leadership.hpp"
+#include "yuccascale/kernel/transport.hpp"
+#include "yuccascale/runtime/settings.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+/// \file
+/// \brief The replicated log of a control node: decisions, disk and links driven by one thread.
+
+namespace yuccascale::store {
+class replica_store;
+}
+
+namespace yuccascale::runtime {
+
+/// \brief The state machine behind the log. All calls come from one thread, in log order.
+class log_consumer
+{
+public:
+    virtual ~log_consumer() = default;
+
+    /// \brief Applies the committed command at \a index.
+    /// \returns the answer for whoever proposed it.
+    [[nodiscard]] virtual std::string apply(std::uint64_t index, std::string_view payload) = 0;
+
+    /// \returns the whole state after the command applied last.
+    [[nodiscard]] virtual std::string snapshot() = 0;
+
+    /// \brief Replaces the state by one that snapshot() made.
+    [[nodiscard]] virtual kernel::result<void> restore(std::string_view bytes) = 0;
+};
+
+/// \brief What a replicated log needs to know.
+struct replicated_log_settings
+{
+    std::string self;                ///< this node's name
+    std::vector<std::string> voters; ///< names of all nodes with the control role, with self
+    std::string dataFolder;
+    control_settings control;
+};
+
+/// \brief What an operator should know of a replica.
+struct replicated_log_status
+{
+    std::uint64_t term = 0;
+    std::string role;   ///< "joining", "learner", "follower", "candidate", "leader" or "stopped"
+    std::string leader; ///< node name; empty when none is known
+    std::uint64_t commitIndex = 0;
+    std::uint64_t appliedIndex = 0;
+    kernel::instant since{};           ///< when role or leader last changed
+    std::vector<std::string> degraded; ///< each with what to do; empty when all is well
+    std::vector<std::string> voters;
+    std::vector<std::string> learners;
+};
+
+/// \brief A replica of the log with its store and links.
+///
+/// The first start of a cluster needs all voters: the log begins once each of them says that it is
+/// empty. A node that starts with an empty data folder later joins as a learner, copies the log,
+/// and votes again once the others have committed that it caught up.
+///
+/// \example
+///     replicated_log log(settings, transport, clock, events, consumer);
+///     BOOST_LEAF_CHECK(log.start());
+///     BOOST_LEAF_AUTO(answer, log.propose(command, clock.now() + 2s));
+class replicated_log final : public kernel::leadership_source
+{
+public:
+    /// \brief Registers with \a transport, which is started after this and stopped before it ends.
+    replicated_log(replicated_log_settings settings, kernel::transport &transport,
+                   kernel::clock &clock, kernel::event_sink &events, log_consumer &consumer);
+    ~replicated_log() override;
+    replicated_log(const replicated_log &) = delete;
+    replicated_log &operator=(const replicated_log &) = delete;
+
+    /// \brief Opens the data folder, restores the consumer and starts the thread.
+    /// \returns the store's error (see store::replica_store::open()).
+    [[nodiscard]] kernel::result<void> start();
+
+    /// \brief Ends the thread; proposals that wait get error_kind::OutcomeUnknown.
+    void stop();
+
+    /// \brief Commits a command; only on the leader.
+    /// \returns the consumer's answer once it is committed and applied here;
+    ///          error_kind::NotLeader with the leader's name in error::where;
+    ///          error_kind::Unavailable or error_kind::Overloaded when it surely is not in the log;
+    ///          error_kind::OutcomeUnknown when it may be committed later.
+    [[nodiscard]] kernel::result<std::string> propose(std::string payload,
+                                                      kernel::instant deadline);
+
+    /// \brief Confirms with a quorum, asked after this call began, that this node leads, and waits
+    /// until all that was committed by then is applied here.
+    /// \returns error_kind::NotLeader or error_kind::Unavailable.
+    [[nodiscard]] kernel::result<void> confirmLeadership(kernel::instant deadline);
+
+    /// \returns the name of the leader last heard of; may be empty.
+    [[nodiscard]] std::string leader() const;
+
+    [[nodiscard]] std::optional<kernel::leadership> current(kernel::instant now) const override;
+
+    [[nodiscard]] replicated_log_status status() const;
+
+private:
+    enum class waiter_state { Queued, Taken, Withdrawn };
+
+    /// What became of a proposal or read.
+    struct outcome
+    {
+        bool succeeded = false;
+        std::string answer;
+        kernel::error problem;
+    };
+
+    /// A call that waits; whoever moves it out of Queued decides whether it was handled.
+    struct waiter
+    {
+        std::string payload;
+        std::atomic<waiter_state> state{waiter_state::Queued};
+        std::promise<outcome> promise;
+        std::uint64_t term = 0;
+    };
+
+    using waiter_pointer = std::shared_ptr<waiter>;
+
+    struct inbox
+    {
+        std::vector<kernel::consensus::message> messages;
+        std::vector<waiter_pointer> proposals;
+        std::vector<waiter_pointer> reads;
+    };
+
+    void receive(std::string_view peer, std::string_view payload);
+    [[nodiscard]] kernel::result<std::string> enqueue(std::vector<waiter_pointer> inbox::*queue,
+                                                      std::string payload,
+                                                      kernel::instant deadline);
+    void run();
+    [[nodiscard]] bool takeInbox(inbox &taken);
+    void handle(inbox &taken);
+    void handleProposal(const waiter_pointer &proposal);
+    void handleRead(const waiter_pointer &read, kernel::instant now);
+    [[nodiscard]] kernel::result<bool> work();
+    [[nodiscard]] kernel::result<void> makeDurable(const kernel::consensus::actions &todo);
+    void send(const std::vector<kernel::consensus::message> &messages);
+    void apply(const kernel::consensus::log_entry &entry);
+    void resolve(std::uint64_t index, std::uint64_t term, std::string answer);
+    [[nodiscard]] kernel::result<void> install(const kernel::consensus::snapshot_data &snapshot);
+    void finishReads(const std::vector<kernel::consensus::confirmed_read> &reads);
+    [[nodiscard]] kernel::result<void> saveSnapshotWhenDue();
+    void publish();
+    void publishStopped(const std::string &reason);
+    void abandonWaiters(const std::string &reason);
+    [[nodiscard]] kernel::error notLeader() const;
+
+    replicated_log_settings m_settings;
+    kernel::transport &m_transport;
+    kernel::clock &m_clock;
+    kernel::event_sink &m_events;
+    log_consumer &m_consumer;
+
+    std::mutex m_inboxMutex;
+    std::condition_variable m_inboxChanged;
+    inbox m_inbox;
+    bool m_running = false;
+
+    // used by the thread only
+    std::unique_ptr<store::replica_store> m_store;
+    std::unique_ptr<kernel::consensus::replica> m_replica;
+    std::map<std::uint64_t, waiter_pointer> m_waitingProposals; ///< by log index
+    std::map<std::uint64_t, waiter_pointer> m_waitingReads;
+    std::uint64_t m_nextRead = 1;
+    std::uint64_t m_applied = 0;
+    std::uint64_t m_snapshotIndex = 0;
+
+    mutable std::mutex m_publishedMutex;
+    std::optional<kernel::leadership> m_leadership;
+    replicated_log_status m_status;
+
+    std::thread m_thread;
+};
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/src/yuccascale/store/replica_store.cpp
@@ -0,0 +1,343 @@
+#include "yuccascale/store/replica_store.hpp"
+
+#include "yuccascale/store/record_frames.hpp"
+#include "yuccascale/wire/consensus_tables.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <system_error>
+#include <utility>
+
+namespace yuccascale::store {
+
+using kernel::error_kind;
+using kernel::fail;
+using kernel::result;
+using kernel::consensus::log_entry;
+using kernel::consensus::log_index;
+using kernel::consensus::snapshot_data;
+using wire::verifiedRoot;
+namespace fb = wire::fb;
+namespace fs = std::filesystem;
+
+namespace {
+
+constexpr std::string_view segmentPrefix = "log-";
+constexpr std::string_view snapshotPrefix = "snapshot-";
+constexpr std::string_view manifestName = "manifest";
+constexpr std::uint64_t maxSegmentBytes = 8U << 20U;
+constexpr std::uint64_t firstSegment = 1;
+constexpr unsigned sequenceBits = 32; ///< low bits number the frames of a segment
+
+boost::leaf::error_id corrupt(const fs::path &path, const std::string &problem)
+{
+    return fail(error_kind::Corrupt, path.string(),
+                problem
+                        + "; move the data folder away and start the node with an empty one, so "
+                          "that it joins as a fresh replica and copies the log from the others");
+}
+
+std::string numbered(std::string_view prefix, std::uint64_t number)
+{
+    std::array<char, 24> digits{};
+    (void)std::snprintf(digits.data(), digits.size(), "%016llx",
+                        static_cast<unsigned long long>(number));
+    return std::string(prefix) + digits.data();
+}
+
+/// \returns the numbers of the files with that prefix, sorted.
+std::vector<std::uint64_t> numbersOf(const fs::path &folder, std::string_view prefix)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const fs::directory_entry &entry : fs::directory_iterator(folder)) {
+        const std::string name = entry.path().filename().string();
+        if (name.starts_with(prefix) && !name.ends_with(unfinishedSuffix))
+            numbers.push_back(std::strtoull(name.c_str() + prefix.size(), nullptr, 16));
+    }
+    std::ranges::sort(numbers);
+    return numbers;
+}
+
+void removeUnfinished(const fs::path &folder)
+{
+    std::vector<fs::path> unfinished;
+    for (const fs::directory_entry &entry : fs::directory_iterator(folder)) {
+        if (entry.path().string().ends_with(unfinishedSuffix))
+            unfinished.push_back(entry.path());
+    }
+    std::error_code ignored;
+    for (const fs::path &path : unfinished)
+        fs::remove(path, ignored);
+}
+
+std::string packBatch(const replica_write &batch)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    const auto entries = wire::packEntries(builder, batch.entries);
+    flatbuffers::Offset<fb::Member> votedFor;
+    if (batch.hardState && batch.hardState->votedFor)
+        votedFor = wire::packMember(builder, *batch.hardState->votedFor);
+    fb::StoredBatchBuilder table(builder);
+    table.add_has_hard_state(batch.hardState.has_value());
+    if (batch.hardState)
+        table.add_term(batch.hardState->term);
+    if (!votedFor.IsNull())
+        table.add_voted_for(votedFor);
+    table.add_reset(batch.resetTo.has_value());
+    table.add_reset_index(batch.resetTo.value_or(0));
+    table.add_entries(entries);
+    builder.Finish(table.Finish());
+    return wire::finishedBytes(builder);
+}
+
+std::string packSnapshot(const snapshot_data &snapshot)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    const auto members = wire::packMembership(builder, snapshot.members);
+    const auto bytes = wire::packBytes(builder, *snapshot.bytes);
+    builder.Finish(
+            fb::CreateStoredSnapshot(builder, snapshot.index, snapshot.term, members, bytes));
+    return wire::finishedBytes(builder);
+}
+
+} // namespace
+
+result<std::unique_ptr<replica_store>> replica_store::open(const fs::path &folder,
+                                                           std::uint64_t newIncarnation)
+{
+    std::error_code problem;
+    fs::create_directories(folder, problem);
+    if (problem) {
+        return fail(error_kind::Unavailable, folder.string(),
+                    problem.message() + "; make the data folder writable for this node");
+    }
+    std::unique_ptr<replica_store> opened(new replica_store(folder));
+    BOOST_LEAF_ASSIGN(opened->m_lock, lockFolder(folder));
+    const bool used = fs::exists(folder / manifestName);
+    BOOST_LEAF_CHECK(used ? opened->recover() : opened->create(newIncarnation));
+    return opened;
+}
+
+result<void> replica_store::create(std::uint64_t incarnation)
+{
+    for (const std::uint64_t number : numbersOf(m_folder, segmentPrefix)) {
+        // a crash while the folder was made leaves the first segment, still empty
+        if (number != firstSegment || fs::file_size(segmentPath(number)) > 0)
+            return corrupt(m_folder / manifestName, "the manifest of this log is missing");
+    }
+    if (!numbersOf(m_folder, snapshotPrefix).empty())
+        return corrupt(m_folder / manifestName, "the manifest of this snapshot is missing");
+    m_incarnation = incarnation;
+    m_recovery.incarnation = incarnation;
+    m_recovery.created = true;
+    return startSegment(firstSegment);
+}
+
+result<void> replica_store::recover()
+{
+    removeUnfinished(m_folder);
+    BOOST_LEAF_AUTO(newest, readManifest());
+    BOOST_LEAF_CHECK(readSnapshot());
+    const std::vector<std::uint64_t> numbers = numbersOf(m_folder, segmentPrefix);
+    if (numbers.empty() || numbers.back() < newest)
+        return corrupt(segmentPath(newest), "this log segment is missing");
+    for (std::size_t at = 0; at < numbers.size(); ++at) {
+        if (numbers[at] != numbers.front() + at)
+            return corrupt(segmentPath(numbers.front() + at), "this log segment is missing");
+        BOOST_LEAF_CHECK(readSegment(numbers[at], at + 1 == numbers.size()));
+    }
+    BOOST_LEAF_CHECK(joinSnapshotAndLog());
+    m_recovery.incarnation = m_incarnation;
+    m_recovery.state.hard = m_hard;
+    return startSegment(numbers.back() + 1);
+}
+
+result<std::uint64_t> replica_store::readManifest()
+{
+    const fs::path path = m_folder / manifestName;
+    BOOST_LEAF_AUTO(bytes, readFile(path));
+    const frame_scan scan = scanFrames(bytes, 0);
+    if (scan.records.size() != 1 || scan.tornTail)
+        return corrupt(path, "the manifest is damaged");
+    const auto *table = verifiedRoot<fb::StoredManifest>(scan.records.front());
+    if (!table)
+        return corrupt(path, "the manifest is not one");
+    m_incarnation = table->incarnation();
+    return table->newest_segment();
+}
+
+result<void> replica_store::writeManifest(std::uint64_t newestSegment)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(fb::CreateStoredManifest(builder, m_incarnation, newestSegment));
+    return replaceFile(m_folder / manifestName, frameRecord(0, wire::finishedBytes(builder)));
+}
+
+result<void> replica_store::readSnapshot()
+{
+    const std::vector<std::uint64_t> numbers = numbersOf(m_folder, snapshotPrefix);
+    if (numbers.empty())
+        return {};
+    const fs::path path = m_folder / numbered(snapshotPrefix, numbers.back());
+    BOOST_LEAF_AUTO(bytes, readFile(path));
+    const frame_scan scan = scanFrames(bytes, numbers.back());
+    if (scan.records.size() != 1 || scan.tornTail)
+        return corrupt(path, "the snapshot is damaged");
+    const auto *table = verifiedRoot<fb::StoredSnapshot>(scan.records.front());
+    if (!table)
+        return corrupt(path, "the snapshot is not one");
+    m_recovery.state.snapshot
+            = snapshot_data{table->index(), table->term(), wire::unpackMembership(table->members()),
+                            std::make_shared<const std::string>(wire::unpackBytes(table->bytes()))};
+    return {};
+}
+
+result<void> replica_store::readSegment(std::uint64_t number, bool newest)
+{
+    const fs::path path = segmentPath(number);
+    BOOST_LEAF_AUTO(bytes, readFile(path));
+    const frame_scan scan = scanFrames(bytes, number << sequenceBits);
+    if (scan.corruptMiddle || (scan.tornTail && !newest)) {
+        return corrupt(path,
+                       "damaged after byte " + std::to_string(scan.wholeBytes)
+                               + " though later data is whole");
+    }
+    m_segments.push_back({number, 0});
+    for (const std::string_view record : scan.records) {
+        BOOST_LEAF_CHECK(replay(record, path));
+    }
+    if (scan.tornTail) {
+        m_recovery.tornTail = true;
+        BOOST_LEAF_AUTO(segment, file::openForAppend(path));
+        BOOST_LEAF_CHECK(segment.truncateDurably(scan.wholeBytes));
+    }
+    return {};
+}
+
+result<void> replica_store::replay(std::string_view record, const fs::path &path)
+{
+    const auto *table = verifiedRoot<fb::StoredBatch>(record);
+    if (!table)
+        return corrupt(path, "a record is not a batch");
+    if (table->has_hard_state()) {
+        m_hard = {table->term(), std::nullopt};
+        if (table->voted_for())
+            m_hard.votedFor = wire::unpackMember(table->voted_for());
+    }
+    std::vector<log_entry> &entries = m_recovery.state.entries;
+    log_index expected = entries.empty() ? 0 : entries.back().index + 1;
+    if (table->reset()) {
+        entries.clear();
+        expected = table->reset_index() + 1;
+    }
+    for (log_entry &entry : wire::unpackEntries(table->entries())) {
+        if (expected != 0 && entry.index > expected)
+            return corrupt(path, "entries before " + std::to_string(entry.index) + " are missing");
+        while (!entries.empty() && entries.back().index >= entry.index)
+            entries.pop_back();
+        expected = entry.index + 1;
+        m_segments.back().lastIndex = std::max(m_segments.back().lastIndex, entry.index);
+        entries.push_back(std::move(entry));
+    }
+    return {};
+}
+
+/// Drops what the snapshot covers, and a tail that does not follow from it.
+result<void> replica_store::joinSnapshotAndLog()
+{
+    std::vector<log_entry> &entries = m_recovery.state.entries;
+    const auto &snapshot = m_recovery.state.snapshot;
+    const log_index covered = snapshot ? snapshot->index : 0;
+    const auto last = std::ranges::find(entries, covered, &log_entry::index);
+    if (last != entries.end() && last->term != snapshot->term)
+        entries.clear();
+    std::erase_if(entries, [&](const log_entry &entry) { return entry.index <= covered; });
+    if (!entries.empty() && entries.front().index != covered + 1) {
+        return corrupt(m_folder,
+                       "the entries between the snapshot at " + std::to_string(covered)
+                               + " and the log at " + std::to_string(entries.front().index)
+                               + " are missing");
+    }
+    return {};
+}
+
+result<void> replica_store::startSegment(std::uint64_t number)
+{
+    BOOST_LEAF_ASSIGN(m_current, file::openForAppend(segmentPath(number)));
+    m_nextSequence = number << sequenceBits;
+    m_currentBytes = 0;
+    m_segments.push_back({number, 0});
+    BOOST_LEAF_CHECK(syncFolder(m_folder));
+    BOOST_LEAF_CHECK(writeManifest(number));
+    // each segment begins with the hard state, so that older ones can be removed
+    return append(packBatch({m_hard, std::nullopt, {}}));
+}
+
+result<void> replica_store::append(std::string_view record)
+{
+    if (m_failed) {
+        return fail(error_kind::Unavailable, m_folder.string(),
+                    "an earlier write failed; check the disk and restart the node");
+    }
+    const std::string frame = frameRecord(m_nextSequence, record);
+    m_failed = true; // unless this write succeeds: what is on the disk is unknown then
+    BOOST_LEAF_CHECK(m_current.writeDurably(frame));
+    m_failed = false;
+    ++m_nextSequence;
+    m_currentBytes += frame.size();
+    return {};
+}
+
+result<void> replica_store::write(const replica_write &batch)
+{
+    if (m_currentBytes > maxSegmentBytes) {
+        BOOST_LEAF_CHECK(startSegment(m_segments.back().number + 1));
+    }
+    BOOST_LEAF_CHECK(append(packBatch(batch)));
+    if (batch.hardState)
+        m_hard = *batch.hardState;
+    if (!batch.entries.empty()) {
+        m_segments.back().lastIndex
+                = std::max(m_segments.back().lastIndex, batch.entries.back().index);
+    }
+    return {};
+}
+
+result<void> replica_store::saveSnapshot(const snapshot_data &snapshot)
+{
+    const fs::path path = m_folder / numbered(snapshotPrefix, snapshot.index);
+    BOOST_LEAF_CHECK(replaceFile(path, frameRecord(snapshot.index, packSnapshot(snapshot))));
+    std::error_code ignored;
+    for (const std::uint64_t number : numbersOf(m_folder, snapshotPrefix)) {
+        if (number < snapshot.index)
+            fs::remove(m_folder / numbered(snapshotPrefix, number), ignored);
+    }
+    return {};
+}
+
+result<void> replica_store::compact(log_index keepFrom)
+{
+    BOOST_LEAF_CHECK(startSegment(m_segments.back().number + 1));
+    std::error_code ignored;
+    while (m_segments.size() > 1 && m_segments.front().lastIndex < keepFrom) {
+        fs::remove(segmentPath(m_segments.front().number), ignored);
+        m_segments.pop_front();
+    }
+    return syncFolder(m_folder);
+}
+
+std::uint64_t replica_store::diskBytes() const
+{
+    std::uint64_t bytes = 0;
+    for (const fs::directory_entry &entry : fs::directory_iterator(m_folder))
+        bytes += entry.file_size();
+    return bytes;
+}
+
+fs::path replica_store::segmentPath(std::uint64_t number) const
+{
+    return m_folder / numbered(segmentPrefix, number);
+}
+
+} // namespace yuccascale::store
--- /dev/null
+++ b/src/yuccascale/store/replica_store.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "yuccascale/kernel/consensus/types.hpp"
+#include "yuccascale/store/files.hpp"
+
+#include <deque>
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <span>
+
+/// \file
+/// \brief The durable state of one replica: log segments, hard state, snapshots and incarnation.
+
+namespace yuccascale::store {
+
+/// \brief One durable write.
+struct replica_write
+{
+    std::optional<kernel::consensus::hard_state> hardState;
+    std::optional<kernel::consensus::log_index> resetTo;   ///< the log starts anew after this index
+    std::span<const kernel::consensus::log_entry> entries; ///< replace the tail from their index on
+};
+
+/// \brief What open() found.
+struct recovery
+{
+    kernel::consensus::durable_state state;
+    std::uint64_t incarnation = 0;
+    bool created = false;  ///< the folder was empty
+    bool tornTail = false; ///< an unfinished last write was dropped
+};
+
+/// \brief Keeps a replica's state in one folder. Not thread-safe.
+///
+/// A write that was interrupted by a crash is dropped when the folder is opened; it had not been
+/// acknowledged. Damage anywhere else is refused.
+class replica_store
+{
+public:
+    /// \param newIncarnation of the replica, used when the folder is empty
+    /// \returns error_kind::Corrupt when durable data is damaged or missing, error_kind::Conflict
+    ///          when another process uses the folder, error_kind::Unavailable when the disk fails.
+    [[nodiscard]] static kernel::result<std::unique_ptr<replica_store>>
+    open(const std::filesystem::path &folder, std::uint64_t newIncarnation);
+
+    /// \returns what open() found; empty when it was taken before.
+    [[nodiscard]] recovery takeRecovery() { return std::move(m_recovery); }
+
+    /// \brief Writes and waits until it is on the disk: one sync for the whole write.
+    /// \returns error_kind::Unavailable; the store then accepts nothing more.
+    [[nodiscard]] kernel::result<void> write(const replica_write &batch);
+
+    /// \brief Saves a snapshot durably in place of the former one.
+    [[nodiscard]] kernel::result<void>
+    saveSnapshot(const kernel::consensus::snapshot_data &snapshot);
+
+    /// \brief Removes log segments that hold only entries before \a keepFrom.
+    [[nodiscard]] kernel::result<void> compact(kernel::consensus::log_index keepFrom);
+
+    /// \returns bytes of all files of the store.
+    [[nodiscard]] std::uint64_t diskBytes() const;
+
+private:
+    struct segment
+    {
+        std::uint64_t number = 0;
+        kernel::consensus::log_index lastIndex = 0; ///< largest index in it
+    };
+
+    explicit replica_store(std::filesystem::path folder)
+        : m_folder(std::move(folder))
+    { }
+
+    [[nodiscard]] kernel::result<void> create(std::uint64_t incarnation);
+    [[nodiscard]] kernel::result<void> recover();
+    [[nodiscard]] kernel::result<std::uint64_t> readManifest();
+    [[nodiscard]] kernel::result<void> writeManifest(std::uint64_t newestSegment);
+    [[nodiscard]] kernel::result<void> readSnapshot();
+    [[nodiscard]] kernel::result<void> readSegment(std::uint64_t number, bool newest);
+    [[nodiscard]] kernel::result<void> replay(std::string_view record,
+                                              const std::filesystem::path &path);
+    [[nodiscard]] kernel::result<void> joinSnapshotAndLog();
+    [[nodiscard]] kernel::result<void> startSegment(std::uint64_t number);
+    [[nodiscard]] kernel::result<void> append(std::string_view record);
+    [[nodiscard]] std::filesystem::path segmentPath(std::uint64_t number) const;
+
+    std::filesystem::path m_folder;
+    file m_lock;
+    file m_current;
+    std::uint64_t m_currentBytes = 0;
+    std::uint64_t m_nextSequence = 0;
+    std::deque<segment> m_segments; ///< the last one is written
+    kernel::consensus::hard_state m_hard;
+    std::uint64_t m_incarnation = 0;
+    recovery m_recovery;
+    bool m_failed = false;
+};
+
+} // namespace yuccascale::store
--- /dev/null
+++ b/tests/fakes/control_cluster.hpp
@@ -0,0 +1,234 @@
+#pragma once
+
+#include "fakes/free_port.hpp"
+#include "yuccascale/runtime/replicated_log.hpp"
+#include "yuccascale/runtime/system_clock.hpp"
+#include "yuccascale/wire/tcp_transport.hpp"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// \file
+/// \brief Control nodes in one process, with real disks, links and clocks.
+
+namespace yuccascale::fakes {
+
+/// \brief Drops all events.
+class silent_events final : public kernel::event_sink
+{
+public:
+    using kernel::event_sink::record;
+    void record(const kernel::event_kind &, std::span<const kernel::event_field>) override { }
+};
+
+/// \brief Keeps every command in order; its answer is the command itself.
+class list_consumer final : public runtime::log_consumer
+{
+public:
+    std::string apply(std::uint64_t, std::string_view payload) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_commands.emplace_back(payload);
+        return std::string(payload);
+    }
+    std::string snapshot() override
+    {
+        const std::lock_guard lock(m_mutex);
+        return kernel::toCbor(m_commands);
+    }
+    kernel::result<void> restore(std::string_view bytes) override
+    {
+        const std::lock_guard lock(m_mutex);
+        BOOST_LEAF_ASSIGN(m_commands,
+                          kernel::fromCbor<std::vector<std::string>>(bytes, "list consumer"));
+        return {};
+    }
+    [[nodiscard]] std::vector<std::string> commands() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_commands;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_commands;
+};
+
+/// \brief Keeps only how many commands there were, so that its snapshots stay small.
+class counting_consumer final : public runtime::log_consumer
+{
+public:
+    std::string apply(std::uint64_t, std::string_view) override
+    {
+        return std::to_string(++m_count);
+    }
+    std::string snapshot() override { return std::to_string(m_count); }
+    kernel::result<void> restore(std::string_view bytes) override
+    {
+        m_count = std::stoull(std::string(bytes));
+        return {};
+    }
+    [[nodiscard]] std::uint64_t count() const noexcept { return m_count; }
+
+private:
+    std::atomic<std::uint64_t> m_count{0};
+};
+
+/// \brief One control node: a log with its links and data folder.
+template<typename Consumer>
+class control_node
+{
+public:
+    control_node(runtime::replicated_log_settings settings, wire::transport_settings links,
+                 kernel::event_sink &events)
+        : m_transport(std::move(links))
+        , m_log(std::move(settings), m_transport, m_clock, events, m_consumer)
+    { }
+    ~control_node() { stop(); }
+    control_node(const control_node &) = delete;
+    control_node &operator=(const control_node &) = delete;
+
+    [[nodiscard]] bool start(kernel::error &problem)
+    {
+        return kernel::succeeded([&] { return m_log.start(); }, problem)
+                && kernel::succeeded([&] { return m_transport.start(); }, problem);
+    }
+    void stop()
+    {
+        m_transport.stop();
+        m_log.stop();
+    }
+
+    [[nodiscard]] runtime::replicated_log &log() noexcept { return m_log; }
+    [[nodiscard]] const Consumer &consumer() const noexcept { return m_consumer; }
+    [[nodiscard]] const wire::tcp_transport &transport() const noexcept { return m_transport; }
+
+private:
+    runtime::system_clock m_clock;
+    Consumer m_consumer;
+    wire::tcp_transport m_transport;
+    runtime::replicated_log m_log;
+};
+
+/// \brief Several control nodes on loopback, each with a data folder that is removed at the end.
+template<typename Consumer>
+class control_cluster
+{
+public:
+    explicit control_cluster(std::size_t size, runtime::control_settings control = {})
+        : m_folder(std::filesystem::temp_directory_path()
+                   / ("yuccascale-control-" + std::to_string(::getpid()) + "-"
+                      + std::to_string(madeClusters++)))
+        , m_control(control)
+        , m_nodes(size)
+    {
+        for (std::size_t at = 0; at < size; ++at) {
+            m_names.push_back("control-" + std::to_string(at));
+            m_addresses[m_names.back()] = {"127.0.0.1", freePort()};
+        }
+    }
+    ~control_cluster()
+    {
+        m_nodes.clear();
+        std::filesystem::remove_all(m_folder);
+    }
+    control_cluster(const control_cluster &) = delete;
+    control_cluster &operator=(const control_cluster &) = delete;
+
+    /// \returns false with \a problem when the node could not start.
+    [[nodiscard]] bool start(std::size_t at, kernel::error &problem)
+    {
+        wire::transport_settings links;
+        links.self = m_names[at];
+        links.listen = m_addresses[m_names[at]];
+        links.peers = m_addresses;
+        links.secret = "0123456789abcdef0123456789abcdef";
+        m_nodes[at] = std::make_unique<control_node<Consumer>>(
+                runtime::replicated_log_settings{m_names[at], m_names, folderOf(at).string(),
+                                                 m_control},
+                links, m_events);
+        return m_nodes[at]->start(problem);
+    }
+    void startAll()
+    {
+        kernel::error problem;
+        for (std::size_t at = 0; at < m_nodes.size(); ++at) {
+            if (!start(at, problem))
+                throw std::runtime_error(problem.where + ": " + problem.message);
+        }
+    }
+    void stop(std::size_t at) { m_nodes[at].reset(); }
+
+    [[nodiscard]] control_node<Consumer> &node(std::size_t at) { return *m_nodes[at]; }
+    [[nodiscard]] std::size_t size() const noexcept { return m_nodes.size(); }
+    [[nodiscard]] const std::string &name(std::size_t at) const { return m_names[at]; }
+    [[nodiscard]] std::filesystem::path folderOf(std::size_t at) const
+    {
+        return m_folder / m_names[at];
+    }
+    [[nodiscard]] const kernel::clock &clock() const noexcept { return m_clock; }
+
+    /// \returns the running node with valid authority within \a patience, or size().
+    [[nodiscard]] std::size_t waitForLeader(kernel::nanoseconds patience)
+    {
+        std::size_t found = size();
+        (void)waitFor(
+                [&] {
+                    for (std::size_t at = 0; at < size(); ++at) {
+                        if (m_nodes[at] && m_nodes[at]->log().current(m_clock.now()))
+                            found = at;
+                    }
+                    return found != size();
+                },
+                patience);
+        return found;
+    }
+
+    /// \brief Polls until \a condition holds.
+    /// \returns false when it did not within \a patience.
+    template<typename Condition>
+    [[nodiscard]] bool waitFor(Condition condition, kernel::nanoseconds patience)
+    {
+        const kernel::instant end = m_clock.now() + patience;
+        while (!condition()) {
+            if (m_clock.now() > end)
+                return false;
+            std::this_thread::sleep_for(kernel::milliseconds(1));
+        }
+        return true;
+    }
+
+    /// \brief Proposes on whichever node leads until one command is committed.
+    [[nodiscard]] bool proposeAnywhere(const std::string &payload, kernel::nanoseconds patience)
+    {
+        const kernel::instant end = m_clock.now() + patience;
+        while (m_clock.now() < end) {
+            const std::size_t leader = waitForLeader(end - m_clock.now());
+            kernel::error problem;
+            if (leader != size()
+                && kernel::succeeded([&] { return m_nodes[leader]->log().propose(payload, end); },
+                                     problem))
+                return true;
+        }
+        return false;
+    }
+
+private:
+    inline static std::atomic<int> madeClusters{0};
+
+    std::filesystem::path m_folder;
+    runtime::control_settings m_control;
+    silent_events m_events;
+    runtime::system_clock m_clock;
+    std::vector<std::string> m_names;
+    std::map<std::string, wire::socket_address, std::less<>> m_addresses;
+    std::vector<std::unique_ptr<control_node<Consumer>>> m_nodes;
+};
+
+} // namespace yuccascale::fakes
--- /dev/null
+++ b/tests/unit/consensus_replicated_log_test.cpp
@@ -0,0 +1,107 @@
+#include "fakes/control_cluster.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccascale::runtime {
+
+namespace {
+
+using namespace std::chrono_literals;
+using list_cluster = fakes::control_cluster<fakes::list_consumer>;
+
+constexpr auto patience = 20s;
+
+bool everyNodeHas(list_cluster &cluster, const std::vector<std::string> &commands)
+{
+    return cluster.waitFor(
+            [&] {
+                for (std::size_t at = 0; at < cluster.size(); ++at) {
+                    if (cluster.node(at).consumer().commands() != commands)
+                        return false;
+                }
+                return true;
+            },
+            patience);
+}
+
+} // namespace
+
+TEST(consensus_replicated_log, commitsOnAllNodesAndAnswersWithWhatTheConsumerSaid)
+{
+    list_cluster cluster(3);
+    cluster.startAll();
+    const std::size_t leader = cluster.waitForLeader(patience);
+    ASSERT_NE(leader, cluster.size());
+
+    std::string answer;
+    kernel::error problem;
+    const auto propose = [&]() -> kernel::result<void> {
+        BOOST_LEAF_ASSIGN(
+                answer,
+                cluster.node(leader).log().propose("one", cluster.clock().now() + patience));
+        return cluster.node(leader).log().confirmLeadership(cluster.clock().now() + patience);
+    };
+    EXPECT_TRUE(kernel::succeeded(propose, problem)) << problem.message;
+    EXPECT_EQ(answer, "one");
+    EXPECT_TRUE(everyNodeHas(cluster, {"one"}));
+
+    const std::size_t follower = (leader + 1) % cluster.size();
+    EXPECT_FALSE(kernel::succeeded(
+            [&] {
+                return cluster.node(follower).log().propose("two",
+                                                            cluster.clock().now() + patience);
+            },
+            problem));
+    EXPECT_EQ(problem.kind, kernel::error_kind::NotLeader);
+    EXPECT_EQ(problem.where, cluster.name(leader));
+}
+
+TEST(consensus_replicated_log, aNodeThatLostItsDiskJoinsAsALearnerAndVotesAgain)
+{
+    list_cluster cluster(3);
+    cluster.startAll();
+    ASSERT_TRUE(cluster.proposeAnywhere("before", patience));
+    const std::size_t leader = cluster.waitForLeader(patience);
+    const std::size_t lost = (leader + 1) % cluster.size();
+    cluster.stop(lost);
+    std::filesystem::remove_all(cluster.folderOf(lost));
+    ASSERT_TRUE(cluster.proposeAnywhere("without", patience));
+
+    kernel::error problem;
+    ASSERT_TRUE(cluster.start(lost, problem)) << problem.message;
+    EXPECT_FALSE(cluster.node(lost).log().status().degraded.empty());
+    EXPECT_TRUE(cluster.waitFor(
+            [&] {
+                const replicated_log_status status = cluster.node(lost).log().status();
+                return status.voters.size() == 3 && status.degraded.empty();
+            },
+            patience));
+    EXPECT_TRUE(everyNodeHas(cluster, {"before", "without"}));
+
+    // the others alone are no longer needed: the repaired node makes a quorum with either
+    cluster.stop(leader);
+    EXPECT_TRUE(cluster.proposeAnywhere("after", patience));
+}
+
+TEST(consensus_replicated_log, aRestartAfterAThousandChangesIsInForceWithinASecond)
+{
+    list_cluster cluster(3);
+    cluster.startAll();
+    std::vector<std::string> commands;
+    commands.reserve(1'000);
+    for (int number = 0; number < 1'000; ++number)
+        commands.push_back("change-" + std::to_string(number));
+    for (const std::string &command : commands)
+        ASSERT_TRUE(cluster.proposeAnywhere(command, patience));
+    const std::size_t restarted = (cluster.waitForLeader(patience) + 1) % cluster.size();
+    cluster.stop(restarted);
+
+    kernel::error problem;
+    const kernel::instant begin = cluster.clock().now();
+    ASSERT_TRUE(cluster.start(restarted, problem)) << problem.message;
+    EXPECT_TRUE(cluster.waitFor(
+            [&] { return cluster.node(restarted).consumer().commands() == commands; }, patience));
+    EXPECT_LT(cluster.clock().now() - begin, 1s);
+}
+
+} // namespace yuccascale::runtime
