--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -309,6 +309,7 @@
 result<bool> replicated_log::work()
 {
     const actions todo = m_replica->take(m_clock.now());
+    withdrawLostLeadership();
     send(todo.earlyMessages);
     if (todo.mustSync()) {
         BOOST_LEAF_CHECK(makeDurable(todo));
@@ -416,6 +417,21 @@
     return m_store->compact(keepFrom);
 }
 
+/// Takes back an authority that this replica has lost, before a message such as a vote for another
+/// leader lets that one have it.
+void replicated_log::withdrawLostLeadership()
+{
+    if (m_replica->role() == replica_role::Leader)
+        return;
+    std::optional<kernel::leadership> former;
+    {
+        const std::lock_guard lock(m_publishedMutex);
+        former = std::exchange(m_leadership, std::nullopt);
+    }
+    if (former)
+        m_events.record(authorityLost, {{"fence", former->fence}});
+}
+
 void replicated_log::publish()
 {
     const instant now = m_clock.now();
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -161,6 +161,7 @@
     [[nodiscard]] kernel::result<void> install(const kernel::consensus::snapshot_data &snapshot);
     void finishReads(const std::vector<kernel::consensus::confirmed_read> &reads);
     [[nodiscard]] kernel::result<void> saveSnapshotWhenDue();
+    void withdrawLostLeadership();
     void publish();
     void publishStopped(const std::string &reason);
     void abandonWaiters(const std::string &reason);
