The whole path: a node process with entry and control roles

Cause: the parts ran only in tests. A node now ties links, log, state machine, feed, caller and operator interfaces together; each process is started by hand or script. Before: no process.

--- a/src/yuccascale/cli/node_command.cpp
+++ b/src/yuccascale/cli/node_command.cpp
@@ -1,15 +1,55 @@
 #include "yuccascale/cli/node_command.hpp"
 
+#include "yuccascale/runtime/node.hpp"
+
 #include <gflags/gflags.h>
 
+#include <csignal>
+#include <thread>
+
 DEFINE_string(settings, "", "settings file of the node");
 
 namespace yuccascale::cli {
 
+namespace {
+
+/// Blocks the signals that end the process, so that one thread can wait for them.
+sigset_t blockEndSignals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    return set;
+}
+
+/// Begins a graceful shutdown at each end signal, until the process ends.
+void watchSignals(const sigset_t &set, const std::shared_ptr<runtime::node> &node)
+{
+    std::thread([set, node] {
+        int received = 0;
+        while (sigwait(&set, &received) == 0)
+            node->beginShutdown();
+    }).detach();
+}
+
+} // namespace
+
 kernel::result<void> runNode(command_words)
 {
-    return kernel::fail(kernel::error_kind::Internal, "node",
-                        "this build has no node; take a later one");
+    if (FLAGS_settings.empty()) {
+        return kernel::fail(kernel::error_kind::InvalidArgument, "--settings",
+                            "name the node's settings file: --settings=node.yaml");
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    const sigset_t signals = blockEndSignals();
+    BOOST_LEAF_AUTO(settings, runtime::readSettings(FLAGS_settings));
+    const auto node = std::make_shared<runtime::node>(settings);
+    BOOST_LEAF_CHECK(node->start());
+    watchSignals(signals, node);
+    node->waitUntilDrained();
+    return {};
 }
 
 } // namespace yuccascale::cli
--- a/src/yuccascale/kernel/feed/feed_messages.hpp
+++ b/src/yuccascale/kernel/feed/feed_messages.hpp
@@ -32,9 +32,6 @@
     bool haveTables = false;          ///< false after a restart: the whole tables are wanted
     std::uint64_t haveBans = 0;       ///< version of the banned fingerprints held
     std::vector<node_report> reports; ///< this node first, then those it relays for
-
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(feed_request, haveRevision, haveTables, haveBans,
-                                                reports)
 };
 
 /// \brief What is in force, and for how long it may be acted on.
@@ -49,9 +46,6 @@
     std::uint64_t bansVersion = 0;
     std::vector<std::string> bans;        ///< whole list when bansVersion is not haveBans
     std::vector<std::string> unavailable; ///< entries that callers should not be sent to
-
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(feed_reply, confirmed, leader, freshForMs, revision,
-                                                edits, whole, bansVersion, bans, unavailable)
 };
 
 } // namespace yuccascale::kernel::feed
--- a/src/yuccascale/kernel/feed/feed_state.cpp
+++ b/src/yuccascale/kernel/feed/feed_state.cpp
@@ -23,13 +23,14 @@
     return {m_history.newest(), m_freshUntil, m_bans, m_leader};
 }
 
-feed_request feed_state::request(instant now, const node_report &self) const
+feed_request feed_state::request(instant now, const node_report &self, bool relayed) const
 {
     feed_request out;
     out.haveTables = m_history.newest() != nullptr;
     out.haveRevision = out.haveTables ? m_history.newest()->revision : 0;
     out.haveBans = m_bansVersion;
-    out.reports = m_directory.reports(now, silentNodeWindow);
+    if (relayed)
+        out.reports = m_directory.reports(now, silentNodeWindow);
     std::erase_if(out.reports, [&](const auto &report) { return report.node == self.node; });
     out.reports.insert(out.reports.begin(), self);
     return out;
--- a/src/yuccascale/kernel/feed/feed_state.hpp
+++ b/src/yuccascale/kernel/feed/feed_state.hpp
@@ -46,8 +46,9 @@
 
     [[nodiscard]] const node_directory &directory() const noexcept { return m_directory; }
 
+    /// \param relayed whether to add the reports of the nodes that ask here
     /// \returns the request to send next.
-    [[nodiscard]] feed_request request(instant now, const node_report &self) const;
+    [[nodiscard]] feed_request request(instant now, const node_report &self, bool relayed) const;
 
     /// \brief Installs a reply to a request sent at \a askedAt.
     /// \returns true when a newer revision came in force.
--- a/src/yuccascale/kernel/feed/table_history.cpp
+++ b/src/yuccascale/kernel/feed/table_history.cpp
@@ -14,7 +14,7 @@
 {
     for (const auto &[name, row] : to) {
         const auto old = from.find(name);
-        if (old == from.end() || json(old->second) != json(row))
+        if (old == from.end() || !(old->second == row))
             put.push_back(row);
     }
     for (const auto &[name, row] : from) {
--- a/src/yuccascale/kernel/state/tables.hpp
+++ b/src/yuccascale/kernel/state/tables.hpp
@@ -48,6 +48,8 @@
     std::int64_t firstTokenMs = 1'300; ///< target time to the first token
     int priority = 0;                  ///< larger goes first within an organisation's share
 
+    [[nodiscard]] bool operator==(const route &) const = default;
+
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(route, name, pool, kind, access, idempotent,
                                                 deadlineMs, firstTokenMs, priority)
 };
@@ -66,6 +68,8 @@
     bool draining = false; ///< no new work; set by an operator, a VM's notice or an open order
     std::uint64_t drainingForOrder = 0; ///< the open order that set draining; 0: none
 
+    [[nodiscard]] bool operator==(const endpoint &) const = default;
+
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(endpoint, name, address, zone, role, tenure,
                                                 fencesOrders, pricePerHour, slots, draining,
                                                 drainingForOrder)
@@ -83,6 +87,8 @@
     int maxEndpoints = 64;
     std::vector<endpoint> endpoints;
 
+    [[nodiscard]] bool operator==(const pool &) const = default;
+
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(pool, name, kind, model, version, adapters,
                                                 minEndpoints, maxEndpoints, endpoints)
 };
@@ -93,6 +99,8 @@
     std::string name;
     double weight = 1.0; ///< share relative to the others' weights
 
+    [[nodiscard]] bool operator==(const organisation &) const = default;
+
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(organisation, name, weight)
 };
 
@@ -103,6 +111,8 @@
     std::string organisation;
     std::string digest; ///< SHA-256 of the key, lower-case hex
 
+    [[nodiscard]] bool operator==(const key_record &) const = default;
+
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(key_record, id, organisation, digest)
 };
 
@@ -119,6 +129,8 @@
     std::map<std::string, organisation> organisations;
     std::map<std::string, key_record> keys; ///< by key id
 
+    [[nodiscard]] bool operator==(const table_set &) const = default;
+
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(table_set, revision, editableFrom, routes, pools,
                                                 organisations, keys)
 };
--- /dev/null
+++ b/src/yuccascale/runtime/control_service.cpp
@@ -0,0 +1,88 @@
+#include "yuccascale/runtime/control_service.hpp"
+
+#include <utility>
+
+namespace yuccascale::runtime {
+
+using namespace kernel;
+
+control_service::control_service(std::function<void()> onTables)
+    : m_onTables(std::move(onTables))
+{ }
+
+std::string control_service::apply(std::uint64_t index, std::string_view payload)
+{
+    state::command command;
+    error problem;
+    const bool decoded = succeeded(
+            [&]() -> result<void> {
+                BOOST_LEAF_ASSIGN(command, fromCbor<state::command>(payload, "log entry"));
+                return {};
+            },
+            problem);
+    if (!decoded)
+        return toCbor(state::command_result{false, problem.kind, problem.message, index, 0, {}});
+    state::command_result answer;
+    bool feedChanged = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto tables = m_machine.tables();
+        const auto bans = m_machine.bannedFingerprints();
+        answer = m_machine.apply(index, command);
+        feedChanged = tables != m_machine.tables() || bans != m_machine.bannedFingerprints();
+        if (bans != m_machine.bannedFingerprints())
+            m_bansVersion = index;
+    }
+    if (feedChanged)
+        m_onTables();
+    return toCbor(answer);
+}
+
+std::string control_service::snapshot()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_machine.snapshot();
+}
+
+result<void> control_service::restore(std::string_view bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    BOOST_LEAF_CHECK(m_machine.restore(bytes));
+    m_bansVersion = m_machine.appliedIndex();
+    return {};
+}
+
+std::string control_service::leader() const
+{
+    return m_log->leader();
+}
+
+result<feed::leader_reading> control_service::confirmedReading(instant deadline)
+{
+    BOOST_LEAF_CHECK(m_log->confirmLeadership(deadline));
+    const std::lock_guard lock(m_mutex);
+    const auto bans = m_machine.bannedFingerprints();
+    return feed::leader_reading{m_machine.tables(), m_bansVersion, {bans->begin(), bans->end()}};
+}
+
+submit_reply control_service::propose(const state::command &command, instant deadline)
+{
+    submit_reply reply;
+    error problem;
+    reply.answered = succeeded(
+            [&]() -> result<void> {
+                BOOST_LEAF_AUTO(bytes, m_log->propose(toCbor(command), deadline));
+                BOOST_LEAF_ASSIGN(reply.answer,
+                                  fromCbor<state::command_result>(bytes, "state machine"));
+                return {};
+            },
+            problem);
+    if (reply.answered)
+        return reply;
+    reply.kind = problem.kind;
+    reply.message = problem.message;
+    reply.leader = m_log->leader();
+    return reply;
+}
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/src/yuccascale/runtime/control_service.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "yuccascale/kernel/state/machine.hpp"
+#include "yuccascale/runtime/cluster_client.hpp"
+#include "yuccascale/runtime/feed_service.hpp"
+#include "yuccascale/runtime/replicated_log.hpp"
+
+#include <functional>
+#include <mutex>
+#include <string>
+
+/// \file
+/// \brief The control role of a node: the state machine over the replicated log.
+
+namespace yuccascale::runtime {
+
+/// \brief Owns the state machine, proposes commands and reads it for the feed. Thread-safe.
+class control_service final : public log_consumer, public control_authority, public command_proposer
+{
+public:
+    /// \param onTables runs after a table edit was applied here
+    explicit control_service(std::function<void()> onTables);
+
+    /// \brief Names the log; before it is started.
+    void attach(replicated_log &log) noexcept { m_log = &log; }
+
+    /// \brief Reads the state machine under its lock.
+    template<typename Read>
+    [[nodiscard]] auto read(Read &&read) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return read(m_machine);
+    }
+
+    // log_consumer
+    [[nodiscard]] std::string apply(std::uint64_t index, std::string_view payload) override;
+    [[nodiscard]] std::string snapshot() override;
+    [[nodiscard]] kernel::result<void> restore(std::string_view bytes) override;
+
+    // control_authority
+    [[nodiscard]] std::string leader() const override;
+    [[nodiscard]] kernel::result<kernel::feed::leader_reading>
+    confirmedReading(kernel::instant deadline) override;
+
+    // command_proposer
+    [[nodiscard]] submit_reply propose(const kernel::state::command &command,
+                                       kernel::instant deadline) override;
+
+private:
+    std::function<void()> m_onTables;
+    replicated_log *m_log = nullptr;
+    mutable std::mutex m_mutex;
+    kernel::state::machine m_machine;
+    std::uint64_t m_bansVersion = 0;
+};
+
+} // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/runtime/feed_service.hpp"
 
 #include "yuccascale/runtime/events.hpp"
+#include "yuccascale/wire/feed_codec.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -11,6 +12,9 @@
 
 namespace {
 
+/// Reports of other nodes go up with every so many requests.
+constexpr std::uint64_t asksPerRelayedReport = 2;
+
 std::vector<std::string> entryNames(const settings &settings)
 {
     std::vector<std::string> names;
@@ -167,8 +171,10 @@
     const std::string peer = target();
     if (peer.empty())
         return;
+    const bool relayed = m_asks++ % asksPerRelayedReport == 0;
     std::unique_lock lock(m_mutex);
-    const std::string request = toCbor(m_state.request(askedAt, selfReport()));
+    const std::string request
+            = wire::encodeFeedRequest(m_state.request(askedAt, selfReport(), relayed));
     lock.unlock();
     feed::feed_reply reply;
     error problem;
@@ -177,8 +183,7 @@
                 BOOST_LEAF_AUTO(bytes,
                                 m_transport.call(peer, channel::Feed, request,
                                                  m_settings.control.feedInterval));
-                BOOST_LEAF_ASSIGN(reply,
-                                  fromCbor<feed::feed_reply>(bytes, "feed reply of " + peer));
+                BOOST_LEAF_ASSIGN(reply, wire::decodeFeedReply(bytes));
                 return {};
             },
             problem);
@@ -213,7 +218,7 @@
     error problem;
     const bool good = succeeded(
             [&]() -> result<void> {
-                BOOST_LEAF_ASSIGN(request, fromCbor<feed::feed_request>(payload, "feed request"));
+                BOOST_LEAF_ASSIGN(request, wire::decodeFeedRequest(payload));
                 return {};
             },
             problem);
@@ -222,7 +227,7 @@
         return {};
     }
     const std::lock_guard lock(m_mutex);
-    return toCbor(m_state.answer(m_clock.now(), peer, request));
+    return wire::encodeFeedReply(m_state.answer(m_clock.now(), peer, request));
 }
 
 /// Needs m_mutex.
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -80,6 +80,7 @@
     control_authority *m_authority;
     std::vector<std::string> m_controlNodes; ///< those in this availability zone first
     std::size_t m_target = 0;
+    std::uint64_t m_asks = 0;
     std::uint64_t m_incarnation;
 
     mutable std::mutex m_mutex;
--- /dev/null
+++ b/src/yuccascale/runtime/node_status.cpp
@@ -0,0 +1,107 @@
+#include "yuccascale/runtime/node_status.hpp"
+
+#include <charconv>
+
+namespace yuccascale::runtime {
+
+using namespace kernel;
+
+namespace {
+
+std::int64_t millisecondsBetween(instant from, instant to)
+{
+    return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
+json problem(std::string_view what, std::string_view remedy)
+{
+    return {{"what", what}, {"remedy", remedy}};
+}
+
+void addMissingNodes(const node_facts &facts, json &degraded)
+{
+    constexpr std::int64_t silentMs = 3'000;
+    for (const feed::node_report &node : facts.nodes) {
+        if (node.leaving)
+            degraded.push_back(problem(node.node + " is leaving", "wait for it to finish"));
+        else if (node.ageMs > silentMs)
+            degraded.push_back(problem(node.node + " has not been heard for "
+                                               + std::to_string(node.ageMs) + " ms",
+                                       "start it again or check its VM and network"));
+    }
+}
+
+json degradedStates(const node_facts &facts)
+{
+    json degraded = json::array();
+    if (!facts.view.fresh(facts.now)) {
+        degraded.push_back(problem("no confirmed revision: keyed requests are refused as not run",
+                                   "check that most control nodes run and reach each other"));
+    }
+    if (facts.replica) {
+        for (const std::string &reason : facts.replica->degraded)
+            degraded.push_back(problem(reason, "see docs/operators.md, degraded states"));
+    }
+    addMissingNodes(facts, degraded);
+    return degraded;
+}
+
+json replicaStatus(const node_facts &facts)
+{
+    const replicated_log_status &replica = *facts.replica;
+    return {{"role", replica.role},
+            {"term", replica.term},
+            {"commit_index", replica.commitIndex},
+            {"applied_index", replica.appliedIndex},
+            {"since_ms", millisecondsBetween(replica.since, facts.now)},
+            {"voters", replica.voters},
+            {"learners", replica.learners}};
+}
+
+json linkStatus(const wire::transport_counters &links)
+{
+    return {{"bytes_sent", links.bytesSent.load()},
+            {"bytes_received", links.bytesReceived.load()},
+            {"frames_sent", links.framesSent.load()},
+            {"frames_received", links.framesReceived.load()},
+            {"frames_dropped", links.framesDropped.load()},
+            {"peers_refused", links.peersRefused.load()}};
+}
+
+} // namespace
+
+json nodeStatus(const node_facts &facts)
+{
+    json out{{"node", facts.settings->node},
+             {"zone", facts.settings->self().zone},
+             {"leader", facts.view.leader},
+             {"fresh", facts.view.fresh(facts.now)},
+             {"revision", facts.view.tables ? facts.view.tables->revision : 0},
+             {"nodes", facts.nodes},
+             {"links", linkStatus(*facts.links)},
+             {"degraded", degradedStates(facts)}};
+    if (facts.replica)
+        out["replica"] = replicaStatus(facts);
+    if (facts.authority) {
+        out["authority"] = {{"fence", facts.authority->fence},
+                            {"since_ms", millisecondsBetween(facts.authority->since, facts.now)},
+                            {"left_ms", millisecondsBetween(facts.now, facts.authority->until)}};
+    }
+    return out;
+}
+
+json explainId(const decision_memory &events, const control_service *control, std::string_view id)
+{
+    json out{{"id", id}, {"events", events.find(id)}};
+    std::uint64_t orderId = 0;
+    const auto [end, wrong] = std::from_chars(id.data(), id.data() + id.size(), orderId);
+    if (control == nullptr || wrong != std::errc() || end != id.data() + id.size())
+        return out;
+    const auto order
+            = control->read([&](const state::machine &machine) { return machine.order(orderId); });
+    if (order)
+        out["order"] = *order;
+    return out;
+}
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/src/yuccascale/wire/feed_codec.cpp
@@ -0,0 +1,143 @@
+#include "yuccascale/wire/feed_codec.hpp"
+
+#include "yuccascale/wire/feed_generated.h"
+
+#include <vector>
+
+namespace yuccascale::wire {
+
+using kernel::error_kind;
+using kernel::fail;
+using kernel::result;
+
+namespace {
+
+using builder_type = flatbuffers::FlatBufferBuilder;
+using byte_vector = flatbuffers::Vector<std::uint8_t>;
+using text_vector = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
+
+std::string finished(const builder_type &builder)
+{
+    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+template<typename Rows>
+flatbuffers::Offset<byte_vector> rowsToBytes(builder_type &builder, const Rows &rows)
+{
+    if (rows.empty())
+        return 0;
+    const std::string bytes = kernel::toCbor(rows);
+    return builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+}
+
+template<typename Rows>
+result<Rows> rowsFromBytes(const byte_vector *bytes)
+{
+    if (bytes == nullptr)
+        return Rows{};
+    const std::string_view view(reinterpret_cast<const char *>(bytes->data()), bytes->size());
+    return kernel::fromCbor<Rows>(view, "feed rows");
+}
+
+flatbuffers::Offset<text_vector> textsToVector(builder_type &builder,
+                                               const std::vector<std::string> &texts)
+{
+    return texts.empty() ? 0 : builder.CreateVectorOfStrings(texts);
+}
+
+std::vector<std::string> textsFromVector(const text_vector *texts)
+{
+    std::vector<std::string> out;
+    if (texts == nullptr)
+        return out;
+    for (const auto *text : *texts)
+        out.push_back(text->str());
+    return out;
+}
+
+std::string textOf(const flatbuffers::String *text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
+template<typename Table>
+result<const Table *> verified(std::string_view bytes)
+{
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(bytes.data()),
+                                   bytes.size());
+    if (!verifier.VerifyBuffer<Table>(nullptr))
+        return fail(error_kind::Corrupt, "feed", "not a feed message; upgrade the older node");
+    return flatbuffers::GetRoot<Table>(bytes.data());
+}
+
+kernel::feed::node_report reportOf(const fb::NodeReport &table)
+{
+    return {textOf(table.node()), table.incarnation(), table.revision(), table.age_ms(),
+            table.leaving()};
+}
+
+} // namespace
+
+std::string encodeFeedRequest(const kernel::feed::feed_request &request)
+{
+    builder_type builder;
+    std::vector<flatbuffers::Offset<fb::NodeReport>> reports;
+    for (const kernel::feed::node_report &report : request.reports) {
+        const auto node = builder.CreateString(report.node);
+        reports.push_back(fb::CreateNodeReport(builder, node, report.incarnation, report.revision,
+                                               static_cast<std::uint32_t>(report.ageMs),
+                                               report.leaving));
+    }
+    const auto all = builder.CreateVector(reports);
+    builder.Finish(fb::CreateFeedRequest(builder, request.haveRevision, request.haveTables,
+                                         request.haveBans, all));
+    return finished(builder);
+}
+
+std::string encodeFeedReply(const kernel::feed::feed_reply &reply)
+{
+    builder_type builder;
+    const auto leader = builder.CreateString(reply.leader);
+    const auto edits = rowsToBytes(builder, reply.edits);
+    const auto whole = rowsToBytes(builder, reply.whole);
+    const auto bans = textsToVector(builder, reply.bans);
+    const auto unavailable = textsToVector(builder, reply.unavailable);
+    builder.Finish(fb::CreateFeedReply(builder, reply.confirmed, leader,
+                                       static_cast<std::uint32_t>(reply.freshForMs), reply.revision,
+                                       edits, whole, reply.bansVersion, bans, unavailable));
+    return finished(builder);
+}
+
+result<kernel::feed::feed_request> decodeFeedRequest(std::string_view bytes)
+{
+    BOOST_LEAF_AUTO(table, verified<fb::FeedRequest>(bytes));
+    kernel::feed::feed_request out;
+    out.haveRevision = table->have_revision();
+    out.haveTables = table->have_tables();
+    out.haveBans = table->have_bans();
+    if (table->reports() != nullptr) {
+        for (const auto *report : *table->reports())
+            out.reports.push_back(reportOf(*report));
+    }
+    return out;
+}
+
+result<kernel::feed::feed_reply> decodeFeedReply(std::string_view bytes)
+{
+    BOOST_LEAF_AUTO(table, verified<fb::FeedReply>(bytes));
+    kernel::feed::feed_reply out;
+    out.confirmed = table->confirmed();
+    out.leader = textOf(table->leader());
+    out.freshForMs = table->fresh_for_ms();
+    out.revision = table->revision();
+    BOOST_LEAF_ASSIGN(out.edits,
+                      rowsFromBytes<std::vector<kernel::state::edit_tables>>(table->edits()));
+    BOOST_LEAF_ASSIGN(out.whole,
+                      rowsFromBytes<std::vector<kernel::state::table_set>>(table->whole()));
+    out.bansVersion = table->bans_version();
+    out.bans = textsFromVector(table->bans());
+    out.unavailable = textsFromVector(table->unavailable());
+    return out;
+}
+
+} // namespace yuccascale::wire
--- /dev/null
+++ b/src/yuccascale/wire/feed_codec.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "yuccascale/kernel/error.hpp"
+#include "yuccascale/kernel/feed/feed_messages.hpp"
+
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief FlatBuffers form of the feed's messages; fields at their defaults take no bytes.
+
+namespace yuccascale::wire {
+
+[[nodiscard]] std::string encodeFeedRequest(const kernel::feed::feed_request &request);
+[[nodiscard]] std::string encodeFeedReply(const kernel::feed::feed_reply &reply);
+
+/// \returns error_kind::Corrupt when \a bytes are not a request.
+[[nodiscard]] kernel::result<kernel::feed::feed_request> decodeFeedRequest(std::string_view bytes);
+
+/// \returns error_kind::Corrupt when \a bytes are not a reply.
+[[nodiscard]] kernel::result<kernel::feed::feed_reply> decodeFeedReply(std::string_view bytes);
+
+} // namespace yuccascale::wire
--- /dev/null
+++ b/tests/unit/feed_codec_test.cpp
@@ -0,0 +1,80 @@
+#include "yuccascale/wire/feed_codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace yuccascale::wire {
+
+namespace {
+
+kernel::feed::feed_reply sampleReply()
+{
+    kernel::feed::feed_reply reply;
+    reply.confirmed = true;
+    reply.leader = "perth-a-1";
+    reply.freshForMs = 1'900;
+    reply.revision = 7;
+    reply.edits.resize(1);
+    reply.edits.front().putOrganisations.push_back({"north", 2.0});
+    reply.whole.resize(1);
+    reply.whole.front().revision = 7;
+    reply.bansVersion = 3;
+    reply.bans = {"fingerprint"};
+    reply.unavailable = {"perth-b-1"};
+    return reply;
+}
+
+bool decodes(std::string_view bytes, kernel::feed::feed_reply &out)
+{
+    kernel::error problem;
+    return kernel::succeeded(
+            [&]() -> kernel::result<void> {
+                BOOST_LEAF_ASSIGN(out, decodeFeedReply(bytes));
+                return {};
+            },
+            problem);
+}
+
+} // namespace
+
+TEST(feed_codec_test, keepsEveryFieldOfAReply)
+{
+    kernel::feed::feed_reply copy;
+    ASSERT_TRUE(decodes(encodeFeedReply(sampleReply()), copy));
+    EXPECT_EQ(encodeFeedReply(copy), encodeFeedReply(sampleReply()));
+    EXPECT_EQ(copy.edits.front().putOrganisations.front().weight, 2.0);
+    EXPECT_EQ(copy.unavailable, sampleReply().unavailable);
+}
+
+TEST(feed_codec_test, keepsEveryFieldOfARequest)
+{
+    kernel::feed::feed_request request{7, true, 3, {{"perth-a-1", 5, 7, 20, true}}};
+    kernel::feed::feed_request copy;
+    kernel::error problem;
+    ASSERT_TRUE(kernel::succeeded(
+            [&]() -> kernel::result<void> {
+                BOOST_LEAF_ASSIGN(copy, decodeFeedRequest(encodeFeedRequest(request)));
+                return {};
+            },
+            problem));
+    EXPECT_EQ(encodeFeedRequest(copy), encodeFeedRequest(request));
+    EXPECT_TRUE(copy.haveTables && copy.reports.front().leaving);
+}
+
+TEST(feed_codec_test, refusesOrReadsAnyBytes)
+{
+    std::mt19937 random(20261203);
+    const std::string good = encodeFeedReply(sampleReply());
+    int refused = 0;
+    for (int round = 0; round < 5'000; ++round) {
+        std::string bytes = good;
+        for (int change = 0; change < 3; ++change)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        kernel::feed::feed_reply copy;
+        refused += decodes(bytes, copy) ? 0 : 1;
+    }
+    EXPECT_GT(refused, 0);
+}
+
+} // namespace yuccascale::wire
--- a/tests/unit/feed_state_test.cpp
+++ b/tests/unit/feed_state_test.cpp
@@ -39,7 +39,7 @@
     {
         node_report self;
         self.node = name;
-        const feed_request request = from.request(m_clock.now(), self);
+        const feed_request request = from.request(m_clock.now(), self, true);
         return from.install(m_clock.now(), to.answer(m_clock.now(), name, request));
     }
 };
@@ -64,7 +64,7 @@
     node_report self;
     self.node = "entry";
     const feed_reply reply
-            = m_leader.answer(m_clock.now(), "entry", m_entry.request(m_clock.now(), self));
+            = m_leader.answer(m_clock.now(), "entry", m_entry.request(m_clock.now(), self, true));
     EXPECT_EQ(reply.edits.size(), 2U);
     EXPECT_TRUE(reply.whole.empty());
     m_entry.install(m_clock.now(), reply);
@@ -77,7 +77,7 @@
     node_report self;
     self.node = "entry";
     const feed_reply late
-            = m_leader.answer(m_clock.now(), "entry", m_entry.request(m_clock.now(), self));
+            = m_leader.answer(m_clock.now(), "entry", m_entry.request(m_clock.now(), self, true));
     leaderReads(4);
     ask(m_entry, m_leader, "entry");
     m_clock.advance(seconds(1));
