--- a/src/yuccascale/kernel/feed/feed_state.cpp
+++ b/src/yuccascale/kernel/feed/feed_state.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// A node that was not heard for this long is taken out of the addresses.
-constexpr seconds silentNodeWindow{3};
+constexpr seconds silentNodeWindow{4};
 
 } // namespace
 
--- a/src/yuccascale/runtime/node_status.cpp
+++ b/src/yuccascale/runtime/node_status.cpp
@@ -20,7 +20,7 @@
 
 void addMissingNodes(const node_facts &facts, json &degraded)
 {
-    constexpr std::int64_t silentMs = 3'000;
+    constexpr std::int64_t silentMs = 4'000;
     for (const feed::node_report &node : facts.nodes) {
         if (node.leaving)
             degraded.push_back(problem(node.node + " is leaving", "wait for it to finish"));
--- a/src/yuccascale/runtime/settings.hpp
+++ b/src/yuccascale/runtime/settings.hpp
@@ -52,11 +52,11 @@
 /// \brief Times of the control role.
 struct control_settings
 {
-    kernel::milliseconds heartbeat{100};
-    kernel::milliseconds electionTimeout{700}; ///< the shortest; the longest is twice this
+    kernel::milliseconds heartbeat{250};
+    kernel::milliseconds electionTimeout{1'000}; ///< the shortest; the longest is twice this
     kernel::milliseconds lease{1'500}; ///< authority of a leader after its last confirmed heartbeat
-    kernel::milliseconds freshness{2'000};  ///< how long an entry may act on its tables unconfirmed
-    kernel::milliseconds feedInterval{500}; ///< how often an entry asks for newer tables
+    kernel::milliseconds freshness{2'400};  ///< how long an entry may act on its tables unconfirmed
+    kernel::milliseconds feedInterval{800}; ///< how often an entry asks for newer tables
     kernel::milliseconds orderLife{3'000};  ///< longest time an order can be under way
     std::uint64_t snapshotEntries = 4'096;  ///< log entries between snapshots
 };
