Order driver, usage reporter and the leader's duties

Cause: the log held orders and usage windows, and nothing carried them out.

- plugins: HTTP drivers on a connection of their own, the permit asked after connect and before the first byte, TCP_USER_TIMEOUT, SO_LINGER 0.
- runtime/duties: runs these on threads of its own while the node leads, polls the VM list, retires replaced entries, asks the role and placement policies through kernel/orders/fleet_scheduler.

Weighed: sending to engines that fence at once after a change of leader; ruled out, since an engine that crashed has forgotten the highest fence.

--- /dev/null
+++ b/src/yuccascale/kernel/orders/fleet_scheduler.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/events.hpp"
+#include "yuccascale/kernel/leadership.hpp"
+#include "yuccascale/kernel/policy/fleet.hpp"
+#include "yuccascale/kernel/state/leader_view.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Turns the policies' decisions on roles and placement into orders of the log.
+
+namespace yuccascale::kernel::orders {
+
+/// \brief What the leader knows of one engine from load reports.
+struct engine_facts
+{
+    state::engine_role role = state::engine_role::Mixed; ///< in force now
+    int running = 0;
+    bool leaving = false;
+};
+
+/// \brief What the leader knows of one pool.
+struct pool_facts
+{
+    std::string pool;
+    policy::pool_demand demand;
+    policy::engine_rates rates;
+    std::map<std::string, engine_facts> engines; ///< by endpoint name; those that report
+};
+
+/// \brief Times of the fleet scheduler.
+struct fleet_times
+{
+    nanoseconds roleInterval = seconds(1);
+    nanoseconds placementInterval = seconds(5);
+};
+
+/// \brief Asks the policies and opens orders: one per target, within the pool's bounds.
+///
+/// Not thread-safe.
+class fleet_scheduler
+{
+public:
+    using role_maker = std::function<std::unique_ptr<policy::role_policy>()>;
+    using placement_maker = std::function<std::unique_ptr<policy::placement_policy>()>;
+
+    /// \param makeRoles,makePlacement make one policy for each pool
+    fleet_scheduler(const fleet_times &times, role_maker makeRoles, placement_maker makePlacement,
+                    event_sink &events);
+
+    /// \param offers what the platform sells now
+    /// \returns the orders to commit now; empty without authority.
+    [[nodiscard]] std::vector<state::command>
+    step(instant now, const std::optional<leadership> &authority, const state::leader_view &view,
+         std::span<const pool_facts> facts, std::span<const policy::endpoint_offer> offers);
+
+private:
+    struct pool_policies
+    {
+        std::unique_ptr<policy::role_policy> roles;
+        std::unique_ptr<policy::placement_policy> placement;
+        std::map<std::string, std::pair<state::engine_role, instant>> roleSince;
+    };
+
+    /// What the decisions of one pool see.
+    struct situation
+    {
+        instant now;
+        std::uint64_t fence = 0;
+        const state::leader_view &view;
+        const pool_facts &facts;
+        const state::pool &row;
+        std::vector<policy::engine_view> engines;
+    };
+
+    [[nodiscard]] std::vector<policy::engine_view>
+    enginesOf(instant now, const state::leader_view &view, const pool_facts &facts,
+              const state::pool &row, pool_policies &policies);
+    void decideRoles(const situation &seen, pool_policies &policies,
+                     std::vector<state::command> &orders);
+    void decidePlacement(const situation &seen, pool_policies &policies,
+                         std::span<const policy::endpoint_offer> offers,
+                         std::vector<state::command> &orders);
+    void open(const situation &seen, state::open_order order, std::vector<state::command> &orders);
+
+    fleet_times m_times;
+    role_maker m_makeRoles;
+    placement_maker m_makePlacement;
+    event_sink &m_events;
+    std::map<std::string, pool_policies> m_policies; ///< by pool
+    instant m_nextRoles{};
+    instant m_nextPlacement{};
+    std::uint64_t m_lastOperation = 0;
+};
+
+} // namespace yuccascale::kernel::orders
--- a/src/yuccascale/kernel/state/bans.cpp
+++ b/src/yuccascale/kernel/state/bans.cpp
@@ -38,10 +38,12 @@
     for (const auto &[fingerprint, ban] : m_bans)
         next->insert(fingerprint);
     m_fingerprints = std::move(next);
+    ++m_version;
 }
 
 void bans::save(snapshot_writer &out) const
 {
+    out.put(m_version);
     out.put(m_bans.size());
     for (const auto &[fingerprint, ban] : m_bans)
         out.put(ban);
@@ -49,8 +51,10 @@
 
 void bans::load(snapshot_reader &in)
 {
+    const auto version = in.get<std::uint64_t>();
     in.getAll<ban_fingerprint>([&](const ban_fingerprint &ban) { m_bans[ban.fingerprint] = ban; });
     publish();
+    m_version = version;
 }
 
 } // namespace yuccascale::kernel::state
--- a/src/yuccascale/kernel/state/bans.hpp
+++ b/src/yuccascale/kernel/state/bans.hpp
@@ -33,6 +33,9 @@
         return m_fingerprints;
     }
 
+    /// \returns a number that rises whenever the set changes.
+    [[nodiscard]] std::uint64_t version() const noexcept { return m_version; }
+
     void save(snapshot_writer &out) const;
     void load(snapshot_reader &in);
 
@@ -43,6 +46,7 @@
     std::map<std::string, ban_fingerprint> m_bans; ///< by fingerprint
     std::shared_ptr<const std::set<std::string>> m_fingerprints
             = std::make_shared<std::set<std::string>>();
+    std::uint64_t m_version = 0;
 };
 
 } // namespace yuccascale::kernel::state
--- a/src/yuccascale/kernel/state/commands.hpp
+++ b/src/yuccascale/kernel/state/commands.hpp
@@ -119,8 +119,9 @@
 struct settle_window
 {
     std::int64_t windowStartMs = 0;
+    bool differs = false; ///< the interface holds other figures for it and keeps those
 
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(settle_window, windowStartMs)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(settle_window, windowStartMs, differs)
 };
 
 /// \brief What an order tells an engine or the platform to do.
--- a/src/yuccascale/kernel/state/leader_view.hpp
+++ b/src/yuccascale/kernel/state/leader_view.hpp
@@ -20,7 +20,8 @@
     std::vector<order_record> openOrders; ///< oldest first
     std::uint64_t highestFence = 0;       ///< of all orders
     usage_view usage;
-    std::int64_t fetchesHeldUntilMs = 0; ///< wall clock; the weight store asked for a pause
+    std::vector<std::string> liveEntries; ///< whose usage marks are waited for
+    std::int64_t fetchesHeldUntilMs = 0;  ///< wall clock; the weight store asked for a pause
 };
 
 } // namespace yuccascale::kernel::state
--- a/src/yuccascale/kernel/state/limits.hpp
+++ b/src/yuccascale/kernel/state/limits.hpp
@@ -17,10 +17,10 @@
     std::size_t largestAnswerBytes = 256U << 10U; ///< one recorded answer
     std::size_t entries = 4'096;                  ///< entries whose usage sequence is kept
     std::size_t pendingBatches = 1'024;           ///< batches of one entry beyond a missing one
-    std::size_t openWindows = 256;                ///< usage windows not frozen yet
-    std::size_t reportedWindows = 1'024;          ///< digests of windows already reported
-    std::size_t settledOrders = 10'000;           ///< orders kept for explain
-    std::size_t bans = 4'096;                     ///< fingerprints stopped fleet-wide
+    std::size_t openWindows = 60; ///< usage windows not frozen yet; later lines join the last
+    std::size_t reportedWindows = 1'024; ///< digests of windows already reported
+    std::size_t settledOrders = 10'000;  ///< orders kept for explain
+    std::size_t bans = 4'096;            ///< fingerprints stopped fleet-wide
 };
 
 } // namespace yuccascale::kernel::state
--- a/src/yuccascale/kernel/state/machine.cpp
+++ b/src/yuccascale/kernel/state/machine.cpp
@@ -147,6 +147,11 @@
     return m_parts->banned.fingerprints();
 }
 
+std::uint64_t machine::bansVersion() const noexcept
+{
+    return m_parts->banned.version();
+}
+
 std::uint64_t machine::appliedIndex() const noexcept
 {
     return m_parts->appliedIndex;
@@ -160,6 +165,7 @@
     seen.openOrders = m_parts->orders.openOrders();
     seen.highestFence = m_parts->orders.highestFence();
     seen.usage = m_parts->usage.view();
+    seen.liveEntries = m_parts->usage.liveEntries();
     seen.fetchesHeldUntilMs = m_parts->fetchesHeldUntilMs;
     return seen;
 }
@@ -172,11 +178,6 @@
     return *found;
 }
 
-std::vector<std::string> machine::liveEntries() const
-{
-    return m_parts->usage.liveEntries();
-}
-
 command_result machine::apply(std::uint64_t index, const command &command)
 {
     m_parts->appliedIndex = index;
--- a/src/yuccascale/kernel/state/machine.hpp
+++ b/src/yuccascale/kernel/state/machine.hpp
@@ -37,6 +37,9 @@
     /// \returns the fingerprints stopped fleet-wide; unchanged after later commands.
     [[nodiscard]] std::shared_ptr<const std::set<std::string>> bannedFingerprints() const noexcept;
 
+    /// \returns a number that rises whenever the banned fingerprints change.
+    [[nodiscard]] std::uint64_t bansVersion() const noexcept;
+
     /// \returns the log index applied last.
     [[nodiscard]] std::uint64_t appliedIndex() const noexcept;
 
@@ -46,9 +49,6 @@
     /// \returns an order, open or settled, while it is kept.
     [[nodiscard]] std::optional<order_record> order(std::uint64_t orderId) const;
 
-    /// \returns the entries whose usage marks are waited for.
-    [[nodiscard]] std::vector<std::string> liveEntries() const;
-
     /// \brief Applies the command at \a index.
     [[nodiscard]] command_result apply(std::uint64_t index, const command &command);
 
--- a/src/yuccascale/kernel/state/usage_windows.cpp
+++ b/src/yuccascale/kernel/state/usage_windows.cpp
@@ -77,26 +77,27 @@
                        "batch " + std::to_string(found->second.sequence + 1) + " of " + batch.entry
                                + " is missing; send it first");
     }
-    std::set<std::int64_t> newWindows;
-    for (const usage_line &line : batch.lines) {
-        if (line.windowStartMs >= m_frozenUntilMs && !m_open.contains(line.windowStartMs))
-            newWindows.insert(line.windowStartMs);
-    }
-    if (!newWindows.empty() && m_open.size() + newWindows.size() > m_bounds.openWindows) {
-        return refused(error_kind::Overloaded,
-                       "too many usage windows are open; check that the usage windows are being"
-                       " frozen and that the clock of "
-                               + batch.entry + " is right");
-    }
     return std::nullopt;
 }
 
 void usage_windows::count(const usage_line &line)
 {
-    const std::int64_t into = std::max(line.windowStartMs, m_frozenUntilMs);
+    const std::int64_t into = windowFor(line.windowStartMs);
     open_window &window = m_open[into];
     window.startMs = into;
-    add(window.lines[{line.windowStartMs, line.organisation, line.route}], line);
+    usage_line kept = line;
+    kept.windowStartMs = std::min(line.windowStartMs, into);
+    add(window.lines[{kept.windowStartMs, line.organisation, line.route}], kept);
+}
+
+/// A frozen window's lines go to the next one; beyond the limit the nearest open one takes them.
+std::int64_t usage_windows::windowFor(std::int64_t startMs) const
+{
+    const std::int64_t wanted = std::max(startMs, m_frozenUntilMs);
+    if (m_open.contains(wanted) || m_open.size() < m_bounds.openWindows)
+        return wanted;
+    const auto later = m_open.upper_bound(wanted);
+    return later == m_open.begin() ? later->first : std::prev(later)->first;
 }
 
 void usage_windows::advance(entry_record &entry, const record_usage &batch)
@@ -236,8 +237,8 @@
     const auto found = m_frozen.find(settlement.windowStartMs);
     if (found != m_frozen.end()) {
         const std::string &figures = found->second.figures;
-        m_reported.push_back(
-                {settlement.windowStartMs, XXH3_64bits(figures.data(), figures.size())});
+        m_reported.push_back({settlement.windowStartMs, XXH3_64bits(figures.data(), figures.size()),
+                              settlement.differs});
         m_frozen.erase(found);
         if (m_reported.size() > m_bounds.reportedWindows)
             m_reported.pop_front();
@@ -272,6 +273,7 @@
 {
     usage_view seen;
     seen.nextStartMs = nextStart();
+    seen.anyFrozen = m_frozenUntilMs != 0;
     seen.marksPassedMs = lowestMark();
     for (const auto &[name, entry] : m_entries) {
         if (!entry.retired && entry.markMs == seen.marksPassedMs)
--- a/src/yuccascale/kernel/state/usage_windows.hpp
+++ b/src/yuccascale/kernel/state/usage_windows.hpp
@@ -32,6 +32,7 @@
 struct usage_view
 {
     std::int64_t nextStartMs = 0;   ///< start of the next window to freeze; 0 when there is none
+    bool anyFrozen = false;         ///< the next start is the end of the last frozen window
     std::int64_t marksPassedMs = 0; ///< every live entry's mark has reached this
     std::vector<std::string> waitingFor;     ///< entries whose marks are the lowest
     std::optional<frozen_window> unreported; ///< the earliest frozen window not reported yet
@@ -96,13 +97,15 @@
     struct reported_window
     {
         std::int64_t windowStartMs = 0;
-        std::uint64_t digest = 0;
+        std::uint64_t digest = 0; ///< of the frozen figures
+        bool differs = false;
 
-        NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(reported_window, windowStartMs, digest)
+        NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(reported_window, windowStartMs, digest, differs)
     };
 
     [[nodiscard]] std::optional<command_result> refuseBatch(const record_usage &batch) const;
     void count(const usage_line &line);
+    [[nodiscard]] std::int64_t windowFor(std::int64_t startMs) const;
     void advance(entry_record &entry, const record_usage &batch);
     void forgetRetired();
     [[nodiscard]] std::optional<command_result> refuseFreeze(const freeze_window &freeze) const;
--- /dev/null
+++ b/src/yuccascale/plugins/platform_http.cpp
@@ -0,0 +1,136 @@
+#include "yuccascale/plugins/platform_http.hpp"
+
+#include <httplib.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace yuccascale::plugins {
+
+namespace {
+
+using kernel::error_kind;
+using kernel::fail;
+
+constexpr int httpOk = 200;
+
+struct host_and_port
+{
+    std::string host;
+    int port = 0;
+};
+
+host_and_port split(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return {};
+    return {address.substr(0, colon), std::atoi(address.c_str() + colon + 1)};
+}
+
+/// Unacknowledged bytes are dropped after the send timeout, and close() drops the send queue.
+void boundLifeOfBytes(socket_t socket, kernel::milliseconds sendTimeout)
+{
+    const auto timeout = static_cast<unsigned>(sendTimeout.count());
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+    const linger abort{1, 0};
+    ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+    const int on = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+/// A client that asks the permit between the connection's opening and the first byte.
+class one_shot_client final : public httplib::ClientImpl
+{
+public:
+    one_shot_client(const host_and_port &peer, const kernel::orders::driver_settings &settings,
+                    const kernel::orders::send_permit &permit)
+        : httplib::ClientImpl(peer.host, peer.port)
+        , m_permit(permit)
+    {
+        set_connection_timeout(settings.connectTimeout);
+        set_write_timeout(settings.sendTimeout);
+        set_read_timeout(settings.answerTimeout);
+        set_keep_alive(false);
+        set_socket_options([limit = settings.sendTimeout](socket_t socket) {
+            boundLifeOfBytes(socket, limit);
+        });
+    }
+
+    [[nodiscard]] bool connected() const noexcept { return m_connected; }
+    [[nodiscard]] bool refused() const noexcept { return m_refused; }
+
+private:
+    bool create_and_connect_socket(Socket &socket, httplib::Error &error) override
+    {
+        if (!ClientImpl::create_and_connect_socket(socket, error))
+            return false;
+        m_connected = true;
+        m_refused = m_permit && !m_permit();
+        if (m_refused)
+            error = httplib::Error::Canceled;
+        return !m_refused;
+    }
+
+    const kernel::orders::send_permit &m_permit;
+    bool m_connected = false;
+    bool m_refused = false;
+};
+
+} // namespace
+
+kernel::json http_answer::document() const
+{
+    return kernel::json::parse(body, nullptr, false);
+}
+
+kernel::result<http_answer> exchange(const kernel::orders::driver_settings &settings,
+                                     const http_exchange &wanted)
+{
+    const host_and_port peer = split(wanted.address);
+    if (peer.host.empty()) {
+        return fail(error_kind::Unavailable, wanted.address,
+                    "not an address; write IP:port in the settings or the endpoint's row");
+    }
+    one_shot_client client(peer, settings, wanted.permit);
+    httplib::Request request;
+    request.method = wanted.method;
+    request.path = wanted.path;
+    request.body = wanted.body;
+    if (!wanted.body.empty())
+        request.headers.emplace("Content-Type", "application/json");
+    const httplib::Result answer = client.send(request);
+    if (answer)
+        return http_answer{answer->status, answer->body, answer->get_header_value("Retry-After")};
+    if (!client.connected())
+        return fail(error_kind::Unavailable, wanted.address, "cannot connect; check that it runs");
+    if (client.refused()) {
+        return fail(error_kind::Forbidden, wanted.address,
+                    "the authority ended before the first byte; nothing was sent");
+    }
+    return fail(error_kind::OutcomeUnknown, wanted.address,
+                "no answer in time; ask it for the outcome");
+}
+
+kernel::result<kernel::json> question(const kernel::orders::driver_settings &settings,
+                                      const std::string &address, const std::string &path)
+{
+    kernel::error problem;
+    http_answer answer;
+    const bool answered = kernel::succeeded(
+            [&]() -> kernel::result<void> {
+                BOOST_LEAF_ASSIGN(answer, exchange(settings, {address, "GET", path, {}, {}}));
+                return {};
+            },
+            problem);
+    if (!answered)
+        return fail(error_kind::Unavailable, address + path, problem.message);
+    kernel::json document = answer.document();
+    if (answer.status != httpOk || document.is_discarded()) {
+        return fail(error_kind::Unavailable, address + path,
+                    "answered with status " + std::to_string(answer.status)
+                            + "; check that it is the right interface");
+    }
+    return document;
+}
+
+} // namespace yuccascale::plugins
--- /dev/null
+++ b/src/yuccascale/plugins/platform_http.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "yuccascale/kernel/orders/drivers.hpp"
+
+#include <string>
+
+/// \file
+/// \brief One HTTP exchange on a connection of its own, whose bytes can't be delivered late.
+
+namespace yuccascale::plugins {
+
+/// \brief An exchange to make.
+struct http_exchange
+{
+    std::string address; ///< IP:port
+    std::string method;
+    std::string path;
+    std::string body;                   ///< JSON text, or empty
+    kernel::orders::send_permit permit; ///< asked on the open connection; null: always allowed
+};
+
+/// \brief A whole answer.
+struct http_answer
+{
+    int status = 0;
+    std::string body;
+    std::string retryAfter; ///< the header's text; empty when absent
+
+    /// \returns the body as JSON; a discarded value when it is not JSON.
+    [[nodiscard]] kernel::json document() const;
+};
+
+/// \brief Connects, asks the permit, sends, and reads the answer; then aborts the connection, so
+///        that nothing stays in the send queue.
+/// \returns error_kind::Unavailable or error_kind::Forbidden when nothing was sent,
+///          error_kind::OutcomeUnknown when it may have arrived.
+[[nodiscard]] kernel::result<http_answer> exchange(const kernel::orders::driver_settings &settings,
+                                                   const http_exchange &wanted);
+
+/// \brief As exchange(), for questions: every failure is error_kind::Unavailable, and so is any
+///        status but 200.
+[[nodiscard]] kernel::result<kernel::json> question(const kernel::orders::driver_settings &settings,
+                                                    const std::string &address,
+                                                    const std::string &path);
+
+} // namespace yuccascale::plugins
--- /dev/null
+++ b/src/yuccascale/runtime/duties.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "yuccascale/kernel/control_client.hpp"
+#include "yuccascale/kernel/leadership.hpp"
+#include "yuccascale/kernel/orders/drivers.hpp"
+#include "yuccascale/kernel/orders/fleet_scheduler.hpp"
+#include "yuccascale/kernel/orders/order_driver.hpp"
+#include "yuccascale/kernel/state/leader_view.hpp"
+#include "yuccascale/kernel/usage/window_reporter.hpp"
+#include "yuccascale/runtime/duties_workers.hpp"
+#include "yuccascale/runtime/settings.hpp"
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+/// \file
+/// \brief What a node does while it leads: orders, usage reports, roles and placement, VM list.
+
+namespace yuccascale::runtime {
+
+/// \brief The drivers of the outside systems; null where the settings turn one off.
+struct duty_drivers
+{
+    std::unique_ptr<kernel::orders::order_target> engines;
+    std::unique_ptr<kernel::orders::load_source> loads;
+    std::unique_ptr<kernel::orders::order_target> platform;
+    std::unique_ptr<kernel::orders::platform_lists> lists;
+    std::unique_ptr<kernel::orders::weight_store> weights;
+    std::unique_ptr<kernel::orders::usage_sink> usage;
+};
+
+/// \returns the HTTP drivers at the addresses of the settings.
+[[nodiscard]] kernel::result<duty_drivers> makeDutyDrivers(const settings &settings);
+
+/// \brief What the duties need of the node.
+struct duty_surroundings
+{
+    const settings &config;
+    const kernel::leadership_source &authority;
+    kernel::control_client &control;
+    std::function<kernel::state::leader_view()> state; ///< reads this node's state machine
+    std::function<std::vector<kernel::orders::pool_facts>(kernel::instant)> facts; ///< may be null
+    std::function<std::vector<std::string>(kernel::instant)> gone; ///< entries known to be gone;
+                                                                   ///< may be null
+    kernel::event_sink &events;
+    const kernel::clock &clock;
+};
+
+/// \brief Runs the leader's duties on threads of its own. Idle while this node does not lead.
+///
+/// \example
+///     duties work(surroundings, std::move(drivers));
+///     work.start();
+class duties
+{
+public:
+    duties(duty_surroundings surroundings, duty_drivers drivers);
+    ~duties();
+    duties(const duties &) = delete;
+    duties &operator=(const duties &) = delete;
+
+    void start();
+
+    /// \brief Ends the threads; calls under way are waited for.
+    void stop();
+
+    /// \brief One round: takes in what calls brought and starts new ones. For start()'s thread, and
+    ///        for tests.
+    void tick();
+
+private:
+    using authority = std::optional<kernel::leadership>;
+
+    void run();
+    void carryOut(const kernel::orders::ask_target &action);
+    void carryOut(const kernel::orders::inspect_target &action);
+    void carryOut(const kernel::orders::fetch_weights &action);
+    void carryOut(kernel::orders::send_order action);
+    void carryOut(kernel::orders::submit_command action);
+    void carryOutUsage(kernel::usage::usage_action action);
+    void scheduleFleet(kernel::instant now, const authority &held,
+                       const kernel::state::leader_view &view);
+    void retireEntries(kernel::instant now, const kernel::state::leader_view &view);
+    void readLists(kernel::instant now);
+    void noteLeaving(const std::vector<kernel::orders::vm_row> &vms);
+    void submit(kernel::state::command command);
+    [[nodiscard]] kernel::orders::order_target *targetAt(const std::string &address) const;
+    [[nodiscard]] kernel::orders::send_permit permitFor(std::uint64_t fence) const;
+    [[nodiscard]] std::int64_t wallMs() const;
+
+    /// Runs a call on a worker and hands its answer, or nothing, back on the duties' thread.
+    template<typename Call, typename Take>
+    void call(Call call, Take take);
+
+    duty_surroundings m_around;
+    duty_drivers m_drivers;
+    kernel::orders::order_driver m_orders;
+    kernel::usage::window_reporter m_usage;
+    kernel::orders::fleet_scheduler m_fleet;
+    std::vector<kernel::policy::endpoint_offer> m_offers;
+    std::shared_ptr<const kernel::state::table_set> m_tables; ///< as of the last round
+    kernel::instant m_nextLists{};
+    bool m_readingLists = false;
+    int m_submits = 0; ///< of orders and notices, under way
+
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_stopped = false;
+    std::thread m_thread;
+    duties_workers m_workers; ///< last, so that it ends before what its jobs use
+};
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/src/yuccascale/runtime/duties_workers.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+/// \file
+/// \brief Threads for the blocking calls of the leader's duties.
+
+namespace yuccascale::runtime {
+
+/// \brief Runs jobs on a fixed number of threads. Each job returns what to do with its outcome;
+///        the owner runs that on its own thread.
+class duties_workers
+{
+public:
+    using completion = std::function<void()>;
+    using job = std::function<completion()>;
+
+    explicit duties_workers(std::size_t threads);
+
+    /// \brief Waits for the jobs under way and drops those that wait.
+    ~duties_workers();
+    duties_workers(const duties_workers &) = delete;
+    duties_workers &operator=(const duties_workers &) = delete;
+
+    /// \brief Adds a job.
+    void run(job work);
+
+    /// \returns the completions since the last call, in the order in which the jobs ended.
+    [[nodiscard]] std::vector<completion> takeCompletions();
+
+private:
+    void work();
+
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::deque<job> m_jobs;
+    std::vector<completion> m_completions;
+    bool m_stopped = false;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/tests/fakes/order_history.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/orders/drivers.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Outside systems that keep what they saw: engines, the platform and the usage interface.
+
+namespace yuccascale::fakes {
+
+/// Bytes that arrived, and whether they did something.
+struct seen_order
+{
+    kernel::instant at{};
+    std::string target;
+    std::uint64_t orderId = 0;
+    std::uint64_t senderFence = 0; ///< of the leader whose process sent them
+    std::string bytes;
+    bool effect = false;
+    int runningThen = 0; ///< requests that the endpoint ran when it took effect
+};
+
+/// An engine, or the platform: takes orders by their bytes alone.
+class fake_target
+{
+public:
+    fake_target(std::string name, bool fences, bool forgetsNothing)
+        : m_name(std::move(name))
+        , m_fences(fences)
+        , m_forgetsNothing(forgetsNothing)
+    { }
+
+    kernel::orders::target_reply receive(kernel::instant now, std::uint64_t senderFence,
+                                         const kernel::orders::order_message &message,
+                                         kernel::nanoseconds duration)
+    {
+        seen_order seen{now,   m_name, message.orderId, senderFence, message.path + message.body,
+                        false, running};
+        const std::uint64_t fence = fenceOf(message);
+        const auto known = m_orders.find(message.orderId);
+        using kernel::orders::target_state;
+        if (m_fences && fence < m_highestFence) {
+            history.push_back(seen);
+            return {target_state::Refused, "old fence", {}};
+        }
+        m_highestFence = std::max(m_highestFence, fence);
+        if (known != m_orders.end() && (m_fences || m_forgetsNothing)) {
+            history.push_back(seen);
+            return ask(now, message.orderId);
+        }
+        seen.effect = true;
+        history.push_back(seen);
+        m_orders[message.orderId] = now + duration;
+        return ask(now, message.orderId);
+    }
+
+    [[nodiscard]] kernel::orders::target_reply ask(kernel::instant now, std::uint64_t orderId) const
+    {
+        using kernel::orders::target_state;
+        const auto known = m_orders.find(orderId);
+        if (known == m_orders.end())
+            return {target_state::Unknown, {}, {}};
+        return {now < known->second ? target_state::Running : target_state::Done, {}, {}};
+    }
+
+    void crash()
+    {
+        running = 0;
+        m_highestFence = 0;
+        m_orders.clear();
+    }
+
+    [[nodiscard]] const std::string &name() const { return m_name; }
+
+    std::vector<seen_order> history;
+    int running = 0; ///< requests
+
+private:
+    static std::uint64_t fenceOf(const kernel::orders::order_message &message)
+    {
+        if (!message.body.empty())
+            return kernel::json::parse(message.body).at("fence").get<std::uint64_t>();
+        return std::stoull(message.path.substr(message.path.rfind('=') + 1));
+    }
+
+    std::string m_name;
+    bool m_fences;
+    bool m_forgetsNothing;
+    std::uint64_t m_highestFence = 0;
+    std::map<std::uint64_t, kernel::instant> m_orders; ///< when each is done
+};
+
+/// A report that arrived at the usage interface.
+struct seen_report
+{
+    std::int64_t windowStartMs = 0;
+    std::uint64_t senderFence = 0;
+    std::string bytes;
+};
+
+} // namespace yuccascale::fakes
