--- a/src/yuccascale/cli/key_commands.cpp
+++ b/src/yuccascale/cli/key_commands.cpp
@@ -13,10 +13,15 @@
 result<void> createKey(command_words words)
 {
     BOOST_LEAF_AUTO(client, operator_client::fromFlags());
-    const json body{{"organisation", words[0]}, {"id", words[1]}};
-    BOOST_LEAF_AUTO(answer, client.post("/operator/keys", body, newOperationId()));
-    printObject({{"key", answer.at("key")}, {"id", words[1]}, {"organisation", words[0]}});
-    return {};
+    return editFromRevision(client, [&](std::uint64_t revision) -> result<void> {
+        const json body{{"organisation", words[0]}, {"id", words[1]}, {"fromRevision", revision}};
+        BOOST_LEAF_AUTO(answer, client.post("/operator/keys", body, newOperationId()));
+        printObject({{"key", answer.at("key")},
+                     {"id", words[1]},
+                     {"organisation", words[0]},
+                     {"revision", answer.at("result").at("revision")}});
+        return {};
+    });
 }
 
 result<void> listKeys(command_words)
--- a/src/yuccascale/cli/table_commands.cpp
+++ b/src/yuccascale/cli/table_commands.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
+#include <thread>
 
 namespace yuccascale::cli {
 
@@ -15,6 +17,9 @@
 
 namespace {
 
+constexpr kernel::milliseconds conflictRetryTime{3'000};
+constexpr kernel::milliseconds conflictRetryPause{100};
+
 template<typename Table>
 result<void> listTable(Table state::table_set::*table, std::span<const std::string_view> columns)
 {
@@ -47,16 +52,32 @@
 
 } // namespace
 
-result<void> commitEdit(const operator_client &client, state::edit_tables edit)
+result<void> editFromRevision(const operator_client &client,
+                              const std::function<result<void>(std::uint64_t)> &attempt)
 {
-    edit.fromRevision = FLAGS_from_revision;
-    if (edit.fromRevision == 0) {
+    if (FLAGS_from_revision != 0)
+        return attempt(FLAGS_from_revision);
+    const auto until = std::chrono::steady_clock::now() + conflictRetryTime;
+    while (true) {
         BOOST_LEAF_AUTO(tables, client.tables());
-        edit.fromRevision = tables.revision;
+        kernel::error problem;
+        if (kernel::succeeded([&] { return attempt(tables.revision); }, problem))
+            return {};
+        const bool late = std::chrono::steady_clock::now() >= until;
+        if (problem.kind != kernel::error_kind::Conflict || late)
+            return kernel::fail(problem.kind, problem.where, problem.message);
+        std::this_thread::sleep_for(conflictRetryPause);
     }
-    BOOST_LEAF_AUTO(outcome, client.edit(edit, newOperationId()));
-    printObject({{"accepted", true}, {"revision", outcome.revision}});
-    return {};
+}
+
+result<void> commitEdit(const operator_client &client, state::edit_tables edit)
+{
+    return editFromRevision(client, [&](std::uint64_t revision) -> result<void> {
+        edit.fromRevision = revision;
+        BOOST_LEAF_AUTO(outcome, client.edit(edit, newOperationId()));
+        printObject({{"accepted", true}, {"revision", outcome.revision}});
+        return {};
+    });
 }
 
 result<void> listRoutes(command_words)
--- a/src/yuccascale/cli/table_commands.hpp
+++ b/src/yuccascale/cli/table_commands.hpp
@@ -3,6 +3,8 @@
 #include "yuccascale/cli/command.hpp"
 #include "yuccascale/cli/operator_client.hpp"
 
+#include <functional>
+
 /// \file
 /// \brief Commands that list and edit the tables. Each edit is a compare-and-set on the revision.
 
@@ -20,8 +22,14 @@
 [[nodiscard]] kernel::result<void> putOrganisations(command_words words);
 [[nodiscard]] kernel::result<void> removeOrganisation(command_words words);
 
-/// \brief Commits \a edit from --from-revision, or from the revision in force, and prints the new
-///        revision.
+/// \brief Makes an edit from --from-revision, or from the revision in force. In the latter case a
+///        node may be a little behind, so a conflict is tried again from the newer revision.
+/// \param attempt makes the edit from the revision that it is given
+[[nodiscard]] kernel::result<void>
+editFromRevision(const operator_client &client,
+                 const std::function<kernel::result<void>(std::uint64_t)> &attempt);
+
+/// \brief Commits \a edit and prints the new revision.
 [[nodiscard]] kernel::result<void> commitEdit(const operator_client &client,
                                               kernel::state::edit_tables edit);
 
