Requests: one session from queue to caller, proved under schedules of faults

The actions of a request's life were carried out inside the HTTP layer, where no schedule of failures could reach them. kernel/requests/request_session now carries them out through ports; the HTTP layer and the property tests fill the same ports.

Faults that the property tests found, each mended here: - An engine that dropped its last piece and then sent the finish piece passed for whole. The finish piece's token count must now be the number of pieces. - A repeat of a non-idempotent request refused in the queue said "not run" although an earlier send of its key had run. The claim now comes before the queue: only a granted claim shows that no earlier send ran, and a recorded answer needs no free endpoint. Before the log's answer a refusal says that it may have run. - A suspect request was sent to the availability zone in which its endpoint had died, so that its second crash was taken for the loss of the zone. Zones of a crash are now avoided while another has room, and each entry's part of the endpoints for suspects is drawn by hash, not by row.

The id in an engine's answer head can be taken out without a breach, as each piece's id is checked too.

Ruled out: a list of suspects shared between entries. It would need a message before each retry; disjoint parts of the endpoints need none.

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -179,6 +179,19 @@
     return findings;
 }
 
+void caller_pools::stopFingerprint(const std::string &pool, const std::string &fingerprint)
+{
+    const std::shared_ptr<shard> found = find(pool);
+    if (!found)
+        return;
+    const std::scoped_lock guard(found->mutex);
+    for (const std::uint64_t ticket : found->scheduler.takeFingerprint(fingerprint)) {
+        const auto mailbox = found->mailboxes.find(ticket);
+        mailbox->second->put(event{found_guilty{}});
+        found->mailboxes.erase(mailbox);
+    }
+}
+
 bool caller_pools::report(const std::string &pool, const std::string &endpoint,
                           const endpoint_report &report)
 {
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -53,6 +53,9 @@
     kernel::requests::finish_findings finish(const std::string &pool, std::uint64_t ticket,
                                              const kernel::requests::attempt_result &result);
 
+    /// \brief Answers the waiting requests of a fingerprint that crashes endpoints.
+    void stopFingerprint(const std::string &pool, const std::string &fingerprint);
+
     /// \returns true when the endpoint gave notice.
     bool report(const std::string &pool, const std::string &endpoint,
                 const kernel::requests::endpoint_report &report);
--- a/src/yuccascale/http/caller_request.cpp
+++ b/src/yuccascale/http/caller_request.cpp
@@ -170,6 +170,7 @@
     subject.id = claim.requestId;
     subject.endpointId = endpointIdOf(subject.id, context);
     subject.resumeFrom = from;
+    subject.sentBefore = true;
     return {};
 }
 
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -136,6 +136,7 @@
                  {},
                  {},
                  {},
+                 {},
                  {}}
 { }
 
@@ -210,6 +211,12 @@
     server.Get("/health", [](const httplib::Request &, httplib::Response &to) {
         to.set_content("{\"alive\":true}", jsonType);
     });
+    server.Get("/metrics", [this](const httplib::Request &, httplib::Response &to) {
+        m_services.metrics.setGauge("yuccascale_requests_waiting",
+                                    static_cast<double>(m_services.pools->waiting()));
+        m_services.metrics.setGauge("yuccascale_requests_running", m_services.running);
+        to.set_content(m_services.metrics.text(), "text/plain; version=0.0.4");
+    });
     server.Get("/ready", [this](const httplib::Request &, httplib::Response &to) {
         const bool serving = ready();
         to.status = serving ? 200 : 503;
@@ -266,11 +273,14 @@
             problem);
     if (!readable) {
         const std::string id = requestIdOf(message, context);
-        const refusal reason{problem.kind, problem.where + ": " + problem.message, false, {}};
+        // a key or token may show that an earlier send got further than this one
+        const bool sentBefore = !message.idempotencyKey.empty() || !message.resumeToken.empty();
+        const bool mayHaveRun = sentBefore && problem.kind != kernel::error_kind::InvalidArgument;
+        const refusal reason{problem.kind, problem.where + ": " + problem.message, mayHaveRun, {}};
         m_parts.events.record(requestRefused,
                               {{"request_id", id},
                                {"kind", kernel::errorKindName(problem.kind)},
-                               {"may_have_run", 0}});
+                               {"may_have_run", static_cast<int>(mayHaveRun)}});
         answerError(reason, id, to);
         return;
     }
--- a/src/yuccascale/http/caller_services.hpp
+++ b/src/yuccascale/http/caller_services.hpp
@@ -4,6 +4,7 @@
 #include "yuccascale/http/caller_pools.hpp"
 #include "yuccascale/http/endpoint_client.hpp"
 #include "yuccascale/kernel/requests/key_check.hpp"
+#include "yuccascale/runtime/metrics.hpp"
 
 #include <atomic>
 #include <memory>
@@ -49,6 +50,7 @@
     std::unique_ptr<kernel::requests::endpoint_driver> engineDriver;
     std::unique_ptr<kernel::requests::endpoint_driver> serviceDriver;
     local_bans bans;
+    runtime::metrics metrics;
     std::atomic<std::uint64_t> nextTicket{1};
     std::atomic<std::uint64_t> revision{0}; ///< of the tables that the pools have
     std::atomic<int> running{0};            ///< requests that have no answer yet
--- a/src/yuccascale/kernel/requests/endpoint_driver.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_driver.hpp
@@ -43,7 +43,6 @@
     int attempt = 0;
     std::int64_t resumeFrom = 0;
     nanoseconds timeLeft{};
-    std::string prefillAddress; ///< IP:port of the engine that filled the prompt; may be empty
 };
 
 /// \brief Reads the answer of one attempt. Not thread-safe.
--- a/src/yuccascale/kernel/requests/events.hpp
+++ b/src/yuccascale/kernel/requests/events.hpp
@@ -16,8 +16,9 @@
                                        "run."};
 inline const event_kind requestAnswered{2004, "request_answered", severity::Info,
                                         "A request got its whole answer."};
-inline const event_kind requestRetried{2005, "request_retried", severity::Warning,
-                                       "A try failed and the request goes to another endpoint."};
+inline const event_kind attemptFailed{2005, "attempt_failed", severity::Warning,
+                                      "An endpoint failed a request; it is sent elsewhere if it "
+                                      "may run again."};
 inline const event_kind requestCancelled{2006, "request_cancelled", severity::Info,
                                          "The caller left or the deadline passed; the endpoint was "
                                          "told to stop."};
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "yuccascale/kernel/requests/pool_scheduler.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -43,6 +45,20 @@
     , m_limits(limits)
 { }
 
+/// Entries share no list of suspects, so each runs its own on its part of the endpoints. The parts
+/// are drawn by hash: rows often alternate between availability zones, and a part should not be
+/// one.
+void pool_scheduler::setRows(const state::pool &pool)
+{
+    m_endpoints.setRows(pool);
+    m_suspectOrder.clear();
+    for (const state::endpoint &row : pool.endpoints)
+        m_suspectOrder.push_back(row.name);
+    std::ranges::sort(m_suspectOrder, {}, [](const std::string &name) {
+        return std::pair(XXH64(name.data(), name.size(), 0), name);
+    });
+}
+
 std::optional<refusal> pool_scheduler::push(instant now, std::uint64_t ticket,
                                             const request &subject, double weight,
                                             const enqueue &how)
@@ -152,6 +168,18 @@
     return tickets;
 }
 
+std::vector<std::uint64_t> pool_scheduler::takeFingerprint(const std::string &fingerprint)
+{
+    std::vector<std::uint64_t> tickets;
+    for (const auto &[ticket, waiting] : m_waiting) {
+        if (waiting.fingerprint == fingerprint)
+            tickets.push_back(ticket);
+    }
+    for (const std::uint64_t ticket : tickets)
+        remove(ticket);
+    return tickets;
+}
+
 std::vector<scheduled_turn> pool_scheduler::schedule(instant now)
 {
     std::vector<scheduled_turn> turns;
@@ -178,29 +206,57 @@
     return turns;
 }
 
+bool pool_scheduler::ownSuspectsGoTo(const std::string &endpoint) const
+{
+    const auto share = static_cast<std::size_t>(m_position.count);
+    if (m_suspectOrder.size() < share)
+        return true;
+    const auto found = std::ranges::find(m_suspectOrder, endpoint);
+    const auto rank = static_cast<std::size_t>(found - m_suspectOrder.begin());
+    return rank % share == static_cast<std::size_t>(m_position.index);
+}
+
 void pool_scheduler::keepSuspectsApart(const waiting_entry &waiting,
                                        std::vector<policy::endpoint_view> &views) const
 {
     if (!m_suspects.suspect(waiting.fingerprint))
         return;
-    // entries share no list of suspects, so each runs its own on its part of the endpoints
-    const bool divided = views.size() >= static_cast<std::size_t>(m_position.count);
-    for (std::size_t index = 0; index < views.size(); ++index) {
-        policy::endpoint_view &view = views[index];
-        const auto part = static_cast<int>(index % static_cast<std::size_t>(m_position.count));
-        const bool elsewhere = divided && part != m_position.index;
-        if (elsewhere || m_suspects.runsAnotherSuspect(view.row->name, waiting.fingerprint)) {
+    for (policy::endpoint_view &view : views) {
+        const std::string &endpoint = view.row->name;
+        if (!ownSuspectsGoTo(endpoint)
+            || m_suspects.runsAnotherSuspect(endpoint, waiting.fingerprint)) {
             view.usable = false;
             view.unusableBecause = "kept apart from other suspects";
         }
     }
 }
 
+/// An availability zone in which the request's endpoint died is avoided while another has room.
+void pool_scheduler::avoidZones(const waiting_entry &waiting,
+                                std::vector<policy::endpoint_view> &views)
+{
+    const auto avoided = [&](const policy::endpoint_view &view) {
+        return std::ranges::find(waiting.how.avoidZones, view.row->zone)
+                != waiting.how.avoidZones.end();
+    };
+    const bool elsewhere = std::ranges::any_of(
+            views, [&](const auto &view) { return view.usable && !avoided(view); });
+    if (!elsewhere)
+        return;
+    for (policy::endpoint_view &view : views) {
+        if (!view.usable || !avoided(view))
+            continue;
+        view.usable = false;
+        view.unusableBecause = "an endpoint of its zone died with this request";
+    }
+}
+
 std::optional<scheduled_turn> pool_scheduler::place(instant now, const waiting_entry &waiting)
 {
     std::vector<policy::endpoint_view> views
             = m_endpoints.views(now, {waiting.steadyOnly, waiting.how.avoidEndpoints});
     keepSuspectsApart(waiting, views);
+    avoidZones(waiting, views);
     policy::routing_request asked;
     asked.id = waiting.id;
     asked.organisation = waiting.row.organisation;
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -81,7 +81,7 @@
     pool_scheduler(pool_strategies strategies, queue_limits limits);
 
     /// \brief Takes over the pool's rows.
-    void setRows(const state::pool &pool) { m_endpoints.setRows(pool); }
+    void setRows(const state::pool &pool);
     void setPosition(entry_position position) noexcept { m_position = position; }
 
     [[nodiscard]] endpoint_table &endpoints() noexcept { return m_endpoints; }
@@ -100,6 +100,10 @@
     /// \returns their tickets.
     [[nodiscard]] std::vector<std::uint64_t> takeUnservable();
 
+    /// \brief Takes out the waiting requests of a fingerprint.
+    /// \returns their tickets.
+    [[nodiscard]] std::vector<std::uint64_t> takeFingerprint(const std::string &fingerprint);
+
     /// \brief Gives endpoints to waiting requests for as long as there is room.
     [[nodiscard]] std::vector<scheduled_turn> schedule(instant now);
 
@@ -139,6 +143,8 @@
     };
 
     [[nodiscard]] std::optional<scheduled_turn> place(instant now, const waiting_entry &waiting);
+    static void avoidZones(const waiting_entry &waiting, std::vector<policy::endpoint_view> &views);
+    [[nodiscard]] bool ownSuspectsGoTo(const std::string &endpoint) const;
     void keepSuspectsApart(const waiting_entry &waiting,
                            std::vector<policy::endpoint_view> &views) const;
     [[nodiscard]] std::optional<refusal> refuseRetry(instant now, const request &subject);
@@ -148,6 +154,7 @@
     pool_strategies m_strategies;
     queue_limits m_limits;
     suspects m_suspects;
+    std::vector<std::string> m_suspectOrder; ///< endpoints, dealt to the entries in turn
     entry_position m_position;
     endpoint_table m_endpoints;
     charge_book m_charges;
--- a/src/yuccascale/kernel/requests/request.hpp
+++ b/src/yuccascale/kernel/requests/request.hpp
@@ -29,6 +29,7 @@
     bool streamed = false;         ///< the caller wants server-sent events
     std::int64_t promptTokens = 0; ///< estimated
     std::int64_t outputTokens = 0; ///< expected at most
+    bool sentBefore = false;       ///< the caller shows that an entry has had it before
     std::int64_t resumeFrom = 0;   ///< pieces that the caller already has
     instant receivedAt{};
     instant deadline{}; ///< of the whole answer
--- a/src/yuccascale/kernel/requests/request_actions.hpp
+++ b/src/yuccascale/kernel/requests/request_actions.hpp
@@ -134,6 +134,7 @@
 {
     int attempt = 0;
     std::string endpoint;
+    bool doubtful = false; ///< its answer is out of order
 };
 
 /// \brief Give a piece to the caller.
--- a/src/yuccascale/kernel/requests/request_life.cpp
+++ b/src/yuccascale/kernel/requests/request_life.cpp
@@ -73,15 +73,12 @@
 request_life::request_life(request subject)
     : m_request(std::move(subject))
     , m_delivered(m_request.resumeFrom)
+    , m_mayHaveRun(m_request.sentBefore || !m_request.route.idempotent)
 { }
 
 std::vector<action> request_life::start(instant now, start_check check)
 {
     actions out;
-    if (check != start_check::Allowed) {
-        end(out, refusalOf(check));
-        return out;
-    }
     if (!m_request.route.idempotent && m_request.idempotencyKey.empty()) {
         end(out,
             {error_kind::InvalidArgument,
@@ -90,13 +87,15 @@
              {}});
         return out;
     }
-    if (now >= m_request.deadline) {
-        end(out,
-            {error_kind::DeadlineExceeded, "the deadline had passed; send it again", false, {}});
+    if (!mayStart(out, now, check))
         return out;
+    if (m_request.route.idempotent) {
+        m_state = request_state::Queued;
+        out.emplace_back(enqueue{});
+    } else {
+        m_state = request_state::Claiming;
+        out.emplace_back(submit_claim{});
     }
-    m_state = request_state::Queued;
-    out.emplace_back(enqueue{});
     return out;
 }
 
@@ -114,22 +113,22 @@
         return;
     m_endpoint = turn.endpoint;
     m_zone = turn.zone;
-    if (m_request.route.idempotent || m_claimed) {
-        sendNow(out, now, turn.check);
-        return;
-    }
-    if (turn.check != start_check::Allowed) {
-        sendNow(out, now, turn.check);
+    if (!mayStart(out, now, turn.check)) {
+        out.emplace_back(release_turn{m_endpoint});
         return;
     }
-    m_state = request_state::Claiming;
-    out.emplace_back(submit_claim{});
+    ++m_attempt;
+    m_state = request_state::Dispatched;
+    out.emplace_back(dispatch{m_attempt, m_endpoint, m_delivered});
 }
 
 void request_life::on(actions &out, instant, const queue_refused &refused)
 {
-    if (m_state == request_state::Queued)
-        end(out, refused.reason);
+    if (m_state != request_state::Queued)
+        return;
+    refusal reason = refused.reason;
+    reason.mayHaveRun = m_mayHaveRun;
+    end(out, std::move(reason));
 }
 
 void request_life::on(actions &out, instant now, const claim_answered &answered)
@@ -139,19 +138,16 @@
     const claim_verdict &verdict = answered.verdict;
     switch (verdict.state) {
     case claim_state::Granted:
-        m_claimed = true;
-        sendNow(out, now, answered.check);
+        claimGranted(out, now, answered.check);
         return;
     case claim_state::AnswerLost:
-        resendClaim(out, now, verdict.reason);
+        resendClaim(out, now);
         return;
     case claim_state::Answered:
-        out.emplace_back(release_turn{m_endpoint});
-        out.emplace_back(give_answer{verdict.recorded, true});
         m_state = request_state::Ended;
+        out.emplace_back(give_answer{verdict.recorded, true});
         return;
     case claim_state::Running:
-        out.emplace_back(release_turn{m_endpoint});
         end(out,
             {error_kind::Conflict,
              "a request with this idempotency key is still running; send it again with the "
@@ -159,7 +155,6 @@
              true, controlRetryAfter});
         return;
     case claim_state::Unknown:
-        out.emplace_back(release_turn{m_endpoint});
         end(out,
             {error_kind::OutcomeUnknown,
              "a request with this idempotency key was sent and its outcome is unknown; ask the "
@@ -169,7 +164,6 @@
              {}});
         return;
     case claim_state::KeyReused:
-        out.emplace_back(release_turn{m_endpoint});
         end(out,
             {error_kind::InvalidArgument,
              "this idempotency key was used for another request; use a new key",
@@ -177,57 +171,60 @@
              {}});
         return;
     case claim_state::NotSent:
-        out.emplace_back(release_turn{m_endpoint});
         end(out,
             {error_kind::Unavailable,
-             "the claim could not be committed; try another of the addresses", false,
+             "the claim could not be committed; try another of the addresses", m_mayHaveRun,
              controlRetryAfter});
         return;
     case claim_state::NotKept:
-        out.emplace_back(release_turn{m_endpoint});
-        end(out, {verdict.reason.kind, verdict.reason.message, true, {}});
-        return;
     case claim_state::Refused:
-        out.emplace_back(release_turn{m_endpoint});
-        end(out, {verdict.reason.kind, verdict.reason.message, false, {}});
+        end(out, {verdict.reason.kind, verdict.reason.message, m_mayHaveRun, {}});
         return;
     }
 }
 
-void request_life::resendClaim(actions &out, instant now, const error &)
+/// A granted claim also shows that no earlier send of this key has run.
+void request_life::claimGranted(actions &out, instant now, start_check check)
+{
+    m_claimed = true;
+    m_mayHaveRun = false;
+    if (!mayStart(out, now, check))
+        return;
+    m_state = request_state::Queued;
+    out.emplace_back(enqueue{});
+}
+
+void request_life::resendClaim(actions &out, instant now)
 {
     if (now + minClaimTime < m_request.deadline) {
         out.emplace_back(submit_claim{});
         return;
     }
-    out.emplace_back(release_turn{m_endpoint});
     out.emplace_back(withdraw_claim{});
     end(out,
         {error_kind::Unavailable,
          "the claim was not confirmed in time; send it again with the same key at another of "
          "the addresses",
-         false, controlRetryAfter});
+         m_mayHaveRun, controlRetryAfter});
 }
 
-void request_life::sendNow(actions &out, instant now, start_check check)
+/// \returns false after it ended the request.
+bool request_life::mayStart(actions &out, instant now, start_check check)
 {
     if (check != start_check::Allowed) {
-        out.emplace_back(release_turn{m_endpoint});
         refusal reason = refusalOf(check);
         reason.mayHaveRun = m_mayHaveRun;
         end(out, std::move(reason));
-        return;
+        return false;
     }
     if (now >= m_request.deadline) {
-        out.emplace_back(release_turn{m_endpoint});
         end(out,
-            {error_kind::DeadlineExceeded, "its deadline passed in the queue; come back later",
-             m_mayHaveRun, endpointRetryAfter});
-        return;
+            {error_kind::DeadlineExceeded,
+             "its deadline passed before it was sent; come back later", m_mayHaveRun,
+             endpointRetryAfter});
+        return false;
     }
-    ++m_attempt;
-    m_state = request_state::Dispatched;
-    out.emplace_back(dispatch{m_attempt, m_endpoint, m_delivered});
+    return true;
 }
 
 bool request_life::running(int attempt) const noexcept
@@ -241,7 +238,7 @@
     if (!running(piece.attempt) || piece.index < m_delivered)
         return;
     if (piece.index > m_delivered) {
-        out.emplace_back(cancel{m_attempt, m_endpoint});
+        out.emplace_back(cancel{m_attempt, m_endpoint, true});
         on(out, now, attempt_failed{m_attempt, attempt_failure::Doubtful, {}});
         return;
     }
@@ -376,11 +373,12 @@
 {
     if (m_state == request_state::Queued)
         out.emplace_back(dequeue{});
-    if (running(m_attempt))
+    if (running(m_attempt)) {
+        m_mayHaveRun = true;
         out.emplace_back(cancel{m_attempt, m_endpoint});
-    m_mayHaveRun = true;
+    }
     refusal reason = refusalOf(start_check::Banned);
-    reason.mayHaveRun = true;
+    reason.mayHaveRun = m_mayHaveRun;
     end(out, std::move(reason));
 }
 
--- a/src/yuccascale/kernel/requests/request_life.hpp
+++ b/src/yuccascale/kernel/requests/request_life.hpp
@@ -74,8 +74,9 @@
     void on(actions &out, instant now, const deadline_passed &);
     void on(actions &out, instant now, const found_guilty &);
 
-    void sendNow(actions &out, instant now, start_check check);
-    void resendClaim(actions &out, instant now, const error &reason);
+    void claimGranted(actions &out, instant now, start_check check);
+    void resendClaim(actions &out, instant now);
+    [[nodiscard]] bool mayStart(actions &out, instant now, start_check check);
     void retry(actions &out, instant now, const attempt_failed &failed);
     void end(actions &out, refusal reason);
     void record(const std::string &payload);
--- /dev/null
+++ b/src/yuccascale/kernel/requests/request_session.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "yuccascale/kernel/events.hpp"
+#include "yuccascale/kernel/requests/pool_scheduler.hpp"
+#include "yuccascale/kernel/requests/request_life.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+/// \file
+/// \brief One request with its turn at an endpoint, between its pool and its caller.
+
+namespace yuccascale::kernel::requests {
+
+/// \brief What the caller gets next.
+using caller_output = std::variant<forward, finish_stream, give_answer, refuse>;
+
+/// \brief What a session asks of the entry that it runs in.
+class session_ports
+{
+public:
+    virtual ~session_ports() = default;
+
+    /// \returns the entry's boot clock.
+    [[nodiscard]] virtual instant now() const = 0;
+
+    /// \returns whether the request may be sent now.
+    [[nodiscard]] virtual start_check checkStart(const request &subject) const = 0;
+
+    /// \brief Puts the request into its pool's queue; its turn comes by takeTurn().
+    [[nodiscard]] virtual std::optional<refusal> push(std::uint64_t ticket, const request &subject,
+                                                      const enqueue &how)
+            = 0;
+    virtual void remove(std::uint64_t ticket, const request &subject) = 0;
+    virtual void firstPiece(std::uint64_t ticket, const request &subject) = 0;
+    virtual finish_findings finish(std::uint64_t ticket, const request &subject,
+                                   const attempt_result &result)
+            = 0;
+
+    /// \brief Submits the claim; answered by claim_answered.
+    virtual void claim(const request &subject, const std::string &operationId) = 0;
+    virtual void withdraw(const request &subject, const std::string &operationId) = 0;
+    virtual void settle(const request &subject, const std::string &operationId, const settle &how)
+            = 0;
+
+    /// \brief Commits the usage; answered by usage_settled.
+    virtual void recordUsage(const request &subject, const token_usage &usage) = 0;
+
+    /// \brief Stops a fingerprint here at once and fleet-wide soon.
+    virtual void ban(const request &subject, const std::string &fingerprint) = 0;
+
+    /// \brief Sends the request; answered by events of this attempt.
+    virtual void send(const request &subject, const scheduled_turn &turn, const dispatch &sent) = 0;
+
+    /// \brief Closes the attempt's connection and tells the endpoint to stop.
+    virtual void stop(const request &subject, const scheduled_turn &turn) = 0;
+
+    /// \brief Gives the caller what comes next.
+    virtual void give(caller_output output) = 0;
+};
+
+/// \brief Carries out the decisions of a request's life. Not thread-safe.
+class request_session
+{
+public:
+    /// \param ticket unique at this entry
+    /// \param entry node and incarnation
+    request_session(request subject, std::uint64_t ticket, const std::string &entry,
+                    session_ports &ports, event_sink &events);
+
+    /// \brief Starts the request.
+    void begin();
+
+    /// \brief The pool has an endpoint for it.
+    void takeTurn(scheduled_turn turn);
+
+    /// \brief Takes in anything else that happened.
+    void handle(event happened);
+
+    [[nodiscard]] bool ended() const noexcept { return m_life.state() == request_state::Ended; }
+    [[nodiscard]] const request &subject() const noexcept { return m_life.subject(); }
+    [[nodiscard]] const request_life &life() const noexcept { return m_life; }
+
+private:
+    void note(const event &happened);
+    void noteAnswer(int attempt, const token_usage &usage);
+    void noteFailure(const attempt_failed &failed);
+    void finishTurn(attempt_result result);
+    void performAll(const std::vector<action> &actions);
+    void recordRefusal(const refusal &reason);
+    void recordAnswer(int status);
+
+    void perform(const enqueue &how);
+    void perform(const dequeue &);
+    void perform(const release_turn &);
+    void perform(const submit_claim &);
+    void perform(const withdraw_claim &);
+    void perform(const dispatch &sent);
+    void perform(const cancel &stopped);
+    void perform(const forward &piece);
+    void perform(const commit_usage &usage);
+    void perform(const settle &end);
+    void perform(const finish_stream &last);
+    void perform(const give_answer &answer);
+    void perform(const refuse &refused);
+
+    request_life m_life;
+    std::uint64_t m_ticket;
+    std::string m_claimOperation;
+    session_ports &m_ports;
+    event_sink &m_events;
+    std::optional<scheduled_turn> m_turn;
+    instant m_sentAt{};
+    std::optional<instant> m_firstPieceAt;
+};
+
+} // namespace yuccascale::kernel::requests
--- a/src/yuccascale/plugins/endpoint_model_engine.cpp
+++ b/src/yuccascale/plugins/endpoint_model_engine.cpp
@@ -2,6 +2,8 @@
 #include "yuccascale/kernel/requests/event_stream.hpp"
 #include "yuccascale/plugins/endpoint_load.hpp"
 
+#include <algorithm>
+
 /// \file
 /// \brief Driver for model engines with a chat and completion interface.
 
@@ -28,11 +30,13 @@
 class engine_answer_reader final : public answer_reader
 {
 public:
-    engine_answer_reader(const request &subject, int attempt)
+    engine_answer_reader(const request &subject, const attempt_facts &facts)
         : m_endpointId(subject.endpointId)
         , m_callerId(subject.id)
         , m_streamed(subject.streamed)
-        , m_attempt(attempt)
+        , m_attempt(facts.attempt)
+        , m_resumeFrom(facts.resumeFrom)
+        , m_pieces(facts.resumeFrom)
     { }
 
     [[nodiscard]] bool head(const answer_head &head, std::vector<event> &out) override
@@ -126,19 +130,29 @@
             return false;
         piece["id"] = m_callerId;
         try {
-            if (piece.value("finish", false)) {
-                out.emplace_back(stream_finished{m_attempt, usageFrom(piece), piece.dump()});
-                m_done = true;
-                return true;
-            }
-            out.emplace_back(
-                    piece_arrived{m_attempt, piece.at("index").get<std::int64_t>(), piece.dump()});
+            if (piece.value("finish", false))
+                return takeFinish(piece, out);
+            const auto index = piece.at("index").get<std::int64_t>();
+            m_pieces = std::max(m_pieces, index + 1);
+            out.emplace_back(piece_arrived{m_attempt, index, piece.dump()});
         } catch (const json::exception &) {
             return false;
         }
         return true;
     }
 
+    /// An engine counts the tokens of this attempt or of the whole answer, one to a piece.
+    [[nodiscard]] bool takeFinish(const json &piece, std::vector<event> &out)
+    {
+        const token_usage usage = usageFrom(piece);
+        const std::int64_t tokens = usage.completionTokens;
+        if (tokens != m_pieces && tokens != m_pieces - m_resumeFrom)
+            return false;
+        out.emplace_back(stream_finished{m_attempt, usage, piece.dump()});
+        m_done = true;
+        return true;
+    }
+
     void fail(attempt_failure how, std::vector<event> &out)
     {
         if (m_done)
@@ -151,6 +165,8 @@
     std::string m_callerId;
     bool m_streamed;
     int m_attempt;
+    std::int64_t m_resumeFrom;
+    std::int64_t m_pieces; ///< of the whole answer, as far as it came
     answer_head m_head;
     event_stream m_events;
     std::string m_body;
@@ -175,8 +191,6 @@
         outbound.headers.emplace_back("X-Deadline-Ms", std::to_string(timeLeft.count()));
         if (facts.resumeFrom > 0)
             outbound.headers.emplace_back("X-Resume-From", std::to_string(facts.resumeFrom));
-        if (!facts.prefillAddress.empty())
-            outbound.headers.emplace_back("X-Kv-From", facts.prefillAddress);
         outbound.freshConnection = !subject.route.idempotent;
         return outbound;
     }
@@ -184,7 +198,7 @@
     [[nodiscard]] std::unique_ptr<answer_reader> reader(const request &subject,
                                                         const attempt_facts &facts) const override
     {
-        return std::make_unique<engine_answer_reader>(subject, facts.attempt);
+        return std::make_unique<engine_answer_reader>(subject, facts);
     }
 
     [[nodiscard]] std::optional<outbound_request> cancel(const request &subject) const override
--- a/tests/unit/http_caller_server_test.cpp
+++ b/tests/unit/http_caller_server_test.cpp
@@ -129,6 +129,11 @@
     EXPECT_EQ(answer->status, 200) << answer->body;
     EXPECT_EQ(answer->get_header_value("X-Request-Id"), "r1");
     EXPECT_EQ(json::parse(answer->body).at("id"), "r1");
+    const std::string figures = m_caller->Get("/metrics")->body;
+    EXPECT_NE(figures.find("yuccascale_answer_seconds_count{route=\"briefing\",organisation="
+                           "\"swanfield\"} 1"),
+              std::string::npos)
+            << figures;
     const auto received = engine.received();
     ASSERT_EQ(received.size(), 1U);
     for (const auto &[name, value] : received[0].headers) {
