--- /dev/null
+++ b/tests/unit/consensus_replica_test.cpp
@@ -0,0 +1,222 @@
+#include "fakes/replica_group.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccascale::kernel::consensus {
+
+namespace {
+
+using namespace std::chrono_literals;
+using fakes::replica_group;
+
+const membership threeVoters{{{"a", 1}, {"b", 2}, {"c", 3}}, {}};
+
+log_entry membershipEntry(term_number term)
+{
+    return {term, 1, entry_kind::Membership, toCbor(threeVoters)};
+}
+
+/// One replica, "a" of three, whose peers are played by the test.
+class consensus_lone_replica : public testing::Test
+{
+protected:
+    void startWith(const std::vector<log_entry> &entries, term_number term)
+    {
+        durable_state disk;
+        disk.hard.term = term;
+        disk.entries = entries;
+        startWith(disk);
+    }
+    void startWith(const durable_state &disk)
+    {
+        replica_config config;
+        config.self = {"a", 1};
+        config.configured = {"a", "b", "c"};
+        m_replica = std::make_unique<replica>(config, disk, m_group.sink(0), m_now);
+    }
+    void passTime(nanoseconds time)
+    {
+        m_now += time;
+        m_replica->tick(m_now);
+    }
+    actions durably()
+    {
+        actions todo = m_replica->take(m_now);
+        if (!todo.entries.empty())
+            m_replica->persisted(todo.entries.back().index, todo.entries.back().term, m_now);
+        return todo;
+    }
+    void receive(const member_id &from, term_number term, message_body body)
+    {
+        m_replica->receive({from, {"a", 1}, term, std::move(body)}, m_now);
+    }
+    void receiveAccepted(const member_id &from, log_index matched)
+    {
+        receive(from, m_replica->term(), append_reply{true, matched, matched, m_now});
+    }
+    /// Wins the next election with the vote of b.
+    void elect()
+    {
+        passTime(1'500ms);
+        const term_number next = m_replica->term() + 1;
+        receive({"b", 2}, m_replica->term(), vote_reply{true, true, next});
+        receive({"b", 2}, next, vote_reply{false, true, next});
+        ASSERT_EQ(m_replica->role(), replica_role::Leader);
+    }
+
+    replica_group m_group{1};
+    instant m_now{1h};
+    std::unique_ptr<replica> m_replica;
+};
+
+} // namespace
+
+TEST_F(consensus_lone_replica, commitsAnEntryOfAnEarlierTermOnlyTogetherWithOneOfItsOwn)
+{
+    startWith({membershipEntry(1), {2, 2, entry_kind::Command, "old"}}, 2);
+    elect();
+    (void)durably();
+    receiveAccepted({"b", 2}, 2);
+    EXPECT_EQ(m_replica->commitIndex(), 0U);
+    receiveAccepted({"b", 2}, 3);
+    EXPECT_EQ(m_replica->commitIndex(), 3U);
+}
+
+TEST_F(consensus_lone_replica, countsItsOwnEntriesOnlyOnceTheyAreDurable)
+{
+    startWith({membershipEntry(1)}, 1);
+    elect();
+    const actions todo = m_replica->take(m_now);
+    receiveAccepted({"b", 2}, 2);
+    EXPECT_EQ(m_replica->commitIndex(), 0U);
+    m_replica->persisted(todo.entries.back().index, todo.entries.back().term, m_now);
+    EXPECT_EQ(m_replica->commitIndex(), 2U);
+}
+
+TEST_F(consensus_lone_replica, confirmsAReadOnlyByAnAcknowledgementOfALaterRequest)
+{
+    startWith({membershipEntry(1)}, 1);
+    elect();
+    (void)durably();
+    const instant before = m_now;
+    receiveAccepted({"b", 2}, 2);
+    m_now += 100ms;
+    ASSERT_TRUE(m_replica->requestRead(7, m_now));
+    receive({"b", 2}, m_replica->term(), append_reply{true, 2, 2, before});
+    EXPECT_TRUE(durably().reads.empty());
+    receiveAccepted({"b", 2}, 2);
+    EXPECT_EQ(durably().reads.size(), 1U);
+}
+
+TEST_F(consensus_lone_replica, changesTheMembershipOnceItsTermIsCommittedAndOneAtATime)
+{
+    durable_state disk;
+    disk.hard.term = 1;
+    disk.snapshot = snapshot_data{1, 1, threeVoters, std::make_shared<const std::string>()};
+    startWith(disk);
+    elect();
+    (void)durably();
+    receive({"b", 102}, 0, hello{});
+    passTime(100ms);
+    EXPECT_EQ(m_replica->log().membersIndex(), 1U) << "before its term is committed";
+
+    receiveAccepted({"c", 3}, 2);
+    receive({"b", 102}, 0, hello{});
+    passTime(100ms);
+    ASSERT_EQ(m_replica->log().membersIndex(), 3U);
+    EXPECT_EQ(m_replica->log().members().voters.size(), 2U);
+    EXPECT_EQ(m_replica->log().members().learners, (std::vector<member_id>{{"b", 102}}));
+
+    (void)durably();
+    receive({"c", 103}, 0, hello{});
+    passTime(100ms);
+    EXPECT_EQ(m_replica->log().membersIndex(), 3U) << "while a change is not committed";
+}
+
+TEST_F(consensus_lone_replica, promotesALearnerOnlyWhenItHasCaughtUp)
+{
+    startWith({membershipEntry(1)}, 1);
+    elect();
+    (void)durably();
+    receiveAccepted({"c", 3}, 2);
+    receive({"b", 102}, 0, hello{});
+    passTime(100ms);
+    (void)durably();
+    receiveAccepted({"c", 3}, 3);
+    passTime(100ms);
+    EXPECT_EQ(m_replica->log().members().learners.size(), 1U);
+    receiveAccepted({"b", 102}, 3);
+    passTime(100ms);
+    EXPECT_TRUE(m_replica->log().members().learners.empty());
+    EXPECT_FALSE(m_replica->degradedReasons(m_now).empty()) << "until it is committed";
+}
+
+TEST_F(consensus_lone_replica, grantsNoVoteWithinAnElectionTimeoutOfItsRestart)
+{
+    startWith({membershipEntry(1)}, 1);
+    m_now += 600ms;
+    receive({"b", 2}, 2, vote_request{false, 2, 1, 1});
+    EXPECT_EQ(m_replica->term(), 1U);
+    m_now += 101ms;
+    receive({"b", 2}, 2, vote_request{false, 2, 1, 1});
+    EXPECT_EQ(m_replica->term(), 2U);
+}
+
+TEST_F(consensus_lone_replica, grantsNoVoteMeantForItsFormerIncarnation)
+{
+    startWith({}, 0);
+    m_replica->receive({{"b", 2}, {"a", 99}, 5, vote_request{false, 5, 9, 4}}, m_now);
+    EXPECT_EQ(m_replica->term(), 0U);
+    EXPECT_TRUE(durably().messages.empty());
+}
+
+TEST_F(consensus_lone_replica, beginsALogOnlyWhenAllOthersAreEmpty)
+{
+    startWith({}, 0);
+    passTime(1ms);
+    receive({"b", 2}, 0, hello_reply{true});
+    receive({"c", 3}, 4, hello_reply{false});
+    passTime(300ms);
+    EXPECT_TRUE(m_replica->log().empty());
+    receive({"b", 2}, 0, hello_reply{true});
+    receive({"c", 3}, 4, hello_reply{true});
+    EXPECT_FALSE(m_replica->log().empty());
+    EXPECT_GT(m_replica->term(), 4U);
+}
+
+TEST_F(consensus_lone_replica, keepsEntriesAfterASnapshotThatItsLogMatches)
+{
+    startWith({membershipEntry(1),
+               {1, 2, entry_kind::Command, "x"},
+               {1, 3, entry_kind::Command, "acknowledged"}},
+              1);
+    receive({"b", 2}, 1, snapshot_chunk{2, 1, threeVoters, 0, 1, m_now, "s"});
+    EXPECT_EQ(m_replica->log().lastIndex(), 3U);
+    EXPECT_EQ(m_replica->commitIndex(), 2U);
+    EXPECT_FALSE(durably().installed);
+}
+
+TEST(consensus_replica, aLeaderWithoutAQuorumStepsDown)
+{
+    replica_group group(3);
+    const std::size_t leader = group.runUntilLeader();
+    group.cutOff(leader, true);
+    group.run(900ms);
+    EXPECT_NE(group.at(leader).role(), replica_role::Leader);
+}
+
+TEST(consensus_replica, aReplicaThatWasCutOffDoesNotDeposeTheLeader)
+{
+    replica_group group(3);
+    const std::size_t leader = group.runUntilLeader();
+    const std::size_t other = (leader + 1) % 3;
+    const term_number term = group.at(leader).term();
+    group.cutOff(other, true);
+    group.run(10s);
+    group.cutOff(other, false);
+    group.run(2s);
+    EXPECT_EQ(group.at(leader).role(), replica_role::Leader);
+    EXPECT_EQ(group.at(leader).term(), term);
+}
+
+} // namespace yuccascale::kernel::consensus
