--- /dev/null
+++ b/tests/processes/at_most_once_test.cpp
@@ -0,0 +1,48 @@
+#include "processes/cluster.hpp"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <thread>
+
+namespace yuccascale::processes {
+
+TEST(at_most_once, aTicketRunsOnceThoughItsEntryIsKilledAfterDispatch)
+{
+    cluster_options options;
+    options.serviceOptions = {{"delayMs", 1'000}};
+    const cluster system{options};
+    fakes::http_answer first;
+    std::thread caller([&] { first = fakes::callHttp(system.ticket(3, "ticket-7")); });
+    const bool dispatched = waitUntil(
+            milliseconds(5'000), [&] { return !system.history("services", "request").empty(); });
+    system.process(3).signal(SIGKILL);
+    caller.join();
+    ASSERT_TRUE(dispatched);
+    EXPECT_NE(first.status, 200);
+    json last;
+    const bool told = waitUntil(milliseconds(20'000), [&] {
+        const fakes::http_answer answer = fakes::callHttp(system.ticket(0, "ticket-7"));
+        last = json::parse(answer.body, nullptr, false);
+        const json problem = last.is_object() ? last.value("error", json::object()) : json();
+        return answer.status == 200 || problem.value("kind", "") == "outcome_unknown";
+    });
+    EXPECT_TRUE(told) << last;
+    EXPECT_EQ(system.history("services", "run").size(), 1U);
+}
+
+TEST(at_most_once, anAnswerThatTheServiceLostIsNeverAskedForTwice)
+{
+    cluster_options options;
+    options.serviceOptions = {{"loseAnswerEvery", 1}};
+    const cluster system{options};
+    for (std::size_t node = 0; node < system.size(); ++node) {
+        const fakes::http_answer answer = fakes::callHttp(system.ticket(node, "lost-1"));
+        const json body = json::parse(answer.body, nullptr, false);
+        ASSERT_TRUE(body.is_object() && body.contains("error")) << answer.body;
+        EXPECT_TRUE(body["error"].value("may_have_run", false)) << answer.body;
+    }
+    EXPECT_EQ(system.history("services", "run").size(), 1U);
+}
+
+} // namespace yuccascale::processes
--- /dev/null
+++ b/tests/processes/authority_test.cpp
@@ -0,0 +1,68 @@
+#include "processes/chat_stream.hpp"
+#include "processes/cluster.hpp"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <thread>
+
+namespace yuccascale::processes {
+
+namespace {
+
+constexpr milliseconds withdrawnWithin{3'000};
+
+/// Sends a request with the withdrawn key. \returns the status.
+int statusWithKey(const cluster &system, std::size_t node, const std::string &id)
+{
+    chat_stream stream;
+    fakes::http_call call = system.chat(node, id, "is the key good?", 1);
+    call.timeoutMs = 2'000;
+    return stream.run(call).status;
+}
+
+int requestsAtEngines(const cluster &system, const std::string &idStart)
+{
+    int count = 0;
+    for (const json &request : system.history("engines", "request"))
+        count += request.at("request_id").get<std::string>().starts_with(idStart) ? 1 : 0;
+    return count;
+}
+
+} // namespace
+
+TEST(authority, aWithdrawnKeyStopsEverywhereWithinThreeSeconds)
+{
+    const cluster system{{}};
+    for (std::size_t node = 0; node < system.size(); ++node)
+        ASSERT_EQ(statusWithKey(system, node, "early-" + std::to_string(node)), 200);
+    const std::size_t paused = system.size() - 1;
+    system.process(paused).signal(SIGSTOP);
+    ASSERT_EQ(system.command({"key", "withdraw", "albany-1"}, {0, 1, 2}).code, 0);
+    std::this_thread::sleep_for(withdrawnWithin); // the bound itself, not a synchronisation
+    system.process(paused).signal(SIGCONT);
+    for (std::size_t node = 0; node < system.size(); ++node)
+        EXPECT_NE(statusWithKey(system, node, "late-" + std::to_string(node)), 200) << node;
+    EXPECT_EQ(requestsAtEngines(system, "late-"), 0);
+}
+
+TEST(authority, aSilentlyCutEntryStopsStartingKeyedRequests)
+{
+    cluster_options options;
+    options.relayLast = true;
+    cluster system{options};
+    const std::size_t cut = system.size() - 1;
+    ASSERT_EQ(statusWithKey(system, cut, "early"), 200);
+    system.cutLastNode(true);
+    ASSERT_EQ(system.command({"key", "withdraw", "albany-1"}, {0, 1, 2}).code, 0);
+    std::this_thread::sleep_for(withdrawnWithin); // the bound itself, not a synchronisation
+    chat_stream stream;
+    const int status = stream.run(system.chat(cut, "late", "is the key good?", 1)).status;
+    const json problem = json::parse(stream.problem(), nullptr, false);
+    EXPECT_NE(status, 200);
+    ASSERT_TRUE(problem.is_object()) << stream.problem();
+    EXPECT_FALSE(problem["error"].value("may_have_run", true)) << problem;
+    EXPECT_EQ(requestsAtEngines(system, "late"), 0);
+}
+
+} // namespace yuccascale::processes
--- /dev/null
+++ b/tests/processes/chat_stream.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "fakes/http_client.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+/// \file
+/// \brief A caller's side of one streamed answer.
+
+namespace yuccascale::processes {
+
+/// \brief Collects the pieces of a stream over one or more calls.
+class chat_stream
+{
+public:
+    /// \brief Makes \a call, as a resume if pieces came before.
+    /// \param onPiece called after each piece with the number of pieces so far
+    /// \returns the answer's head
+    fakes::http_answer run(fakes::http_call call,
+                           const std::function<void(std::int64_t)> &onPiece = {});
+
+    [[nodiscard]] bool finished() const noexcept { return m_finished; }
+    [[nodiscard]] std::int64_t pieces() const noexcept { return m_pieces; }
+    [[nodiscard]] const std::string &text() const noexcept { return m_text; }
+
+    /// \returns what came in place of an answer.
+    [[nodiscard]] const std::string &problem() const noexcept { return m_problem; }
+
+private:
+    void takeBytes(const fakes::http_answer &head, std::string_view bytes,
+                   const std::function<void(std::int64_t)> &onPiece);
+
+    std::string m_unread;
+    std::string m_text;
+    std::string m_token;
+    std::string m_problem;
+    std::int64_t m_pieces = 0;
+    bool m_finished = false;
+};
+
+} // namespace yuccascale::processes
--- /dev/null
+++ b/tests/processes/child_process.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief A process that a test started and ends by its id.
+
+namespace yuccascale::processes {
+
+/// \brief Runs a program; ends it with SIGKILL when it is destroyed.
+class child_process
+{
+public:
+    /// \param outputFile takes both output streams
+    child_process(const std::vector<std::string> &command, const std::string &outputFile);
+    ~child_process();
+    child_process(const child_process &) = delete;
+    child_process &operator=(const child_process &) = delete;
+
+    /// \brief Sends a signal, if the process still runs.
+    void signal(int number) const;
+
+    /// \brief Sends SIGKILL and waits for the end.
+    void kill();
+
+    /// \returns true when it ended by itself within \a timeout.
+    [[nodiscard]] bool waitForEnd(kernel::milliseconds timeout);
+
+    /// \returns the exit code once it ended; 128 and the number of the signal that ended it.
+    [[nodiscard]] int exitCode() const noexcept { return m_exitCode; }
+
+private:
+    void keepStatus(int status) noexcept;
+
+    pid_t m_id = -1;
+    int m_exitCode = -1;
+};
+
+} // namespace yuccascale::processes
--- /dev/null
+++ b/tests/processes/cluster.cpp
@@ -0,0 +1,427 @@
+#include "processes/cluster.hpp"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace yuccascale::processes {
+
+namespace fs = std::filesystem;
+
+namespace {
+
+constexpr milliseconds commandTimeout{30'000};
+constexpr milliseconds pollInterval{20};
+constexpr std::array<const char *, 3> zones{"perth-a", "perth-b", "bunbury"};
+const std::string binaryFolder = YUCCASCALE_BINARY_DIR;
+
+/// \returns ports that were free a moment ago.
+std::vector<int> freePorts(std::size_t count)
+{
+    std::vector<wire::socket> sockets;
+    std::vector<int> ports;
+    sockets.reserve(count);
+    ports.reserve(count);
+    for (std::size_t number = 0; number < count; ++number) {
+        const wire::socket &one = sockets.emplace_back(::socket(AF_INET, SOCK_STREAM, 0));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto *const plain = reinterpret_cast<sockaddr *>(&address);
+        if (::bind(one.descriptor(), plain, size) != 0
+            || ::getsockname(one.descriptor(), plain, &size) != 0)
+            throw std::runtime_error("no free port");
+        ports.push_back(ntohs(address.sin_port));
+    }
+    return ports;
+}
+
+std::string loopback(int port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+void writeFile(const fs::path &file, const std::string &text)
+{
+    std::ofstream(file) << text;
+    fs::permissions(file, fs::perms(0600));
+}
+
+std::string readFile(const fs::path &file)
+{
+    std::ifstream stream(file);
+    return {std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+}
+
+std::vector<json> readLines(const fs::path &file)
+{
+    std::vector<json> out;
+    std::istringstream lines(readFile(file));
+    for (std::string line; std::getline(lines, line);) {
+        json document = json::parse(line, nullptr, false);
+        if (!document.is_discarded())
+            out.push_back(std::move(document));
+    }
+    return out;
+}
+
+fs::path newFolder()
+{
+    static std::atomic<int> number{0};
+    fs::path folder = fs::temp_directory_path()
+            / ("yuccascale-cluster-" + std::to_string(::getpid()) + "-" + std::to_string(number++));
+    fs::create_directories(folder);
+    return folder;
+}
+
+} // namespace
+
+bool waitUntil(milliseconds timeout, const std::function<bool()> &condition)
+{
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= until)
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+cluster::cluster(const cluster_options &options)
+    : m_options(options)
+    , m_folder(newFolder())
+    , m_nodes(static_cast<std::size_t>(options.nodes))
+{
+    const std::size_t relays = options.relayLast ? 2 * (m_nodes.size() - 1) : 0;
+    std::vector<int> ports = freePorts(2 * m_nodes.size()
+                                       + static_cast<std::size_t>(options.engines) + 5 + relays);
+    const auto next = [&ports] {
+        const int port = ports.back();
+        ports.pop_back();
+        return port;
+    };
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+        m_nodes[index].name = "node-" + std::to_string(index + 1);
+        m_nodes[index].link = loopback(next());
+        m_nodes[index].callers = loopback(next());
+        m_nodes[index].control = index < 3;
+    }
+    std::generate_n(std::back_inserter(m_enginePorts), options.engines, next);
+    m_servicePort = next();
+    for (const char *kind : {"endpoints", "usage", "weights", "vms"})
+        m_platformPorts[kind] = next();
+    for (std::size_t other = 0; options.relayLast && other + 1 < m_nodes.size(); ++other) {
+        m_relayAddresses[m_nodes[other].name + ">"] = loopback(next());
+        m_relayAddresses[">" + m_nodes[other].name] = loopback(next());
+    }
+    writeFile(m_folder / "secret", "0123456789abcdef0123456789abcdef\n");
+    startStandins();
+    startRelays();
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+        fs::create_directories(m_folder / ("data-" + m_nodes[index].name));
+        writeSettings(index);
+        startNode(index);
+    }
+    if (!waitAllReady())
+        throw std::runtime_error("the nodes are not ready; see " + m_folder.string());
+    makeTables();
+}
+
+cluster::~cluster()
+{
+    m_nodes.clear();
+    m_standins.clear();
+    m_relays.clear();
+    if (testing::Test::HasFailure())
+        std::cerr << "logs and histories are kept in " << m_folder << "\n";
+    else
+        fs::remove_all(m_folder);
+}
+
+const std::string &cluster::callers(std::size_t node) const
+{
+    return m_nodes.at(node).callers;
+}
+
+child_process &cluster::process(std::size_t node) const
+{
+    return *m_nodes.at(node).process;
+}
+
+void cluster::startStandin(const std::string &name, const json &rows)
+{
+    writeFile(m_folder / (name + ".json"), rows.dump());
+    m_standins.push_back(std::make_unique<child_process>(
+            std::vector<std::string>{binaryFolder + "/tests/yuccascale-standin", "all",
+                                     m_folder / (name + ".json"),
+                                     "--history=" + (m_folder / (name + ".jsonl")).string()},
+            m_folder / (name + ".out")));
+}
+
+void cluster::startStandins()
+{
+    json engines = json::array();
+    for (std::size_t index = 0; index < m_enginePorts.size(); ++index) {
+        json row = m_options.engineOptions;
+        row["kind"] = "engine";
+        row["name"] = "engine-" + std::to_string(index + 1);
+        row["port"] = m_enginePorts[index];
+        engines.push_back(row);
+    }
+    startStandin("engines", engines);
+    json service = m_options.serviceOptions;
+    service["kind"] = "service";
+    service["name"] = "service-1";
+    service["port"] = m_servicePort;
+    startStandin("services", json::array({service}));
+    json platform = json::array();
+    for (const auto &[kind, port] : m_platformPorts)
+        platform.push_back({{"kind", kind}, {"name", kind}, {"port", port}});
+    startStandin("platform", platform);
+}
+
+void cluster::startRelays()
+{
+    if (!m_options.relayLast)
+        return;
+    const node_parts &last = m_nodes.back();
+    for (std::size_t other = 0; other + 1 < m_nodes.size(); ++other) {
+        const node_parts &node = m_nodes[other];
+        m_relays.push_back(
+                std::make_unique<relay>(m_relayAddresses.at(node.name + ">"), last.link));
+        m_relays.push_back(
+                std::make_unique<relay>(m_relayAddresses.at(">" + node.name), node.link));
+    }
+}
+
+std::string cluster::linkAsSeenBy(std::size_t node, std::size_t other) const
+{
+    const std::size_t last = m_nodes.size() - 1;
+    if (!m_options.relayLast || node == other || (node != last && other != last))
+        return m_nodes[other].link;
+    return node == last ? m_relayAddresses.at(">" + m_nodes[other].name)
+                        : m_relayAddresses.at(m_nodes[node].name + ">");
+}
+
+void cluster::writeSettings(std::size_t node) const
+{
+    const std::string folder = m_folder.string();
+    const std::string &name = m_nodes[node].name;
+    std::ostringstream text;
+    text << "node: " << name << "\ncluster_secret: " << folder
+         << "/secret\noperator_key: " << folder << "/secret\n";
+    if (m_nodes[node].control)
+        text << "data_folder: " << folder << "/data-" << name << "\n";
+    text << "nodes:\n";
+    for (std::size_t other = 0; other < m_nodes.size(); ++other)
+        text << "  - {name: " << m_nodes[other].name << ", zone: " << zones.at(other % zones.size())
+             << ", link: '" << linkAsSeenBy(node, other) << "', callers: '"
+             << m_nodes[other].callers << "', roles: ["
+             << (m_nodes[other].control ? "entry, control" : "entry") << "]}\n";
+    text << "http: {address_ttl: 1s}\nlog: {format: json, file: '" << folder << "/" << name
+         << ".log'}\nplatform:\n  endpoint_orders: " << loopback(m_platformPorts.at("endpoints"))
+         << "\n  usage_reports: " << loopback(m_platformPorts.at("usage"))
+         << "\n  weight_store: " << loopback(m_platformPorts.at("weights"))
+         << "\n  vm_list: " << loopback(m_platformPorts.at("vms"))
+         << "\n  usage_window: " << m_options.usageWindow << "\n";
+    writeFile(m_folder / (name + ".yaml"), text.str());
+}
+
+void cluster::startNode(std::size_t node)
+{
+    const std::string &name = m_nodes.at(node).name;
+    m_nodes[node].process = std::make_unique<child_process>(
+            std::vector<std::string>{binaryFolder + "/yuccascale", "node",
+                                     "--settings=" + (m_folder / (name + ".yaml")).string()},
+            m_folder / (name + ".out"));
+}
+
+bool cluster::isReady(std::size_t node) const
+{
+    fakes::http_call call;
+    call.address = callers(node);
+    call.path = "/ready";
+    call.timeoutMs = 500;
+    return fakes::callHttp(call).status == 200;
+}
+
+bool cluster::waitReady(std::size_t node) const
+{
+    return waitUntil(readyTimeout, [&] { return isReady(node); });
+}
+
+bool cluster::waitAllReady() const
+{
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+        if (!waitReady(index))
+            return false;
+    }
+    return true;
+}
+
+void cluster::wipeData(std::size_t node) const
+{
+    const fs::path data = m_folder / ("data-" + m_nodes.at(node).name);
+    fs::remove_all(data);
+    fs::create_directories(data);
+}
+
+void cluster::cutLastNode(bool on)
+{
+    for (const auto &one : m_relays)
+        one->cut(on);
+}
+
+std::size_t cluster::leader(std::size_t asked) const
+{
+    std::size_t found = m_nodes.size();
+    (void)waitUntil(readyTimeout, [&] {
+        const json status = command({"status"}, {asked}).document;
+        const std::string name = status.is_object() ? status.value("leader", "") : "";
+        for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+            if (m_nodes[index].name == name)
+                found = index;
+        }
+        return found < m_nodes.size();
+    });
+    return found;
+}
+
+command_answer cluster::command(std::vector<std::string> words,
+                                const std::vector<std::size_t> &nodes) const
+{
+    static std::atomic<int> number{0};
+    const fs::path output = m_folder / ("command-" + std::to_string(number++) + ".out");
+    std::string addresses;
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+        if (nodes.empty() || std::ranges::find(nodes, index) != nodes.end())
+            addresses += (addresses.empty() ? "" : ",") + m_nodes[index].callers;
+    }
+    words.insert(words.begin(), binaryFolder + "/yuccascale");
+    words.push_back("--address=" + addresses);
+    words.push_back("--operator-key-file=" + (m_folder / "secret").string());
+    words.emplace_back("--output=json");
+    child_process process(words, output);
+    command_answer answer;
+    if (process.waitForEnd(commandTimeout))
+        answer.code = process.exitCode();
+    answer.text = readFile(output);
+    answer.document = json::parse(answer.text, nullptr, false);
+    return answer;
+}
+
+command_answer cluster::put(const std::string &table, const json &rows,
+                            const std::vector<std::size_t> &nodes) const
+{
+    static std::atomic<int> number{0};
+    const fs::path file = m_folder / (table + "-" + std::to_string(number++) + ".yaml");
+    writeFile(file, rows.dump());
+    return command({table, "put", file}, nodes);
+}
+
+void cluster::makeTables()
+{
+    json engines = json::array();
+    for (std::size_t index = 0; index < m_enginePorts.size(); ++index)
+        engines.push_back({{"name", "engine-" + std::to_string(index + 1)},
+                           {"address", loopback(m_enginePorts[index])},
+                           {"zone", zones.at(index % zones.size())},
+                           {"slots", "8"}});
+    const json service{
+            {"name", "service-1"}, {"address", loopback(m_servicePort)}, {"zone", zones.front()}};
+    const json pools{{{"name", "engines"},
+                      {"kind", "model"},
+                      {"model", "model"},
+                      {"version", "1"},
+                      {"endpoints", engines}},
+                     {{"name", "services"}, {"kind", "service"}, {"endpoints", {service}}}};
+    const json routes{{{"name", "chat"}, {"pool", "engines"}, {"kind", "model"}},
+                      {{"name", "tickets"},
+                       {"pool", "services"},
+                       {"kind", "service"},
+                       {"idempotent", "false"}}};
+    const std::vector<command_answer> answers{put("organisation", json{{"name", "albany"}}),
+                                              put("pool", pools), put("route", routes),
+                                              command({"key", "create", "albany", "albany-1"})};
+    for (const command_answer &answer : answers) {
+        if (answer.code != 0)
+            throw std::runtime_error("the tables were not made: " + answer.text);
+    }
+    m_key = answers.back().document.at("key");
+    const std::string revision
+            = std::to_string(answers.back().document.at("revision").get<std::uint64_t>());
+    if (command({"wait", "--revision=" + revision}).code != 0)
+        throw std::runtime_error("revision " + revision + " is not in force everywhere");
+}
+
+fakes::http_call cluster::chat(std::size_t node, const std::string &id, const std::string &prompt,
+                               int outputTokens) const
+{
+    fakes::http_call call;
+    call.address = callers(node);
+    call.method = "POST";
+    call.path = "/v1/chat/completions";
+    call.headers = {{"Authorization", "Bearer " + m_key}, {"X-Request-Id", id}};
+    call.body = json{{"model", "chat"},
+                     {"stream", true},
+                     {"max_tokens", outputTokens},
+                     {"messages", {{{"role", "user"}, {"content", prompt}}}}}
+                        .dump();
+    return call;
+}
+
+fakes::http_call cluster::ticket(std::size_t node, const std::string &idempotencyKey) const
+{
+    fakes::http_call call;
+    call.address = callers(node);
+    call.method = "POST";
+    call.path = "/s/tickets/new";
+    call.headers = {{"Authorization", "Bearer " + m_key}, {"Idempotency-Key", idempotencyKey}};
+    call.body = R"({"member":"1"})";
+    return call;
+}
+
+std::vector<json> cluster::history(const std::string &name, const std::string &event) const
+{
+    std::vector<json> out = readLines(m_folder / (name + ".jsonl"));
+    std::erase_if(out, [&](const json &line) { return line.value("event", "") != event; });
+    return out;
+}
+
+std::unique_ptr<child_process> cluster::startLoad(json plan) const
+{
+    for (const node_parts &node : m_nodes)
+        plan["addresses"].push_back(node.callers);
+    plan["modelRoute"] = "chat";
+    plan["serviceRoute"] = "tickets";
+    for (json &row : plan["organisations"])
+        row["key"] = m_key;
+    writeFile(m_folder / "load.json", plan.dump());
+    return std::make_unique<child_process>(
+            std::vector<std::string>{binaryFolder + "/tests/yuccascale-standin", "load",
+                                     m_folder / "load.json",
+                                     "--history=" + (m_folder / "load.jsonl").string()},
+            m_folder / "load.out");
+}
+
+std::map<std::string, int> cluster::loadOutcomes() const
+{
+    std::map<std::string, int> out;
+    for (const json &line : readLines(m_folder / "load.jsonl"))
+        ++out[line.value("outcome", "")];
+    return out;
+}
+
+} // namespace yuccascale::processes
--- /dev/null
+++ b/tests/processes/whole_path_test.cpp
@@ -0,0 +1,79 @@
+#include "fakes/answer_text.hpp"
+#include "processes/chat_stream.hpp"
+#include "processes/cluster.hpp"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <thread>
+
+namespace yuccascale::processes {
+
+namespace {
+
+std::string wholeAnswer(const std::string &prompt, int pieces)
+{
+    return fakes::answerText(fakes::promptHash(prompt), pieces);
+}
+
+} // namespace
+
+TEST(whole_path, aCallerGetsItsWholeStreamAndTheEngineSeesNoKey)
+{
+    const cluster system{{}};
+    for (std::size_t node = 0; node < system.size(); ++node) {
+        const std::string prompt = "a file for teller " + std::to_string(node);
+        chat_stream stream;
+        stream.run(system.chat(node, "path-" + std::to_string(node), prompt, 20));
+        EXPECT_TRUE(stream.finished()) << stream.problem();
+        EXPECT_EQ(stream.text(), wholeAnswer(prompt, 20));
+    }
+    const std::vector<json> requests = system.history("engines", "request");
+    EXPECT_EQ(requests.size(), system.size());
+    for (const json &request : requests) {
+        const std::string line = request.dump();
+        EXPECT_EQ(line.find("authorization"), std::string::npos) << line;
+        EXPECT_EQ(line.find(system.key()), std::string::npos) << line;
+        EXPECT_EQ(line.find("albany"), std::string::npos) << line;
+    }
+}
+
+TEST(whole_path, aStreamIsResumedWholeAfterItsEntryIsKilled)
+{
+    const cluster system{{}};
+    const std::string prompt = "a long briefing";
+    constexpr int pieces = 150;
+    chat_stream stream;
+    stream.run(system.chat(3, "resumed", prompt, pieces), [&](std::int64_t count) {
+        if (count == 30)
+            system.process(3).signal(SIGKILL);
+    });
+    ASSERT_FALSE(stream.finished());
+    const bool whole = waitUntil(milliseconds(10'000), [&] {
+        stream.run(system.chat(0, "resumed", prompt, pieces));
+        return stream.finished();
+    });
+    EXPECT_TRUE(whole) << stream.problem();
+    EXPECT_EQ(stream.text(), wholeAnswer(prompt, pieces));
+    const std::vector<json> requests = system.history("engines", "request");
+    ASSERT_GE(requests.size(), 2U);
+    EXPECT_NE(requests.back().at("resume_from"), "") << "the whole answer was generated again";
+}
+
+TEST(whole_path, aGracefulShutdownCutsNoStream)
+{
+    const cluster system{{}};
+    const std::string prompt = "read to the end";
+    constexpr int pieces = 300;
+    chat_stream stream;
+    stream.run(system.chat(3, "shutdown", prompt, pieces), [&](std::int64_t count) {
+        if (count == 10)
+            system.process(3).signal(SIGTERM);
+    });
+    EXPECT_TRUE(stream.finished()) << stream.problem();
+    EXPECT_EQ(stream.text(), wholeAnswer(prompt, pieces));
+    EXPECT_TRUE(system.process(3).waitForEnd(milliseconds(10'000)));
+    EXPECT_EQ(system.process(3).exitCode(), 0);
+}
+
+} // namespace yuccascale::processes
