The leader's duties run in the node, on what entries report

Cause: orders, usage reports, roles and placement had a driver but no node ran it, and the leader knew neither the demand on a pool nor which entries were gone. Ruled out: demand from usage records (they tell what was answered, not what was offered); an entry gone as soon as it is silent (a slow feed would end its claims); waiting for a node that a new leader never heard (a window would never close): it counts as gone after a minute of leading.

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -225,6 +225,32 @@
     return out;
 }
 
+std::vector<kernel::requests::demand_report> caller_pools::takeDemand()
+{
+    std::vector<kernel::requests::demand_report> out;
+    const std::shared_lock guard(m_mutex);
+    for (const auto &[name, pool] : m_shards) {
+        const std::scoped_lock poolGuard(pool->mutex);
+        out.push_back(pool->scheduler.takeDemand(m_clock.now()));
+        out.back().pool = name;
+    }
+    return out;
+}
+
+std::map<std::string, kernel::policy::load_report>
+caller_pools::loads(const std::string &pool) const
+{
+    std::map<std::string, kernel::policy::load_report> out;
+    const std::shared_ptr<shard> found = find(pool);
+    if (!found)
+        return out;
+    const std::scoped_lock guard(found->mutex);
+    for (const kernel::policy::endpoint_view &view :
+         found->scheduler.endpoints().views(m_clock.now(), {}))
+        out[view.row->name] = view.report;
+    return out;
+}
+
 void caller_pools::chargedElsewhere(std::span<const kernel::requests::pool_charge> charges,
                                     const kernel::state::table_set &tables)
 {
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -67,6 +67,13 @@
     /// \param mostPerPool charges taken from one pool
     [[nodiscard]] std::vector<kernel::requests::pool_charge> takeCharges(std::size_t mostPerPool);
 
+    /// \returns what callers offered each pool here since the last call.
+    [[nodiscard]] std::vector<kernel::requests::demand_report> takeDemand();
+
+    /// \returns the last load report of each endpoint of a pool, by name.
+    [[nodiscard]] std::map<std::string, kernel::policy::load_report>
+    loads(const std::string &pool) const;
+
     /// \brief Takes in what another entry charged.
     void chargedElsewhere(std::span<const kernel::requests::pool_charge> charges,
                           const kernel::state::table_set &tables);
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -91,6 +91,8 @@
     waiting.work = {subject.promptTokens, subject.outputTokens};
     waiting.steadyOnly = !subject.route.idempotent;
     waiting.how = how;
+    if (!how.retry)
+        m_demand.offered(subject.promptTokens, subject.outputTokens, subject.route.idempotent);
     const policy::queue_view view = queueView(waiting.row);
     if (!how.retry && m_waiting.size() >= m_limits.maxWaiting) {
         return refusal{error_kind::Overloaded, "the queue is full; come back later", false,
@@ -180,6 +182,16 @@
     return tickets;
 }
 
+demand_report pool_scheduler::takeDemand(instant now)
+{
+    demand_report out = m_demand.take(now);
+    for (const auto &[ticket, waiting] : m_waiting) {
+        out.prefillBacklogTokens += static_cast<double>(waiting.work.promptTokens);
+        out.decodeBacklogTokens += static_cast<double>(waiting.work.outputTokens);
+    }
+    return out;
+}
+
 std::vector<scheduled_turn> pool_scheduler::schedule(instant now)
 {
     std::vector<scheduled_turn> turns;
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -3,6 +3,7 @@
 #include "yuccascale/kernel/policy/admission.hpp"
 #include "yuccascale/kernel/policy/routing.hpp"
 #include "yuccascale/kernel/requests/charge_book.hpp"
+#include "yuccascale/kernel/requests/demand_meter.hpp"
 #include "yuccascale/kernel/requests/endpoint_table.hpp"
 #include "yuccascale/kernel/requests/request_actions.hpp"
 #include "yuccascale/kernel/requests/retry_budget.hpp"
@@ -115,6 +116,9 @@
 
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
 
+    /// \returns what was offered since the last call, and what waits.
+    [[nodiscard]] demand_report takeDemand(instant now);
+
     /// \returns what this entry charged its organisations, to be told to the others.
     [[nodiscard]] charge_book &charges() noexcept { return m_charges; }
 
@@ -158,6 +162,7 @@
     entry_position m_position;
     endpoint_table m_endpoints;
     charge_book m_charges;
+    demand_meter m_demand;
     std::map<std::uint64_t, waiting_entry> m_waiting;
     std::deque<std::uint64_t> m_parked; ///< taken from the queue, no endpoint for them yet
     std::map<std::uint64_t, running_entry> m_running;
--- a/src/yuccascale/kernel/transport.hpp
+++ b/src/yuccascale/kernel/transport.hpp
@@ -18,8 +18,8 @@
     Consensus = 1, ///< log replication and elections
     Submit = 2,    ///< a command for the leader
     Feed = 3,      ///< tables in force and the freshness lease
-    Load = 4,      ///< load reports and what entries sent to endpoints
-    Usage = 5,     ///< usage records
+    Load = 4,      ///< what entries charged their organisations
+    Demand = 5,    ///< work offered to the pools, for the leader
 };
 
 /// \brief Sends to other nodes. Thread-safe.
--- a/src/yuccascale/runtime/charge_exchange.cpp
+++ b/src/yuccascale/runtime/charge_exchange.cpp
@@ -21,6 +21,7 @@
     : m_settings(settings)
     , m_transport(transport)
     , m_hooks(std::move(hooks))
+    , m_task(exchangeInterval, [this] { tellOthers(); })
 {
     m_transport.handle(channel::Load, [this](std::string_view, std::string_view payload) {
         if (m_running)
@@ -37,19 +38,13 @@
 void charge_exchange::start()
 {
     m_running = true;
-    m_thread = std::thread([this] { run(); });
+    m_task.start();
 }
 
 void charge_exchange::stop()
 {
     m_running = false;
-    {
-        const std::lock_guard lock(m_mutex);
-        m_stopped = true;
-    }
-    m_changed.notify_all();
-    if (m_thread.joinable())
-        m_thread.join();
+    m_task.stop();
 }
 
 void charge_exchange::tellOthers()
@@ -64,14 +59,4 @@
     }
 }
 
-void charge_exchange::run()
-{
-    std::unique_lock lock(m_mutex);
-    while (!m_changed.wait_for(lock, exchangeInterval, [&] { return m_stopped; })) {
-        lock.unlock();
-        tellOthers();
-        lock.lock();
-    }
-}
-
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/charge_exchange.hpp
+++ b/src/yuccascale/runtime/charge_exchange.hpp
@@ -3,14 +3,12 @@
 #include "yuccascale/kernel/control_client.hpp"
 #include "yuccascale/kernel/requests/charge_book.hpp"
 #include "yuccascale/kernel/transport.hpp"
+#include "yuccascale/runtime/periodic_task.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
 #include <atomic>
-#include <condition_variable>
 #include <functional>
-#include <mutex>
 #include <span>
-#include <thread>
 #include <vector>
 
 /// \file
@@ -44,16 +42,11 @@
     void tellOthers();
 
 private:
-    void run();
-
     const settings &m_settings;
     kernel::transport &m_transport;
     charge_hooks m_hooks;
-    std::mutex m_mutex;
-    std::condition_variable m_changed;
-    bool m_stopped = false;
     std::atomic<bool> m_running{false}; ///< the hooks may be called
-    std::thread m_thread;
+    periodic_task m_task;
 };
 
 } // namespace yuccascale::runtime
--- /dev/null
+++ b/src/yuccascale/runtime/demand_reporter.cpp
@@ -0,0 +1,58 @@
+#include "yuccascale/runtime/demand_reporter.hpp"
+
+#include "yuccascale/wire/demand_codec.hpp"
+
+#include <utility>
+
+namespace yuccascale::runtime {
+
+using namespace kernel;
+
+namespace {
+
+constexpr milliseconds reportInterval{1'000};
+constexpr seconds reportValidity{5};
+
+} // namespace
+
+demand_reporter::demand_reporter(const settings &settings, clock &clock, transport &transport,
+                                 control_client &control,
+                                 std::function<std::vector<requests::demand_report>()> take)
+    : m_settings(settings)
+    , m_clock(clock)
+    , m_transport(transport)
+    , m_control(control)
+    , m_take(std::move(take))
+    , m_book(reportValidity)
+    , m_task(reportInterval, [this] { report(); })
+{
+    m_transport.handle(channel::Demand, [this](std::string_view peer, std::string_view payload) {
+        hear(peer, wire::decodeDemands(payload));
+        return std::string();
+    });
+}
+
+policy::pool_demand demand_reporter::demandOn(std::string_view pool) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_book.of(m_clock.now(), pool);
+}
+
+void demand_reporter::report()
+{
+    const std::vector<requests::demand_report> reports = m_take();
+    const std::string leader = m_control.view().leader;
+    if (leader == m_settings.node)
+        hear(leader, reports);
+    else if (!leader.empty() && !reports.empty())
+        m_transport.post(leader, channel::Demand, wire::encodeDemands(reports));
+}
+
+void demand_reporter::hear(std::string_view entry,
+                           const std::vector<requests::demand_report> &reports)
+{
+    const std::lock_guard lock(m_mutex);
+    m_book.hear(m_clock.now(), entry, reports);
+}
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/src/yuccascale/runtime/demand_reporter.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "yuccascale/kernel/control_client.hpp"
+#include "yuccascale/kernel/orders/demand_book.hpp"
+#include "yuccascale/kernel/transport.hpp"
+#include "yuccascale/runtime/periodic_task.hpp"
+#include "yuccascale/runtime/settings.hpp"
+
+#include <functional>
+#include <mutex>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// \brief Entries report the work offered to them; the leader sums the reports.
+
+namespace yuccascale::runtime {
+
+/// \brief Reports this entry's demand to the leader and keeps what others report here. Thread-safe.
+class demand_reporter
+{
+public:
+    /// \param take measures this entry's demand since its last call
+    demand_reporter(const settings &settings, kernel::clock &clock, kernel::transport &transport,
+                    kernel::control_client &control,
+                    std::function<std::vector<kernel::requests::demand_report>()> take);
+
+    void start() { m_task.start(); }
+    void stop() { m_task.stop(); }
+
+    /// \returns the demand on a pool as reported here; meaningful on the leader.
+    [[nodiscard]] kernel::policy::pool_demand demandOn(std::string_view pool) const;
+
+private:
+    void report();
+    void hear(std::string_view entry, const std::vector<kernel::requests::demand_report> &reports);
+
+    const settings &m_settings;
+    kernel::clock &m_clock;
+    kernel::transport &m_transport;
+    kernel::control_client &m_control;
+    std::function<std::vector<kernel::requests::demand_report>()> m_take;
+    mutable std::mutex m_mutex;
+    kernel::orders::demand_book m_book;
+    periodic_task m_task;
+};
+
+} // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -42,14 +42,15 @@
 } // namespace
 
 feed_service::feed_service(const settings &settings, clock &clock, transport &transport,
-                           event_sink &events, control_authority *authority)
+                           event_sink &events, std::uint64_t incarnation,
+                           control_authority *authority)
     : m_settings(settings)
     , m_clock(clock)
     , m_transport(transport)
     , m_events(events)
     , m_authority(authority)
     , m_controlNodes(controlNames(settings))
-    , m_incarnation(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()))
+    , m_incarnation(incarnation)
     , m_state(settings.control.freshness, entryNames(settings))
 {
     m_transport.handle(channel::Feed, [this](std::string_view peer, std::string_view payload) {
@@ -92,7 +93,7 @@
 
 std::vector<feed::node_report> feed_service::nodeReports() const
 {
-    constexpr seconds reportWindow{60};
+    constexpr seconds reportWindow{24 * 3'600};
     const std::lock_guard lock(m_mutex);
     std::vector<feed::node_report> all = m_state.directory().reports(m_clock.now(), reportWindow);
     std::erase_if(all, [&](const auto &report) { return report.node == m_settings.node; });
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -37,9 +37,11 @@
 class feed_service
 {
 public:
+    /// \param incarnation of this process; rises with each restart of a node
     /// \param authority null on nodes without the control role
     feed_service(const settings &settings, kernel::clock &clock, kernel::transport &transport,
-                 kernel::event_sink &events, control_authority *authority);
+                 kernel::event_sink &events, std::uint64_t incarnation,
+                 control_authority *authority);
     ~feed_service();
     feed_service(const feed_service &) = delete;
     feed_service &operator=(const feed_service &) = delete;
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -7,6 +7,9 @@
 #include "yuccascale/runtime/cluster_client.hpp"
 #include "yuccascale/runtime/control_service.hpp"
 #include "yuccascale/runtime/decision_memory.hpp"
+#include "yuccascale/runtime/demand_reporter.hpp"
+#include "yuccascale/runtime/duties.hpp"
+#include "yuccascale/runtime/entry_liveness.hpp"
 #include "yuccascale/runtime/event_log.hpp"
 #include "yuccascale/runtime/events.hpp"
 #include "yuccascale/runtime/node_status.hpp"
@@ -76,6 +79,9 @@
     void buildControl();
     void buildCallerServer();
     void buildChargeExchange();
+    void buildDemandReporter();
+    [[nodiscard]] result<void> buildDuties();
+    [[nodiscard]] std::vector<orders::pool_facts> poolFacts() const;
     [[nodiscard]] result<void> startAll();
     void stopAll();
     [[nodiscard]] bool offered(const node_settings &other) const;
@@ -85,6 +91,7 @@
     system_clock clock;
     event_log log;
     decision_memory events;
+    std::uint64_t incarnation; ///< of this process; rises with each restart
     std::string secret;
     std::string operatorKey;
     std::unique_ptr<wire::tcp_transport> transport;
@@ -94,6 +101,8 @@
     std::unique_ptr<cluster_client> client;
     std::unique_ptr<http::caller_server> callers;
     std::unique_ptr<charge_exchange> charges;
+    std::unique_ptr<demand_reporter> demand;
+    std::unique_ptr<duties> leaderDuties; ///< null without the control role
 
     std::mutex mutex;
     std::condition_variable changed;
@@ -107,11 +116,13 @@
     transport = std::make_unique<wire::tcp_transport>(transportSettings(settings, secret));
     if (settings.self().roles.control)
         buildControl();
-    feed = std::make_unique<feed_service>(settings, clock, *transport, events, control.get());
+    feed = std::make_unique<feed_service>(settings, clock, *transport, events, incarnation,
+                                          control.get());
     client = std::make_unique<cluster_client>(settings, clock, *transport, *feed, control.get());
     buildCallerServer();
     buildChargeExchange();
-    return {};
+    buildDemandReporter();
+    return control ? buildDuties() : result<void>();
 }
 
 void node::parts::buildControl()
@@ -127,7 +138,6 @@
 
 void node::parts::buildCallerServer()
 {
-    const auto incarnation = static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
     callers = std::make_unique<http::caller_server>(http::caller_server_parts{
             settings, clock, events, *client, secret, incarnation,
             [this](const node_settings &other) { return offered(other); }});
@@ -158,6 +168,50 @@
     charges = std::make_unique<charge_exchange>(settings, *transport, std::move(hooks));
 }
 
+void node::parts::buildDemandReporter()
+{
+    demand = std::make_unique<demand_reporter>(settings, clock, *transport, *client,
+                                               [this] { return callers->pools().takeDemand(); });
+}
+
+result<void> node::parts::buildDuties()
+{
+    BOOST_LEAF_AUTO(drivers, makeDutyDrivers(settings));
+    const auto state = [this] {
+        return control->read([](const state::machine &machine) { return machine.leaderView(); });
+    };
+    const auto gone = [this](instant now) {
+        const auto authority = replica->current(now);
+        if (!authority)
+            return std::vector<std::string>();
+        const auto entries = control->read(
+                [](const state::machine &machine) { return machine.leaderView().liveEntries; });
+        return goneEntries(entries, feed->nodeReports(), now - authority->since);
+    };
+    const auto facts = [this](instant) { return poolFacts(); };
+    leaderDuties = std::make_unique<duties>(
+            duty_surroundings{settings, *replica, *client, state, facts, gone, events, clock},
+            std::move(drivers));
+    return {};
+}
+
+std::vector<orders::pool_facts> node::parts::poolFacts() const
+{
+    std::vector<orders::pool_facts> out;
+    const auto tables = client->view().tables;
+    if (!tables)
+        return out;
+    for (const auto &[name, row] : tables->pools) {
+        orders::pool_facts facts;
+        facts.pool = name;
+        facts.demand = demand->demandOn(name);
+        for (const auto &[endpoint, load] : callers->pools().loads(name))
+            facts.engines[endpoint] = {load.role, load.running, load.leaving};
+        out.push_back(std::move(facts));
+    }
+    return out;
+}
+
 bool node::parts::offered(const node_settings &other) const
 {
     const std::vector<std::string> unavailable = feed->unavailable();
@@ -187,6 +241,9 @@
     feed->start();
     BOOST_LEAF_CHECK(callers->start());
     charges->start();
+    demand->start();
+    if (leaderDuties)
+        leaderDuties->start();
     events.record(nodeStarted,
                   {{"callers", settings.self().callerAddress},
                    {"link", settings.self().linkAddress},
@@ -197,6 +254,9 @@
 
 void node::parts::stopAll()
 {
+    if (leaderDuties)
+        leaderDuties->stop();
+    demand->stop();
     charges->stop();
     callers->stop();
     feed->stop();
--- /dev/null
+++ b/src/yuccascale/runtime/periodic_task.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+/// \file
+/// \brief A thread that runs one function at an interval.
+
+namespace yuccascale::runtime {
+
+/// \brief Runs a function again and again until it is stopped or destroyed.
+///
+/// \example
+///     periodic_task poll(500ms, [&] { pollOnce(); });
+///     poll.start();
+class periodic_task
+{
+public:
+    periodic_task(kernel::milliseconds interval, std::function<void()> work);
+    ~periodic_task();
+    periodic_task(const periodic_task &) = delete;
+    periodic_task &operator=(const periodic_task &) = delete;
+
+    void start();
+
+    /// \brief Waits for a run under way and ends the thread.
+    void stop();
+
+private:
+    void run();
+
+    kernel::milliseconds m_interval;
+    std::function<void()> m_work;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_stopped = false;
+    std::thread m_thread;
+};
+
+} // namespace yuccascale::runtime
--- /dev/null
+++ b/tests/unit/demand_test.cpp
@@ -0,0 +1,60 @@
+#include "yuccascale/kernel/orders/demand_book.hpp"
+#include "yuccascale/wire/demand_codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+namespace yuccascale::kernel::orders {
+
+namespace {
+
+constexpr instant start{seconds(100)};
+
+requests::demand_report measuredAt(double seconds_)
+{
+    requests::demand_meter meter;
+    (void)meter.take(start);
+    meter.offered(3'000, 500, true);
+    meter.offered(1'000, 300, false);
+    requests::demand_report report
+            = meter.take(start + milliseconds(static_cast<std::int64_t>(seconds_ * 1'000)));
+    report.pool = "engines";
+    return report;
+}
+
+} // namespace
+
+TEST(demand, isMeasuredAsRates)
+{
+    const requests::demand_report report = measuredAt(2);
+    EXPECT_EQ(report.prefillTokensPerSecond, 2'000);
+    EXPECT_EQ(report.decodeTokensPerSecond, 400);
+    EXPECT_EQ(report.nonIdempotentShare, 0.5);
+}
+
+TEST(demand, isSummedOverEntriesUntilTheirReportsAreOld)
+{
+    demand_book book{seconds(5)};
+    const std::vector<requests::demand_report> reports{measuredAt(2)};
+    book.hear(start, "one", reports);
+    book.hear(start + seconds(3), "other", reports);
+    EXPECT_EQ(book.of(start + seconds(4), "engines").prefillTokensPerSecond, 4'000);
+    EXPECT_EQ(book.of(start + seconds(6), "engines").prefillTokensPerSecond, 2'000);
+    EXPECT_EQ(book.of(start + seconds(4), "other pool").prefillTokensPerSecond, 0);
+}
+
+TEST(demand, aBadNumberCountsAsZero)
+{
+    requests::demand_report report = measuredAt(2);
+    report.prefillTokensPerSecond = std::numeric_limits<double>::infinity();
+    report.nonIdempotentShare = 7;
+    const std::vector<requests::demand_report> sent{report};
+    const auto read = wire::decodeDemands(wire::encodeDemands(sent));
+    ASSERT_EQ(read.size(), 1U);
+    EXPECT_EQ(read.front().prefillTokensPerSecond, 0);
+    EXPECT_EQ(read.front().decodeTokensPerSecond, 400);
+    EXPECT_EQ(read.front().nonIdempotentShare, 1);
+}
+
+} // namespace yuccascale::kernel::orders
