--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -442,6 +442,7 @@
     fresh.leader = m_replica->leader();
     fresh.commitIndex = m_replica->commitIndex();
     fresh.appliedIndex = m_applied;
+    fresh.entriesInMemory = m_replica->log().lastIndex() - m_replica->log().baseIndex();
     fresh.degraded = m_replica->degradedReasons(now);
     fresh.voters = namesOf(m_replica->log().members().voters);
     fresh.learners = namesOf(m_replica->log().members().learners);
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -62,6 +62,7 @@
     std::string leader; ///< node name; empty when none is known
     std::uint64_t commitIndex = 0;
     std::uint64_t appliedIndex = 0;
+    std::uint64_t entriesInMemory = 0; ///< of the log, since the last compaction
     kernel::instant since{};           ///< when role or leader last changed
     std::vector<std::string> degraded; ///< each with what to do; empty when all is well
     std::vector<std::string> voters;
--- /dev/null
+++ b/tests/bench/consensus_bench.cpp
@@ -0,0 +1,139 @@
+#include "fakes/control_cluster.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iomanip>
+#include <iostream>
+
+/// \file
+/// \brief Prints figures of the replicated log: edits a second, time without a leader, recovery
+/// time and idle traffic. Three nodes in one process, real disks, loopback links.
+/// Usage: consensus-bench [RUNS_OF_EACH]
+
+namespace yuccascale {
+
+namespace {
+
+using namespace std::chrono_literals;
+using counting_cluster = fakes::control_cluster<fakes::counting_consumer>;
+
+constexpr std::size_t payloadBytes = 200;
+constexpr auto patience = 30s;
+
+double milliseconds(kernel::nanoseconds time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+void printMedianAndTail(const std::string &what, std::vector<double> values)
+{
+    std::ranges::sort(values);
+    const std::size_t tail = std::min(values.size() - 1, values.size() * 95 / 100);
+    std::cout << what << ": runs " << values.size() << ", median " << values[values.size() / 2]
+              << " ms, p95 " << values[tail] << " ms, max " << values.back() << " ms\n";
+}
+
+void benchThroughput()
+{
+    for (const std::size_t callers : {1, 16, 64}) {
+        counting_cluster cluster(3);
+        cluster.startAll();
+        const std::size_t leader = cluster.waitForLeader(patience);
+        const std::size_t edits = 300 * callers;
+        const kernel::instant begin = cluster.clock().now();
+        const std::size_t done
+                = cluster.proposeMany(leader, edits, callers, std::string(payloadBytes, 'x'));
+        const double seconds = milliseconds(cluster.clock().now() - begin) / 1'000;
+        std::cout << "edits a second, " << callers
+                  << " at once: " << static_cast<double>(done) / seconds << " (" << done << " of "
+                  << edits << " committed)\n";
+    }
+}
+
+/// From the end of the leader to the next node with authority.
+void benchLeaderless(std::size_t runs)
+{
+    counting_cluster cluster(3);
+    cluster.startAll();
+    std::vector<double> times;
+    for (std::size_t run = 0; run < runs; ++run) {
+        const std::size_t leader = cluster.waitForLeader(patience);
+        const kernel::instant begin = cluster.clock().now();
+        cluster.stop(leader);
+        if (cluster.waitForLeader(patience) == cluster.size())
+            std::cout << "no leader within " << patience.count() << " s\n";
+        times.push_back(milliseconds(cluster.clock().now() - begin));
+        kernel::error problem;
+        if (!cluster.start(leader, problem))
+            std::cout << problem.message << "\n";
+        // the next leader must not be the node that just started
+        std::this_thread::sleep_for(1s);
+    }
+    printMedianAndTail("time without a leader after its end", times);
+}
+
+void benchRecovery(std::size_t runs)
+{
+    for (const std::size_t entries : {1'000, 4'000, 20'000, 100'000}) {
+        counting_cluster cluster(3);
+        cluster.startAll();
+        const std::size_t leader = cluster.waitForLeader(patience);
+        const std::size_t restarted = (leader + 1) % cluster.size();
+        (void)cluster.proposeMany(leader, entries, 64, std::string(payloadBytes, 'x'));
+        std::vector<double> times;
+        for (std::size_t run = 0; run < runs; ++run) {
+            cluster.stop(restarted);
+            const kernel::instant begin = cluster.clock().now();
+            kernel::error problem;
+            if (!cluster.start(restarted, problem))
+                std::cout << problem.message << "\n";
+            if (!cluster.waitFor(
+                        [&] { return cluster.node(restarted).consumer().count() == entries; },
+                        patience))
+                std::cout << "not recovered\n";
+            times.push_back(milliseconds(cluster.clock().now() - begin));
+        }
+        printMedianAndTail("recovery after " + std::to_string(entries) + " edits", times);
+        std::cout << "  data folder " << cluster.diskBytes(leader) << " bytes, "
+                  << cluster.node(leader).log().status().entriesInMemory << " entries in memory\n";
+    }
+}
+
+void benchTraffic()
+{
+    counting_cluster cluster(3);
+    cluster.startAll();
+    const std::size_t leader = cluster.waitForLeader(patience);
+    const auto sent = [&](std::size_t at) {
+        return cluster.node(at).transport().counters().bytesSent.load();
+    };
+    std::this_thread::sleep_for(1s);
+    std::vector<std::uint64_t> before;
+    for (std::size_t at = 0; at < cluster.size(); ++at)
+        before.push_back(sent(at));
+    std::this_thread::sleep_for(10s);
+    for (std::size_t at = 0; at < cluster.size(); ++at) {
+        std::cout << "idle, " << (at == leader ? "leader" : "follower") << " sends "
+                  << (sent(at) - before[at]) / 10 << " bytes a second\n";
+    }
+    const std::uint64_t begin = sent(leader);
+    constexpr std::size_t edits = 200;
+    (void)cluster.proposeMany(leader, edits, 1, std::string(payloadBytes, 'x'));
+    std::cout << "leader sends " << (sent(leader) - begin) / edits << " bytes an edit of "
+              << payloadBytes << " bytes, one at a time\n";
+}
+
+} // namespace
+
+} // namespace yuccascale
+
+int main(int argc, char **argv)
+{
+    const std::size_t runs = argc > 1 ? std::strtoul(argv[1], nullptr, 10) : 25;
+    std::cout << std::fixed << std::setprecision(1);
+    yuccascale::benchThroughput();
+    yuccascale::benchLeaderless(runs);
+    yuccascale::benchRecovery(runs);
+    yuccascale::benchTraffic();
+    return 0;
+}
--- a/tests/fakes/control_cluster.hpp
+++ b/tests/fakes/control_cluster.hpp
@@ -219,6 +219,44 @@
         return false;
     }
 
+    /// \brief Proposes \a count commands on a node from \a threads callers at once.
+    /// \returns how many were committed.
+    [[nodiscard]] std::size_t proposeMany(std::size_t at, std::size_t count, std::size_t threads,
+                                          const std::string &payload)
+    {
+        std::atomic<std::size_t> left{count};
+        std::atomic<std::size_t> committed{0};
+        const auto propose = [&] {
+            while (true) {
+                std::size_t before = left.load();
+                while (before > 0 && !left.compare_exchange_weak(before, before - 1)) { }
+                if (before == 0)
+                    return;
+                kernel::error problem;
+                const kernel::instant end = m_clock.now() + kernel::seconds(10);
+                if (kernel::succeeded([&] { return m_nodes[at]->log().propose(payload, end); },
+                                      problem))
+                    ++committed;
+            }
+        };
+        std::vector<std::thread> callers;
+        callers.reserve(threads);
+        for (std::size_t number = 0; number < threads; ++number)
+            callers.emplace_back(propose);
+        for (std::thread &caller : callers)
+            caller.join();
+        return committed;
+    }
+
+    /// \returns bytes in a node's data folder.
+    [[nodiscard]] std::uint64_t diskBytes(std::size_t at) const
+    {
+        std::uint64_t bytes = 0;
+        for (const auto &file : std::filesystem::directory_iterator(folderOf(at)))
+            bytes += file.file_size();
+        return bytes;
+    }
+
 private:
     inline static std::atomic<int> madeClusters{0};
 
--- a/tests/unit/consensus_replicated_log_test.cpp
+++ b/tests/unit/consensus_replicated_log_test.cpp
@@ -83,6 +83,29 @@
     EXPECT_TRUE(cluster.proposeAnywhere("after", patience));
 }
 
+TEST(consensus_replicated_log, logAndDiskStayBoundedOverAHundredThousandChanges)
+{
+    constexpr std::size_t changes = 100'000;
+    constexpr std::size_t payloadBytes = 200;
+    const control_settings control;
+    fakes::control_cluster<fakes::counting_consumer> cluster(1, control);
+    cluster.startAll();
+    ASSERT_EQ(cluster.waitForLeader(patience), 0U);
+    ASSERT_EQ(cluster.proposeMany(0, changes, 64, std::string(payloadBytes, 'x')), changes);
+
+    EXPECT_EQ(cluster.node(0).consumer().count(), changes);
+    // at most the entries since the last snapshot and a quarter of an interval before it
+    const std::uint64_t maxEntries = control.snapshotEntries * 5 / 4 + 1;
+    EXPECT_LE(cluster.node(0).log().status().entriesInMemory, maxEntries);
+    EXPECT_LE(cluster.diskBytes(0), 2 * maxEntries * (payloadBytes + 200));
+
+    kernel::error problem;
+    cluster.stop(0);
+    ASSERT_TRUE(cluster.start(0, problem)) << problem.message;
+    EXPECT_TRUE(cluster.waitFor([&] { return cluster.node(0).consumer().count() == changes; },
+                                patience));
+}
+
 TEST(consensus_replicated_log, aRestartAfterAThousandChangesIsInForceWithinASecond)
 {
     list_cluster cluster(3);
--- /dev/null
+++ b/tests/unit/store_replica_test.cpp
@@ -0,0 +1,205 @@
+#include "yuccascale/store/replica_store.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+
+namespace yuccascale::store {
+
+namespace {
+
+using namespace kernel::consensus;
+namespace fs = std::filesystem;
+
+/// Opens one folder again and again, as restarts do.
+class store_replica : public testing::Test
+{
+protected:
+    store_replica()
+        : m_folder(fs::temp_directory_path() / ("yuccascale-store-" + std::to_string(::getpid())))
+    {
+        fs::remove_all(m_folder);
+    }
+    ~store_replica() override { fs::remove_all(m_folder); }
+
+    bool open()
+    {
+        m_store.reset();
+        return kernel::succeeded(
+                [&]() -> kernel::result<void> {
+                    BOOST_LEAF_ASSIGN(m_store, replica_store::open(m_folder, 77));
+                    m_found = m_store->takeRecovery();
+                    return {};
+                },
+                m_problem);
+    }
+    void write(const std::optional<hard_state> &hard, const std::vector<log_entry> &entries)
+    {
+        ASSERT_TRUE(kernel::succeeded(
+                [&] {
+                    return m_store->write({hard, std::nullopt, entries});
+                },
+                m_problem));
+    }
+    void save(log_index index, term_number term)
+    {
+        const snapshot_data snapshot{
+                index, term, {{{"a", 1}}, {}}, std::make_shared<const std::string>("state")};
+        ASSERT_TRUE(kernel::succeeded([&] { return m_store->saveSnapshot(snapshot); }, m_problem));
+    }
+    void compact(log_index keepFrom)
+    {
+        ASSERT_TRUE(kernel::succeeded([&] { return m_store->compact(keepFrom); }, m_problem));
+    }
+    fs::path segment(int number) const
+    {
+        return m_folder / ("log-000000000000000" + std::to_string(number));
+    }
+    static void flipByte(const fs::path &path, std::int64_t fromEnd)
+    {
+        std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+        file.seekg(-fromEnd, std::ios::end);
+        const auto at = file.tellg();
+        const char byte = static_cast<char>(file.get());
+        file.seekp(at);
+        file.put(static_cast<char>(byte ^ 0x10));
+    }
+
+    fs::path m_folder;
+    std::unique_ptr<replica_store> m_store;
+    recovery m_found;
+    kernel::error m_problem;
+};
+
+log_entry entry(log_index index, term_number term)
+{
+    return {term, index, entry_kind::Command, "entry " + std::to_string(index)};
+}
+
+} // namespace
+
+TEST_F(store_replica, findsAgainWhatWasWritten)
+{
+    ASSERT_TRUE(open());
+    EXPECT_TRUE(m_found.created);
+    write(hard_state{3, member_id{"b", 9}}, {entry(1, 1), entry(2, 3), entry(3, 3)});
+    write(hard_state{4, std::nullopt}, {entry(3, 4)});
+    ASSERT_TRUE(open());
+    EXPECT_FALSE(m_found.created);
+    EXPECT_EQ(m_found.incarnation, 77U);
+    EXPECT_EQ(m_found.state.hard, (hard_state{4, std::nullopt}));
+    EXPECT_EQ(m_found.state.entries, (std::vector{entry(1, 1), entry(2, 3), entry(3, 4)}));
+}
+
+TEST_F(store_replica, dropsATornTailAndKeepsAllBeforeIt)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(1, 1)});
+    const auto whole = fs::file_size(segment(1));
+    write(hard_state{1, std::nullopt}, {entry(2, 1)});
+    const std::uint64_t end = fs::file_size(segment(1));
+    m_store.reset();
+    fs::path copy = m_folder.string() + "-copy";
+    // whatever part of the last write reached the disk
+    for (std::uint64_t size = end - 1; size > whole; size -= std::min<std::uint64_t>(7, size)) {
+        fs::remove_all(copy);
+        fs::copy(m_folder, copy);
+        fs::resize_file(copy / segment(1).filename(), size);
+        std::swap(m_folder, copy);
+        EXPECT_TRUE(open()) << m_problem.message;
+        EXPECT_TRUE(m_found.tornTail);
+        EXPECT_EQ(m_found.state.entries, std::vector{entry(1, 1)});
+        EXPECT_TRUE(open()) << "again";
+        EXPECT_FALSE(m_found.tornTail);
+        m_store.reset();
+        std::swap(m_folder, copy);
+    }
+    fs::remove_all(copy);
+}
+
+TEST_F(store_replica, refusesACorruptMiddleAndNamesTheRemedy)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(1, 1)});
+    const auto first = fs::file_size(segment(1));
+    write(hard_state{1, std::nullopt}, {entry(2, 1)});
+    const auto both = fs::file_size(segment(1));
+    flipByte(segment(1), static_cast<std::int64_t>(both - first + 3));
+    EXPECT_FALSE(open());
+    EXPECT_EQ(m_problem.kind, kernel::error_kind::Corrupt);
+    EXPECT_NE(m_problem.message.find("move the data folder away"), std::string::npos);
+}
+
+TEST_F(store_replica, refusesDamageInAnOlderSegmentSnapshotOrManifest)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(1, 1)});
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(2, 1)});
+    save(1, 1);
+    m_store.reset();
+    for (const fs::path &path :
+         {segment(1), m_folder / "snapshot-0000000000000001", m_folder / "manifest"}) {
+        flipByte(path, 2);
+        EXPECT_FALSE(open()) << path;
+        EXPECT_EQ(m_problem.kind, kernel::error_kind::Corrupt);
+        flipByte(path, 2);
+        EXPECT_TRUE(open()) << path << m_problem.message;
+        m_store.reset();
+    }
+}
+
+TEST_F(store_replica, refusesAMissingSegmentOrManifest)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(1, 1)});
+    ASSERT_TRUE(open());
+    ASSERT_TRUE(open());
+    m_store.reset();
+    for (const fs::path &path : {segment(2), segment(3), m_folder / "manifest"}) {
+        const fs::path away = m_folder.string() + "-away";
+        fs::rename(path, away);
+        EXPECT_FALSE(open()) << path;
+        EXPECT_EQ(m_problem.kind, kernel::error_kind::Corrupt);
+        fs::rename(away, path);
+    }
+}
+
+TEST_F(store_replica, compactionKeepsHardStateAndWhatFollowsTheSnapshot)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{5, member_id{"b", 2}}, {entry(1, 1), entry(2, 1), entry(3, 1)});
+    save(3, 1);
+    compact(3);
+    write(std::nullopt, {entry(4, 5)});
+    save(4, 5);
+    compact(4);
+    write(std::nullopt, {entry(5, 5)});
+    EXPECT_FALSE(fs::exists(segment(1)));
+    ASSERT_TRUE(open()) << m_problem.message;
+    EXPECT_EQ(m_found.state.hard, (hard_state{5, member_id{"b", 2}}));
+    EXPECT_EQ(m_found.state.snapshot->index, 4U);
+    EXPECT_EQ(m_found.state.entries, std::vector{entry(5, 5)});
+}
+
+TEST_F(store_replica, aLogThatDiffersFromTheSnapshotIsDropped)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(1, 1), entry(2, 1), entry(3, 1)});
+    save(2, 4); // another leader's, and the crash came before the log was reset
+    ASSERT_TRUE(open());
+    EXPECT_TRUE(m_found.state.entries.empty());
+}
+
+TEST_F(store_replica, oneFolderServesOneProcess)
+{
+    ASSERT_TRUE(open());
+    const bool second
+            = kernel::succeeded([&] { return replica_store::open(m_folder, 1); }, m_problem);
+    EXPECT_FALSE(second);
+    EXPECT_EQ(m_problem.kind, kernel::error_kind::Conflict);
+}
+
+} // namespace yuccascale::store
