Requests: connections beyond the bound are refused at once; bench and module tests

A connection beyond http.threads waited for a thread without an answer. It now gets "overloaded" with Retry-After from a few threads that only refuse.

--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -25,18 +25,45 @@
 constexpr milliseconds callerCheckInterval{250};
 constexpr const char *jsonType = "application/json";
 
-/// Serves each connection on a thread of the pool.
+/// Connections that are told to come back later, when all others are taken.
+constexpr std::size_t refusingThreads = 16;
+constexpr milliseconds overloadRetryAfter{1'000};
+
+/// Set on threads that only refuse.
+thread_local bool refusesOnly = false;
+
+/// Serves each connection on a thread of the pool, and refuses the ones beyond it at once.
 class caller_tasks final : public httplib::TaskQueue
 {
 public:
     explicit caller_tasks(std::size_t threads)
-        : m_workers(threads)
+        : m_threads(threads)
+        , m_workers(threads)
+        , m_refusers(refusingThreads)
     { }
-    void enqueue(std::function<void()> work) override { m_workers.run(std::move(work)); }
-    void shutdown() override { m_workers.shutdown(); }
+
+    void enqueue(std::function<void()> work) override
+    {
+        if (m_workers.load() < m_threads) {
+            m_workers.run(std::move(work));
+            return;
+        }
+        m_refusers.run([work = std::move(work)] {
+            refusesOnly = true;
+            work();
+        });
+    }
+
+    void shutdown() override
+    {
+        m_workers.shutdown();
+        m_refusers.shutdown();
+    }
 
 private:
+    std::size_t m_threads;
     worker_pool m_workers;
+    worker_pool m_refusers;
 };
 
 [[nodiscard]] caller_message messageFrom(const httplib::Request &request)
@@ -259,6 +286,14 @@
 void caller_server::implementation::serve(reader read, const httplib::Request &from,
                                           httplib::Response &to)
 {
+    if (refusesOnly) {
+        to.set_header("Connection", "close");
+        answerError({kernel::error_kind::Overloaded,
+                     "all connections of this entry are taken; try another of the addresses",
+                     from.has_header("Idempotency-Key"), overloadRetryAfter},
+                    from.get_header_value("X-Request-Id"), to);
+        return;
+    }
     const caller_message message = messageFrom(from);
     const reading_context context{m_parts.control.view(), m_parts.clock.now(), m_services.entry,
                                   m_services.nextTicket++, m_services.secret};
--- /dev/null
+++ b/tests/bench/requests_bench.cpp
@@ -0,0 +1,217 @@
+#include "fakes/control_log.hpp"
+#include "yuccascale/http/caller_server.hpp"
+#include "yuccascale/kernel/json.hpp"
+#include "yuccascale/kernel/requests/key_check.hpp"
+#include "yuccascale/kernel/requests/pool_scheduler.hpp"
+#include "yuccascale/runtime/system_clock.hpp"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+/// \file
+/// \brief What an entry adds to a call, and what one routing decision costs.
+///
+/// Run: build/tests/requests_bench
+
+namespace {
+
+using namespace yuccascale;
+using std::chrono::steady_clock;
+
+constexpr const char *callerKey = "yk_bench";
+constexpr int connections = 8;
+constexpr int requestsPerSecond = 100;
+constexpr int requestsPerConnection = 125;
+constexpr int engines = 18;
+constexpr int decisions = 20'000;
+
+class no_events final : public kernel::event_sink
+{
+public:
+    void record(const kernel::event_kind &, std::span<const kernel::event_field>) override { }
+};
+
+/// An engine that answers at once.
+class instant_engine
+{
+public:
+    instant_engine()
+    {
+        m_server.set_tcp_nodelay(true);
+        m_server.set_keep_alive_max_count(1'000'000);
+        m_server.new_task_queue = [] { return new httplib::ThreadPool(4 * connections); };
+        m_server.Post(".*", [](const httplib::Request &request, httplib::Response &response) {
+            const std::string id = request.get_header_value("X-Request-Id");
+            response.set_header("X-Request-Id", id);
+            const kernel::json answer{{"id", id},
+                                      {"choices", kernel::json::array()},
+                                      {"usage", {{"prompt_tokens", 10}, {"completion_tokens", 1}}}};
+            response.set_content(answer.dump(), "application/json");
+        });
+        m_server.Get("/load", [](const httplib::Request &, httplib::Response &response) {
+            response.set_content("{\"incarnation\":1}", "application/json");
+        });
+        m_port = m_server.bind_to_any_port("127.0.0.1");
+        m_thread = std::thread([this] { m_server.listen_after_bind(); });
+    }
+    ~instant_engine()
+    {
+        m_server.stop();
+        m_thread.join();
+    }
+    instant_engine(const instant_engine &) = delete;
+    instant_engine &operator=(const instant_engine &) = delete;
+
+    [[nodiscard]] int port() const { return m_port; }
+
+private:
+    httplib::Server m_server;
+    int m_port = 0;
+    std::thread m_thread;
+};
+
+void callSteadily(int port, int connection, std::vector<double> &milliseconds, int &failures)
+{
+    httplib::Client client("127.0.0.1", port);
+    client.set_keep_alive(true);
+    client.set_tcp_nodelay(true);
+    const httplib::Headers headers{{"Authorization", std::string("Bearer ") + callerKey}};
+    const std::string body
+            = kernel::json{{"model", "briefing"}, {"prompt", std::string(2'000, 'x')}}.dump();
+    const auto interval = std::chrono::milliseconds(1'000 * connections / requestsPerSecond);
+    auto next = steady_clock::now() + interval * connection / connections;
+    for (int number = 0; number < requestsPerConnection; ++number) {
+        std::this_thread::sleep_until(next);
+        next += interval;
+        const auto start = steady_clock::now();
+        const auto answer = client.Post("/v1/completions", headers, body, "application/json");
+        const std::chrono::duration<double, std::milli> taken = steady_clock::now() - start;
+        if (answer && answer->status == 200)
+            milliseconds.push_back(taken.count());
+        else
+            ++failures;
+    }
+}
+
+void measure(const char *what, int port)
+{
+    std::vector<double> all;
+    int failures = 0;
+    std::mutex mutex;
+    std::vector<std::thread> threads;
+    for (int connection = 0; connection < connections; ++connection) {
+        threads.emplace_back([&, connection] {
+            std::vector<double> own;
+            int ownFailures = 0;
+            callSteadily(port, connection, own, ownFailures);
+            const std::scoped_lock guard(mutex);
+            all.insert(all.end(), own.begin(), own.end());
+            failures += ownFailures;
+        });
+    }
+    for (std::thread &thread : threads)
+        thread.join();
+    std::ranges::sort(all);
+    const auto at = [&](double share) {
+        return all.empty() ? 0 : all[static_cast<std::size_t>(share * (all.size() - 1))];
+    };
+    std::printf("%s: %zu answers, %d failures, median %.3f ms, p99 %.3f ms\n", what, all.size(),
+                failures, at(0.5), at(0.99));
+}
+
+void measureEntry()
+{
+    instant_engine engine;
+    kernel::state::edit_tables edit;
+    kernel::state::pool pool;
+    pool.name = "engines";
+    pool.model = "m";
+    for (int number = 0; number < engines; ++number) {
+        kernel::state::endpoint row;
+        row.name = "engine-" + std::to_string(number);
+        row.address = "127.0.0.1:" + std::to_string(engine.port());
+        row.zone = "zone-" + std::to_string(number % 3);
+        pool.endpoints.push_back(row);
+    }
+    edit.putPools = {pool};
+    kernel::state::route route;
+    route.name = "briefing";
+    route.pool = "engines";
+    edit.putRoutes = {route};
+    edit.putOrganisations = {{"bench", 1}};
+    edit.putKeys = {{"k1", "bench", kernel::requests::digestOf(callerKey)}};
+    fakes::control_log control;
+    if (!control.edit(edit).accepted)
+        std::puts("the tables were refused");
+    runtime::settings settings;
+    settings.node = "perth-a-1";
+    settings.nodes = {{"perth-a-1", "perth-a", "127.0.0.1:0", "127.0.0.1:0", {true, true}}};
+    runtime::system_clock clock;
+    no_events events;
+    http::caller_server_parts parts{settings, clock, events, control, "0123456789abcdef", 1, {}};
+    http::caller_server entry(std::move(parts));
+    kernel::error problem;
+    if (!kernel::succeeded([&] { return entry.start(); }, problem)) {
+        std::puts(problem.message.c_str());
+        return;
+    }
+    for (int round = 0; round < 3; ++round) {
+        measure("direct", engine.port());
+        measure("through the entry", entry.port());
+    }
+}
+
+void measureRouting()
+{
+    using namespace kernel::requests;
+    const runtime::policy_settings policy;
+    pool_scheduler scheduler({kernel::policy::router_registry::make(policy.routing, 1).value(),
+                              kernel::policy::admission_registry::make("always").value(),
+                              kernel::policy::fair_queue_registry::make(policy.fairness).value()},
+                             {});
+    kernel::state::pool pool;
+    for (int number = 0; number < engines; ++number) {
+        kernel::state::endpoint row;
+        row.name = "engine-" + std::to_string(number);
+        row.zone = "zone-" + std::to_string(number % 3);
+        pool.endpoints.push_back(row);
+    }
+    scheduler.setRows(pool);
+    request subject;
+    subject.organisation = "bench";
+    subject.route.name = "briefing";
+    subject.promptTokens = 1'000;
+    subject.outputTokens = 100;
+    subject.deadline = kernel::instant(std::chrono::hours(1));
+    attempt_result answered;
+    answered.answered = true;
+    answered.usage = {1'000, 0, 100};
+    kernel::instant now{std::chrono::seconds(10)};
+    const auto start = steady_clock::now();
+    constexpr std::uint64_t alwaysRunning = 100;
+    for (std::uint64_t ticket = 1; ticket <= decisions; ++ticket) {
+        now += std::chrono::milliseconds(1);
+        static_cast<void>(scheduler.push(now, ticket, subject, 1, {}));
+        static_cast<void>(scheduler.schedule(now));
+        if (ticket > alwaysRunning)
+            scheduler.finish(now, ticket - alwaysRunning, answered);
+    }
+    const std::chrono::duration<double, std::micro> taken = steady_clock::now() - start;
+    std::printf("queue, routing over %d engines and end of a request: %.2f us\n", engines,
+                taken.count() / decisions);
+}
+
+} // namespace
+
+int main()
+{
+    measureRouting();
+    measureEntry();
+    return 0;
+}
--- a/tests/golden/requests_session_test.cpp
+++ b/tests/golden/requests_session_test.cpp
@@ -67,6 +67,9 @@
 
     void setCheck(start_check check) { m_check = check; }
 
+    /// While it is set, no endpoint has room.
+    void setFull(bool full) { m_full = full; }
+
     [[nodiscard]] std::string text() const { return m_out.str(); }
 
     [[nodiscard]] kernel::instant now() const override { return m_clock.now(); }
@@ -154,6 +157,8 @@
 
     void giveTurns()
     {
+        if (m_full)
+            return;
         for (scheduled_turn &turn : m_pool.schedule(now()))
             m_session->takeTurn(std::move(turn));
     }
@@ -163,6 +168,7 @@
     pool_scheduler m_pool;
     std::uint64_t m_ticket = 0;
     start_check m_check = start_check::Allowed;
+    bool m_full = false;
     std::optional<request_session> m_session;
 };
 
@@ -233,6 +239,13 @@
     script.setCheck(start_check::KeyWithdrawn);
     script.after(milliseconds(5), "the claim is granted",
                  claim_answered{{claim_state::Granted, {}, {}}});
+    script.setCheck(start_check::Allowed);
+    script.title("A key that is withdrawn while the request waits for an endpoint");
+    script.setFull(true);
+    script.start(makeRequest("r9", true));
+    script.setCheck(start_check::KeyWithdrawn);
+    script.setFull(false);
+    script.wait(milliseconds(10));
     script.title("Without fresh tables");
     script.setCheck(start_check::NotFresh);
     script.start(makeRequest("r7", true));
--- a/tests/properties/requests_properties_test.cpp
+++ b/tests/properties/requests_properties_test.cpp
@@ -118,6 +118,8 @@
         plan.spreadMs = 8'000;
         plan.withdrawKeyAtMs = draw(random, 600, 3'000);
         plan.faults = drawFaults(random, 3, {fault::kind::CutEntry, fault::kind::PauseEntry});
+        for (fault &one : plan.faults)
+            one.lengthMs = draw(random, 3'000, 8'000); // longer than a freshness lease
         return plan;
     });
 }
--- a/tests/properties/requests_world.cpp
+++ b/tests/properties/requests_world.cpp
@@ -240,6 +240,8 @@
         at.usage.add(kernel::wall_time(milliseconds(1)), ticket, subject.organisation,
                      subject.route.name, used);
         at.commitUsage();
+        at.world.at(subject.deadline,
+                    [this] { at.post([this] { life.handle(usage_settled{false}); }); });
     }
 
     void ban(const request &subject, const std::string &fingerprint) override
@@ -685,7 +687,7 @@
         after(late, [this, command, answered, reply] {
             const state::command_result answer = m_log.apply(++m_index, command);
             if (const auto *batch = std::get_if<state::record_usage>(&command.body)) {
-                const bool first = answer.accepted && !answer.detail.value("repeat", false);
+                const bool first = answer.accepted && answer.detail.value("state", "") == "counted";
                 for (const state::usage_line &line : batch->lines)
                     m_usageApplied += first ? line.answers : 0;
             }
--- /dev/null
+++ b/tests/unit/requests_modules_test.cpp
@@ -0,0 +1,257 @@
+#include "yuccascale/kernel/requests/circuit_breaker.hpp"
+#include "yuccascale/kernel/requests/event_stream.hpp"
+#include "yuccascale/kernel/requests/pool_scheduler.hpp"
+#include "yuccascale/kernel/requests/resume_token.hpp"
+#include "yuccascale/kernel/requests/retry_budget.hpp"
+#include "yuccascale/kernel/requests/suspects.hpp"
+#include "yuccascale/kernel/requests/usage_batcher.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccascale::kernel::requests {
+
+namespace {
+
+using std::chrono::hours;
+
+constexpr instant start{hours(1)};
+
+[[nodiscard]] pool_scheduler makeScheduler(int engines, entry_position position = {})
+{
+    pool_scheduler scheduler({policy::router_registry::make("round_robin", 0).value(),
+                              policy::admission_registry::make("always").value(),
+                              policy::fair_queue_registry::make("first_come_first_served").value()},
+                             {});
+    state::pool pool;
+    for (int number = 0; number < engines; ++number) {
+        state::endpoint row;
+        row.name = "engine-" + std::to_string(number);
+        row.zone = "zone-" + std::to_string(number % 3);
+        row.slots = 4;
+        pool.endpoints.push_back(row);
+    }
+    scheduler.setRows(pool);
+    scheduler.setPosition(position);
+    return scheduler;
+}
+
+[[nodiscard]] request makeRequest()
+{
+    request subject;
+    subject.organisation = "swanfield";
+    subject.route.name = "briefing";
+    subject.promptTokens = 10;
+    subject.outputTokens = 10;
+    subject.deadline = start + hours(1);
+    return subject;
+}
+
+} // namespace
+
+TEST(resume_token, isForItsOrganisationAndRequestOnly)
+{
+    const std::string token = issueResumeToken("secret", {"swanfield", "r1", "f1", 3});
+    EXPECT_EQ(readResumeToken("secret", token, "swanfield", "f1").value().delivered, 3);
+    EXPECT_FALSE(readResumeToken("secret", token, "mehta", "f1"));
+    EXPECT_FALSE(readResumeToken("secret", token, "swanfield", "f2"));
+    EXPECT_FALSE(readResumeToken("other", token, "swanfield", "f1"));
+    for (std::size_t at = 0; at < token.size(); ++at) {
+        std::string altered = token;
+        altered[at] = altered[at] == '0' ? '1' : '0';
+        EXPECT_FALSE(readResumeToken("secret", altered, "swanfield", "f1")) << at;
+    }
+}
+
+TEST(retry_budget, boundsRetriesToAShareOfFirstAttempts)
+{
+    constexpr int firstAttempts = 1'000;
+    const retry_limits limits;
+    retry_budget budget(limits);
+    int retries = 0;
+    for (int number = 0; number < firstAttempts; ++number) {
+        budget.firstAttempt(start);
+        retries += budget.take(start) ? 1 : 0;
+    }
+    EXPECT_LE(retries, limits.burst + limits.share * firstAttempts);
+    EXPECT_GE(retries, limits.share * firstAttempts);
+    EXPECT_GT(budget.wait(), nanoseconds::zero());
+}
+
+TEST(retry_budget, refusesARetryAtOnceWhenItIsUsedUp)
+{
+    pool_scheduler scheduler = makeScheduler(3);
+    const enqueue retry{true, false, {}, {}};
+    std::optional<refusal> refused;
+    std::uint64_t ticket = 0;
+    while (!refused && ticket < 1'000)
+        refused = scheduler.push(start, ++ticket, makeRequest(), 1, retry);
+    ASSERT_TRUE(refused);
+    EXPECT_LE(ticket, retry_limits{}.burst + 1);
+    EXPECT_GT(refused->retryAfter, nanoseconds::zero());
+}
+
+TEST(circuit_breaker, bringsAnEndpointBackWithFewRequestsAtFirst)
+{
+    const breaker_limits limits;
+    circuit_breaker breaker(limits);
+    EXPECT_TRUE(breaker.failed(start, true));
+    EXPECT_FALSE(breaker.allows(start, 0));
+    const instant trial = start + limits.firstPause;
+    EXPECT_TRUE(breaker.allows(trial, 0));
+    EXPECT_FALSE(breaker.allows(trial, 1));
+    EXPECT_FALSE(breaker.succeeded());
+    EXPECT_TRUE(breaker.allows(trial, 1));
+    EXPECT_FALSE(breaker.allows(trial, 2));
+    EXPECT_FALSE(breaker.failed(trial, false));
+    EXPECT_FALSE(breaker.allows(trial + limits.firstPause, 0)) << "the pause doubles";
+    const instant secondTrial = trial + 2 * limits.firstPause;
+    EXPECT_TRUE(breaker.allows(secondTrial, 0));
+    bool closed = false;
+    for (int answered = 0; answered < limits.trialsToClose; ++answered)
+        closed = breaker.succeeded();
+    EXPECT_TRUE(closed);
+}
+
+TEST(event_stream, readsTheSameEventsHoweverTheyAreCut)
+{
+    const std::string text = ": comment\r\ndata: one\r\n\r\ndata: two\ndata: lines\n\nevent: x\n\n";
+    const std::vector<std::string> expected{"one", "two\nlines"};
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        event_stream stream;
+        std::vector<std::string> events = stream.feed(text.substr(0, cut));
+        for (std::string &event : stream.feed(text.substr(cut)))
+            events.push_back(std::move(event));
+        EXPECT_EQ(events, expected) << cut;
+        EXPECT_EQ(stream.pending(), 0U);
+    }
+}
+
+TEST(usage_batcher, repeatsABatchUntilTheLogHasIt)
+{
+    usage_batcher batcher("e#1", milliseconds(60'000), milliseconds(6'000));
+    const wall_time now{milliseconds(120'500)};
+    batcher.add(now, 1, "swanfield", "briefing", {10, 4, 5});
+    batcher.add(now, 2, "swanfield", "briefing", {1, 0, 2});
+    const auto first = batcher.next(now);
+    ASSERT_TRUE(first);
+    batcher.add(now, 3, "swanfield", "briefing", {7, 0, 7});
+    EXPECT_EQ(json(*batcher.next(now + seconds(1))), json(*first));
+    EXPECT_EQ(batcher.committed(), (std::vector<std::uint64_t>{1, 2}));
+    const auto lines = std::get<state::record_usage>(first->body).lines;
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_EQ(lines[0].answers, 2U);
+    EXPECT_EQ(lines[0].promptTokens, 11U);
+    EXPECT_EQ(lines[0].windowStartMs, 120'000);
+    const auto second = batcher.next(now);
+    ASSERT_TRUE(second);
+    EXPECT_EQ(std::get<state::record_usage>(second->body).sequence, 2U);
+    EXPECT_EQ(batcher.committed(), (std::vector<std::uint64_t>{3}));
+    EXPECT_FALSE(batcher.next(now + seconds(1)));
+    EXPECT_TRUE(batcher.next(now + seconds(10))) << "the mark moves on without answers";
+}
+
+TEST(usage_batcher, neverMovesItsMarkBackWithTheWallClock)
+{
+    usage_batcher batcher("e#1", milliseconds(60'000), milliseconds(6'000));
+    const auto first = batcher.next(wall_time(milliseconds(120'000)));
+    static_cast<void>(batcher.committed());
+    batcher.add(wall_time(milliseconds(60'000)), 1, "swanfield", "briefing", {});
+    const auto second = batcher.next(wall_time(milliseconds(60'000)));
+    const auto &later = std::get<state::record_usage>(second->body);
+    EXPECT_GE(later.markMs, std::get<state::record_usage>(first->body).markMs);
+    EXPECT_EQ(later.lines[0].windowStartMs, 120'000);
+}
+
+TEST(suspects, blameTheRequestOfTwoCrashesAndNotItsNeighbours)
+{
+    suspects list;
+    for (const char *fingerprint : {"poison", "neighbour-1", "neighbour-2"})
+        list.started("a", fingerprint);
+    EXPECT_EQ(list.crashed(start, "a", "zone-0"), "");
+    EXPECT_TRUE(list.suspect("neighbour-1"));
+    list.started("b", "poison");
+    list.started("c", "neighbour-1");
+    list.started("b", "fresh");
+    EXPECT_TRUE(list.runsAnotherSuspect("b", "neighbour-2"));
+    list.finished("c", "neighbour-1", true);
+    EXPECT_FALSE(list.suspect("neighbour-1"));
+    EXPECT_EQ(list.crashed(start + seconds(3), "b", "zone-1"), "poison");
+    EXPECT_FALSE(list.suspect("fresh"));
+}
+
+TEST(suspects, blameAZoneWhoseEndpointsGoTogether)
+{
+    suspects list;
+    list.started("a", "one");
+    EXPECT_EQ(list.crashed(start, "a", "zone-0"), "");
+    list.started("b", "one");
+    EXPECT_EQ(list.crashed(start + milliseconds(500), "b", "zone-0"), "");
+}
+
+TEST(pool_scheduler, runsSuspectsOfDifferentEntriesApart)
+{
+    constexpr int entries = 3;
+    std::set<std::string> used;
+    for (int index = 0; index < entries; ++index) {
+        pool_scheduler scheduler = makeScheduler(6, {index, entries});
+        request subject = makeRequest();
+        subject.fingerprint = "f" + std::to_string(index);
+        ASSERT_FALSE(scheduler.push(start, 1, subject, 1, {}));
+        ASSERT_EQ(scheduler.schedule(start).size(), 1U);
+        attempt_result crash;
+        crash.crashed = true;
+        scheduler.finish(start, 1, crash);
+        ASSERT_FALSE(scheduler.push(start, 1, subject, 1, {true, true, {}, {}}));
+        const auto turns = scheduler.schedule(start + seconds(5));
+        ASSERT_EQ(turns.size(), 1U);
+        EXPECT_TRUE(used.insert(turns[0].endpoint).second) << turns[0].endpoint;
+    }
+}
+
+TEST(pool_scheduler, refusesAtOnceWhenNoEndpointTakesWork)
+{
+    pool_scheduler scheduler = makeScheduler(0);
+    const auto refused = scheduler.push(start, 1, makeRequest(), 1, {});
+    ASSERT_TRUE(refused);
+    EXPECT_FALSE(refused->mayHaveRun);
+    EXPECT_GT(refused->retryAfter, nanoseconds::zero());
+}
+
+TEST(pool_scheduler, keepsNonIdempotentWorkOnSteadyEndpoints)
+{
+    pool_scheduler scheduler = makeScheduler(2);
+    state::pool pool;
+    state::endpoint cheap;
+    cheap.name = "cheap";
+    cheap.tenure = state::endpoint_tenure::Cheap;
+    state::endpoint steady;
+    steady.name = "steady";
+    pool.endpoints = {cheap, steady};
+    scheduler.setRows(pool);
+    request subject = makeRequest();
+    subject.route.idempotent = false;
+    for (std::uint64_t ticket = 1; ticket <= 8; ++ticket)
+        ASSERT_FALSE(scheduler.push(start, ticket, subject, 1, {}));
+    const auto turns = scheduler.schedule(start);
+    ASSERT_EQ(turns.size(), 8U);
+    for (const scheduled_turn &turn : turns)
+        EXPECT_EQ(turn.endpoint, "steady");
+    pool.endpoints = {cheap};
+    scheduler.setRows(pool);
+    EXPECT_TRUE(scheduler.push(start, 9, subject, 1, {}));
+}
+
+TEST(pool_scheduler, sendsNoMoreThanAnEndpointsSlotsAllow)
+{
+    pool_scheduler scheduler = makeScheduler(2);
+    for (std::uint64_t ticket = 1; ticket <= 100; ++ticket)
+        ASSERT_FALSE(scheduler.push(start, ticket, makeRequest(), 1, {}));
+    EXPECT_EQ(scheduler.schedule(start).size(), 10U) << "4 slots and one waiting, twice";
+    EXPECT_TRUE(scheduler.schedule(start).empty());
+    attempt_result answered;
+    answered.answered = true;
+    scheduler.finish(start, 1, answered);
+    EXPECT_EQ(scheduler.schedule(start).size(), 1U);
+}
+
+} // namespace yuccascale::kernel::requests
