--- a/tests/processes/authority_test.cpp
+++ b/tests/processes/authority_test.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <thread>
+#include <vector>
 
 namespace yuccascale::processes {
 
@@ -40,7 +41,16 @@
     system.process(paused).signal(SIGSTOP);
     ASSERT_EQ(system.command({"key", "withdraw", "albany-1"}, {0, 1, 2}).code, 0);
     std::this_thread::sleep_for(withdrawnWithin); // the bound itself, not a synchronisation
+    std::vector<std::thread> callers;             // their requests wait inside the paused process
+    for (int number = 0; number < 10; ++number) {
+        callers.emplace_back([&system, paused, number] {
+            EXPECT_NE(statusWithKey(system, paused, "late-paused-" + std::to_string(number)), 200);
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(200)); // lets them connect; fewer is no failure
     system.process(paused).signal(SIGCONT);
+    for (std::thread &caller : callers)
+        caller.join();
     for (std::size_t node = 0; node < system.size(); ++node)
         EXPECT_NE(statusWithKey(system, node, "late-" + std::to_string(node)), 200) << node;
     EXPECT_EQ(requestsAtEngines(system, "late-"), 0);
