Every command of the duties has an operation id; an entry's incarnation is set

Two faults: the incarnation given to the entry was never set, so a restarted entry reused its name and its batches counted as repeats; and retire_entry, mark_leaving and hold_fetches had no operation id, which the submit refuses, without a log line. Ruled out: windows that were still open (the missing answers all ended after the restart, in frozen windows); the load program's count (it agreed with the stand-ins). Refused and unsent commands are logged now. Conclusion: usage of a restarted entry counts.

--- a/src/yuccascale/kernel/orders/order_driver.cpp
+++ b/src/yuccascale/kernel/orders/order_driver.cpp
@@ -62,7 +62,9 @@
     if (m_holdFetchesUntilMs && m_holdTicket == 0) {
         m_holdTicket = ++m_lastTicket;
         actions.emplace_back(
-                submit_command{m_holdTicket, {{}, state::hold_fetches{*m_holdFetchesUntilMs}}});
+                submit_command{m_holdTicket,
+                               {"hold-fetches/" + std::to_string(*m_holdFetchesUntilMs),
+                                state::hold_fetches{*m_holdFetchesUntilMs}}});
     }
     for (auto &[id, order] : m_tracks) {
         if (auto action = advance(seen, order))
--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -273,8 +273,13 @@
             },
             [this,
              ticket = action.ticket](const call_outcome<kernel::state::command_result> &outcome) {
-                if (outcome.answer && !outcome.answer->accepted)
-                    m_around.events.record(commandRefused, {{"message", outcome.answer->message}});
+                const bool accepted = outcome.answer && outcome.answer->accepted;
+                if (!accepted) {
+                    m_around.events.record(
+                            commandRefused,
+                            {{"message",
+                              outcome.answer ? outcome.answer->message : outcome.failure.message}});
+                }
                 m_orders.submitted(m_around.clock.now(), ticket);
             });
 }
@@ -317,6 +322,8 @@
 
 void duties::retireEntries(instant now, const kernel::state::leader_view &view)
 {
+    if (m_submits > 0)
+        return; // an earlier retirement may be under way
     std::vector<std::string> retired = kernel::usage::replacedEntries(view.liveEntries);
     if (m_around.gone) {
         for (const std::string &entry : m_around.gone(now)) {
@@ -326,7 +333,7 @@
     }
     for (const std::string &entry : retired) {
         m_around.events.record(kernel::usage::entryRetired, {{"entry", entry}});
-        submit({{}, kernel::state::retire_entry{entry}});
+        submit({"retire/" + entry, kernel::state::retire_entry{entry}});
     }
 }
 
@@ -339,8 +346,13 @@
             },
             [this](const call_outcome<kernel::state::command_result> &outcome) {
                 --m_submits;
-                if (outcome.answer && !outcome.answer->accepted)
-                    m_around.events.record(commandRefused, {{"message", outcome.answer->message}});
+                const bool accepted = outcome.answer && outcome.answer->accepted;
+                if (!accepted) {
+                    m_around.events.record(
+                            commandRefused,
+                            {{"message",
+                              outcome.answer ? outcome.answer->message : outcome.failure.message}});
+                }
             });
 }
 
@@ -392,7 +404,8 @@
         return;
     for (const std::string &endpoint : notice.endpoints)
         m_around.events.record(endpointLeaving, {{"endpoint", endpoint}});
-    submit({{}, std::move(notice)});
+    submit({"leaving/" + notice.endpoints.front() + "/" + std::to_string(wallMs()),
+            std::move(notice)});
 }
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -73,6 +73,7 @@
         : settings(std::move(nodeSettings))
         , log(settings.log, settings.node)
         , events(clock, log)
+        , incarnation(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()))
     { }
 
     [[nodiscard]] result<void> build();
