Requests: a claim left open by a dead entry is told as unknown after its deadline

A repeat of a request whose entry had died was told "still running" for as long as the leader had not retired that entry. An entry ends each request at its deadline, so a claim open for longer (3 s more for the difference of wall clocks) has an end that nobody will tell: the caller now gets "outcome unknown" and what to ask. The claim stays as it is and no second run follows. For this the log's answer "running" carries the time of the claim (kernel/state/claims.cpp, one field).

Not mended by it: at_most_once.aTicketRunsOnceThoughItsEntryIsKilledAfterDispatch expects the end within 20 s, while its route keeps the default deadline of 30 s.

--- a/src/yuccascale/http/caller_commits.cpp
+++ b/src/yuccascale/http/caller_commits.cpp
@@ -82,7 +82,9 @@
                 return {};
             },
             problem);
-    claim_verdict verdict = answered ? claimVerdict(answer) : claimVerdict(problem);
+    const milliseconds routeDeadline(subject.route.deadlineMs);
+    claim_verdict verdict = answered ? claimVerdict(answer, m_clock.wallNow(), routeDeadline)
+                                     : claimVerdict(problem);
     m_events.record(claimDecided,
                     {{"request_id", subject.id},
                      {"route", subject.route.name},
--- a/src/yuccascale/kernel/requests/claim_verdict.cpp
+++ b/src/yuccascale/kernel/requests/claim_verdict.cpp
@@ -11,6 +11,9 @@
         "not_sent", "answer_lost", "refused", "not_kept",
 };
 
+/// Largest difference between the wall clocks of two VMs, and time to settle.
+constexpr milliseconds clockDifference{3'000};
+
 whole_answer recordedAnswer(const json &detail)
 {
     whole_answer recorded;
@@ -22,7 +25,8 @@
 
 } // namespace
 
-claim_verdict claimVerdict(const state::command_result &answer)
+claim_verdict claimVerdict(const state::command_result &answer, wall_time now,
+                           milliseconds deadline)
 {
     if (answer.accepted)
         return {claim_state::Granted, {}, {}};
@@ -30,8 +34,11 @@
             = answer.detail.is_object() ? answer.detail.value("state", std::string()) : "";
     if (state == "answered" && answer.detail.contains("answer"))
         return {claim_state::Answered, recordedAnswer(answer.detail), {}};
-    if (state == "running" || state == "claimed")
-        return {claim_state::Running, {}, {}};
+    if (state == "running") {
+        const wall_time claimedAt{milliseconds(answer.detail.value("wallMs", std::int64_t{0}))};
+        const bool over = now > claimedAt + deadline + clockDifference;
+        return {over ? claim_state::Unknown : claim_state::Running, {}, {}};
+    }
     if (state == "unknown")
         return {claim_state::Unknown, {}, {}};
     if (state == "other_request")
--- a/src/yuccascale/kernel/requests/claim_verdict.hpp
+++ b/src/yuccascale/kernel/requests/claim_verdict.hpp
@@ -32,7 +32,12 @@
 };
 
 /// \brief Reads the state machine's answer to a claim_request.
-[[nodiscard]] claim_verdict claimVerdict(const state::command_result &answer);
+///
+/// An entry ends each request at its deadline. A claim that is still open well after that belongs
+/// to an entry that died, and nobody will tell its end. \param now this VM's wall clock, which may
+/// differ from that of the claim's entry \param deadline of the route
+[[nodiscard]] claim_verdict claimVerdict(const state::command_result &answer, wall_time now,
+                                         milliseconds deadline);
 
 /// \brief Reads the failure of a submit.
 [[nodiscard]] claim_verdict claimVerdict(const error &failure);
--- a/src/yuccascale/kernel/state/claims.cpp
+++ b/src/yuccascale/kernel/state/claims.cpp
@@ -65,7 +65,7 @@
     if (record.is(claim_state::Running)) {
         return refused(error_kind::Conflict,
                        "a request with this key is still running; ask again later",
-                       {{"state", "running"}, {"entry", record.entry}});
+                       {{"state", "running"}, {"entry", record.entry}, {"wallMs", record.wallMs}});
     }
     if (record.is(claim_state::Unknown)) {
         return refused(error_kind::OutcomeUnknown,
--- a/tests/properties/requests_world.cpp
+++ b/tests/properties/requests_world.cpp
@@ -168,7 +168,7 @@
                 subject.idempotencyKey,
                 subject.fingerprint,
                 at.fullName(),
-                1,
+                at.world.wallNow().time_since_epoch().count(),
                 0};
     }
 
@@ -180,7 +180,7 @@
             const bool answered = kernel::succeeded(
                     [&]() -> kernel::result<void> {
                         BOOST_LEAF_AUTO(known, std::move(answer));
-                        verdict = claimVerdict(known);
+                        verdict = claimVerdict(known, at.world.wallNow(), milliseconds(deadlineMs));
                         return {};
                     },
                     problem);
--- a/tests/properties/requests_world.hpp
+++ b/tests/properties/requests_world.hpp
@@ -139,6 +139,11 @@
         lastByteAt = std::max(lastByteAt, m_now + hop());
         return lastByteAt;
     }
+    [[nodiscard]] kernel::wall_time wallNow() const
+    {
+        return kernel::wall_time(
+                std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()));
+    }
     [[nodiscard]] milliseconds hop() { return milliseconds(draw(1, 3)); }
 
     void buildTables();
--- a/tests/unit/requests_modules_test.cpp
+++ b/tests/unit/requests_modules_test.cpp
@@ -126,6 +126,18 @@
     }
 }
 
+TEST(claim_verdict, tellsThatTheEndOfADeadEntrysClaimIsUnknown)
+{
+    constexpr milliseconds deadline{10'000};
+    state::command_result running;
+    running.detail = {{"state", "running"}, {"wallMs", 1'000'000}};
+    const auto stateAt = [&](std::int64_t wallMs) {
+        return claimVerdict(running, wall_time(milliseconds(wallMs)), deadline).state;
+    };
+    EXPECT_EQ(stateAt(1'010'000), claim_state::Running);
+    EXPECT_EQ(stateAt(1'020'000), claim_state::Unknown);
+}
+
 TEST(usage_batcher, repeatsABatchUntilTheLogHasIt)
 {
     usage_batcher batcher("e#1", milliseconds(60'000), milliseconds(6'000));
