Policy: no herding, learnt service times, roles that don't chase a swing, cheaper placement

Cause of a first token of 2.2 s (95th percentile, steady at 95%) and 7.9 s with reports 5 s late: every entry preferred the same engines and its estimate did not rise with its own choices. Ruled out: spreading the others' unseen requests evenly or over the least loaded (2.5 s and 9.9 s), a larger uncertainty in the wait for a slot, drawing two or six.

--- a/src/yuccascale/kernel/policy/capacity_plan.cpp
+++ b/src/yuccascale/kernel/policy/capacity_plan.cpp
@@ -20,23 +20,26 @@
 /// Fewest cheap endpoints beside \a steady ones; negative when no number is enough.
 int leastCheap(const capacity_need &need, int steady) noexcept
 {
-    const int normal = std::max({roundUp(need.load / normalUtilisation), need.least}) - steady;
-    const int surviving = roundUp(need.load / survivalUtilisation) - steady;
-    if (normal <= 0 && surviving <= 0)
-        return 0;
-    if (need.cheapZones == 0 || (need.cheapZones == 1 && surviving > 0))
-        return -1;
-    int cheap = std::max(normal, 0);
-    const auto left = [&need](int count) {
-        return count - (count + need.cheapZones - 1) / need.cheapZones;
-    };
-    while (left(cheap) < surviving)
-        ++cheap;
-    return cheap;
+    const int most = need.cheapZones > 0 ? need.most - steady : 0;
+    for (int cheap = 0; cheap <= most; ++cheap) {
+        const int zones = std::max(need.cheapZones, 1);
+        if (carries(need, {steady, cheap, (cheap + zones - 1) / zones}))
+            return cheap;
+    }
+    return -1;
 }
 
 } // namespace
 
+bool carries(const capacity_need &need, const capacity_held &held) noexcept
+{
+    const int floor = std::max(roundUp(need.steadyLoad / steadyUtilisation), 1);
+    const int all = held.steady + held.cheap;
+    return held.steady >= floor && all >= need.least
+            && all >= roundUp(need.load / normalUtilisation)
+            && all - held.largestCheapZone >= roundUp(need.load / survivalUtilisation);
+}
+
 capacity_plan planCapacity(const capacity_need &need) noexcept
 {
     const int floor = need.steadyLoad > 0 ? roundUp(need.steadyLoad / steadyUtilisation) : 0;
@@ -47,7 +50,7 @@
     double bestPrice = std::numeric_limits<double>::infinity();
     for (int steady = fewestSteady; steady <= need.most; ++steady) {
         const int cheap = leastCheap(need, steady);
-        if (cheap < 0 || steady + cheap > need.most)
+        if (cheap < 0)
             continue;
         const double price = steady * need.steadyPrice + cheap * need.cheapPrice;
         if (price < bestPrice) {
--- a/src/yuccascale/kernel/policy/capacity_plan.hpp
+++ b/src/yuccascale/kernel/policy/capacity_plan.hpp
@@ -26,6 +26,17 @@
     [[nodiscard]] int total() const noexcept { return steady + cheap; }
 };
 
+/// \brief Endpoints that serve, with the cheap ones of the zone that has most of them.
+struct capacity_held
+{
+    int steady = 0;
+    int cheap = 0;
+    int largestCheapZone = 0;
+};
+
+/// \returns whether \a held carries the load, also after the loss of the largest cheap zone.
+[[nodiscard]] bool carries(const capacity_need &need, const capacity_held &held) noexcept;
+
 /// \returns the cheapest plan that satisfies \a need; the one nearest to it when none does.
 [[nodiscard]] capacity_plan planCapacity(const capacity_need &need) noexcept;
 
--- a/src/yuccascale/kernel/policy/dispatch_window.cpp
+++ b/src/yuccascale/kernel/policy/dispatch_window.cpp
@@ -1,25 +1,30 @@
 #include "yuccascale/kernel/policy/dispatch_window.hpp"
 
-#include <algorithm>
-#include <cmath>
-
 namespace yuccascale::kernel::policy {
 
-bool dispatch_window::hasRoom(instant now, const endpoint_view &view, int entries) const noexcept
+void dispatch_window::limit(instant now, std::span<endpoint_view> views, int entries)
+{
+    m_indexes.clear();
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        if (views[index].usable)
+            m_indexes.push_back(index);
+    }
+    const auto backlogs = m_backlogs.estimate(now, views, m_indexes, entries, m_estimates);
+    for (std::size_t at = 0; at < m_indexes.size(); ++at) {
+        endpoint_view &view = views[m_indexes[at]];
+        const double slots = m_limits.slotFactor * view.row->slots;
+        const engine_backlog &backlog = backlogs[at];
+        if (backlog.running < slots && backlog.prefillTokens <= m_limits.prefillAheadTokens)
+            continue;
+        view.usable = false;
+        view.unusableBecause = "its batch is full";
+    }
+}
+
+void dispatch_window::observe(const routing_outcome &outcome)
 {
-    const int slots = view.row != nullptr ? view.row->slots : 1;
-    const double mostRunning = slotFactor * slots;
-    const load_report &report = view.report;
-    if (report.running + report.queued + view.sentSinceReport >= mostRunning)
-        return false;
-    if (view.outstandingHere >= std::ceil(2.0 * mostRunning / std::max(entries, 1)))
-        return false;
-    const double age = std::chrono::duration<double>(now - report.measuredAt).count();
-    const double done = prefillTokensPerSecond * std::max(age, 0.0);
-    const double ahead
-            = prefillTokensPerSecond * std::chrono::duration<double>(prefillAhead).count();
-    const double sent = static_cast<double>(view.prefillTokensSinceReport);
-    return std::max(static_cast<double>(report.prefillTokensWaiting) - done, 0.0) + sent <= ahead;
+    m_estimates.observe(outcome);
+    m_backlogs.observe(outcome);
 }
 
 } // namespace yuccascale::kernel::policy
--- a/src/yuccascale/kernel/policy/dispatch_window.hpp
+++ b/src/yuccascale/kernel/policy/dispatch_window.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "yuccascale/kernel/policy/routing.hpp"
+#include "yuccascale/kernel/policy/engine_backlog.hpp"
 
 /// \file
 /// \brief How much work an entry sends ahead to an engine; the rest waits in the fair queue.
@@ -8,15 +8,37 @@
 namespace yuccascale::kernel::policy {
 
 /// \brief Bounds on the work that waits inside an engine.
-struct dispatch_window
+struct window_limits
 {
-    double slotFactor = 1.0;                      ///< requests in an engine, relative to its slots
-    nanoseconds prefillAhead = milliseconds(400); ///< prompt work waiting in an engine
-    double prefillTokensPerSecond = 8'000;
+    double slotFactor = 1.0; ///< requests in an engine, relative to its slots
+    double prefillAheadTokens = 3'200;
+};
+
+/// \brief Marks the engines that have no room for one more request.
+///
+/// \example
+///     window.limit(now, views, entries);
+///     if (std::ranges::any_of(views, &endpoint_view::usable))
+///         dispatch(*queue->pop(now));
+class dispatch_window
+{
+public:
+    explicit dispatch_window(window_limits limits = {})
+        : m_limits(limits)
+    { }
 
-    /// \returns whether the engine has room for one more request of this entry.
+    /// \brief Makes usable views without room unusable.
     /// \param entries entries that send at the same time
-    [[nodiscard]] bool hasRoom(instant now, const endpoint_view &view, int entries) const noexcept;
+    void limit(instant now, std::span<endpoint_view> views, int entries);
+
+    /// \brief Learns from a finished try.
+    void observe(const routing_outcome &outcome);
+
+private:
+    window_limits m_limits;
+    engine_estimates m_estimates;
+    backlog_estimator m_backlogs;
+    std::vector<std::size_t> m_indexes;
 };
 
 } // namespace yuccascale::kernel::policy
--- a/src/yuccascale/kernel/policy/engine_estimates.cpp
+++ b/src/yuccascale/kernel/policy/engine_estimates.cpp
@@ -51,32 +51,6 @@
     return decodeSlowdown * (stepBaseSeconds + stepSecondsPerRequest * std::max(running, 1.0));
 }
 
-unseen_work unseenWork(std::span<const endpoint_view> views, int entries) noexcept
-{
-    unseen_work sent;
-    for (const endpoint_view &view : views) {
-        sent.requests += view.sentSinceReport;
-        sent.prefillTokens += static_cast<double>(view.prefillTokensSinceReport);
-    }
-    const double others = std::max(entries - 1, 0);
-    const double scale = views.empty() ? 0 : others / static_cast<double>(views.size());
-    return {sent.requests * scale, sent.prefillTokens * scale};
-}
-
-engine_backlog backlogOf(instant now, const endpoint_view &view, const unseen_work &unseen,
-                         const engine_estimate &estimate) noexcept
-{
-    const load_report &report = view.report;
-    const double age = std::max(toSeconds(now - report.measuredAt), 0.0);
-    const double done = estimate.prefillTokensPerSecond * age;
-    const double reported = static_cast<double>(report.prefillTokensWaiting)
-            + static_cast<double>(view.prefillTokensSinceReport) + unseen.prefillTokens;
-    const double own = static_cast<double>(view.prefillTokensHere);
-    const double running = report.running + report.queued + view.sentSinceReport + unseen.requests;
-    return {std::max({reported - done, own - done, 0.0}),
-            std::max(running, static_cast<double>(view.outstandingHere))};
-}
-
 const engine_estimate &engine_estimates::of(std::string_view endpoint) const noexcept
 {
     static const engine_estimate unknown;
--- a/src/yuccascale/kernel/policy/engine_estimates.hpp
+++ b/src/yuccascale/kernel/policy/engine_estimates.hpp
@@ -3,12 +3,11 @@
 #include "yuccascale/kernel/policy/routing.hpp"
 
 #include <functional>
-#include <span>
 #include <string>
 #include <unordered_map>
 
 /// \file
-/// \brief Rates of engines, learnt from finished requests, and their work outstanding.
+/// \brief Rates of engines, learnt from finished requests.
 
 namespace yuccascale::kernel::policy {
 
@@ -22,28 +21,6 @@
     [[nodiscard]] double stepSeconds(double running) const noexcept;
 };
 
-/// \brief Work that an engine is believed to have before it now.
-struct engine_backlog
-{
-    double prefillTokens = 0;
-    double running = 0; ///< requests in the batch or waiting for a slot
-};
-
-/// \brief What other entries are believed to have sent to each engine since its report.
-struct unseen_work
-{
-    double requests = 0;
-    double prefillTokens = 0;
-};
-
-/// \brief Estimates what the other entries sent, taking them for as busy as this one.
-[[nodiscard]] unseen_work unseenWork(std::span<const endpoint_view> views, int entries) noexcept;
-
-/// \brief Corrects a lagging report: takes off what was done since, adds what was sent since.
-[[nodiscard]] engine_backlog backlogOf(instant now, const endpoint_view &view,
-                                       const unseen_work &unseen,
-                                       const engine_estimate &estimate) noexcept;
-
 /// \brief Learns each engine's rates online.
 class engine_estimates
 {
--- a/src/yuccascale/plugins/admission_deadline.cpp
+++ b/src/yuccascale/plugins/admission_deadline.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 /// \file
-/// \brief Admission by deadline, and the baseline that admits everything.
+/// \brief Admission by deadline; the baselines admit everything, or up to a length of the queue.
 
 namespace yuccascale::plugins {
 
@@ -15,9 +15,11 @@
 
 constexpr nanoseconds leastRetryAfter = kernel::milliseconds(100);
 constexpr nanoseconds greatestRetryAfter = kernel::seconds(60);
+constexpr std::size_t mostWaiting = 32;  ///< of the queue limit
 constexpr int retrySpreadSteps = 16;     ///< callers refused together come back apart
 constexpr double retrySpread = 0.5 / 16; ///< added for each step
-constexpr double waitMargin = 1.0;       ///< factor on the predicted wait
+constexpr double usualMargin = 2.5;      ///< factor on the predicted wait
+constexpr double earlyMargin = 4.0; ///< refuses more in advance; fewer dispatched ones end late
 
 nanoseconds scaled(nanoseconds duration, double factor)
 {
@@ -40,12 +42,16 @@
 class deadline_admission final : public admission
 {
 public:
+    explicit deadline_admission(double margin)
+        : m_margin(margin)
+    { }
+
     [[nodiscard]] std::optional<admission_refusal>
     refuse(instant now, const waiting_request &request, const queue_view &queue) override
     {
         if (queue.waiting == 0)
             return std::nullopt;
-        const nanoseconds wait = scaled(expectedWait(request, queue), waitMargin);
+        const nanoseconds wait = scaled(expectedWait(request, queue), m_margin);
         const nanoseconds late = now + wait + request.predictedService - request.deadline;
         if (late <= nanoseconds::zero())
             return std::nullopt;
@@ -55,6 +61,22 @@
         return admission_refusal{"would miss its deadline: waiting work of its organisation",
                                  std::min(retryAfter, greatestRetryAfter)};
     }
+
+private:
+    double m_margin;
+};
+
+class queue_limit_admission final : public admission
+{
+public:
+    [[nodiscard]] std::optional<admission_refusal> refuse(instant, const waiting_request &,
+                                                          const queue_view &queue) override
+    {
+        if (queue.waiting < mostWaiting)
+            return std::nullopt;
+        return admission_refusal{"the queue is full",
+                                 std::max(queue.predictedWait, leastRetryAfter)};
+    }
 };
 
 class always_admission final : public admission
@@ -68,7 +90,11 @@
 };
 
 const admission_registry::registration addDeadline{
-        "deadline", [] { return std::make_unique<deadline_admission>(); }};
+        "deadline", [] { return std::make_unique<deadline_admission>(usualMargin); }};
+const admission_registry::registration addDeadlineEarly{
+        "deadline_early", [] { return std::make_unique<deadline_admission>(earlyMargin); }};
+const admission_registry::registration addQueueLimit{
+        "queue_limit", [] { return std::make_unique<queue_limit_admission>(); }};
 const admission_registry::registration addAlways{
         "always", [] { return std::make_unique<always_admission>(); }};
 
--- a/src/yuccascale/plugins/placement_steady_and_cheap.cpp
+++ b/src/yuccascale/plugins/placement_steady_and_cheap.cpp
@@ -24,6 +24,8 @@
 constexpr nanoseconds trendWindow = kernel::seconds(60);
 constexpr nanoseconds firstAvoidance = kernel::seconds(300);
 constexpr nanoseconds longestAvoidance = kernel::seconds(3'600);
+constexpr double risingFactor = 1.05;   ///< over the trend window
+constexpr int mostStops = 2;            ///< in one decision
 constexpr std::size_t mostStarting = 6; ///< they share the weight store
 
 struct reading
@@ -55,7 +57,8 @@
     {
         const std::vector<endpoint_offer> open = openOffers(now, offers);
         const double load = expectedLoad(now, fleetLoad(demand, rates).total(), offers);
-        const capacity_plan plan = planCapacity(needOf(demand, load, open));
+        const capacity_need need = needOf(demand, load, open);
+        const capacity_plan plan = planCapacity(need);
         const holding steady = holdingOf(endpoint_tenure::Steady, engines, starting);
         const holding cheap = holdingOf(endpoint_tenure::Cheap, engines, starting);
         const std::string why = reasonOf(load, plan);
@@ -63,8 +66,8 @@
         m_room = mostStarting > starting.size() ? mostStarting - starting.size() : 0;
         start(endpoint_tenure::Steady, plan.steady, steady, open, why, changes);
         start(endpoint_tenure::Cheap, plan.cheap, cheap, open, why, changes);
-        if (changes.empty() && starting.empty())
-            stop(plan, steady, cheap, engines, why, changes);
+        for (int stops = 0; stops < mostStops && !m_rising; ++stops)
+            stop(need, plan, engines, why, changes);
         return changes;
     }
 
@@ -103,6 +106,7 @@
             if (now - each.at >= trendWindow)
                 earlier = &each;
         }
+        m_rising = load > risingFactor * earlier->load;
         const double passed = std::chrono::duration<double>(now - earlier->at).count();
         if (passed < 10.0)
             return peak;
@@ -172,21 +176,36 @@
         }
     }
 
-    /// Stops one endpoint, from the tenure and zone with most to spare.
-    static void stop(const capacity_plan &plan, const holding &steady, const holding &cheap,
+    /// Stops one endpoint above the plan, a steady one first, if the others carry the load at once.
+    static void stop(const capacity_need &need, const capacity_plan &plan,
                      std::span<const engine_view> engines, const std::string &why,
                      std::vector<placement_change> &changes)
     {
-        const bool sheds = steady.total > plan.steady && cheap.total >= plan.cheap;
-        if (!sheds && cheap.total <= plan.cheap)
+        std::vector<engine_view> serving;
+        for (const engine_view &engine : engines) {
+            const bool stopped = std::ranges::any_of(changes, [&engine](const auto &change) {
+                return change.endpoint == engine.row->name;
+            });
+            if (!engine.leaving && !stopped)
+                serving.push_back(engine);
+        }
+        const holding steady = holdingOf(endpoint_tenure::Steady, serving, {});
+        const holding cheap = holdingOf(endpoint_tenure::Cheap, serving, {});
+        capacity_held left{steady.total, cheap.total, largestZone(cheap)};
+        const bool dear = steady.total > plan.steady
+                && carries(need, {left.steady - 1, left.cheap, left.largestCheapZone});
+        if (!dear && (cheap.total <= plan.cheap || steady.total > plan.steady))
             return;
-        const endpoint_tenure tenure = sheds ? endpoint_tenure::Steady : endpoint_tenure::Cheap;
-        const holding &from = sheds ? steady : cheap;
+        --left.cheap;
+        if (!dear && !carries(need, left))
+            return;
+        const endpoint_tenure tenure = dear ? endpoint_tenure::Steady : endpoint_tenure::Cheap;
+        const holding &from = dear ? steady : cheap;
         const engine_view *chosen = nullptr;
         const auto crowd
                 = [&from](const engine_view &engine) { return from.byZone.at(engine.row->zone); };
-        for (const engine_view &engine : engines) {
-            if (engine.leaving || engine.changing || engine.row->tenure != tenure)
+        for (const engine_view &engine : serving) {
+            if (engine.changing || engine.row->tenure != tenure)
                 continue;
             if (chosen == nullptr || crowd(engine) > crowd(*chosen)
                 || (crowd(engine) == crowd(*chosen) && engine.running < chosen->running))
@@ -196,6 +215,14 @@
             changes.push_back({false, chosen->row->name, {}, why});
     }
 
+    [[nodiscard]] static int largestZone(const holding &its)
+    {
+        int largest = 0;
+        for (const auto &[zone, count] : its.byZone)
+            largest = std::max(largest, count);
+        return largest;
+    }
+
     [[nodiscard]] static std::string reasonOf(double load, const capacity_plan &plan)
     {
         return "expected load " + std::to_string(std::lround(load * 10)) + " tenths of an engine"
@@ -206,6 +233,7 @@
     std::deque<reading> m_readings;
     std::map<std::pair<std::string, std::string>, avoidance> m_avoided; ///< zone and kind
     std::size_t m_room = 0;
+    bool m_rising = false; ///< the load rises; nothing is stopped
 };
 
 const placement_policy_registry::registration addSteadyAndCheap{
--- a/src/yuccascale/plugins/queue_fair_share.cpp
+++ b/src/yuccascale/plugins/queue_fair_share.cpp
@@ -46,7 +46,7 @@
         account &its = found->second;
         if (its.waiting.empty()) {
             its.virtualTime = std::max(its.virtualTime, m_floor);
-            m_order.emplace(its.virtualTime, &found->first);
+            m_order.emplace(its.virtualTime, found->first);
         }
         const place where{request.receivedAt - request.priority * priorityStep, request.ticket};
         its.costWaiting += request.cost;
@@ -60,7 +60,7 @@
     {
         if (m_order.empty())
             return std::nullopt;
-        const auto found = m_accounts.find(*m_order.begin()->second);
+        const auto found = m_accounts.find(m_order.begin()->second);
         account &its = found->second;
         m_floor = std::max(m_floor, its.virtualTime);
         waiting_request request = take(found, its.waiting.begin());
@@ -107,10 +107,10 @@
         account &its = found->second;
         const bool waits = !its.waiting.empty();
         if (waits)
-            m_order.erase({its.virtualTime, &found->first});
+            m_order.erase({its.virtualTime, found->first});
         its.virtualTime += virtualTime;
         if (waits)
-            m_order.emplace(its.virtualTime, &found->first);
+            m_order.emplace(its.virtualTime, found->first);
     }
 
     waiting_request take(account_iterator found, std::map<place, waiting_request>::iterator where)
@@ -123,7 +123,7 @@
         m_places.erase(request.ticket);
         m_latestStarts.erase({request.deadline - request.predictedService, request.ticket});
         if (its.waiting.empty())
-            m_order.erase({its.virtualTime, &found->first});
+            m_order.erase({its.virtualTime, found->first});
         return request;
     }
 
@@ -137,7 +137,7 @@
     }
 
     account_map m_accounts;
-    std::set<std::pair<double, const std::string *>> m_order; ///< organisations that wait
+    std::set<std::pair<double, std::string_view>> m_order; ///< organisations that wait
     std::unordered_map<std::uint64_t, std::pair<const std::string *, place>> m_places;
     std::set<std::pair<instant, std::uint64_t>> m_latestStarts;
     double m_floor = 0; ///< virtual time of the last one served
--- a/src/yuccascale/plugins/roles_mix_following.cpp
+++ b/src/yuccascale/plugins/roles_mix_following.cpp
@@ -10,7 +10,7 @@
 ///
 /// The least load of each side over the last minutes is what dedicated engines can count on. It
 /// falls with the first reading and rises only when the window has passed, so an engine is freed
-/// fast and bound slowly.
+/// fast and bound slowly, one at a time, and not at all while the mix swings.
 
 namespace yuccascale::plugins {
 
@@ -21,9 +21,13 @@
 using kernel::nanoseconds;
 using kernel::state::engine_role;
 
-constexpr nanoseconds steadyWindow = kernel::seconds(90);
+constexpr nanoseconds steadyWindow = kernel::seconds(120);
 constexpr nanoseconds leastTimeInRole = kernel::seconds(120); ///< before it is bound again
 constexpr nanoseconds gainHorizon = kernel::seconds(60);
+constexpr double steadyBand = 0.2; ///< of the load, within which a steady mix may vary
+constexpr int bindAtOnce = 1;
+constexpr double spareLoad = 0.85; ///< of the pool; above it no engine is taken away to be bound
+constexpr nanoseconds warmUp = kernel::seconds(20); ///< a new leader only watches
 constexpr double boundShare = 0.8;          ///< of the steady load, given to dedicated engines
 constexpr double leastMixedShare = 0.25;    ///< of the pool, kept for the swing
 constexpr double releaseMargin = 0.5;       ///< engines of idle capacity that free one
@@ -51,6 +55,10 @@
                                                   const engine_rates &rates,
                                                   std::span<const engine_view> engines) override
     {
+        if (m_started == instant{})
+            m_started = now;
+        if (now - m_started < warmUp)
+            return {};
         m_readings.push_back({now, fleetLoad(demand, rates)});
         while (now - m_readings.front().at > steadyWindow)
             m_readings.pop_front();
@@ -64,7 +72,8 @@
         }
         std::vector<role_change> changes;
         release(now, engines, counts, steady, changes);
-        if (changes.empty() && paysOff(rates) && windowIsFull(now))
+        if (changes.empty() && m_zones.empty() && paysOff(rates) && windowIsFull(now)
+            && isSteady(steady) && m_readings.back().load.total() < spareLoad * counts.all)
             bind(now, engines, counts, steady, changes);
         return changes;
     }
@@ -87,6 +96,8 @@
             if (engine.leaving)
                 continue;
             ++counts.all;
+            if (engine.changing)
+                continue;
             counts.prefill += engine.role == engine_role::Prefill ? 1 : 0;
             counts.decode += engine.role == engine_role::Decode ? 1 : 0;
         }
@@ -104,6 +115,19 @@
         return now - m_readings.front().at >= steadyWindow * 9 / 10;
     }
 
+    /// Whether the mix kept within a band for the whole window.
+    [[nodiscard]] bool isSteady(const fleet_load &least) const
+    {
+        fleet_load most = least;
+        for (const reading &each : m_readings) {
+            most.prefillEngines = std::max(most.prefillEngines, each.load.prefillEngines);
+            most.decodeEngines = std::max(most.decodeEngines, each.load.decodeEngines);
+        }
+        const double band = steadyBand * most.total();
+        return most.prefillEngines - least.prefillEngines <= band
+                && most.decodeEngines - least.decodeEngines <= band;
+    }
+
     /// A change is worth it when the gain over the horizon exceeds the work lost meanwhile.
     [[nodiscard]] static bool paysOff(const engine_rates &rates)
     {
@@ -130,6 +154,7 @@
     {
         const int most = static_cast<int>(counts.all * (1.0 - leastMixedShare));
         int free = most - counts.prefill - counts.decode;
+        m_allowed = std::min(m_allowed, bindAtOnce);
         const auto missing = [&free](double load, int bound) {
             const int wanted = static_cast<int>(std::floor(load * boundShare)) - bound;
             return std::clamp(wanted, 0, std::max(free, 0));
@@ -177,6 +202,7 @@
     }
 
     std::deque<reading> m_readings;
+    instant m_started{};
     int m_allowed = 0;             ///< changes that may still start
     std::set<std::string> m_zones; ///< with a change under way
 };
--- a/src/yuccascale/plugins/router_least_outstanding.cpp
+++ b/src/yuccascale/plugins/router_least_outstanding.cpp
@@ -1,4 +1,4 @@
-#include "yuccascale/kernel/policy/engine_estimates.hpp"
+#include "yuccascale/kernel/policy/routing.hpp"
 
 #include <algorithm>
 #include <random>
