--- /dev/null
+++ b/tests/golden/policy_session_test.cpp
@@ -0,0 +1,115 @@
+#include "fakes/policy_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+/// A session of routing, role and placement decisions, compared with policy_session.golden.
+/// YUCCASCALE_REWRITE_GOLDEN=1 rewrites the file.
+
+namespace yuccascale {
+
+using namespace fakes;
+
+namespace {
+
+constexpr const char *goldenFile = YUCCASCALE_SOURCE_DIR "/tests/golden/policy_session.golden";
+
+void routeSession(std::ostream &out)
+{
+    const policy_fleet fleet(3);
+    auto router = strategy<router_registry>("predicted_first_token", std::uint64_t{7});
+    std::vector<endpoint_view> views;
+    for (const engine_view &engine : fleet.views) {
+        endpoint_view view;
+        view.row = engine.row;
+        view.report.measuredAt = at(0);
+        views.push_back(view);
+    }
+    for (int request = 0; request < 8; ++request) {
+        if (request == 4) {
+            out << "0.4 engine-1 unusable\n";
+            views[0].usable = false;
+        }
+        routing_request asked;
+        asked.promptTokens = 500 + 1'000 * (request % 3);
+        asked.outputTokens = 200;
+        asked.entries = 2;
+        const auto choice = router->choose(at(0.1 * request), asked, views);
+        endpoint_view &chosen = views[choice->index];
+        ++chosen.outstandingHere;
+        ++chosen.sentSinceReport;
+        chosen.prefillTokensHere += asked.promptTokens;
+        chosen.prefillTokensSinceReport += asked.promptTokens;
+        const auto first
+                = std::chrono::duration_cast<kernel::milliseconds>(choice->predictedFirstToken);
+        out << 0.1 * request << " route prompt=" << asked.promptTokens << " -> " << chosen.row->name
+            << " first_token_ms=" << first.count() << " (" << choice->reason << ")\n";
+    }
+}
+
+void roleSession(std::ostream &out)
+{
+    auto roles = strategy<role_policy_registry>("mix_following");
+    policy_fleet fleet(9);
+    for (double now = 2; now <= 300; now += 2) {
+        const bool swung = now > 240;
+        const pool_demand demand = swung ? demandOf(5, 2) : demandOf(1.6, 5.4);
+        if (now == 242)
+            out << "242 the mix swings to prefill\n";
+        for (const role_change &change : roles->decide(at(now), demand, {}, fleet.views)) {
+            constexpr std::array names{"mixed", "prefill", "decode"};
+            out << now << " role " << change.endpoint << " -> "
+                << names.at(static_cast<std::size_t>(change.to)) << " (" << change.reason << ")\n";
+            for (engine_view &view : fleet.views) {
+                if (view.row->name == change.endpoint) {
+                    view.role = change.to;
+                    view.roleSince = at(now);
+                }
+            }
+        }
+    }
+}
+
+void placementSession(std::ostream &out)
+{
+    auto placement = strategy<placement_policy_registry>("steady_and_cheap");
+    policy_fleet fleet(6);
+    pool_demand demand = demandOf(1, 5);
+    demand.nonIdempotentShare = 0.1;
+    for (double now = 0; now <= 200; now += 10) {
+        if (now == 100) {
+            out << "100 cheap endpoints of perth-a reclaimed\n";
+            std::erase_if(fleet.views, [](const engine_view &view) {
+                return view.row->zone == "perth-a" && view.row->tenure == endpoint_tenure::Cheap;
+            });
+            placement->reclaimed(at(now), "perth-a", "cheap-engine");
+        }
+        for (const placement_change &change :
+             placement->decide(at(now), demand, {}, fleet.views, {}, policy_fleet::offers())) {
+            out << now << (change.start ? " start " : " stop ")
+                << (change.start ? change.offer.kind + " in " + change.offer.zone : change.endpoint)
+                << " (" << change.reason << ")\n";
+            fleet.apply(change, at(now));
+        }
+    }
+}
+
+} // namespace
+
+TEST(policy_session, decidesAsRecorded)
+{
+    std::ostringstream session;
+    routeSession(session);
+    roleSession(session);
+    placementSession(session);
+    if (std::getenv("YUCCASCALE_REWRITE_GOLDEN") != nullptr)
+        std::ofstream(goldenFile) << session.str();
+    std::stringstream golden;
+    golden << std::ifstream(goldenFile).rdbuf();
+    EXPECT_EQ(session.str(), golden.str());
+}
+
+} // namespace yuccascale
