--- /dev/null
+++ b/tests/bench/policy_bench.cpp
@@ -0,0 +1,107 @@
+#include "fakes/policy_fleet.hpp"
+#include "yuccascale/kernel/policy/prefix_index.hpp"
+
+#include <malloc.h>
+
+#include <cstdio>
+
+/// \file
+/// \brief Slopes of the policy's cost for docs/CAPACITY.md: time a decision, memory an item.
+
+namespace {
+
+using namespace yuccascale::fakes;
+using clock_type = std::chrono::steady_clock;
+
+double nanosecondsSince(clock_type::time_point start)
+{
+    return std::chrono::duration<double, std::nano>(clock_type::now() - start).count();
+}
+
+std::size_t heapBytes()
+{
+    return mallinfo2().uordblks;
+}
+
+void routing(const char *name, int engines)
+{
+    constexpr int decisions = 2'000;
+    const policy_fleet fleet(engines);
+    auto router = strategy<router_registry>(name, std::uint64_t{1});
+    std::vector<endpoint_view> views;
+    for (const engine_view &engine : fleet.views) {
+        endpoint_view view;
+        view.row = engine.row;
+        view.report.running = static_cast<int>(views.size() % 12);
+        views.push_back(view);
+        router->observe(at(0),
+                        {engine.row->name, 1'000, 0, 100, yuccascale::kernel::milliseconds(200),
+                         yuccascale::kernel::seconds(2), 4, true});
+    }
+    routing_request request;
+    request.promptTokens = 1'000;
+    request.outputTokens = 200;
+    request.entries = 8;
+    std::size_t sum = 0;
+    const auto start = clock_type::now();
+    for (int decision = 0; decision < decisions; ++decision)
+        sum += router->choose(at(0.3), request, views)->index;
+    const double each = nanosecondsSince(start) / decisions;
+    std::printf("| routing, %s | %d engines | %.0f ns | check %zu |\n", name, engines, each,
+                sum % 10);
+}
+
+void fairQueue(int organisations, int waitingEach)
+{
+    const std::size_t before = heapBytes();
+    auto queue = strategy<fair_queue_registry>("fair_share");
+    std::uint64_t ticket = 0;
+    for (int round = 0; round < waitingEach; ++round) {
+        for (int index = 0; index < organisations; ++index)
+            queue->push(
+                    at(0),
+                    waitingRequest(++ticket, "organisation-" + std::to_string(index), 100, at(0)));
+    }
+    const double bytes = static_cast<double>(heapBytes() - before) / static_cast<double>(ticket);
+    constexpr int turns = 20'000;
+    const auto start = clock_type::now();
+    for (int turn = 0; turn < turns; ++turn)
+        queue->push(at(1), *queue->pop(at(1)));
+    std::printf("| fair queue, pop and push | %d organisations, %d waiting each | %.0f ns | %.0f "
+                "bytes a waiting request |\n",
+                organisations, waitingEach, nanosecondsSince(start) / turns, bytes);
+}
+
+void prefixIndex(int engines, int prefixes)
+{
+    const std::size_t before = heapBytes();
+    prefix_index index;
+    for (int engine = 0; engine < engines; ++engine) {
+        for (int prefix = 1; prefix <= prefixes; ++prefix)
+            index.apply(at(0), "engine-" + std::to_string(engine),
+                        {static_cast<std::uint64_t>(prefix), static_cast<std::uint64_t>(prefix),
+                         1'000, true});
+    }
+    const double bytes
+            = static_cast<double>(heapBytes() - before) / static_cast<double>(index.size());
+    std::printf("| prefix index | %d engines, %d prefixes each | | %.0f bytes an entry |\n",
+                engines, prefixes, bytes);
+}
+
+} // namespace
+
+int main()
+{
+    using yuccascale::kernel::policy::endpoint_view;
+    std::printf("| what | size | time | memory |\n|---|---|---|---|\n");
+    for (const int engines : {18, 64, 330, 3'300})
+        routing("predicted_first_token", engines);
+    routing("predicted_full_scan", 3'300);
+    for (const int organisations : {8, 80, 800, 2'300})
+        fairQueue(organisations, 4);
+    fairQueue(8, 1'000);
+    prefixIndex(18, 100);
+    prefixIndex(330, 100);
+    std::printf("| endpoint view | | | %zu bytes |\n", sizeof(endpoint_view));
+    return 0;
+}
--- /dev/null
+++ b/tests/measure/event_loop.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+/// \file
+/// \brief Time of a measurement: events in order, in seconds.
+
+namespace yuccascale::measure {
+
+class event_loop
+{
+public:
+    [[nodiscard]] double seconds() const noexcept { return m_now; }
+    [[nodiscard]] kernel::instant now() const noexcept { return toInstant(m_now); }
+
+    [[nodiscard]] static kernel::instant toInstant(double at) noexcept
+    {
+        return kernel::instant(kernel::nanoseconds(static_cast<std::int64_t>(at * 1e9)));
+    }
+
+    void after(double delay, std::function<void()> action)
+    {
+        m_events.push({m_now + delay, m_next++, std::move(action)});
+    }
+
+    void run(double until)
+    {
+        while (!m_events.empty() && m_events.top().at <= until) {
+            const event first = m_events.top();
+            m_events.pop();
+            m_now = first.at;
+            first.action();
+        }
+        m_now = until;
+    }
+
+private:
+    struct event
+    {
+        double at;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator<(const event &other) const noexcept
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    double m_now = 0;
+    std::uint64_t m_next = 0;
+    std::priority_queue<event> m_events;
+};
+
+} // namespace yuccascale::measure
--- /dev/null
+++ b/tests/measure/report.cpp
@@ -0,0 +1,161 @@
+#include "report.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+
+namespace yuccascale::measure {
+
+namespace {
+
+constexpr const char *tableHeader
+        = "| strategies | in time | refused | late | lost | worst share | its p95 wait s | role "
+          "changes | cost | cost per 1000 | on cheap | first token p95 s | between tokens p95 ms | "
+          "broken |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+constexpr double plotWidth = 720;
+constexpr double plotHeight = 300;
+constexpr double margin = 40;
+constexpr std::array<const char *, 9> colours{"#c0392b", "#7f8c8d", "#2980b9", "#27ae60", "#8e44ad",
+                                              "#d35400", "#e377c2", "#16a085", "#2c3e50"};
+
+template<typename... Values>
+std::string format(const char *pattern, Values... values)
+{
+    std::array<char, 512> text{};
+    std::snprintf(text.data(), text.size(), pattern, values...);
+    return text.data();
+}
+
+/// How a deployment weighs the figures; the weights add up to one.
+struct deployment
+{
+    const char *name;
+    double goodput;
+    double worstShare;
+    double roleChanges;
+    double cost;
+    double onCheap;
+};
+
+constexpr std::array<deployment, 2> deployments{
+        {{"Swanfield", 0.2, 0.5, 0.1, 0.1, 0.1}, {"Mehta", 0.5, 0.2, 0.1, 0.1, 0.1}}};
+constexpr double manyRoleChanges = 20; ///< counts as none of the weight
+
+/// Share of the best that can be had, between 0 and 1.
+double scoreOf(const deployment &its, const figures &mean, double leastCost)
+{
+    const double cost = mean.inTime > 0 ? leastCost / mean.costPerAnswer() : 0;
+    return its.goodput * mean.goodShare() + its.worstShare * std::min(mean.worstShare, 1.0)
+            + its.roleChanges * std::max(1 - mean.roleChanges / manyRoleChanges, 0.0)
+            + its.cost * cost + its.onCheap * mean.cheapShare;
+}
+
+std::string rowOf(const std::string &label, const figures &mean)
+{
+    const double offered = std::max(mean.offered, 1.0);
+    std::string row = format("| %s | %.1f%% | %.1f%% | %.1f%% | %.2f%% ", label.c_str(),
+                             100 * mean.goodShare(), 100 * mean.refused / offered,
+                             100 * mean.late / offered, 100 * mean.lost / offered);
+    row += format("| %.1f%% | %.2f | %.1f | %.3f | %.3f | %.1f%% ", 100 * mean.worstShare,
+                  mean.worstWait, mean.roleChanges, mean.cost, 1'000 * mean.costPerAnswer(),
+                  100 * mean.cheapShare);
+    row += format("| %.2f | %.1f | %.0f |\n", mean.firstToken, mean.tokenGap, mean.broken);
+    return row;
+}
+
+} // namespace
+
+std::string tableOf(const case_result &result)
+{
+    std::string table = tableHeader;
+    for (std::size_t at = 0; at < result.means.size(); ++at)
+        table += rowOf(result.what->strategies[at].label, result.means[at]);
+    return table;
+}
+
+std::string plotOf(const case_result &result)
+{
+    double most = 1;
+    for (const figures &mean : result.means) {
+        for (const double value : mean.goodput)
+            most = std::max(most, value);
+    }
+    std::string svg = format("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%.0f\" "
+                             "height=\"%.0f\" font-family=\"sans-serif\" font-size=\"11\">\n",
+                             plotWidth + 200, plotHeight);
+    svg += format("<rect width=\"100%%\" height=\"100%%\" fill=\"white\"/><text x=\"%.0f\" "
+                  "y=\"16\">%s: answers in time per second</text>\n",
+                  margin, result.what->title.c_str());
+    const double bottom = plotHeight - margin;
+    svg += format("<path d=\"M%.0f 30V%.0fH%.0f\" fill=\"none\" stroke=\"black\"/><text x=\"4\" "
+                  "y=\"36\">%.0f</text><text x=\"4\" y=\"%.0f\">0</text>\n",
+                  margin, bottom, plotWidth, most, bottom);
+    svg += format("<text x=\"%.0f\" y=\"%.0f\">%.0f s</text>\n", plotWidth - 30, bottom + 16,
+                  result.what->duration);
+    for (std::size_t which = 0; which < result.means.size(); ++which) {
+        const std::vector<double> &values = result.means[which].goodput;
+        const auto shown = static_cast<std::size_t>(result.what->duration / plotStep);
+        std::string points;
+        for (std::size_t at = 0; at < std::min(values.size(), shown); ++at) {
+            const double across = static_cast<double>(at) / static_cast<double>(shown);
+            points += format("%.1f,%.1f ", margin + across * (plotWidth - margin),
+                             bottom - values[at] / most * (bottom - 30));
+        }
+        svg += format("<polyline fill=\"none\" stroke=\"%s\" stroke-width=\"%s\" points=\"",
+                      colours[which % colours.size()], which == 0 ? "2.5" : "1.2")
+                + points + "\"/>\n";
+        svg += format("<text x=\"%.0f\" y=\"%.0f\" fill=\"%s\">%s</text>\n", plotWidth + 8,
+                      40 + 16.0 * static_cast<double>(which), colours[which % colours.size()],
+                      result.what->strategies[which].label.c_str());
+    }
+    return svg + "</svg>\n";
+}
+
+std::string deploymentLines(const std::vector<case_result> &results)
+{
+    std::string lines = "| deployment | case | yuccascale | best baseline |\n|---|---|---|---|\n";
+    for (const deployment &its : deployments) {
+        for (const case_result &result : results) {
+            double leastCost = result.means.front().costPerAnswer();
+            for (const figures &mean : result.means)
+                leastCost = std::min(leastCost, mean.costPerAnswer());
+            double best = 0;
+            std::string label;
+            for (std::size_t at = 0; at < result.means.size(); ++at) {
+                const strategy_set &set = result.what->strategies[at];
+                const double score = scoreOf(its, result.means[at], leastCost);
+                if (set.isBaseline() && score > best) {
+                    best = score;
+                    label = set.label;
+                }
+            }
+            lines += format("| %s | %s | %.3f | %.3f (%s) |\n", its.name, result.what->name.c_str(),
+                            scoreOf(its, result.means.front(), leastCost), best, label.c_str());
+        }
+    }
+    return lines;
+}
+
+void writeReport(const std::string &folder, const std::vector<case_result> &results)
+{
+    std::ofstream page(folder + "/policy.md");
+    page << "# The strategies under load\n\nWritten by `tools/measure`: means of five fixed seeds "
+            "a "
+            "case, eight entries, 18 stand-in engines\n(cases with placement start with 11), the "
+            "real strategies under the test clock. In time: whole by the\ndeadline of 12 s, as a "
+            "share of all offered; nobody asks again after a refusal. Worst share: of its\nmax-min "
+            "fair share of what was served. Cost: steady endpoints 1.0 an hour, cheap ones 0.3. "
+            "Broken:\nnon-idempotent requests sent to a cheap endpoint.\n";
+    for (const case_result &result : results) {
+        page << "\n## " << result.what->title << "\n\n"
+             << tableOf(result) << "\n![" << result.what->name << "](" << result.what->name
+             << ".svg)\n";
+        std::ofstream(folder + "/" + result.what->name + ".svg") << plotOf(result);
+    }
+    page << "\n## By deployment\n\nSwanfield weighs the worst share 0.5 and goodput 0.2; Mehta "
+            "goodput 0.5 and the worst share 0.2;\nboth give 0.1 each to few role changes, cost "
+            "and work on cheap endpoints. 1 is the best possible.\n\n"
+         << deploymentLines(results);
+}
+
+} // namespace yuccascale::measure
