--- a/src/yuccascale/kernel/orders/order_actions.hpp
+++ b/src/yuccascale/kernel/orders/order_actions.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/orders/order_message.hpp"
 #include "yuccascale/kernel/state/commands.hpp"
 
@@ -33,6 +34,7 @@
 {
     std::uint64_t ticket = 0;
     std::uint64_t fence = 0; ///< of the asking leader
+    instant decidedAt{};
     std::uint64_t orderId = 0;
     std::string model;
     std::string endpoint;
@@ -43,6 +45,7 @@
 {
     std::uint64_t ticket = 0;
     std::uint64_t fence = 0; ///< of the sending leader
+    instant decidedAt{};
     order_message message;
 };
 
--- a/src/yuccascale/kernel/orders/order_driver.cpp
+++ b/src/yuccascale/kernel/orders/order_driver.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/kernel/orders/order_driver.hpp"
 
 #include "yuccascale/kernel/orders/events.hpp"
+#include "yuccascale/kernel/orders/permit.hpp"
 
 #include <algorithm>
 #include <array>
@@ -48,11 +49,11 @@
                                              const state::leader_view &view)
 {
     if (!authority || now >= authority->until) {
-        loseAuthority();
+        loseAuthority(now);
         return {};
     }
     if (authority->fence != m_fence)
-        loseAuthority();
+        loseAuthority(now);
     m_fence = authority->fence;
     m_ordersFrom = authority->ordersFrom;
     const situation seen{now, wallMs, *authority, view};
@@ -73,10 +74,18 @@
     return actions;
 }
 
-void order_driver::loseAuthority()
+/// A lease may be renewed after it ran out, under the same fence: what was sent is then asked for.
+void order_driver::loseAuthority(instant now)
 {
-    if (m_fence != 0 && !m_tracks.empty())
-        m_events.record(ordersSuspended, {{"fence", m_fence}, {"open", m_tracks.size()}});
+    if (m_fence != 0) {
+        m_lapsedFence = m_fence;
+        if (!m_tracks.empty())
+            m_events.record(ordersSuspended, {{"fence", m_fence}, {"open", m_tracks.size()}});
+    }
+    for (const auto &[id, order] : m_tracks) {
+        if (order.at == phase::Send && order.ticket != 0)
+            m_quietUntil[order.order.target] = now + permitLife + m_times.orderLife;
+    }
     m_fence = 0;
     m_tracks.clear();
     m_tickets.clear();
@@ -89,7 +98,12 @@
     m_fetchesHeldUntilMs = std::max(m_fetchesHeldUntilMs, seen.view.fetchesHeldUntilMs);
     if (m_holdFetchesUntilMs && seen.view.fetchesHeldUntilMs >= *m_holdFetchesUntilMs)
         m_holdFetchesUntilMs.reset();
-    std::erase_if(m_quietUntil, [&](const auto &entry) { return entry.second <= seen.now; });
+    std::erase_if(m_quietUntil, [&](const auto &entry) {
+        const bool open = std::ranges::any_of(seen.view.openOrders, [&](const auto &order) {
+            return order.target == entry.first;
+        });
+        return !open && entry.second <= seen.now;
+    });
     std::erase_if(m_tracks, [&](const auto &entry) {
         return !std::ranges::binary_search(seen.view.openOrders, entry.first, {},
                                            &state::order_record::id);
@@ -99,7 +113,7 @@
         if (!added)
             continue;
         track &order = place->second;
-        const bool inherited = record.fence != m_fence;
+        const bool inherited = record.fence != m_fence || m_fence == m_lapsedFence;
         order.order = record;
         order.neverSent = !inherited;
         order.at = inherited ? phase::Ask : phase::Drain;
@@ -148,9 +162,9 @@
     return true;
 }
 
-std::optional<order_action> order_driver::askStep(const situation &, track &order)
+std::optional<order_action> order_driver::askStep(const situation &seen, track &order)
 {
-    return ask_target{issueTicket(order), order.order.id, order.order.address};
+    return ask_target{issueTicket(seen.now, order), order.order.id, order.order.address};
 }
 
 std::optional<order_action> order_driver::drainStep(const situation &seen, track &order)
@@ -166,7 +180,7 @@
         order.notBefore = inForce;
         return std::nullopt;
     }
-    return inspect_target{issueTicket(order), order.order.id, order.order.address};
+    return inspect_target{issueTicket(seen.now, order), order.order.id, order.order.address};
 }
 
 std::optional<order_action> order_driver::fetchStep(const situation &seen, track &order)
@@ -179,9 +193,9 @@
     const bool leaseEnds = seen.now + m_times.sendTime > seen.authority.until;
     if (m_fetchTicket != 0 || held || leaseEnds || seen.now < seen.authority.ordersFrom)
         return std::nullopt;
-    m_fetchTicket = issueTicket(order);
-    return fetch_weights{m_fetchTicket, m_fence, order.order.id, order.order.argument,
-                         order.order.target};
+    m_fetchTicket = issueTicket(seen.now, order);
+    return fetch_weights{m_fetchTicket,        m_fence,           seen.now, order.order.id,
+                         order.order.argument, order.order.target};
 }
 
 std::optional<order_action> order_driver::sendStep(const situation &seen, track &order)
@@ -190,29 +204,30 @@
     if (leaseEnds || copyMayBeUnderWay(seen.now, order))
         return std::nullopt;
     order.neverSent = false;
-    order.sentHere = true;
     m_events.record(orderSent,
                     {{"order", order.order.id},
                      {"target", order.order.target},
                      {"kind", orderKindName(order.order.kind)},
                      {"fence", m_fence}});
-    return send_order{issueTicket(order), m_fence, messageOf(order.order)};
+    return send_order{issueTicket(seen.now, order), m_fence, seen.now, messageOf(order.order)};
 }
 
 std::optional<order_action> order_driver::settleStep(const situation &seen, track &order)
 {
     order.settlement.wallMs = seen.wallMs;
-    return submit_command{issueTicket(order),
+    return submit_command{issueTicket(seen.now, order),
                           {"settle-" + std::to_string(order.order.id), order.settlement}};
 }
 
 bool order_driver::copyMayBeUnderWay(instant now, const track &order) const
 {
-    return now < m_ordersFrom || m_quietUntil.contains(order.order.target);
+    const auto quiet = m_quietUntil.find(order.order.target);
+    return now < m_ordersFrom || (quiet != m_quietUntil.end() && now < quiet->second);
 }
 
-std::uint64_t order_driver::issueTicket(track &order)
+std::uint64_t order_driver::issueTicket(instant now, track &order)
 {
+    order.issuedAt = now;
     order.ticket = ++m_lastTicket;
     m_tickets[order.ticket] = order.order.id;
     return order.ticket;
@@ -272,15 +287,16 @@
         retryLater(now, order);
         return;
     case target_state::Unknown:
-        notDelivered(now, order);
+        notDelivered(order);
         return;
     }
 }
 
-/// The target does not know the order. While a copy may be under way it is asked again.
-void order_driver::notDelivered(instant now, track &order)
+/// The target did not know the order when it was asked. If a copy may have been under way then, it
+/// is asked again; this node may have been paused since.
+void order_driver::notDelivered(track &order)
 {
-    if (copyMayBeUnderWay(now, order)) {
+    if (copyMayBeUnderWay(order.issuedAt, order)) {
         order.at = phase::Ask;
         const auto quiet = m_quietUntil.find(order.order.target);
         order.notBefore = m_ordersFrom;
@@ -299,7 +315,8 @@
     if (order == nullptr)
         return;
     const instant inForce = order->firstSeen + m_times.inForceWithin;
-    if (report && report->running + report->queued == 0 && now - report->age >= inForce) {
+    if (report && report->running + report->queued == 0
+        && order->issuedAt - report->age >= inForce) {
         order->interval = {};
         order->at = phase::Fetch;
         return;
--- a/src/yuccascale/kernel/orders/order_driver.hpp
+++ b/src/yuccascale/kernel/orders/order_driver.hpp
@@ -84,7 +84,7 @@
         phase at = phase::Ask;
         std::uint64_t ticket = 0; ///< of the action under way; 0: none
         bool neverSent = false;   ///< no copy can have arrived
-        bool sentHere = false;
+        instant issuedAt{};       ///< when that action was decided
         instant firstSeen{};
         instant notBefore{};
         nanoseconds interval{};
@@ -103,7 +103,7 @@
     using step_function = std::optional<order_action> (order_driver::*)(const situation &, track &);
 
     void followLog(const situation &seen);
-    void loseAuthority();
+    void loseAuthority(instant now);
     [[nodiscard]] std::optional<order_action> advance(const situation &seen, track &order);
     [[nodiscard]] std::optional<order_action> askStep(const situation &seen, track &order);
     [[nodiscard]] std::optional<order_action> drainStep(const situation &seen, track &order);
@@ -113,9 +113,9 @@
     [[nodiscard]] bool abandonIfHopeless(const situation &seen, track &order);
 
     [[nodiscard]] track *takeTicket(std::uint64_t ticket);
-    [[nodiscard]] std::uint64_t issueTicket(track &order);
+    [[nodiscard]] std::uint64_t issueTicket(instant now, track &order);
     void retryLater(instant now, track &order) const;
-    void notDelivered(instant now, track &order);
+    void notDelivered(track &order);
     void settle(track &order, state::order_end end, std::string detail,
                 std::vector<state::endpoint> started = {});
     void applyReply(instant now, track &order, const target_reply &reply);
@@ -123,7 +123,8 @@
 
     order_times m_times;
     event_sink &m_events;
-    std::uint64_t m_fence = 0; ///< of the leadership in which the tracks were made
+    std::uint64_t m_fence = 0;       ///< of the leadership in which the tracks were made
+    std::uint64_t m_lapsedFence = 0; ///< of a lease that ran out here
     instant m_ordersFrom{};
     std::map<std::uint64_t, track> m_tracks;          ///< by order id
     std::map<std::uint64_t, std::uint64_t> m_tickets; ///< order id by ticket
--- a/src/yuccascale/kernel/usage/window_reporter.cpp
+++ b/src/yuccascale/kernel/usage/window_reporter.cpp
@@ -43,7 +43,7 @@
         return std::nullopt;
     m_reporting = window.windowStartMs;
     m_ticket = ++m_lastTicket;
-    return report_window{m_ticket, m_fence, window};
+    return report_window{m_ticket, m_fence, now, window};
 }
 
 std::optional<usage_action> window_reporter::freeze(instant now, std::int64_t wallMs,
--- a/src/yuccascale/kernel/usage/window_reporter.hpp
+++ b/src/yuccascale/kernel/usage/window_reporter.hpp
@@ -20,6 +20,7 @@
 {
     std::uint64_t ticket = 0;
     std::uint64_t fence = 0;
+    instant decidedAt{};
     state::frozen_window window;
 };
 
--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/runtime/duties.hpp"
 
 #include "yuccascale/kernel/orders/events.hpp"
+#include "yuccascale/kernel/orders/permit.hpp"
 #include "yuccascale/kernel/usage/entry_succession.hpp"
 #include "yuccascale/kernel/usage/events.hpp"
 
@@ -194,13 +195,11 @@
     return address.empty() ? m_drivers.platform.get() : m_drivers.engines.get();
 }
 
-send_permit duties::permitFor(std::uint64_t fence) const
+send_permit duties::permitFor(std::uint64_t fence, instant decidedAt) const
 {
-    return [this, fence, sendTime = orderTimes(m_around.config).sendTime] {
+    return [this, fence, decidedAt, sendTime = orderTimes(m_around.config).sendTime] {
         const instant now = m_around.clock.now();
-        const authority held = m_around.authority.current(now);
-        return held && held->fence == fence && now >= held->ordersFrom
-                && now + sendTime <= held->until;
+        return sendPermitted(m_around.authority.current(now), fence, decidedAt, now, sendTime);
     };
 }
 
@@ -237,7 +236,8 @@
         return;
     }
     call(
-            [store = m_drivers.weights.get(), action, permit = permitFor(action.fence)] {
+            [store = m_drivers.weights.get(), action,
+             permit = permitFor(action.fence, action.decidedAt)] {
                 return store->fetch(action.model, action.endpoint, permit);
             },
             [this, ticket = action.ticket](const call_outcome<fetch_reply> &outcome) {
@@ -254,7 +254,8 @@
         return;
     }
     call([target, message = std::move(action.message),
-          permit = permitFor(action.fence)] { return target->send(message, permit); },
+          permit
+          = permitFor(action.fence, action.decidedAt)] { return target->send(message, permit); },
          [this, ticket](const call_outcome<target_reply> &outcome) {
              const bool lost = !outcome.answer && outcome.failure.kind != error_kind::Unavailable
                      && outcome.failure.kind != error_kind::Forbidden;
@@ -304,7 +305,8 @@
         return;
     }
     call([sink = m_drivers.usage.get(), window = std::move(report.window),
-          permit = permitFor(report.fence)] { return sink->report(window, permit); },
+          permit
+          = permitFor(report.fence, report.decidedAt)] { return sink->report(window, permit); },
          [this, ticket = report.ticket](const call_outcome<usage_reply> &outcome) {
              m_usage.reported(m_around.clock.now(), ticket, outcome.answer);
          });
--- a/src/yuccascale/runtime/duties.hpp
+++ b/src/yuccascale/runtime/duties.hpp
@@ -90,7 +90,8 @@
     void noteLeaving(const std::vector<kernel::orders::vm_row> &vms);
     void submit(kernel::state::command command);
     [[nodiscard]] kernel::orders::order_target *targetAt(const std::string &address) const;
-    [[nodiscard]] kernel::orders::send_permit permitFor(std::uint64_t fence) const;
+    [[nodiscard]] kernel::orders::send_permit permitFor(std::uint64_t fence,
+                                                        kernel::instant decidedAt) const;
     [[nodiscard]] std::int64_t wallMs() const;
 
     /// Runs a call on a worker and hands its answer, or nothing, back on the duties' thread.
--- a/tests/fakes/leader_world.hpp
+++ b/tests/fakes/leader_world.hpp
@@ -82,7 +82,8 @@
     void carryOut(std::size_t index, kernel::orders::order_action action);
     void carryOutUsage(std::size_t index, kernel::usage::usage_action action);
     void sendOrder(std::size_t index, const kernel::orders::send_order &action);
-    [[nodiscard]] bool permitted(const control_node &node, std::uint64_t fence) const;
+    [[nodiscard]] bool permitted(const control_node &node, std::uint64_t fence,
+                                 instant decidedAt) const;
     [[nodiscard]] fake_target &targetOf(const std::string &address);
     [[nodiscard]] bool leads(std::size_t index) const;
     [[nodiscard]] std::int64_t wallMs() const;
@@ -98,6 +99,7 @@
 
     std::mt19937_64 m_random;
     int m_faultySteps;
+    std::uint64_t m_electionDelay; ///< of 100 steps, those on which no election succeeds
     no_events m_events;
     std::vector<control_node> m_nodes;
     std::multimap<instant, std::function<void()>> m_queue;
--- a/tests/fakes/order_history.hpp
+++ b/tests/fakes/order_history.hpp
@@ -22,6 +22,7 @@
     std::uint64_t senderFence = 0; ///< of the leader whose process sent them
     std::string bytes;
     bool effect = false;
+    int life = 0;        ///< of the target; rises when it crashes
     int runningThen = 0; ///< requests that the endpoint ran when it took effect
 };
 
@@ -40,7 +41,7 @@
                                          kernel::nanoseconds duration)
     {
         seen_order seen{now,   m_name, message.orderId, senderFence, message.path + message.body,
-                        false, running};
+                        false, m_life, running};
         const std::uint64_t fence = fenceOf(message);
         const auto known = m_orders.find(message.orderId);
         using kernel::orders::target_state;
@@ -71,6 +72,7 @@
     void crash()
     {
         running = 0;
+        ++m_life;
         m_highestFence = 0;
         m_orders.clear();
     }
@@ -92,6 +94,7 @@
     bool m_fences;
     bool m_forgetsNothing;
     std::uint64_t m_highestFence = 0;
+    int m_life = 0;
     std::map<std::uint64_t, kernel::instant> m_orders; ///< when each is done
 };
 
--- a/tests/properties/leader_world.cpp
+++ b/tests/properties/leader_world.cpp
@@ -1,5 +1,7 @@
 #include "fakes/leader_world.hpp"
 
+#include "yuccascale/kernel/orders/permit.hpp"
+
 #include <algorithm>
 
 namespace yuccascale::fakes {
@@ -32,6 +34,7 @@
 leader_world::leader_world(std::uint64_t seed, int faultySteps)
     : m_random(seed)
     , m_faultySteps(faultySteps)
+    , m_electionDelay(draw(2) == 0 ? 50 : 95)
 {
     targets.emplace_back("e1", true, false);
     targets.emplace_back("e2", false, false);
@@ -131,7 +134,7 @@
         m_oldLeasesEnd = m_now + lease;
         return;
     }
-    if (m_now < m_lastRenewal + milliseconds(700) || chance(faulty, 50))
+    if (m_now < m_lastRenewal + milliseconds(700) || chance(faulty, m_electionDelay))
         return;
     const std::size_t candidate = draw(m_nodes.size());
     control_node &node = m_nodes[candidate];
@@ -267,10 +270,9 @@
     });
 }
 
-bool leader_world::permitted(const control_node &node, std::uint64_t fence) const
+bool leader_world::permitted(const control_node &node, std::uint64_t fence, instant decidedAt) const
 {
-    return node.belief && node.belief->fence == fence && m_now >= node.belief->ordersFrom
-            && m_now + sendTime <= node.belief->until;
+    return sendPermitted(node.belief, fence, decidedAt, m_now, sendTime);
 }
 
 fake_target &leader_world::targetOf(const std::string &address)
@@ -329,7 +331,7 @@
     const int life = m_nodes[index].life;
     at(m_now + delay(60), [this, index, life, action] {
         onNode(index, life, [this, index, life, action](control_node &node) {
-            if (!permitted(node, action.fence)) {
+            if (!permitted(node, action.fence, action.decidedAt)) {
                 node.orders->sent(m_now, action.ticket, send_end::NotSent, std::nullopt);
                 return;
             }
@@ -373,7 +375,7 @@
     const int life = m_nodes[index].life;
     at(m_now + delay(60), [this, index, life, report] {
         onNode(index, life, [this, index, life, report](control_node &node) {
-            if (!permitted(node, report.fence)) {
+            if (!permitted(node, report.fence, report.decidedAt)) {
                 node.usage->reported(m_now, report.ticket, std::nullopt);
                 return;
             }
--- a/tests/properties/orders_properties_test.cpp
+++ b/tests/properties/orders_properties_test.cpp
@@ -31,6 +31,7 @@
     std::uint64_t latestOrder = 0;
     std::uint64_t latestSender = 0;
     std::map<std::uint64_t, std::string> bytesOf;
+    std::set<std::pair<std::uint64_t, int>> effects;
     for (const seen_order &seen : target.history) {
         const auto [first, added] = bytesOf.emplace(seen.orderId, seen.bytes);
         if (!added && first->second != seen.bytes)
@@ -40,6 +41,8 @@
         latestSender = std::max(latestSender, seen.senderFence);
         if (!seen.effect)
             continue;
+        if (!effects.emplace(seen.orderId, seen.life).second)
+            problem << "order " << seen.orderId << " took effect twice; ";
         if (target.name() != "platform" && seen.orderId < latestOrder)
             problem << "order " << seen.orderId << " took effect after " << latestOrder << "; ";
         if (target.name() != "platform" && seen.runningThen != 0)
