--- a/tests/processes/at_most_once_test.cpp
+++ b/tests/processes/at_most_once_test.cpp
@@ -2,7 +2,6 @@
 
 #include <gtest/gtest.h>
 
-#include <csignal>
 #include <thread>
 
 namespace yuccascale::processes {
@@ -11,15 +10,20 @@
 {
     cluster_options options;
     options.serviceOptions = {{"delayMs", 1'000}};
-    const cluster system{options};
+    cluster system{options};
     fakes::http_answer first;
     std::thread caller([&] { first = fakes::callHttp(system.ticket(3, "ticket-7")); });
     const bool dispatched = waitUntil(
             milliseconds(5'000), [&] { return !system.history("services", "request").empty(); });
-    system.process(3).signal(SIGKILL);
+    system.process(3).kill();
     caller.join();
     ASSERT_TRUE(dispatched);
     EXPECT_NE(first.status, 200);
+    const fakes::http_answer early = fakes::callHttp(system.ticket(0, "ticket-7"));
+    EXPECT_NE(early.status, 200);
+    EXPECT_NE(early.body.find("\"may_have_run\":true"), std::string::npos) << early.body;
+    system.startNode(3); // its new incarnation shows that the old one is gone
+    ASSERT_TRUE(system.waitReady(3));
     json last;
     const bool told = waitUntil(milliseconds(20'000), [&] {
         const fakes::http_answer answer = fakes::callHttp(system.ticket(0, "ticket-7"));
@@ -28,6 +32,10 @@
         return answer.status == 200 || problem.value("kind", "") == "outcome_unknown";
     });
     EXPECT_TRUE(told) << last;
+    EXPECT_TRUE(waitUntil(milliseconds(5'000), [&] { // the first run may still be under way
+        return !system.history("services", "run").empty();
+    }));
+    EXPECT_NE(fakes::callHttp(system.ticket(1, "ticket-7")).status, 0);
     EXPECT_EQ(system.history("services", "run").size(), 1U);
 }
 
