--- a/tests/measure/report.cpp
+++ b/tests/measure/report.cpp
@@ -155,7 +155,7 @@
     }
     page << "\n## By deployment\n\nSwanfield weighs the worst share 0.5 and goodput 0.2; Mehta "
             "goodput 0.5 and the worst share 0.2;\nboth give 0.1 each to few role changes, cost "
-            "and work on cheap endpoints. 1 is the best possible. Each with its "
+            "and work on cheap endpoints. 1 is the best possible.\nEach with its "
             "own default settings.\n\n"
          << deploymentLines(results);
 }
