--- a/tests/bench/consensus_bench.cpp
+++ b/tests/bench/consensus_bench.cpp
@@ -1,4 +1,5 @@
 #include "fakes/control_cluster.hpp"
+#include "fakes/replica_group.hpp"
 
 #include <algorithm>
 #include <cstdlib>
@@ -72,6 +73,24 @@
     printMedianAndTail("time without a leader after its end", times);
 }
 
+/// On simulated time: messages take 1 ms, disks nothing.
+void benchSimulatedHandover(const std::string &what, std::size_t runs,
+                            const std::function<void(fakes::replica_group &, std::size_t)> &fault)
+{
+    std::vector<double> times;
+    for (std::size_t run = 0; run < runs; ++run) {
+        fakes::replica_group group(3, run + 1);
+        const std::size_t leader = group.runUntilLeader();
+        // the fault comes at any moment between two heartbeats
+        group.run(2s + std::chrono::milliseconds(run % 100));
+        const kernel::instant begin = group.now();
+        fault(group, leader);
+        (void)group.runUntilLeader(leader);
+        times.push_back(milliseconds(group.now() - begin));
+    }
+    printMedianAndTail(what, times);
+}
+
 void benchRecovery(std::size_t runs)
 {
     for (const std::size_t entries : {1'000, 4'000, 20'000, 100'000}) {
@@ -133,6 +152,14 @@
     std::cout << std::fixed << std::setprecision(1);
     yuccascale::benchThroughput();
     yuccascale::benchLeaderless(runs);
+    yuccascale::benchSimulatedHandover("simulated, without a leader after a kill", 8 * runs,
+                                       [](auto &group, std::size_t leader) { group.stop(leader); });
+    yuccascale::benchSimulatedHandover(
+            "simulated, without a leader after a pause", 8 * runs,
+            [](auto &group, std::size_t leader) { group.pause(leader, true); });
+    yuccascale::benchSimulatedHandover(
+            "simulated, without a leader after a silent cut", 8 * runs,
+            [](auto &group, std::size_t leader) { group.cutOff(leader, true); });
     yuccascale::benchRecovery(runs);
     yuccascale::benchTraffic();
     return 0;
--- a/tests/fakes/free_port.hpp
+++ b/tests/fakes/free_port.hpp
@@ -18,7 +18,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    ::bind(probe.descriptor(), reinterpret_cast<const sockaddr *>(&address), size);
+    (void)::bind(probe.descriptor(), reinterpret_cast<const sockaddr *>(&address), size);
     ::getsockname(probe.descriptor(), reinterpret_cast<sockaddr *>(&address), &size);
     return ntohs(address.sin_port);
 }
--- a/tests/fakes/replica_group.hpp
+++ b/tests/fakes/replica_group.hpp
@@ -20,7 +20,9 @@
 class replica_group
 {
 public:
-    explicit replica_group(std::size_t size)
+    /// \param seed of the election timeouts
+    explicit replica_group(std::size_t size, std::uint64_t seed = 0)
+        : m_seed(seed)
     {
         for (std::size_t at = 0; at < size; ++at)
             m_members.push_back({std::string(1, static_cast<char>('a' + at)), at + 1});
@@ -39,7 +41,7 @@
         config.self = m_members[at];
         for (const member_id &member : m_members)
             config.configured.push_back(member.name);
-        config.seed = at + 1;
+        config.seed = m_seed * m_members.size() + at + 1;
         m_replicas[at] = std::make_unique<replica>(config, m_disks[at], *m_sinks[at], now());
         note(m_members[at].name, "start");
     }
@@ -85,13 +87,14 @@
         }
     }
 
-    /// \brief Runs until a replica has authority.
+    /// \brief Runs until a replica other than \a former has authority.
     /// \returns its number, or the number of replicas after 10 s.
-    std::size_t runUntilLeader()
+    std::size_t runUntilLeader(std::optional<std::size_t> former = std::nullopt)
     {
         for (int step = 0; step < 10'000; ++step) {
             for (std::size_t at = 0; at < m_replicas.size(); ++at) {
-                if (m_replicas[at] && !m_paused[at] && m_replicas[at]->leadershipAt(now()))
+                if (at != former && m_replicas[at] && !m_paused[at]
+                    && m_replicas[at]->leadershipAt(now()))
                     return at;
             }
             run(kernel::milliseconds(1));
@@ -197,6 +200,7 @@
         }
     }
 
+    std::uint64_t m_seed;
     std::vector<member_id> m_members;
     std::vector<durable_state> m_disks;
     std::vector<std::unique_ptr<replica>> m_replicas;
