--- a/src/yuccascale/kernel/orders/demand_book.hpp
+++ b/src/yuccascale/kernel/orders/demand_book.hpp
@@ -19,7 +19,9 @@
 {
 public:
     /// \param validity how long a report counts
-    explicit demand_book(nanoseconds validity) : m_validity(validity) { }
+    explicit demand_book(nanoseconds validity)
+        : m_validity(validity)
+    { }
 
     /// \brief Takes in all reports of one entry; they replace its earlier ones.
     void hear(instant now, std::string_view entry,
