--- a/tests/properties/requests_world.cpp
+++ b/tests/properties/requests_world.cpp
@@ -113,13 +113,13 @@
 {
     session(requests_world::entry &entry, request subject, std::size_t sendIndex)
         : at(entry)
-        , send_(sendIndex)
+        , sendNumber(sendIndex)
         , ticket(entry.nextTicket++)
         , life(std::move(subject), ticket, entry.fullName(), *this, silence)
     { }
 
     requests_world::entry &at;
-    std::size_t send_;
+    std::size_t sendNumber;
     std::uint64_t ticket;
     std::shared_ptr<connection> link;
     request_session life;
@@ -285,8 +285,8 @@
                 && std::get<give_answer>(output).recorded;
         if (last && !recorded && ++at.world.m_answersReleased > at.world.m_usageApplied)
             at.world.m_breaches.push_back("an answer was released before its usage was committed");
-        const instant arrival = at.world.inOrder(at.world.m_sends[send_].lastByteAt);
-        at.world.at(arrival, [world = &at.world, send = send_, output] {
+        const instant arrival = at.world.inOrder(at.world.m_sends[sendNumber].lastByteAt);
+        at.world.at(arrival, [world = &at.world, send = sendNumber, output] {
             if (!world->m_sends[send].entryDied)
                 world->received(send, output);
         });
@@ -384,8 +384,10 @@
     for (const std::uint64_t ticket : pools.at(pool)->takeUnservable())
         sessions.at(ticket)->life.handle(queue_refused{
                 {kernel::error_kind::Unavailable, "no endpoint", false, milliseconds(1)}});
-    for (scheduled_turn &turn : pools.at(pool)->schedule(world.m_now))
-        sessions.at(turn.ticket)->life.takeTurn(std::move(turn));
+    for (scheduled_turn &turn : pools.at(pool)->schedule(world.m_now)) {
+        session &one = *sessions.at(turn.ticket);
+        one.life.takeTurn(std::move(turn));
+    }
 }
 
 void requests_world::entry::receive(request subject, std::size_t send)
