--- a/tests/processes/authority_test.cpp
+++ b/tests/processes/authority_test.cpp
@@ -42,7 +42,9 @@
     ASSERT_EQ(system.command({"key", "withdraw", "albany-1"}, {0, 1, 2}).code, 0);
     std::this_thread::sleep_for(withdrawnWithin); // the bound itself, not a synchronisation
     std::vector<std::thread> callers;             // their requests wait inside the paused process
-    for (int number = 0; number < 10; ++number) {
+    constexpr int waiting = 10;
+    callers.reserve(waiting);
+    for (int number = 0; number < waiting; ++number) {
         callers.emplace_back([&system, paused, number] {
             EXPECT_NE(statusWithKey(system, paused, "late-paused-" + std::to_string(number)), 200);
         });
