--- a/src/yuccascale/runtime/periodic_task.cpp
+++ b/src/yuccascale/runtime/periodic_task.cpp
@@ -5,7 +5,8 @@
 namespace yuccascale::runtime {
 
 periodic_task::periodic_task(kernel::milliseconds interval, std::function<void()> work)
-    : m_interval(interval), m_work(std::move(work))
+    : m_interval(interval)
+    , m_work(std::move(work))
 { }
 
 periodic_task::~periodic_task()
