The entry uses what the policy was measured with

Cause: the figures in docs/measurements/policy.md come from a dispatch window, a queue meter, a learnt service time and refusals of what can no longer be in time; the entry had none of them and kept its own throughput count, which decayed to nothing when idle. A resumed stream was reported without the pieces of the entry that died (demo: 78 and 28 output tokens short).

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -17,6 +17,13 @@
             "no endpoint of this route takes work; come back later", false, removedPoolRetryAfter};
 }
 
+[[nodiscard]] refusal tooLate(kernel::nanoseconds retryAfter)
+{
+    return {kernel::error_kind::Overloaded,
+            "it waited so long that it can no longer be in time; come back later", false,
+            retryAfter};
+}
+
 } // namespace
 
 caller_pools::caller_pools(runtime::policy_settings policy, const kernel::clock &clock,
@@ -112,13 +119,22 @@
     giveTurns(pool);
 }
 
-void caller_pools::giveTurns(shard &pool)
+void caller_pools::refuseWaiting(shard &pool, std::span<const std::uint64_t> tickets,
+                                 const kernel::requests::refusal &reason)
 {
-    for (const std::uint64_t ticket : pool.scheduler.takeUnservable()) {
+    for (const std::uint64_t ticket : tickets) {
         const auto found = pool.mailboxes.find(ticket);
-        found->second->put(event{queue_refused{noEndpoint()}});
+        found->second->put(event{queue_refused{reason}});
         pool.mailboxes.erase(found);
     }
+}
+
+void caller_pools::giveTurns(shard &pool)
+{
+    refuseWaiting(pool, pool.scheduler.takeUnservable(), noEndpoint());
+    const auto late = pool.scheduler.takeLate(m_clock.now());
+    if (!late.empty())
+        refuseWaiting(pool, late, tooLate(pool.scheduler.retryAfter(m_clock.now())));
     for (scheduled_turn &turn : pool.scheduler.schedule(m_clock.now())) {
         const auto found = pool.mailboxes.find(turn.ticket);
         found->second->put(std::move(turn));
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -107,6 +107,8 @@
     [[nodiscard]] std::shared_ptr<shard> findOrMake(const std::string &pool);
     [[nodiscard]] std::vector<std::shared_ptr<shard>> all() const;
     void setRows(shard &pool, const kernel::state::pool &row);
+    static void refuseWaiting(shard &pool, std::span<const std::uint64_t> tickets,
+                              const kernel::requests::refusal &reason);
     void giveTurns(shard &pool);
 
     runtime::policy_settings m_policy;
--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -188,12 +188,6 @@
     return all;
 }
 
-bool endpoint_table::hasRoom(instant now) const
-{
-    return std::ranges::any_of(m_entries,
-                               [&](const entry &one) { return closedBecause(now, one).empty(); });
-}
-
 const state::endpoint *endpoint_table::row(const std::string &endpoint) const
 {
     const entry *known = find(endpoint);
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -68,9 +68,6 @@
     [[nodiscard]] std::vector<policy::endpoint_view> views(instant now,
                                                            const endpoint_needs &needs) const;
 
-    /// \returns true when some endpoint that takes work has a free slot.
-    [[nodiscard]] bool hasRoom(instant now) const;
-
     /// \returns true when some endpoint takes work at all, be it full or sick now.
     [[nodiscard]] bool serves(bool steadyOnly) const;
 
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -1,43 +1,27 @@
 #include "yuccascale/kernel/requests/pool_scheduler.hpp"
 
+#include "yuccascale/kernel/policy/request_cost.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace yuccascale::kernel::requests {
 
 namespace {
 
-/// Cost of an output token in prompt tokens.
-constexpr double outputTokenCost = 5;
-/// Time over which the throughput of a pool is averaged.
-constexpr double throughputSeconds = 5;
-/// Throughput that is assumed before anything was measured, in prompt-token equivalents a second.
-constexpr double initialCostPerSecond = 4'000;
 /// Advice to a caller while a pool has no endpoint that takes work.
 constexpr seconds noEndpointRetryAfter{5};
 /// Bounds of the advice to come back.
 constexpr milliseconds shortestRetryAfter{100};
 constexpr seconds longestRetryAfter{30};
 
-[[nodiscard]] double costOf(const request &subject)
-{
-    return static_cast<double>(subject.promptTokens)
-            + outputTokenCost * static_cast<double>(subject.outputTokens);
-}
-
 [[nodiscard]] nanoseconds boundedRetryAfter(nanoseconds time)
 {
     return std::clamp<nanoseconds>(time, shortestRetryAfter, longestRetryAfter);
 }
 
-[[nodiscard]] nanoseconds secondsToNanoseconds(double time)
-{
-    return std::chrono::duration_cast<nanoseconds>(std::chrono::duration<double>(time));
-}
-
 } // namespace
 
 pool_scheduler::pool_scheduler(pool_strategies strategies, queue_limits limits)
@@ -81,32 +65,22 @@
                    subject.route.pool,
                    weight,
                    subject.route.priority,
-                   costOf(subject),
+                   policy::requestCost(subject.promptTokens, 0, subject.outputTokens),
                    subject.receivedAt,
                    subject.deadline,
                    subject.receivedAt + milliseconds(subject.route.firstTokenMs),
-                   {}};
+                   m_service.predict(subject.promptTokens, subject.outputTokens)};
     waiting.id = subject.id;
     waiting.fingerprint = subject.fingerprint;
     waiting.work = {subject.promptTokens, subject.outputTokens};
     waiting.steadyOnly = !subject.route.idempotent;
     waiting.how = how;
-    if (!how.retry)
-        m_demand.offered(subject.promptTokens, subject.outputTokens, subject.route.idempotent);
-    const policy::queue_view view = queueView(waiting.row);
-    if (!how.retry && m_waiting.size() >= m_limits.maxWaiting) {
-        return refusal{error_kind::Overloaded, "the queue is full; come back later", false,
-                       boundedRetryAfter(view.predictedWait / 2)};
-    }
     if (!how.retry) {
-        if (const auto refused = m_strategies.admission->refuse(now, waiting.row, view)) {
-            return refusal{error_kind::Overloaded, refused->reason + "; come back later", false,
-                           boundedRetryAfter(refused->retryAfter)};
-        }
+        m_demand.offered(subject.promptTokens, subject.outputTokens, subject.route.idempotent);
+        m_meter.arrived(now, waiting.row);
+        if (auto refused = refuseAdmission(now, waiting.row))
+            return refused;
     }
-    auto &[activeWeight, requests] = m_activeWeights[subject.organisation];
-    activeWeight = weight;
-    ++requests;
     if (how.retry)
         m_parked.push_back(ticket);
     else
@@ -126,19 +100,24 @@
             false, boundedRetryAfter(budget.wait())};
 }
 
-policy::queue_view pool_scheduler::queueView(const policy::waiting_request &row) const
+std::optional<refusal> pool_scheduler::refuseAdmission(instant now,
+                                                       const policy::waiting_request &row)
 {
-    policy::queue_view view;
-    view.waiting = m_waiting.size();
-    view.costWaiting = m_strategies.queue->costWaiting();
-    view.costWaitingOfOrganisation = m_strategies.queue->costWaiting(row.organisation);
-    view.costPerSecond = m_costPerSecond > 0 ? m_costPerSecond : initialCostPerSecond;
-    double weights = m_activeWeights.contains(row.organisation) ? 0 : row.weight;
-    for (const auto &[name, active] : m_activeWeights)
-        weights += active.first;
-    view.shareOfOrganisation = row.weight / std::max(weights, row.weight);
-    view.predictedWait = secondsToNanoseconds(view.costWaiting / view.costPerSecond);
-    return view;
+    if (m_waiting.size() >= m_limits.maxWaiting) {
+        return refusal{error_kind::Overloaded, "the queue is full; come back later", false,
+                       retryAfter(now)};
+    }
+    const policy::queue_view view = m_meter.view(now, row, *m_strategies.queue);
+    const auto refused = m_strategies.admission->refuse(now, row, view);
+    if (!refused)
+        return std::nullopt;
+    return refusal{error_kind::Overloaded, refused->reason + "; come back later", false,
+                   boundedRetryAfter(refused->retryAfter)};
+}
+
+nanoseconds pool_scheduler::retryAfter(instant now)
+{
+    return boundedRetryAfter(m_meter.view(now, {}, *m_strategies.queue).predictedWait / 2);
 }
 
 void pool_scheduler::remove(std::uint64_t ticket)
@@ -148,12 +127,19 @@
         return;
     if (!m_strategies.queue->remove(ticket))
         std::erase(m_parked, ticket);
-    const auto active = m_activeWeights.find(found->second.row.organisation);
-    if (active != m_activeWeights.end() && --active->second.second <= 0)
-        m_activeWeights.erase(active);
     m_waiting.erase(found);
 }
 
+std::vector<std::uint64_t> pool_scheduler::takeLate(instant now)
+{
+    std::vector<std::uint64_t> tickets;
+    for (const policy::waiting_request &late : m_strategies.queue->takeLate(now)) {
+        tickets.push_back(late.ticket);
+        m_waiting.erase(late.ticket);
+    }
+    return tickets;
+}
+
 std::vector<std::uint64_t> pool_scheduler::takeUnservable()
 {
     std::vector<std::uint64_t> tickets;
@@ -195,7 +181,7 @@
 std::vector<scheduled_turn> pool_scheduler::schedule(instant now)
 {
     std::vector<scheduled_turn> turns;
-    for (std::size_t index = 0; index < m_parked.size() && m_endpoints.hasRoom(now);) {
+    for (std::size_t index = 0; index < m_parked.size() && windowOpen(now);) {
         auto turn = place(now, m_waiting.at(m_parked[index]));
         if (!turn) {
             ++index;
@@ -204,7 +190,7 @@
         m_parked.erase(m_parked.begin() + static_cast<std::ptrdiff_t>(index));
         turns.push_back(std::move(*turn));
     }
-    while (m_strategies.queue->size() > 0 && m_endpoints.hasRoom(now)) {
+    while (m_strategies.queue->size() > 0 && windowOpen(now)) {
         const auto next = m_strategies.queue->pop(now);
         if (!next)
             break;
@@ -218,6 +204,14 @@
     return turns;
 }
 
+/// Work beyond the window waits in the fair queue, where it can still be put in order.
+bool pool_scheduler::windowOpen(instant now)
+{
+    std::vector<policy::endpoint_view> views = m_endpoints.views(now, {});
+    m_window.limit(now, views, m_position.count);
+    return std::ranges::any_of(views, &policy::endpoint_view::usable);
+}
+
 bool pool_scheduler::ownSuspectsGoTo(const std::string &endpoint) const
 {
     const auto share = static_cast<std::size_t>(m_position.count);
@@ -269,6 +263,7 @@
             = m_endpoints.views(now, {waiting.steadyOnly, waiting.how.avoidEndpoints});
     keepSuspectsApart(waiting, views);
     avoidZones(waiting, views);
+    m_window.limit(now, views, m_position.count);
     policy::routing_request asked;
     asked.id = waiting.id;
     asked.organisation = waiting.row.organisation;
@@ -296,6 +291,7 @@
         turn.prefillEndpoint = views[*choice->prefillIndex].row->name;
         turn.prefillAddress = views[*choice->prefillIndex].row->address;
     }
+    m_meter.dispatched(now, waiting.row);
     m_endpoints.sent(now, turn.endpoint, turn.ticket, waiting.work);
     m_suspects.started(turn.endpoint, waiting.fingerprint);
     running_entry running{waiting, turn.endpoint, turn.zone,
@@ -331,29 +327,24 @@
         findings.breakerClosed = m_endpoints.succeeded(endpoint);
     else if (!result.blameless)
         findings.breakerOpened = m_endpoints.failed(now, endpoint, result.crashed);
-    const auto active = m_activeWeights.find(running.was.row.organisation);
-    if (active != m_activeWeights.end() && --active->second.second <= 0)
-        m_activeWeights.erase(active);
     if (!result.answered)
         return findings;
-    const double cost = static_cast<double>(result.usage.promptTokens - result.usage.cachedTokens)
-            + outputTokenCost * static_cast<double>(result.usage.completionTokens);
+    const double cost = policy::requestCost(result.usage.promptTokens, result.usage.cachedTokens,
+                                            result.usage.completionTokens);
     m_strategies.queue->charge(running.was.row.organisation, running.was.row.weight,
                                cost - running.was.row.cost);
-    countThroughput(now, cost);
-    m_strategies.router->observe(now,
-                                 {endpoint, result.usage.promptTokens, result.usage.cachedTokens,
-                                  result.usage.completionTokens, result.firstToken, result.whole,
-                                  running.runningAtDispatch, true});
+    const policy::routing_outcome outcome{endpoint,
+                                          result.usage.promptTokens,
+                                          result.usage.cachedTokens,
+                                          result.usage.completionTokens,
+                                          result.firstToken,
+                                          result.whole,
+                                          running.runningAtDispatch,
+                                          true};
+    m_strategies.router->observe(now, outcome);
+    m_window.observe(outcome);
+    m_service.observe(outcome);
     return findings;
 }
 
-void pool_scheduler::countThroughput(instant now, double cost)
-{
-    const std::chrono::duration<double> elapsed = now - m_countedAt;
-    m_costPerSecond = m_costPerSecond * std::exp(-elapsed.count() / throughputSeconds)
-            + cost / throughputSeconds;
-    m_countedAt = now;
-}
-
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "yuccascale/kernel/policy/admission.hpp"
+#include "yuccascale/kernel/policy/dispatch_window.hpp"
+#include "yuccascale/kernel/policy/queue_meter.hpp"
 #include "yuccascale/kernel/policy/routing.hpp"
+#include "yuccascale/kernel/policy/service_estimate.hpp"
 #include "yuccascale/kernel/requests/charge_book.hpp"
 #include "yuccascale/kernel/requests/demand_meter.hpp"
 #include "yuccascale/kernel/requests/endpoint_table.hpp"
@@ -101,6 +104,13 @@
     /// \returns their tickets.
     [[nodiscard]] std::vector<std::uint64_t> takeUnservable();
 
+    /// \brief Takes out the requests that can no longer be in time.
+    /// \returns their tickets.
+    [[nodiscard]] std::vector<std::uint64_t> takeLate(instant now);
+
+    /// \returns when it is worth coming back, as the queue stands.
+    [[nodiscard]] nanoseconds retryAfter(instant now);
+
     /// \brief Takes out the waiting requests of a fingerprint.
     /// \returns their tickets.
     [[nodiscard]] std::vector<std::uint64_t> takeFingerprint(const std::string &fingerprint);
@@ -152,8 +162,9 @@
     void keepSuspectsApart(const waiting_entry &waiting,
                            std::vector<policy::endpoint_view> &views) const;
     [[nodiscard]] std::optional<refusal> refuseRetry(instant now, const request &subject);
-    [[nodiscard]] policy::queue_view queueView(const policy::waiting_request &row) const;
-    void countThroughput(instant now, double cost);
+    [[nodiscard]] std::optional<refusal> refuseAdmission(instant now,
+                                                         const policy::waiting_request &row);
+    [[nodiscard]] bool windowOpen(instant now);
 
     pool_strategies m_strategies;
     queue_limits m_limits;
@@ -167,9 +178,9 @@
     std::deque<std::uint64_t> m_parked; ///< taken from the queue, no endpoint for them yet
     std::map<std::uint64_t, running_entry> m_running;
     std::map<std::string, retry_budget> m_retries; ///< by route
-    double m_costPerSecond = 0;
-    instant m_countedAt{};
-    std::map<std::string, std::pair<double, int>> m_activeWeights; ///< weight and requests
+    policy::queue_meter m_meter;
+    policy::service_estimate m_service;
+    policy::dispatch_window m_window;
 };
 
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/requests/request_life.cpp
+++ b/src/yuccascale/kernel/requests/request_life.cpp
@@ -255,7 +255,7 @@
     m_state = request_state::Committing;
     m_heldBack = finish_stream{finished.payload};
     token_usage usage = finished.usage;
-    usage.completionTokens = std::max(usage.completionTokens, m_delivered - m_request.resumeFrom);
+    usage.completionTokens = std::max(usage.completionTokens, m_delivered);
     if (holdsClaim()) {
         m_settled = true;
         record(finished.payload);
--- a/tests/properties/requests_world.cpp
+++ b/tests/properties/requests_world.cpp
@@ -384,6 +384,9 @@
     for (const std::uint64_t ticket : pools.at(pool)->takeUnservable())
         sessions.at(ticket)->life.handle(queue_refused{
                 {kernel::error_kind::Unavailable, "no endpoint", false, milliseconds(1)}});
+    for (const std::uint64_t ticket : pools.at(pool)->takeLate(world.m_now))
+        sessions.at(ticket)->life.handle(queue_refused{
+                {kernel::error_kind::Overloaded, "too late", false, milliseconds(1)}});
     for (scheduled_turn &turn : pools.at(pool)->schedule(world.m_now)) {
         session &one = *sessions.at(turn.ticket);
         one.life.takeTurn(std::move(turn));
