--- a/src/yuccascale/runtime/node_status.cpp
+++ b/src/yuccascale/runtime/node_status.cpp
@@ -1,5 +1,7 @@
 #include "yuccascale/runtime/node_status.hpp"
 
+#include "yuccascale/kernel/orders/explain.hpp"
+
 #include <charconv>
 
 namespace yuccascale::runtime {
@@ -100,7 +102,7 @@
     const auto order
             = control->read([&](const state::machine &machine) { return machine.order(orderId); });
     if (order)
-        out["order"] = *order;
+        out["order"] = orders::explainOrder(*order);
     return out;
 }
 
