--- a/src/yuccascale/kernel/requests/key_check.cpp
+++ b/src/yuccascale/kernel/requests/key_check.cpp
@@ -31,7 +31,8 @@
         return start_check::Allowed;
     if (!view.fresh(now))
         return start_check::NotFresh;
-    if (organisationOf(*view.tables, request.keyDigest) != request.organisation)
+    const std::string organisation = organisationOf(*view.tables, request.keyDigest);
+    if (organisation.empty() || organisation != request.organisation)
         return start_check::KeyWithdrawn;
     return start_check::Allowed;
 }
