--- a/src/yuccascale/kernel/state/machine.cpp
+++ b/src/yuccascale/kernel/state/machine.cpp
@@ -52,9 +52,9 @@
     [[nodiscard]] command_result apply(const std::string &operationId, const claim_request &request)
     {
         if (usage.retired(request.entry)) {
-            return refused(error_kind::Forbidden,
+            return refused(error_kind::Unavailable,
                            "entry " + request.entry
-                                   + " was retired; restart it under a new incarnation",
+                                   + " was silent for too long and must be restarted; use another",
                            {{"state", "refused"}});
         }
         return claimed.claim(operationId, request);
