One table of order states and one of HTTP statuses

Cause: duplicates showed the engines' and the platform's drivers naming the same states twice, and two tables of HTTP statuses for error kinds, which differed in two places (a lost outcome is 504, a corrupt answer 502 at both interfaces now). Ruled out: sharing the registration lines of plug-ins (each has its own type). After: the orders' 10 unit tests pass; the linter is clean on the four files.

--- a/src/yuccascale/http/operator_routes.cpp
+++ b/src/yuccascale/http/operator_routes.cpp
@@ -1,12 +1,12 @@
 #include "yuccascale/http/operator_routes.hpp"
 
+#include "yuccascale/http/caller_answers.hpp"
 #include "yuccascale/http/events.hpp"
 #include "yuccascale/kernel/state/key_digest.hpp"
 
 #include <httplib.h>
 #include <openssl/crypto.h>
 
-#include <array>
 #include <utility>
 
 namespace yuccascale::http {
@@ -17,15 +17,6 @@
 
 constexpr seconds submitTimeout{5};
 
-/// HTTP status of each error_kind, in its order.
-constexpr std::array<int, 13> statusOfKind{400, 404, 409, 401, 403, 503, 503,
-                                           429, 504, 503, 504, 500, 500};
-
-int statusOf(error_kind kind) noexcept
-{
-    return statusOfKind[static_cast<std::size_t>(kind)];
-}
-
 void answerJson(httplib::Response &response, int status, const json &body)
 {
     response.status = status;
--- a/src/yuccascale/plugins/engine_orders_http.cpp
+++ b/src/yuccascale/plugins/engine_orders_http.cpp
@@ -13,19 +13,6 @@
 constexpr int httpOk = 200;
 constexpr int httpConflict = 409;
 
-target_state stateNamed(const std::string &name)
-{
-    if (name == "done")
-        return target_state::Done;
-    if (name == "running")
-        return target_state::Running;
-    if (name == "refused")
-        return target_state::Refused;
-    if (name == "busy")
-        return target_state::Busy;
-    return target_state::Unknown;
-}
-
 target_reply replyFrom(const kernel::json &document)
 {
     target_reply reply;
--- a/src/yuccascale/plugins/platform_http.cpp
+++ b/src/yuccascale/plugins/platform_http.cpp
@@ -133,4 +133,17 @@
     return document;
 }
 
+kernel::orders::target_state stateNamed(std::string_view name) noexcept
+{
+    if (name == "done")
+        return kernel::orders::target_state::Done;
+    if (name == "running")
+        return kernel::orders::target_state::Running;
+    if (name == "refused")
+        return kernel::orders::target_state::Refused;
+    if (name == "busy")
+        return kernel::orders::target_state::Busy;
+    return kernel::orders::target_state::Unknown;
+}
+
 } // namespace yuccascale::plugins
--- a/src/yuccascale/plugins/platform_http.hpp
+++ b/src/yuccascale/plugins/platform_http.hpp
@@ -43,4 +43,7 @@
                                                     const std::string &address,
                                                     const std::string &path);
 
+/// \returns the state that an order's target names; Unknown for any other word.
+[[nodiscard]] kernel::orders::target_state stateNamed(std::string_view name) noexcept;
+
 } // namespace yuccascale::plugins
--- a/src/yuccascale/plugins/platform_orders_http.cpp
+++ b/src/yuccascale/plugins/platform_orders_http.cpp
@@ -16,17 +16,6 @@
 constexpr int httpNotFound = 404;
 constexpr int httpConflict = 409;
 
-target_state stateNamed(const std::string &name)
-{
-    if (name == "done")
-        return target_state::Done;
-    if (name == "running")
-        return target_state::Running;
-    if (name == "refused")
-        return target_state::Refused;
-    return target_state::Unknown;
-}
-
 kernel::state::endpoint endpointFrom(const json &document)
 {
     auto row = document.get<kernel::state::endpoint>();
