--- a/src/yuccascale/kernel/requests/demand_meter.cpp
+++ b/src/yuccascale/kernel/requests/demand_meter.cpp
@@ -2,6 +2,13 @@
 
 namespace yuccascale::kernel::requests {
 
+bool demand_report::idle() const noexcept
+{
+    return prefillTokensPerSecond + decodeTokensPerSecond + prefillBacklogTokens
+            + decodeBacklogTokens
+            <= 0;
+}
+
 void demand_meter::offered(std::int64_t promptTokens, std::int64_t outputTokens,
                            bool idempotent) noexcept
 {
--- a/src/yuccascale/kernel/requests/demand_meter.hpp
+++ b/src/yuccascale/kernel/requests/demand_meter.hpp
@@ -19,6 +19,9 @@
     double prefillBacklogTokens = 0;
     double decodeBacklogTokens = 0;
     double nonIdempotentShare = 0; ///< of the requests offered
+
+    /// \returns true when nothing was offered and nothing waits.
+    [[nodiscard]] bool idle() const noexcept;
 };
 
 /// \brief Counts what is offered between two reports. Not thread-safe.
--- a/src/yuccascale/runtime/demand_reporter.cpp
+++ b/src/yuccascale/runtime/demand_reporter.cpp
@@ -40,7 +40,8 @@
 
 void demand_reporter::report()
 {
-    const std::vector<requests::demand_report> reports = m_take();
+    std::vector<requests::demand_report> reports = m_take();
+    std::erase_if(reports, [](const auto &report) { return report.idle(); });
     const std::string leader = m_control.view().leader;
     if (leader == m_settings.node)
         hear(leader, reports);
--- a/tests/unit/demand_test.cpp
+++ b/tests/unit/demand_test.cpp
@@ -32,6 +32,15 @@
     EXPECT_EQ(report.nonIdempotentShare, 0.5);
 }
 
+TEST(demand, isIdleOnlyWhenNothingIsOfferedAndNothingWaits)
+{
+    requests::demand_report report;
+    EXPECT_TRUE(report.idle());
+    report.decodeBacklogTokens = 1;
+    EXPECT_FALSE(report.idle());
+    EXPECT_FALSE(measuredOver(seconds(2)).idle());
+}
+
 TEST(demand, isSummedOverEntriesUntilTheirReportsAreOld)
 {
     demand_book book{seconds(5)};
