Duties run on the shared periodic task; an event that nothing wrote is gone

Cause: duties kept a copy of periodic_task's loop; entry_drained stood in the catalogue and nowhere else. Ruled out: a wake-up of the duties from outside (only stop() used it).

--- a/src/yuccascale/kernel/requests/events.hpp
+++ b/src/yuccascale/kernel/requests/events.hpp
@@ -46,7 +46,5 @@
                                        "connection was closed."};
 inline const event_kind entryLeaving{2030, "entry_leaving", severity::Info,
                                      "This entry left the addresses and finishes its requests."};
-inline const event_kind entryDrained{2031, "entry_drained", severity::Info,
-                                     "This entry has answered all its requests."};
 
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -126,6 +126,7 @@
     , m_fleet({}, makerOf<kernel::policy::role_policy>(m_around.config.policy.roles),
               makerOf<kernel::policy::placement_policy>(m_around.config.policy.placement),
               m_around.events)
+    , m_task(roundInterval, [this] { tick(); })
     , m_workers(workerThreads)
 { }
 
@@ -136,29 +137,12 @@
 
 void duties::start()
 {
-    m_thread = std::thread([this] { run(); });
+    m_task.start();
 }
 
 void duties::stop()
 {
-    {
-        const std::scoped_lock guard(m_mutex);
-        m_stopped = true;
-    }
-    m_wake.notify_all();
-    if (m_thread.joinable())
-        m_thread.join();
-}
-
-void duties::run()
-{
-    std::unique_lock lock(m_mutex);
-    while (!m_stopped) {
-        lock.unlock();
-        tick();
-        lock.lock();
-        m_wake.wait_for(lock, roundInterval, [this] { return m_stopped; });
-    }
+    m_task.stop();
 }
 
 void duties::tick()
--- a/src/yuccascale/runtime/duties.hpp
+++ b/src/yuccascale/runtime/duties.hpp
@@ -8,14 +8,12 @@
 #include "yuccascale/kernel/state/leader_view.hpp"
 #include "yuccascale/kernel/usage/window_reporter.hpp"
 #include "yuccascale/runtime/duties_workers.hpp"
+#include "yuccascale/runtime/periodic_task.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
-#include <condition_variable>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <optional>
-#include <thread>
 #include <vector>
 
 /// \file
@@ -76,7 +74,6 @@
 private:
     using authority = std::optional<kernel::leadership>;
 
-    void run();
     void carryOut(const kernel::orders::ask_target &action);
     void carryOut(const kernel::orders::inspect_target &action);
     void carryOut(const kernel::orders::fetch_weights &action);
@@ -109,10 +106,7 @@
     bool m_readingLists = false;
     int m_submits = 0; ///< of orders and notices, under way
 
-    std::mutex m_mutex;
-    std::condition_variable m_wake;
-    bool m_stopped = false;
-    std::thread m_thread;
+    periodic_task m_task;
     duties_workers m_workers; ///< last, so that it ends before what its jobs use
 };
 
