--- a/src/yuccascale/cli/node_command.cpp
+++ b/src/yuccascale/cli/node_command.cpp
@@ -5,6 +5,7 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <thread>
 
 DEFINE_string(settings, "", "settings file of the node");
@@ -13,6 +14,15 @@
 
 namespace {
 
+/// The flag, or the environment's word where a process is started without one.
+std::string settingsFile()
+{
+    if (!FLAGS_settings.empty())
+        return FLAGS_settings;
+    const char *named = std::getenv("YUCCASCALE_SETTINGS");
+    return named == nullptr ? std::string() : named;
+}
+
 /// Blocks the signals that end the process, so that one thread can wait for them.
 sigset_t blockEndSignals()
 {
@@ -38,13 +48,14 @@
 
 kernel::result<void> runNode(command_words)
 {
-    if (FLAGS_settings.empty()) {
+    const std::string file = settingsFile();
+    if (file.empty()) {
         return kernel::fail(kernel::error_kind::InvalidArgument, "--settings",
                             "name the node's settings file: --settings=node.yaml");
     }
     std::signal(SIGPIPE, SIG_IGN);
     const sigset_t signals = blockEndSignals();
-    BOOST_LEAF_AUTO(settings, runtime::readSettings(FLAGS_settings));
+    BOOST_LEAF_AUTO(settings, runtime::readSettings(file));
     const auto node = std::make_shared<runtime::node>(settings);
     BOOST_LEAF_CHECK(node->start());
     watchSignals(signals, node);
--- a/src/yuccascale/http/caller_commits.cpp
+++ b/src/yuccascale/http/caller_commits.cpp
@@ -9,7 +9,7 @@
 using namespace kernel::requests;
 using kernel::milliseconds;
 
-constexpr std::size_t backgroundThreads = 4;
+constexpr std::size_t backgroundThreads = 16;
 constexpr milliseconds claimTimeout{1'000};
 constexpr milliseconds commitTimeout{1'000};
 constexpr milliseconds retryPause{50};
@@ -22,14 +22,17 @@
 
 } // namespace
 
-caller_commits::caller_commits(std::string entry, milliseconds usageWindow,
-                               const kernel::clock &clock, kernel::control_client &control,
-                               kernel::event_sink &events)
+caller_commits::caller_commits(std::string entry, const runtime::platform_settings &platform,
+                               const kernel::clock &clock,
+                               std::function<kernel::wall_time()> trueTime,
+                               kernel::control_client &control, kernel::event_sink &events)
     : m_entry(std::move(entry))
+    , m_batchTime(platform.usageBatch)
     , m_clock(clock)
+    , m_trueTime(std::move(trueTime))
     , m_control(control)
     , m_events(events)
-    , m_batcher(m_entry, usageWindow, usageWindow / marksPerWindow)
+    , m_batcher(m_entry, platform.usageWindow, platform.usageWindow / marksPerWindow)
     , m_background(backgroundThreads)
     , m_usageThread([this] { commitUsage(); })
 { }
@@ -70,7 +73,15 @@
     return {operationId, claim};
 }
 
-claim_verdict caller_commits::claim(const request &subject, const std::string &operationId)
+void caller_commits::claim(const request &subject, const std::string &operationId,
+                           std::function<void(claim_verdict)> done)
+{
+    m_background.run([this, subject, operationId, done = std::move(done)] {
+        done(claimNow(subject, operationId));
+    });
+}
+
+claim_verdict caller_commits::claimNow(const request &subject, const std::string &operationId)
 {
     kernel::state::command_result answer;
     kernel::error problem;
@@ -160,23 +171,26 @@
     {
         const std::scoped_lock guard(m_mutex);
         const std::uint64_t ticket = ++m_nextTicket;
-        m_batcher.add(m_clock.wallNow(), ticket, subject.organisation, subject.route.name, usage);
+        m_batcher.add(m_trueTime(), ticket, subject.organisation, subject.route.name, usage);
         m_waiters.emplace(ticket, waiting_usage{deadline, std::move(done)});
     }
-    m_wake.notify_one();
+    if (m_batchTime.count() == 0)
+        m_wake.notify_one();
 }
 
 void caller_commits::commitUsage()
 {
     std::unique_lock guard(m_mutex);
     while (true) {
-        const auto batch = m_batcher.next(m_clock.wallNow());
+        if (m_batchTime.count() > 0)
+            m_wake.wait_for(guard, m_batchTime, [this] { return m_stopping; });
+        const auto batch = m_batcher.next(m_trueTime());
         if (!batch && m_stopping)
             return;
-        if (!batch) {
+        if (!batch && m_batchTime.count() == 0)
             m_wake.wait_for(guard, usageCheckInterval);
+        if (!batch)
             continue;
-        }
         guard.unlock();
         commitBatch(*batch);
         expireWaiters();
--- a/src/yuccascale/http/caller_commits.hpp
+++ b/src/yuccascale/http/caller_commits.hpp
@@ -5,6 +5,7 @@
 #include "yuccascale/kernel/requests/claim_verdict.hpp"
 #include "yuccascale/kernel/requests/events.hpp"
 #include "yuccascale/kernel/requests/usage_batcher.hpp"
+#include "yuccascale/runtime/settings.hpp"
 
 #include <condition_variable>
 #include <functional>
@@ -25,15 +26,18 @@
     using usage_waiter = std::function<void(bool committed)>;
 
     /// \param entry node and incarnation
-    caller_commits(std::string entry, kernel::milliseconds usageWindow, const kernel::clock &clock,
+    /// \param trueTime the time that the nodes agree on, for usage windows
+    caller_commits(std::string entry, const runtime::platform_settings &platform,
+                   const kernel::clock &clock, std::function<kernel::wall_time()> trueTime,
                    kernel::control_client &control, kernel::event_sink &events);
     ~caller_commits();
     caller_commits(const caller_commits &) = delete;
     caller_commits &operator=(const caller_commits &) = delete;
 
-    /// \brief Claims the single run of a request. A repeat has the same operation id.
-    [[nodiscard]] kernel::requests::claim_verdict claim(const kernel::requests::request &subject,
-                                                        const std::string &operationId);
+    /// \brief Claims the single run of a request in the background. A repeat has the same operation
+    /// id. \param done called on another thread
+    void claim(const kernel::requests::request &subject, const std::string &operationId,
+               std::function<void(kernel::requests::claim_verdict)> done);
 
     /// \brief Settles a claim in the background, until the log has it.
     void settle(const kernel::requests::request &subject, const std::string &operationId,
@@ -62,6 +66,8 @@
 
     [[nodiscard]] kernel::state::command claimCommand(const kernel::requests::request &subject,
                                                       const std::string &operationId) const;
+    [[nodiscard]] kernel::requests::claim_verdict claimNow(const kernel::requests::request &subject,
+                                                           const std::string &operationId);
     [[nodiscard]] bool submitUntilKnown(const kernel::state::command &command);
     [[nodiscard]] bool stopping() const;
     void commitUsage();
@@ -70,7 +76,9 @@
     void expireWaiters();
 
     const std::string m_entry;
+    const kernel::milliseconds m_batchTime; ///< zero: a batch is made as soon as there is one
     const kernel::clock &m_clock;
+    const std::function<kernel::wall_time()> m_trueTime;
     kernel::control_client &m_control;
     kernel::event_sink &m_events;
     mutable std::mutex m_mutex;
--- a/src/yuccascale/http/caller_mailbox.hpp
+++ b/src/yuccascale/http/caller_mailbox.hpp
@@ -2,49 +2,47 @@
 
 #include "yuccascale/kernel/requests/pool_scheduler.hpp"
 #include "yuccascale/kernel/requests/request_actions.hpp"
+#include "yuccascale/net/event_loops.hpp"
 
-#include <condition_variable>
-#include <deque>
-#include <mutex>
-#include <optional>
+#include <boost/asio/post.hpp>
+
+#include <functional>
+#include <memory>
+#include <utility>
 #include <variant>
 
 /// \file
-/// \brief Where other threads leave what happened to a request.
+/// \brief Where other loops and threads leave what happened to a request.
 
 namespace yuccascale::http {
 
-/// \brief Events of one request, in order. Thread-safe.
-class caller_mailbox
+/// \brief Hands the events of one request to its loop, in order. put() is thread-safe.
+class caller_mailbox : public std::enable_shared_from_this<caller_mailbox>
 {
 public:
     using letter = std::variant<kernel::requests::event, kernel::requests::scheduled_turn>;
+    using reader = std::function<void(letter)>;
+
+    caller_mailbox(net::io_context &loop, reader take)
+        : m_loop(loop)
+        , m_take(std::move(take))
+    { }
 
     void put(letter content)
     {
-        {
-            const std::scoped_lock guard(m_mutex);
-            m_letters.push_back(std::move(content));
-        }
-        m_arrived.notify_one();
+        boost::asio::post(m_loop,
+                          [self = shared_from_this(), content = std::move(content)]() mutable {
+                              if (self->m_take)
+                                  self->m_take(std::move(content));
+                          });
     }
 
-    /// \returns the oldest; nothing when none came within \a patience.
-    [[nodiscard]] std::optional<letter> take(kernel::nanoseconds patience)
-    {
-        std::unique_lock guard(m_mutex);
-        m_arrived.wait_for(guard, patience, [this] { return !m_letters.empty(); });
-        if (m_letters.empty())
-            return std::nullopt;
-        letter first = std::move(m_letters.front());
-        m_letters.pop_front();
-        return first;
-    }
+    /// \brief Drops what comes from now on. On the loop only.
+    void close() { m_take = nullptr; }
 
 private:
-    std::mutex m_mutex;
-    std::condition_variable m_arrived;
-    std::deque<letter> m_letters;
+    net::io_context &m_loop;
+    reader m_take;
 };
 
 } // namespace yuccascale::http
--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -17,6 +17,18 @@
             "no endpoint of this route takes work; come back later", false, removedPoolRetryAfter};
 }
 
+[[nodiscard]] queue_limits limitsOf(const runtime::settings &settings)
+{
+    queue_limits limits;
+    limits.window.prefillAheadTokens = static_cast<double>(settings.policy.prefillAhead);
+    limits.assumeOthers = settings.policy.assumeOthers;
+    limits.retries.share = settings.promises.retryShare;
+    limits.retries.burst = settings.promises.retryBurst;
+    limits.retries.window = settings.promises.retryWindow;
+    limits.retries.slowStart = settings.promises.sharedRetries;
+    return limits;
+}
+
 [[nodiscard]] refusal tooLate(kernel::nanoseconds retryAfter)
 {
     return {kernel::error_kind::Overloaded,
@@ -24,28 +36,41 @@
             retryAfter};
 }
 
+/// The pool's row with the endpoints that the platform lists for it.
+[[nodiscard]] kernel::state::pool withListed(kernel::state::pool row,
+                                             const kernel::feed::endpoint_list *listed)
+{
+    if (!row.discovered || listed == nullptr)
+        return row;
+    for (const kernel::feed::listed_endpoint &one : listed->endpoints) {
+        if (one.pool == row.name)
+            row.endpoints.push_back(one.row);
+    }
+    return row;
+}
+
 } // namespace
 
-caller_pools::caller_pools(runtime::policy_settings policy, const kernel::clock &clock,
-                           entry_position position)
-    : m_policy(std::move(policy))
+caller_pools::caller_pools(const runtime::settings &settings, const kernel::clock &clock,
+                           std::uint64_t seed)
+    : m_policy(settings.policy)
+    , m_limits(limitsOf(settings))
     , m_clock(clock)
-    , m_position(position)
+    , m_seed(seed)
 { }
 
-kernel::result<std::unique_ptr<caller_pools>>
-caller_pools::make(const runtime::policy_settings &policy, const kernel::clock &clock,
-                   entry_position position)
+kernel::result<std::unique_ptr<caller_pools>> caller_pools::make(const runtime::settings &settings,
+                                                                 const kernel::clock &clock,
+                                                                 std::uint64_t seed)
 {
-    std::unique_ptr<caller_pools> pools(new caller_pools(policy, clock, position));
+    std::unique_ptr<caller_pools> pools(new caller_pools(settings, clock, seed));
     BOOST_LEAF_CHECK(pools->makeStrategies({}));
     return pools;
 }
 
 kernel::result<pool_strategies> caller_pools::makeStrategies(const std::string &pool) const
 {
-    const std::uint64_t seed
-            = std::hash<std::string>{}(pool) + static_cast<std::uint64_t>(m_position.index);
+    const std::uint64_t seed = std::hash<std::string>{}(pool) + m_seed;
     BOOST_LEAF_AUTO(router, kernel::policy::router_registry::make(m_policy.routing, seed));
     BOOST_LEAF_AUTO(admission, kernel::policy::admission_registry::make(m_policy.admission));
     BOOST_LEAF_AUTO(queue, kernel::policy::fair_queue_registry::make(m_policy.fairness));
@@ -78,24 +103,38 @@
     const bool succeeded = kernel::succeeded(
             [&]() -> kernel::result<void> {
                 BOOST_LEAF_AUTO(strategies, makeStrategies(pool));
-                made = std::make_shared<shard>(std::move(strategies));
+                made = std::make_shared<shard>(std::move(strategies), m_limits);
                 return {};
             },
             problem);
     if (!succeeded)
         return nullptr; // make() has tried the same strategies
-    made->scheduler.setPosition(m_position);
     const std::unique_lock guard(m_mutex);
+    made->scheduler.setPosition(m_position);
     return m_shards.emplace(pool, made).first->second;
 }
 
-void caller_pools::setTables(const kernel::state::table_set &tables)
+void caller_pools::setPosition(entry_position position)
+{
+    {
+        const std::unique_lock guard(m_mutex);
+        m_position = position;
+    }
+    for (const std::shared_ptr<shard> &pool : all()) {
+        const std::scoped_lock guard(pool->mutex);
+        pool->scheduler.setPosition(position);
+    }
+}
+
+void caller_pools::setTables(const kernel::state::table_set &tables,
+                             const kernel::feed::endpoint_list *listed)
 {
     std::vector<listed_endpoint> endpoints;
-    for (const auto &[name, row] : tables.pools) {
+    for (const auto &[name, operatorsRow] : tables.pools) {
         const std::shared_ptr<shard> pool = findOrMake(name);
         if (!pool)
             continue;
+        const kernel::state::pool row = withListed(operatorsRow, listed);
         for (const kernel::state::endpoint &endpoint : row.endpoints)
             endpoints.push_back({name, endpoint.name, endpoint.address, row.kind});
         setRows(*pool, row);
@@ -179,7 +218,7 @@
 {
     if (const std::shared_ptr<shard> found = find(pool)) {
         const std::scoped_lock guard(found->mutex);
-        found->scheduler.firstPiece(ticket);
+        found->scheduler.firstPiece(m_clock.now(), ticket);
     }
 }
 
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccascale/http/caller_mailbox.hpp"
 #include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/feed/feed_messages.hpp"
 #include "yuccascale/kernel/requests/pool_scheduler.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
@@ -33,14 +34,18 @@
 class caller_pools
 {
 public:
-    /// \param position this entry's place among the entries
+    /// \param seed differs between entries
     /// \returns error_kind::NotFound when the settings name a strategy that there is not.
     [[nodiscard]] static kernel::result<std::unique_ptr<caller_pools>>
-    make(const runtime::policy_settings &policy, const kernel::clock &clock,
-         kernel::requests::entry_position position);
+    make(const runtime::settings &settings, const kernel::clock &clock, std::uint64_t seed);
 
-    /// \brief Takes over a revision of the tables.
-    void setTables(const kernel::state::table_set &tables);
+    /// \brief Takes over a revision of the tables, with the endpoints that the platform lists.
+    /// \param listed may be null
+    void setTables(const kernel::state::table_set &tables,
+                   const kernel::feed::endpoint_list *listed);
+
+    /// \brief Takes over this entry's place among the entries.
+    void setPosition(kernel::requests::entry_position position);
 
     /// \brief Puts a request into its pool's queue.
     /// \param mailbox gets a scheduled_turn when its turn comes
@@ -89,8 +94,9 @@
 private:
     struct shard
     {
-        explicit shard(kernel::requests::pool_strategies strategies)
-            : scheduler(std::move(strategies), {})
+        shard(kernel::requests::pool_strategies strategies,
+              const kernel::requests::queue_limits &limits)
+            : scheduler(std::move(strategies), limits)
         { }
 
         std::mutex mutex;
@@ -98,8 +104,7 @@
         std::map<std::uint64_t, std::shared_ptr<caller_mailbox>> mailboxes;
     };
 
-    caller_pools(runtime::policy_settings policy, const kernel::clock &clock,
-                 kernel::requests::entry_position position);
+    caller_pools(const runtime::settings &settings, const kernel::clock &clock, std::uint64_t seed);
 
     [[nodiscard]] kernel::result<kernel::requests::pool_strategies>
     makeStrategies(const std::string &pool) const;
@@ -112,7 +117,9 @@
     void giveTurns(shard &pool);
 
     runtime::policy_settings m_policy;
+    kernel::requests::queue_limits m_limits;
     const kernel::clock &m_clock;
+    std::uint64_t m_seed;
     kernel::requests::entry_position m_position;
     mutable std::shared_mutex m_mutex;
     std::map<std::string, std::shared_ptr<shard>> m_shards; ///< by pool name
--- a/src/yuccascale/http/caller_request.cpp
+++ b/src/yuccascale/http/caller_request.cpp
@@ -101,19 +101,7 @@
 {
     const std::string key = presentedKey(message);
     BOOST_LEAF_CHECK(refuseLeakedKey(message, key, context.view));
-    if (subject.route.access == kernel::state::route_access::Open)
-        return {};
-    if (!context.view.fresh(context.now)) {
-        return fail(error_kind::NotReady, "tables",
-                    "this entry cannot confirm its tables now; try another of the addresses");
-    }
-    subject.keyDigest = digestOf(key);
-    subject.organisation = organisationOf(*context.view.tables, subject.keyDigest);
-    if (key.empty() || subject.organisation.empty()) {
-        return fail(error_kind::Unauthorized, "Authorization",
-                    "no valid key; send 'Authorization: Bearer KEY'");
-    }
-    return {};
+    return authorise(subject, key, context);
 }
 
 [[nodiscard]] result<kernel::state::route>
@@ -176,6 +164,23 @@
 
 } // namespace
 
+result<void> authorise(request &subject, std::string_view key, const reading_context &context)
+{
+    if (subject.route.access == kernel::state::route_access::Open)
+        return {};
+    if (!context.view.fresh(context.now)) {
+        return fail(error_kind::NotReady, "tables",
+                    "this entry cannot confirm its tables now; try another of the addresses");
+    }
+    subject.keyDigest = digestOf(key);
+    subject.organisation = organisationOf(*context.view.tables, subject.keyDigest);
+    if (key.empty() || subject.organisation.empty()) {
+        return fail(error_kind::Unauthorized, "Authorization",
+                    "no valid key; send 'Authorization: Bearer KEY'");
+    }
+    return {};
+}
+
 std::string requestIdOf(const caller_message &message, const reading_context &context)
 {
     if (usableId(message.requestId))
--- a/src/yuccascale/http/caller_request.hpp
+++ b/src/yuccascale/http/caller_request.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccascale/kernel/control_client.hpp"
 #include "yuccascale/kernel/requests/request.hpp"
+#include "yuccascale/kernel/requests/route_index.hpp"
 
 #include <map>
 #include <optional>
@@ -14,12 +15,12 @@
 
 namespace yuccascale::http {
 
-/// \brief An HTTP request of a caller, without the types of the HTTP library.
+/// \brief The parts of a call that the own protocol reads.
 struct caller_message
 {
     std::string method;
     std::string target;                  ///< path and query as sent
-    std::string path;                    ///< decoded, without the query
+    std::string path;                    ///< without the query
     std::vector<std::string> parameters; ///< decoded "name=value" of the query
     std::string authorization;
     std::string contentType;
@@ -35,11 +36,18 @@
 {
     kernel::control_view view;
     kernel::instant now{};
-    std::string entry;        ///< node and incarnation
-    std::uint64_t number = 0; ///< unique at this entry
-    std::string_view secret;  ///< signs resume tokens
+    std::string entry;                                                     ///< node and incarnation
+    std::uint64_t number = 0;                                              ///< unique at this entry
+    std::string_view secret;                                               ///< signs resume tokens
+    std::shared_ptr<const kernel::requests::route_index> routes = nullptr; ///< of the view's tables
 };
 
+/// \brief Sets the organisation that a key stands for, unless the route is open to all.
+/// \returns error_kind::NotReady while this entry cannot tell which keys are valid,
+///          error_kind::Unauthorized when the key is not.
+[[nodiscard]] kernel::result<void> authorise(kernel::requests::request &subject,
+                                             std::string_view key, const reading_context &context);
+
 /// \brief Reads a call of `/v1/chat/completions` or `/v1/completions`.
 [[nodiscard]] kernel::result<kernel::requests::request>
 readModelRequest(const caller_message &message, const reading_context &context);
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -1,15 +1,13 @@
 #include "yuccascale/http/caller_server.hpp"
 
-#include "yuccascale/http/caller_request.hpp"
 #include "yuccascale/http/caller_session.hpp"
-#include "yuccascale/http/endpoint_poller.hpp"
-#include "yuccascale/kernel/requests/event_stream.hpp"
+#include "yuccascale/http/load_poller.hpp"
 #include "yuccascale/kernel/requests/events.hpp"
-#include "yuccascale/kernel/requests/resume_token.hpp"
+#include "yuccascale/net/http_server.hpp"
 
-#include <httplib.h>
+#include <boost/asio/post.hpp>
 
-#include <charconv>
+#include <algorithm>
 #include <utility>
 
 namespace yuccascale::http {
@@ -19,91 +17,33 @@
 
 namespace {
 
-constexpr std::size_t keepAliveRequests = 1'000'000;
-constexpr std::size_t endpointThreadsPerCaller = 2;
-/// How often a stream without pieces is checked for a caller that left.
-constexpr milliseconds callerCheckInterval{250};
-constexpr const char *jsonType = "application/json";
+/// While requests wait, time alone makes turns possible and requests late.
+constexpr milliseconds scheduleInterval{50};
+constexpr milliseconds idleInterval{250};
+/// Callers may use an answer for some times the time to live when they get no newer one.
+constexpr int addressLives = 3;
+/// Left of the shutdown time when callers that keep an old answer are no longer waited for.
+constexpr milliseconds shutdownReserve{1'500};
 
-/// Connections that are told to come back later, when all others are taken.
-constexpr std::size_t refusingThreads = 16;
-constexpr milliseconds overloadRetryAfter{1'000};
-
-/// Set on threads that only refuse.
-thread_local bool refusesOnly = false;
-
-/// Serves each connection on a thread of the pool, and refuses the ones beyond it at once.
-class caller_tasks final : public httplib::TaskQueue
+[[nodiscard]] net::http_limits limitsFrom(const runtime::http_settings &settings)
 {
-public:
-    explicit caller_tasks(std::size_t threads)
-        : m_threads(threads)
-        , m_workers(threads)
-        , m_refusers(refusingThreads)
-    { }
-
-    void enqueue(std::function<void()> work) override
-    {
-        if (m_workers.load() < m_threads) {
-            m_workers.run(std::move(work));
-            return;
-        }
-        m_refusers.run([work = std::move(work)] {
-            refusesOnly = true;
-            work();
-        });
-    }
-
-    void shutdown() override
-    {
-        m_workers.shutdown();
-        m_refusers.shutdown();
-    }
-
-private:
-    std::size_t m_threads;
-    worker_pool m_workers;
-    worker_pool m_refusers;
-};
-
-[[nodiscard]] caller_message messageFrom(const httplib::Request &request)
-{
-    caller_message message;
-    message.method = request.method;
-    message.target = request.target;
-    message.path = request.path;
-    for (const auto &[name, value] : request.params)
-        message.parameters.push_back(std::string(name).append("=").append(value));
-    message.authorization = request.get_header_value("Authorization");
-    message.contentType = request.get_header_value("Content-Type");
-    message.idempotencyKey = request.get_header_value("Idempotency-Key");
-    message.requestId = request.get_header_value("X-Request-Id");
-    message.resumeToken = request.get_header_value("X-Resume-Token");
-    message.resumeFrom = request.get_header_value("X-Resume-From");
-    message.body = request.body;
-    return message;
-}
-
-[[nodiscard]] entry_position positionOf(const runtime::settings &settings)
-{
-    entry_position position{0, 0};
-    for (const runtime::node_settings &node : settings.nodes) {
-        if (!node.roles.entry)
-            continue;
-        if (node.name < settings.node)
-            ++position.index;
-        ++position.count;
-    }
-    position.count = std::max(position.count, 1);
-    return position;
+    net::http_limits limits;
+    limits.headerBytes = static_cast<std::size_t>(settings.maxHeaderBytes);
+    limits.headerFields = static_cast<std::size_t>(settings.maxHeaderFields);
+    limits.bodyBytes = static_cast<std::uint64_t>(settings.maxBodyBytes);
+    limits.readTimeout = settings.readTimeout;
+    limits.idleTimeout = settings.idleTimeout;
+    limits.writeTimeout = settings.writeTimeout;
+    limits.connections = static_cast<std::size_t>(settings.connections);
+    return limits;
 }
 
-[[nodiscard]] int portOf(const std::string &address)
+void takeOver(net::http_limits &limits, const kernel::state::caller_limits &row)
 {
-    int port = 0;
-    const std::size_t colon = address.rfind(':') + 1;
-    std::from_chars(address.data() + colon, address.data() + address.size(), port);
-    return port;
+    limits.headerBytes = static_cast<std::size_t>(row.headerBytes);
+    limits.bodyBytes = static_cast<std::uint64_t>(row.bodyBytes);
+    limits.readTimeout = milliseconds(row.readTimeoutMs);
+    limits.idleTimeout = milliseconds(row.idleTimeoutMs);
 }
 
 } // namespace
@@ -114,155 +54,169 @@
     explicit implementation(caller_server_parts parts);
 
     [[nodiscard]] kernel::result<void> start();
+    void followFeed();
     void beginShutdown();
     [[nodiscard]] bool drained() const;
     void stop();
     [[nodiscard]] std::vector<offered_address> addresses(bool others) const;
     [[nodiscard]] caller_pools &pools() noexcept { return *m_services.pools; }
+    [[nodiscard]] std::string metricsText();
 
-    httplib::Server server;
     int port = 0;
 
 private:
-    using reader = kernel::result<request> (*)(const caller_message &, const reading_context &);
-
-    void addRoutes();
-    void boundCallers();
-    void serve(reader read, const httplib::Request &from, httplib::Response &to);
-    void answer(request subject, double weight, httplib::Response &to);
-    void answerStream(const std::shared_ptr<caller_session> &session, caller_output first,
-                      httplib::Response &to);
-    void answerError(const refusal &reason, const std::string &id, httplib::Response &to) const;
-    void answerUnread(const httplib::Request &from, httplib::Response &to) const;
-    [[nodiscard]] bool writeOutput(const caller_session &session, const caller_output &output,
-                                   httplib::DataSink &sink) const;
+    using exchange_pointer = std::shared_ptr<net::http_exchange>;
+
+    [[nodiscard]] kernel::result<void> listen(const std::string &address, listener_kind kind);
+    void takeFeed();
+    void takePosition();
+    void scheduleWaiting();
+    void serve(listener_kind listener, const exchange_pointer &exchange);
+    void route(const exchange_pointer &exchange);
+    [[nodiscard]] entry_facts facts();
     [[nodiscard]] bool ready() const;
+    [[nodiscard]] milliseconds keptAddressTime() const;
 
     caller_server_parts m_parts;
     caller_services m_services;
-    std::unique_ptr<endpoint_poller> m_poller;
+    std::vector<std::unique_ptr<net::http_server>> m_servers;
+    std::unique_ptr<load_poller> m_loads; ///< null when endpoints are not asked for their load
+    boost::asio::steady_timer m_timer;
+    std::atomic<bool> m_following{false}; ///< takeFeed() is on its way
+    std::uint64_t m_revision = 0;         ///< of the tables that the pools have
+    std::uint64_t m_endpointList = 0;     ///< of the endpoints that the pools have
+    bool m_haveTables = false;
     std::atomic<std::int64_t> m_leavingSince{0}; ///< boot clock; 0 while it stays
-    std::thread m_listener;
+    std::atomic<bool> m_stopped{false};
 };
 
 caller_server::implementation::implementation(caller_server_parts parts)
     : m_parts(std::move(parts))
-    , m_services{m_parts.clock,
+    , m_services{m_parts.settings,
+                 m_parts.clock,
                  m_parts.events,
                  m_parts.control,
                  m_parts.settings.node + "#" + std::to_string(m_parts.incarnation),
                  m_parts.secret,
                  nullptr,
+                 nullptr,
                  {m_parts.settings.node + "#" + std::to_string(m_parts.incarnation),
-                  m_parts.settings.platform.usageWindow, m_parts.clock, m_parts.control,
-                  m_parts.events},
-                 endpoint_client(endpointThreadsPerCaller
-                                 * static_cast<std::size_t>(m_parts.settings.http.threads)),
+                  m_parts.settings.platform, m_parts.clock,
+                  m_parts.trueTime ? m_parts.trueTime
+                                   : [clock = &m_parts.clock] { return clock->wallNow(); },
+                  m_parts.control, m_parts.events},
+                 {},
                  nullptr,
                  nullptr,
+                 [this](bool others) { return addresses(others); },
                  {},
                  {},
                  {},
                  {},
                  {}}
+    , m_timer(m_parts.loops.at(0))
 { }
 
 kernel::result<void> caller_server::implementation::start()
 {
     const runtime::settings &settings = m_parts.settings;
+    BOOST_LEAF_ASSIGN(m_services.protocol, caller_protocol_registry::make(settings.http.protocol));
     BOOST_LEAF_ASSIGN(m_services.pools,
-                      caller_pools::make(settings.policy, m_parts.clock, positionOf(settings)));
-    BOOST_LEAF_ASSIGN(m_services.engineDriver, endpoint_driver_registry::make("engine"));
-    BOOST_LEAF_ASSIGN(m_services.serviceDriver, endpoint_driver_registry::make("service"));
-    boundCallers();
-    addRoutes();
-    const std::string &address = settings.self().callerAddress;
-    const std::string ip = address.substr(0, address.rfind(':'));
-    port = portOf(address);
-    if (port == 0)
-        port = server.bind_to_any_port(ip);
-    else if (!server.bind_to_port(ip, port))
-        port = -1;
-    if (port < 0) {
-        return kernel::fail(kernel::error_kind::Unavailable, address,
-                            "cannot listen there; free the port or change 'callers' of this node");
-    }
-    m_poller = std::make_unique<endpoint_poller>(m_services, makeDirectLoadSource(m_services));
-    m_listener = std::thread([this] { server.listen_after_bind(); });
-    while (!server.is_running()) // stop() before that would be lost
-        std::this_thread::yield();
+                      caller_pools::make(settings, m_parts.clock,
+                                         std::hash<std::string>{}(m_services.entry)));
+    using kernel::state::backend_kind;
+    BOOST_LEAF_ASSIGN(
+            m_services.engineDriver,
+            endpoint_driver_registry::make(m_services.protocol->driverFor(backend_kind::Model)));
+    BOOST_LEAF_ASSIGN(
+            m_services.serviceDriver,
+            endpoint_driver_registry::make(m_services.protocol->driverFor(backend_kind::Service)));
+    for (std::size_t index = 0; index < m_parts.loops.size(); ++index)
+        m_services.loops.push_back(std::make_unique<entry_loop>(m_parts.loops.at(index)));
+    if (m_services.protocol->pollsLoads())
+        m_loads = std::make_unique<load_poller>(m_services);
+    takePosition();
+    BOOST_LEAF_CHECK(listen(settings.callerAddress, listener_kind::Callers));
+    BOOST_LEAF_CHECK(listen(settings.http.readiness, listener_kind::Readiness));
+    BOOST_LEAF_CHECK(listen(settings.http.directory, listener_kind::Directory));
+    followFeed();
+    boost::asio::post(m_parts.loops.at(0), [this] { scheduleWaiting(); });
     return {};
 }
 
-void caller_server::implementation::boundCallers()
+kernel::result<void> caller_server::implementation::listen(const std::string &address,
+                                                           listener_kind kind)
 {
-    const runtime::http_settings &bounds = m_parts.settings.http;
-    server.new_task_queue = [threads = bounds.threads] {
-        return new caller_tasks(static_cast<std::size_t>(threads));
-    };
-    server.set_payload_max_length(static_cast<std::size_t>(bounds.maxBodyBytes));
-    server.set_read_timeout(bounds.readTimeout);
-    server.set_write_timeout(bounds.writeTimeout);
-    server.set_keep_alive_max_count(keepAliveRequests);
-    server.set_tcp_nodelay(true);
-    server.set_error_handler(
-            httplib::Server::Handler([this](const httplib::Request &from, httplib::Response &to) {
-                if (to.body.empty())
-                    answerUnread(from, to);
-            }));
+    if (address.empty())
+        return {};
+    auto server = std::make_unique<net::http_server>(
+            m_parts.loops, limitsFrom(m_parts.settings.http),
+            [this, kind](const exchange_pointer &exchange) { serve(kind, exchange); });
+    BOOST_LEAF_AUTO(bound, server->listen(address));
+    if (kind == listener_kind::Callers)
+        port = bound;
+    m_servers.push_back(std::move(server));
+    return {};
 }
 
-/// Answers what no route has read.
-void caller_server::implementation::answerUnread(const httplib::Request &from,
-                                                 httplib::Response &to) const
+void caller_server::implementation::followFeed()
 {
-    const int status = to.status;
-    refusal reason{kernel::error_kind::InvalidArgument,
-                   "the request cannot be read; check its method, path and size",
-                   false,
-                   {}};
-    if (status == 404)
-        reason = {kernel::error_kind::NotFound, "no such path; see docs/interfaces.md", false, {}};
-    answerError(reason, from.get_header_value("X-Request-Id"), to);
-    to.status = status;
+    if (m_stopped || m_following.exchange(true))
+        return;
+    boost::asio::post(m_parts.loops.at(0), [this] {
+        m_following = false;
+        takeFeed();
+    });
 }
 
-void caller_server::implementation::addRoutes()
+void caller_server::implementation::takeFeed()
 {
-    server.Get("/v1/addresses", [this](const httplib::Request &, httplib::Response &to) {
-        const kernel::control_view view = m_parts.control.view();
-        to.set_content(addressesBody(view.tables ? view.tables->revision : 0,
-                                     m_parts.settings.http.addressTtl, addresses(false)),
-                       jsonType);
-    });
-    server.Get("/health", [](const httplib::Request &, httplib::Response &to) {
-        to.set_content("{\"alive\":true}", jsonType);
-    });
-    server.Get("/metrics", [this](const httplib::Request &, httplib::Response &to) {
-        m_services.metrics.setGauge("yuccascale_requests_waiting",
-                                    static_cast<double>(m_services.pools->waiting()));
-        m_services.metrics.setGauge("yuccascale_requests_running", m_services.running);
-        to.set_content(m_services.metrics.text(), "text/plain; version=0.0.4");
-    });
-    server.Get("/ready", [this](const httplib::Request &, httplib::Response &to) {
-        const bool serving = ready();
-        to.status = serving ? 200 : 503;
-        to.set_content(serving ? "{\"ready\":true}" : "{\"ready\":false}", jsonType);
+    takePosition();
+    const kernel::control_view view = m_parts.control.view();
+    if (!view.tables)
+        return;
+    const std::uint64_t list = view.endpoints ? view.endpoints->version : 0;
+    if (m_haveTables && view.tables->revision <= m_revision && list <= m_endpointList)
+        return;
+    m_haveTables = true;
+    m_revision = view.tables->revision;
+    m_endpointList = list;
+    m_services.pools->setTables(*view.tables, view.endpoints.get());
+    if (view.tables->limits.empty())
+        return;
+    net::http_limits limits = limitsFrom(m_parts.settings.http);
+    takeOver(limits, view.tables->limits.front());
+    m_servers.front()->setLimits(limits);
+}
+
+void caller_server::implementation::takePosition()
+{
+    entry_position position{0, 0};
+    if (m_parts.nodes) {
+        for (const kernel::feed::node_report &node : m_parts.nodes()) {
+            if (node.callers.empty())
+                continue;
+            position.index += node.node < m_parts.settings.node ? 1 : 0;
+            ++position.count;
+        }
+    }
+    position.count = std::max(position.count, position.index + 1);
+    m_services.pools->setPosition(position);
+}
+
+void caller_server::implementation::scheduleWaiting()
+{
+    const bool often = m_loads || m_services.pools->waiting() > 0;
+    m_timer.expires_after(often ? scheduleInterval : idleInterval);
+    m_timer.async_wait([this](const boost::system::error_code &problem) {
+        if (problem || m_stopped)
+            return;
+        if (m_services.pools->waiting() > 0)
+            m_services.pools->scheduleAll();
+        if (m_loads)
+            m_loads->askDue();
+        scheduleWaiting();
     });
-    const auto model = [this](const httplib::Request &from, httplib::Response &to) {
-        serve(&readModelRequest, from, to);
-    };
-    server.Post("/v1/chat/completions", model);
-    server.Post("/v1/completions", model);
-    const auto service = [this](const httplib::Request &from, httplib::Response &to) {
-        serve(&readServiceRequest, from, to);
-    };
-    constexpr const char *servicePaths = "/s/.+";
-    server.Get(servicePaths, service);
-    server.Post(servicePaths, service);
-    server.Put(servicePaths, service);
-    server.Patch(servicePaths, service);
-    server.Delete(servicePaths, service);
 }
 
 bool caller_server::implementation::ready() const
@@ -273,140 +227,92 @@
 std::vector<offered_address> caller_server::implementation::addresses(bool others) const
 {
     std::vector<offered_address> offered;
-    for (const runtime::node_settings &node : m_parts.settings.nodes) {
-        const bool self = node.name == m_parts.settings.node;
-        const bool left = self && (others || m_leavingSince != 0);
-        const bool refused = !self && m_parts.offers && !m_parts.offers(node);
-        if (node.roles.entry && !left && !refused)
-            offered.push_back({node.callerAddress, node.zone, 1});
+    if (m_parts.nodes) {
+        for (const kernel::feed::node_report &node : m_parts.nodes()) {
+            if (!node.callers.empty() && node.node != m_parts.settings.node)
+                offered.push_back({node.callers, node.zone, 1});
+        }
     }
+    if (!others && m_leavingSince == 0)
+        offered.push_back({m_parts.settings.callerAddress, m_parts.settings.zone, 1});
+    std::ranges::sort(offered, {}, &offered_address::address);
     return offered;
 }
 
-void caller_server::implementation::serve(reader read, const httplib::Request &from,
-                                          httplib::Response &to)
+entry_facts caller_server::implementation::facts()
 {
-    if (refusesOnly) {
-        to.set_header("Connection", "close");
-        answerError({kernel::error_kind::Overloaded,
-                     "all connections of this entry are taken; try another of the addresses",
-                     from.has_header("Idempotency-Key"), overloadRetryAfter},
-                    from.get_header_value("X-Request-Id"), to);
+    const kernel::control_view view = m_parts.control.view();
+    entry_facts out;
+    out.ready = ready();
+    out.revision = view.tables ? view.tables->revision : 0;
+    out.addressTtl = m_parts.settings.http.addressTtl;
+    out.addresses = addresses(false);
+    out.metrics = [this] { return metricsText(); };
+    return out;
+}
+
+void caller_server::implementation::serve(listener_kind listener, const exchange_pointer &exchange)
+{
+    if (m_parts.otherCalls && listener == listener_kind::Callers && m_parts.otherCalls(exchange))
         return;
-    }
-    const caller_message message = messageFrom(from);
-    const reading_context context{m_parts.control.view(), m_parts.clock.now(), m_services.entry,
-                                  m_services.nextTicket++, m_services.secret};
-    followTables(m_services);
+    if (auto answer = m_services.protocol->answerHere(listener, exchange->request(), facts()))
+        return exchange->reply(std::move(*answer));
+    route(exchange);
+}
+
+void caller_server::implementation::route(const exchange_pointer &exchange)
+{
+    reading_context context{m_parts.control.view(), m_parts.clock.now(), m_services.entry,
+                            m_services.nextTicket++, m_services.secret};
+    context.routes = m_services.routes.of(context.view.tables);
+    const std::string id = m_services.protocol->idOf(exchange->request(), context);
     request subject;
     kernel::error problem;
     const bool readable = kernel::succeeded(
             [&]() -> kernel::result<void> {
-                BOOST_LEAF_ASSIGN(subject, read(message, context));
+                BOOST_LEAF_ASSIGN(subject, m_services.protocol->read(exchange->request(), context));
                 return {};
             },
             problem);
     if (!readable) {
-        const std::string id = requestIdOf(message, context);
         // a key or token may show that an earlier send got further than this one
-        const bool sentBefore = !message.idempotencyKey.empty() || !message.resumeToken.empty();
+        const net::http_request &from = exchange->request();
+        const bool sentBefore
+                = !from.header("Idempotency-Key").empty() || !from.header("X-Resume-Token").empty();
         const bool mayHaveRun = sentBefore && problem.kind != kernel::error_kind::InvalidArgument;
         const refusal reason{problem.kind, problem.where + ": " + problem.message, mayHaveRun, {}};
-        m_parts.events.record(requestRefused,
-                              {{"request_id", id},
-                               {"kind", kernel::errorKindName(problem.kind)},
-                               {"may_have_run", static_cast<int>(mayHaveRun)}});
-        answerError(reason, id, to);
-        return;
+        m_parts.events.record(
+                requestRefused,
+                {{"request_id", id},
+                 {"kind", kernel::errorKindName(problem.kind)},
+                 {"may_have_run", static_cast<int>(mayHaveRun)},
+                 {"reason", reason.message},
+                 {"revision", context.view.tables ? context.view.tables->revision : 0}});
+        return exchange->reply(m_services.protocol->refused(reason, id, addresses(true)));
     }
     const double weight = weightOf(context.view, subject.organisation);
-    answer(std::move(subject), weight, to);
+    caller_session::start(m_services, std::move(subject), weight, exchange);
 }
 
-void caller_server::implementation::answer(request subject, double weight, httplib::Response &to)
+void caller_server::implementation::beginShutdown()
 {
-    to.set_header("X-Request-Id", subject.id);
-    if (subject.streamed) {
-        to.set_header("X-Resume-Token",
-                      issueResumeToken(m_services.secret,
-                                       {subject.organisation, subject.id, subject.fingerprint,
-                                        subject.resumeFrom}));
-    }
-    auto session = std::make_shared<caller_session>(m_services, std::move(subject), weight);
-    std::optional<caller_output> first;
-    while (!first && !session->ended())
-        first = session->next(callerCheckInterval);
-    if (!first)
+    std::int64_t staying = 0;
+    const std::int64_t now = m_parts.clock.now().time_since_epoch().count();
+    if (!m_leavingSince.compare_exchange_strong(staying, std::max<std::int64_t>(now, 1)))
         return;
-    if (const auto *refused = std::get_if<refuse>(&*first)) {
-        answerError(refused->reason, session->subject().id, to);
-    } else if (const auto *whole = std::get_if<give_answer>(&*first)) {
-        to.status = whole->answer.status;
-        to.set_content(whole->answer.body, whole->answer.contentType);
-    } else {
-        answerStream(session, std::move(*first), to);
-    }
-}
-
-void caller_server::implementation::answerStream(const std::shared_ptr<caller_session> &session,
-                                                 caller_output first, httplib::Response &to)
-{
-    auto pending = std::make_shared<std::optional<caller_output>>(std::move(first));
-    to.set_chunked_content_provider(
-            "text/event-stream",
-            [this, session, pending](std::size_t, httplib::DataSink &sink) {
-                std::optional<caller_output> output = std::exchange(*pending, std::nullopt);
-                if (!output)
-                    output = session->next(callerCheckInterval);
-                if (!output && session->ended())
-                    return false;
-                const bool reached
-                        = output ? writeOutput(*session, *output, sink) : sink.is_writable();
-                if (!reached)
-                    session->callerLeft();
-                return reached;
-            },
-            [session](bool) {});
-}
-
-bool caller_server::implementation::writeOutput(const caller_session &session,
-                                                const caller_output &output,
-                                                httplib::DataSink &sink) const
-{
-    std::string text;
-    bool last = true;
-    if (const auto *piece = std::get_if<forward>(&output)) {
-        text = framed(piece->payload);
-        last = false;
-    } else if (const auto *finish = std::get_if<finish_stream>(&output)) {
-        text = framed(finish->payload) + framed("[DONE]");
-    } else if (const auto *refused = std::get_if<refuse>(&output)) {
-        text = framed(errorBody(refused->reason, session.subject().id, addresses(true)));
-    }
-    const bool written = sink.write(text.data(), text.size());
-    if (written && last)
-        sink.done();
-    return written;
-}
-
-void caller_server::implementation::answerError(const refusal &reason, const std::string &id,
-                                                httplib::Response &to) const
-{
-    to.status = statusOf(reason.kind);
-    to.set_header("X-Request-Id", id);
-    if (reason.retryAfter > kernel::nanoseconds::zero()) {
-        const auto wholeSeconds = std::chrono::ceil<kernel::seconds>(reason.retryAfter).count();
-        to.set_header("Retry-After", std::to_string(wholeSeconds));
-    }
-    to.set_content(errorBody(reason, id, addresses(true)), jsonType);
+    for (const auto &server : m_servers)
+        server->closeAfterAnswers();
+    m_parts.events.record(entryLeaving, {{"node", m_parts.settings.node}});
 }
 
-void caller_server::implementation::beginShutdown()
+/// How long callers may go on using this entry's address after it has left the answers.
+milliseconds caller_server::implementation::keptAddressTime() const
 {
-    std::int64_t staying = 0;
-    const std::int64_t now = m_parts.clock.now().time_since_epoch().count();
-    if (m_leavingSince.compare_exchange_strong(staying, std::max<std::int64_t>(now, 1)))
-        m_parts.events.record(entryLeaving, {{"node", m_parts.settings.node}});
+    const milliseconds kept = addressLives * m_parts.settings.http.addressTtl;
+    const milliseconds bound = m_parts.settings.promises.shutdown;
+    if (bound.count() == 0)
+        return m_parts.settings.http.addressTtl;
+    return std::min(kept, std::max(bound - shutdownReserve, milliseconds(0)));
 }
 
 bool caller_server::implementation::drained() const
@@ -414,18 +320,28 @@
     if (m_leavingSince == 0)
         return false;
     const kernel::instant since{kernel::nanoseconds(m_leavingSince)};
-    const bool addressExpired = m_parts.clock.now() - since >= m_parts.settings.http.addressTtl;
+    const bool addressExpired = m_parts.clock.now() - since >= keptAddressTime();
     return addressExpired && m_services.running == 0;
 }
 
+std::string caller_server::implementation::metricsText()
+{
+    m_services.metrics.setGauge("yuccascale_requests_waiting",
+                                static_cast<double>(m_services.pools->waiting()));
+    m_services.metrics.setGauge("yuccascale_requests_running", m_services.running);
+    std::size_t connections = 0;
+    for (const auto &server : m_servers)
+        connections += server->connections();
+    m_services.metrics.setGauge("yuccascale_connections", static_cast<double>(connections));
+    return m_services.metrics.text();
+}
+
 void caller_server::implementation::stop()
 {
-    server.stop();
-    if (m_listener.joinable())
-        m_listener.join();
-    if (m_poller)
-        m_poller->shutdown();
-    m_services.endpoints.shutdown();
+    if (m_stopped.exchange(true))
+        return;
+    for (const auto &server : m_servers)
+        server->stop();
     m_services.commits.shutdown();
 }
 
@@ -438,14 +354,14 @@
     stop();
 }
 
-httplib::Server &caller_server::server() noexcept
+kernel::result<void> caller_server::start()
 {
-    return m_implementation->server;
+    return m_implementation->start();
 }
 
-kernel::result<void> caller_server::start()
+void caller_server::followFeed()
 {
-    return m_implementation->start();
+    m_implementation->followFeed();
 }
 
 void caller_server::beginShutdown()
@@ -478,4 +394,9 @@
     return m_implementation->pools();
 }
 
+std::string caller_server::metricsText()
+{
+    return m_implementation->metricsText();
+}
+
 } // namespace yuccascale::http
--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -2,19 +2,19 @@
 
 #include "yuccascale/http/caller_answers.hpp"
 #include "yuccascale/kernel/control_client.hpp"
+#include "yuccascale/kernel/feed/feed_messages.hpp"
+#include "yuccascale/net/event_loops.hpp"
+#include "yuccascale/net/http_exchange.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
-namespace httplib {
-class Server;
-}
-
 /// \file
-/// \brief The HTTP server for callers.
+/// \brief The entry role of a node: serves callers over HTTP.
 
 namespace yuccascale::http {
 
@@ -27,17 +27,21 @@
     const kernel::clock &clock;
     kernel::event_sink &events;
     kernel::control_client &control;
+    net::event_loops &loops;
     std::string secret;            ///< cluster secret
     std::uint64_t incarnation = 0; ///< of this process; never used twice by a node
-    /// Whether another node may be offered to callers; null offers all.
-    std::function<bool(const runtime::node_settings &)> offers;
+    /// Nodes that run and are not leaving; null: only this one.
+    std::function<std::vector<kernel::feed::node_report>()> nodes;
+    /// The time that the nodes agree on; null: this VM's wall clock.
+    std::function<kernel::wall_time()> trueTime;
+    /// Answers further calls to the callers' address, such as those of operators; may be null.
+    std::function<bool(const std::shared_ptr<net::http_exchange> &)> otherCalls;
 };
 
-/// \brief Serves callers at the node's callers address.
+/// \brief Serves callers at the node's addresses.
 ///
 /// \example
 ///     caller_server server(parts);
-///     addOperatorRoutes(server.server());
 ///     BOOST_LEAF_CHECK(server.start());
 class caller_server
 {
@@ -47,24 +51,24 @@
     caller_server(const caller_server &) = delete;
     caller_server &operator=(const caller_server &) = delete;
 
-    /// \returns the HTTP server, for further routes; before start().
-    [[nodiscard]] httplib::Server &server() noexcept;
-
-    /// \returns error_kind::Unavailable when the address cannot be bound, error_kind::NotFound when
-    ///          the settings name a strategy that there is not.
+    /// \returns error_kind::Unavailable when an address cannot be bound, error_kind::NotFound when
+    ///          the settings name a strategy or protocol that there is not.
     [[nodiscard]] kernel::result<void> start();
 
-    /// \brief Takes this entry out of the addresses. It serves on for their time to live, and then
-    /// until its requests are answered. Returns at once.
+    /// \brief Takes over newer tables, endpoints or nodes; thread-safe.
+    void followFeed();
+
+    /// \brief Takes this entry out of the addresses. It serves on for as long as callers may keep
+    /// an old answer, and then until its requests are answered. Returns at once.
     void beginShutdown();
 
     /// \returns true when nothing is left to do after beginShutdown().
     [[nodiscard]] bool drained() const;
 
-    /// \brief Stops serving: waits for running requests, then ends all threads.
+    /// \brief Closes all connections; the loops may be stopped then.
     void stop();
 
-    /// \returns the port it listens on.
+    /// \returns the port of the callers' address.
     [[nodiscard]] int port() const noexcept;
 
     /// \returns the pools' queues; after start().
@@ -73,6 +77,9 @@
     /// \returns the addresses that callers are given.
     [[nodiscard]] std::vector<offered_address> addresses() const;
 
+    /// \returns the metrics in the Prometheus text format.
+    [[nodiscard]] std::string metricsText();
+
 private:
     class implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/src/yuccascale/http/caller_services.hpp
+++ b/src/yuccascale/http/caller_services.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccascale/http/caller_commits.hpp"
 #include "yuccascale/http/caller_pools.hpp"
+#include "yuccascale/http/caller_protocol.hpp"
 #include "yuccascale/http/endpoint_client.hpp"
 #include "yuccascale/kernel/requests/key_check.hpp"
 #include "yuccascale/runtime/metrics.hpp"
@@ -36,24 +37,60 @@
     std::set<std::string> m_fingerprints;
 };
 
+/// \brief The route index of the newest tables. Thread-safe.
+class route_cache
+{
+public:
+    [[nodiscard]] std::shared_ptr<const kernel::requests::route_index>
+    of(const std::shared_ptr<const kernel::state::table_set> &tables)
+    {
+        const std::scoped_lock guard(m_mutex);
+        if (!tables || m_tables != tables) {
+            m_tables = tables;
+            m_index = std::make_shared<const kernel::requests::route_index>(tables);
+        }
+        return m_index;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::shared_ptr<const kernel::state::table_set> m_tables;
+    std::shared_ptr<const kernel::requests::route_index> m_index;
+};
+
+/// \brief What belongs to one event loop of an entry.
+struct entry_loop
+{
+    explicit entry_loop(net::io_context &loop)
+        : context(loop)
+        , endpoints(loop)
+    { }
+
+    net::io_context &context;
+    endpoint_client endpoints;
+};
+
 /// \brief Shared parts of an entry.
 struct caller_services
 {
+    const runtime::settings &settings;
     const kernel::clock &clock;
     kernel::event_sink &events;
     kernel::control_client &control;
     std::string entry;  ///< node and incarnation
     std::string secret; ///< signs resume tokens
+    std::unique_ptr<caller_protocol> protocol;
     std::unique_ptr<caller_pools> pools;
     caller_commits commits;
-    endpoint_client endpoints;
+    std::vector<std::unique_ptr<entry_loop>> loops;
     std::unique_ptr<kernel::requests::endpoint_driver> engineDriver;
     std::unique_ptr<kernel::requests::endpoint_driver> serviceDriver;
+    std::function<std::vector<offered_address>(bool others)> addresses; ///< of the entries
     local_bans bans;
+    route_cache routes;
     runtime::metrics metrics;
     std::atomic<std::uint64_t> nextTicket{1};
-    std::atomic<std::uint64_t> revision{0}; ///< of the tables that the pools have
-    std::atomic<int> running{0};            ///< requests that have no answer yet
+    std::atomic<int> running{0}; ///< requests that have no answer yet
 
     [[nodiscard]] const kernel::requests::endpoint_driver &
     driverOf(kernel::state::backend_kind kind) const
@@ -61,6 +98,16 @@
         return kind == kernel::state::backend_kind::Model ? *engineDriver : *serviceDriver;
     }
 
+    /// \returns the parts of a loop.
+    [[nodiscard]] entry_loop &loopOf(const net::io_context &context) const
+    {
+        for (const auto &loop : loops) {
+            if (&loop->context == &context)
+                return *loop;
+        }
+        return *loops.front();
+    }
+
     /// \returns whether a request may be sent now.
     [[nodiscard]] kernel::requests::start_check
     checkStart(const kernel::requests::request &subject) const
--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -9,62 +9,83 @@
 using kernel::instant;
 using kernel::nanoseconds;
 
-caller_session::caller_session(caller_services &services, request subject, double weight)
+void caller_session::start(caller_services &services, request subject, double weight,
+                           std::shared_ptr<net::http_exchange> exchange)
+{
+    const auto made = std::make_shared<caller_session>(services, std::move(subject), weight,
+                                                       std::move(exchange));
+    made->begin();
+}
+
+caller_session::caller_session(caller_services &services, request subject, double weight,
+                               std::shared_ptr<net::http_exchange> exchange)
     : m_services(services)
+    , m_loop(services.loopOf(exchange->loop()))
     , m_weight(weight)
+    , m_exchange(std::move(exchange))
+    , m_timer(m_loop.context)
     , m_session(std::move(subject), services.nextTicket++, services.entry, *this, services.events)
 {
     ++m_services.running;
-    m_session.begin();
 }
 
 caller_session::~caller_session()
 {
-    if (!m_session.ended()) {
-        callerLeft();
-        runToEnd();
-    }
     --m_services.running;
 }
 
-/// A claimed request is not stopped with its caller: a repeat gets its answer.
-void caller_session::runToEnd()
+void caller_session::begin()
 {
-    while (!m_session.ended()) {
-        m_outputs.clear();
-        static_cast<void>(next(std::chrono::seconds(1)));
-    }
+    m_self = shared_from_this();
+    const std::weak_ptr<caller_session> weak = m_self;
+    m_mailbox = std::make_shared<caller_mailbox>(m_loop.context,
+                                                 [weak](caller_mailbox::letter letter) {
+                                                     if (const auto self = weak.lock())
+                                                         self->take(std::move(letter));
+                                                 });
+    m_exchange->onCallerLeft([weak] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->m_session.handle(caller_left{});
+        self->endIfOver();
+    });
+    watchDeadline();
+    m_session.begin();
+    endIfOver();
 }
 
-std::optional<caller_output> caller_session::next(nanoseconds patience)
-{
-    const instant giveUpAt = now() + patience;
-    const instant deadline = subject().deadline;
-    while (m_outputs.empty() && !m_session.ended()) {
-        const instant current = now();
-        if (current >= giveUpAt)
-            return std::nullopt;
-        const instant until = current < deadline ? std::min(giveUpAt, deadline) : giveUpAt;
-        auto letter = m_mailbox->take(until - current);
-        if (!letter && now() >= deadline)
-            m_session.handle(deadline_passed{});
-        else if (!letter)
-            continue;
-        else if (auto *turn = std::get_if<scheduled_turn>(&*letter))
-            m_session.takeTurn(std::move(*turn));
-        else
-            m_session.handle(std::move(std::get<event>(*letter)));
-    }
-    if (m_outputs.empty())
-        return std::nullopt;
-    caller_output first = std::move(m_outputs.front());
-    m_outputs.pop_front();
-    return first;
+void caller_session::watchDeadline()
+{
+    m_timer.expires_after(std::max<nanoseconds>(subject().deadline - now(), nanoseconds(1)));
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &problem) {
+        const auto self = weak.lock();
+        if (problem || !self || self->m_session.ended())
+            return;
+        // the timer does not count the time that the VM was suspended, and may fire a little early
+        if (self->now() < self->subject().deadline)
+            return self->watchDeadline();
+        self->m_session.handle(deadline_passed{});
+        self->endIfOver();
+    });
 }
 
-void caller_session::callerLeft()
+void caller_session::take(caller_mailbox::letter letter)
 {
-    m_session.handle(caller_left{});
+    if (auto *turn = std::get_if<scheduled_turn>(&letter))
+        m_session.takeTurn(std::move(*turn));
+    else
+        m_session.handle(std::move(std::get<event>(letter)));
+    endIfOver();
+}
+
+void caller_session::endIfOver()
+{
+    if (!m_session.ended())
+        return;
+    m_timer.cancel();
+    m_mailbox->close();
+    m_self.reset();
 }
 
 instant caller_session::now() const
@@ -105,8 +126,9 @@
 
 void caller_session::claim(const request &subject, const std::string &operationId)
 {
-    claim_verdict verdict = m_services.commits.claim(subject, operationId);
-    m_mailbox->put(event{claim_answered{std::move(verdict)}});
+    m_services.commits.claim(subject, operationId, [mailbox = m_mailbox](claim_verdict verdict) {
+        mailbox->put(event{claim_answered{std::move(verdict)}});
+    });
 }
 
 void caller_session::withdraw(const request &subject, const std::string &operationId)
@@ -139,10 +161,10 @@
 {
     m_endpoint = turn.endpoint;
     const endpoint_driver &driver = m_services.driverOf(subject.route.kind);
-    const attempt_facts facts{sent.attempt, sent.resumeFrom, subject.deadline - now()};
+    const attempt_facts facts{sent.attempt, sent.resumeFrom, subject.deadline - now(),
+                              sent.resumeMark, turn.endpoint};
     endpoint_attempt attempt;
     attempt.address = turn.address;
-    attempt.incarnation = turn.incarnation;
     attempt.attempt = sent.attempt;
     attempt.timeLeft = facts.timeLeft;
     attempt.request = driver.prepare(subject, facts);
@@ -153,26 +175,80 @@
     }
     attempt.reader = driver.reader(subject, facts);
     attempt.deliver = [mailbox = m_mailbox](event happened) { mailbox->put(std::move(happened)); };
-    m_exchange = m_services.endpoints.start(std::move(attempt));
+    attempt.headSeen = [services = &m_services, pool = subject.route.pool,
+                        endpoint = turn.endpoint](const answer_reader &reader) {
+        if (const auto load = reader.load(services->clock.now()))
+            static_cast<void>(services->pools->report(pool, endpoint, *load));
+    };
+    m_attempt = m_loop.endpoints.start(std::move(attempt));
 }
 
 void caller_session::stop(const request &subject, const scheduled_turn &turn)
 {
-    if (m_exchange)
-        m_exchange->cancel();
+    if (m_attempt)
+        m_attempt->cancel();
     const auto call = m_services.driverOf(subject.route.kind).cancel(subject);
     if (call)
-        m_services.endpoints.callLater(turn.address, *call);
+        m_loop.endpoints.callLater(turn.address, *call);
 }
 
 void caller_session::give(caller_output output)
 {
     measure(output);
-    m_outputs.push_back(std::move(output));
+    std::visit([this](const auto &kind) { write(kind); }, output);
+}
+
+void caller_session::beginStream(const stream_head *given)
+{
+    if (std::exchange(m_streaming, true))
+        return;
+    const reading_context context{m_services.control.view(), now(), m_services.entry, 0,
+                                  m_services.secret};
+    const stream_head head = m_services.protocol->head(context, subject(), given);
+    m_exchange->begin(head.status, head.headers);
+}
+
+void caller_session::write(const begin_stream &began)
+{
+    beginStream(&began.head);
+}
+
+void caller_session::write(const forward &piece)
+{
+    beginStream(nullptr);
+    m_exchange->send(m_services.protocol->piece(piece.payload));
+}
+
+void caller_session::write(const finish_stream &last)
+{
+    beginStream(nullptr);
+    m_exchange->send(m_services.protocol->last(last.payload));
+    m_exchange->finish();
+}
+
+void caller_session::write(const give_answer &answer)
+{
+    m_exchange->reply(m_services.protocol->whole(subject(), answer.answer));
+}
+
+void caller_session::write(const refuse &refused)
+{
+    const std::vector<offered_address> others = m_services.addresses(true);
+    if (!m_streaming) {
+        m_exchange->reply(m_services.protocol->refused(refused.reason, subject().id, others));
+        return;
+    }
+    const auto bytes = m_services.protocol->broken(refused.reason, subject().id, others);
+    if (!bytes)
+        return m_exchange->abort();
+    m_exchange->send(*bytes);
+    m_exchange->finish();
 }
 
 void caller_session::measure(const caller_output &output)
 {
+    if (std::holds_alternative<begin_stream>(output))
+        return;
     const runtime::metrics::series series{subject().route.name, subject().organisation};
     const nanoseconds time = now() - subject().receivedAt;
     if (const auto *refused = std::get_if<refuse>(&output)) {
--- a/src/yuccascale/http/caller_session.hpp
+++ b/src/yuccascale/http/caller_session.hpp
@@ -2,46 +2,42 @@
 
 #include "yuccascale/http/caller_services.hpp"
 #include "yuccascale/kernel/requests/request_session.hpp"
+#include "yuccascale/net/http_exchange.hpp"
+
+#include <boost/asio/steady_timer.hpp>
 
-#include <deque>
 #include <memory>
-#include <optional>
 
 /// \file
-/// \brief Carries one request through its life, on its caller's thread.
+/// \brief Carries one request through its life, on its caller's loop.
 
 namespace yuccascale::http {
 
-/// \brief One request. Used by one thread at a time.
-///
-/// \example
-///     caller_session session(services, request, weight);
-///     while (const auto output = session.next(250ms)) { ... }
-class caller_session final : private kernel::requests::session_ports
+/// \brief One request. Lives until it has ended, also after its caller has left.
+class caller_session final : public std::enable_shared_from_this<caller_session>,
+                             private kernel::requests::session_ports
 {
 public:
-    caller_session(caller_services &services, kernel::requests::request subject, double weight);
+    /// \brief Starts a request; its answer goes to \a exchange.
+    static void start(caller_services &services, kernel::requests::request subject, double weight,
+                      std::shared_ptr<net::http_exchange> exchange);
+
+    caller_session(caller_services &services, kernel::requests::request subject, double weight,
+                   std::shared_ptr<net::http_exchange> exchange);
     ~caller_session() override;
     caller_session(const caller_session &) = delete;
     caller_session &operator=(const caller_session &) = delete;
 
-    /// \returns what comes next; nothing when nothing came within \a patience or it has ended.
-    [[nodiscard]] std::optional<kernel::requests::caller_output> next(kernel::nanoseconds patience);
-
-    /// \returns true when no output will follow.
-    [[nodiscard]] bool ended() const noexcept { return m_session.ended() && m_outputs.empty(); }
-
-    /// \brief Stops the request, unless it must run to its end.
-    void callerLeft();
+private:
+    void begin();
+    void take(caller_mailbox::letter letter);
+    void watchDeadline();
+    void endIfOver();
 
     [[nodiscard]] const kernel::requests::request &subject() const noexcept
     {
         return m_session.subject();
     }
-
-private:
-    void runToEnd();
-
     [[nodiscard]] kernel::instant now() const override;
     [[nodiscard]] kernel::requests::start_check
     checkStart(const kernel::requests::request &subject) const override;
@@ -68,15 +64,25 @@
               const kernel::requests::scheduled_turn &turn) override;
     void give(kernel::requests::caller_output output) override;
 
+    void write(const kernel::requests::begin_stream &began);
+    void write(const kernel::requests::forward &piece);
+    void write(const kernel::requests::finish_stream &last);
+    void write(const kernel::requests::give_answer &answer);
+    void write(const kernel::requests::refuse &refused);
+    void beginStream(const kernel::requests::stream_head *given);
     void measure(const kernel::requests::caller_output &output);
 
     caller_services &m_services;
+    entry_loop &m_loop;
     double m_weight;
+    std::shared_ptr<net::http_exchange> m_exchange;
     std::string m_endpoint; ///< of the last attempt
     bool m_firstPieceGiven = false;
-    std::shared_ptr<caller_mailbox> m_mailbox = std::make_shared<caller_mailbox>();
-    std::shared_ptr<endpoint_exchange> m_exchange;
-    std::deque<kernel::requests::caller_output> m_outputs;
+    bool m_streaming = false; ///< the caller has the start of its stream
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<caller_mailbox> m_mailbox;
+    std::shared_ptr<endpoint_exchange> m_attempt;
+    std::shared_ptr<caller_session> m_self; ///< until it has ended
     kernel::requests::request_session m_session;
 };
 
--- /dev/null
+++ b/src/yuccascale/http/document_interface.cpp
@@ -0,0 +1,159 @@
+#include "yuccascale/http/document_interface.hpp"
+
+#include "yuccascale/http/caller_answers.hpp"
+#include "yuccascale/http/events.hpp"
+#include "yuccascale/http/worker_pool.hpp"
+#include "yuccascale/kernel/json.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace yuccascale::http {
+
+using namespace kernel;
+
+namespace {
+
+constexpr milliseconds commitTimeout{2'500};
+constexpr milliseconds readTimeout{1'500};
+/// Operators that wait at once.
+constexpr std::size_t workerThreads = 8;
+constexpr int redirectStatus = 307;
+const net::header_list jsonHeaders{{"Content-Type", "application/json"}};
+
+[[nodiscard]] net::http_reply errorReply(const error &problem)
+{
+    const json body{{"error",
+                     {{"kind", errorKindName(problem.kind)},
+                      {"where", problem.where},
+                      {"message", problem.message}}}};
+    return {statusOf(problem.kind), jsonHeaders, body.dump()};
+}
+
+[[nodiscard]] net::http_reply redirect(const std::string &address, const std::string &target)
+{
+    return {redirectStatus, {{"Location", "http://" + address + target}}, {}};
+}
+
+} // namespace
+
+class document_interface::implementation
+{
+public:
+    implementation(document_services services, std::unique_ptr<operator_protocol> protocol)
+        : m_services(std::move(services))
+        , m_protocol(std::move(protocol))
+        , m_workers(workerThreads)
+    { }
+
+    void serve(const std::shared_ptr<net::http_exchange> &exchange)
+    {
+        m_workers.run([this, exchange] {
+            net::http_reply reply = answer(exchange->request());
+            boost::asio::post(exchange->loop(), [exchange, reply = std::move(reply)]() mutable {
+                exchange->reply(std::move(reply));
+            });
+        });
+    }
+
+private:
+    [[nodiscard]] net::http_reply answer(const net::http_request &from)
+    {
+        const std::optional<document_call> call = m_protocol->callOf(from);
+        if (!call)
+            return errorReply({error_kind::NotFound, std::string(from.path()),
+                               "no such call; see docs/platform.md"});
+        return *call == document_call::Put ? put(from) : get(from);
+    }
+
+    [[nodiscard]] net::http_reply put(const net::http_request &from)
+    {
+        error problem;
+        state::put_document document;
+        const bool readable = succeeded(
+                [&]() -> result<void> {
+                    BOOST_LEAF_ASSIGN(document, m_protocol->readDocument(from.body));
+                    return {};
+                },
+                problem);
+        if (!readable) {
+            note(0, "refused", problem.where + ": " + problem.message);
+            return errorReply(problem);
+        }
+        const std::string leader = m_services.leaderAddress();
+        if (!leader.empty())
+            return redirect(leader, from.target);
+        return commit(std::move(document));
+    }
+
+    [[nodiscard]] net::http_reply commit(state::put_document document)
+    {
+        document.wallMs = m_services.clock.wallNow().time_since_epoch().count();
+        const std::uint64_t version = document.version;
+        const state::command command{"document/" + std::to_string(version), std::move(document)};
+        error problem;
+        state::command_result answer;
+        const bool answered = succeeded(
+                [&]() -> result<void> {
+                    BOOST_LEAF_ASSIGN(
+                            answer,
+                            m_services.commit(command, m_services.clock.now() + commitTimeout));
+                    return {};
+                },
+                problem);
+        if (!answered) {
+            note(version, "unanswered", problem.message);
+            return errorReply({error_kind::Unavailable, "document", problem.message});
+        }
+        note(version, answer.accepted ? "accepted" : "refused", answer.message);
+        if (!answer.accepted)
+            return errorReply({answer.kind, "document", answer.message});
+        return {200, jsonHeaders, json{{"revision", answer.revision}}.dump()};
+    }
+
+    [[nodiscard]] net::http_reply get(const net::http_request &from)
+    {
+        const std::string leader = m_services.leaderAddress();
+        if (!leader.empty())
+            return redirect(leader, from.target);
+        error problem;
+        std::shared_ptr<const std::string> bytes;
+        const bool confirmed = succeeded(
+                [&]() -> result<void> {
+                    BOOST_LEAF_ASSIGN(bytes, m_services.read(m_services.clock.now() + readTimeout));
+                    return {};
+                },
+                problem);
+        if (!confirmed || bytes->empty()) {
+            return errorReply({error_kind::Unavailable, "document",
+                               confirmed ? "there is none yet; send one" : problem.message});
+        }
+        return {200, jsonHeaders, *bytes};
+    }
+
+    void note(std::uint64_t version, std::string_view outcome, const std::string &message)
+    {
+        m_services.events.record(
+                documentAnswered,
+                {{"version", version}, {"outcome", outcome}, {"message", message}});
+    }
+
+    document_services m_services;
+    std::unique_ptr<operator_protocol> m_protocol;
+    worker_pool m_workers;
+};
+
+document_interface::document_interface(document_services services,
+                                       std::unique_ptr<operator_protocol> protocol)
+    : m_implementation(std::make_unique<implementation>(std::move(services), std::move(protocol)))
+{ }
+
+document_interface::~document_interface() = default;
+
+void document_interface::serve(const std::shared_ptr<net::http_exchange> &exchange)
+{
+    m_implementation->serve(exchange);
+}
+
+} // namespace yuccascale::http
--- /dev/null
+++ b/src/yuccascale/http/document_interface.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "yuccascale/http/operator_protocol.hpp"
+#include "yuccascale/kernel/control_client.hpp"
+#include "yuccascale/kernel/events.hpp"
+#include "yuccascale/net/http_exchange.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+/// \file
+/// \brief The operator's whole document: taken in, and read back, by the leader.
+
+namespace yuccascale::http {
+
+/// \brief What the interface needs of its node.
+struct document_services
+{
+    kernel::clock &clock;
+    kernel::event_sink &events;
+    /// Commits a command if this node is the leader.
+    std::function<kernel::result<kernel::state::command_result>(const kernel::state::command &,
+                                                                kernel::instant deadline)>
+            commit;
+    /// Reads the document after a quorum has confirmed this node as leader.
+    std::function<kernel::result<std::shared_ptr<const std::string>>(kernel::instant deadline)>
+            read;
+    /// The address at which the leader serves this interface; empty when it is this node or
+    /// unknown.
+    std::function<std::string()> leaderAddress;
+};
+
+/// \brief Answers an operator that keeps all tables in one document.
+///
+/// An invalid document is refused by any node. A valid one is committed by the leader; the others
+/// redirect to it, or refuse with 503 while they know none.
+class document_interface
+{
+public:
+    document_interface(document_services services, std::unique_ptr<operator_protocol> protocol);
+    ~document_interface();
+    document_interface(const document_interface &) = delete;
+    document_interface &operator=(const document_interface &) = delete;
+
+    /// \brief Answers a call in the background.
+    void serve(const std::shared_ptr<net::http_exchange> &exchange);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace yuccascale::http
--- a/src/yuccascale/http/endpoint_client.hpp
+++ b/src/yuccascale/http/endpoint_client.hpp
@@ -1,12 +1,11 @@
 #pragma once
 
-#include "yuccascale/http/worker_pool.hpp"
 #include "yuccascale/kernel/requests/endpoint_driver.hpp"
+#include "yuccascale/net/http_client.hpp"
 
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 /// \file
 /// \brief HTTP calls to endpoints.
@@ -16,15 +15,15 @@
 /// \brief An attempt to be carried to an endpoint.
 struct endpoint_attempt
 {
-    std::string address;           ///< IP:port
-    std::uint64_t incarnation = 0; ///< of the endpoint when it was chosen; 0 when unknown
+    std::string address; ///< IP:port
     int attempt = 0;
     kernel::nanoseconds timeLeft{};
     kernel::requests::outbound_request request;
     std::string prefillAddress; ///< of the engine that fills the prompt first; may be empty
     kernel::requests::outbound_request prefillRequest;
     std::unique_ptr<kernel::requests::answer_reader> reader;
-    std::function<void(kernel::requests::event)> deliver; ///< called on another thread
+    std::function<void(kernel::requests::event)> deliver;
+    std::function<void(const kernel::requests::answer_reader &)> headSeen; ///< may be null
 };
 
 /// \brief An attempt under way.
@@ -37,45 +36,31 @@
     virtual void cancel() = 0;
 };
 
-/// \brief What came back of a short call.
-struct endpoint_reply
-{
-    bool answered = false;
-    int status = 0;
-    std::string body;
-};
-
-/// \brief Calls endpoints on its own threads. Thread-safe.
-///
-/// A connection is used again only after an answer that was whole and carried its request's id.
+/// \brief Calls endpoints from one loop. Used on its loop only.
 class endpoint_client
 {
 public:
-    explicit endpoint_client(std::size_t maxThreads);
-    ~endpoint_client();
+    explicit endpoint_client(net::io_context &loop);
     endpoint_client(const endpoint_client &) = delete;
     endpoint_client &operator=(const endpoint_client &) = delete;
 
     /// \brief Starts an attempt; its events end with one that ends the attempt.
     [[nodiscard]] std::shared_ptr<endpoint_exchange> start(endpoint_attempt attempt);
 
-    /// \brief Makes a short call on this thread and on a fresh connection.
-    [[nodiscard]] static endpoint_reply call(const std::string &address,
-                                             const kernel::requests::outbound_request &request,
-                                             kernel::milliseconds timeout);
+    /// \brief Makes a short call.
+    void call(const std::string &address, const kernel::requests::outbound_request &request,
+              kernel::milliseconds timeout, std::function<void(net::short_answer)> done);
 
-    /// \brief Makes a short call in the background; its answer does not matter.
-    void callLater(const std::string &address, kernel::requests::outbound_request request);
+    /// \brief Makes a short call whose answer does not matter.
+    void callLater(const std::string &address, const kernel::requests::outbound_request &request);
 
-    /// \brief Ends the threads after their calls.
-    void shutdown();
+    [[nodiscard]] net::http_client &connections() noexcept { return m_client; }
 
 private:
-    class connections;
     class exchange;
 
-    std::shared_ptr<connections> m_connections;
-    worker_pool m_workers;
+    net::io_context &m_loop;
+    net::http_client m_client;
 };
 
 } // namespace yuccascale::http
--- a/src/yuccascale/http/events.hpp
+++ b/src/yuccascale/http/events.hpp
@@ -19,4 +19,9 @@
 inline const event_kind keyCreated{6003, "key_created", severity::Info,
                                    "An operator made a key for an organisation."};
 
+inline const event_kind documentAnswered{
+        6004, "document_answered", severity::Info,
+        "An operator's whole document was accepted, refused as a whole, or left without a clear "
+        "answer because no quorum committed it in time."};
+
 } // namespace yuccascale::http
--- /dev/null
+++ b/src/yuccascale/http/load_poller.cpp
@@ -0,0 +1,59 @@
+#include "yuccascale/http/load_poller.hpp"
+
+#include "yuccascale/kernel/requests/events.hpp"
+
+namespace yuccascale::http {
+
+using namespace kernel::requests;
+using kernel::milliseconds;
+
+namespace {
+
+constexpr milliseconds interval{200};
+constexpr milliseconds answerTimeout{1'000};
+
+} // namespace
+
+void load_poller::askDue()
+{
+    const kernel::instant now = m_services.clock.now();
+    if (now < m_nextAt)
+        return;
+    m_nextAt = now + interval;
+    for (const listed_endpoint &endpoint : m_services.pools->endpoints())
+        ask(endpoint);
+}
+
+void load_poller::ask(const listed_endpoint &endpoint)
+{
+    if (!m_asked.insert(endpoint.name).second)
+        return;
+    outbound_request load;
+    load.method = "GET";
+    load.path = "/load";
+    m_services.loops.front()->endpoints.call(endpoint.address, load, answerTimeout,
+                                             [this, endpoint](const net::short_answer &answer) {
+                                                 m_asked.erase(endpoint.name);
+                                                 take(endpoint, answer);
+                                             });
+}
+
+void load_poller::take(const listed_endpoint &endpoint, const net::short_answer &answer)
+{
+    if (!answer.ok())
+        return;
+    endpoint_report report;
+    kernel::error problem;
+    const bool readable = kernel::succeeded(
+            [&]() -> kernel::result<void> {
+                BOOST_LEAF_ASSIGN(report,
+                                  m_services.driverOf(endpoint.kind)
+                                          .loadReport(m_services.clock.now(), answer.body));
+                return {};
+            },
+            problem);
+    if (readable && m_services.pools->report(endpoint.pool, endpoint.name, report))
+        m_services.events.record(endpointLeaving, {{"endpoint", endpoint.name}});
+}
+
+} // namespace yuccascale::http
--- /dev/null
+++ b/src/yuccascale/http/load_poller.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "yuccascale/http/caller_services.hpp"
+
+#include <set>
+#include <string>
+
+/// \file
+/// \brief Asks endpoints for their load.
+
+namespace yuccascale::http {
+
+/// \brief Asks each endpoint of the pools at an interval. Used on the first loop only.
+class load_poller
+{
+public:
+    explicit load_poller(caller_services &services)
+        : m_services(services)
+    { }
+
+    /// \brief Asks those that are due and whose last answer has come.
+    void askDue();
+
+private:
+    void ask(const listed_endpoint &endpoint);
+    void take(const listed_endpoint &endpoint, const net::short_answer &answer);
+
+    caller_services &m_services;
+    std::set<std::string> m_asked; ///< endpoints whose answer is due
+    kernel::instant m_nextAt{};
+};
+
+} // namespace yuccascale::http
--- a/src/yuccascale/http/operator_routes.cpp
+++ b/src/yuccascale/http/operator_routes.cpp
@@ -2,11 +2,13 @@
 
 #include "yuccascale/http/caller_answers.hpp"
 #include "yuccascale/http/events.hpp"
+#include "yuccascale/http/worker_pool.hpp"
 #include "yuccascale/kernel/state/key_digest.hpp"
 
-#include <httplib.h>
+#include <boost/asio/post.hpp>
 #include <openssl/crypto.h>
 
+#include <array>
 #include <utility>
 
 namespace yuccascale::http {
@@ -16,14 +18,15 @@
 namespace {
 
 constexpr seconds submitTimeout{5};
+constexpr std::size_t workerThreads = 4;
+constexpr std::string_view pathPrefix = "/operator/";
 
-void answerJson(httplib::Response &response, int status, const json &body)
+void answerJson(net::http_reply &response, int status, const json &body)
 {
-    response.status = status;
-    response.set_content(body.dump(), "application/json");
+    response = {status, {{"Content-Type", "application/json"}}, body.dump()};
 }
 
-void answerError(httplib::Response &response, const error &problem)
+void answerError(net::http_reply &response, const error &problem)
 {
     answerJson(response, statusOf(problem.kind),
                {{"error",
@@ -36,57 +39,83 @@
 /// The handlers of the operator interface.
 class operator_handlers
 {
+private:
+    using handler_type = void (operator_handlers::*)(const net::http_request &, net::http_reply &);
+
+    /// A call of the interface.
+    struct operator_call
+    {
+        std::string_view method;
+        std::string_view path;
+        handler_type handler;
+    };
+
+    static const std::array<operator_call, 6> calls;
+
 public:
     explicit operator_handlers(operator_services services)
         : m_services(std::move(services))
     { }
 
-    [[nodiscard]] httplib::Server::Handler
-    guarded(void (operator_handlers::*handler)(const httplib::Request &, httplib::Response &));
+    /// Answers a call whose path begins with the operators' prefix.
+    void answer(const net::http_request &request, net::http_reply &response);
 
-    void tables(const httplib::Request &request, httplib::Response &response);
-    void edit(const httplib::Request &request, httplib::Response &response);
-    void createKey(const httplib::Request &request, httplib::Response &response);
-    void status(const httplib::Request &request, httplib::Response &response);
-    void explain(const httplib::Request &request, httplib::Response &response);
-    void shutdown(const httplib::Request &request, httplib::Response &response);
+    void tables(const net::http_request &request, net::http_reply &response);
+    void edit(const net::http_request &request, net::http_reply &response);
+    void createKey(const net::http_request &request, net::http_reply &response);
+    void status(const net::http_request &request, net::http_reply &response);
+    void explain(const net::http_request &request, net::http_reply &response);
+    void shutdown(const net::http_request &request, net::http_reply &response);
 
 private:
-    [[nodiscard]] bool authorised(const httplib::Request &request) const;
+    [[nodiscard]] bool authorised(const net::http_request &request) const;
     [[nodiscard]] result<state::command_result> submitEdit(const std::string &operationId,
                                                            state::edit_tables edit);
-    [[nodiscard]] result<json> readBody(const httplib::Request &request) const;
+    [[nodiscard]] result<json> readBody(const net::http_request &request) const;
     [[nodiscard]] result<std::uint64_t> currentRevision() const;
-    void answerEdit(httplib::Response &response, const std::string &operationId,
+    void answerEdit(net::http_reply &response, const std::string &operationId,
                     const state::command_result &answer);
 
     operator_services m_services;
 };
 
-bool operator_handlers::authorised(const httplib::Request &request) const
+bool operator_handlers::authorised(const net::http_request &request) const
 {
-    const std::string given = request.get_header_value("Authorization");
+    const std::string given = std::string(request.header("Authorization"));
     const std::string wanted = "Bearer " + m_services.operatorKey;
+    if (m_services.operatorKey.empty())
+        return false;
     return given.size() == wanted.size()
             && CRYPTO_memcmp(given.data(), wanted.data(), wanted.size()) == 0;
 }
 
-httplib::Server::Handler operator_handlers::guarded(
-        void (operator_handlers::*handler)(const httplib::Request &, httplib::Response &))
+const std::array<operator_handlers::operator_call, 6> operator_handlers::calls{
+        {{"GET", "/operator/tables", &operator_handlers::tables},
+         {"POST", "/operator/edit", &operator_handlers::edit},
+         {"POST", "/operator/keys", &operator_handlers::createKey},
+         {"GET", "/operator/status", &operator_handlers::status},
+         {"GET", "/operator/explain", &operator_handlers::explain},
+         {"POST", "/operator/shutdown", &operator_handlers::shutdown}}};
+
+void operator_handlers::answer(const net::http_request &request, net::http_reply &response)
 {
-    return [this, handler](const httplib::Request &request, httplib::Response &response) {
-        if (authorised(request)) {
-            (this->*handler)(request, response);
-            return;
-        }
-        m_services.events.record(operatorRefused, {{"path", request.path}});
+    if (!authorised(request)) {
+        m_services.events.record(operatorRefused, {{"path", request.path()}});
         answerError(response,
                     {error_kind::Unauthorized, "Authorization",
                      "send 'Authorization: Bearer OPERATOR_KEY'"});
-    };
+        return;
+    }
+    for (const operator_call &call : calls) {
+        if (call.method == request.method && call.path == request.path())
+            return (this->*call.handler)(request, response);
+    }
+    answerError(response,
+                {error_kind::NotFound, std::string(request.path()),
+                 "no such call; see docs/interfaces.md"});
 }
 
-void operator_handlers::tables(const httplib::Request &, httplib::Response &response)
+void operator_handlers::tables(const net::http_request &, net::http_reply &response)
 {
     const control_view view = m_services.control.view();
     if (view.tables)
@@ -97,7 +126,7 @@
                      "no confirmed revision is in force here yet; ask another node"});
 }
 
-result<json> operator_handlers::readBody(const httplib::Request &request) const
+result<json> operator_handlers::readBody(const net::http_request &request) const
 {
     json body = json::parse(request.body, nullptr, false);
     if (body.is_discarded() || !body.is_object())
@@ -113,7 +142,7 @@
                                      m_services.clock.now() + submitTimeout);
 }
 
-void operator_handlers::answerEdit(httplib::Response &response, const std::string &operationId,
+void operator_handlers::answerEdit(net::http_reply &response, const std::string &operationId,
                                    const state::command_result &answer)
 {
     m_services.events.record(editAnswered,
@@ -124,9 +153,9 @@
     answerJson(response, answer.accepted ? 200 : statusOf(answer.kind), answer);
 }
 
-void operator_handlers::edit(const httplib::Request &request, httplib::Response &response)
+void operator_handlers::edit(const net::http_request &request, net::http_reply &response)
 {
-    const std::string operationId = request.get_header_value("Idempotency-Key");
+    const std::string operationId = std::string(request.header("Idempotency-Key"));
     error problem;
     state::command_result answer;
     const bool submitted = succeeded(
@@ -163,7 +192,7 @@
     return view.tables->revision;
 }
 
-void operator_handlers::createKey(const httplib::Request &request, httplib::Response &response)
+void operator_handlers::createKey(const net::http_request &request, net::http_reply &response)
 {
     error problem;
     json out;
@@ -193,14 +222,14 @@
         answerError(response, problem);
 }
 
-void operator_handlers::status(const httplib::Request &, httplib::Response &response)
+void operator_handlers::status(const net::http_request &, net::http_reply &response)
 {
     answerJson(response, 200, m_services.status());
 }
 
-void operator_handlers::explain(const httplib::Request &request, httplib::Response &response)
+void operator_handlers::explain(const net::http_request &request, net::http_reply &response)
 {
-    const std::string id = request.get_param_value("id");
+    const std::string id = net::queryParameter(request.query(), "id");
     if (id.empty()) {
         answerError(response,
                     {error_kind::InvalidArgument, "id",
@@ -210,7 +239,7 @@
     answerJson(response, 200, m_services.explain(id));
 }
 
-void operator_handlers::shutdown(const httplib::Request &, httplib::Response &response)
+void operator_handlers::shutdown(const net::http_request &, net::http_reply &response)
 {
     m_services.beginShutdown();
     answerJson(response, 202, {{"state", "leaving"}});
@@ -218,21 +247,37 @@
 
 } // namespace
 
-void addOperatorRoutes(httplib::Server &server, const operator_services &services)
+class operator_interface::implementation
 {
-    const auto handlers = std::make_shared<operator_handlers>(services);
-    const auto keep = [handlers](httplib::Server::Handler handler) {
-        return [handlers, handler = std::move(handler)](const httplib::Request &request,
-                                                        httplib::Response &response) {
-            handler(request, response);
-        };
-    };
-    server.Get("/operator/tables", keep(handlers->guarded(&operator_handlers::tables)));
-    server.Post("/operator/edit", keep(handlers->guarded(&operator_handlers::edit)));
-    server.Post("/operator/keys", keep(handlers->guarded(&operator_handlers::createKey)));
-    server.Get("/operator/status", keep(handlers->guarded(&operator_handlers::status)));
-    server.Get("/operator/explain", keep(handlers->guarded(&operator_handlers::explain)));
-    server.Post("/operator/shutdown", keep(handlers->guarded(&operator_handlers::shutdown)));
+public:
+    explicit implementation(operator_services services)
+        : handlers(std::move(services))
+        , workers(workerThreads)
+    { }
+
+    operator_handlers handlers;
+    worker_pool workers;
+};
+
+operator_interface::operator_interface(operator_services services)
+    : m_implementation(std::make_unique<implementation>(std::move(services)))
+{ }
+
+operator_interface::~operator_interface() = default;
+
+bool operator_interface::take(const std::shared_ptr<net::http_exchange> &exchange)
+{
+    if (!exchange->request().path().starts_with(pathPrefix))
+        return false;
+    // commits block, so they don't run on the loop
+    m_implementation->workers.run([this, exchange] {
+        net::http_reply response;
+        m_implementation->handlers.answer(exchange->request(), response);
+        boost::asio::post(exchange->loop(), [exchange, response = std::move(response)]() mutable {
+            exchange->reply(std::move(response));
+        });
+    });
+    return true;
 }
 
 } // namespace yuccascale::http
--- a/src/yuccascale/http/operator_routes.hpp
+++ b/src/yuccascale/http/operator_routes.hpp
@@ -2,17 +2,15 @@
 
 #include "yuccascale/kernel/control_client.hpp"
 #include "yuccascale/kernel/events.hpp"
+#include "yuccascale/net/http_exchange.hpp"
 
 #include <functional>
+#include <memory>
 #include <string>
 
 /// \file
 /// \brief The operators' HTTP interface of a node (docs/interfaces.md).
 
-namespace httplib {
-class Server;
-}
-
 namespace yuccascale::http {
 
 /// \brief What the operator interface needs of its node.
@@ -27,8 +25,22 @@
     std::function<void()> beginShutdown;
 };
 
-/// \brief Adds the `/operator` calls to a server that has not started yet.
-/// \param services must outlive the server
-void addOperatorRoutes(httplib::Server &server, const operator_services &services);
+/// \brief Answers the `/operator` calls.
+class operator_interface
+{
+public:
+    explicit operator_interface(operator_services services);
+    ~operator_interface();
+    operator_interface(const operator_interface &) = delete;
+    operator_interface &operator=(const operator_interface &) = delete;
+
+    /// \brief Answers a call in the background.
+    /// \returns false when it is not one of these calls.
+    [[nodiscard]] bool take(const std::shared_ptr<net::http_exchange> &exchange);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
 
 } // namespace yuccascale::http
--- a/src/yuccascale/kernel/consensus/events.hpp
+++ b/src/yuccascale/kernel/consensus/events.hpp
@@ -45,6 +45,9 @@
                                     "A replica asked to join with an incarnation older than the "
                                     "one known for its name; stop the second process of that "
                                     "name, or set its wall clock."};
+inline const event_kind memberRemoved{3014, "member_removed", severity::Warning,
+                                      "A replica was silent while others had its place, and was "
+                                      "taken out; nothing to do unless it should still run."};
 inline const event_kind tornTailDropped{3020, "torn_tail_dropped", severity::Warning,
                                         "The last write before the restart was incomplete and was "
                                         "dropped; it had not been acknowledged; nothing to do."};
--- a/src/yuccascale/kernel/consensus/replica.cpp
+++ b/src/yuccascale/kernel/consensus/replica.cpp
@@ -78,8 +78,11 @@
     } else if (m_log.members().hasVoter(m_config.self)) {
         if (now >= m_electionAt)
             startPreVote(now);
+        // the others may have taken this replica out while it was away
+        if (m_role == replica_role::Candidate && now >= m_helloAt)
+            sayHello(now, m_config.electionTimeout);
     } else if (now >= m_helloAt) {
-        sayHello(now);
+        sayHello(now, 2 * m_config.heartbeat);
     }
 }
 
@@ -94,10 +97,12 @@
 
 void replica::receive(const message &received, instant now)
 {
-    if (received.to.name != m_config.self.name || fromOlderIncarnation(received.from))
+    if (received.to.name != m_config.self.name)
         return;
     if (const auto *greeting = std::get_if<hello>(&received.body))
         return on(received, *greeting, now);
+    if (fromOlderIncarnation(received.from))
+        return;
     if (received.to.incarnation != m_config.self.incarnation)
         return;
     if (const auto *greeting = std::get_if<hello_reply>(&received.body))
@@ -119,6 +124,8 @@
 
 bool replica::fromOlderIncarnation(const member_id &from)
 {
+    if (m_log.members().has(from))
+        return false;
     std::uint64_t &newest = m_newestIncarnations[from.name];
     if (from.incarnation < newest)
         return true;
@@ -288,15 +295,14 @@
         reasons.emplace_back("no leader; start the control nodes that are down");
     if (m_log.membersIndex() > m_commit)
         reasons.emplace_back("a membership change is not committed yet; wait");
-    for (const std::string &name : m_config.configured) {
-        const std::optional<member_id> member = members.named(name);
-        if (!member)
-            reasons.push_back(name + " has no replica; start it");
-        else if (!members.hasVoter(*member))
-            reasons.push_back(name + " is still catching up; keep the other control nodes up");
-        else if (m_role == replica_role::Leader && *member != m_config.self
-                 && m_acknowledgements.sentAt(*member) + m_config.electionTimeout < now)
-            reasons.push_back(name + " does not answer; restart it or mend its network");
+    for (const member_id &learner : members.learners)
+        reasons.push_back(learner.name + " is still catching up; keep the other control nodes up");
+    if (!members.voters.empty() && members.voters.size() < wantedVoters())
+        reasons.push_back("only " + std::to_string(members.voters.size()) + " of "
+                          + std::to_string(wantedVoters()) + " replicas vote; start another");
+    for (const member_id &voter : members.voters) {
+        if (m_role == replica_role::Leader && silent(voter, now, m_config.electionTimeout))
+            reasons.push_back(voter.name + " does not answer; restart it or mend its network");
     }
     return reasons;
 }
--- a/src/yuccascale/kernel/consensus/replica.hpp
+++ b/src/yuccascale/kernel/consensus/replica.hpp
@@ -19,7 +19,11 @@
 struct replica_config
 {
     member_id self;
-    std::vector<std::string> configured;    ///< names of all replicas that should vote, with self
+    std::vector<std::string> configured;    ///< names of the replicas that begin the first log, and
+                                            ///< to which a replica without a place says hello
+    bool firstStart = true;                 ///< an empty log may be begun
+    std::size_t voters = 0;                 ///< that should vote; 0: as many as configured
+    milliseconds removeAfter{3'000};        ///< a silent voter that has a successor is taken out
     milliseconds heartbeat{100};            ///< between a leader's messages to each follower
     milliseconds electionTimeout{700};      ///< shortest; the longest is twice this
     milliseconds lease{1'500};              ///< longest authority after a confirmed heartbeat
@@ -203,11 +207,16 @@
     void on(const message &received, const snapshot_reply &reply, instant now);
 
     // replica_membership.cpp
-    void sayHello(instant now);
+    void sayHello(instant now, nanoseconds pause);
     void bootstrapIfAllEmpty(instant now);
     void changeMembership(instant now);
     [[nodiscard]] std::optional<membership> nextMembership(instant now);
-    [[nodiscard]] std::optional<membership> withJoiner(const member_id &joiner);
+    [[nodiscard]] std::optional<membership> withPromoted(instant now);
+    [[nodiscard]] std::optional<membership> withJoiner(const member_id &joiner, instant now);
+    [[nodiscard]] std::optional<membership> withoutSilent(instant now);
+    [[nodiscard]] std::size_t wantedVoters() const noexcept;
+    [[nodiscard]] bool silent(const member_id &member, instant now, nanoseconds since) const;
+    [[nodiscard]] std::set<std::string> greeted() const;
     [[nodiscard]] bool caughtUp(const member_id &learner, instant now) const;
     void refreshProgress();
     void on(const message &received, const hello &request, instant now);
--- a/src/yuccascale/kernel/consensus/replica_membership.cpp
+++ b/src/yuccascale/kernel/consensus/replica_membership.cpp
@@ -13,14 +13,22 @@
 
 } // namespace
 
-/// Asks all configured replicas for a place in the cluster, and learns whether there is one.
-void replica::sayHello(instant now)
+/// \returns the replicas that may know of the cluster.
+std::set<std::string> replica::greeted() const
 {
-    m_helloAt = now + 2 * m_config.heartbeat;
-    for (const std::string &name : m_config.configured) {
-        if (name != m_config.self.name)
-            send({name, 0}, hello{});
-    }
+    std::set<std::string> names(m_config.configured.begin(), m_config.configured.end());
+    for (const member_id &member : m_log.members().all())
+        names.insert(member.name);
+    names.erase(m_config.self.name);
+    return names;
+}
+
+/// Asks for a place in the cluster, and learns whether there is one.
+void replica::sayHello(instant now, nanoseconds pause)
+{
+    m_helloAt = now + pause;
+    for (const std::string &name : greeted())
+        send({name, 0}, hello{});
     bootstrapIfAllEmpty(now);
 }
 
@@ -45,7 +53,9 @@
 /// lives on, since the survivors say that they are not empty.
 void replica::bootstrapIfAllEmpty(instant now)
 {
-    if (!m_log.empty() || m_config.self.name != *std::ranges::min_element(m_config.configured))
+    const std::vector<std::string> &first = m_config.configured;
+    if (!m_config.firstStart || !m_log.empty() || first.empty()
+        || m_config.self.name != *std::ranges::min_element(first))
         return;
     membership members;
     term_number newestTerm = m_hard.term;
@@ -94,31 +104,60 @@
 
 std::optional<membership> replica::nextMembership(instant now)
 {
-    for (const member_id &learner : m_log.members().learners) {
+    if (std::optional<membership> next = withPromoted(now))
+        return next;
+    for (const auto &[name, incarnation] : std::exchange(m_joiners, {})) {
+        if (std::optional<membership> next = withJoiner({name, incarnation}, now))
+            return next;
+    }
+    return withoutSilent(now);
+}
+
+std::size_t replica::wantedVoters() const noexcept
+{
+    return m_config.voters == 0 ? m_config.configured.size() : m_config.voters;
+}
+
+bool replica::silent(const member_id &member, instant now, nanoseconds since) const
+{
+    if (member == m_config.self)
+        return false;
+    return std::max(m_acknowledgements.sentAt(member), m_electedAt) + since < now;
+}
+
+/// A learner votes when a voter is missing or silent; further ones stand by.
+std::optional<membership> replica::withPromoted(instant now)
+{
+    const membership &members = m_log.members();
+    const bool needed = members.voters.size() < wantedVoters()
+            || (members.voters.size() == wantedVoters()
+                && std::ranges::any_of(members.voters, [&](const member_id &voter) {
+                       return silent(voter, now, m_config.electionTimeout);
+                   }));
+    if (!needed)
+        return std::nullopt;
+    for (const member_id &learner : members.learners) {
         if (!caughtUp(learner, now))
             continue;
-        membership next = m_log.members();
+        membership next = members;
         std::erase(next.learners, learner);
         next.voters.push_back(learner);
         m_events.record(memberPromoted, {{"member", learner.name}});
         return next;
     }
-    for (const auto &[name, incarnation] : std::exchange(m_joiners, {})) {
-        if (std::optional<membership> next = withJoiner({name, incarnation}))
-            return next;
-    }
     return std::nullopt;
 }
 
 /// Takes the former incarnation out and the new one in as a learner; at most one voter changes.
-std::optional<membership> replica::withJoiner(const member_id &joiner)
+std::optional<membership> replica::withJoiner(const member_id &joiner, instant now)
 {
     const std::optional<member_id> former = m_log.members().named(joiner.name);
-    const bool configured
-            = std::ranges::find(m_config.configured, joiner.name) != m_config.configured.end();
-    if (!configured || joiner.name == m_config.self.name || former == joiner)
+    if (joiner.name == m_config.self.name || former == joiner)
         return std::nullopt;
-    if (former && former->incarnation > joiner.incarnation) {
+    // a lower incarnation is an old message, unless the clock was wrong when a lost disk was
+    // replaced: then the former one is not heard any more
+    if (former && former->incarnation > joiner.incarnation
+        && !silent(*former, now, m_config.electionTimeout)) {
         m_events.record(joinRefused, {{"member", joiner.name}});
         return std::nullopt;
     }
@@ -132,6 +171,22 @@
     return next;
 }
 
+/// Takes out a silent learner, or a silent voter once there are more voters than wanted.
+std::optional<membership> replica::withoutSilent(instant now)
+{
+    const auto gone
+            = [&](const member_id &member) { return silent(member, now, m_config.removeAfter); };
+    membership next = m_log.members();
+    std::vector<member_id> &from
+            = next.voters.size() > wantedVoters() ? next.voters : next.learners;
+    const auto found = std::ranges::find_if(from, gone);
+    if (found == from.end())
+        return std::nullopt;
+    m_events.record(memberRemoved, {{"member", found->name}});
+    from.erase(found);
+    return next;
+}
+
 bool replica::caughtUp(const member_id &learner, instant now) const
 {
     const auto progress = m_progress.find(learner);
--- a/src/yuccascale/kernel/control_client.hpp
+++ b/src/yuccascale/kernel/control_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/feed/feed_messages.hpp"
 #include "yuccascale/kernel/state/commands.hpp"
 #include "yuccascale/kernel/state/tables.hpp"
 
@@ -19,7 +20,9 @@
     std::shared_ptr<const state::table_set> tables; ///< null until the first confirmed revision
     instant freshUntil{}; ///< end of the freshness lease, counted from when this node asked
     std::shared_ptr<const std::set<std::string>> bannedFingerprints;
-    std::string leader; ///< node name of the leader last heard of; may be empty
+    std::string leader; ///< link address of the leader last heard of; may be empty
+    std::shared_ptr<const feed::endpoint_list>
+            endpoints; ///< as the platform lists them; may be null
 
     /// \returns true while keyed requests may be started.
     [[nodiscard]] bool fresh(instant now) const noexcept { return tables && now < freshUntil; }
--- a/src/yuccascale/kernel/feed/feed_messages.hpp
+++ b/src/yuccascale/kernel/feed/feed_messages.hpp
@@ -20,9 +20,37 @@
     std::uint64_t revision = 0;    ///< in force there
     std::int64_t ageMs = 0;        ///< since it was heard
     bool leaving = false;          ///< it is shutting down
+    std::string link = {};         ///< IP:port for the other nodes
+    std::string callers = {};      ///< IP:port for callers; empty when it serves none
+    std::string zone = {};
+    bool control = false;       ///< it has the control role
+    std::int64_t wallMs = 0;    ///< its wall clock when it told this
+    std::string operators = {}; ///< IP:port for the operator's document; may be empty
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(node_report, node, incarnation, revision, ageMs,
-                                                leaving)
+                                                leaving, link, callers, zone, control, wallMs,
+                                                operators)
+};
+
+/// \brief An endpoint as the platform lists it. Not part of the tables: it is read anew all the
+/// time and every node may forget it.
+struct listed_endpoint
+{
+    std::string pool;
+    state::endpoint row;
+
+    [[nodiscard]] bool operator==(const listed_endpoint &) const = default;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(listed_endpoint, pool, row)
+};
+
+/// \brief The platform's list of endpoints, as one leader read it.
+struct endpoint_list
+{
+    std::uint64_t version = 0; ///< rises with each change and with each new leader; 0: none yet
+    std::vector<listed_endpoint> endpoints;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(endpoint_list, version, endpoints)
 };
 
 /// \brief Asks a relay or the leader for what is in force.
@@ -32,6 +60,7 @@
     bool haveTables = false;          ///< false after a restart: the whole tables are wanted
     std::uint64_t haveBans = 0;       ///< version of the banned fingerprints held
     std::vector<node_report> reports; ///< this node first, then those it relays for
+    std::uint64_t haveEndpoints = 0;  ///< version of the endpoint list held
 };
 
 /// \brief What is in force, and for how long it may be acted on.
@@ -45,7 +74,9 @@
     std::vector<state::table_set> whole;   ///< one item when the edits are not at hand
     std::uint64_t bansVersion = 0;
     std::vector<std::string> bans;        ///< whole list when bansVersion is not haveBans
-    std::vector<std::string> unavailable; ///< entries that callers should not be sent to
+    std::vector<node_report> nodes;       ///< those heard of late that are not leaving
+    std::vector<endpoint_list> endpoints; ///< one item when it is newer than haveEndpoints
+    std::int64_t clusterWallMs = 0;       ///< agreed time when the reply was made; 0: not known
 };
 
 } // namespace yuccascale::kernel::feed
--- a/src/yuccascale/kernel/feed/feed_state.cpp
+++ b/src/yuccascale/kernel/feed/feed_state.cpp
@@ -8,19 +8,19 @@
 namespace {
 
 /// A node that was not heard for this long is taken out of the addresses.
-constexpr seconds silentNodeWindow{4};
+constexpr seconds silentNodeWindow{3};
 
 } // namespace
 
-feed_state::feed_state(nanoseconds freshness, std::vector<std::string> entries)
+feed_state::feed_state(nanoseconds freshness)
     : m_freshness(freshness)
-    , m_entries(std::move(entries))
     , m_bans(std::make_shared<const std::set<std::string>>())
+    , m_endpoints(std::make_shared<const endpoint_list>())
 { }
 
 control_view feed_state::view() const
 {
-    return {m_history.newest(), m_freshUntil, m_bans, m_leader};
+    return {m_history.newest(), m_freshUntil, m_bans, m_leader, m_endpoints};
 }
 
 feed_request feed_state::request(instant now, const node_report &self, bool relayed) const
@@ -29,6 +29,7 @@
     out.haveTables = m_history.newest() != nullptr;
     out.haveRevision = out.haveTables ? m_history.newest()->revision : 0;
     out.haveBans = m_bansVersion;
+    out.haveEndpoints = m_endpoints->version;
     if (relayed)
         out.reports = m_directory.reports(now, silentNodeWindow);
     std::erase_if(out.reports, [&](const auto &report) { return report.node == self.node; });
@@ -40,13 +41,16 @@
 {
     if (!reply.leader.empty())
         m_leader = reply.leader;
+    bool newer = false;
+    for (const endpoint_list &list : reply.endpoints)
+        newer = installEndpoints(list);
     if (!reply.confirmed)
-        return false;
-    const bool newer = installTables(reply);
+        return newer;
+    newer = installTables(reply) || newer;
     if (!m_history.newest() || m_history.newest()->revision != reply.revision)
         return newer; // an overtaken answer says nothing of what is in force now
     installBans(reply.bansVersion, reply.bans);
-    m_unavailable = reply.unavailable;
+    m_nodes = reply.nodes;
     renew(askedAt, std::min<nanoseconds>(milliseconds(reply.freshForMs), m_freshness));
     return newer;
 }
@@ -66,17 +70,28 @@
 }
 
 bool feed_state::installOwn(instant askedAt, instant now, const leader_reading &reading,
-                            const std::string &self)
+                            const node_report &self)
 {
-    m_leader = self;
+    m_leader = self.link;
     const bool newer = m_history.advance(reading.tables);
     installBans(reading.bansVersion, reading.bans);
-    m_unavailable = m_directory.unavailable(now, silentNodeWindow, m_entries);
-    std::erase(m_unavailable, self);
+    m_nodes = m_directory.reports(now, silentNodeWindow);
+    std::erase_if(m_nodes,
+                  [&](const node_report &node) { return node.leaving || node.node == self.node; });
+    if (!self.leaving)
+        m_nodes.push_back(self);
     renew(askedAt, m_freshness);
     return newer;
 }
 
+bool feed_state::installEndpoints(const endpoint_list &list)
+{
+    if (list.version <= m_endpoints->version)
+        return false;
+    m_endpoints = std::make_shared<const endpoint_list>(list);
+    return true;
+}
+
 void feed_state::installBans(std::uint64_t version, const std::vector<std::string> &bans)
 {
     if (version <= m_bansVersion)
@@ -95,6 +110,8 @@
     m_directory.hear(now, peer, request.reports);
     feed_reply reply;
     reply.leader = m_leader;
+    if (m_endpoints->version > request.haveEndpoints)
+        reply.endpoints.push_back(*m_endpoints);
     const auto &newest = m_history.newest();
     if (!newest || now >= m_freshUntil)
         return reply;
@@ -109,7 +126,7 @@
     reply.bansVersion = m_bansVersion;
     if (request.haveBans != m_bansVersion)
         reply.bans.assign(m_bans->begin(), m_bans->end());
-    reply.unavailable = m_unavailable;
+    reply.nodes = m_nodes;
     return reply;
 }
 
--- a/src/yuccascale/kernel/feed/feed_state.hpp
+++ b/src/yuccascale/kernel/feed/feed_state.hpp
@@ -32,18 +32,24 @@
 {
 public:
     /// \param freshness how long tables may be acted on after they were asked for
-    /// \param entries names of all nodes that serve callers
-    feed_state(nanoseconds freshness, std::vector<std::string> entries);
+    explicit feed_state(nanoseconds freshness);
 
     /// \returns what is in force here.
     [[nodiscard]] control_view view() const;
 
-    /// \returns the entries that callers should not be sent to.
-    [[nodiscard]] const std::vector<std::string> &unavailable() const noexcept
+    /// \returns the nodes that run and are not leaving, as far as known here.
+    [[nodiscard]] const std::vector<node_report> &nodes() const noexcept { return m_nodes; }
+
+    /// \returns the newest endpoint list; version 0 before the first.
+    [[nodiscard]] std::shared_ptr<const endpoint_list> endpoints() const noexcept
     {
-        return m_unavailable;
+        return m_endpoints;
     }
 
+    /// \brief Takes in a list of endpoints.
+    /// \returns true when it is newer than the one held.
+    bool installEndpoints(const endpoint_list &list);
+
     [[nodiscard]] const node_directory &directory() const noexcept { return m_directory; }
 
     /// \param relayed whether to add the reports of the nodes that ask here
@@ -57,7 +63,7 @@
     /// \brief Installs the leader's own reading, confirmed by a quorum after \a askedAt.
     /// \returns true when a newer revision came in force.
     bool installOwn(instant askedAt, instant now, const leader_reading &reading,
-                    const std::string &self);
+                    const node_report &self);
 
     /// \brief Notes who is leader, as far as known.
     void noteLeader(const std::string &leader) { m_leader = leader; }
@@ -72,13 +78,13 @@
     [[nodiscard]] bool installTables(const feed_reply &reply);
 
     nanoseconds m_freshness;
-    std::vector<std::string> m_entries;
     table_history m_history;
     node_directory m_directory;
     instant m_freshUntil{};
     std::uint64_t m_bansVersion = 0;
     std::shared_ptr<const std::set<std::string>> m_bans;
-    std::vector<std::string> m_unavailable;
+    std::vector<node_report> m_nodes;
+    std::shared_ptr<const endpoint_list> m_endpoints;
     std::string m_leader;
 };
 
--- a/src/yuccascale/kernel/feed/node_directory.cpp
+++ b/src/yuccascale/kernel/feed/node_directory.cpp
@@ -27,26 +27,12 @@
     return out;
 }
 
-std::vector<std::string> node_directory::unavailable(instant now, nanoseconds window,
-                                                     const std::vector<std::string> &expected) const
-{
-    std::vector<std::string> out;
-    for (const std::string &name : expected) {
-        const auto found = m_nodes.find(name);
-        const bool serving = found != m_nodes.end() && now - found->second.heardAt <= window
-                && !found->second.report.leaving;
-        if (!serving)
-            out.push_back(name);
-    }
-    return out;
-}
-
 std::vector<std::string> node_directory::directPeers(instant now, nanoseconds window) const
 {
     std::vector<std::string> out;
     for (const auto &[name, node] : m_nodes) {
-        if (node.through == name && now - node.heardAt <= window)
-            out.push_back(name);
+        if (node.through == node.report.link && now - node.heardAt <= window)
+            out.push_back(node.report.link);
     }
     return out;
 }
--- a/src/yuccascale/kernel/feed/node_directory.hpp
+++ b/src/yuccascale/kernel/feed/node_directory.hpp
@@ -30,11 +30,7 @@
     /// \returns reports of all nodes heard within \a window, with their ages.
     [[nodiscard]] std::vector<node_report> reports(instant now, nanoseconds window) const;
 
-    /// \returns names of \a expected nodes that are leaving or were not heard within \a window.
-    [[nodiscard]] std::vector<std::string>
-    unavailable(instant now, nanoseconds window, const std::vector<std::string> &expected) const;
-
-    /// \returns nodes that sent a request themselves within \a window.
+    /// \returns links of the nodes that sent a request themselves within \a window.
     [[nodiscard]] std::vector<std::string> directPeers(instant now, nanoseconds window) const;
 
     /// \returns all that is known, by node name.
--- a/src/yuccascale/kernel/feed/table_history.cpp
+++ b/src/yuccascale/kernel/feed/table_history.cpp
@@ -49,6 +49,9 @@
     compareTables(from.organisations, to.organisations, edit.putOrganisations,
                   edit.removeOrganisations);
     compareTables(from.keys, to.keys, edit.putKeys, edit.removeKeys);
+    if (from.limits != to.limits)
+        edit.putLimits = to.limits;
+    edit.documentVersion = to.documentVersion;
     return edit;
 }
 
@@ -60,6 +63,9 @@
                rowName<state::organisation>);
     applyTable(tables.keys, edit.putKeys, edit.removeKeys,
                [](const state::key_record &key) { return key.id; });
+    if (!edit.putLimits.empty())
+        tables.limits = edit.putLimits;
+    tables.documentVersion = std::max(tables.documentVersion, edit.documentVersion);
     tables.revision = revision;
 }
 
--- a/src/yuccascale/kernel/orders/drivers.hpp
+++ b/src/yuccascale/kernel/orders/drivers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccascale/kernel/error.hpp"
+#include "yuccascale/kernel/feed/feed_messages.hpp"
 #include "yuccascale/kernel/orders/order_message.hpp"
 #include "yuccascale/kernel/plugin_registry.hpp"
 #include "yuccascale/kernel/policy/fleet.hpp"
@@ -29,6 +30,7 @@
 struct driver_settings
 {
     std::string address; ///< IP:port; empty where each call names its own
+    std::string holder;  ///< name of this node, for interfaces that want to know who calls
     milliseconds connectTimeout{250};
     milliseconds sendTimeout{500}; ///< sent bytes are delivered or dropped within this
     milliseconds answerTimeout{1'000};
@@ -106,8 +108,9 @@
 public:
     virtual ~usage_sink() = default;
 
+    /// \param fence of the reporter
     [[nodiscard]] virtual result<usage_reply> report(const state::frozen_window &window,
-                                                     const send_permit &permit)
+                                                     std::uint64_t fence, const send_permit &permit)
             = 0;
 };
 
@@ -129,6 +132,17 @@
     [[nodiscard]] virtual result<std::vector<policy::endpoint_offer>> offers() = 0;
 };
 
+/// \brief Reads the platform's list of endpoints.
+class endpoint_lister
+{
+public:
+    virtual ~endpoint_lister() = default;
+
+    /// \returns the endpoints that can be read; entries that cannot are left out.
+    [[nodiscard]] virtual result<std::vector<feed::listed_endpoint>> endpoints() = 0;
+};
+
+using endpoint_lister_registry = plugin_registry<endpoint_lister, driver_settings>;
 using order_target_registry = plugin_registry<order_target, driver_settings>;
 using load_source_registry = plugin_registry<load_source, driver_settings>;
 using weight_store_registry = plugin_registry<weight_store, driver_settings>;
--- a/src/yuccascale/kernel/orders/events.hpp
+++ b/src/yuccascale/kernel/orders/events.hpp
@@ -40,5 +40,7 @@
 inline const event_kind platformSilent{4012, "platform_silent", severity::Warning,
                                        "An interface of the platform did not answer; check its "
                                        "address in the settings."};
+inline const event_kind platformHeard{4013, "platform_heard", severity::Info,
+                                      "An interface of the platform answers again."};
 
 } // namespace yuccascale::kernel::orders
--- a/src/yuccascale/kernel/requests/endpoint_driver.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_driver.hpp
@@ -35,6 +35,14 @@
     std::string contentType;
     bool bounded = false; ///< its end is marked: by a length or by chunks
     nanoseconds retryAfter{};
+    header_list headers = {}; ///< all of them
+};
+
+/// \brief What to do with an answer after its head.
+enum class head_verdict {
+    Take,
+    Skip, ///< it belongs to another request; this one's may follow on the connection
+    Stop, ///< the rest is of no use
 };
 
 /// \brief One attempt, as far as a driver must know it.
@@ -43,6 +51,8 @@
     int attempt = 0;
     std::int64_t resumeFrom = 0;
     nanoseconds timeLeft{};
+    std::string resumeMark = {}; ///< name of the last piece that the caller has
+    std::string endpoint = {};   ///< name of the endpoint that is meant
 };
 
 /// \brief Reads the answer of one attempt. Not thread-safe.
@@ -51,8 +61,7 @@
 public:
     virtual ~answer_reader() = default;
 
-    /// \returns false when the rest of the answer is of no use.
-    [[nodiscard]] virtual bool head(const answer_head &head, std::vector<event> &out) = 0;
+    [[nodiscard]] virtual head_verdict head(const answer_head &head, std::vector<event> &out) = 0;
 
     /// \returns false when the rest of the answer is of no use.
     [[nodiscard]] virtual bool feed(std::string_view bytes, std::vector<event> &out) = 0;
@@ -62,6 +71,9 @@
 
     /// \returns true once an event that ends the attempt was given.
     [[nodiscard]] virtual bool done() const noexcept = 0;
+
+    /// \returns the load that the endpoint told with its answer, if it did.
+    [[nodiscard]] virtual std::optional<endpoint_report> load(instant) const { return {}; }
 };
 
 /// \brief Speaks to one kind of endpoint. Stateless and thread-safe.
--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -12,18 +12,26 @@
 /// A report older than this says nothing about the requests in the batch.
 constexpr seconds reportLife{3};
 
-[[nodiscard]] int roomOf(int slots)
+[[nodiscard]] int slotRoom(const state::endpoint &row)
 {
-    return slots + static_cast<int>(slots * slotSlack);
+    return row.slots + static_cast<int>(row.slots * slotSlack);
 }
 
 } // namespace
 
+int endpoint_table::roomOf(const entry &entry) const noexcept
+{
+    const int room = slotRoom(entry.row);
+    if (m_maxConnections == 0)
+        return room;
+    return std::min(room, std::max(m_maxConnections / m_entries, 1));
+}
+
 endpoint_table::entry *endpoint_table::find(const std::string &endpoint)
 {
     const auto found
-            = std::ranges::find(m_entries, endpoint, [](const entry &one) { return one.row.name; });
-    return found == m_entries.end() ? nullptr : &*found;
+            = std::ranges::find(m_rows, endpoint, [](const entry &one) { return one.row.name; });
+    return found == m_rows.end() ? nullptr : &*found;
 }
 
 const endpoint_table::entry *endpoint_table::find(const std::string &endpoint) const
@@ -33,17 +41,19 @@
 
 void endpoint_table::setRows(const state::pool &pool)
 {
+    m_maxConnections = pool.maxConnections;
     std::vector<entry> next;
     next.reserve(pool.endpoints.size());
     for (const state::endpoint &row : pool.endpoints) {
         entry *known = find(row.name);
-        const bool kept = known && known->row.address == row.address;
+        const bool kept = known && known->row.address == row.address
+                && known->row.startedMs == row.startedMs;
         next.push_back(kept ? std::move(*known) : entry{});
         next.back().row = row;
         if (!kept)
             next.back().report.load.role = row.role;
     }
-    m_entries = std::move(next);
+    m_rows = std::move(next);
 }
 
 bool endpoint_table::report(const std::string &endpoint, const endpoint_report &report)
@@ -119,11 +129,11 @@
 
 bool endpoint_table::serves(bool steadyOnly) const
 {
-    return std::ranges::any_of(m_entries,
+    return std::ranges::any_of(m_rows,
                                [&](const entry &one) { return takesWork(one, steadyOnly); });
 }
 
-std::string_view endpoint_table::closedBecause(instant now, const entry &entry)
+std::string_view endpoint_table::closedBecause(instant now, const entry &entry) const
 {
     if (entry.row.draining)
         return "draining";
@@ -131,16 +141,17 @@
         return "leaving";
     if (!entry.breaker.allows(now, entry.outstanding()))
         return "sick";
-    if (entry.outstanding() >= roomOf(entry.row.slots))
+    if (entry.outstanding() >= roomOf(entry))
         return "full";
     const policy::load_report &load = entry.report.load;
     const bool recent = load.measuredAt != instant{} && now - load.measuredAt < reportLife;
-    if (recent && load.running + load.queued + entry.sentSinceReport() >= roomOf(entry.row.slots))
+    if (recent && load.running + load.queued + entry.sentSinceReport() >= slotRoom(entry.row))
         return "full by its report";
     return {};
 }
 
-std::string_view endpoint_table::unusableBecause(instant now, const entry &entry, bool steadyOnly)
+std::string_view endpoint_table::unusableBecause(instant now, const entry &entry,
+                                                 bool steadyOnly) const
 {
     const std::string_view closed = closedBecause(now, entry);
     if (!closed.empty())
@@ -169,12 +180,12 @@
     const auto avoided = [&](const entry &one) {
         return std::ranges::find(needs.avoidEndpoints, one.row.name) != needs.avoidEndpoints.end();
     };
-    const bool others = std::ranges::any_of(m_entries, [&](const entry &one) {
+    const bool others = std::ranges::any_of(m_rows, [&](const entry &one) {
         return takesWork(one, needs.steadyOnly) && !avoided(one);
     });
     std::vector<policy::endpoint_view> all;
-    all.reserve(m_entries.size());
-    for (const entry &one : m_entries) {
+    all.reserve(m_rows.size());
+    for (const entry &one : m_rows) {
         policy::endpoint_view view;
         view.row = &one.row;
         view.unusableBecause = unusableBecause(now, one, needs.steadyOnly);
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -3,6 +3,7 @@
 #include "yuccascale/kernel/policy/routing.hpp"
 #include "yuccascale/kernel/requests/circuit_breaker.hpp"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -40,6 +41,9 @@
     /// \brief Takes over a pool's rows; what is known of kept endpoints stays.
     void setRows(const state::pool &pool);
 
+    /// \brief Tells how many entries share the connections of the endpoints.
+    void setEntries(int entries) noexcept { m_entries = std::max(entries, 1); }
+
     /// \brief Takes in a load report.
     /// \returns true when the endpoint gave notice with it.
     bool report(const std::string &endpoint, const endpoint_report &report);
@@ -77,7 +81,7 @@
     /// \returns the last incarnation that the endpoint reported; 0 when none.
     [[nodiscard]] std::uint64_t incarnation(const std::string &endpoint) const;
 
-    [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
+    [[nodiscard]] std::size_t size() const noexcept { return m_rows.size(); }
 
 private:
     struct running_request
@@ -101,15 +105,18 @@
     };
 
     [[nodiscard]] static bool takesWork(const entry &entry, bool steadyOnly);
-    [[nodiscard]] static std::string_view closedBecause(instant now, const entry &entry);
-    [[nodiscard]] static std::string_view unusableBecause(instant now, const entry &entry,
-                                                          bool steadyOnly);
+    [[nodiscard]] int roomOf(const entry &entry) const noexcept;
+    [[nodiscard]] std::string_view closedBecause(instant now, const entry &entry) const;
+    [[nodiscard]] std::string_view unusableBecause(instant now, const entry &entry,
+                                                   bool steadyOnly) const;
     static void countRunning(const entry &entry, policy::endpoint_view &view);
     [[nodiscard]] running_request *findRunning(const std::string &endpoint, std::uint64_t ticket);
     [[nodiscard]] entry *find(const std::string &endpoint);
     [[nodiscard]] const entry *find(const std::string &endpoint) const;
 
-    std::vector<entry> m_entries;
+    std::vector<entry> m_rows;
+    int m_entries = 1;        ///< entries that send to the same endpoints
+    int m_maxConnections = 0; ///< of one endpoint, for all entries; 0: no bound
 };
 
 } // namespace yuccascale::kernel::requests
--- /dev/null
+++ b/src/yuccascale/kernel/requests/header_field.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// \brief Header fields that an entry passes on as they came.
+
+namespace yuccascale::kernel::requests {
+
+/// \brief One header field.
+struct header_field
+{
+    std::string name;
+    std::string value;
+
+    [[nodiscard]] bool operator==(const header_field &) const = default;
+};
+
+using header_list = std::vector<header_field>;
+
+/// \returns whether two header names are the same, whatever their case.
+[[nodiscard]] bool sameName(std::string_view one, std::string_view other) noexcept;
+
+/// \returns the value of the first field of that name; null when there is none.
+[[nodiscard]] const std::string *findHeader(const header_list &headers,
+                                            std::string_view name) noexcept;
+
+} // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -1,5 +1,6 @@
 #include "yuccascale/kernel/requests/pool_scheduler.hpp"
 
+#include "yuccascale/kernel/policy/prefix_homes.hpp"
 #include "yuccascale/kernel/policy/request_cost.hpp"
 
 #include <xxhash.h>
@@ -16,6 +17,10 @@
 /// Bounds of the advice to come back.
 constexpr milliseconds shortestRetryAfter{100};
 constexpr seconds longestRetryAfter{30};
+/// A shared part of at least so many tokens has a home; reading a shorter one again is cheap.
+constexpr std::int64_t leastHomeTokens = 1'024;
+/// Part of the retry burst that the entries share out; the rest is for entries that come and go.
+constexpr double sharedBurst = 0.8;
 
 [[nodiscard]] nanoseconds boundedRetryAfter(nanoseconds time)
 {
@@ -27,8 +32,23 @@
 pool_scheduler::pool_scheduler(pool_strategies strategies, queue_limits limits)
     : m_strategies(std::move(strategies))
     , m_limits(limits)
+    , m_retries(limits.retries)
+    , m_window(limits.window)
 { }
 
+void pool_scheduler::setPosition(entry_position position)
+{
+    m_position = position;
+    if (position.count > 1)
+        m_retries.setBurst(m_limits.retries.burst * sharedBurst / position.count);
+    m_endpoints.setEntries(position.count);
+}
+
+int pool_scheduler::sendingEntries() const noexcept
+{
+    return m_limits.assumeOthers ? m_position.count : 1;
+}
+
 /// Entries share no list of suspects, so each runs its own on its part of the endpoints. The parts
 /// are drawn by hash: rows often alternate between availability zones, and a part should not be
 /// one.
@@ -53,10 +73,10 @@
                        noEndpointRetryAfter};
     }
     if (how.retry) {
-        if (auto refused = refuseRetry(now, subject))
+        if (auto refused = refuseRetry(now))
             return refused;
     } else {
-        m_retries[subject.route.name].firstAttempt(now);
+        m_retries.firstAttempt(now);
     }
     waiting_entry waiting;
     waiting.row = {ticket,
@@ -73,6 +93,7 @@
     waiting.id = subject.id;
     waiting.fingerprint = subject.fingerprint;
     waiting.work = {subject.promptTokens, subject.outputTokens};
+    waiting.parts = subject.parts;
     waiting.steadyOnly = !subject.route.idempotent;
     waiting.how = how;
     if (!how.retry) {
@@ -89,15 +110,14 @@
     return std::nullopt;
 }
 
-std::optional<refusal> pool_scheduler::refuseRetry(instant now, const request &subject)
+std::optional<refusal> pool_scheduler::refuseRetry(instant now)
 {
-    retry_budget &budget = m_retries[subject.route.name];
-    if (budget.take(now))
+    if (m_retries.take(now))
         return std::nullopt;
     return refusal{
             error_kind::Unavailable,
             "the endpoints of this route failed and its retries are used up; come back later",
-            false, boundedRetryAfter(budget.wait())};
+            false, boundedRetryAfter(m_retries.wait())};
 }
 
 std::optional<refusal> pool_scheduler::refuseAdmission(instant now,
@@ -208,7 +228,7 @@
 bool pool_scheduler::windowOpen(instant now)
 {
     std::vector<policy::endpoint_view> views = m_endpoints.views(now, {});
-    m_window.limit(now, views, m_position.count);
+    m_window.limit(now, views, sendingEntries());
     return std::ranges::any_of(views, &policy::endpoint_view::usable);
 }
 
@@ -263,7 +283,8 @@
             = m_endpoints.views(now, {waiting.steadyOnly, waiting.how.avoidEndpoints});
     keepSuspectsApart(waiting, views);
     avoidZones(waiting, views);
-    m_window.limit(now, views, m_position.count);
+    m_window.limit(now, views, sendingEntries());
+    estimateCached(now, waiting, views);
     policy::routing_request asked;
     asked.id = waiting.id;
     asked.organisation = waiting.row.organisation;
@@ -274,7 +295,7 @@
     asked.firstTokenBy = waiting.row.firstTokenBy;
     asked.idempotent = !waiting.steadyOnly;
     asked.avoidZones = waiting.how.avoidZones;
-    asked.entries = m_position.count;
+    asked.entries = sendingEntries();
     const auto choice = m_strategies.router->choose(now, asked, views);
     if (!choice || !views[choice->index].usable)
         return std::nullopt;
@@ -292,7 +313,9 @@
         turn.prefillAddress = views[*choice->prefillIndex].row->address;
     }
     m_meter.dispatched(now, waiting.row);
-    m_endpoints.sent(now, turn.endpoint, turn.ticket, waiting.work);
+    endpoint_work work = waiting.work;
+    work.promptTokens = std::max<std::int64_t>(0, work.promptTokens - chosen.cachedPromptTokens);
+    m_endpoints.sent(now, turn.endpoint, turn.ticket, work);
     m_suspects.started(turn.endpoint, waiting.fingerprint);
     running_entry running{waiting, turn.endpoint, turn.zone,
                           chosen.report.running + chosen.sentSinceReport};
@@ -301,11 +324,43 @@
     return turn;
 }
 
-void pool_scheduler::firstPiece(std::uint64_t ticket)
+/// What an engine is believed to hold of the prompt. A long shared part is taken to be at its home,
+/// so that all entries send it there from the first request on.
+void pool_scheduler::estimateCached(instant now, const waiting_entry &waiting,
+                                    std::span<policy::endpoint_view> views) const
+{
+    if (waiting.parts.empty() || views.empty())
+        return;
+    const prompt_part &first = waiting.parts.front();
+    const bool hasHome = waiting.parts.size() > 1 && first.tokens >= leastHomeTokens;
+    policy::endpoint_view *home = nullptr;
+    std::uint64_t heaviest = 0;
+    for (policy::endpoint_view &view : views) {
+        for (const prompt_part &part : waiting.parts) {
+            const std::int64_t held = m_prefixes.tokensAt(now, view.row->name, part.id);
+            view.cachedPromptTokens += std::min(held, part.tokens);
+            if (held < part.tokens)
+                break;
+        }
+        const std::uint64_t weight = hasHome ? policy::homeWeight(first.id, view.row->name) : 0;
+        if (weight > heaviest && view.unusableBecause != "leaving"
+            && view.unusableBecause != "draining") {
+            heaviest = weight;
+            home = &view;
+        }
+    }
+    if (home != nullptr)
+        home->cachedPromptTokens = std::max(home->cachedPromptTokens, first.tokens);
+}
+
+void pool_scheduler::firstPiece(instant now, std::uint64_t ticket)
 {
     const auto found = m_running.find(ticket);
-    if (found != m_running.end())
-        m_endpoints.firstPiece(found->second.endpoint, ticket);
+    if (found == m_running.end())
+        return;
+    m_endpoints.firstPiece(found->second.endpoint, ticket);
+    for (const prompt_part &part : found->second.was.parts)
+        m_prefixes.confirm(now, found->second.endpoint, part.id, part.tokens);
 }
 
 finish_findings pool_scheduler::finish(instant now, std::uint64_t ticket,
@@ -320,6 +375,8 @@
     const std::string &endpoint = running.endpoint;
     const std::string &fingerprint = running.was.fingerprint;
     m_endpoints.left(endpoint, ticket);
+    if (result.crashed)
+        m_prefixes.forget(endpoint);
     if (result.crashed)
         findings.guiltyFingerprint = m_suspects.crashed(now, endpoint, running.zone);
     m_suspects.finished(endpoint, fingerprint, result.answered);
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccascale/kernel/policy/admission.hpp"
 #include "yuccascale/kernel/policy/dispatch_window.hpp"
+#include "yuccascale/kernel/policy/prefix_index.hpp"
 #include "yuccascale/kernel/policy/queue_meter.hpp"
 #include "yuccascale/kernel/policy/routing.hpp"
 #include "yuccascale/kernel/policy/service_estimate.hpp"
@@ -32,10 +33,13 @@
     std::unique_ptr<policy::fair_queue> queue;
 };
 
-/// \brief Bounds of a pool's queue.
+/// \brief Bounds of a pool's queue and of the work sent ahead.
 struct queue_limits
 {
     std::size_t maxWaiting = 2'048;
+    policy::window_limits window;
+    bool assumeOthers = true; ///< the other entries are taken to send what this one sends
+    retry_limits retries;     ///< of all entries together
 };
 
 /// \brief This entry's place among the entries, by name.
@@ -86,7 +90,7 @@
 
     /// \brief Takes over the pool's rows.
     void setRows(const state::pool &pool);
-    void setPosition(entry_position position) noexcept { m_position = position; }
+    void setPosition(entry_position position);
 
     [[nodiscard]] endpoint_table &endpoints() noexcept { return m_endpoints; }
 
@@ -119,7 +123,7 @@
     [[nodiscard]] std::vector<scheduled_turn> schedule(instant now);
 
     /// \brief The first piece of an answer came.
-    void firstPiece(std::uint64_t ticket);
+    void firstPiece(instant now, std::uint64_t ticket);
 
     /// \brief The request left its endpoint, or gave back its turn.
     finish_findings finish(instant now, std::uint64_t ticket, const attempt_result &result);
@@ -145,6 +149,7 @@
         std::string id;
         std::string fingerprint;
         endpoint_work work;
+        std::vector<prompt_part> parts;
         bool steadyOnly = false;
         enqueue how;
     };
@@ -157,11 +162,14 @@
     };
 
     [[nodiscard]] std::optional<scheduled_turn> place(instant now, const waiting_entry &waiting);
+    void estimateCached(instant now, const waiting_entry &waiting,
+                        std::span<policy::endpoint_view> views) const;
+    [[nodiscard]] int sendingEntries() const noexcept;
     static void avoidZones(const waiting_entry &waiting, std::vector<policy::endpoint_view> &views);
     [[nodiscard]] bool ownSuspectsGoTo(const std::string &endpoint) const;
     void keepSuspectsApart(const waiting_entry &waiting,
                            std::vector<policy::endpoint_view> &views) const;
-    [[nodiscard]] std::optional<refusal> refuseRetry(instant now, const request &subject);
+    [[nodiscard]] std::optional<refusal> refuseRetry(instant now);
     [[nodiscard]] std::optional<refusal> refuseAdmission(instant now,
                                                          const policy::waiting_request &row);
     [[nodiscard]] bool windowOpen(instant now);
@@ -177,7 +185,8 @@
     std::map<std::uint64_t, waiting_entry> m_waiting;
     std::deque<std::uint64_t> m_parked; ///< taken from the queue, no endpoint for them yet
     std::map<std::uint64_t, running_entry> m_running;
-    std::map<std::string, retry_budget> m_retries; ///< by route
+    retry_budget m_retries;
+    policy::prefix_index m_prefixes;
     policy::queue_meter m_meter;
     policy::service_estimate m_service;
     policy::dispatch_window m_window;
--- a/src/yuccascale/kernel/requests/request.hpp
+++ b/src/yuccascale/kernel/requests/request.hpp
@@ -2,16 +2,31 @@
 
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/error.hpp"
+#include "yuccascale/kernel/requests/header_field.hpp"
 #include "yuccascale/kernel/state/tables.hpp"
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 /// \file
 /// \brief A caller's request, its refusal and its usage, as the decision code sees them.
 
 namespace yuccascale::kernel::requests {
 
+/// \brief A part of a prompt that several requests may share.
+struct prompt_part
+{
+    std::uint64_t id = 0;
+    std::int64_t tokens = 0;
+};
+
+/// \brief When the usage of a request is counted.
+enum class usage_point {
+    BeforeEnd, ///< committed before the last piece leaves, so that a whole answer always counts
+    AtStart,   ///< once it has begun to run; nothing waits for the log
+};
+
 /// \brief A request that an entry has read whole.
 struct request
 {
@@ -32,7 +47,21 @@
     bool sentBefore = false;       ///< the caller shows that an entry has had it before
     std::int64_t resumeFrom = 0;   ///< pieces that the caller already has
     instant receivedAt{};
-    instant deadline{}; ///< of the whole answer
+    instant deadline{};             ///< of the whole answer
+    header_list headers;            ///< passed on to endpoints as they came
+    std::vector<prompt_part> parts; ///< of the prompt, in order; the last one is its own
+    std::string resumeMark;         ///< name of the last piece that the caller has, if it told one
+    usage_point usageAt = usage_point::BeforeEnd;
+
+    /// \returns whether its single run is claimed in the log.
+    [[nodiscard]] bool claimed() const noexcept { return !route.idempotent && route.claimed; }
+};
+
+/// \brief Start of a streamed answer, as the endpoint gave it.
+struct stream_head
+{
+    int status = 200;
+    header_list headers;
 };
 
 /// \brief Why a request gets no answer.
@@ -58,6 +87,7 @@
     int status = 200;
     std::string contentType;
     std::string body;
+    header_list headers = {}; ///< besides the content type
 };
 
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/requests/request_actions.hpp
+++ b/src/yuccascale/kernel/requests/request_actions.hpp
@@ -34,12 +34,20 @@
     start_check check = start_check::Allowed; ///< read after the claim
 };
 
+/// \brief A streamed answer began; its pieces follow.
+struct stream_began
+{
+    int attempt = 0;
+    stream_head head;
+};
+
 /// \brief A piece of a streamed answer.
 struct piece_arrived
 {
     int attempt = 0;
     std::int64_t index = 0;
-    std::string payload; ///< what the caller gets, without framing
+    std::string payload;   ///< what the caller gets, without framing
+    std::string mark = {}; ///< the endpoint's name for the piece, to continue after it
 };
 
 /// \brief The endpoint said that the stream is whole.
@@ -66,6 +74,7 @@
     Crashed,    ///< the connection ended early with the endpoint
     Doubtful,   ///< the answer was crossed, short or malformed
     TimedOut,   ///< no answer within the deadline
+    Answered,   ///< the endpoint answered with an error of its own
 };
 
 /// \brief An attempt failed.
@@ -74,6 +83,7 @@
     int attempt = 0;
     attempt_failure how = attempt_failure::Broken;
     nanoseconds retryAfter{}; ///< of SaidNotRun
+    whole_answer answer = {}; ///< of Answered: what the caller gets when no other try is left
 };
 
 /// \brief The usage of the answer was committed, or cannot be before the deadline.
@@ -90,9 +100,9 @@
 struct found_guilty
 { };
 
-using event = std::variant<turn_came, queue_refused, claim_answered, piece_arrived, stream_finished,
-                           answer_arrived, attempt_failed, usage_settled, caller_left,
-                           deadline_passed, found_guilty>;
+using event = std::variant<turn_came, queue_refused, claim_answered, stream_began, piece_arrived,
+                           stream_finished, answer_arrived, attempt_failed, usage_settled,
+                           caller_left, deadline_passed, found_guilty>;
 
 /// \brief Wait for an endpoint.
 struct enqueue
@@ -127,6 +137,7 @@
     int attempt = 0;
     std::string endpoint;
     std::int64_t resumeFrom = 0; ///< pieces already delivered
+    std::string resumeMark = {}; ///< name of the last of them, if the endpoint told one
 };
 
 /// \brief Stop the attempt at its endpoint and close its connection.
@@ -137,6 +148,12 @@
     bool doubtful = false; ///< its answer is out of order
 };
 
+/// \brief Give the caller the start of its streamed answer.
+struct begin_stream
+{
+    stream_head head;
+};
+
 /// \brief Give a piece to the caller.
 struct forward
 {
@@ -176,8 +193,8 @@
     refusal reason;
 };
 
-using action
-        = std::variant<enqueue, dequeue, release_turn, submit_claim, withdraw_claim, dispatch,
-                       cancel, forward, commit_usage, settle, finish_stream, give_answer, refuse>;
+using action = std::variant<enqueue, dequeue, release_turn, submit_claim, withdraw_claim, dispatch,
+                            cancel, begin_stream, forward, commit_usage, settle, finish_stream,
+                            give_answer, refuse>;
 
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/requests/request_life.cpp
+++ b/src/yuccascale/kernel/requests/request_life.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Attempts of one request, the first included.
-constexpr int maxAttempts = 5;
 /// Time that must be left before the deadline for another attempt.
 constexpr milliseconds minRetryTime{20};
 /// Time that must be left before the deadline for sending a claim again.
@@ -22,8 +20,8 @@
 constexpr std::array<std::string_view, 7> requestStateNames{
         "received", "queued", "claiming", "dispatched", "streaming", "committing", "ended",
 };
-constexpr std::array<std::string_view, 6> attemptFailureNames{
-        "never_sent", "said_not_run", "broken", "crashed", "doubtful", "timed_out",
+constexpr std::array<std::string_view, 7> attemptFailureNames{
+        "never_sent", "said_not_run", "broken", "crashed", "doubtful", "timed_out", "answered",
 };
 
 [[nodiscard]] refusal refusalOf(start_check check)
@@ -73,13 +71,14 @@
 request_life::request_life(request subject)
     : m_request(std::move(subject))
     , m_delivered(m_request.resumeFrom)
-    , m_mayHaveRun(m_request.sentBefore || !m_request.route.idempotent)
+    , m_mark(m_request.resumeMark)
+    , m_mayHaveRun(m_request.sentBefore || m_request.claimed())
 { }
 
 std::vector<action> request_life::start(instant now, start_check check)
 {
     actions out;
-    if (!m_request.route.idempotent && m_request.idempotencyKey.empty()) {
+    if (m_request.claimed() && m_request.idempotencyKey.empty()) {
         end(out,
             {error_kind::InvalidArgument,
              "this route runs a request at most once; send an Idempotency-Key header",
@@ -89,12 +88,12 @@
     }
     if (!mayStart(out, now, check))
         return out;
-    if (m_request.route.idempotent) {
-        m_state = request_state::Queued;
-        out.emplace_back(enqueue{});
-    } else {
+    if (m_request.claimed()) {
         m_state = request_state::Claiming;
         out.emplace_back(submit_claim{});
+    } else {
+        m_state = request_state::Queued;
+        out.emplace_back(enqueue{});
     }
     return out;
 }
@@ -119,13 +118,15 @@
     }
     ++m_attempt;
     m_state = request_state::Dispatched;
-    out.emplace_back(dispatch{m_attempt, m_endpoint, m_delivered});
+    out.emplace_back(dispatch{m_attempt, m_endpoint, m_delivered, m_mark});
 }
 
 void request_life::on(actions &out, instant, const queue_refused &refused)
 {
     if (m_state != request_state::Queued)
         return;
+    if (giveLastAnswer(out))
+        return;
     refusal reason = refused.reason;
     reason.mayHaveRun = m_mayHaveRun;
     end(out, std::move(reason));
@@ -233,6 +234,27 @@
     return sent && attempt == m_attempt;
 }
 
+void request_life::on(actions &, instant, const stream_began &began)
+{
+    if (running(began.attempt) && !m_headGiven)
+        m_head = began.head;
+}
+
+/// A continued stream keeps the head of its first endpoint.
+void request_life::giveHead(actions &out)
+{
+    if (std::exchange(m_headGiven, true) || !m_head)
+        return;
+    out.emplace_back(begin_stream{std::move(*m_head)});
+    m_head.reset();
+}
+
+void request_life::countUsage(actions &out, const token_usage &usage)
+{
+    if (m_request.usageAt == usage_point::AtStart && !std::exchange(m_counted, true))
+        out.emplace_back(commit_usage{usage});
+}
+
 void request_life::on(actions &out, instant now, const piece_arrived &piece)
 {
     if (!running(piece.attempt) || piece.index < m_delivered)
@@ -243,7 +265,10 @@
         return;
     }
     m_state = request_state::Streaming;
+    countUsage(out, {});
+    giveHead(out);
     ++m_delivered;
+    m_mark = piece.mark;
     record(piece.payload);
     out.emplace_back(forward{piece.index, piece.payload});
 }
@@ -252,8 +277,7 @@
 {
     if (!running(finished.attempt))
         return;
-    m_state = request_state::Committing;
-    m_heldBack = finish_stream{finished.payload};
+    giveHead(out);
     token_usage usage = finished.usage;
     usage.completionTokens = std::max(usage.completionTokens, m_delivered);
     if (holdsClaim()) {
@@ -261,8 +285,22 @@
         record(finished.payload);
         record("[DONE]");
         out.emplace_back(settle{state::claim_end::Answered,
-                                {200, "text/event-stream", std::move(m_recorded)}});
+                                {200, "text/event-stream", std::move(m_recorded), {}}});
     }
+    finish(out, finish_stream{finished.payload}, usage);
+}
+
+/// Gives the last of the answer, at once or after its usage is committed.
+void request_life::finish(actions &out, action last, const token_usage &usage)
+{
+    if (m_request.usageAt == usage_point::AtStart) {
+        countUsage(out, usage);
+        m_state = request_state::Ended;
+        out.push_back(std::move(last));
+        return;
+    }
+    m_state = request_state::Committing;
+    m_heldBack = std::move(last);
     out.emplace_back(commit_usage{usage});
 }
 
@@ -276,13 +314,11 @@
 {
     if (!running(arrived.attempt))
         return;
-    m_state = request_state::Committing;
-    m_heldBack = give_answer{arrived.answer, false};
     if (holdsClaim()) {
         m_settled = true;
         out.emplace_back(settle{state::claim_end::Answered, arrived.answer});
     }
-    out.emplace_back(commit_usage{arrived.usage});
+    finish(out, give_answer{arrived.answer, false}, arrived.usage);
 }
 
 void request_life::on(actions &out, instant, const usage_settled &settled)
@@ -317,29 +353,50 @@
                    "no answer came before the deadline; come back later");
         return;
     }
+    if (failed.how == attempt_failure::Answered)
+        countUsage(out, {});
+    if (failed.how == attempt_failure::Answered && !m_request.route.idempotent) {
+        m_state = request_state::Ended;
+        out.emplace_back(give_answer{failed.answer, false});
+        return;
+    }
     if (!m_request.route.idempotent && !surelyNotRun(failed.how)) {
         endRunning(out, error_kind::OutcomeUnknown, "the endpoint's answer was lost");
         return;
     }
+    if (failed.how == attempt_failure::Answered)
+        m_lastAnswer = failed.answer;
     retry(out, now, failed);
 }
 
 void request_life::retry(actions &out, instant now, const attempt_failed &failed)
 {
-    if (m_attempt < maxAttempts && now + minRetryTime < m_request.deadline) {
+    if (m_attempt < m_request.route.maxAttempts && now + minRetryTime < m_request.deadline) {
         m_state = request_state::Queued;
         out.emplace_back(enqueue{true, m_suspect, m_avoidEndpoints, m_avoidZones});
         return;
     }
+    if (giveLastAnswer(out))
+        return;
     const nanoseconds retryAfter = std::max<nanoseconds>(failed.retryAfter, endpointRetryAfter);
     end(out,
         {error_kind::Unavailable, "the endpoints of this route failed; come back later",
          m_mayHaveRun, retryAfter});
 }
 
+/// An endpoint's own error goes to the caller when no other try can follow it.
+bool request_life::giveLastAnswer(actions &out)
+{
+    if (!m_lastAnswer || m_headGiven)
+        return false;
+    m_state = request_state::Ended;
+    out.emplace_back(give_answer{std::move(*m_lastAnswer), false});
+    return true;
+}
+
 void request_life::on(actions &out, instant, const caller_left &)
 {
-    if (!m_request.route.idempotent && m_state != request_state::Queued)
+    if (m_request.claimed() && m_state != request_state::Queued)
         return; // it runs to its end, so that a repeat gets the recorded answer
     if (m_state == request_state::Queued)
         out.emplace_back(dequeue{});
@@ -390,8 +447,9 @@
     }
     end(out,
         {error_kind::OutcomeUnknown,
-         message + "; ask the service behind route '" + m_request.route.name
-                 + "' about the idempotency key before using a new one",
+         message + "; ask the service behind route '" + m_request.route.name + "' about "
+                 + (m_request.claimed() ? "the idempotency key before using a new one"
+                                        : "the request before sending it again"),
          true,
          {}});
 }
--- a/src/yuccascale/kernel/requests/request_life.hpp
+++ b/src/yuccascale/kernel/requests/request_life.hpp
@@ -65,6 +65,7 @@
     void on(actions &out, instant now, const turn_came &turn);
     void on(actions &out, instant now, const queue_refused &refused);
     void on(actions &out, instant now, const claim_answered &answered);
+    void on(actions &out, instant now, const stream_began &began);
     void on(actions &out, instant now, const piece_arrived &piece);
     void on(actions &out, instant now, const stream_finished &finished);
     void on(actions &out, instant now, const answer_arrived &arrived);
@@ -79,6 +80,10 @@
     [[nodiscard]] bool mayStart(actions &out, instant now, start_check check);
     void retry(actions &out, instant now, const attempt_failed &failed);
     void end(actions &out, refusal reason);
+    [[nodiscard]] bool giveLastAnswer(actions &out);
+    void giveHead(actions &out);
+    void countUsage(actions &out, const token_usage &usage);
+    void finish(actions &out, action last, const token_usage &usage);
     void record(const std::string &payload);
     void endRunning(actions &out, error_kind kind, const std::string &message);
     [[nodiscard]] bool running(int attempt) const noexcept;
@@ -92,11 +97,16 @@
     std::vector<std::string> m_avoidEndpoints;
     std::vector<std::string> m_avoidZones;
     std::int64_t m_delivered = 0;
+    std::string m_mark;                ///< of the last piece delivered
+    std::optional<stream_head> m_head; ///< of the first endpoint that answered; not given yet
+    bool m_headGiven = false;
+    bool m_counted = false; ///< its usage is on its way to the log
     bool m_mayHaveRun = false;
     bool m_suspect = false;
     bool m_claimed = false;
     bool m_settled = false;
-    std::string m_recorded; ///< of a claimed stream, for repeats
+    std::string m_recorded;                   ///< of a claimed stream, for repeats
+    std::optional<whole_answer> m_lastAnswer; ///< an endpoint's own error
     std::optional<action>
             m_heldBack; ///< the last piece or whole answer, until its usage is committed
 };
--- a/src/yuccascale/kernel/requests/request_session.cpp
+++ b/src/yuccascale/kernel/requests/request_session.cpp
@@ -85,7 +85,8 @@
                      {"failure", attemptFailureName(failed.how)}});
     attempt_result result;
     result.crashed = failed.how == attempt_failure::Crashed;
-    result.blameless = failed.how == attempt_failure::SaidNotRun;
+    result.blameless
+            = failed.how == attempt_failure::SaidNotRun || failed.how == attempt_failure::Answered;
     finishTurn(result);
 }
 
@@ -190,6 +191,11 @@
     finishTurn(unfinished);
 }
 
+void request_session::perform(const begin_stream &began)
+{
+    m_ports.give(began);
+}
+
 void request_session::perform(const forward &piece)
 {
     m_ports.give(piece);
--- a/src/yuccascale/kernel/requests/request_session.hpp
+++ b/src/yuccascale/kernel/requests/request_session.hpp
@@ -14,7 +14,7 @@
 namespace yuccascale::kernel::requests {
 
 /// \brief What the caller gets next.
-using caller_output = std::variant<forward, finish_stream, give_answer, refuse>;
+using caller_output = std::variant<begin_stream, forward, finish_stream, give_answer, refuse>;
 
 /// \brief What a session asks of the entry that it runs in.
 class session_ports
@@ -98,6 +98,7 @@
     void perform(const withdraw_claim &);
     void perform(const dispatch &sent);
     void perform(const cancel &stopped);
+    void perform(const begin_stream &began);
     void perform(const forward &piece);
     void perform(const commit_usage &usage);
     void perform(const settle &end);
--- a/src/yuccascale/kernel/requests/retry_budget.cpp
+++ b/src/yuccascale/kernel/requests/retry_budget.cpp
@@ -1,36 +1,60 @@
 #include "yuccascale/kernel/requests/retry_budget.hpp"
 
-#include <algorithm>
-
 namespace yuccascale::kernel::requests {
 
-void retry_budget::refill(instant now) noexcept
+namespace {
+
+/// Slots of a window; a slot leaves it as a whole.
+constexpr int slotsPerWindow = 20;
+
+} // namespace
+
+retry_budget::slot &retry_budget::slotAt(instant now)
+{
+    m_now = now;
+    if (m_startedAt == instant{})
+        m_startedAt = now;
+    const nanoseconds width = m_limits.window / slotsPerWindow;
+    // a slot stays until its last retry is surely outside the window
+    while (!m_slots.empty() && m_slots.front().begin + m_limits.window + width <= now) {
+        m_requests -= m_slots.front().requests;
+        m_retries -= m_slots.front().retries;
+        m_slots.pop_front();
+    }
+    if (m_slots.empty() || m_slots.back().begin + width <= now)
+        m_slots.push_back({now, 0, 0});
+    return m_slots.back();
+}
+
+double retry_budget::burst(instant now) const noexcept
 {
-    const std::chrono::duration<double> elapsed = now - m_refilledAt;
-    m_tokens = std::min(m_limits.burst, m_tokens + elapsed.count() * m_limits.perSecond);
-    m_refilledAt = now;
+    const bool held = m_limits.slowStart && now < m_startedAt + m_limits.window;
+    return held ? 0 : m_limits.burst;
 }
 
-void retry_budget::firstAttempt(instant now) noexcept
+void retry_budget::firstAttempt(instant now)
 {
-    refill(now);
-    m_tokens = std::min(m_limits.burst, m_tokens + m_limits.share);
+    ++slotAt(now).requests;
+    ++m_requests;
 }
 
-bool retry_budget::take(instant now) noexcept
+bool retry_budget::take(instant now)
 {
-    refill(now);
-    if (m_tokens < 1)
+    slot &current = slotAt(now);
+    if (m_retries + 1 > m_limits.share * m_requests + burst(now))
         return false;
-    m_tokens -= 1;
+    ++current.retries;
+    ++m_retries;
     return true;
 }
 
 nanoseconds retry_budget::wait() const noexcept
 {
-    const double missing = std::max(0.0, 1 - m_tokens);
-    const std::chrono::duration<double> time(missing / m_limits.perSecond);
-    return std::chrono::duration_cast<nanoseconds>(time);
+    for (const slot &one : m_slots) {
+        if (one.retries > 0)
+            return one.begin + m_limits.window - m_now;
+    }
+    return m_limits.window / slotsPerWindow;
 }
 
 } // namespace yuccascale::kernel::requests
--- /dev/null
+++ b/src/yuccascale/kernel/requests/route_index.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "yuccascale/kernel/state/tables.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// \brief Finds the route of a request by its host and path.
+
+namespace yuccascale::kernel::requests {
+
+/// \brief The routes of one revision that are selected by host and path prefix.
+class route_index
+{
+public:
+    /// \param tables may be null
+    explicit route_index(std::shared_ptr<const state::table_set> tables);
+
+    /// \returns the route of that host with the longest prefix that begins \a path; null when none.
+    [[nodiscard]] const state::route *find(std::string_view host,
+                                           std::string_view path) const noexcept;
+
+private:
+    std::shared_ptr<const state::table_set> m_tables;
+    std::map<std::string_view, std::map<std::string_view, const state::route *>> m_hosts;
+};
+
+/// \returns the pool that serves a request of the route: its pool, or one of its split by weight.
+/// \param draw differs between requests
+[[nodiscard]] const std::string &poolOf(const state::route &route, std::uint64_t draw) noexcept;
+
+} // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/state/commands.cpp
+++ b/src/yuccascale/kernel/state/commands.cpp
@@ -9,9 +9,9 @@
 
 /// Names of the alternatives of command::body_type, in its order.
 constexpr std::array<std::string_view, std::variant_size_v<command::body_type>> bodyNames{
-        "edit_tables",     "claim_request", "settle_claim", "record_usage",
-        "freeze_window",   "settle_window", "open_order",   "settle_order",
-        "ban_fingerprint", "retire_entry",  "hold_fetches", "mark_leaving",
+        "edit_tables",   "claim_request", "settle_claim", "record_usage",    "freeze_window",
+        "settle_window", "open_order",    "settle_order", "ban_fingerprint", "retire_entry",
+        "hold_fetches",  "mark_leaving",  "put_document",
 };
 
 template<std::size_t Index = 0>
--- a/src/yuccascale/kernel/state/commands.hpp
+++ b/src/yuccascale/kernel/state/commands.hpp
@@ -30,11 +30,25 @@
     std::vector<std::string> removeOrganisations;
     std::vector<std::string> removeKeys; ///< withdraws them
     std::int64_t wallMs = 0; ///< when it was proposed; endpoints are charged from then on
+    std::vector<caller_limits> putLimits = {}; ///< at most one
+    std::uint64_t documentVersion = 0;         ///< set by the feed only; 0: unchanged
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(edit_tables, fromRevision, putRoutes, putPools,
                                                 putOrganisations, putKeys, removeRoutes,
                                                 removePools, removeOrganisations, removeKeys,
-                                                wallMs)
+                                                putLimits, documentVersion, wallMs)
+};
+
+/// \brief Replaces all tables by an operator's whole document. The highest version wins: one that
+/// is not above the stored version is acknowledged and changes nothing.
+struct put_document
+{
+    std::uint64_t version = 0;
+    std::string bytes;       ///< the document as the operator sent it, for reading it back
+    edit_tables tables;      ///< its rows; removals and fromRevision are not used
+    std::int64_t wallMs = 0; ///< when it was proposed; endpoints are charged from then on
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(put_document, version, bytes, tables, wallMs)
 };
 
 /// \brief Claims the single run of a non-idempotent request before it is dispatched.
@@ -216,9 +230,10 @@
 /// \brief One command with the id that makes its resend harmless.
 struct command
 {
-    using body_type = std::variant<edit_tables, claim_request, settle_claim, record_usage,
-                                   freeze_window, settle_window, open_order, settle_order,
-                                   ban_fingerprint, retire_entry, hold_fetches, mark_leaving>;
+    using body_type
+            = std::variant<edit_tables, claim_request, settle_claim, record_usage, freeze_window,
+                           settle_window, open_order, settle_order, ban_fingerprint, retire_entry,
+                           hold_fetches, mark_leaving, put_document>;
 
     std::string operationId; ///< a resend with the same id gets the first answer
     body_type body;
--- a/src/yuccascale/kernel/state/machine.cpp
+++ b/src/yuccascale/kernel/state/machine.cpp
@@ -49,6 +49,14 @@
         return answer;
     }
 
+    [[nodiscard]] command_result apply(const std::string &, const put_document &document)
+    {
+        command_result answer = store.putDocument(document, orders);
+        if (answer.accepted)
+            usage.endpointsChanged(store.tables()->pools, document.wallMs);
+        return answer;
+    }
+
     [[nodiscard]] command_result apply(const std::string &operationId, const claim_request &request)
     {
         if (usage.retired(request.entry)) {
@@ -142,6 +150,11 @@
     return m_parts->store.tables();
 }
 
+std::shared_ptr<const std::string> machine::document() const noexcept
+{
+    return m_parts->store.document();
+}
+
 std::shared_ptr<const std::set<std::string>> machine::bannedFingerprints() const noexcept
 {
     return m_parts->banned.fingerprints();
--- a/src/yuccascale/kernel/state/machine.hpp
+++ b/src/yuccascale/kernel/state/machine.hpp
@@ -34,6 +34,9 @@
     /// \returns the tables in force; the pointer stays valid and unchanged after later edits.
     [[nodiscard]] std::shared_ptr<const table_set> tables() const noexcept;
 
+    /// \returns the bytes of the operator's newest document; empty before the first.
+    [[nodiscard]] std::shared_ptr<const std::string> document() const noexcept;
+
     /// \returns the fingerprints stopped fleet-wide; unchanged after later commands.
     [[nodiscard]] std::shared_ptr<const std::set<std::string>> bannedFingerprints() const noexcept;
 
--- a/src/yuccascale/kernel/state/table_rules.cpp
+++ b/src/yuccascale/kernel/state/table_rules.cpp
@@ -19,6 +19,7 @@
 constexpr double highestPricePerHour = 1e4;
 constexpr int mostSlots = 4'096;
 constexpr int highestPort = 65'535;
+constexpr int mostAttempts = 100;
 
 bool isNameCharacter(char c)
 {
@@ -69,15 +70,40 @@
     return field + ": '" + address + "' is not an address; write IP:port";
 }
 
+problem problemInSplit(const std::string &place, const route &row)
+{
+    double sum = 0;
+    for (const pool_share &part : row.split) {
+        if (!std::isfinite(part.weight) || part.weight < 0)
+            return place + ".split: a weight is below 0; give each pool its share";
+        sum += part.weight;
+    }
+    if (!row.split.empty() && sum <= 0)
+        return place + ".split: the weights add up to 0; give at least one pool a share";
+    return std::nullopt;
+}
+
+problem problemInWay(const std::string &place, const route &row)
+{
+    const bool whole = row.pathPrefix.starts_with('/') && row.pathPrefix.ends_with('/');
+    if (row.host.empty() == row.pathPrefix.empty() && (row.host.empty() || whole))
+        return problemInSplit(place, row);
+    return place + ".pathPrefix: '" + row.pathPrefix
+            + "' must begin and end with '/' and stand with a host; correct it or leave both out";
+}
+
 problem problemInRow(const route &row)
 {
     const std::string place = "route/" + row.name;
+    if (auto found = problemInWay(place, row))
+        return found;
     return firstOf(
             {problemInName(place, row.name),
              problemInRange<std::int64_t>(place + ".deadlineMs", row.deadlineMs, 1,
                                           longestDeadlineMs),
              problemInRange<std::int64_t>(place + ".firstTokenMs", row.firstTokenMs, 1,
                                           longestDeadlineMs),
+             problemInRange(place + ".maxAttempts", row.maxAttempts, 1, mostAttempts),
              problemInRange(place + ".priority", row.priority, -highestPriority, highestPriority)});
 }
 
@@ -197,21 +223,49 @@
     });
 }
 
-problem problemInRoutePool(const route &row, const table_set &tables)
+problem problemInRoutePool(const route &row, const std::string &pool, const table_set &tables)
 {
     const std::string place = "route/" + row.name + ".pool: ";
-    const auto found = tables.pools.find(row.pool);
+    const auto found = tables.pools.find(pool);
     if (found == tables.pools.end()) {
-        return place + "there is no pool '" + row.pool
+        return place + "there is no pool '" + pool
                 + "'; create it in this edit or point the route to another pool";
     }
     if (found->second.kind != row.kind) {
-        return place + "pool '" + row.pool
+        return place + "pool '" + pool
                 + "' is of another kind than the route; make both 'model' or both 'service'";
     }
     if (!row.idempotent && hasOnlyCheapEndpoints(found->second)) {
-        return place + "a non-idempotent route needs a steady endpoint; add one to pool '"
-                + row.pool + "'";
+        return place + "a non-idempotent route needs a steady endpoint; add one to pool '" + pool
+                + "'";
+    }
+    return std::nullopt;
+}
+
+problem problemInRoutePools(const route &row, const table_set &tables)
+{
+    if (row.split.empty())
+        return problemInRoutePool(row, row.pool, tables);
+    for (const pool_share &part : row.split) {
+        if (auto found = problemInRoutePool(row, part.pool, tables))
+            return found;
+    }
+    return std::nullopt;
+}
+
+/// A host and prefix name one route.
+problem problemInWays(const table_set &tables)
+{
+    using way = std::pair<std::string_view, std::string_view>;
+    std::map<way, std::string_view> routeOf;
+    for (const auto &[name, row] : tables.routes) {
+        if (row.host.empty())
+            continue;
+        const auto [first, added] = routeOf.emplace(way(row.host, row.pathPrefix), name);
+        if (!added) {
+            return "route/" + name + ".pathPrefix: the same host and prefix as route '"
+                    + std::string(first->second) + "'; change one of them";
+        }
     }
     return std::nullopt;
 }
@@ -270,10 +324,10 @@
 std::optional<std::string> problemInReferences(const table_set &tables)
 {
     for (const auto &[name, row] : tables.routes) {
-        if (auto found = problemInRoutePool(row, tables))
+        if (auto found = problemInRoutePools(row, tables))
             return found;
     }
-    return firstOf({problemInEndpointNames(tables), problemInKeys(tables)});
+    return firstOf({problemInWays(tables), problemInEndpointNames(tables), problemInKeys(tables)});
 }
 
 } // namespace yuccascale::kernel::state
--- a/src/yuccascale/kernel/state/table_store.cpp
+++ b/src/yuccascale/kernel/state/table_store.cpp
@@ -106,17 +106,50 @@
             refreshDraining(next->pools[row.name], orders);
         problem = problemInReferences(*next);
     }
-    if (problem) {
-        command_result answer = refused(error_kind::InvalidArgument, std::move(*problem));
-        answer.revision = m_tables->revision;
-        return answer;
-    }
+    if (problem)
+        return refusedEdit(std::move(*problem));
     publish(std::move(next), earlier_edits::Conflict);
     command_result answer = accepted();
     answer.revision = m_tables->revision;
     return answer;
 }
 
+command_result table_store::refusedEdit(std::string problem) const
+{
+    command_result answer = refused(error_kind::InvalidArgument, std::move(problem));
+    answer.revision = m_tables->revision;
+    return answer;
+}
+
+command_result table_store::putDocument(const put_document &document, const order_ledger &orders)
+{
+    const edit_tables &rows = document.tables;
+    std::optional<std::string> problem = problemInEdit(rows);
+    auto next = std::make_shared<table_set>();
+    putRows(next->routes, rows.putRoutes);
+    putRows(next->pools, rows.putPools);
+    putRows(next->organisations, rows.putOrganisations);
+    for (const key_record &key : rows.putKeys)
+        next->keys[key.id] = key;
+    next->limits = rows.putLimits;
+    next->documentVersion = document.version;
+    next->revision = m_tables->revision;
+    for (auto &[name, row] : next->pools)
+        refreshDraining(row, orders);
+    if (!problem)
+        problem = problemInReferences(*next);
+    if (problem)
+        return refusedEdit(std::move(*problem));
+    const bool newer = document.version > m_tables->documentVersion;
+    if (newer) {
+        m_document = std::make_shared<std::string>(document.bytes);
+        publish(std::move(next), earlier_edits::Conflict);
+    }
+    command_result answer = accepted({{"changed", newer}});
+    answer.revision = m_tables->revision;
+    return answer;
+}
+
 command_result table_store::markLeaving(const mark_leaving &notice)
 {
     auto next = std::make_shared<table_set>(*m_tables);
@@ -202,9 +235,16 @@
     m_tables = std::move(next);
 }
 
+void table_store::save(snapshot_writer &out) const
+{
+    out.put(*m_tables);
+    out.put(*m_document);
+}
+
 void table_store::load(snapshot_reader &in)
 {
     m_tables = std::make_shared<table_set>(in.get<table_set>());
+    m_document = std::make_shared<std::string>(in.get<std::string>());
 }
 
 } // namespace yuccascale::kernel::state
--- a/src/yuccascale/kernel/state/table_store.hpp
+++ b/src/yuccascale/kernel/state/table_store.hpp
@@ -22,6 +22,17 @@
     /// \brief Applies an operator's edit whole, or refuses it whole.
     [[nodiscard]] command_result edit(const edit_tables &edit, const order_ledger &orders);
 
+    /// \brief Replaces all tables by a document whose version is above the stored one.
+    /// \returns an acceptance that changes nothing when it is not above it.
+    [[nodiscard]] command_result putDocument(const put_document &document,
+                                             const order_ledger &orders);
+
+    /// \returns the bytes of the newest document; empty before the first.
+    [[nodiscard]] std::shared_ptr<const std::string> document() const noexcept
+    {
+        return m_document;
+    }
+
     /// \brief Sets draining on endpoints whose VM gave notice; unknown names are passed over.
     [[nodiscard]] command_result markLeaving(const mark_leaving &notice);
 
@@ -34,7 +45,7 @@
     /// \returns the endpoint's row in whichever pool lists it, or null.
     [[nodiscard]] const endpoint *findEndpoint(const std::string &name) const noexcept;
 
-    void save(snapshot_writer &out) const { out.put(*m_tables); }
+    void save(snapshot_writer &out) const;
     void load(snapshot_reader &in);
 
 private:
@@ -42,8 +53,10 @@
     enum class earlier_edits { StayGood, Conflict };
 
     void publish(std::shared_ptr<table_set> next, earlier_edits earlier);
+    [[nodiscard]] command_result refusedEdit(std::string problem) const;
 
     std::shared_ptr<const table_set> m_tables = std::make_shared<table_set>();
+    std::shared_ptr<const std::string> m_document = std::make_shared<std::string>();
 };
 
 } // namespace yuccascale::kernel::state
--- a/src/yuccascale/kernel/state/tables.hpp
+++ b/src/yuccascale/kernel/state/tables.hpp
@@ -36,22 +36,41 @@
                              {{endpoint_tenure::Steady, "steady"},
                               {endpoint_tenure::Cheap, "cheap"}})
 
+/// \brief A pool's part of a route's requests.
+struct pool_share
+{
+    std::string pool;
+    double weight = 1.0; ///< relative to the other parts of the route
+
+    [[nodiscard]] bool operator==(const pool_share &) const = default;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(pool_share, pool, weight)
+};
+
 /// \brief A named way in for callers; it refers to its pool by name.
 struct route
 {
     std::string name;
-    std::string pool; ///< name of the pool that serves it
+    std::string pool; ///< name of the pool that serves it; empty when it is split
     backend_kind kind = backend_kind::Model;
     route_access access = route_access::Keyed;
-    bool idempotent = true; ///< false: an idempotency key is required and it runs at most once
-    std::int64_t deadlineMs = 30'000;  ///< time for the whole answer
-    std::int64_t firstTokenMs = 1'300; ///< target time to the first token
-    int priority = 0;                  ///< larger goes first within an organisation's share
+    bool idempotent = true; ///< false: a request runs at most once
+    bool claimed = true; ///< a non-idempotent request needs an idempotency key, which is claimed in
+                         ///< the log; false: its callers never send one request twice
+    std::int64_t deadlineMs = 30'000;   ///< time for the whole answer
+    std::int64_t firstTokenMs = 1'300;  ///< target time to the first token
+    int priority = 0;                   ///< larger goes first within an organisation's share
+    int maxAttempts = 5;                ///< endpoints that one request may be sent to
+    bool streamed = false;              ///< its answers are event streams, whatever is asked
+    std::string host = {};              ///< empty: requests name the route itself
+    std::string pathPrefix = {};        ///< of its requests at that host; begins and ends with '/'
+    std::vector<pool_share> split = {}; ///< several pools by weight, in place of pool
 
     [[nodiscard]] bool operator==(const route &) const = default;
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(route, name, pool, kind, access, idempotent,
-                                                deadlineMs, firstTokenMs, priority)
+                                                claimed, deadlineMs, firstTokenMs, priority,
+                                                maxAttempts, streamed, host, pathPrefix, split)
 };
 
 /// \brief An engine or a plain service that a pool lists.
@@ -67,12 +86,13 @@
     int slots = 16;        ///< requests it batches at once
     bool draining = false; ///< no new work; set by an operator, a VM's notice or an open order
     std::uint64_t drainingForOrder = 0; ///< the open order that set draining; 0: none
+    std::int64_t startedMs = 0; ///< when its process started, on the wall clock; 0: not known
 
     [[nodiscard]] bool operator==(const endpoint &) const = default;
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(endpoint, name, address, zone, role, tenure,
                                                 fencesOrders, pricePerHour, slots, draining,
-                                                drainingForOrder)
+                                                drainingForOrder, startedMs)
 };
 
 /// \brief A named set of endpoints of one kind.
@@ -85,12 +105,15 @@
     std::vector<std::string> adapters;
     int minEndpoints = 1;
     int maxEndpoints = 64;
+    int maxConnections = 0;  ///< that one endpoint takes from all entries together; 0: no bound
+    bool discovered = false; ///< its endpoints come from the platform's list, not from this row
     std::vector<endpoint> endpoints;
 
     [[nodiscard]] bool operator==(const pool &) const = default;
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(pool, name, kind, model, version, adapters,
-                                                minEndpoints, maxEndpoints, endpoints)
+                                                minEndpoints, maxEndpoints, maxConnections,
+                                                discovered, endpoints)
 };
 
 /// \brief A customer with its share of the fleet.
@@ -98,10 +121,12 @@
 {
     std::string name;
     double weight = 1.0; ///< share relative to the others' weights
+    bool ranked = false; ///< its priority goes before that of its routes
+    int priority = 0;    ///< larger goes first; only when ranked
 
     [[nodiscard]] bool operator==(const organisation &) const = default;
 
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(organisation, name, weight)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(organisation, name, weight, ranked, priority)
 };
 
 /// \brief A key's record; the key itself is shown once and never stored.
@@ -116,6 +141,20 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(key_record, id, organisation, digest)
 };
 
+/// \brief What callers may send, and how long they may take.
+struct caller_limits
+{
+    std::int64_t headerBytes = 16 << 10;
+    std::int64_t bodyBytes = 8 << 20;
+    std::int64_t readTimeoutMs = 10'000; ///< for a whole request
+    std::int64_t idleTimeoutMs = 15'000; ///< between two requests of a connection
+
+    [[nodiscard]] bool operator==(const caller_limits &) const = default;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(caller_limits, headerBytes, bodyBytes,
+                                                readTimeoutMs, idleTimeoutMs)
+};
+
 /// \brief A whole revision of the tables, as every node has it in force.
 ///
 /// \example
@@ -128,11 +167,13 @@
     std::map<std::string, pool> pools;
     std::map<std::string, organisation> organisations;
     std::map<std::string, key_record> keys; ///< by key id
+    std::vector<caller_limits> limits;      ///< one item, or none when the settings' limits hold
+    std::uint64_t documentVersion = 0; ///< of the operator's document that they came from; 0: none
 
     [[nodiscard]] bool operator==(const table_set &) const = default;
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(table_set, revision, editableFrom, routes, pools,
-                                                organisations, keys)
+                                                organisations, keys, limits, documentVersion)
 };
 
 } // namespace yuccascale::kernel::state
--- /dev/null
+++ b/src/yuccascale/net/event_loops.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <thread>
+#include <vector>
+
+/// \file
+/// \brief The threads that wait for sockets and timers.
+
+namespace yuccascale::net {
+
+using io_context = boost::asio::io_context;
+
+/// \brief Event loops with one thread each. A connection stays on its loop for its whole life.
+///
+/// \example
+///     event_loops loops(2);
+///     http_server server(loops, limits, handler);
+///     loops.start();
+class event_loops
+{
+public:
+    explicit event_loops(std::size_t count);
+    ~event_loops();
+    event_loops(const event_loops &) = delete;
+    event_loops &operator=(const event_loops &) = delete;
+
+    /// \brief Starts the threads.
+    void start();
+
+    /// \brief Ends the threads; work that still waits is dropped.
+    void stop();
+
+    /// \returns the loops in turn.
+    [[nodiscard]] io_context &next() noexcept;
+
+    [[nodiscard]] io_context &at(std::size_t index) noexcept { return *m_contexts[index]; }
+    [[nodiscard]] std::size_t size() const noexcept { return m_contexts.size(); }
+
+private:
+    using work_guard = boost::asio::executor_work_guard<io_context::executor_type>;
+
+    std::vector<std::unique_ptr<io_context>> m_contexts;
+    std::vector<work_guard> m_guards;
+    std::vector<std::thread> m_threads;
+    std::atomic<std::size_t> m_next{0};
+};
+
+} // namespace yuccascale::net
--- /dev/null
+++ b/src/yuccascale/net/http_client.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/net/event_loops.hpp"
+#include "yuccascale/net/http_message.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief An event-driven HTTP/1.1 client with kept connections.
+
+namespace yuccascale::net {
+
+/// \brief Times and bounds of a client.
+struct client_limits
+{
+    kernel::milliseconds connectTimeout{500};
+    kernel::milliseconds userTimeout{
+            1'500};                         ///< bytes that no one acknowledges break the connection
+    kernel::milliseconds idleLimit{10'000}; ///< a kept connection is closed after this
+    std::size_t idlePerAddress = 64;
+};
+
+/// \brief Start of an answer.
+struct response_head
+{
+    int status = 0;
+    header_list headers;
+    bool bounded = false; ///< its end is marked: by a length or by chunks
+
+    [[nodiscard]] std::string_view header(std::string_view name) const noexcept;
+};
+
+/// \brief How a call ended.
+enum class call_end {
+    Whole,        ///< the answer came whole
+    NotConnected, ///< no byte of the request left
+    Broken,       ///< the connection ended before the answer did
+    Malformed,    ///< what came is no HTTP
+};
+
+/// \brief Takes in an answer. Called on the client's loop, never from inside http_client::start().
+class answer_receiver
+{
+public:
+    /// \brief What to do with an answer after its head.
+    enum class verdict {
+        Take,
+        Skip, ///< it belongs to another request; this one's may follow
+        Stop, ///< close the connection; nothing more is delivered
+    };
+
+    virtual ~answer_receiver() = default;
+
+    [[nodiscard]] virtual verdict head(const response_head &head) = 0;
+
+    /// \returns false when the rest is of no use; then nothing more is delivered.
+    [[nodiscard]] virtual bool body(std::string_view bytes) = 0;
+
+    virtual void ended(call_end how) = 0;
+};
+
+/// \brief A request to be sent.
+struct outgoing_request
+{
+    std::string address; ///< IP:port
+    std::string method;
+    std::string target;
+    header_list headers; ///< Host and length are added
+    std::string body;
+    bool freshConnection = false; ///< never one that the other side may be closing
+};
+
+/// \brief A call under way.
+class http_call
+{
+public:
+    virtual ~http_call() = default;
+
+    /// \brief Closes its connection; nothing is delivered afterwards.
+    virtual void cancel() = 0;
+};
+
+/// \brief Calls other HTTP servers. Used on its loop only.
+///
+/// A connection is kept only after an answer that came whole, with nothing behind it.
+class http_client
+{
+public:
+    http_client(io_context &loop, client_limits limits);
+    ~http_client();
+    http_client(const http_client &) = delete;
+    http_client &operator=(const http_client &) = delete;
+
+    /// \brief Starts a call.
+    /// \param receiver kept until the call has ended
+    [[nodiscard]] std::shared_ptr<http_call> start(outgoing_request request,
+                                                   std::shared_ptr<answer_receiver> receiver);
+
+    /// \brief Tries to connect, and keeps the connection for a later call.
+    void probe(const std::string &address, std::function<void(bool connected)> done);
+
+    /// \brief Closes the kept connections to an address.
+    void forget(const std::string &address);
+
+    /// \returns connections that wait for a call, for measurements.
+    [[nodiscard]] std::size_t idle() const noexcept;
+
+    /// \returns connections opened so far, for measurements.
+    [[nodiscard]] std::uint64_t opened() const noexcept;
+
+private:
+    class connection;
+    class call;
+    struct state;
+
+    std::shared_ptr<state> m_state;
+};
+
+/// \brief The whole answer of a short call.
+struct short_answer
+{
+    call_end end = call_end::NotConnected;
+    int status = 0;
+    header_list headers;
+    std::string body;
+
+    [[nodiscard]] bool ok() const noexcept { return end == call_end::Whole && status == 200; }
+};
+
+/// \brief Makes a call whose answer is small; \a done runs once, at the latest after \a timeout.
+void callShort(http_client &client, io_context &loop, outgoing_request request,
+               kernel::milliseconds timeout, std::function<void(short_answer)> done);
+
+} // namespace yuccascale::net
