--- /dev/null
+++ b/src/yuccascale/net/http_connection.cpp
@@ -0,0 +1,441 @@
+#include "yuccascale/net/http_connection.hpp"
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace yuccascale::net {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t readChunkBytes = 24U << 10U;
+/// Bytes of a caller's next requests that are taken in before its answer has ended.
+constexpr std::size_t readAheadBytes = 64U << 10U;
+/// Bytes of an answer that may wait for a caller that reads slowly.
+constexpr std::size_t unsentBytes = 4U << 20U;
+/// A buffer that grew beyond this is given back after its request.
+constexpr std::size_t keptBufferBytes = 4U << 10U;
+/// After the last answer the caller gets this long to close, so that no reset overtakes the answer.
+constexpr kernel::milliseconds lingerTimeout{1'000};
+
+[[nodiscard]] std::string numberText(std::size_t number, int base)
+{
+    std::array<char, 24> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number, base).ptr;
+    return {digits.data(), end};
+}
+
+[[nodiscard]] std::string headText(int status, const header_list &headers, bool close)
+{
+    std::string out = "HTTP/1.1 " + numberText(static_cast<std::size_t>(status), 10) + " ";
+    out += reasonPhrase(status);
+    out += "\r\n";
+    for (const header_field &field : headers)
+        appendHeader(out, field.name, field.value);
+    if (close)
+        out += "Connection: close\r\n";
+    return out;
+}
+
+[[nodiscard]] bool hasBody(int status) noexcept
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
+} // namespace
+
+void http_server::shard::add(const std::shared_ptr<connection> &made)
+{
+    connections.insert(made);
+    if (!std::exchange(sweeping, true))
+        sweep();
+}
+
+void http_server::shard::remove(const std::shared_ptr<connection> &ended)
+{
+    connections.erase(ended);
+}
+
+void http_server::shard::sweep()
+{
+    constexpr kernel::milliseconds interval{500};
+    timer.expires_after(interval);
+    timer.async_wait([self = shared_from_this()](error_code problem) {
+        if (problem)
+            return;
+        const auto all = self->connections;
+        for (const std::shared_ptr<connection> &one : all)
+            one->checkTime(std::chrono::steady_clock::now());
+        if (self->connections.empty())
+            self->sweeping = false;
+        else
+            self->sweep();
+    });
+}
+
+void http_server::shard::closeAll()
+{
+    const auto all = connections;
+    for (const std::shared_ptr<connection> &one : all)
+        one->close();
+    timer.cancel();
+}
+
+http_server::connection::connection(std::shared_ptr<shared_state> shared,
+                                    std::shared_ptr<shard> home, tcp::socket socket,
+                                    std::string listener)
+    : m_shared(std::move(shared))
+    , m_home(std::move(home))
+    , m_socket(std::move(socket))
+    , m_listener(std::move(listener))
+{
+    ++m_shared->open;
+}
+
+void http_server::connection::start()
+{
+    if (m_shared->stopped)
+        return close();
+    error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
+    m_home->add(shared_from_this());
+    awaitRequest();
+    if (m_shared->open > m_limits->connections)
+        return refuse(503, "overloaded", "all connections are taken; try another address");
+    read();
+}
+
+void http_server::connection::awaitRequest()
+{
+    m_limits = m_shared->limits();
+    m_phase = phase::Idle;
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits->headerBytes));
+    m_parser->body_limit(m_limits->bodyBytes);
+    m_headerChecked = false;
+    setDeadline(m_limits->idleTimeout);
+    if (m_buffer.size() == 0 && m_buffer.capacity() > keptBufferBytes)
+        m_buffer = {};
+}
+
+void http_server::connection::read()
+{
+    if (m_reading || m_phase == phase::Closed || m_buffer.size() >= readAheadBytes)
+        return;
+    m_reading = true;
+    // a connection that waits holds no buffer
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code problem) {
+        self->readable(problem);
+    });
+}
+
+void http_server::connection::readable(error_code problem)
+{
+    m_reading = false;
+    if (m_phase == phase::Closed)
+        return;
+    std::size_t count = 0;
+    if (!problem)
+        count = m_socket.read_some(m_buffer.prepare(readChunkBytes), problem);
+    if (problem == boost::asio::error::would_block)
+        return read();
+    if (problem)
+        return callerLeft();
+    m_buffer.commit(count);
+    if (m_phase == phase::Ending)
+        m_buffer.clear();
+    if (m_phase == phase::Idle || m_phase == phase::Reading)
+        parse();
+    read();
+}
+
+void http_server::connection::parse()
+{
+    if (m_phase == phase::Idle && m_buffer.size() > 0) {
+        m_phase = phase::Reading;
+        setDeadline(m_limits->readTimeout);
+    }
+    while (m_phase == phase::Reading && m_buffer.size() > 0) {
+        error_code problem;
+        m_buffer.consume(m_parser->put(m_buffer.data(), problem));
+        if (m_parser->is_header_done() && !headerIsGood())
+            return;
+        if (problem == http::error::need_more)
+            return;
+        if (problem == http::error::header_limit)
+            return refuse(431, "invalid_argument", "the header is too large; send a smaller one");
+        if (problem == http::error::body_limit)
+            return refuse(413, "invalid_argument", "the body is too large; send a smaller one");
+        if (problem)
+            return refuse(400, "invalid_argument", "malformed HTTP: " + problem.message());
+        if (m_parser->is_done())
+            return dispatch();
+    }
+}
+
+/// Checks what the parser does not, once for each request.
+bool http_server::connection::headerIsGood()
+{
+    if (std::exchange(m_headerChecked, true))
+        return true;
+    const auto &head = m_parser->get();
+    const auto fields = static_cast<std::size_t>(std::distance(head.begin(), head.end()));
+    if (fields > m_limits->headerFields) {
+        refuse(431, "invalid_argument", "too many header fields; send fewer");
+        return false;
+    }
+    if (head.count(http::field::host) > 1) {
+        refuse(400, "invalid_argument", "more than one Host header; send one");
+        return false;
+    }
+    const bool expects = http::token_list(head[http::field::expect]).exists("100-continue");
+    if (expects && !m_parser->is_done())
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+    return true;
+}
+
+void http_server::connection::dispatch()
+{
+    m_phase = phase::Answering;
+    m_deadline = steady_instant::max();
+    m_keepAlive = m_parser->keep_alive();
+    auto message = m_parser->release();
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message)
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    request.body = std::move(message.body());
+    m_parser.reset();
+    m_chunked = false;
+    ++m_number;
+    m_shared->handler(std::make_shared<exchange>(shared_from_this(), m_number, std::move(request)));
+}
+
+void http_server::connection::refuse(int status, std::string_view kind, std::string_view message)
+{
+    std::string body = R"({"error":{"kind":")" + std::string(kind) + R"(","message":")";
+    body += message;
+    body += R"(","may_have_run":false}})";
+    m_keepAlive = false;
+    m_phase = phase::Answering;
+    ++m_number;
+    reply({status, {{"Content-Type", "application/json"}}, std::move(body)});
+}
+
+bool http_server::connection::serves(std::uint64_t number) const noexcept
+{
+    return m_phase == phase::Answering && number == m_number;
+}
+
+bool http_server::connection::lastAnswer() const noexcept
+{
+    return !m_keepAlive || m_shared->closing;
+}
+
+void http_server::connection::reply(const http_reply &answer)
+{
+    m_keepAlive = !lastAnswer();
+    std::string out = headText(answer.status, answer.headers, !m_keepAlive);
+    if (hasBody(answer.status))
+        appendHeader(out, "Content-Length", numberText(answer.body.size(), 10));
+    out += "\r\n";
+    out += answer.body;
+    write(out);
+    answerEnded();
+}
+
+void http_server::connection::begin(int status, const header_list &headers)
+{
+    m_keepAlive = !lastAnswer();
+    std::string out = headText(status, headers, !m_keepAlive);
+    appendHeader(out, "Transfer-Encoding", "chunked");
+    out += "\r\n";
+    m_chunked = true;
+    m_unsent += out; // goes out together with the first piece
+}
+
+void http_server::connection::send(std::string_view bytes)
+{
+    if (bytes.empty())
+        return;
+    std::string chunk = numberText(bytes.size(), 16) + "\r\n";
+    chunk += bytes;
+    chunk += "\r\n";
+    write(chunk);
+}
+
+void http_server::connection::finish()
+{
+    write("0\r\n\r\n");
+    answerEnded();
+}
+
+void http_server::connection::abort()
+{
+    m_onCallerLeft = nullptr;
+    m_keepAlive = false;
+    m_phase = phase::Ending;
+    setDeadline(lingerTimeout);
+    endAfterWrite();
+}
+
+void http_server::connection::onCallerLeft(std::function<void()> action)
+{
+    m_onCallerLeft = std::move(action);
+}
+
+void http_server::connection::answerEnded()
+{
+    m_onCallerLeft = nullptr;
+    if (!m_keepAlive) {
+        m_phase = phase::Ending;
+        setDeadline(lingerTimeout);
+        return endAfterWrite();
+    }
+    awaitRequest();
+    // a request that has come meanwhile is served after this call, not inside it
+    boost::asio::post(m_home->loop, [self = shared_from_this()] {
+        if (self->m_phase != phase::Idle)
+            return;
+        self->parse();
+        self->read();
+    });
+}
+
+void http_server::connection::write(std::string_view bytes)
+{
+    m_unsent += bytes;
+    if (m_unsent.size() > unsentBytes)
+        return callerLeft();
+    flush();
+}
+
+void http_server::connection::flush()
+{
+    if (m_writing || m_unsent.empty() || m_phase == phase::Closed)
+        return;
+    m_writing = true;
+    m_sending = std::exchange(m_unsent, {});
+    m_writeDeadline = std::chrono::steady_clock::now() + m_limits->writeTimeout;
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_sending),
+                             [self = shared_from_this()](error_code problem, std::size_t) {
+                                 self->written(problem);
+                             });
+}
+
+void http_server::connection::written(error_code problem)
+{
+    m_writing = false;
+    m_writeDeadline = steady_instant::max();
+    if (m_sending.capacity() > keptBufferBytes)
+        m_sending = {};
+    if (m_phase == phase::Closed)
+        return;
+    if (problem)
+        return callerLeft();
+    flush();
+    if (m_phase == phase::Ending)
+        endAfterWrite();
+}
+
+void http_server::connection::endAfterWrite()
+{
+    if (m_writing || !m_unsent.empty())
+        return;
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    read();
+}
+
+void http_server::connection::callerLeft()
+{
+    const std::function<void()> action = std::exchange(m_onCallerLeft, nullptr);
+    close();
+    if (action)
+        action();
+}
+
+void http_server::connection::close()
+{
+    if (m_phase == phase::Closed)
+        return;
+    m_phase = phase::Closed;
+    --m_shared->open;
+    error_code ignored;
+    m_socket.close(ignored);
+    m_parser.reset();
+    m_buffer = {};
+    m_unsent = {};
+    m_home->remove(shared_from_this());
+}
+
+void http_server::connection::setDeadline(kernel::milliseconds fromNow)
+{
+    m_deadline = std::chrono::steady_clock::now() + fromNow;
+}
+
+void http_server::connection::checkTime(steady_instant now)
+{
+    if (now >= m_writeDeadline)
+        return callerLeft();
+    if (now < m_deadline)
+        return;
+    if (m_phase == phase::Reading)
+        refuse(408, "deadline_exceeded", "the request came too slowly; send it again");
+    else
+        close();
+}
+
+http_server::exchange::exchange(std::shared_ptr<connection> on, std::uint64_t number,
+                                http_request request)
+    : m_connection(std::move(on))
+    , m_number(number)
+    , m_request(std::move(request))
+{ }
+
+void http_server::exchange::reply(http_reply answer)
+{
+    if (current())
+        m_connection->reply(answer);
+}
+
+void http_server::exchange::begin(int status, const header_list &headers)
+{
+    if (current())
+        m_connection->begin(status, headers);
+}
+
+void http_server::exchange::send(std::string_view bytes)
+{
+    if (current())
+        m_connection->send(bytes);
+}
+
+void http_server::exchange::finish()
+{
+    if (current())
+        m_connection->finish();
+}
+
+void http_server::exchange::abort()
+{
+    if (current())
+        m_connection->abort();
+}
+
+void http_server::exchange::onCallerLeft(std::function<void()> action)
+{
+    if (current())
+        m_connection->onCallerLeft(std::move(action));
+    else if (action)
+        action();
+}
+
+} // namespace yuccascale::net
--- /dev/null
+++ b/src/yuccascale/net/http_connection.hpp
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "yuccascale/net/http_server.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <deque>
+#include <optional>
+#include <set>
+
+/// \file
+/// \brief The connections of the HTTP server; included by its sources only.
+
+namespace yuccascale::net {
+
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+using steady_instant = std::chrono::steady_clock::time_point;
+
+/// \brief What all connections of a server share.
+struct http_server::shared_state
+{
+    explicit shared_state(http_handler serve)
+        : handler(std::move(serve))
+    { }
+
+    [[nodiscard]] std::shared_ptr<const http_limits> limits() const
+    {
+        const std::scoped_lock guard(mutex);
+        return current;
+    }
+
+    const http_handler handler;
+    mutable std::mutex mutex;
+    std::shared_ptr<const http_limits> current;
+    std::vector<std::shared_ptr<shard>> shards; ///< one for each loop
+    std::atomic<bool> closing{false};
+    std::atomic<bool> stopped{false};
+    std::atomic<std::size_t> open{0};
+};
+
+/// \brief The connections of one loop, and the timer that closes those that take too long.
+struct http_server::shard : std::enable_shared_from_this<shard>
+{
+    explicit shard(io_context &context)
+        : loop(context)
+        , timer(context)
+    { }
+
+    void add(const std::shared_ptr<connection> &made);
+    void remove(const std::shared_ptr<connection> &ended);
+    void sweep();
+    void closeAll();
+
+    io_context &loop;
+    boost::asio::steady_timer timer;
+    bool sweeping = false;
+    std::set<std::shared_ptr<connection>> connections;
+};
+
+/// \brief One connection of a caller. Runs on its loop only.
+class http_server::connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(std::shared_ptr<shared_state> shared, std::shared_ptr<shard> home,
+               tcp::socket socket, std::string listener);
+
+    void start();
+
+    /// \brief Closes the connection when its time is over.
+    void checkTime(steady_instant now);
+
+    /// \brief Closes at once, as if the caller had left.
+    void close();
+
+    // for the exchange under way, named by its number
+    [[nodiscard]] bool serves(std::uint64_t number) const noexcept;
+    void reply(const http_reply &answer);
+    void begin(int status, const header_list &headers);
+    void send(std::string_view bytes);
+    void finish();
+    void abort();
+    void onCallerLeft(std::function<void()> action);
+
+    [[nodiscard]] io_context &loop() noexcept { return m_home->loop; }
+    [[nodiscard]] const std::string &listener() const noexcept { return m_listener; }
+
+private:
+    enum class phase {
+        Idle,      ///< between two requests
+        Reading,   ///< a request has begun
+        Answering, ///< the handler has the request
+        Ending,    ///< the last bytes are on their way; what comes is thrown away
+        Closed,
+    };
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void read();
+    void readable(error_code problem);
+    void parse();
+    void awaitRequest();
+    [[nodiscard]] bool headerIsGood();
+    void dispatch();
+    void refuse(int status, std::string_view kind, std::string_view message);
+    void answerEnded();
+    void write(std::string_view bytes);
+    void flush();
+    void written(error_code problem);
+    void endAfterWrite();
+    void callerLeft();
+    void setDeadline(kernel::milliseconds fromNow);
+    [[nodiscard]] bool lastAnswer() const noexcept;
+
+    std::shared_ptr<shared_state> m_shared;
+    std::shared_ptr<shard> m_home;
+    tcp::socket m_socket;
+    std::string m_listener;
+    std::shared_ptr<const http_limits> m_limits;
+    phase m_phase = phase::Idle;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<request_parser> m_parser;
+    bool m_headerChecked = false;
+    bool m_reading = false;
+    bool m_keepAlive = true;
+    std::uint64_t m_number = 0; ///< of the request under way
+    bool m_chunked = false;
+    std::function<void()> m_onCallerLeft;
+    std::string m_unsent;  ///< waits for the write under way
+    std::string m_sending; ///< handed to the system now
+    bool m_writing = false;
+    steady_instant m_deadline = steady_instant::max();
+    steady_instant m_writeDeadline = steady_instant::max();
+};
+
+/// \brief The handler's side of one request.
+class http_server::exchange final : public http_exchange
+{
+public:
+    exchange(std::shared_ptr<connection> on, std::uint64_t number, http_request request);
+
+    [[nodiscard]] http_request &request() noexcept override { return m_request; }
+    [[nodiscard]] io_context &loop() noexcept override { return m_connection->loop(); }
+    [[nodiscard]] const std::string &listener() const noexcept override
+    {
+        return m_connection->listener();
+    }
+    void reply(http_reply answer) override;
+    void begin(int status, const header_list &headers) override;
+    void send(std::string_view bytes) override;
+    void finish() override;
+    void abort() override;
+    void onCallerLeft(std::function<void()> action) override;
+
+private:
+    [[nodiscard]] bool current() const noexcept { return m_connection->serves(m_number); }
+
+    std::shared_ptr<connection> m_connection;
+    std::uint64_t m_number;
+    http_request m_request;
+};
+
+} // namespace yuccascale::net
--- /dev/null
+++ b/src/yuccascale/net/http_exchange.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "yuccascale/net/event_loops.hpp"
+#include "yuccascale/net/http_message.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+/// \file
+/// \brief One request of a caller and the answer to it.
+
+namespace yuccascale::net {
+
+/// \brief A request that waits for its answer. All calls are made on its connection's loop.
+///
+/// Calls after the answer has ended, or after the caller has left, do nothing.
+class http_exchange
+{
+public:
+    virtual ~http_exchange() = default;
+
+    /// \returns the request; its parts may be moved out.
+    [[nodiscard]] virtual http_request &request() noexcept = 0;
+
+    /// \returns the loop on which every call is made.
+    [[nodiscard]] virtual io_context &loop() noexcept = 0;
+
+    /// \returns the listening address that it came to.
+    [[nodiscard]] virtual const std::string &listener() const noexcept = 0;
+
+    /// \brief Gives the whole answer.
+    virtual void reply(http_reply answer) = 0;
+
+    /// \brief Starts an answer whose pieces follow.
+    virtual void begin(int status, const header_list &headers) = 0;
+
+    /// \brief Sends a piece of an answer that was begun.
+    virtual void send(std::string_view bytes) = 0;
+
+    /// \brief Ends an answer that was begun.
+    virtual void finish() = 0;
+
+    /// \brief Ends the connection, so that the answer does not look whole.
+    virtual void abort() = 0;
+
+    /// \brief Sets what runs once when the caller leaves before the answer has ended.
+    virtual void onCallerLeft(std::function<void()> action) = 0;
+};
+
+using http_handler = std::function<void(const std::shared_ptr<http_exchange> &)>;
+
+} // namespace yuccascale::net
--- /dev/null
+++ b/src/yuccascale/net/http_server.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/error.hpp"
+#include "yuccascale/net/http_exchange.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief An event-driven HTTP/1.1 server.
+
+namespace yuccascale::net {
+
+/// \brief Bounds on what callers may send and how long they may take.
+struct http_limits
+{
+    std::size_t headerBytes = 16U << 10U;
+    std::size_t headerFields = 128;
+    std::uint64_t bodyBytes = 8U << 20U;
+    kernel::milliseconds readTimeout{10'000};  ///< for the rest of a request after its first byte
+    kernel::milliseconds idleTimeout{15'000};  ///< between two requests
+    kernel::milliseconds writeTimeout{10'000}; ///< without progress of an answer
+    std::size_t connections = 3'000;           ///< further ones are refused
+};
+
+/// \brief Serves HTTP on one or more addresses. The handler runs on the connection's loop.
+///
+/// A request with a length and chunks, with an ambiguous length, or with a malformed line is
+/// refused and its connection closed; nothing of it reaches the handler.
+class http_server
+{
+public:
+    http_server(event_loops &loops, const http_limits &limits, http_handler handler);
+    ~http_server();
+    http_server(const http_server &) = delete;
+    http_server &operator=(const http_server &) = delete;
+
+    /// \brief Starts to listen on IP:port; port 0 picks one.
+    /// \returns the port, or error_kind::Unavailable naming the address.
+    [[nodiscard]] kernel::result<int> listen(const std::string &address);
+
+    /// \brief Changes the limits; connections take them over with their next request.
+    void setLimits(const http_limits &limits);
+
+    /// \brief From now on each answer ends its connection.
+    void closeAfterAnswers() noexcept;
+
+    /// \brief Stops accepting and closes all connections. The loops must run or have ended.
+    void stop();
+
+    /// \returns connections open now.
+    [[nodiscard]] std::size_t connections() const noexcept;
+
+private:
+    class connection;
+    class exchange;
+    struct shard;
+    struct listener;
+    struct shared_state;
+
+    void accept(const std::shared_ptr<listener> &from);
+
+    event_loops &m_loops;
+    std::shared_ptr<shared_state> m_shared;
+    std::vector<std::shared_ptr<listener>> m_listeners;
+};
+
+} // namespace yuccascale::net
--- /dev/null
+++ b/src/yuccascale/platform/endpoint_driver.cpp
@@ -0,0 +1,215 @@
+#include "yuccascale/kernel/requests/endpoint_driver.hpp"
+
+#include "yuccascale/kernel/requests/event_blocks.hpp"
+#include "yuccascale/platform/names.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+/// \file
+/// \brief How requests are put to the platform's servers, and how their answers are read.
+
+namespace yuccascale::platform {
+
+namespace {
+
+using namespace kernel::requests;
+
+constexpr std::size_t maxAnswerBytes = 16U << 20U;
+constexpr int misdirected = 421;
+constexpr int firstServerError = 500;
+/// Urgency of a route with priority 0, and the step to the next one.
+constexpr int firstUrgency = 3;
+constexpr int urgencyStep = 2;
+constexpr int lastUrgency = 9;
+
+[[nodiscard]] std::string_view valueOf(const header_list &fields, std::string_view name) noexcept
+{
+    const std::string *value = findHeader(fields, name);
+    return value ? std::string_view(*value) : std::string_view();
+}
+
+[[nodiscard]] bool success(int status) noexcept
+{
+    return status >= 200 && status < 300;
+}
+
+[[nodiscard]] std::optional<endpoint_report> loadFrom(std::string_view text, kernel::instant now)
+{
+    endpoint_report report;
+    report.load.measuredAt = now;
+    const char *end = text.data() + text.size();
+    const auto running = std::from_chars(text.data(), end, report.load.running);
+    if (running.ec != std::errc() || running.ptr == end || *running.ptr != ',')
+        return std::nullopt;
+    const auto queued = std::from_chars(running.ptr + 1, end, report.load.queued);
+    if (queued.ec != std::errc())
+        return std::nullopt;
+    return report;
+}
+
+class server_answer_reader final : public answer_reader
+{
+public:
+    server_answer_reader(const request &subject, const attempt_facts &facts)
+        : m_requestId(subject.endpointId)
+        , m_streamed(subject.streamed)
+        , m_attempt(facts.attempt)
+        , m_pieces(facts.resumeFrom)
+        , m_mark(facts.resumeMark)
+    { }
+
+    [[nodiscard]] head_verdict head(const answer_head &head, std::vector<event> &out) override
+    {
+        m_head = head;
+        m_notRun = head.status == misdirected
+                || findHeader(head.headers, headers::notRun) != nullptr;
+        if (!head.requestId.empty() && head.requestId != m_requestId)
+            return head_verdict::Skip;
+        const bool encoded = findHeader(head.headers, "Content-Encoding") != nullptr;
+        const bool unsigned_
+                = success(head.status) && findHeader(head.headers, headers::signature) == nullptr;
+        if ((head.requestId.empty() && !m_notRun) || encoded || unsigned_) {
+            fail(attempt_failure::Doubtful, out);
+            return head_verdict::Stop;
+        }
+        if (streaming())
+            out.emplace_back(stream_began{m_attempt, {head.status, head.headers}});
+        return head_verdict::Take;
+    }
+
+    [[nodiscard]] bool feed(std::string_view bytes, std::vector<event> &out) override
+    {
+        if (streaming())
+            return feedStream(bytes, out);
+        m_body += bytes;
+        if (m_body.size() <= maxAnswerBytes)
+            return true;
+        fail(attempt_failure::Doubtful, out);
+        return false;
+    }
+
+    void end(std::vector<event> &out) override
+    {
+        if (m_done)
+            return;
+        if (m_notRun)
+            return fail(attempt_failure::SaidNotRun, out);
+        if (streaming() && m_blocks.pending() > 0)
+            return fail(attempt_failure::Doubtful, out);
+        m_done = true;
+        if (streaming()) {
+            out.emplace_back(stream_finished{m_attempt, {}, {}});
+            return;
+        }
+        whole_answer answer{m_head.status, {}, std::move(m_body), m_head.headers};
+        if (m_head.status >= firstServerError)
+            out.emplace_back(attempt_failed{m_attempt, attempt_failure::Answered, m_head.retryAfter,
+                                            std::move(answer)});
+        else
+            out.emplace_back(answer_arrived{m_attempt, std::move(answer), {}});
+    }
+
+    [[nodiscard]] bool done() const noexcept override { return m_done; }
+
+    [[nodiscard]] std::optional<endpoint_report> load(kernel::instant now) const override
+    {
+        return loadFrom(valueOf(m_head.headers, headers::load), now);
+    }
+
+private:
+    [[nodiscard]] bool streaming() const noexcept
+    {
+        return m_streamed && success(m_head.status) && !m_notRun;
+    }
+
+    [[nodiscard]] bool feedStream(std::string_view bytes, std::vector<event> &out)
+    {
+        for (event_block &block : m_blocks.feed(bytes)) {
+            if (!block.id.empty())
+                m_mark = std::move(block.id);
+            out.emplace_back(piece_arrived{m_attempt, m_pieces++, std::move(block.bytes), m_mark});
+        }
+        if (m_blocks.pending() <= maxAnswerBytes)
+            return true;
+        fail(attempt_failure::Doubtful, out);
+        return false;
+    }
+
+    void fail(attempt_failure how, std::vector<event> &out)
+    {
+        m_done = true;
+        out.emplace_back(attempt_failed{m_attempt, how, m_head.retryAfter, {}});
+    }
+
+    std::string m_requestId;
+    bool m_streamed;
+    int m_attempt;
+    std::int64_t m_pieces; ///< of the whole answer, as far as it came
+    std::string m_mark;
+    answer_head m_head;
+    event_blocks m_blocks;
+    std::string m_body;
+    bool m_notRun = false;
+    bool m_done = false;
+};
+
+class server_driver final : public endpoint_driver
+{
+public:
+    [[nodiscard]] outbound_request prepare(const request &subject,
+                                           const attempt_facts &facts) const override
+    {
+        outbound_request outbound;
+        outbound.method = subject.method;
+        outbound.path = subject.path;
+        outbound.body = subject.body;
+        for (const header_field &field : subject.headers)
+            outbound.headers.emplace_back(field.name, field.value);
+        const auto add = [&](std::string_view name, std::string value) {
+            outbound.headers.emplace_back(std::string(name), std::move(value));
+        };
+        const auto left = std::chrono::floor<kernel::milliseconds>(facts.timeLeft).count();
+        add(headers::timeLeft, std::to_string(std::max<std::int64_t>(left, 1)));
+        add(headers::expectedServer, facts.endpoint);
+        if (!subject.organisation.empty())
+            add(headers::organisation, subject.organisation);
+        if (!facts.resumeMark.empty())
+            add(headers::lastEventId, facts.resumeMark);
+        if (subject.route.kind == kernel::state::backend_kind::Model)
+            add(headers::urgency, std::to_string(urgencyOf(subject.route)));
+        return outbound;
+    }
+
+    [[nodiscard]] std::unique_ptr<answer_reader> reader(const request &subject,
+                                                        const attempt_facts &facts) const override
+    {
+        return std::make_unique<server_answer_reader>(subject, facts);
+    }
+
+    /// Closing the connection stops the request.
+    [[nodiscard]] std::optional<outbound_request> cancel(const request &) const override
+    {
+        return std::nullopt;
+    }
+
+    [[nodiscard]] kernel::result<endpoint_report> loadReport(kernel::instant,
+                                                             std::string_view) const override
+    {
+        return kernel::fail(kernel::error_kind::NotFound, "load report",
+                            "these servers tell their load with each answer");
+    }
+
+private:
+    [[nodiscard]] static int urgencyOf(const kernel::state::route &route) noexcept
+    {
+        return std::clamp(firstUrgency - urgencyStep * route.priority, 0, lastUrgency);
+    }
+};
+
+const endpoint_driver_registry::registration addServer{
+        "platform", [] { return std::make_unique<server_driver>(); }};
+
+} // namespace
+
+} // namespace yuccascale::platform
--- /dev/null
+++ b/src/yuccascale/platform/operator_document.cpp
@@ -0,0 +1,192 @@
+#include "yuccascale/http/operator_protocol.hpp"
+#include "yuccascale/kernel/json.hpp"
+#include "yuccascale/kernel/state/key_digest.hpp"
+#include "yuccascale/platform/names.hpp"
+
+/// \file
+/// \brief The operator's whole document, read into the product's tables.
+
+namespace yuccascale::platform {
+
+namespace {
+
+using kernel::error_kind;
+using kernel::fail;
+using kernel::json;
+using kernel::result;
+using namespace kernel::state;
+
+constexpr std::string_view safeKind = "safe";
+constexpr std::string_view unsafeKind = "unsafe";
+constexpr std::string_view streamingKind = "streaming";
+
+/// A member that must be there and be of the type.
+template<typename T>
+[[nodiscard]] T required(const json &object, const char *name)
+{
+    return object.at(name).get<T>();
+}
+
+/// A member that may be missing or null.
+template<typename T>
+[[nodiscard]] T optional(const json &object, const char *name, T otherwise)
+{
+    const auto found = object.find(name);
+    return found == object.end() || found->is_null() ? otherwise : found->get<T>();
+}
+
+[[nodiscard]] std::vector<json> rowsOf(const json &object, const char *name, bool mustExist)
+{
+    const auto found = object.find(name);
+    if (!mustExist && (found == object.end() || found->is_null()))
+        return {};
+    if (found == object.end() || !found->is_array())
+        throw json::other_error::create(501, std::string(name) + " is not a list", &object);
+    return {found->begin(), found->end()};
+}
+
+/// \returns false when the kind is not known.
+[[nodiscard]] bool setKind(const std::string &kind, bool resumable, route &row)
+{
+    row.claimed = false;
+    row.streamed = kind == streamingKind;
+    row.idempotent = kind == safeKind || (row.streamed && resumable);
+    return kind == safeKind || kind == unsafeKind || row.streamed;
+}
+
+void setPools(const json &from, route &row)
+{
+    for (const json &part : rowsOf(from, "traffic_split", false))
+        row.split.push_back(
+                {required<std::string>(part, "service"), required<double>(part, "weight")});
+    if (row.split.empty())
+        row.pool = required<std::string>(from, "service");
+}
+
+[[nodiscard]] result<route> routeFrom(const json &from, const std::map<std::string, pool> &pools,
+                                      bool keyed)
+{
+    route row;
+    row.name = required<std::string>(from, "name");
+    row.host = required<std::string>(from, "host");
+    row.pathPrefix = required<std::string>(from, "path_prefix");
+    if (!setKind(required<std::string>(from, "kind"), optional(from, "resumable", false), row)) {
+        return fail(error_kind::InvalidArgument, "route/" + row.name + ".kind",
+                    "not known; write safe, unsafe or streaming");
+    }
+    setPools(from, row);
+    const auto found = pools.find(row.split.empty() ? row.pool : row.split.front().pool);
+    if (found != pools.end())
+        row.kind = found->second.kind;
+    row.deadlineMs = required<std::int64_t>(from, "timeout_ms");
+    row.firstTokenMs = optional<std::int64_t>(from, "target_latency_ms", row.firstTokenMs);
+    row.maxAttempts = std::max(optional(from, "max_attempts", 1), 1);
+    // the platform's priority 0 goes first
+    row.priority = -optional(from, "priority", 0);
+    const bool open = optional(from, "anonymous", false) || !keyed;
+    row.access = open ? route_access::Open : route_access::Keyed;
+    return row;
+}
+
+[[nodiscard]] pool poolFrom(const json &from)
+{
+    pool row;
+    row.name = required<std::string>(from, "name");
+    row.discovered = true;
+    row.minEndpoints = 0;
+    row.maxConnections = optional(from, "max_connections", 0);
+    const auto engine = from.find("engine");
+    const bool model = engine != from.end() && engine->is_object();
+    row.kind = model ? backend_kind::Model : backend_kind::Service;
+    if (model) {
+        row.model = "default";
+        for (const json &one : rowsOf(*engine, "models", false))
+            row.model = required<std::string>(one, "name");
+    }
+    return row;
+}
+
+[[nodiscard]] caller_limits limitsFrom(const json &from)
+{
+    caller_limits limits;
+    limits.headerBytes = optional(from, "max_header_bytes", limits.headerBytes);
+    limits.bodyBytes = optional(from, "max_body_bytes", limits.bodyBytes);
+    limits.readTimeoutMs = optional(from, "header_timeout_ms", limits.readTimeoutMs);
+    limits.idleTimeoutMs = optional(from, "idle_timeout_ms", limits.idleTimeoutMs);
+    return limits;
+}
+
+void addTenant(const json &from, edit_tables &tables)
+{
+    organisation row;
+    row.name = required<std::string>(from, "name");
+    const auto priority = from.find("priority");
+    row.ranked = priority != from.end() && !priority->is_null();
+    if (row.ranked)
+        row.priority = -priority->get<int>();
+    for (const json &key : rowsOf(from, "api_keys", false)) {
+        const std::string id = row.name + "." + std::to_string(tables.putKeys.size());
+        tables.putKeys.push_back({id, row.name, keyDigest(key.get<std::string>())});
+    }
+    tables.putOrganisations.push_back(std::move(row));
+}
+
+[[nodiscard]] result<put_document> documentFrom(const json &from)
+{
+    put_document document;
+    document.version = required<std::uint64_t>(from, "version");
+    edit_tables &tables = document.tables;
+    const std::vector<json> tenants = rowsOf(from, "tenants", false);
+    for (const json &tenant : tenants)
+        addTenant(tenant, tables);
+    std::map<std::string, pool> pools;
+    for (const json &service : rowsOf(from, "services", true)) {
+        tables.putPools.push_back(poolFrom(service));
+        pools[tables.putPools.back().name] = tables.putPools.back();
+    }
+    for (const json &route : rowsOf(from, "routes", true)) {
+        BOOST_LEAF_AUTO(row, routeFrom(route, pools, !tenants.empty()));
+        tables.putRoutes.push_back(std::move(row));
+    }
+    const auto limits = from.find("limits");
+    if (limits != from.end() && limits->is_object())
+        tables.putLimits.push_back(limitsFrom(*limits));
+    return document;
+}
+
+class platform_operator final : public http::operator_protocol
+{
+public:
+    [[nodiscard]] std::optional<http::document_call>
+    callOf(const net::http_request &from) const override
+    {
+        if (from.path() != calls::document)
+            return std::nullopt;
+        if (from.method == "PUT")
+            return http::document_call::Put;
+        if (from.method == "GET")
+            return http::document_call::Get;
+        return std::nullopt;
+    }
+
+    [[nodiscard]] result<put_document> readDocument(std::string_view bytes) const override
+    {
+        const json from = json::parse(bytes, nullptr, false);
+        if (!from.is_object())
+            return fail(error_kind::InvalidArgument, "document", "not a whole JSON object");
+        try {
+            BOOST_LEAF_AUTO(document, documentFrom(from));
+            document.bytes = std::string(bytes);
+            return document;
+        } catch (const json::exception &problem) {
+            return fail(error_kind::InvalidArgument, "document", problem.what());
+        }
+    }
+};
+
+const http::operator_protocol_registry::registration addPlatform{
+        "platform", [] { return std::make_unique<platform_operator>(); }};
+
+} // namespace
+
+} // namespace yuccascale::platform
--- /dev/null
+++ b/src/yuccascale/plugins/caller_own.cpp
@@ -0,0 +1,167 @@
+#include "yuccascale/http/caller_protocol.hpp"
+#include "yuccascale/kernel/requests/event_stream.hpp"
+#include "yuccascale/kernel/requests/resume_token.hpp"
+
+#include <array>
+
+/// \file
+/// \brief The project's own interface for callers (docs/interfaces.md).
+
+namespace yuccascale::plugins {
+
+namespace {
+
+using namespace http;
+using namespace kernel::requests;
+using net::header_list;
+using net::http_reply;
+using net::http_request;
+
+constexpr std::string_view servicePrefix = "/s/";
+constexpr std::string_view lastPiece = "[DONE]";
+const header_list jsonHeaders{{"Content-Type", "application/json"}};
+const header_list textHeaders{{"Content-Type", "text/plain; version=0.0.4"}};
+
+[[nodiscard]] std::vector<std::string> parametersOf(std::string_view query)
+{
+    std::vector<std::string> out;
+    while (!query.empty()) {
+        const std::string_view pair = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(pair.size() + 1, query.size()));
+        const std::string_view name = pair.substr(0, pair.find('='));
+        out.push_back(std::string(name) + "=" + net::queryParameter(pair, name));
+    }
+    return out;
+}
+
+[[nodiscard]] caller_message messageFrom(const http_request &request)
+{
+    caller_message message;
+    message.method = request.method;
+    message.target = request.target;
+    message.path = std::string(request.path());
+    message.parameters = parametersOf(request.query());
+    message.authorization = std::string(request.header("Authorization"));
+    message.contentType = std::string(request.header("Content-Type"));
+    message.idempotencyKey = std::string(request.header("Idempotency-Key"));
+    message.requestId = std::string(request.header("X-Request-Id"));
+    message.resumeToken = std::string(request.header("X-Resume-Token"));
+    message.resumeFrom = std::string(request.header("X-Resume-From"));
+    message.body = request.body;
+    return message;
+}
+
+[[nodiscard]] bool isModelPath(std::string_view path) noexcept
+{
+    return path == "/v1/chat/completions" || path == "/v1/completions";
+}
+
+[[nodiscard]] header_list retryHeaders(const refusal &reason, const std::string &id)
+{
+    header_list headers = jsonHeaders;
+    headers.push_back({"X-Request-Id", id});
+    if (reason.retryAfter > kernel::nanoseconds::zero()) {
+        const auto wholeSeconds = std::chrono::ceil<kernel::seconds>(reason.retryAfter).count();
+        headers.push_back({"Retry-After", std::to_string(wholeSeconds)});
+    }
+    return headers;
+}
+
+class own_protocol final : public caller_protocol
+{
+public:
+    [[nodiscard]] std::string_view driverFor(kernel::state::backend_kind kind) const override
+    {
+        return kind == kernel::state::backend_kind::Model ? "engine" : "service";
+    }
+
+    [[nodiscard]] bool pollsLoads() const override { return true; }
+
+    [[nodiscard]] std::optional<http_reply> answerHere(listener_kind, const http_request &from,
+                                                       const entry_facts &facts) const override
+    {
+        const std::string_view path = from.path();
+        if (from.method == "GET" && path == "/v1/addresses")
+            return http_reply{200, jsonHeaders,
+                              addressesBody(facts.revision, facts.addressTtl, facts.addresses)};
+        if (from.method == "GET" && path == "/metrics")
+            return http_reply{200, textHeaders, facts.metrics()};
+        if (from.method == "GET" && path == "/health")
+            return http_reply{200, jsonHeaders, R"({"alive":true})"};
+        if (from.method == "GET" && path == "/ready")
+            return http_reply{facts.ready ? 200 : 503, jsonHeaders,
+                              facts.ready ? R"({"ready":true})" : R"({"ready":false})"};
+        const bool routed = (isModelPath(path) && from.method == "POST")
+                || (path.starts_with(servicePrefix) && path.size() > servicePrefix.size());
+        if (routed)
+            return std::nullopt;
+        const refusal reason{
+                kernel::error_kind::NotFound, "no such path; see docs/interfaces.md", false, {}};
+        return refused(reason, std::string(from.header("X-Request-Id")), facts.addresses);
+    }
+
+    [[nodiscard]] kernel::result<request> read(http_request &from,
+                                               const reading_context &context) const override
+    {
+        const caller_message message = messageFrom(from);
+        return isModelPath(message.path) ? readModelRequest(message, context)
+                                         : readServiceRequest(message, context);
+    }
+
+    [[nodiscard]] std::string idOf(const http_request &from,
+                                   const reading_context &context) const override
+    {
+        return requestIdOf(messageFrom(from), context);
+    }
+
+    [[nodiscard]] http_reply refused(const refusal &reason, const std::string &id,
+                                     std::span<const offered_address> others) const override
+    {
+        return {statusOf(reason.kind), retryHeaders(reason, id), errorBody(reason, id, others)};
+    }
+
+    [[nodiscard]] http_reply whole(const request &subject,
+                                   const whole_answer &answer) const override
+    {
+        header_list headers{{"X-Request-Id", subject.id}};
+        if (!answer.contentType.empty())
+            headers.push_back({"Content-Type", answer.contentType});
+        return {answer.status, std::move(headers), answer.body};
+    }
+
+    [[nodiscard]] stream_head head(const reading_context &context, const request &subject,
+                                   const stream_head *) const override
+    {
+        const std::string token = issueResumeToken(
+                context.secret,
+                {subject.organisation, subject.id, subject.fingerprint, subject.resumeFrom});
+        return {200,
+                {{"Content-Type", "text/event-stream"},
+                 {"X-Request-Id", subject.id},
+                 {"X-Resume-Token", token}}};
+    }
+
+    [[nodiscard]] std::string piece(const std::string &payload) const override
+    {
+        return framed(payload);
+    }
+
+    [[nodiscard]] std::string last(const std::string &payload) const override
+    {
+        return framed(payload) + framed(lastPiece);
+    }
+
+    [[nodiscard]] std::optional<std::string>
+    broken(const refusal &reason, const std::string &id,
+           std::span<const offered_address> others) const override
+    {
+        return framed(errorBody(reason, id, others));
+    }
+};
+
+const caller_protocol_registry::registration addOwn{
+        "own", [] { return std::make_unique<own_protocol>(); }};
+
+} // namespace
+
+} // namespace yuccascale::plugins
--- a/src/yuccascale/plugins/endpoint_model_engine.cpp
+++ b/src/yuccascale/plugins/endpoint_model_engine.cpp
@@ -39,13 +39,13 @@
         , m_pieces(facts.resumeFrom)
     { }
 
-    [[nodiscard]] bool head(const answer_head &head, std::vector<event> &out) override
+    [[nodiscard]] head_verdict head(const answer_head &head, std::vector<event> &out) override
     {
         m_head = head;
         if (head.requestId == m_endpointId && head.bounded)
-            return true;
+            return head_verdict::Take;
         fail(attempt_failure::Doubtful, out);
-        return false;
+        return head_verdict::Stop;
     }
 
     [[nodiscard]] bool feed(std::string_view bytes, std::vector<event> &out) override
@@ -91,7 +91,7 @@
         if (document.contains("id"))
             document["id"] = m_callerId;
         out.emplace_back(answer_arrived{
-                m_attempt, {m_head.status, m_head.contentType, document.dump()}, m_usage});
+                m_attempt, {m_head.status, m_head.contentType, document.dump(), {}}, m_usage});
     }
 
     [[nodiscard]] bool takesWhole(const json &document)
--- a/src/yuccascale/plugins/endpoint_plain_service.cpp
+++ b/src/yuccascale/plugins/endpoint_plain_service.cpp
@@ -20,13 +20,13 @@
         , m_attempt(attempt)
     { }
 
-    [[nodiscard]] bool head(const answer_head &head, std::vector<event> &out) override
+    [[nodiscard]] head_verdict head(const answer_head &head, std::vector<event> &out) override
     {
         m_head = head;
         if (head.requestId == m_requestId && head.bounded)
-            return true;
+            return head_verdict::Take;
         fail(attempt_failure::Doubtful, out);
-        return false;
+        return head_verdict::Stop;
     }
 
     [[nodiscard]] bool feed(std::string_view bytes, std::vector<event> &out) override
@@ -49,7 +49,7 @@
         }
         m_done = true;
         out.emplace_back(answer_arrived{
-                m_attempt, {m_head.status, m_head.contentType, std::move(m_body)}, {}});
+                m_attempt, {m_head.status, m_head.contentType, std::move(m_body), {}}, {}});
     }
 
     [[nodiscard]] bool done() const noexcept override { return m_done; }
--- a/src/yuccascale/plugins/engine_orders_http.cpp
+++ b/src/yuccascale/plugins/engine_orders_http.cpp
@@ -34,8 +34,9 @@
     {
         BOOST_LEAF_AUTO(
                 answer,
-                exchange(m_settings,
-                         {message.address, message.method, message.path, message.body, permit}));
+                exchange(
+                        m_settings,
+                        {message.address, message.method, message.path, message.body, {}, permit}));
         const kernel::json document = answer.document();
         const bool told = answer.status == httpOk || answer.status == httpConflict;
         if (told && document.is_object())
--- a/src/yuccascale/plugins/platform_http.cpp
+++ b/src/yuccascale/plugins/platform_http.cpp
@@ -96,6 +96,8 @@
     request.method = wanted.method;
     request.path = wanted.path;
     request.body = wanted.body;
+    for (const auto &[name, value] : wanted.headers)
+        request.headers.emplace(name, value);
     if (!wanted.body.empty())
         request.headers.emplace("Content-Type", "application/json");
     const httplib::Result answer = client.send(request);
@@ -118,7 +120,7 @@
     http_answer answer;
     const bool answered = kernel::succeeded(
             [&]() -> kernel::result<void> {
-                BOOST_LEAF_ASSIGN(answer, exchange(settings, {address, "GET", path, {}, {}}));
+                BOOST_LEAF_ASSIGN(answer, exchange(settings, {address, "GET", path, {}, {}, {}}));
                 return {};
             },
             problem);
--- a/src/yuccascale/plugins/platform_http.hpp
+++ b/src/yuccascale/plugins/platform_http.hpp
@@ -3,6 +3,8 @@
 #include "yuccascale/kernel/orders/drivers.hpp"
 
 #include <string>
+#include <utility>
+#include <vector>
 
 /// \file
 /// \brief One HTTP exchange on a connection of its own, whose bytes can't be delivered late.
@@ -15,7 +17,8 @@
     std::string address; ///< IP:port
     std::string method;
     std::string path;
-    std::string body;                   ///< JSON text, or empty
+    std::string body; ///< JSON text, or empty
+    std::vector<std::pair<std::string, std::string>> headers;
     kernel::orders::send_permit permit; ///< asked on the open connection; null: always allowed
 };
 
--- a/src/yuccascale/plugins/platform_orders_http.cpp
+++ b/src/yuccascale/plugins/platform_orders_http.cpp
@@ -42,10 +42,14 @@
     [[nodiscard]] result<target_reply> send(const order_message &message,
                                             const send_permit &permit) override
     {
-        BOOST_LEAF_AUTO(
-                answer,
-                exchange(m_settings,
-                         {m_settings.address, message.method, message.path, message.body, permit}));
+        BOOST_LEAF_AUTO(answer,
+                        exchange(m_settings,
+                                 {m_settings.address,
+                                  message.method,
+                                  message.path,
+                                  message.body,
+                                  {},
+                                  permit}));
         const json document = answer.document();
         if (answer.status == httpConflict)
             return target_reply{target_state::Refused, "the platform has none of these now", {}};
--- a/src/yuccascale/plugins/usage_reports_http.cpp
+++ b/src/yuccascale/plugins/usage_reports_http.cpp
@@ -20,12 +20,13 @@
     { }
 
     [[nodiscard]] kernel::result<usage_reply> report(const kernel::state::frozen_window &window,
+                                                     std::uint64_t,
                                                      const send_permit &permit) override
     {
         const std::string path = "/usage/" + std::to_string(window.windowStartMs);
-        BOOST_LEAF_AUTO(
-                answer,
-                exchange(m_settings, {m_settings.address, "POST", path, window.figures, permit}));
+        BOOST_LEAF_AUTO(answer,
+                        exchange(m_settings,
+                                 {m_settings.address, "POST", path, window.figures, {}, permit}));
         if (answer.status == httpOk)
             return usage_reply::Accepted;
         if (answer.status == httpConflict)
--- a/src/yuccascale/plugins/weight_store_http.cpp
+++ b/src/yuccascale/plugins/weight_store_http.cpp
@@ -35,9 +35,9 @@
     fetch(const std::string &model, const std::string &endpoint, const send_permit &permit) override
     {
         const json body{{"model", model}, {"endpoint", endpoint}};
-        BOOST_LEAF_AUTO(
-                answer,
-                exchange(m_settings, {m_settings.address, "POST", "/fetch", body.dump(), permit}));
+        BOOST_LEAF_AUTO(answer,
+                        exchange(m_settings,
+                                 {m_settings.address, "POST", "/fetch", body.dump(), {}, permit}));
         if (answer.status == httpOk)
             return fetch_reply{true, {}};
         if (answer.status == httpTooManyRequests)
--- a/src/yuccascale/runtime/charge_exchange.cpp
+++ b/src/yuccascale/runtime/charge_exchange.cpp
@@ -17,9 +17,8 @@
 
 } // namespace
 
-charge_exchange::charge_exchange(const settings &settings, transport &transport, charge_hooks hooks)
-    : m_settings(settings)
-    , m_transport(transport)
+charge_exchange::charge_exchange(transport &transport, charge_hooks hooks)
+    : m_transport(transport)
     , m_hooks(std::move(hooks))
     , m_task(exchangeInterval, [this] { tellOthers(); })
 {
@@ -53,10 +52,8 @@
     if (charges.empty())
         return;
     const std::string message = wire::encodeCharges(charges);
-    for (const node_settings &node : m_settings.nodes) {
-        if (node.roles.entry && node.name != m_settings.node)
-            m_transport.post(node.name, channel::Load, message);
-    }
+    for (const std::string &entry : m_hooks.others())
+        m_transport.post(entry, channel::Load, message);
 }
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/charge_exchange.hpp
+++ b/src/yuccascale/runtime/charge_exchange.hpp
@@ -4,11 +4,11 @@
 #include "yuccascale/kernel/requests/charge_book.hpp"
 #include "yuccascale/kernel/transport.hpp"
 #include "yuccascale/runtime/periodic_task.hpp"
-#include "yuccascale/runtime/settings.hpp"
 
 #include <atomic>
 #include <functional>
 #include <span>
+#include <string>
 #include <vector>
 
 /// \file
@@ -21,6 +21,7 @@
 {
     std::function<std::vector<kernel::requests::pool_charge>(std::size_t mostPerPool)> take;
     std::function<void(std::span<const kernel::requests::pool_charge>)> chargedElsewhere;
+    std::function<std::vector<std::string>()> others; ///< link addresses of the other entries
 };
 
 /// \brief Sends this entry's heaviest charges to the other entries at each interval.
@@ -29,7 +30,7 @@
 class charge_exchange
 {
 public:
-    charge_exchange(const settings &settings, kernel::transport &transport, charge_hooks hooks);
+    charge_exchange(kernel::transport &transport, charge_hooks hooks);
     ~charge_exchange();
     charge_exchange(const charge_exchange &) = delete;
     charge_exchange &operator=(const charge_exchange &) = delete;
@@ -42,7 +43,6 @@
     void tellOthers();
 
 private:
-    const settings &m_settings;
     kernel::transport &m_transport;
     charge_hooks m_hooks;
     std::atomic<bool> m_running{false}; ///< the hooks may be called
--- a/src/yuccascale/runtime/cluster_client.cpp
+++ b/src/yuccascale/runtime/cluster_client.cpp
@@ -31,10 +31,6 @@
     , m_feed(feed)
     , m_proposer(proposer)
 {
-    for (const node_settings &node : settings.nodes) {
-        if (node.roles.control)
-            m_controlNodes.push_back(node.name);
-    }
     m_transport.handle(channel::Submit, [this](std::string_view, std::string_view payload) {
         state::command command;
         error problem;
@@ -55,7 +51,15 @@
 std::string cluster_client::firstTarget() const
 {
     const std::string leader = m_feed.view().leader;
-    return leader.empty() ? m_controlNodes.front() : leader;
+    if (!leader.empty())
+        return leader;
+    return m_proposer != nullptr ? m_settings.linkAddress : nextTarget(0);
+}
+
+std::string cluster_client::nextTarget(std::size_t number) const
+{
+    const std::vector<std::string> known = m_feed.controlNodes();
+    return known.empty() ? std::string() : known[number % known.size()];
 }
 
 result<state::command_result> cluster_client::submit(const state::command &command,
@@ -77,7 +81,7 @@
         if (reply.kind == error_kind::InvalidArgument)
             return fail(reply.kind, "command", reply.message);
         const bool redirected = !reply.leader.empty() && reply.leader != target;
-        target = redirected ? reply.leader : m_controlNodes[next++ % m_controlNodes.size()];
+        target = redirected ? reply.leader : nextTarget(next++);
         if (!redirected || ++redirects % 2 == 0) // two nodes may name each other
             std::this_thread::sleep_for(pauseBetweenRounds);
     }
@@ -92,7 +96,7 @@
 submit_reply cluster_client::tryOnce(const state::command &command, const std::string &target,
                                      instant deadline)
 {
-    if (target == m_settings.node && m_proposer != nullptr)
+    if (target == m_settings.linkAddress && m_proposer != nullptr)
         return m_proposer->propose(command, std::min(deadline, m_clock.now() + tryTimeout));
     submit_reply reply;
     error problem;
--- a/src/yuccascale/runtime/cluster_client.hpp
+++ b/src/yuccascale/runtime/cluster_client.hpp
@@ -55,13 +55,13 @@
     [[nodiscard]] submit_reply tryOnce(const kernel::state::command &command,
                                        const std::string &target, kernel::instant deadline);
     [[nodiscard]] std::string firstTarget() const;
+    [[nodiscard]] std::string nextTarget(std::size_t number) const;
 
     const settings &m_settings;
     kernel::clock &m_clock;
     kernel::transport &m_transport;
     feed_service &m_feed;
     command_proposer *m_proposer;
-    std::vector<std::string> m_controlNodes;
 };
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/control_service.cpp
+++ b/src/yuccascale/runtime/control_service.cpp
@@ -65,6 +65,13 @@
     return feed::leader_reading{m_machine.tables(), m_bansVersion, {bans->begin(), bans->end()}};
 }
 
+result<std::shared_ptr<const std::string>> control_service::confirmedDocument(instant deadline)
+{
+    BOOST_LEAF_CHECK(m_log->confirmLeadership(deadline));
+    const std::lock_guard lock(m_mutex);
+    return m_machine.document();
+}
+
 submit_reply control_service::propose(const state::command &command, instant deadline)
 {
     submit_reply reply;
--- a/src/yuccascale/runtime/control_service.hpp
+++ b/src/yuccascale/runtime/control_service.hpp
@@ -42,6 +42,11 @@
     [[nodiscard]] kernel::result<kernel::feed::leader_reading>
     confirmedReading(kernel::instant deadline) override;
 
+    /// \brief Reads the operator's document after a quorum has confirmed this node as leader.
+    /// \returns error_kind::NotLeader when this node is not the leader.
+    [[nodiscard]] kernel::result<std::shared_ptr<const std::string>>
+    confirmedDocument(kernel::instant deadline);
+
     // command_proposer
     [[nodiscard]] submit_reply propose(const kernel::state::command &command,
                                        kernel::instant deadline) override;
--- a/src/yuccascale/runtime/demand_reporter.cpp
+++ b/src/yuccascale/runtime/demand_reporter.cpp
@@ -43,7 +43,7 @@
     std::vector<requests::demand_report> reports = m_take();
     std::erase_if(reports, [](const auto &report) { return report.idle(); });
     const std::string leader = m_control.view().leader;
-    if (leader == m_settings.node)
+    if (leader == m_settings.linkAddress)
         hear(leader, reports);
     else if (!leader.empty() && !reports.empty())
         m_transport.post(leader, channel::Demand, wire::encodeDemands(reports));
--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -46,6 +46,7 @@
 {
     driver_settings made;
     made.address = address;
+    made.holder = config.node;
     made.sendTimeout = std::chrono::duration_cast<milliseconds>(orderTimes(config).sendTime);
     return made;
 }
@@ -105,6 +106,8 @@
     result<void> done = makeDriver(made.engines, "http_engine", at({}));
     if (done)
         done = makeDriver(made.loads, "http", at({}));
+    if (done && !platform.endpointList.empty())
+        done = makeDriver(made.endpoints, platform.drivers, at(platform.endpointList));
     if (done && !platform.endpointOrders.empty())
         done = makeDriver(made.platform, "http_platform", at(platform.endpointOrders));
     if (done && (!platform.endpointOrders.empty() || !platform.vmList.empty()))
@@ -112,7 +115,7 @@
     if (done && !platform.weightStore.empty())
         done = makeDriver(made.weights, "http", at(platform.weightStore));
     if (done && !platform.usageReports.empty())
-        done = makeDriver(made.usage, "http", at(platform.usageReports));
+        done = makeDriver(made.usage, platform.drivers, at(platform.usageReports));
     if (!done)
         return done.error();
     return made;
@@ -157,6 +160,8 @@
         std::visit([this](auto &chosen) { carryOut(std::move(chosen)); }, action);
     if (auto action = m_usage.step(now, wallMs(), held, view.usage))
         carryOutUsage(std::move(*action));
+    if (held)
+        readEndpoints(now, held->fence);
     if (!held || m_submits != 0)
         return;
     retireEntries(now, view);
@@ -189,7 +194,9 @@
 
 std::int64_t duties::wallMs() const
 {
-    return m_around.clock.wallNow().time_since_epoch().count();
+    const kernel::wall_time now
+            = m_around.trueTime ? m_around.trueTime() : m_around.clock.wallNow();
+    return now.time_since_epoch().count();
 }
 
 void duties::carryOut(const ask_target &action)
@@ -288,9 +295,9 @@
         m_usage.reported(m_around.clock.now(), report.ticket, usage_reply::Accepted);
         return;
     }
-    call([sink = m_drivers.usage.get(), window = std::move(report.window),
-          permit
-          = permitFor(report.fence, report.decidedAt)] { return sink->report(window, permit); },
+    call([sink = m_drivers.usage.get(), window = std::move(report.window), fence = report.fence,
+          permit = permitFor(report.fence,
+                             report.decidedAt)] { return sink->report(window, fence, permit); },
          [this, ticket = report.ticket](const call_outcome<usage_reply> &outcome) {
              m_usage.reported(m_around.clock.now(), ticket, outcome.answer);
          });
@@ -369,6 +376,27 @@
          });
 }
 
+void duties::readEndpoints(instant now, std::uint64_t fence)
+{
+    if (!m_drivers.endpoints || !m_around.listed || m_readingEndpoints || now < m_nextEndpoints)
+        return;
+    m_nextEndpoints = now + m_around.config.platform.listInterval;
+    m_readingEndpoints = true;
+    using listed = std::vector<kernel::feed::listed_endpoint>;
+    call([lister = m_drivers.endpoints.get()] { return lister->endpoints(); },
+         [this, fence](const call_outcome<listed> &outcome) {
+             m_readingEndpoints = false;
+             const bool known = outcome.answer.has_value();
+             if (std::exchange(m_listKnown, known) != known) {
+                 m_around.events.record(known ? platformHeard : platformSilent,
+                                        {{"where", "endpoint list"},
+                                         {"problem", known ? "" : outcome.failure.message}});
+             }
+             if (outcome.answer)
+                 m_around.listed(fence, *outcome.answer);
+         });
+}
+
 void duties::noteLeaving(const std::vector<vm_row> &vms)
 {
     if (!m_tables)
--- a/src/yuccascale/runtime/duties.hpp
+++ b/src/yuccascale/runtime/duties.hpp
@@ -30,6 +30,7 @@
     std::unique_ptr<kernel::orders::platform_lists> lists;
     std::unique_ptr<kernel::orders::weight_store> weights;
     std::unique_ptr<kernel::orders::usage_sink> usage;
+    std::unique_ptr<kernel::orders::endpoint_lister> endpoints;
 };
 
 /// \returns the HTTP drivers at the addresses of the settings.
@@ -47,6 +48,11 @@
                                                                    ///< may be null
     kernel::event_sink &events;
     const kernel::clock &clock;
+    /// Takes in the platform's list of endpoints; may be null.
+    std::function<void(std::uint64_t fence, const std::vector<kernel::feed::listed_endpoint> &)>
+            listed;
+    /// The time that the nodes agree on; null: this VM's wall clock.
+    std::function<kernel::wall_time()> trueTime;
 };
 
 /// \brief Runs the leader's duties on threads of its own. Idle while this node does not lead.
@@ -84,6 +90,7 @@
                        const kernel::state::leader_view &view);
     void retireEntries(kernel::instant now, const kernel::state::leader_view &view);
     void readLists(kernel::instant now);
+    void readEndpoints(kernel::instant now, std::uint64_t fence);
     void noteLeaving(const std::vector<kernel::orders::vm_row> &vms);
     void submit(kernel::state::command command);
     [[nodiscard]] kernel::orders::order_target *targetAt(const std::string &address) const;
@@ -104,7 +111,10 @@
     std::shared_ptr<const kernel::state::table_set> m_tables; ///< as of the last round
     kernel::instant m_nextLists{};
     bool m_readingLists = false;
-    int m_submits = 0; ///< of orders and notices, under way
+    kernel::instant m_nextEndpoints{};
+    bool m_readingEndpoints = false;
+    bool m_listKnown = true; ///< the last reading of the endpoint list worked
+    int m_submits = 0;       ///< of orders and notices, under way
 
     periodic_task m_task;
     duties_workers m_workers; ///< last, so that it ends before what its jobs use
--- a/src/yuccascale/runtime/event_log.cpp
+++ b/src/yuccascale/runtime/event_log.cpp
@@ -80,6 +80,8 @@
     const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
     if (file.empty())
         backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+    else if (file == "-")
+        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     else
         backend->add_stream(boost::make_shared<std::ofstream>(file, std::ios::app));
     backend->auto_flush(true);
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -12,32 +12,9 @@
 
 namespace {
 
-/// Reports of other nodes go up with every so many requests.
-constexpr std::uint64_t asksPerRelayedReport = 2;
-
-std::vector<std::string> entryNames(const settings &settings)
-{
-    std::vector<std::string> names;
-    for (const node_settings &node : settings.nodes) {
-        if (node.roles.entry)
-            names.push_back(node.name);
-    }
-    return names;
-}
-
-std::vector<std::string> controlNames(const settings &settings)
-{
-    std::vector<std::string> near;
-    std::vector<std::string> far;
-    for (const node_settings &node : settings.nodes) {
-        if (!node.roles.control || node.name == settings.node)
-            continue;
-        auto &group = node.zone == settings.self().zone ? near : far;
-        group.push_back(node.name);
-    }
-    near.insert(near.end(), far.begin(), far.end());
-    return near;
-}
+/// The counter of a leader's endpoint lists stands below its fence in their version.
+constexpr unsigned listCounterBits = 32;
+constexpr std::uint64_t listCounterMask = (std::uint64_t{1} << listCounterBits) - 1;
 
 } // namespace
 
@@ -49,9 +26,9 @@
     , m_transport(transport)
     , m_events(events)
     , m_authority(authority)
-    , m_controlNodes(controlNames(settings))
+    , m_seeds(settings.seeds)
     , m_incarnation(incarnation)
-    , m_state(settings.control.freshness, entryNames(settings))
+    , m_state(settings.control.freshness)
 {
     m_transport.handle(channel::Feed, [this](std::string_view peer, std::string_view payload) {
         return answer(peer, payload);
@@ -85,10 +62,53 @@
     return m_state.view();
 }
 
-std::vector<std::string> feed_service::unavailable() const
+std::vector<feed::node_report> feed_service::nodes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_state.nodes();
+}
+
+std::vector<std::string> feed_service::controlNodes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return knownControlNodes();
+}
+
+/// Needs m_mutex.
+std::vector<std::string> feed_service::knownControlNodes() const
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const feed::node_report &node : m_state.nodes()) {
+        if (node.control && node.link != m_settings.linkAddress)
+            (node.zone == m_settings.zone ? near : far).push_back(node.link);
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    for (const std::string &seed : m_seeds) {
+        if (seed != m_settings.linkAddress && std::ranges::find(near, seed) == near.end())
+            near.push_back(seed);
+    }
+    return near;
+}
+
+void feed_service::setSeeds(std::vector<std::string> seeds)
 {
     const std::lock_guard lock(m_mutex);
-    return m_state.unavailable();
+    m_seeds = std::move(seeds);
+}
+
+void feed_service::setEndpoints(std::uint64_t fence,
+                                const std::vector<feed::listed_endpoint> &endpoints)
+{
+    std::unique_lock lock(m_mutex);
+    const auto held = m_state.endpoints();
+    const bool ownTerm = held->version >> listCounterBits == fence;
+    if (ownTerm && held->endpoints == endpoints)
+        return;
+    const std::uint64_t counter = ownTerm ? (held->version & listCounterMask) + 1 : 1;
+    const bool newer = m_state.installEndpoints({(fence << listCounterBits) | counter, endpoints});
+    lock.unlock();
+    announce(newer);
 }
 
 std::vector<feed::node_report> feed_service::nodeReports() const
@@ -127,6 +147,8 @@
         m_wanted = false;
         lock.unlock();
         askOnce();
+        if (m_listener)
+            m_listener();
         const bool fresh = view().fresh(m_clock.now());
         if (fresh != wasFresh)
             m_events.record(fresh ? freshnessGained : freshnessLost, {});
@@ -146,7 +168,7 @@
 
 bool feed_service::readOwn(instant askedAt)
 {
-    if (m_authority == nullptr || m_authority->leader() != m_settings.node)
+    if (m_authority == nullptr || m_authority->leader() != m_settings.linkAddress)
         return false;
     feed::leader_reading reading;
     error problem;
@@ -161,7 +183,7 @@
     if (!confirmed)
         return false;
     std::unique_lock lock(m_mutex);
-    const bool newer = m_state.installOwn(askedAt, m_clock.now(), reading, m_settings.node);
+    const bool newer = m_state.installOwn(askedAt, m_clock.now(), reading, selfReport());
     lock.unlock();
     announce(newer);
     return true;
@@ -172,10 +194,9 @@
     const std::string peer = target();
     if (peer.empty())
         return;
-    const bool relayed = m_asks++ % asksPerRelayedReport == 0;
     std::unique_lock lock(m_mutex);
     const std::string request
-            = wire::encodeFeedRequest(m_state.request(askedAt, selfReport(), relayed));
+            = wire::encodeFeedRequest(m_state.request(askedAt, selfReport(), true));
     lock.unlock();
     feed::feed_reply reply;
     error problem;
@@ -202,11 +223,11 @@
 {
     if (m_authority != nullptr) {
         const std::string leader = m_authority->leader();
-        return leader == m_settings.node ? std::string() : leader;
+        if (!leader.empty())
+            return leader == m_settings.linkAddress ? std::string() : leader;
     }
-    if (m_controlNodes.empty())
-        return {};
-    return m_controlNodes[m_target % m_controlNodes.size()];
+    const std::vector<std::string> known = controlNodes();
+    return known.empty() ? std::string() : known[m_target % known.size()];
 }
 
 std::string feed_service::answer(std::string_view peer, std::string_view payload)
@@ -240,6 +261,12 @@
     const auto tables = m_state.view().tables;
     report.revision = tables ? tables->revision : 0;
     report.leaving = m_leaving;
+    report.link = m_settings.linkAddress;
+    report.callers = m_settings.roles.entry ? m_settings.callerAddress : std::string();
+    report.zone = m_settings.zone;
+    report.control = m_settings.roles.control;
+    report.operators = m_settings.http.operators;
+    report.wallMs = m_clock.wallNow().time_since_epoch().count();
     return report;
 }
 
@@ -250,14 +277,17 @@
     constexpr seconds subscriberWindow{5};
     std::vector<std::string> peers;
     std::uint64_t revision = 0;
+    std::uint64_t list = 0;
     {
         const std::lock_guard lock(m_mutex);
         peers = m_state.directory().directPeers(m_clock.now(), subscriberWindow);
-        revision = m_state.view().tables->revision;
+        const auto tables = m_state.view().tables;
+        revision = tables ? tables->revision : 0;
+        list = m_state.endpoints()->version;
     }
     for (const std::string &peer : peers)
         m_transport.post(peer, channel::Feed, {});
-    m_events.record(revisionInForce, {{"revision", revision}});
+    m_events.record(revisionInForce, {{"revision", revision}, {"endpoint_list", list}});
 }
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -53,8 +53,23 @@
     /// \returns what is in force here.
     [[nodiscard]] kernel::control_view view() const;
 
-    /// \returns entries that callers should not be sent to.
-    [[nodiscard]] std::vector<std::string> unavailable() const;
+    /// \returns the nodes that run and are not leaving, as far as known here.
+    [[nodiscard]] std::vector<kernel::feed::node_report> nodes() const;
+
+    /// \returns link addresses of the control nodes, those of this availability zone first, and of
+    ///          the seeds.
+    [[nodiscard]] std::vector<std::string> controlNodes() const;
+
+    /// \brief Takes in the endpoints that this node, as leader, has read from the platform.
+    /// \param fence of the leader
+    void setEndpoints(std::uint64_t fence,
+                      const std::vector<kernel::feed::listed_endpoint> &endpoints);
+
+    /// \brief Sets what runs, on the feed's thread, after something newer came; before start().
+    void setListener(std::function<void()> listener) { m_listener = std::move(listener); }
+
+    /// \brief Takes over other seeds.
+    void setSeeds(std::vector<std::string> seeds);
 
     /// \returns the last report of each node that asks here, with its age.
     [[nodiscard]] std::vector<kernel::feed::node_report> nodeReports() const;
@@ -71,6 +86,7 @@
     [[nodiscard]] bool readOwn(kernel::instant askedAt);
     void askPeer(kernel::instant askedAt);
     [[nodiscard]] std::string target();
+    [[nodiscard]] std::vector<std::string> knownControlNodes() const;
     [[nodiscard]] std::string answer(std::string_view peer, std::string_view payload);
     [[nodiscard]] kernel::feed::node_report selfReport() const;
     void announce(bool newer);
@@ -80,9 +96,9 @@
     kernel::transport &m_transport;
     kernel::event_sink &m_events;
     control_authority *m_authority;
-    std::vector<std::string> m_controlNodes; ///< those in this availability zone first
+    std::vector<std::string> m_seeds;
+    std::function<void()> m_listener;
     std::size_t m_target = 0;
-    std::uint64_t m_asks = 0;
     std::uint64_t m_incarnation;
 
     mutable std::mutex m_mutex;
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -2,7 +2,9 @@
 
 #include "yuccascale/http/caller_pools.hpp"
 #include "yuccascale/http/caller_server.hpp"
+#include "yuccascale/http/document_interface.hpp"
 #include "yuccascale/http/operator_routes.hpp"
+#include "yuccascale/net/http_server.hpp"
 #include "yuccascale/runtime/charge_exchange.hpp"
 #include "yuccascale/runtime/cluster_client.hpp"
 #include "yuccascale/runtime/control_service.hpp"
@@ -16,7 +18,6 @@
 #include "yuccascale/runtime/system_clock.hpp"
 #include "yuccascale/wire/tcp_transport.hpp"
 
-#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <utility>
@@ -29,25 +30,15 @@
 
 constexpr milliseconds drainPoll{50};
 
-wire::transport_settings transportSettings(const settings &settings, const std::string &secret)
+[[nodiscard]] result<wire::transport_settings> transportSettings(const settings &settings,
+                                                                 const std::string &secret)
 {
     wire::transport_settings out;
-    out.self = settings.node;
+    out.self = settings.linkAddress;
     out.secret = secret;
-    for (const node_settings &node : settings.nodes) {
-        // the addresses were checked when the settings were read
-        error ignored;
-        wire::socket_address address;
-        (void)succeeded(
-                [&]() -> result<void> {
-                    BOOST_LEAF_ASSIGN(address, wire::parseAddress(node.linkAddress));
-                    return {};
-                },
-                ignored);
-        if (node.name == settings.node)
-            out.listen = address;
-        else
-            out.peers[node.name] = address;
+    BOOST_LEAF_ASSIGN(out.listen, wire::parseAddress(settings.linkAddress));
+    for (const auto &[node, address] : settings.linkRoutes) {
+        BOOST_LEAF_ASSIGN(out.peers[node], wire::parseAddress(address));
     }
     return out;
 }
@@ -55,16 +46,21 @@
 replicated_log_settings logSettings(const settings &settings)
 {
     replicated_log_settings out;
-    out.self = settings.node;
+    out.self = settings.linkAddress;
     out.dataFolder = settings.dataFolder;
     out.control = settings.control;
-    for (const node_settings &node : settings.nodes) {
-        if (node.roles.control)
-            out.voters.push_back(node.name);
-    }
+    out.voters = settings.seeds;
+    out.firstStart = settings.firstStart;
     return out;
 }
 
+[[nodiscard]] result<std::string> optionalSecret(const std::string &file)
+{
+    if (file.empty())
+        return std::string();
+    return readSecret(file);
+}
+
 } // namespace
 
 struct node::parts
@@ -74,18 +70,27 @@
         , log(settings.log, settings.node)
         , events(clock, log)
         , incarnation(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()))
+        , loops(settings.roles.entry ? static_cast<std::size_t>(settings.http.loops) : 1)
     { }
 
     [[nodiscard]] result<void> build();
     void buildControl();
+    void buildOperators();
+    [[nodiscard]] result<void> buildDocument();
     void buildCallerServer();
     void buildChargeExchange();
     void buildDemandReporter();
     [[nodiscard]] result<void> buildDuties();
     [[nodiscard]] std::vector<orders::pool_facts> poolFacts() const;
+    [[nodiscard]] std::vector<std::string> otherEntries() const;
+    [[nodiscard]] std::string leaderDocumentAddress() const;
+    [[nodiscard]] result<state::command_result> commitHere(const state::command &command,
+                                                           instant deadline);
+    [[nodiscard]] result<void> listen(const std::string &address, net::http_handler handler);
+    void answerMetrics(const std::shared_ptr<net::http_exchange> &exchange);
+    [[nodiscard]] std::string metricsText();
     [[nodiscard]] result<void> startAll();
     void stopAll();
-    [[nodiscard]] bool offered(const node_settings &other) const;
     [[nodiscard]] node_facts facts() const;
 
     runtime::settings settings;
@@ -100,8 +105,12 @@
     std::unique_ptr<replicated_log> replica;
     std::unique_ptr<feed_service> feed;
     std::unique_ptr<cluster_client> client;
-    std::unique_ptr<http::caller_server> callers;
-    std::unique_ptr<charge_exchange> charges;
+    net::event_loops loops;
+    std::vector<std::unique_ptr<net::http_server>> servers; ///< besides those of callers
+    std::unique_ptr<http::operator_interface> operators;
+    std::unique_ptr<http::document_interface> document; ///< null where no address is set for it
+    std::unique_ptr<http::caller_server> callers;       ///< null without the entry role
+    std::unique_ptr<charge_exchange> charges;           ///< null without the entry role
     std::unique_ptr<demand_reporter> demand;
     std::unique_ptr<duties> leaderDuties; ///< null without the control role
 
@@ -112,16 +121,21 @@
 
 result<void> node::parts::build()
 {
-    BOOST_LEAF_ASSIGN(secret, readSecret(settings.secretFile));
-    BOOST_LEAF_ASSIGN(operatorKey, readSecret(settings.operatorKeyFile));
-    transport = std::make_unique<wire::tcp_transport>(transportSettings(settings, secret));
-    if (settings.self().roles.control)
+    BOOST_LEAF_ASSIGN(secret, optionalSecret(settings.secretFile));
+    BOOST_LEAF_ASSIGN(operatorKey, optionalSecret(settings.operatorKeyFile));
+    BOOST_LEAF_AUTO(links, transportSettings(settings, secret));
+    transport = std::make_unique<wire::tcp_transport>(std::move(links));
+    if (settings.roles.control)
         buildControl();
     feed = std::make_unique<feed_service>(settings, clock, *transport, events, incarnation,
                                           control.get());
     client = std::make_unique<cluster_client>(settings, clock, *transport, *feed, control.get());
-    buildCallerServer();
-    buildChargeExchange();
+    buildOperators();
+    BOOST_LEAF_CHECK(buildDocument());
+    if (settings.roles.entry)
+        buildCallerServer();
+    if (settings.roles.entry)
+        buildChargeExchange();
     buildDemandReporter();
     return control ? buildDuties() : result<void>();
 }
@@ -137,24 +151,85 @@
     control->attach(*replica);
 }
 
-void node::parts::buildCallerServer()
+void node::parts::buildOperators()
 {
-    callers = std::make_unique<http::caller_server>(http::caller_server_parts{
-            settings, clock, events, *client, secret, incarnation,
-            [this](const node_settings &other) { return offered(other); }});
-    http::operator_services services{
-            clock,
-            events,
-            *client,
-            operatorKey,
-            [this] { return nodeStatus(facts()); },
+    operators = std::make_unique<http::operator_interface>(http::operator_services{
+            clock, events, *client, operatorKey, [this] { return nodeStatus(facts()); },
             [this](std::string_view id) { return explainId(events, control.get(), id); },
             [this] {
                 const std::lock_guard lock(mutex);
                 leaving = true;
                 changed.notify_all();
-            }};
-    http::addOperatorRoutes(callers->server(), services);
+            }});
+}
+
+result<void> node::parts::buildDocument()
+{
+    if (!control || settings.http.operators.empty())
+        return {};
+    BOOST_LEAF_AUTO(protocol, http::operator_protocol_registry::make(settings.http.protocol));
+    http::document_services services{
+            clock, events,
+            [this](const state::command &command, instant deadline) {
+                return commitHere(command, deadline);
+            },
+            [this](instant deadline) { return control->confirmedDocument(deadline); },
+            [this] { return leaderDocumentAddress(); }};
+    document = std::make_unique<http::document_interface>(std::move(services), std::move(protocol));
+    return {};
+}
+
+result<state::command_result> node::parts::commitHere(const state::command &command,
+                                                      instant deadline)
+{
+    submit_reply reply = control->propose(command, deadline);
+    if (!reply.answered)
+        return fail(reply.kind, "control", reply.message);
+    return std::move(reply.answer);
+}
+
+/// Empty when this node leads, or no leader with an address is known.
+std::string node::parts::leaderDocumentAddress() const
+{
+    const std::string leader = control->leader();
+    if (leader.empty() || leader == settings.linkAddress)
+        return {};
+    for (const feed::node_report &node : feed->nodes()) {
+        if (node.link == leader)
+            return node.operators;
+    }
+    return {};
+}
+
+void node::parts::buildCallerServer()
+{
+    callers = std::make_unique<http::caller_server>(http::caller_server_parts{
+            settings, clock, events, *client, loops, secret, incarnation,
+            [this] { return feed->nodes(); }, nullptr,
+            [this](const std::shared_ptr<net::http_exchange> &exchange) {
+                return settings.http.protocol == "own" && operators->take(exchange);
+            }});
+    feed->setListener([this] { callers->followFeed(); });
+}
+
+void node::parts::answerMetrics(const std::shared_ptr<net::http_exchange> &exchange)
+{
+    exchange->reply({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText()});
+}
+
+std::string node::parts::metricsText()
+{
+    return callers ? callers->metricsText() : std::string();
+}
+
+std::vector<std::string> node::parts::otherEntries() const
+{
+    std::vector<std::string> links;
+    for (const feed::node_report &node : feed->nodes()) {
+        if (!node.callers.empty() && node.link != settings.linkAddress)
+            links.push_back(node.link);
+    }
+    return links;
 }
 
 void node::parts::buildChargeExchange()
@@ -165,14 +240,16 @@
                            const auto tables = client->view().tables;
                            if (tables)
                                callers->pools().chargedElsewhere(charges, *tables);
-                       }};
-    charges = std::make_unique<charge_exchange>(settings, *transport, std::move(hooks));
+                       },
+                       [this] { return otherEntries(); }};
+    charges = std::make_unique<charge_exchange>(*transport, std::move(hooks));
 }
 
 void node::parts::buildDemandReporter()
 {
-    demand = std::make_unique<demand_reporter>(settings, clock, *transport, *client,
-                                               [this] { return callers->pools().takeDemand(); });
+    demand = std::make_unique<demand_reporter>(settings, clock, *transport, *client, [this] {
+        return callers ? callers->pools().takeDemand() : std::vector<requests::demand_report>();
+    });
 }
 
 result<void> node::parts::buildDuties()
@@ -191,7 +268,12 @@
     };
     const auto facts = [this](instant) { return poolFacts(); };
     leaderDuties = std::make_unique<duties>(
-            duty_surroundings{settings, *replica, *client, state, facts, gone, events, clock},
+            duty_surroundings{settings, *replica, *client, state, facts, gone, events, clock,
+                              [this](std::uint64_t fence,
+                                     const std::vector<kernel::feed::listed_endpoint> &listed) {
+                                  feed->setEndpoints(fence, listed);
+                              },
+                              nullptr},
             std::move(drivers));
     return {};
 }
@@ -206,19 +288,15 @@
         orders::pool_facts facts;
         facts.pool = name;
         facts.demand = demand->demandOn(name);
-        for (const auto &[endpoint, load] : callers->pools().loads(name))
-            facts.engines[endpoint] = {load.role, load.running, load.leaving};
+        if (callers) {
+            for (const auto &[endpoint, load] : callers->pools().loads(name))
+                facts.engines[endpoint] = {load.role, load.running, load.leaving};
+        }
         out.push_back(std::move(facts));
     }
     return out;
 }
 
-bool node::parts::offered(const node_settings &other) const
-{
-    const std::vector<std::string> unavailable = feed->unavailable();
-    return std::ranges::find(unavailable, other.name) == unavailable.end();
-}
-
 node_facts node::parts::facts() const
 {
     node_facts out;
@@ -226,6 +304,7 @@
     out.now = clock.now();
     out.view = client->view();
     out.nodes = feed->nodeReports();
+    out.offered = feed->nodes();
     if (replica) {
         out.replica = replica->status();
         out.authority = replica->current(out.now);
@@ -234,22 +313,44 @@
     return out;
 }
 
+result<void> node::parts::listen(const std::string &address, net::http_handler handler)
+{
+    if (address.empty())
+        return {};
+    auto server = std::make_unique<net::http_server>(loops, net::http_limits{}, std::move(handler));
+    BOOST_LEAF_CHECK(server->listen(address));
+    servers.push_back(std::move(server));
+    return {};
+}
+
 result<void> node::parts::startAll()
 {
     BOOST_LEAF_CHECK(transport->start());
     if (replica)
         BOOST_LEAF_CHECK(replica->start());
+    using exchange_pointer = std::shared_ptr<net::http_exchange>;
+    if (document) {
+        BOOST_LEAF_CHECK(listen(settings.http.operators, [this](const exchange_pointer &exchange) {
+            document->serve(exchange);
+        }));
+    }
+    BOOST_LEAF_CHECK(listen(settings.http.metrics,
+                            [this](const exchange_pointer &exchange) { answerMetrics(exchange); }));
+    if (callers)
+        BOOST_LEAF_CHECK(callers->start());
+    loops.start();
     feed->start();
-    BOOST_LEAF_CHECK(callers->start());
-    charges->start();
+    if (charges)
+        charges->start();
     demand->start();
     if (leaderDuties)
         leaderDuties->start();
     events.record(nodeStarted,
-                  {{"callers", settings.self().callerAddress},
-                   {"link", settings.self().linkAddress},
-                   {"zone", settings.self().zone},
-                   {"control", settings.self().roles.control ? "yes" : "no"}});
+                  {{"callers", settings.callerAddress},
+                   {"link", settings.linkAddress},
+                   {"zone", settings.zone},
+                   {"incarnation", incarnation},
+                   {"control", settings.roles.control ? "yes" : "no"}});
     return {};
 }
 
@@ -258,9 +359,14 @@
     if (leaderDuties)
         leaderDuties->stop();
     demand->stop();
-    charges->stop();
-    callers->stop();
+    if (charges)
+        charges->stop();
     feed->stop();
+    if (callers)
+        callers->stop();
+    loops.stop();
+    operators.reset();
+    document.reset();
     if (replica)
         replica->stop();
     transport->stop();
@@ -292,9 +398,11 @@
     m_parts->changed.wait(lock, [&] { return m_parts->leaving; });
     m_parts->events.record(nodeLeaving, {});
     m_parts->feed->setLeaving();
-    m_parts->callers->beginShutdown();
-    while (!m_parts->callers->drained())
-        m_parts->changed.wait_for(lock, drainPoll);
+    if (m_parts->callers) {
+        m_parts->callers->beginShutdown();
+        while (!m_parts->callers->drained())
+            m_parts->changed.wait_for(lock, drainPoll);
+    }
     lock.unlock();
     m_parts->stopAll();
 }
--- a/src/yuccascale/runtime/node_status.cpp
+++ b/src/yuccascale/runtime/node_status.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccascale/kernel/orders/explain.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace yuccascale::runtime {
@@ -60,6 +61,13 @@
             {"learners", replica.learners}};
 }
 
+/// \returns the node's name, or its link address while no report has named it.
+std::string nameOf(const std::string &link, const std::vector<feed::node_report> &nodes)
+{
+    const auto found = std::ranges::find(nodes, link, &feed::node_report::link);
+    return link.empty() || found == nodes.end() ? link : found->node;
+}
+
 json linkStatus(const wire::transport_counters &links)
 {
     return {{"bytes_sent", links.bytesSent.load()},
@@ -75,8 +83,8 @@
 json nodeStatus(const node_facts &facts)
 {
     json out{{"node", facts.settings->node},
-             {"zone", facts.settings->self().zone},
-             {"leader", facts.view.leader},
+             {"zone", facts.settings->zone},
+             {"leader", nameOf(facts.view.leader, facts.offered)},
              {"fresh", facts.view.fresh(facts.now)},
              {"revision", facts.view.tables ? facts.view.tables->revision : 0},
              {"nodes", facts.nodes},
--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -62,6 +62,8 @@
     replica_config config;
     config.self = {settings.self, incarnation};
     config.configured = settings.voters;
+    config.firstStart = settings.firstStart;
+    config.voters = static_cast<std::size_t>(settings.control.voters);
     config.heartbeat = settings.control.heartbeat;
     config.electionTimeout = settings.control.electionTimeout;
     config.lease = settings.control.lease;
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -48,10 +48,11 @@
 /// \brief What a replicated log needs to know.
 struct replicated_log_settings
 {
-    std::string self;                ///< this node's name
-    std::vector<std::string> voters; ///< names of all nodes with the control role, with self
+    std::string self;                ///< name of this replica: its link address as a rule
+    std::vector<std::string> voters; ///< the replicas that begin the first log
     std::string dataFolder;
     control_settings control;
+    bool firstStart = true; ///< an empty log may be begun
 };
 
 /// \brief What an operator should know of a replica.
--- a/src/yuccascale/runtime/settings.cpp
+++ b/src/yuccascale/runtime/settings.cpp
@@ -1,15 +1,14 @@
 #include "yuccascale/runtime/settings.hpp"
 
 #include "yuccascale/runtime/yaml_reader.hpp"
+#include "yuccascale/wire/socket.hpp"
 
 #include <sys/stat.h>
 #include <unistd.h>
 #include <yaml-cpp/yaml.h>
 
-#include <algorithm>
 #include <fstream>
 #include <iterator>
-#include <set>
 
 namespace yuccascale::runtime {
 
@@ -29,18 +28,8 @@
         else
             node.problem("roles", "unknown role '" + role + "'; use entry or control");
     }
-}
-
-node_settings readNode(yaml_reader &node)
-{
-    node_settings out;
-    out.name = node.required("name");
-    out.zone = node.required("zone");
-    out.linkAddress = node.address("link", true);
-    out.callerAddress = node.address("callers", true);
-    readRoles(node, out.roles);
-    node.refuseUnknown();
-    return out;
+    if (!roles.entry && !roles.control)
+        node.problem("roles", "missing; give the node the role entry, control or both");
 }
 
 void readLog(yaml_reader node, log_settings &log)
@@ -58,11 +47,20 @@
 
 void readHttp(yaml_reader node, http_settings &http)
 {
+    node.text("protocol", http.protocol);
+    http.readiness = node.address("readiness", false);
+    http.directory = node.address("directory", false);
+    http.operators = node.address("operators", false);
+    http.metrics = node.address("metrics", false);
+    node.bytes("max_header", http.maxHeaderBytes);
+    node.count("max_header_fields", http.maxHeaderFields);
     node.bytes("max_body", http.maxBodyBytes);
     node.duration("read_timeout", http.readTimeout);
     node.duration("write_timeout", http.writeTimeout);
+    node.duration("idle_timeout", http.idleTimeout);
     node.duration("address_ttl", http.addressTtl);
-    node.count("threads", http.threads);
+    node.count("connections", http.connections);
+    node.count("loops", http.loops);
     node.refuseUnknown();
 }
 
@@ -75,15 +73,33 @@
     node.duration("feed_interval", control.feedInterval);
     node.duration("order_life", control.orderLife);
     node.count("snapshot_entries", control.snapshotEntries);
+    node.count("voters", control.voters);
     node.refuseUnknown();
+    if (control.voters % 2 == 0)
+        node.problem("voters", "must be odd; an even number bears no more losses than one less");
     if (control.heartbeat * 3 > control.electionTimeout)
         node.problem("heartbeat", "must be at most a third of election_timeout; lower it");
     if (control.feedInterval * 3 > control.freshness)
         node.problem("feed_interval", "must be at most a third of freshness; lower it");
 }
 
+void readPromises(yaml_reader node, promise_settings &promises)
+{
+    node.duration("key_withdrawal", promises.keyWithdrawal);
+    node.duration("shutdown", promises.shutdown);
+    node.number("retry_share", promises.retryShare);
+    node.number("retry_burst", promises.retryBurst);
+    node.duration("retry_window", promises.retryWindow);
+    node.flag("shared_retries", promises.sharedRetries);
+    node.refuseUnknown();
+}
+
 void readPlatform(yaml_reader node, platform_settings &platform)
 {
+    node.text("drivers", platform.drivers);
+    platform.endpointList = node.address("endpoint_list", false);
+    node.duration("list_interval", platform.listInterval);
+    node.duration("usage_batch", platform.usageBatch);
     platform.endpointOrders = node.address("endpoint_orders", false);
     platform.usageReports = node.address("usage_reports", false);
     platform.weightStore = node.address("weight_store", false);
@@ -99,38 +115,47 @@
     node.text("fairness", policy.fairness);
     node.text("roles", policy.roles);
     node.text("placement", policy.placement);
+    node.count("prefill_ahead", policy.prefillAhead);
+    node.flag("assume_others", policy.assumeOthers);
     node.refuseUnknown();
 }
 
-void checkNames(yaml_reader &root, const settings &out)
+/// Names each seed by its link address.
+void checkSeeds(yaml_reader &root, settings &out)
 {
-    std::set<std::string> names;
-    std::set<std::string> addresses;
-    for (const node_settings &node : out.nodes) {
-        if (!names.insert(node.name).second)
-            root.problem("nodes", "two nodes are named '" + node.name + "'; rename one");
-        for (const std::string &address : {node.linkAddress, node.callerAddress}) {
-            if (!address.empty() && !addresses.insert(address).second)
-                root.problem("nodes", "address " + address + " stands twice; change one");
-        }
+    std::int64_t port = 0;
+    root.count("seed_link_port", port);
+    for (std::string &seed : out.seeds) {
+        wire::socket_address address;
+        kernel::error wrong;
+        const bool readable = kernel::succeeded(
+                [&]() -> result<void> {
+                    BOOST_LEAF_ASSIGN(address, wire::parseAddress(seed));
+                    return {};
+                },
+                wrong);
+        if (!readable)
+            root.problem("seeds", "'" + seed + "' is " + wrong.message);
+        else if (port != 0)
+            seed = address.host + ":" + std::to_string(port);
     }
-    if (!names.contains(out.node))
-        root.problem("node", "'" + out.node + "' is not listed under nodes; add it there");
+    if (out.seeds.empty())
+        root.problem("seeds", "missing; name the link addresses of one to three control nodes");
 }
 
-void checkControlQuorum(yaml_reader &root, const settings &out)
+/// An entry without word serves keys for as long as its tables are fresh.
+void derivePromised(settings &out)
 {
-    const auto voters = std::ranges::count_if(
-            out.nodes, [](const node_settings &node) { return node.roles.control; });
-    if (voters != 1 && voters != 3 && voters != 5)
-        root.problem("nodes",
-                     "give the control role to 1, 3 or 5 nodes, not " + std::to_string(voters));
+    constexpr double leaseShare = 0.94; ///< the rest is for clocks and for requests under way
+    if (out.promises.keyWithdrawal.count() > 0) {
+        out.control.freshness = std::chrono::duration_cast<kernel::milliseconds>(
+                out.promises.keyWithdrawal * leaseShare);
+    }
 }
 
 void checkDataFolder(yaml_reader &root, const settings &out)
 {
-    const auto own = std::ranges::find(out.nodes, out.node, &node_settings::name);
-    if (own == out.nodes.end() || !own->roles.control)
+    if (!out.roles.control)
         return;
     if (out.dataFolder.empty())
         root.problem("data_folder", "a control node needs one; name a folder on its disk");
@@ -154,32 +179,33 @@
 {
     settings out;
     out.node = root.required("node");
-    out.secretFile = root.required("cluster_secret");
-    out.operatorKeyFile = root.required("operator_key");
+    out.zone = root.required("zone");
+    readRoles(root, out.roles);
+    out.linkAddress = root.address("link", true);
+    out.callerAddress = root.address("callers", out.roles.entry);
+    out.seeds = root.texts("seeds");
+    out.linkRoutes = root.pairs("link_routes");
+    root.flag("first_start", out.firstStart);
+    root.text("cluster_secret", out.secretFile);
+    root.text("operator_key", out.operatorKeyFile);
     root.text("data_folder", out.dataFolder);
-    for (yaml_reader &node : root.list("nodes"))
-        out.nodes.push_back(readNode(node));
     readLog(root.child("log"), out.log);
     readHttp(root.child("http"), out.http);
     readControl(root.child("control"), out.control);
+    readPromises(root.child("promises"), out.promises);
     readPlatform(root.child("platform"), out.platform);
     readPolicy(root.child("policy"), out.policy);
+    checkSeeds(root, out);
     root.refuseUnknown();
-    checkNames(root, out);
-    checkControlQuorum(root, out);
     checkDataFolder(root, out);
     checkSecret(root, "cluster_secret", out.secretFile);
     checkSecret(root, "operator_key", out.operatorKeyFile);
+    derivePromised(out);
     return out;
 }
 
 } // namespace
 
-const node_settings &settings::self() const
-{
-    return *std::ranges::find(nodes, node, &node_settings::name);
-}
-
 result<settings> readSettings(const std::string &file)
 {
     YAML::Node document;
@@ -200,7 +226,7 @@
     std::string all;
     for (const std::string &problem : problems)
         all += (all.empty() ? "" : "\n") + problem;
-    return fail(error_kind::InvalidArgument, file, all);
+    return fail(error_kind::InvalidArgument, "settings", all);
 }
 
 result<std::string> readSecret(const std::string &file)
--- a/src/yuccascale/runtime/yaml_reader.cpp
+++ b/src/yuccascale/runtime/yaml_reader.cpp
@@ -16,6 +16,19 @@
 {
     if (!m_node.IsMap() && !m_node.IsNull())
         problem("", "expected fields with values here");
+    refuseDuplicates();
+}
+
+void yaml_reader::refuseDuplicates()
+{
+    if (!m_node.IsMap())
+        return;
+    std::set<std::string> seen;
+    for (const auto &pair : m_node) {
+        const std::string &name = pair.first.Scalar();
+        if (!seen.insert(name).second)
+            problem(name, "stands twice; keep one of the two");
+    }
 }
 
 YAML::Node yaml_reader::find(std::string_view field)
@@ -93,13 +106,13 @@
 
 bool yaml_reader::scalarWithUnit(std::string_view field,
                                  const std::map<std::string, std::int64_t> &units,
-                                 std::string_view sample, std::int64_t &out)
+                                 std::string_view sample, double &out)
 {
     std::string value;
     text(field, value);
     if (value.empty())
         return false;
-    std::int64_t number = 0;
+    double number = 0;
     const char *end = value.data() + value.size();
     const auto [stop, wrong] = std::from_chars(value.data(), end, number);
     std::string unit(stop, end);
@@ -109,29 +122,71 @@
         problem(field, "'" + value + "' has no known unit; write it as " + std::string(sample));
         return false;
     }
-    out = number * found->second;
+    out = number * static_cast<double>(found->second);
     return true;
 }
 
 void yaml_reader::duration(std::string_view field, kernel::milliseconds &out)
 {
-    std::int64_t value = 0;
+    double value = 0;
     if (scalarWithUnit(field, {{"ms", 1}, {"s", 1'000}, {"m", 60'000}, {"h", 3'600'000}},
                        "250ms, 3s, 5m or 1h", value))
-        out = kernel::milliseconds(value);
+        out = kernel::milliseconds(static_cast<std::int64_t>(value));
 }
 
 void yaml_reader::bytes(std::string_view field, std::int64_t &out)
 {
-    std::int64_t value = 0;
+    double value = 0;
     if (scalarWithUnit(field, {{"B", 1}, {"KB", 1 << 10}, {"MB", 1 << 20}, {"GB", 1 << 30}},
                        "512B, 64KB, 8MB or 1GB", value))
-        out = value;
+        out = static_cast<std::int64_t>(value);
 }
 
 bool yaml_reader::wholeNumber(std::string_view field, std::int64_t &out)
 {
-    return scalarWithUnit(field, {{"", 1}}, "a whole number above zero", out);
+    double value = 0;
+    if (!scalarWithUnit(field, {{"", 1}}, "a whole number above zero", value))
+        return false;
+    out = static_cast<std::int64_t>(value);
+    if (static_cast<double>(out) == value)
+        return true;
+    problem(field, "not a whole number; write one");
+    return false;
+}
+
+void yaml_reader::number(std::string_view field, double &out)
+{
+    std::string value;
+    text(field, value);
+    if (value.empty())
+        return;
+    double read = 0;
+    const char *end = value.data() + value.size();
+    const auto [stop, wrong] = std::from_chars(value.data(), end, read);
+    if (wrong != std::errc() || stop != end || read < 0)
+        problem(field, "'" + value + "' is not a number of zero or more");
+    else
+        out = read;
+}
+
+void yaml_reader::flag(std::string_view field, bool &out)
+{
+    choose(field, {{"true", [&] { out = true; }}, {"false", [&] { out = false; }}});
+}
+
+std::map<std::string, std::string> yaml_reader::pairs(std::string_view field)
+{
+    std::map<std::string, std::string> out;
+    const YAML::Node value = find(field);
+    if (!value.IsDefined() || value.IsNull())
+        return out;
+    if (!value.IsMap()) {
+        problem(field, "expected names with values");
+        return out;
+    }
+    for (const auto &pair : value)
+        out[pair.first.Scalar()] = pair.second.Scalar();
+    return out;
 }
 
 void yaml_reader::choose(std::string_view field,
--- a/src/yuccascale/runtime/yaml_reader.hpp
+++ b/src/yuccascale/runtime/yaml_reader.hpp
@@ -32,6 +32,15 @@
     /// \returns the texts of a list field; empty when it is missing.
     [[nodiscard]] std::vector<std::string> texts(std::string_view field);
 
+    /// \returns the texts of a mapping field by name; empty when it is missing.
+    [[nodiscard]] std::map<std::string, std::string> pairs(std::string_view field);
+
+    /// \brief Reads true or false.
+    void flag(std::string_view field, bool &out);
+
+    /// \brief Reads a number of zero or more.
+    void number(std::string_view field, double &out);
+
     /// \returns "IP:port", checked; empty when missing.
     [[nodiscard]] std::string address(std::string_view field, bool mustExist);
 
@@ -67,11 +76,12 @@
     void problem(std::string_view field, const std::string &message);
 
 private:
+    void refuseDuplicates();
     [[nodiscard]] YAML::Node find(std::string_view field);
     [[nodiscard]] bool wholeNumber(std::string_view field, std::int64_t &out);
     [[nodiscard]] bool scalarWithUnit(std::string_view field,
                                       const std::map<std::string, std::int64_t> &units,
-                                      std::string_view sample, std::int64_t &out);
+                                      std::string_view sample, double &out);
 
     std::string m_file;
     YAML::Node m_node;
--- a/src/yuccascale/wire/feed_codec.cpp
+++ b/src/yuccascale/wire/feed_codec.cpp
@@ -72,8 +72,40 @@
 
 kernel::feed::node_report reportOf(const fb::NodeReport &table)
 {
-    return {textOf(table.node()), table.incarnation(), table.revision(), table.age_ms(),
-            table.leaving()};
+    return {textOf(table.node()),    table.incarnation(),      table.revision(),
+            table.age_ms(),          table.leaving(),          textOf(table.link()),
+            textOf(table.callers()), textOf(table.zone()),     table.control(),
+            table.wall_ms(),         textOf(table.operators())};
+}
+
+using report_vector = flatbuffers::Vector<flatbuffers::Offset<fb::NodeReport>>;
+
+flatbuffers::Offset<report_vector>
+reportsToVector(builder_type &builder, const std::vector<kernel::feed::node_report> &reports)
+{
+    std::vector<flatbuffers::Offset<fb::NodeReport>> rows;
+    for (const kernel::feed::node_report &report : reports) {
+        const auto node = builder.CreateString(report.node);
+        const auto link = builder.CreateString(report.link);
+        const auto callers = builder.CreateString(report.callers);
+        const auto zone = builder.CreateString(report.zone);
+        const auto operators = builder.CreateString(report.operators);
+        rows.push_back(fb::CreateNodeReport(builder, node, report.incarnation, report.revision,
+                                            static_cast<std::uint32_t>(report.ageMs),
+                                            report.leaving, link, callers, zone, report.control,
+                                            report.wallMs, operators));
+    }
+    return builder.CreateVector(rows);
+}
+
+std::vector<kernel::feed::node_report> reportsFromVector(const report_vector *reports)
+{
+    std::vector<kernel::feed::node_report> out;
+    if (reports == nullptr)
+        return out;
+    for (const auto *report : *reports)
+        out.push_back(reportOf(*report));
+    return out;
 }
 
 } // namespace
@@ -81,16 +113,9 @@
 std::string encodeFeedRequest(const kernel::feed::feed_request &request)
 {
     builder_type builder;
-    std::vector<flatbuffers::Offset<fb::NodeReport>> reports;
-    for (const kernel::feed::node_report &report : request.reports) {
-        const auto node = builder.CreateString(report.node);
-        reports.push_back(fb::CreateNodeReport(builder, node, report.incarnation, report.revision,
-                                               static_cast<std::uint32_t>(report.ageMs),
-                                               report.leaving));
-    }
-    const auto all = builder.CreateVector(reports);
+    const auto reports = reportsToVector(builder, request.reports);
     builder.Finish(fb::CreateFeedRequest(builder, request.haveRevision, request.haveTables,
-                                         request.haveBans, all));
+                                         request.haveBans, reports, request.haveEndpoints));
     return finished(builder);
 }
 
@@ -101,10 +126,12 @@
     const auto edits = rowsToBytes(builder, reply.edits);
     const auto whole = rowsToBytes(builder, reply.whole);
     const auto bans = textsToVector(builder, reply.bans);
-    const auto unavailable = textsToVector(builder, reply.unavailable);
+    const auto nodes = reportsToVector(builder, reply.nodes);
+    const auto endpoints = rowsToBytes(builder, reply.endpoints);
     builder.Finish(fb::CreateFeedReply(builder, reply.confirmed, leader,
                                        static_cast<std::uint32_t>(reply.freshForMs), reply.revision,
-                                       edits, whole, reply.bansVersion, bans, unavailable));
+                                       edits, whole, reply.bansVersion, bans, nodes, endpoints,
+                                       reply.clusterWallMs));
     return finished(builder);
 }
 
@@ -115,10 +142,8 @@
     out.haveRevision = table->have_revision();
     out.haveTables = table->have_tables();
     out.haveBans = table->have_bans();
-    if (table->reports() != nullptr) {
-        for (const auto *report : *table->reports())
-            out.reports.push_back(reportOf(*report));
-    }
+    out.haveEndpoints = table->have_endpoints();
+    out.reports = reportsFromVector(table->reports());
     return out;
 }
 
@@ -136,7 +161,10 @@
                       rowsFromBytes<std::vector<kernel::state::table_set>>(table->whole()));
     out.bansVersion = table->bans_version();
     out.bans = textsFromVector(table->bans());
-    out.unavailable = textsFromVector(table->unavailable());
+    out.nodes = reportsFromVector(table->nodes());
+    BOOST_LEAF_ASSIGN(out.endpoints,
+                      rowsFromBytes<std::vector<kernel::feed::endpoint_list>>(table->endpoints()));
+    out.clusterWallMs = table->cluster_wall_ms();
     return out;
 }
 
--- a/src/yuccascale/wire/feed_generated.h
+++ b/src/yuccascale/wire/feed_generated.h
@@ -33,7 +33,13 @@
     VT_INCARNATION = 6,
     VT_REVISION = 8,
     VT_AGE_MS = 10,
-    VT_LEAVING = 12
+    VT_LEAVING = 12,
+    VT_LINK = 14,
+    VT_CALLERS = 16,
+    VT_ZONE = 18,
+    VT_CONTROL = 20,
+    VT_WALL_MS = 22,
+    VT_OPERATORS = 24
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -50,6 +56,24 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
+  const flatbuffers::String *link() const {
+    return GetPointer<const flatbuffers::String *>(VT_LINK);
+  }
+  const flatbuffers::String *callers() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALLERS);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool control() const {
+    return GetField<uint8_t>(VT_CONTROL, 0) != 0;
+  }
+  int64_t wall_ms() const {
+    return GetField<int64_t>(VT_WALL_MS, 0);
+  }
+  const flatbuffers::String *operators() const {
+    return GetPointer<const flatbuffers::String *>(VT_OPERATORS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -58,6 +82,16 @@
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyOffset(verifier, VT_LINK) &&
+           verifier.VerifyString(link()) &&
+           VerifyOffset(verifier, VT_CALLERS) &&
+           verifier.VerifyString(callers()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_CONTROL, 1) &&
+           VerifyField<int64_t>(verifier, VT_WALL_MS, 8) &&
+           VerifyOffset(verifier, VT_OPERATORS) &&
+           verifier.VerifyString(operators()) &&
            verifier.EndTable();
   }
 };
@@ -81,6 +115,24 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(NodeReport::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
+  void add_link(flatbuffers::Offset<flatbuffers::String> link) {
+    fbb_.AddOffset(NodeReport::VT_LINK, link);
+  }
+  void add_callers(flatbuffers::Offset<flatbuffers::String> callers) {
+    fbb_.AddOffset(NodeReport::VT_CALLERS, callers);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(NodeReport::VT_ZONE, zone);
+  }
+  void add_control(bool control) {
+    fbb_.AddElement<uint8_t>(NodeReport::VT_CONTROL, static_cast<uint8_t>(control), 0);
+  }
+  void add_wall_ms(int64_t wall_ms) {
+    fbb_.AddElement<int64_t>(NodeReport::VT_WALL_MS, wall_ms, 0);
+  }
+  void add_operators(flatbuffers::Offset<flatbuffers::String> operators) {
+    fbb_.AddOffset(NodeReport::VT_OPERATORS, operators);
+  }
   explicit NodeReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -98,12 +150,24 @@
     uint64_t incarnation = 0,
     uint64_t revision = 0,
     uint32_t age_ms = 0,
-    bool leaving = false) {
+    bool leaving = false,
+    flatbuffers::Offset<flatbuffers::String> link = 0,
+    flatbuffers::Offset<flatbuffers::String> callers = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool control = false,
+    int64_t wall_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> operators = 0) {
   NodeReportBuilder builder_(_fbb);
+  builder_.add_wall_ms(wall_ms);
   builder_.add_revision(revision);
   builder_.add_incarnation(incarnation);
+  builder_.add_operators(operators);
+  builder_.add_zone(zone);
+  builder_.add_callers(callers);
+  builder_.add_link(link);
   builder_.add_age_ms(age_ms);
   builder_.add_node(node);
+  builder_.add_control(control);
   builder_.add_leaving(leaving);
   return builder_.Finish();
 }
@@ -114,15 +178,31 @@
     uint64_t incarnation = 0,
     uint64_t revision = 0,
     uint32_t age_ms = 0,
-    bool leaving = false) {
+    bool leaving = false,
+    const char *link = nullptr,
+    const char *callers = nullptr,
+    const char *zone = nullptr,
+    bool control = false,
+    int64_t wall_ms = 0,
+    const char *operators = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto link__ = link ? _fbb.CreateString(link) : 0;
+  auto callers__ = callers ? _fbb.CreateString(callers) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto operators__ = operators ? _fbb.CreateString(operators) : 0;
   return yuccascale::wire::fb::CreateNodeReport(
       _fbb,
       node__,
       incarnation,
       revision,
       age_ms,
-      leaving);
+      leaving,
+      link__,
+      callers__,
+      zone__,
+      control,
+      wall_ms,
+      operators__);
 }
 
 struct FeedRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -131,7 +211,8 @@
     VT_HAVE_REVISION = 4,
     VT_HAVE_TABLES = 6,
     VT_HAVE_BANS = 8,
-    VT_REPORTS = 10
+    VT_REPORTS = 10,
+    VT_HAVE_ENDPOINTS = 12
   };
   uint64_t have_revision() const {
     return GetField<uint64_t>(VT_HAVE_REVISION, 0);
@@ -145,6 +226,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *reports() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *>(VT_REPORTS);
   }
+  uint64_t have_endpoints() const {
+    return GetField<uint64_t>(VT_HAVE_ENDPOINTS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_HAVE_REVISION, 8) &&
@@ -153,6 +237,7 @@
            VerifyOffset(verifier, VT_REPORTS) &&
            verifier.VerifyVector(reports()) &&
            verifier.VerifyVectorOfTables(reports()) &&
+           VerifyField<uint64_t>(verifier, VT_HAVE_ENDPOINTS, 8) &&
            verifier.EndTable();
   }
 };
@@ -173,6 +258,9 @@
   void add_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>> reports) {
     fbb_.AddOffset(FeedRequest::VT_REPORTS, reports);
   }
+  void add_have_endpoints(uint64_t have_endpoints) {
+    fbb_.AddElement<uint64_t>(FeedRequest::VT_HAVE_ENDPOINTS, have_endpoints, 0);
+  }
   explicit FeedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -189,8 +277,10 @@
     uint64_t have_revision = 0,
     bool have_tables = false,
     uint64_t have_bans = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>> reports = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>> reports = 0,
+    uint64_t have_endpoints = 0) {
   FeedRequestBuilder builder_(_fbb);
+  builder_.add_have_endpoints(have_endpoints);
   builder_.add_have_bans(have_bans);
   builder_.add_have_revision(have_revision);
   builder_.add_reports(reports);
@@ -203,14 +293,16 @@
     uint64_t have_revision = 0,
     bool have_tables = false,
     uint64_t have_bans = 0,
-    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *reports = nullptr) {
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *reports = nullptr,
+    uint64_t have_endpoints = 0) {
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>(*reports) : 0;
   return yuccascale::wire::fb::CreateFeedRequest(
       _fbb,
       have_revision,
       have_tables,
       have_bans,
-      reports__);
+      reports__,
+      have_endpoints);
 }
 
 struct FeedReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -224,7 +316,9 @@
     VT_WHOLE = 14,
     VT_BANS_VERSION = 16,
     VT_BANS = 18,
-    VT_UNAVAILABLE = 20
+    VT_NODES = 20,
+    VT_ENDPOINTS = 22,
+    VT_CLUSTER_WALL_MS = 24
   };
   bool confirmed() const {
     return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
@@ -250,8 +344,14 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *bans() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_BANS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *unavailable() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_UNAVAILABLE);
+  const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *nodes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *>(VT_NODES);
+  }
+  const flatbuffers::Vector<uint8_t> *endpoints() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_ENDPOINTS);
+  }
+  int64_t cluster_wall_ms() const {
+    return GetField<int64_t>(VT_CLUSTER_WALL_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -268,9 +368,12 @@
            VerifyOffset(verifier, VT_BANS) &&
            verifier.VerifyVector(bans()) &&
            verifier.VerifyVectorOfStrings(bans()) &&
-           VerifyOffset(verifier, VT_UNAVAILABLE) &&
-           verifier.VerifyVector(unavailable()) &&
-           verifier.VerifyVectorOfStrings(unavailable()) &&
+           VerifyOffset(verifier, VT_NODES) &&
+           verifier.VerifyVector(nodes()) &&
+           verifier.VerifyVectorOfTables(nodes()) &&
+           VerifyOffset(verifier, VT_ENDPOINTS) &&
+           verifier.VerifyVector(endpoints()) &&
+           VerifyField<int64_t>(verifier, VT_CLUSTER_WALL_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -303,8 +406,14 @@
   void add_bans(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> bans) {
     fbb_.AddOffset(FeedReply::VT_BANS, bans);
   }
-  void add_unavailable(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unavailable) {
-    fbb_.AddOffset(FeedReply::VT_UNAVAILABLE, unavailable);
+  void add_nodes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>> nodes) {
+    fbb_.AddOffset(FeedReply::VT_NODES, nodes);
+  }
+  void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> endpoints) {
+    fbb_.AddOffset(FeedReply::VT_ENDPOINTS, endpoints);
+  }
+  void add_cluster_wall_ms(int64_t cluster_wall_ms) {
+    fbb_.AddElement<int64_t>(FeedReply::VT_CLUSTER_WALL_MS, cluster_wall_ms, 0);
   }
   explicit FeedReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -327,11 +436,15 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> whole = 0,
     uint64_t bans_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> bans = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unavailable = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>> nodes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> endpoints = 0,
+    int64_t cluster_wall_ms = 0) {
   FeedReplyBuilder builder_(_fbb);
+  builder_.add_cluster_wall_ms(cluster_wall_ms);
   builder_.add_bans_version(bans_version);
   builder_.add_revision(revision);
-  builder_.add_unavailable(unavailable);
+  builder_.add_endpoints(endpoints);
+  builder_.add_nodes(nodes);
   builder_.add_bans(bans);
   builder_.add_whole(whole);
   builder_.add_edits(edits);
@@ -351,12 +464,15 @@
     const std::vector<uint8_t> *whole = nullptr,
     uint64_t bans_version = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *bans = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *unavailable = nullptr) {
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *nodes = nullptr,
+    const std::vector<uint8_t> *endpoints = nullptr,
+    int64_t cluster_wall_ms = 0) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto edits__ = edits ? _fbb.CreateVector<uint8_t>(*edits) : 0;
   auto whole__ = whole ? _fbb.CreateVector<uint8_t>(*whole) : 0;
   auto bans__ = bans ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*bans) : 0;
-  auto unavailable__ = unavailable ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*unavailable) : 0;
+  auto nodes__ = nodes ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>(*nodes) : 0;
+  auto endpoints__ = endpoints ? _fbb.CreateVector<uint8_t>(*endpoints) : 0;
   return yuccascale::wire::fb::CreateFeedReply(
       _fbb,
       confirmed,
@@ -367,7 +483,9 @@
       whole__,
       bans_version,
       bans__,
-      unavailable__);
+      nodes__,
+      endpoints__,
+      cluster_wall_ms);
 }
 
 inline const yuccascale::wire::fb::FeedReply *GetFeedReply(const void *buf) {
--- a/src/yuccascale/wire/peer_link.cpp
+++ b/src/yuccascale/wire/peer_link.cpp
@@ -16,10 +16,11 @@
 } // namespace
 
 peer_link::peer_link(const transport_settings &settings, transport_counters &counters,
-                     std::string peer, kernel::channel channel)
+                     std::string peer, socket_address address, kernel::channel channel)
     : m_settings(settings)
     , m_counters(counters)
     , m_peer(std::move(peer))
+    , m_address(std::move(address))
     , m_channel(channel)
     , m_sender([this] { sendLoop(); })
 { }
@@ -61,6 +62,7 @@
     if (m_stopped || m_queue.size() >= m_settings.maxQueuedFrames)
         return fail(error_kind::Unavailable, m_peer, "too many messages wait; try again");
     const std::uint64_t correlation = m_nextCorrelation++;
+    const std::uint64_t receivedBefore = m_received;
     const auto pending = std::make_shared<pending_call>();
     m_calls[correlation] = pending;
     m_queue.push_back(
@@ -72,6 +74,9 @@
     m_calls.erase(correlation);
     if (pending->state == call_state::Answered)
         return std::move(pending->reply);
+    // a connection that brought nothing meanwhile may have gone silent for good
+    if (m_received == receivedBefore)
+        dropConnection();
     if (pending->state == call_state::Queued) {
         std::erase_if(m_queue, [&](const auto &frame) { return frame.correlation == correlation; });
         return fail(error_kind::Unavailable, m_peer, "not reached in time; try another node");
@@ -129,8 +134,8 @@
     const bool opened = kernel::succeeded(
             [&]() -> result<void> {
                 BOOST_LEAF_AUTO(connection,
-                                socket::connect(m_settings.peers.find(m_peer)->second,
-                                                m_settings.connectTimeout, m_settings.userTimeout));
+                                socket::connect(m_address, m_settings.connectTimeout,
+                                                m_settings.userTimeout));
                 connection.setReadTimeout(handshakeTimeout);
                 if (!openHandshake(connection, m_settings.self, m_peer, m_settings.secret))
                     return fail(error_kind::Unauthorized, m_peer, "check the cluster secret");
@@ -155,6 +160,7 @@
         const std::lock_guard lock(m_mutex);
         m_counters.bytesReceived += received->payload.size();
         ++m_counters.framesReceived;
+        ++m_received;
         const auto call = m_calls.find(received->correlation);
         if (!received->reply || call == m_calls.end())
             continue;
--- a/src/yuccascale/wire/peer_link.hpp
+++ b/src/yuccascale/wire/peer_link.hpp
@@ -31,7 +31,7 @@
 {
 public:
     peer_link(const transport_settings &settings, transport_counters &counters, std::string peer,
-              kernel::channel channel);
+              socket_address address, kernel::channel channel);
     ~peer_link();
     peer_link(const peer_link &) = delete;
     peer_link &operator=(const peer_link &) = delete;
@@ -61,6 +61,7 @@
     const transport_settings &m_settings;
     transport_counters &m_counters;
     std::string m_peer;
+    socket_address m_address;
     kernel::channel m_channel;
 
     std::mutex m_mutex;
@@ -69,6 +70,7 @@
     std::map<std::uint64_t, std::shared_ptr<pending_call>> m_calls;
     std::uint64_t m_nextCorrelation = 1;
     std::shared_ptr<socket> m_connection;
+    std::uint64_t m_received = 0; ///< frames
     bool m_stopped = false;
 
     std::thread m_reader;
--- a/src/yuccascale/wire/tcp_transport.cpp
+++ b/src/yuccascale/wire/tcp_transport.cpp
@@ -59,19 +59,41 @@
     const std::shared_ptr<peer_link> link = linkTo(node, channel);
     if (!link) {
         return fail(error_kind::Unavailable, std::string(node),
-                    "no such node; list it under 'nodes' in the settings");
+                    "not the address of a node; write IP:port");
     }
     return link->call(std::move(payload), timeout);
 }
 
+std::optional<socket_address> tcp_transport::addressOf(std::string_view node) const
+{
+    const auto listed = m_settings.peers.find(node);
+    if (listed != m_settings.peers.end())
+        return listed->second;
+    std::optional<socket_address> out;
+    kernel::error notAnAddress;
+    const bool read = kernel::succeeded(
+            [&]() -> result<void> {
+                BOOST_LEAF_ASSIGN(out, parseAddress(node));
+                return {};
+            },
+            notAnAddress);
+    return read ? out : std::nullopt;
+}
+
 std::shared_ptr<peer_link> tcp_transport::linkTo(std::string_view node, kernel::channel channel)
 {
     const std::lock_guard lock(m_linksMutex);
-    if (m_stopped || m_settings.peers.find(node) == m_settings.peers.end())
+    if (m_stopped)
+        return nullptr;
+    const auto known = m_links.find({std::string(node), channel});
+    if (known != m_links.end())
+        return known->second;
+    const std::optional<socket_address> address = addressOf(node);
+    if (!address)
         return nullptr;
-    std::shared_ptr<peer_link> &link = m_links[{std::string(node), channel}];
-    if (!link)
-        link = std::make_shared<peer_link>(m_settings, m_counters, std::string(node), channel);
+    auto link = std::make_shared<peer_link>(m_settings, m_counters, std::string(node), *address,
+                                            channel);
+    m_links[{std::string(node), channel}] = link;
     return link;
 }
 
--- a/src/yuccascale/wire/tcp_transport.hpp
+++ b/src/yuccascale/wire/tcp_transport.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -23,10 +24,11 @@
 /// \brief What a transport needs to know of the system.
 struct transport_settings
 {
-    std::string self; ///< this node's name
+    std::string self; ///< what this node is called by the others: its link address as a rule
     socket_address listen;
-    std::map<std::string, socket_address, std::less<>> peers; ///< by node name
-    std::string secret;                                       ///< the cluster secret
+    /// Nodes that are not reached at the address that is their name.
+    std::map<std::string, socket_address, std::less<>> peers;
+    std::string secret; ///< the cluster secret; empty: whoever reaches the port is believed
     std::size_t maxQueuedFrames = 4'096; ///< per peer and channel; later posts are dropped
     std::size_t callThreads = 16;        ///< threads that answer calls
     kernel::milliseconds connectTimeout{500};
@@ -45,7 +47,7 @@
 };
 
 /// \brief Connects nodes: one connection for each peer and channel, so that no channel waits for
-/// another.
+/// another. A peer is named by the address at which it listens.
 class tcp_transport final : public kernel::transport
 {
 public:
@@ -70,6 +72,7 @@
                                                    kernel::nanoseconds timeout) override;
 
 private:
+    [[nodiscard]] std::optional<socket_address> addressOf(std::string_view node) const;
     [[nodiscard]] std::shared_ptr<peer_link> linkTo(std::string_view node, kernel::channel channel);
 
     transport_settings m_settings;
--- a/tests/bench/requests_bench.cpp
+++ b/tests/bench/requests_bench.cpp
@@ -154,20 +154,27 @@
         std::puts("the tables were refused");
     runtime::settings settings;
     settings.node = "perth-a-1";
-    settings.nodes = {{"perth-a-1", "perth-a", "127.0.0.1:0", "127.0.0.1:0", {true, true}}};
+    settings.zone = "perth-a";
+    settings.roles = {true, true};
+    settings.callerAddress = "127.0.0.1:0";
+    net::event_loops loops(2);
     runtime::system_clock clock;
     no_events events;
-    http::caller_server_parts parts{settings, clock, events, control, "0123456789abcdef", 1, {}};
+    http::caller_server_parts parts{settings,           clock, events,  control, loops,
+                                    "0123456789abcdef", 1,     nullptr, nullptr, nullptr};
     http::caller_server entry(std::move(parts));
     kernel::error problem;
     if (!kernel::succeeded([&] { return entry.start(); }, problem)) {
         std::puts(problem.message.c_str());
         return;
     }
+    loops.start();
     for (int round = 0; round < 3; ++round) {
         measure("direct", engine.port());
         measure("through the entry", entry.port());
     }
+    entry.stop();
+    loops.stop();
 }
 
 void measureRouting()
--- a/tests/golden/requests_session_test.cpp
+++ b/tests/golden/requests_session_test.cpp
@@ -81,7 +81,10 @@
         return m_pool.push(now(), ticket, subject, 1, how);
     }
     void remove(std::uint64_t ticket, const request &) override { m_pool.remove(ticket); }
-    void firstPiece(std::uint64_t ticket, const request &) override { m_pool.firstPiece(ticket); }
+    void firstPiece(std::uint64_t ticket, const request &) override
+    {
+        m_pool.firstPiece(now(), ticket);
+    }
     finish_findings finish(std::uint64_t ticket, const request &,
                            const attempt_result &result) override
     {
--- a/tests/golden/whole_session_test.cpp
+++ b/tests/golden/whole_session_test.cpp
@@ -47,14 +47,21 @@
                        << " revision " << answer.revision << " " << answer.message << "\n";
     }
 
+    static feed::node_report reportOf(const std::string &node)
+    {
+        feed::node_report report;
+        report.node = node;
+        report.link = node;
+        return report;
+    }
+
     /// The leader confirms its quorum, then the entry asks it.
     void feedEntry()
     {
         const auto bans = m_log.bannedFingerprints();
         m_leader.installOwn(m_clock.now(), m_clock.now(),
-                            {m_log.tables(), 0, {bans->begin(), bans->end()}}, "leader");
-        feed::node_report self;
-        self.node = "entry";
+                            {m_log.tables(), 0, {bans->begin(), bans->end()}}, reportOf("leader"));
+        const feed::node_report self = reportOf("entry");
         const auto request = m_entry.request(m_clock.now(), self, false);
         const auto reply = m_leader.answer(m_clock.now(), "entry", request);
         line("entry") << "feed: has " << request.haveRevision << ", gets " << reply.revision
@@ -131,8 +138,8 @@
     fakes::manual_clock m_clock;
     state::machine m_log;
     std::uint64_t m_index = 0;
-    feed::feed_state m_leader{freshness, {"entry"}};
-    feed::feed_state m_entry{freshness, {"entry"}};
+    feed::feed_state m_leader{freshness};
+    feed::feed_state m_entry{freshness};
     requests::pool_scheduler m_scheduler;
     std::uint64_t m_ticket = 0;
 };
--- a/tests/processes/cluster.cpp
+++ b/tests/processes/cluster.cpp
@@ -187,6 +187,27 @@
                         : m_relayAddresses.at(m_nodes[node].name + ">");
 }
 
+std::string cluster::seeds() const
+{
+    std::string list;
+    for (const node_parts &node : m_nodes) {
+        if (node.control)
+            list += (list.empty() ? "'" : ", '") + node.link + "'";
+    }
+    return list;
+}
+
+std::string cluster::linkRoutes(std::size_t node) const
+{
+    std::string routes;
+    for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+        const std::string seen = linkAsSeenBy(node, other);
+        if (seen != m_nodes[other].link)
+            routes += (routes.empty() ? "'" : ", '") + m_nodes[other].link + "': '" + seen + "'";
+    }
+    return routes;
+}
+
 void cluster::writeSettings(std::size_t node) const
 {
     const std::string folder = m_folder.string();
@@ -196,12 +217,11 @@
          << "/secret\noperator_key: " << folder << "/secret\n";
     if (m_nodes[node].control)
         text << "data_folder: " << folder << "/data-" << name << "\n";
-    text << "nodes:\n";
-    for (std::size_t other = 0; other < m_nodes.size(); ++other)
-        text << "  - {name: " << m_nodes[other].name << ", zone: " << zones.at(other % zones.size())
-             << ", link: '" << linkAsSeenBy(node, other) << "', callers: '"
-             << m_nodes[other].callers << "', roles: ["
-             << (m_nodes[other].control ? "entry, control" : "entry") << "]}\n";
+    text << "zone: " << zones.at(node % zones.size()) << "\nroles: ["
+         << (m_nodes[node].control ? "entry, control" : "entry") << "]\nlink: '"
+         << m_nodes[node].link << "'\ncallers: '" << m_nodes[node].callers
+         << "'\nfirst_start: true\nseeds: [" << seeds() << "]\nlink_routes: {" << linkRoutes(node)
+         << "}\n";
     text << "http: {address_ttl: 1s}\nlog: {format: json, file: '" << folder << "/" << name
          << ".log'}\nplatform:\n  endpoint_orders: " << loopback(m_platformPorts.at("endpoints"))
          << "\n  usage_reports: " << loopback(m_platformPorts.at("usage"))
--- a/tests/processes/cluster.hpp
+++ b/tests/processes/cluster.hpp
@@ -114,6 +114,8 @@
     void startStandins();
     void startStandin(const std::string &name, const json &rows);
     void startRelays();
+    [[nodiscard]] std::string seeds() const;
+    [[nodiscard]] std::string linkRoutes(std::size_t node) const;
     void writeSettings(std::size_t node) const;
     void makeTables();
     [[nodiscard]] std::string linkAsSeenBy(std::size_t node, std::size_t other) const;
--- a/tests/properties/requests_world_endpoints.cpp
+++ b/tests/properties/requests_world_endpoints.cpp
@@ -49,7 +49,7 @@
         head.requestId = "other~1";
     after(milliseconds(draw(2, 10)), [this, link, how, head] {
         std::vector<event> events;
-        const bool wanted = link->reader->head(head, events);
+        const bool wanted = link->reader->head(head, events) == head_verdict::Take;
         for (event &one : events)
             failLink(link, std::get<attempt_failed>(one).how);
         if (wanted && link->to->service) {
--- a/tests/properties/requests_world_parts.hpp
+++ b/tests/properties/requests_world_parts.hpp
@@ -150,7 +150,7 @@
 
     void firstPiece(std::uint64_t, const request &subject) override
     {
-        at.pools.at(subject.route.pool)->firstPiece(ticket);
+        at.pools.at(subject.route.pool)->firstPiece(now(), ticket);
     }
 
     finish_findings finish(std::uint64_t, const request &subject,
--- a/tests/unit/cluster_client_test.cpp
+++ b/tests/unit/cluster_client_test.cpp
@@ -53,10 +53,10 @@
     cluster_client_test()
     {
         m_settings.node = "entry";
-        m_settings.nodes = {{"entry", "perth-a", "", "", {true, false}},
-                            {"c1", "perth-a", "", "", {false, true}},
-                            {"c2", "perth-b", "", "", {false, true}},
-                            {"c3", "bunbury", "", "", {false, true}}};
+        m_settings.zone = "perth-a";
+        m_settings.roles = {true, false};
+        m_settings.linkAddress = "entry";
+        m_settings.seeds = {"c1", "c2", "c3"};
     }
 
     error submitFailure(const std::string &operationId)
--- a/tests/unit/feed_codec_test.cpp
+++ b/tests/unit/feed_codec_test.cpp
@@ -21,7 +21,10 @@
     reply.whole.front().revision = 7;
     reply.bansVersion = 3;
     reply.bans = {"fingerprint"};
-    reply.unavailable = {"perth-b-1"};
+    reply.nodes = {{"perth-b-1", 5, 7, 20, false, "10.2.0.1:7600", "10.2.0.1:7500", "perth-b", true,
+                    1'700'000'000'000, "10.2.0.1:8407"}};
+    reply.endpoints = {{9, {{"engines", {}}}}};
+    reply.clusterWallMs = 1'700'000'000'001;
     return reply;
 }
 
@@ -44,12 +47,14 @@
     ASSERT_TRUE(decodes(encodeFeedReply(sampleReply()), copy));
     EXPECT_EQ(encodeFeedReply(copy), encodeFeedReply(sampleReply()));
     EXPECT_EQ(copy.edits.front().putOrganisations.front().weight, 2.0);
-    EXPECT_EQ(copy.unavailable, sampleReply().unavailable);
+    EXPECT_EQ(kernel::json(copy.nodes), kernel::json(sampleReply().nodes));
+    EXPECT_EQ(copy.endpoints.front().version, 9U);
+    EXPECT_EQ(copy.clusterWallMs, sampleReply().clusterWallMs);
 }
 
 TEST(feed_codec_test, keepsEveryFieldOfARequest)
 {
-    kernel::feed::feed_request request{7, true, 3, {{"perth-a-1", 5, 7, 20, true}}};
+    kernel::feed::feed_request request{7, true, 3, {{"perth-a-1", 5, 7, 20, true}}, 4};
     kernel::feed::feed_request copy;
     kernel::error problem;
     ASSERT_TRUE(kernel::succeeded(
--- a/tests/unit/feed_state_test.cpp
+++ b/tests/unit/feed_state_test.cpp
@@ -24,21 +24,37 @@
 class feed_state_test : public testing::Test
 {
 protected:
-    feed_state m_leader{freshness, {"entry", "relay"}};
-    feed_state m_relay{freshness, {"entry", "relay"}};
-    feed_state m_entry{freshness, {"entry", "relay"}};
+    feed_state m_leader{freshness};
+    feed_state m_relay{freshness};
+    feed_state m_entry{freshness};
     fakes::manual_clock m_clock;
 
     void leaderReads(std::uint64_t revision, std::uint64_t bans = 0)
     {
         m_leader.installOwn(m_clock.now(), m_clock.now(),
-                            {tablesAt(revision), bans, {"fingerprint"}}, "leader");
+                            {tablesAt(revision), bans, {"fingerprint"}}, reportOf("leader"));
+    }
+
+    static node_report reportOf(const std::string &name)
+    {
+        node_report report;
+        report.node = name;
+        report.link = name;
+        return report;
+    }
+
+    /// Names of the nodes that the leader offers, in order.
+    [[nodiscard]] std::vector<std::string> offered() const
+    {
+        std::vector<std::string> names;
+        for (const node_report &node : m_leader.nodes())
+            names.push_back(node.node);
+        return names;
     }
 
     bool ask(feed_state &from, feed_state &to, const std::string &name)
     {
-        node_report self;
-        self.node = name;
+        const node_report self = reportOf(name);
         const feed_request request = from.request(m_clock.now(), self, true);
         return from.install(m_clock.now(), to.answer(m_clock.now(), name, request));
     }
@@ -61,8 +77,7 @@
     ask(m_entry, m_leader, "entry");
     leaderReads(4);
     leaderReads(5);
-    node_report self;
-    self.node = "entry";
+    const node_report self = reportOf("entry");
     const feed_reply reply
             = m_leader.answer(m_clock.now(), "entry", m_entry.request(m_clock.now(), self, true));
     EXPECT_EQ(reply.edits.size(), 2U);
@@ -74,8 +89,7 @@
 TEST_F(feed_state_test, anOvertakenAnswerNeitherRevertsNorRenews)
 {
     leaderReads(3);
-    node_report self;
-    self.node = "entry";
+    const node_report self = reportOf("entry");
     const feed_reply late
             = m_leader.answer(m_clock.now(), "entry", m_entry.request(m_clock.now(), self, true));
     leaderReads(4);
@@ -110,11 +124,17 @@
 {
     leaderReads(1);
     ask(m_entry, m_leader, "entry");
+    ask(m_relay, m_leader, "relay");
+    leaderReads(1);
+    EXPECT_EQ(offered(), (std::vector<std::string>{"entry", "relay", "leader"}));
+    node_report leaving = reportOf("entry");
+    leaving.leaving = true;
+    (void)m_leader.answer(m_clock.now(), "entry", m_entry.request(m_clock.now(), leaving, false));
     leaderReads(1);
-    EXPECT_EQ(m_leader.unavailable(), std::vector<std::string>{"relay"});
+    EXPECT_EQ(offered(), (std::vector<std::string>{"relay", "leader"}));
     m_clock.advance(seconds(5));
     leaderReads(1);
-    EXPECT_EQ(m_leader.unavailable(), (std::vector<std::string>{"entry", "relay"}));
+    EXPECT_EQ(offered(), std::vector<std::string>{"leader"});
 }
 
 TEST_F(feed_state_test, passesBannedFingerprintsOn)
@@ -125,4 +145,17 @@
     EXPECT_TRUE(m_entry.view().bannedFingerprints->contains("fingerprint"));
 }
 
+TEST_F(feed_state_test, keepsTheNewestEndpointListThoughARelayLags)
+{
+    leaderReads(1);
+    ask(m_relay, m_leader, "relay");
+    EXPECT_TRUE(m_leader.installEndpoints({5, {{"engines", {}}}}));
+    ask(m_entry, m_leader, "entry");
+    EXPECT_EQ(m_entry.endpoints()->version, 5U);
+    EXPECT_FALSE(m_entry.installEndpoints({4, {}}));
+    ask(m_entry, m_relay, "entry");
+    EXPECT_EQ(m_entry.endpoints()->version, 5U);
+    EXPECT_EQ(m_entry.endpoints()->endpoints.size(), 1U);
+}
+
 } // namespace yuccascale::kernel::feed
--- a/tests/unit/http_caller_server_test.cpp
+++ b/tests/unit/http_caller_server_test.cpp
@@ -30,9 +30,9 @@
     caller_server_test()
     {
         m_settings.node = "perth-a-1";
-        m_settings.nodes = {{"perth-a-1", "perth-a", "127.0.0.1:0", "127.0.0.1:0", {true, true}},
-                            {"perth-b-1", "perth-b", "127.0.0.1:0", "127.0.0.1:9", {true, false}}};
-        m_settings.http.threads = 16;
+        m_settings.zone = "perth-a";
+        m_settings.roles = {true, true};
+        m_settings.callerAddress = "127.0.0.1:0";
         m_settings.policy.routing = "round_robin";
         m_settings.policy.admission = "always";
         m_settings.policy.fairness = "first_come_first_served";
@@ -72,14 +72,32 @@
         const auto edited = m_control.edit(edit);
         ASSERT_TRUE(edited.accepted) << edited.message;
         m_server = std::make_unique<caller_server>(caller_server_parts{
-                m_settings, m_clock, m_events, m_control, "0123456789abcdef", 1, {}});
+                m_settings, m_clock, m_events, m_control, m_loops, "0123456789abcdef", 1,
+                [] { return otherEntry(); }, nullptr, nullptr});
         kernel::error problem;
         ASSERT_TRUE(kernel::succeeded([&] { return m_server->start(); }, problem))
                 << problem.message;
+        m_loops.start();
         m_caller = std::make_unique<httplib::Client>("127.0.0.1", m_server->port());
         m_caller->set_read_timeout(20);
     }
 
+    ~caller_server_test() override
+    {
+        if (m_server)
+            m_server->stop();
+        m_loops.stop();
+    }
+
+    [[nodiscard]] static std::vector<kernel::feed::node_report> otherEntry()
+    {
+        kernel::feed::node_report other;
+        other.node = "perth-b-1";
+        other.callers = "127.0.0.1:9";
+        other.zone = "perth-b";
+        return {other};
+    }
+
     [[nodiscard]] httplib::Result ask(bool streamed, httplib::Headers extra = {})
     {
         extra.emplace("Authorization", std::string("Bearer ") + briefingKey);
@@ -92,6 +110,7 @@
     runtime::system_clock m_clock;
     silent_events m_events;
     fakes::control_log m_control;
+    net::event_loops m_loops{2};
     std::unique_ptr<caller_server> m_server;
     std::unique_ptr<httplib::Client> m_caller;
 };
--- a/tests/unit/orders_http_test.cpp
+++ b/tests/unit/orders_http_test.cpp
@@ -159,7 +159,8 @@
 {
     recording_server differs("{}", 409);
     const auto sink = makeAt<usage_sink>("http", differs.address());
-    EXPECT_EQ(sink->report({60'000, R"({"figures":1})", 5}, allowed).value(), usage_reply::Differs);
+    EXPECT_EQ(sink->report({60'000, R"({"figures":1})", 5}, 1, allowed).value(),
+              usage_reply::Differs);
     EXPECT_EQ(differs.seen()[0], R"(POST /usage/60000 {"figures":1})");
     recording_server busy("{}", 429);
     const auto store = makeAt<weight_store>("http", busy.address());
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -37,9 +37,9 @@
         writeFile("node.yaml",
                   "node: perth-a-1\ncluster_secret: " + folder + "/secret\noperator_key: " + folder
                           + "/secret\ndata_folder: " + folder
-                          + "/data\nnodes:\n  - name: perth-a-1\n"
-                          + "    zone: perth-a\n    link: " + link
-                          + "\n    callers: 127.0.0.1:7500\n    roles: [entry, control]\n" + extra,
+                          + "/data\nzone: perth-a\nroles: [entry, control]\nlink: " + link
+                          + "\ncallers: 127.0.0.1:7500\nseeds: ['127.0.0.1:7400']\n"
+                          + "first_start: true\n" + extra,
                   false);
         kernel::error problem;
         const std::string file = (m_folder / "node.yaml").string();
