Prompts are filled by the prefill engines; shared parts have homes; SIGHUP reloads

Cause: six of eighteen engines only fill prompts and got no request, while the others filled 17,000-token prompts in small pieces between the tokens of short queries. The estimate of service times took requests of untold usage for empty ones and refused most long prompts. SIGHUP ended the process.

Change: a router that fills a long rest of a prompt apart and fetches it to the home (weighted rendezvous hash) of its shared part; each entry keeps few prompts at once before the prefill engines, serves the newest first and refuses those that can't be in time; estimates by route; SIGHUP reads the settings again.

--- a/src/yuccascale/cli/node_command.cpp
+++ b/src/yuccascale/cli/node_command.cpp
@@ -23,24 +23,30 @@
     return named == nullptr ? std::string() : named;
 }
 
-/// Blocks the signals that end the process, so that one thread can wait for them.
-sigset_t blockEndSignals()
+/// Blocks the signals that the node handles, so that one thread can wait for them.
+sigset_t blockSignals()
 {
     sigset_t set;
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     return set;
 }
 
-/// Begins a graceful shutdown at each end signal, until the process ends.
+/// Begins a graceful shutdown at each end signal and reads the settings again at SIGHUP, until the
+/// process ends.
 void watchSignals(const sigset_t &set, const std::shared_ptr<runtime::node> &node)
 {
     std::thread([set, node] {
         int received = 0;
-        while (sigwait(&set, &received) == 0)
-            node->beginShutdown();
+        while (sigwait(&set, &received) == 0) {
+            if (received == SIGHUP)
+                node->reload();
+            else
+                node->beginShutdown();
+        }
     }).detach();
 }
 
@@ -54,7 +60,7 @@
                             "name the node's settings file: --settings=node.yaml");
     }
     std::signal(SIGPIPE, SIG_IGN);
-    const sigset_t signals = blockEndSignals();
+    const sigset_t signals = blockSignals();
     BOOST_LEAF_AUTO(settings, runtime::readSettings(file));
     const auto node = std::make_shared<runtime::node>(settings);
     BOOST_LEAF_CHECK(node->start());
--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -222,6 +222,15 @@
     }
 }
 
+void caller_pools::filled(const std::string &pool, std::uint64_t ticket, fill_end how,
+                          kernel::nanoseconds took)
+{
+    if (const std::shared_ptr<shard> found = find(pool)) {
+        const std::scoped_lock guard(found->mutex);
+        found->scheduler.filled(m_clock.now(), ticket, how, took);
+    }
+}
+
 finish_findings caller_pools::finish(const std::string &pool, std::uint64_t ticket,
                                      const attempt_result &result)
 {
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -55,6 +55,8 @@
 
     void remove(const std::string &pool, std::uint64_t ticket);
     void firstPiece(const std::string &pool, std::uint64_t ticket);
+    void filled(const std::string &pool, std::uint64_t ticket, kernel::requests::fill_end how,
+                kernel::nanoseconds took);
     kernel::requests::finish_findings finish(const std::string &pool, std::uint64_t ticket,
                                              const kernel::requests::attempt_result &result);
 
--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -9,6 +9,13 @@
 using kernel::instant;
 using kernel::nanoseconds;
 
+namespace {
+
+/// A prompt that another engine has not filled within this is filled where it is generated.
+constexpr kernel::seconds fillTimeout{2};
+
+} // namespace
+
 void caller_session::start(caller_services &services, request subject, double weight,
                            std::shared_ptr<net::http_exchange> exchange)
 {
@@ -170,8 +177,20 @@
     attempt.request = driver.prepare(subject, facts);
     if (!turn.prefillAddress.empty() && sent.resumeFrom == 0) {
         attempt.prefillAddress = turn.prefillAddress;
-        attempt.prefillRequest = driver.prepare(subject, facts);
-        attempt.prefillRequest.headers.emplace_back("X-Prefill-Only", "1");
+        attempt.prefillRequest
+                = driver.fill(subject, {sent.attempt, 0, facts.timeLeft, {}, turn.prefillEndpoint});
+        attempt.prefillTimeout = std::chrono::ceil<kernel::milliseconds>(
+                std::min<nanoseconds>(facts.timeLeft, fillTimeout));
+        attempt.readPrefill = [services = &m_services, &driver, turn, pool = subject.route.pool,
+                               sentAt = now()](const net::short_answer &answer) {
+            auto filled = driver.filled(answer.status, answer.body, turn.prefillAddress);
+            const bool spoken = answer.end == net::call_end::Whole;
+            const fill_end how = filled ? fill_end::Filled
+                    : spoken            ? fill_end::Refused
+                                        : fill_end::Failed;
+            services->pools->filled(pool, turn.ticket, how, services->clock.now() - sentAt);
+            return filled;
+        };
     }
     attempt.reader = driver.reader(subject, facts);
     attempt.deliver = [mailbox = m_mailbox](event happened) { mailbox->put(std::move(happened)); };
--- a/src/yuccascale/http/endpoint_client.cpp
+++ b/src/yuccascale/http/endpoint_client.cpp
@@ -13,6 +13,7 @@
 using kernel::nanoseconds;
 
 constexpr milliseconds shortCallTimeout{2'000};
+constexpr int firstErrorStatus = 300;
 
 [[nodiscard]] net::outgoing_request requestTo(const std::string &address,
                                               const outbound_request &outbound)
@@ -68,6 +69,7 @@
         m_cancelled = true;
         if (const auto call = std::exchange(m_call, nullptr))
             call->cancel();
+        release();
     }
 
     /// The prompt may also be filled by the engine that answers, so a failure is of no matter.
@@ -75,18 +77,30 @@
     {
         if (m_attempt.prefillAddress.empty())
             return carry();
-        const auto timeout = std::chrono::ceil<milliseconds>(m_attempt.timeLeft);
-        m_client.call(m_attempt.prefillAddress, m_attempt.prefillRequest, timeout,
-                      [self = shared_from_this()](const net::short_answer &answer) {
-                          if (answer.ok())
-                              self->m_attempt.request.headers.emplace_back(
-                                      "X-Kv-From", self->m_attempt.prefillAddress);
-                          self->carry();
-                      });
+        m_call = m_client.call(m_attempt.prefillAddress, m_attempt.prefillRequest,
+                               m_attempt.prefillTimeout,
+                               [self = shared_from_this()](const net::short_answer &answer) {
+                                   self->prefilled(answer);
+                               });
+    }
+
+    void prefilled(const net::short_answer &answer)
+    {
+        m_call.reset();
+        if (auto filled = m_attempt.readPrefill(answer)) {
+            m_attempt.request.headers.push_back(std::move(filled->header));
+            m_release = std::move(filled->release);
+        }
+        if (m_cancelled)
+            release();
+        else
+            carry();
     }
 
     [[nodiscard]] verdict head(const net::response_head &response) override
     {
+        if (response.status < firstErrorStatus)
+            m_release.reset(); // the endpoint has taken the filled prompt
         std::vector<event> events;
         const head_verdict wanted = m_attempt.reader->head(headOf(response), events);
         if (m_attempt.headSeen && wanted == head_verdict::Take)
@@ -114,6 +128,7 @@
     void ended(net::call_end how) override
     {
         m_call.reset();
+        release();
         std::vector<event> events;
         if (how == net::call_end::Whole) {
             m_attempt.reader->end(events);
@@ -136,6 +151,13 @@
                                              shared_from_this());
     }
 
+    /// Frees a filled prompt that nobody has fetched.
+    void release()
+    {
+        if (const auto call = std::exchange(m_release, std::nullopt))
+            m_client.callLater(m_attempt.prefillAddress, *call);
+    }
+
     /// An endpoint that takes a new connection has only cut this one.
     void askIfAlive()
     {
@@ -162,6 +184,7 @@
     endpoint_client &m_client;
     endpoint_attempt m_attempt;
     std::shared_ptr<net::http_call> m_call;
+    std::optional<outbound_request> m_release;
     bool m_cancelled = false;
 };
 
@@ -177,15 +200,17 @@
     return carried;
 }
 
-void endpoint_client::call(const std::string &address, const outbound_request &request,
-                           milliseconds timeout, std::function<void(net::short_answer)> done)
+std::shared_ptr<net::http_call> endpoint_client::call(const std::string &address,
+                                                      const outbound_request &request,
+                                                      milliseconds timeout,
+                                                      std::function<void(net::short_answer)> done)
 {
-    net::callShort(m_client, m_loop, requestTo(address, request), timeout, std::move(done));
+    return net::callShort(m_client, m_loop, requestTo(address, request), timeout, std::move(done));
 }
 
 void endpoint_client::callLater(const std::string &address, const outbound_request &request)
 {
-    call(address, request, shortCallTimeout, [](const net::short_answer &) {});
+    static_cast<void>(call(address, request, shortCallTimeout, [](const net::short_answer &) {}));
 }
 
 } // namespace yuccascale::http
--- a/src/yuccascale/http/endpoint_client.hpp
+++ b/src/yuccascale/http/endpoint_client.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 /// \file
@@ -21,6 +22,10 @@
     kernel::requests::outbound_request request;
     std::string prefillAddress; ///< of the engine that fills the prompt first; may be empty
     kernel::requests::outbound_request prefillRequest;
+    kernel::milliseconds prefillTimeout{}; ///< then the endpoint fills the prompt itself
+    /// Reads the answer of the prefill endpoint.
+    std::function<std::optional<kernel::requests::filled_prompt>(const net::short_answer &)>
+            readPrefill;
     std::unique_ptr<kernel::requests::answer_reader> reader;
     std::function<void(kernel::requests::event)> deliver;
     std::function<void(const kernel::requests::answer_reader &)> headSeen; ///< may be null
@@ -48,8 +53,10 @@
     [[nodiscard]] std::shared_ptr<endpoint_exchange> start(endpoint_attempt attempt);
 
     /// \brief Makes a short call.
-    void call(const std::string &address, const kernel::requests::outbound_request &request,
-              kernel::milliseconds timeout, std::function<void(net::short_answer)> done);
+    std::shared_ptr<net::http_call> call(const std::string &address,
+                                         const kernel::requests::outbound_request &request,
+                                         kernel::milliseconds timeout,
+                                         std::function<void(net::short_answer)> done);
 
     /// \brief Makes a short call whose answer does not matter.
     void callLater(const std::string &address, const kernel::requests::outbound_request &request);
--- a/src/yuccascale/http/load_poller.cpp
+++ b/src/yuccascale/http/load_poller.cpp
@@ -31,11 +31,12 @@
     outbound_request load;
     load.method = "GET";
     load.path = "/load";
-    m_services.loops.front()->endpoints.call(endpoint.address, load, answerTimeout,
-                                             [this, endpoint](const net::short_answer &answer) {
-                                                 m_asked.erase(endpoint.name);
-                                                 take(endpoint, answer);
-                                             });
+    const auto done = [this, endpoint](const net::short_answer &answer) {
+        m_asked.erase(endpoint.name);
+        take(endpoint, answer);
+    };
+    static_cast<void>(
+            m_services.loops.front()->endpoints.call(endpoint.address, load, answerTimeout, done));
 }
 
 void load_poller::take(const listed_endpoint &endpoint, const net::short_answer &answer)
--- a/src/yuccascale/kernel/policy/prefix_homes.cpp
+++ b/src/yuccascale/kernel/policy/prefix_homes.cpp
@@ -2,11 +2,16 @@
 
 #include <xxhash.h>
 
+#include <cmath>
+
 namespace yuccascale::kernel::policy {
 
-std::uint64_t homeWeight(std::uint64_t part, std::string_view engine) noexcept
+double homeScore(std::uint64_t part, std::string_view engine, double share) noexcept
 {
-    return XXH64(engine.data(), engine.size(), part);
+    constexpr double steps = 9007199254740992.0; // 2^53, so that the draw is exact
+    const std::uint64_t hash = XXH64(engine.data(), engine.size(), part);
+    const double draw = (static_cast<double>(hash >> 11U) + 0.5) / steps;
+    return -share / std::log(draw);
 }
 
 } // namespace yuccascale::kernel::policy
--- a/src/yuccascale/kernel/policy/prefix_homes.hpp
+++ b/src/yuccascale/kernel/policy/prefix_homes.hpp
@@ -12,8 +12,9 @@
 
 namespace yuccascale::kernel::policy {
 
-/// \brief Rendezvous hashing.
-/// \returns the weight of an engine for a part; the engine with the greatest weight is its home.
-[[nodiscard]] std::uint64_t homeWeight(std::uint64_t part, std::string_view engine) noexcept;
+/// \brief Weighted rendezvous hashing.
+/// \param share of the parts that the engine keeps, relative to the others
+/// \returns the score of an engine for a part; the engine with the greatest score is its home.
+[[nodiscard]] double homeScore(std::uint64_t part, std::string_view engine, double share) noexcept;
 
 } // namespace yuccascale::kernel::policy
--- a/src/yuccascale/kernel/policy/routing.hpp
+++ b/src/yuccascale/kernel/policy/routing.hpp
@@ -40,6 +40,8 @@
     int outstandingHere = 0;                   ///< all requests of this entry that it runs now
     std::int64_t prefillTokensHere = 0;        ///< prompt tokens of those without a first token
     std::int64_t decodeTokensHere = 0;         ///< expected output tokens of those
+    nanoseconds usedFor{};                     ///< since this entry first sent it a request
+    bool home = false; ///< the long shared part of this request's prompt belongs here
     std::int64_t cachedPromptTokens = 0; ///< of this request's prompt, as believed by cache events
 };
 
@@ -55,7 +57,8 @@
     instant firstTokenBy{};        ///< of its first token
     bool idempotent = true;
     std::span<const std::string> avoidZones; ///< where an earlier try died
-    int entries = 1;                         ///< entries that choose at the same time
+    int entries = 1;                         ///< entries that are taken to choose as this one does
+    int fleetEntries = 1;                    ///< entries that send to the same endpoints
 };
 
 /// \brief The endpoint chosen and why.
--- a/src/yuccascale/kernel/requests/endpoint_driver.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_driver.hpp
@@ -76,6 +76,13 @@
     [[nodiscard]] virtual std::optional<endpoint_report> load(instant) const { return {}; }
 };
 
+/// \brief What an engine that filled a prompt gave back.
+struct filled_prompt
+{
+    std::pair<std::string, std::string> header; ///< tells the next engine where to fetch it
+    std::optional<outbound_request> release;    ///< frees it at the first engine, if need be
+};
+
 /// \brief Speaks to one kind of endpoint. Stateless and thread-safe.
 class endpoint_driver
 {
@@ -88,6 +95,16 @@
     [[nodiscard]] virtual std::unique_ptr<answer_reader>
     reader(const request &subject, const attempt_facts &facts) const = 0;
 
+    /// \returns the call that has a prompt filled by an engine for another.
+    [[nodiscard]] virtual outbound_request fill(const request &subject,
+                                                const attempt_facts &facts) const = 0;
+
+    /// \brief Reads the answer to that call.
+    /// \param address of the engine that was called
+    /// \returns nothing when the prompt is not filled.
+    [[nodiscard]] virtual std::optional<filled_prompt> filled(int status, std::string_view body,
+                                                              const std::string &address) const = 0;
+
     /// \returns the call that stops a request, if the endpoint has one.
     [[nodiscard]] virtual std::optional<outbound_request> cancel(const request &subject) const = 0;
 
--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -66,6 +66,13 @@
     return notice;
 }
 
+int endpoint_table::prefillEngines() const noexcept
+{
+    return static_cast<int>(std::ranges::count_if(m_rows, [](const entry &one) {
+        return one.row.role == state::engine_role::Prefill && takesWork(one, false);
+    }));
+}
+
 void endpoint_table::setLeaving(const std::string &endpoint, bool leaving)
 {
     if (entry *known = find(endpoint))
@@ -75,8 +82,12 @@
 void endpoint_table::sent(instant now, const std::string &endpoint, std::uint64_t ticket,
                           const endpoint_work &work)
 {
-    if (entry *known = find(endpoint))
-        known->running.push_back({ticket, now, work, false});
+    entry *known = find(endpoint);
+    if (!known)
+        return;
+    if (known->firstSentAt == instant{})
+        known->firstSentAt = now;
+    known->running.push_back({ticket, now, work, false});
 }
 
 endpoint_table::running_request *endpoint_table::findRunning(const std::string &endpoint,
@@ -193,6 +204,8 @@
             view.unusableBecause = "failed this request";
         view.usable = view.unusableBecause.empty();
         view.report = one.report.load;
+        if (one.firstSentAt != instant{})
+            view.usedFor = now - one.firstSentAt;
         countRunning(one, view);
         all.push_back(view);
     }
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -83,6 +83,9 @@
 
     [[nodiscard]] std::size_t size() const noexcept { return m_rows.size(); }
 
+    /// \returns how many engines only fill prompts.
+    [[nodiscard]] int prefillEngines() const noexcept;
+
 private:
     struct running_request
     {
@@ -97,6 +100,7 @@
         state::endpoint row;
         endpoint_report report;
         bool listedLeaving = false;
+        instant firstSentAt{};
         std::vector<running_request> running;
         circuit_breaker breaker;
 
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace yuccascale::kernel::requests {
@@ -19,9 +20,22 @@
 constexpr seconds longestRetryAfter{30};
 /// A shared part of at least so many tokens has a home; reading a shorter one again is cheap.
 constexpr std::int64_t leastHomeTokens = 1'024;
+/// All entries together bring most shared parts to their homes within this.
+constexpr seconds homeWarmUp{20};
+/// Prompts that a prefill engine has before it; more only wait there, unseen by the other entries.
+constexpr double fillsPerEngine = 1.5;
+/// Prompts that may wait for a slot of this entry; the next ones would push them out of time.
+constexpr std::size_t awaitingPerSlot = 2;
 /// Part of the retry burst that the entries share out; the rest is for entries that come and go.
 constexpr double sharedBurst = 0.8;
 
+/// Engines that only fill prompts have no shared parts of their own: their memory turns over with
+/// every prompt that passes through them.
+[[nodiscard]] double homeShare(const policy::endpoint_view &view) noexcept
+{
+    return view.row->role == state::engine_role::Prefill ? 0.0 : 1.0;
+}
+
 [[nodiscard]] nanoseconds boundedRetryAfter(nanoseconds time)
 {
     return std::clamp<nanoseconds>(time, shortestRetryAfter, longestRetryAfter);
@@ -79,17 +93,18 @@
         m_retries.firstAttempt(now);
     }
     waiting_entry waiting;
-    waiting.row = {ticket,
-                   subject.organisation,
-                   subject.route.name,
-                   subject.route.pool,
-                   weight,
-                   subject.route.priority,
-                   policy::requestCost(subject.promptTokens, 0, subject.outputTokens),
-                   subject.receivedAt,
-                   subject.deadline,
-                   subject.receivedAt + milliseconds(subject.route.firstTokenMs),
-                   m_service.predict(subject.promptTokens, subject.outputTokens)};
+    waiting.row
+            = {ticket,
+               subject.organisation,
+               subject.route.name,
+               subject.route.pool,
+               weight,
+               subject.route.priority,
+               policy::requestCost(subject.promptTokens, 0, subject.outputTokens),
+               subject.receivedAt,
+               subject.deadline,
+               subject.receivedAt + milliseconds(subject.route.firstTokenMs),
+               m_services[subject.route.name].predict(subject.promptTokens, subject.outputTokens)};
     waiting.id = subject.id;
     waiting.fingerprint = subject.fingerprint;
     waiting.work = {subject.promptTokens, subject.outputTokens};
@@ -157,9 +172,40 @@
         tickets.push_back(late.ticket);
         m_waiting.erase(late.ticket);
     }
+    takeAwaitingFill(now, tickets);
     return tickets;
 }
 
+/// Prompts that wait for a prefill engine go newest first, so that those which are served are in
+/// time. The oldest are refused once their time is over or more wait than can be served in it.
+void pool_scheduler::takeAwaitingFill(instant now, std::vector<std::uint64_t> &tickets)
+{
+    const auto awaits = [&](std::uint64_t ticket) { return m_waiting.at(ticket).awaitsFill; };
+    auto awaiting = static_cast<std::size_t>(std::ranges::count_if(m_parked, awaits));
+    std::vector<std::uint64_t> refused;
+    for (const std::uint64_t ticket : m_parked) {
+        if (!awaits(ticket))
+            continue;
+        const bool late = m_waiting.at(ticket).row.firstTokenBy < now;
+        if (!late && awaiting <= awaitingPerSlot * fillSlots())
+            break;
+        refused.push_back(ticket);
+        --awaiting;
+    }
+    for (const std::uint64_t ticket : refused) {
+        remove(ticket);
+        tickets.push_back(ticket);
+    }
+}
+
+/// Prefill engines take one prompt after another and the entries share them without asking each
+/// other, so each entry sends only as many at once as keep the engines busy.
+std::size_t pool_scheduler::fillSlots() const noexcept
+{
+    const double share = fillsPerEngine * m_endpoints.prefillEngines() / m_position.count;
+    return static_cast<std::size_t>(std::max(std::lround(share), 1L));
+}
+
 std::vector<std::uint64_t> pool_scheduler::takeUnservable()
 {
     std::vector<std::uint64_t> tickets;
@@ -201,12 +247,11 @@
 std::vector<scheduled_turn> pool_scheduler::schedule(instant now)
 {
     std::vector<scheduled_turn> turns;
-    for (std::size_t index = 0; index < m_parked.size() && windowOpen(now);) {
+    for (std::size_t index = m_parked.size(); index > 0 && windowOpen(now);) {
+        --index;
         auto turn = place(now, m_waiting.at(m_parked[index]));
-        if (!turn) {
-            ++index;
+        if (!turn)
             continue;
-        }
         m_parked.erase(m_parked.begin() + static_cast<std::ptrdiff_t>(index));
         turns.push_back(std::move(*turn));
     }
@@ -277,7 +322,7 @@
     }
 }
 
-std::optional<scheduled_turn> pool_scheduler::place(instant now, const waiting_entry &waiting)
+std::optional<scheduled_turn> pool_scheduler::place(instant now, waiting_entry &waiting)
 {
     std::vector<policy::endpoint_view> views
             = m_endpoints.views(now, {waiting.steadyOnly, waiting.how.avoidEndpoints});
@@ -296,9 +341,13 @@
     asked.idempotent = !waiting.steadyOnly;
     asked.avoidZones = waiting.how.avoidZones;
     asked.entries = sendingEntries();
+    asked.fleetEntries = m_position.count;
     const auto choice = m_strategies.router->choose(now, asked, views);
     if (!choice || !views[choice->index].usable)
         return std::nullopt;
+    waiting.awaitsFill = choice->prefillIndex && m_fills >= fillSlots();
+    if (waiting.awaitsFill)
+        return std::nullopt;
     const policy::endpoint_view &chosen = views[choice->index];
     scheduled_turn turn;
     turn.ticket = waiting.row.ticket;
@@ -312,20 +361,36 @@
         turn.prefillEndpoint = views[*choice->prefillIndex].row->name;
         turn.prefillAddress = views[*choice->prefillIndex].row->address;
     }
+    std::int64_t cached = chosen.cachedPromptTokens;
+    const policy::endpoint_view &filler
+            = turn.prefillEndpoint.empty() ? chosen : views[*choice->prefillIndex];
+    turn.cachedTokens = filler.cachedPromptTokens;
+    turn.backlogTokens = filler.prefillTokensHere;
+    turn.reported = chosen.report.running + chosen.report.queued;
+    if (chosen.report.measuredAt != instant{})
+        turn.reportAge = now - chosen.report.measuredAt;
     m_meter.dispatched(now, waiting.row);
     endpoint_work work = waiting.work;
-    work.promptTokens = std::max<std::int64_t>(0, work.promptTokens - chosen.cachedPromptTokens);
+    if (!turn.prefillEndpoint.empty()) {
+        cached = views[*choice->prefillIndex].cachedPromptTokens;
+        const std::int64_t rest = std::max<std::int64_t>(0, work.promptTokens - cached);
+        m_endpoints.sent(now, turn.prefillEndpoint, turn.ticket, {rest, 0});
+        ++m_fills;
+        work.promptTokens = 0;
+    }
+    work.promptTokens = std::max<std::int64_t>(0, work.promptTokens - cached);
     m_endpoints.sent(now, turn.endpoint, turn.ticket, work);
     m_suspects.started(turn.endpoint, waiting.fingerprint);
-    running_entry running{waiting, turn.endpoint, turn.zone,
-                          chosen.report.running + chosen.sentSinceReport};
+    running_entry running{waiting,   turn.endpoint,
+                          turn.zone, chosen.report.running + chosen.sentSinceReport,
+                          cached,    turn.prefillEndpoint};
     m_waiting.erase(turn.ticket);
     m_running.insert_or_assign(turn.ticket, std::move(running));
     return turn;
 }
 
-/// What an engine is believed to hold of the prompt. A long shared part is taken to be at its home,
-/// so that all entries send it there from the first request on.
+/// What an engine is believed to hold of the prompt. A long shared part is taken to be at its home
+/// once all entries have had the time to bring it there.
 void pool_scheduler::estimateCached(instant now, const waiting_entry &waiting,
                                     std::span<policy::endpoint_view> views) const
 {
@@ -334,7 +399,7 @@
     const prompt_part &first = waiting.parts.front();
     const bool hasHome = waiting.parts.size() > 1 && first.tokens >= leastHomeTokens;
     policy::endpoint_view *home = nullptr;
-    std::uint64_t heaviest = 0;
+    double greatest = 0;
     for (policy::endpoint_view &view : views) {
         for (const prompt_part &part : waiting.parts) {
             const std::int64_t held = m_prefixes.tokensAt(now, view.row->name, part.id);
@@ -342,14 +407,19 @@
             if (held < part.tokens)
                 break;
         }
-        const std::uint64_t weight = hasHome ? policy::homeWeight(first.id, view.row->name) : 0;
-        if (weight > heaviest && view.unusableBecause != "leaving"
-            && view.unusableBecause != "draining") {
-            heaviest = weight;
+        const bool mayBeHome = hasHome && view.unusableBecause != "leaving"
+                && view.unusableBecause != "draining";
+        const double score
+                = mayBeHome ? policy::homeScore(first.id, view.row->name, homeShare(view)) : 0;
+        if (score > greatest) {
+            greatest = score;
             home = &view;
         }
     }
-    if (home != nullptr)
+    if (home == nullptr)
+        return;
+    home->home = true;
+    if (home->usedFor >= homeWarmUp)
         home->cachedPromptTokens = std::max(home->cachedPromptTokens, first.tokens);
 }
 
@@ -363,6 +433,29 @@
         m_prefixes.confirm(now, found->second.endpoint, part.id, part.tokens);
 }
 
+void pool_scheduler::filled(instant now, std::uint64_t ticket, fill_end how, nanoseconds took)
+{
+    const auto found = m_running.find(ticket);
+    if (found == m_running.end() || found->second.fillEndpoint.empty())
+        return;
+    running_entry &running = found->second;
+    const std::string endpoint = std::exchange(running.fillEndpoint, {});
+    m_endpoints.left(endpoint, ticket);
+    --m_fills;
+    if (how == fill_end::Failed) {
+        static_cast<void>(m_endpoints.failed(now, endpoint, false));
+        return;
+    }
+    static_cast<void>(m_endpoints.succeeded(endpoint));
+    if (how == fill_end::Refused)
+        return;
+    for (const prompt_part &part : running.was.parts)
+        m_prefixes.confirm(now, endpoint, part.id, part.tokens);
+    m_strategies.router->observe(now,
+                                 {endpoint, running.was.work.promptTokens, running.cachedTokens, 0,
+                                  took, took, 0, true});
+}
+
 finish_findings pool_scheduler::finish(instant now, std::uint64_t ticket,
                                        const attempt_result &result)
 {
@@ -375,6 +468,10 @@
     const std::string &endpoint = running.endpoint;
     const std::string &fingerprint = running.was.fingerprint;
     m_endpoints.left(endpoint, ticket);
+    if (!running.fillEndpoint.empty()) {
+        m_endpoints.left(running.fillEndpoint, ticket);
+        --m_fills;
+    }
     if (result.crashed)
         m_prefixes.forget(endpoint);
     if (result.crashed)
@@ -386,21 +483,27 @@
         findings.breakerOpened = m_endpoints.failed(now, endpoint, result.crashed);
     if (!result.answered)
         return findings;
-    const double cost = policy::requestCost(result.usage.promptTokens, result.usage.cachedTokens,
-                                            result.usage.completionTokens);
+    // an endpoint that tells no usage is taken to have done what was expected of it
+    token_usage usage = result.usage;
+    if (usage.promptTokens == 0) {
+        usage = {running.was.work.promptTokens, running.cachedTokens,
+                 running.was.work.outputTokens};
+    }
+    const double cost
+            = policy::requestCost(usage.promptTokens, usage.cachedTokens, usage.completionTokens);
     m_strategies.queue->charge(running.was.row.organisation, running.was.row.weight,
                                cost - running.was.row.cost);
     const policy::routing_outcome outcome{endpoint,
-                                          result.usage.promptTokens,
-                                          result.usage.cachedTokens,
-                                          result.usage.completionTokens,
+                                          usage.promptTokens,
+                                          usage.cachedTokens,
+                                          usage.completionTokens,
                                           result.firstToken,
                                           result.whole,
                                           running.runningAtDispatch,
                                           true};
     m_strategies.router->observe(now, outcome);
     m_window.observe(outcome);
-    m_service.observe(outcome);
+    m_services[running.was.row.route].observe(outcome);
     return findings;
 }
 
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -61,6 +61,10 @@
     std::string prefillAddress;
     std::string reason; ///< for the decision log
     nanoseconds predictedFirstToken{};
+    std::int64_t cachedTokens = 0;  ///< believed cached where the prompt is filled
+    std::int64_t backlogTokens = 0; ///< prompt tokens that this entry has waiting there
+    int reported = 0;               ///< requests that the endpoint told of
+    nanoseconds reportAge{};        ///< of that; zero when it told none
 };
 
 /// \brief How a request left its endpoint.
@@ -74,6 +78,13 @@
     nanoseconds whole{};
 };
 
+/// \brief How an engine that fills a prompt for another ended it.
+enum class fill_end {
+    Filled,
+    Refused, ///< it says that it did not
+    Failed,  ///< no answer, or none that can be read
+};
+
 /// \brief What finish() found out.
 struct finish_findings
 {
@@ -125,6 +136,10 @@
     /// \brief The first piece of an answer came.
     void firstPiece(instant now, std::uint64_t ticket);
 
+    /// \brief The prompt of a turn with a prefill endpoint was filled there, or not.
+    /// \param took since it was sent
+    void filled(instant now, std::uint64_t ticket, fill_end how, nanoseconds took);
+
     /// \brief The request left its endpoint, or gave back its turn.
     finish_findings finish(instant now, std::uint64_t ticket, const attempt_result &result);
 
@@ -151,6 +166,8 @@
         endpoint_work work;
         std::vector<prompt_part> parts;
         bool steadyOnly = false;
+        bool awaitsFill
+                = false; ///< taken from the queue; every prefill slot of this entry is taken
         enqueue how;
     };
     struct running_entry
@@ -159,12 +176,16 @@
         std::string endpoint;
         std::string zone;
         int runningAtDispatch = 0;
+        std::int64_t cachedTokens = 0; ///< believed cached where the prompt is filled
+        std::string fillEndpoint = {}; ///< empty unless another engine fills the prompt
     };
 
-    [[nodiscard]] std::optional<scheduled_turn> place(instant now, const waiting_entry &waiting);
+    [[nodiscard]] std::optional<scheduled_turn> place(instant now, waiting_entry &waiting);
     void estimateCached(instant now, const waiting_entry &waiting,
                         std::span<policy::endpoint_view> views) const;
     [[nodiscard]] int sendingEntries() const noexcept;
+    [[nodiscard]] std::size_t fillSlots() const noexcept;
+    void takeAwaitingFill(instant now, std::vector<std::uint64_t> &tickets);
     static void avoidZones(const waiting_entry &waiting, std::vector<policy::endpoint_view> &views);
     [[nodiscard]] bool ownSuspectsGoTo(const std::string &endpoint) const;
     void keepSuspectsApart(const waiting_entry &waiting,
@@ -185,10 +206,11 @@
     std::map<std::uint64_t, waiting_entry> m_waiting;
     std::deque<std::uint64_t> m_parked; ///< taken from the queue, no endpoint for them yet
     std::map<std::uint64_t, running_entry> m_running;
+    std::size_t m_fills = 0; ///< prompts of this entry that prefill engines fill now
     retry_budget m_retries;
     policy::prefix_index m_prefixes;
     policy::queue_meter m_meter;
-    policy::service_estimate m_service;
+    std::map<std::string, policy::service_estimate> m_services; ///< by route
     policy::dispatch_window m_window;
 };
 
--- a/src/yuccascale/kernel/requests/request_session.cpp
+++ b/src/yuccascale/kernel/requests/request_session.cpp
@@ -174,6 +174,10 @@
                      {"prefill", m_turn->prefillEndpoint},
                      {"waited_ms", wholeMs(m_sentAt - subject().receivedAt)},
                      {"predicted_first_ms", wholeMs(m_turn->predictedFirstToken)},
+                     {"cached_tokens", m_turn->cachedTokens},
+                     {"backlog_tokens", m_turn->backlogTokens},
+                     {"reported_requests", m_turn->reported},
+                     {"report_age_ms", wholeMs(m_turn->reportAge)},
                      {"reason", m_turn->reason}});
     m_ports.send(subject(), *m_turn, sent);
 }
--- a/src/yuccascale/net/http_client.cpp
+++ b/src/yuccascale/net/http_client.cpp
@@ -605,11 +605,14 @@
 
 } // namespace
 
-void callShort(http_client &client, io_context &loop, outgoing_request request,
-               kernel::milliseconds timeout, std::function<void(short_answer)> done)
+std::shared_ptr<http_call> callShort(http_client &client, io_context &loop,
+                                     outgoing_request request, kernel::milliseconds timeout,
+                                     std::function<void(short_answer)> done)
 {
     const auto receiver = std::make_shared<short_receiver>(loop, std::move(done));
-    receiver->watch(client.start(std::move(request), receiver), timeout);
+    std::shared_ptr<http_call> call = client.start(std::move(request), receiver);
+    receiver->watch(call, timeout);
+    return call;
 }
 
 } // namespace yuccascale::net
--- a/src/yuccascale/net/http_client.hpp
+++ b/src/yuccascale/net/http_client.hpp
@@ -132,7 +132,9 @@
 };
 
 /// \brief Makes a call whose answer is small; \a done runs once, at the latest after \a timeout.
-void callShort(http_client &client, io_context &loop, outgoing_request request,
-               kernel::milliseconds timeout, std::function<void(short_answer)> done);
+/// \returns the call; once it is cancelled \a done runs at the timeout.
+std::shared_ptr<http_call> callShort(http_client &client, io_context &loop,
+                                     outgoing_request request, kernel::milliseconds timeout,
+                                     std::function<void(short_answer)> done);
 
 } // namespace yuccascale::net
--- a/src/yuccascale/net/http_server.cpp
+++ b/src/yuccascale/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/net/http_server.hpp"
 
 #include "yuccascale/net/http_connection.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
--- a/src/yuccascale/platform/endpoint_driver.cpp
+++ b/src/yuccascale/platform/endpoint_driver.cpp
@@ -1,5 +1,6 @@
 #include "yuccascale/kernel/requests/endpoint_driver.hpp"
 
+#include "yuccascale/kernel/json.hpp"
 #include "yuccascale/kernel/requests/event_blocks.hpp"
 #include "yuccascale/platform/names.hpp"
 
@@ -187,6 +188,30 @@
         return std::make_unique<server_answer_reader>(subject, facts);
     }
 
+    [[nodiscard]] outbound_request fill(const request &subject,
+                                        const attempt_facts &facts) const override
+    {
+        outbound_request outbound = prepare(subject, facts);
+        outbound.headers.emplace_back(headers::stage, "prefill");
+        return outbound;
+    }
+
+    [[nodiscard]] std::optional<filled_prompt> filled(int status, std::string_view body,
+                                                      const std::string &address) const override
+    {
+        const kernel::json document = kernel::json::parse(body, nullptr, false);
+        if (!success(status) || !document.is_object())
+            return std::nullopt;
+        const auto handle = document.find("kv_handle");
+        if (handle == document.end() || !handle->is_string())
+            return std::nullopt;
+        const auto name = handle->get<std::string>();
+        outbound_request release;
+        release.method = "DELETE";
+        release.path = std::string(calls::kvHandle) + name;
+        return filled_prompt{{std::string(headers::kvSource), address + "/" + name}, release};
+    }
+
     /// Closing the connection stops the request.
     [[nodiscard]] std::optional<outbound_request> cancel(const request &) const override
     {
--- a/src/yuccascale/platform/names.hpp
+++ b/src/yuccascale/platform/names.hpp
@@ -33,6 +33,10 @@
 inline constexpr std::string_view expectedOutput = "X-Length-Hint";
 /// 0 to 9; 0 goes first at the server.
 inline constexpr std::string_view urgency = "X-Request-Urgency";
+/// Asks a server to fill the prompt only: "prefill".
+inline constexpr std::string_view stage = "X-Stage";
+/// "IP:port/handle" of a filled prompt that is to be fetched.
+inline constexpr std::string_view kvSource = "X-Kv-Source";
 inline constexpr std::string_view retryAfter = "Retry-After";
 /// Names of the holder of a duty, and its fencing number.
 inline constexpr std::string_view dutyHolder = "X-Duty-Holder";
@@ -48,6 +52,7 @@
 inline constexpr std::string_view document = "/config";
 inline constexpr std::string_view servers = "/instances";
 inline constexpr std::string_view usage = "/usage";
+inline constexpr std::string_view kvHandle = "/kv-handle/";
 
 } // namespace calls
 
--- a/src/yuccascale/plugins/endpoint_model_engine.cpp
+++ b/src/yuccascale/plugins/endpoint_model_engine.cpp
@@ -201,6 +201,22 @@
         return std::make_unique<engine_answer_reader>(subject, facts);
     }
 
+    [[nodiscard]] outbound_request fill(const request &subject,
+                                        const attempt_facts &facts) const override
+    {
+        outbound_request outbound = prepare(subject, facts);
+        outbound.headers.emplace_back("X-Prefill-Only", "1");
+        return outbound;
+    }
+
+    [[nodiscard]] std::optional<filled_prompt> filled(int status, std::string_view,
+                                                      const std::string &address) const override
+    {
+        if (status != 200)
+            return std::nullopt;
+        return filled_prompt{{"X-Kv-From", address}, std::nullopt};
+    }
+
     [[nodiscard]] std::optional<outbound_request> cancel(const request &subject) const override
     {
         outbound_request outbound;
--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -17,6 +17,9 @@
         "A graceful shutdown began: the node left the addresses and finishes what runs."};
 inline const event_kind nodeStopped{1003, "node_stopped", severity::Info,
                                     "The node has finished and exits."};
+inline const event_kind settingsReloaded{
+        1004, "settings_reloaded", severity::Info,
+        "The settings file was read again; a refused one changes nothing and names its problems."};
 inline const event_kind revisionInForce{1010, "revision_in_force", severity::Info,
                                         "A newer revision of the tables came in force here."};
 inline const event_kind freshnessLost{
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -385,6 +385,24 @@
     return m_parts->startAll();
 }
 
+void node::reload()
+{
+    kernel::error problem;
+    runtime::settings fresh;
+    const bool readable = succeeded(
+            [&]() -> result<void> {
+                BOOST_LEAF_ASSIGN(fresh, readSettings(m_parts->settings.file));
+                return {};
+            },
+            problem);
+    m_parts->events.record(settingsReloaded,
+                           {{"file", m_parts->settings.file},
+                            {"outcome", readable ? "taken over" : "refused"},
+                            {"problem", problem.message}});
+    if (readable)
+        m_parts->feed->setSeeds(fresh.seeds);
+}
+
 void node::beginShutdown()
 {
     const std::lock_guard lock(m_parts->mutex);
--- a/src/yuccascale/runtime/node.hpp
+++ b/src/yuccascale/runtime/node.hpp
@@ -27,6 +27,10 @@
     /// \returns error_kind::Unavailable or error_kind::Corrupt with the remedy when it cannot run.
     [[nodiscard]] kernel::result<void> start();
 
+    /// \brief Reads the settings file again. What can change while the node runs is taken over: the
+    /// seeds. A file that does not check leaves everything as it was.
+    void reload();
+
     /// \brief Begins a graceful shutdown: no request is cut. Safe to call again.
     void beginShutdown();
 
--- a/src/yuccascale/runtime/node_status.hpp
+++ b/src/yuccascale/runtime/node_status.hpp
@@ -25,7 +25,7 @@
     kernel::control_view view;
     std::vector<kernel::feed::node_report> nodes;   ///< those that ask here, and this node
     std::vector<kernel::feed::node_report> offered; ///< all that run, as the leader told
-    std::optional<replicated_log_status> replica; ///< nothing without the control role
+    std::optional<replicated_log_status> replica;   ///< nothing without the control role
     std::optional<kernel::leadership> authority;
     const wire::transport_counters *links = nullptr;
 };
