Entries leave a relay that was cut off; a replica recovers from a failed disk; agreed time

A full disk stopped a replica until its process was restarted.

Change: an entry turns to the next control node at once when the answer's lease shows that the relay was confirmed too long ago. After a failed write a replica begins again from its disk, with its state restored, as soon as that can be written. The leader tells the middle one of all clocks; usage counts follow it.

Ruled out: a shorter lease for relays (entries without word must serve on).

--- a/src/yuccascale/kernel/consensus/events.hpp
+++ b/src/yuccascale/kernel/consensus/events.hpp
@@ -53,7 +53,10 @@
                                         "dropped; it had not been acknowledged; nothing to do."};
 inline const event_kind storeFailed{3021, "store_failed", severity::Error,
                                     "The data folder could not be written, so this replica "
-                                    "stopped; check the disk and restart the node."};
+                                    "gave up its vote until it can; check the disk."};
+inline const event_kind storeReopened{3024, "store_reopened", severity::Info,
+                                      "The data folder can be written again and this replica takes "
+                                      "part; nothing to do."};
 inline const event_kind snapshotWritten{3022, "snapshot_written", severity::Info,
                                         "The state was saved and older log segments removed; "
                                         "nothing to do."};
--- a/src/yuccascale/kernel/feed/feed_state.cpp
+++ b/src/yuccascale/kernel/feed/feed_state.cpp
@@ -10,6 +10,11 @@
 /// A node that was not heard for this long is taken out of the addresses.
 constexpr seconds silentNodeWindow{3};
 
+[[nodiscard]] milliseconds sinceBoot(instant time) noexcept
+{
+    return std::chrono::duration_cast<milliseconds>(time.time_since_epoch());
+}
+
 } // namespace
 
 feed_state::feed_state(nanoseconds freshness)
@@ -51,6 +56,8 @@
         return newer; // an overtaken answer says nothing of what is in force now
     installBans(reply.bansVersion, reply.bans);
     m_nodes = reply.nodes;
+    if (reply.clusterWallMs != 0)
+        m_wallOffset = milliseconds(reply.clusterWallMs) - sinceBoot(askedAt);
     renew(askedAt, std::min<nanoseconds>(milliseconds(reply.freshForMs), m_freshness));
     return newer;
 }
@@ -80,10 +87,31 @@
                   [&](const node_report &node) { return node.leaving || node.node == self.node; });
     if (!self.leaving)
         m_nodes.push_back(self);
+    agreeOnTime(now, self);
     renew(askedAt, m_freshness);
     return newer;
 }
 
+/// The middle one of all clocks heard of: less than half of them may be wrong.
+void feed_state::agreeOnTime(instant now, const node_report &self)
+{
+    std::vector<milliseconds> offsets{milliseconds(self.wallMs) - sinceBoot(now)};
+    for (const auto &[name, node] : m_directory.nodes()) {
+        if (node.report.wallMs != 0 && now - node.heardAt <= silentNodeWindow)
+            offsets.push_back(milliseconds(node.report.wallMs) - sinceBoot(node.heardAt));
+    }
+    const auto middle = offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+    std::ranges::nth_element(offsets, middle);
+    m_wallOffset = *middle;
+}
+
+std::optional<wall_time> feed_state::agreedTime(instant now) const
+{
+    if (!m_wallOffset)
+        return std::nullopt;
+    return wall_time(sinceBoot(now) + *m_wallOffset);
+}
+
 bool feed_state::installEndpoints(const endpoint_list &list)
 {
     if (list.version <= m_endpoints->version)
@@ -127,6 +155,8 @@
     if (request.haveBans != m_bansVersion)
         reply.bans.assign(m_bans->begin(), m_bans->end());
     reply.nodes = m_nodes;
+    if (const auto agreed = agreedTime(now))
+        reply.clusterWallMs = agreed->time_since_epoch().count();
     return reply;
 }
 
--- a/src/yuccascale/kernel/feed/feed_state.hpp
+++ b/src/yuccascale/kernel/feed/feed_state.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,6 +41,10 @@
     /// \returns the nodes that run and are not leaving, as far as known here.
     [[nodiscard]] const std::vector<node_report> &nodes() const noexcept { return m_nodes; }
 
+    /// \returns the time that most nodes agree on, although some of their clocks are wrong; nothing
+    ///          before the first answer.
+    [[nodiscard]] std::optional<wall_time> agreedTime(instant now) const;
+
     /// \returns the newest endpoint list; version 0 before the first.
     [[nodiscard]] std::shared_ptr<const endpoint_list> endpoints() const noexcept
     {
@@ -73,6 +78,7 @@
                                     const feed_request &request);
 
 private:
+    void agreeOnTime(instant now, const node_report &self);
     void renew(instant askedAt, nanoseconds freshFor);
     void installBans(std::uint64_t version, const std::vector<std::string> &bans);
     [[nodiscard]] bool installTables(const feed_reply &reply);
@@ -85,6 +91,7 @@
     std::shared_ptr<const std::set<std::string>> m_bans;
     std::vector<node_report> m_nodes;
     std::shared_ptr<const endpoint_list> m_endpoints;
+    std::optional<milliseconds> m_wallOffset; ///< of the agreed time from this VM's boot clock
     std::string m_leader;
 };
 
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -14,6 +14,9 @@
 
 /// The counter of a leader's endpoint lists stands below its fence in their version.
 constexpr unsigned listCounterBits = 32;
+constexpr std::size_t mostTries = 9; ///< control nodes asked in one round
+/// A node that was itself confirmed longer ago than this many rounds may be cut off.
+constexpr double lagIntervals = 2.5;
 constexpr std::uint64_t listCounterMask = (std::uint64_t{1} << listCounterBits) - 1;
 
 } // namespace
@@ -68,6 +71,12 @@
     return m_state.nodes();
 }
 
+wall_time feed_service::agreedTime() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_state.agreedTime(m_clock.now()).value_or(m_clock.wallNow());
+}
+
 std::vector<std::string> feed_service::controlNodes() const
 {
     const std::lock_guard lock(m_mutex);
@@ -146,7 +155,7 @@
     while (!m_stopped) {
         m_wanted = false;
         lock.unlock();
-        askOnce();
+        askRound();
         if (m_listener)
             m_listener();
         const bool fresh = view().fresh(m_clock.now());
@@ -159,11 +168,20 @@
     }
 }
 
-void feed_service::askOnce()
+/// A node that answers from before it was cut off is left for the next one at once.
+void feed_service::askRound()
+{
+    const std::size_t nodes = std::min(controlNodes().size(), mostTries);
+    std::size_t tried = 1;
+    while (!askOnce() && tried < nodes)
+        ++tried;
+}
+
+/// \returns false when another node may know more.
+bool feed_service::askOnce()
 {
     const instant askedAt = m_clock.now();
-    if (!readOwn(askedAt))
-        askPeer(askedAt);
+    return readOwn(askedAt) || askPeer(askedAt);
 }
 
 bool feed_service::readOwn(instant askedAt)
@@ -189,11 +207,11 @@
     return true;
 }
 
-void feed_service::askPeer(instant askedAt)
+bool feed_service::askPeer(instant askedAt)
 {
     const std::string peer = target();
     if (peer.empty())
-        return;
+        return true;
     std::unique_lock lock(m_mutex);
     const std::string request
             = wire::encodeFeedRequest(m_state.request(askedAt, selfReport(), true));
@@ -209,14 +227,30 @@
                 return {};
             },
             problem);
-    if (!answered || !reply.confirmed)
-        ++m_target;
+    const nanoseconds lag = m_settings.control.freshness - milliseconds(reply.freshForMs);
+    const auto longestLag = std::chrono::duration_cast<nanoseconds>(
+            lagIntervals * m_settings.control.feedInterval);
+    const bool current = answered && reply.confirmed && lag <= longestLag;
+    if (!current)
+        turnFrom(peer);
     if (!answered)
-        return;
+        return false;
     lock.lock();
     const bool newer = m_state.install(askedAt, reply);
     lock.unlock();
     announce(newer);
+    return current;
+}
+
+/// The next control node is asked from now on.
+void feed_service::turnFrom(const std::string &peer)
+{
+    const std::vector<std::string> known = controlNodes();
+    const auto found = std::ranges::find(known, peer);
+    if (known.empty())
+        return;
+    m_target = found == known.end() || std::next(found) == known.end() ? known.front()
+                                                                       : *std::next(found);
 }
 
 std::string feed_service::target()
@@ -226,8 +260,11 @@
         if (!leader.empty())
             return leader == m_settings.linkAddress ? std::string() : leader;
     }
-    const std::vector<std::string> known = controlNodes();
-    return known.empty() ? std::string() : known[m_target % known.size()];
+    if (m_target.empty()) {
+        const std::vector<std::string> known = controlNodes();
+        m_target = known.empty() ? std::string() : known.front();
+    }
+    return m_target;
 }
 
 std::string feed_service::answer(std::string_view peer, std::string_view payload)
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -60,6 +60,9 @@
     ///          the seeds.
     [[nodiscard]] std::vector<std::string> controlNodes() const;
 
+    /// \returns the time that the nodes agree on; this VM's wall clock before they have.
+    [[nodiscard]] kernel::wall_time agreedTime() const;
+
     /// \brief Takes in the endpoints that this node, as leader, has read from the platform.
     /// \param fence of the leader
     void setEndpoints(std::uint64_t fence,
@@ -77,14 +80,19 @@
     /// \brief Asks at once instead of at the next interval.
     void wake();
 
+    /// \brief Asks once now: each control node in turn until one answers that is up to date. The
+    /// thread does it at each interval.
+    void askRound();
+
     /// \brief Tells the others that this node is shutting down.
     void setLeaving();
 
 private:
     void askLoop();
-    void askOnce();
+    [[nodiscard]] bool askOnce();
+    void turnFrom(const std::string &peer);
     [[nodiscard]] bool readOwn(kernel::instant askedAt);
-    void askPeer(kernel::instant askedAt);
+    [[nodiscard]] bool askPeer(kernel::instant askedAt);
     [[nodiscard]] std::string target();
     [[nodiscard]] std::vector<std::string> knownControlNodes() const;
     [[nodiscard]] std::string answer(std::string_view peer, std::string_view payload);
@@ -98,7 +106,7 @@
     control_authority *m_authority;
     std::vector<std::string> m_seeds;
     std::function<void()> m_listener;
-    std::size_t m_target = 0;
+    std::string m_target; ///< control node that is asked; empty before the first
     std::uint64_t m_incarnation;
 
     mutable std::mutex m_mutex;
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -205,7 +205,7 @@
 {
     callers = std::make_unique<http::caller_server>(http::caller_server_parts{
             settings, clock, events, *client, loops, secret, incarnation,
-            [this] { return feed->nodes(); }, nullptr,
+            [this] { return feed->nodes(); }, [this] { return feed->agreedTime(); },
             [this](const std::shared_ptr<net::http_exchange> &exchange) {
                 return settings.http.protocol == "own" && operators->take(exchange);
             }});
@@ -273,7 +273,7 @@
                                      const std::vector<kernel::feed::listed_endpoint> &listed) {
                                   feed->setEndpoints(fence, listed);
                               },
-                              nullptr},
+                              [this] { return feed->agreedTime(); }},
             std::move(drivers));
     return {};
 }
--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t maxInboxMessages = 8'192;
 constexpr std::size_t maxInboxWaiters = 8'192;
 constexpr std::size_t maxPayloadBytes = 16U << 20U;
+/// Between two tries to open a data folder whose disk failed.
+constexpr kernel::milliseconds reopenPause{500};
 constexpr std::uint64_t trailingShare = 4; ///< of snapshotEntries stays in the log
 
 /// Incarnations of one name rise as long as the wall clock does; the low bits make them unique.
@@ -98,24 +100,32 @@
 
 result<void> replicated_log::start()
 {
+    m_emptyState = m_consumer.snapshot();
+    BOOST_LEAF_CHECK(openStore());
+    publish();
+    {
+        const std::lock_guard lock(m_inboxMutex);
+        m_running = true;
+    }
+    m_thread = std::thread([this] { run(); });
+    return {};
+}
+
+/// Begins from what the disk holds: the consumer's state too, since the log is applied again.
+result<void> replicated_log::openStore()
+{
+    m_store.reset();
     BOOST_LEAF_ASSIGN(
             m_store,
             store::replica_store::open(m_settings.dataFolder, makeIncarnation(m_clock.wallNow())));
     store::recovery found = m_store->takeRecovery();
     if (found.tornTail)
         m_events.record(tornTailDropped, {{"folder", m_settings.dataFolder}});
-    if (found.state.snapshot) {
-        BOOST_LEAF_CHECK(m_consumer.restore(*found.state.snapshot->bytes));
-        m_applied = m_snapshotIndex = found.state.snapshot->index;
-    }
+    const auto &snapshot = found.state.snapshot;
+    BOOST_LEAF_CHECK(m_consumer.restore(snapshot ? *snapshot->bytes : m_emptyState));
+    m_applied = m_snapshotIndex = snapshot ? snapshot->index : 0;
     m_replica = std::make_unique<replica>(configOf(m_settings, found.incarnation), found.state,
                                           m_events, m_clock.now());
-    publish();
-    {
-        const std::lock_guard lock(m_inboxMutex);
-        m_running = true;
-    }
-    m_thread = std::thread([this] { run(); });
     return {};
 }
 
@@ -124,6 +134,7 @@
     {
         const std::lock_guard lock(m_inboxMutex);
         m_running = false;
+        m_stopping = true;
     }
     m_inboxChanged.notify_all();
     if (m_thread.joinable())
@@ -210,7 +221,18 @@
 
 void replicated_log::run()
 {
-    std::string reason = "stopped; ask another node";
+    while (true) {
+        const std::string reason = runUntilFailure();
+        publishStopped(reason);
+        abandonWaiters(reason);
+        if (!waitToReopen())
+            return;
+    }
+}
+
+/// \returns why it ended.
+std::string replicated_log::runUntilFailure()
+{
     inbox taken;
     while (takeInbox(taken)) {
         handle(taken);
@@ -226,13 +248,33 @@
                 problem);
         if (!worked) {
             m_events.record(storeFailed, {{"where", problem.where}, {"problem", problem.message}});
-            reason = problem.where + ": " + problem.message;
-            break;
+            return problem.where + ": " + problem.message;
         }
         publish();
     }
-    publishStopped(reason);
-    abandonWaiters(reason);
+    return "stopped; ask another node";
+}
+
+/// After a failed write nothing in memory is known to be on the disk, so the replica begins again
+/// from the disk once that can be written.
+/// \returns false once the log is stopped.
+bool replicated_log::waitToReopen()
+{
+    while (true) {
+        {
+            std::unique_lock lock(m_inboxMutex);
+            m_inboxChanged.wait_for(lock, reopenPause, [&] { return m_stopping; });
+            if (m_stopping)
+                return false;
+        }
+        kernel::error problem;
+        if (!kernel::succeeded([&] { return openStore(); }, problem))
+            continue;
+        m_events.record(storeReopened, {{"folder", m_settings.dataFolder}});
+        const std::lock_guard lock(m_inboxMutex);
+        m_running = true;
+        return true;
+    }
 }
 
 /// Waits for something to do; false once the log is stopped.
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -150,7 +150,10 @@
     [[nodiscard]] kernel::result<std::string> enqueue(std::vector<waiter_pointer> inbox::*queue,
                                                       std::string payload,
                                                       kernel::instant deadline);
+    [[nodiscard]] kernel::result<void> openStore();
     void run();
+    [[nodiscard]] std::string runUntilFailure();
+    [[nodiscard]] bool waitToReopen();
     [[nodiscard]] bool takeInbox(inbox &taken);
     void handle(inbox &taken);
     void handleProposal(const waiter_pointer &proposal);
@@ -179,6 +182,8 @@
     std::condition_variable m_inboxChanged;
     inbox m_inbox;
     bool m_running = false;
+    bool m_stopping = false;
+    std::string m_emptyState; ///< of the consumer, before the first entry
 
     // used by the thread only
     std::unique_ptr<store::replica_store> m_store;
--- /dev/null
+++ b/tests/unit/feed_service_test.cpp
@@ -0,0 +1,108 @@
+#include "fakes/manual_clock.hpp"
+#include "yuccascale/runtime/feed_service.hpp"
+#include "yuccascale/wire/feed_codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace yuccascale::runtime {
+
+namespace {
+
+using namespace kernel;
+
+class quiet_sink final : public event_sink
+{
+public:
+    using event_sink::record;
+    void record(const event_kind &, std::span<const event_field>) override { }
+};
+
+/// Control nodes that answer at once, each from what it was last told.
+class control_nodes final : public transport
+{
+public:
+    void handle(channel, handler) override { }
+    void post(std::string_view, channel, std::string) override { }
+
+    [[nodiscard]] result<std::string> call(std::string_view node, channel, std::string payload,
+                                           nanoseconds) override
+    {
+        const auto found = states.find(std::string(node));
+        if (found == states.end())
+            return fail(error_kind::Unavailable, std::string(node), "not reached");
+        BOOST_LEAF_AUTO(request, wire::decodeFeedRequest(payload));
+        asked.emplace_back(node);
+        return wire::encodeFeedReply(found->second.answer(now, "entry", request));
+    }
+
+    /// A leader's reading reaches the node at the time that is set.
+    void tell(const std::string &node, std::uint64_t revision)
+    {
+        auto tables = std::make_shared<state::table_set>();
+        tables->revision = revision;
+        feed::node_report self;
+        self.node = node;
+        self.link = node;
+        self.control = true;
+        const auto [state, added] = states.try_emplace(node, freshness);
+        static_cast<void>(state->second.installOwn(now, now, {tables, 0, {}}, self));
+    }
+
+    static constexpr milliseconds freshness{4'700};
+    std::map<std::string, feed::feed_state> states;
+    std::vector<std::string> asked;
+    instant now{seconds(100)};
+};
+
+settings entrySettings()
+{
+    settings out;
+    out.node = "entry";
+    out.zone = "perth-a";
+    out.roles.entry = true;
+    out.linkAddress = "entry";
+    out.seeds = {"a", "b"};
+    out.control.freshness = control_nodes::freshness;
+    out.control.feedInterval = milliseconds(600);
+    return out;
+}
+
+} // namespace
+
+TEST(feed_service, leavesANodeThatAnswersFromBeforeItWasCutOff)
+{
+    const settings config = entrySettings();
+    fakes::manual_clock clock;
+    control_nodes nodes;
+    quiet_sink events;
+    clock.advance(nodes.now.time_since_epoch());
+    nodes.tell("a", 2);
+    nodes.now += seconds(2);
+    clock.advance(seconds(2));
+    nodes.tell("b", 3);
+    feed_service feed(config, clock, nodes, events, 1, nullptr);
+    feed.askRound();
+    ASSERT_TRUE(feed.view().tables);
+    EXPECT_EQ(feed.view().tables->revision, 3U);
+    EXPECT_EQ(nodes.asked, (std::vector<std::string>{"a", "b"}));
+    feed.askRound();
+    EXPECT_EQ(nodes.asked.back(), "b") << "it stays with the node that is current";
+}
+
+TEST(feed_service, asksAnotherNodeAtOnceWhenOneCannotBeReached)
+{
+    const settings config = entrySettings();
+    fakes::manual_clock clock;
+    control_nodes nodes;
+    quiet_sink events;
+    clock.advance(nodes.now.time_since_epoch());
+    nodes.tell("b", 7);
+    feed_service feed(config, clock, nodes, events, 1, nullptr);
+    feed.askRound();
+    ASSERT_TRUE(feed.view().tables);
+    EXPECT_EQ(feed.view().tables->revision, 7U);
+}
+
+} // namespace yuccascale::runtime
--- a/tests/unit/feed_state_test.cpp
+++ b/tests/unit/feed_state_test.cpp
@@ -145,6 +145,28 @@
     EXPECT_TRUE(m_entry.view().bannedFingerprints->contains("fingerprint"));
 }
 
+TEST_F(feed_state_test, agreesOnTheTimeThoughSomeClocksAreWrong)
+{
+    constexpr std::int64_t trueMs = 1'700'000'000'000;
+    constexpr std::int64_t stepMs = 2'400;
+    const auto tell = [&](const std::string &name, std::int64_t wallMs) {
+        node_report self = reportOf(name);
+        self.wallMs = wallMs;
+        (void)m_leader.answer(m_clock.now(), name, m_entry.request(m_clock.now(), self, false));
+    };
+    tell("a", trueMs + 2);
+    tell("b", trueMs + stepMs);
+    tell("c", trueMs - 1);
+    node_report self = reportOf("leader");
+    self.wallMs = trueMs - stepMs;
+    m_leader.installOwn(m_clock.now(), m_clock.now(), {tablesAt(1), 0, {}}, self);
+    m_clock.advance(seconds(1));
+    ask(m_entry, m_leader, "entry");
+    const auto agreed = m_entry.agreedTime(m_clock.now());
+    ASSERT_TRUE(agreed);
+    EXPECT_NEAR(static_cast<double>(agreed->time_since_epoch().count()), trueMs + 1'000, 5);
+}
+
 TEST_F(feed_state_test, keepsTheNewestEndpointListThoughARelayLags)
 {
     leaderReads(1);
