Cheap servers are held ready for the swings; silent engines are left at once

The platform sells servers at a fifth of the price that a zone may lose at once. A prompt waited two seconds for a silent prefill engine; the largest prompts need longer than any fixed time.

An endpoint that takes no connection, or fills no prompt in a time for its tokens, gets trial requests only. Refused long prompts are told to come back after 1.2 to 2.3 s, apart from each other.

--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -11,8 +11,15 @@
 
 namespace {
 
-/// A prompt that another engine has not filled within this is filled where it is generated.
-constexpr kernel::seconds fillTimeout{2};
+/// A prompt that another engine has not filled within a time for its tokens is filled where it is
+/// generated.
+constexpr kernel::milliseconds fillBaseTimeout{1'000};
+constexpr std::int64_t fillTokensPerMillisecond = 20;
+
+[[nodiscard]] kernel::milliseconds fillTimeout(const request &subject) noexcept
+{
+    return fillBaseTimeout + kernel::milliseconds(subject.promptTokens / fillTokensPerMillisecond);
+}
 
 } // namespace
 
@@ -180,7 +187,7 @@
         attempt.prefillRequest
                 = driver.fill(subject, {sent.attempt, 0, facts.timeLeft, {}, turn.prefillEndpoint});
         attempt.prefillTimeout = std::chrono::ceil<kernel::milliseconds>(
-                std::min<nanoseconds>(facts.timeLeft, fillTimeout));
+                std::min<nanoseconds>(facts.timeLeft, fillTimeout(subject)));
         attempt.readPrefill = [services = &m_services, &driver, turn, pool = subject.route.pool,
                                sentAt = now()](const net::short_answer &answer) {
             auto filled = driver.filled(answer.status, answer.body, turn.prefillAddress);
--- a/src/yuccascale/kernel/orders/drivers.hpp
+++ b/src/yuccascale/kernel/orders/drivers.hpp
@@ -4,6 +4,7 @@
 #include "yuccascale/kernel/feed/feed_messages.hpp"
 #include "yuccascale/kernel/orders/order_message.hpp"
 #include "yuccascale/kernel/plugin_registry.hpp"
+#include "yuccascale/kernel/policy/cheap_headroom.hpp"
 #include "yuccascale/kernel/policy/fleet.hpp"
 #include "yuccascale/kernel/state/order_ledger.hpp"
 #include "yuccascale/kernel/state/usage_windows.hpp"
@@ -142,6 +143,20 @@
     [[nodiscard]] virtual result<std::vector<feed::listed_endpoint>> endpoints() = 0;
 };
 
+/// \brief Orders numbers of endpoints from the platform.
+class endpoint_counts
+{
+public:
+    virtual ~endpoint_counts() = default;
+
+    /// \param fence of the leader that orders
+    /// \returns false when none are to be had there at the moment.
+    [[nodiscard]] virtual result<bool> order(const policy::count_order &order, std::uint64_t fence,
+                                             const send_permit &permit)
+            = 0;
+};
+
+using endpoint_counts_registry = plugin_registry<endpoint_counts, driver_settings>;
 using endpoint_lister_registry = plugin_registry<endpoint_lister, driver_settings>;
 using order_target_registry = plugin_registry<order_target, driver_settings>;
 using load_source_registry = plugin_registry<load_source, driver_settings>;
--- a/src/yuccascale/kernel/orders/events.hpp
+++ b/src/yuccascale/kernel/orders/events.hpp
@@ -40,6 +40,9 @@
 inline const event_kind platformSilent{4012, "platform_silent", severity::Warning,
                                        "An interface of the platform did not answer; check its "
                                        "address in the settings."};
+inline const event_kind countOrdered{4014, "count_ordered", severity::Info,
+                                     "A number of cheap endpoints was ordered in an availability "
+                                     "zone; the outcome says if they are to be had."};
 inline const event_kind platformHeard{4013, "platform_heard", severity::Info,
                                       "An interface of the platform answers again."};
 
--- /dev/null
+++ b/src/yuccascale/kernel/policy/cheap_headroom.cpp
@@ -0,0 +1,57 @@
+#include "yuccascale/kernel/policy/cheap_headroom.hpp"
+
+#include <algorithm>
+
+namespace yuccascale::kernel::policy {
+
+namespace {
+
+/// A cheap endpoint must cost at most this share of a steady one to be held ready.
+constexpr double worthwhilePrice = 0.5;
+/// An order shows in the list after the start of its endpoints and the lag of the list.
+constexpr seconds orderInterval{8};
+/// Between two orders where none were to be had.
+constexpr seconds refusedInterval{3};
+
+[[nodiscard]] int countOf(std::span<const feed::listed_endpoint> listed, const std::string &pool,
+                          const std::string &zone, state::endpoint_tenure tenure)
+{
+    return static_cast<int>(
+            std::ranges::count_if(listed, [&](const feed::listed_endpoint &endpoint) {
+                return endpoint.pool == pool && endpoint.row.zone == zone
+                        && endpoint.row.tenure == tenure && !endpoint.row.draining;
+            }));
+}
+
+} // namespace
+
+std::vector<count_order> cheap_headroom::decide(instant now, const state::table_set &tables,
+                                                std::span<const feed::listed_endpoint> listed)
+{
+    std::vector<count_order> orders;
+    for (const auto &[name, pool] : tables.pools) {
+        for (const state::endpoint_scaling &scaling : pool.scaling) {
+            if (scaling.cheapPrice <= 0 || scaling.cheapPrice > worthwhilePrice)
+                continue;
+            for (const auto &[zone, price] : scaling.zonePrices) {
+                const int steady = countOf(listed, name, zone, state::endpoint_tenure::Steady);
+                const int cheap = countOf(listed, name, zone, state::endpoint_tenure::Cheap);
+                const int wanted = scaling.most - steady;
+                instant &notBefore = m_notBefore[{name, zone}];
+                // a zone without steady endpoints may be one that the pool does not run in
+                if (steady == 0 || cheap >= wanted || now < notBefore)
+                    continue;
+                notBefore = now + orderInterval;
+                orders.push_back({name, zone, state::endpoint_tenure::Cheap, wanted});
+            }
+        }
+    }
+    return orders;
+}
+
+void cheap_headroom::refused(instant now, const count_order &order)
+{
+    m_notBefore[{order.pool, order.zone}] = now + refusedInterval;
+}
+
+} // namespace yuccascale::kernel::policy
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -22,6 +22,9 @@
 constexpr std::int64_t leastHomeTokens = 1'024;
 /// All entries together bring most shared parts to their homes within this.
 constexpr seconds homeWarmUp{20};
+/// Advice to a caller whose prompt found no prefill engine, and the step between two such callers.
+constexpr milliseconds fillRetryAfter{1'200};
+constexpr milliseconds fillRetrySpread{150};
 /// Prompts that a prefill engine has before it; more only wait there, unseen by the other entries.
 constexpr double fillsPerEngine = 1.5;
 /// Prompts that may wait for a slot of this entry; the next ones would push them out of time.
@@ -152,6 +155,11 @@
 
 nanoseconds pool_scheduler::retryAfter(instant now)
 {
+    // who comes back at once meets the same prompts; apart they find a slot sooner
+    if (m_fills >= fillSlots()) {
+        constexpr std::uint64_t spreadSteps = 8;
+        return fillRetryAfter + fillRetrySpread * (m_refusals++ % spreadSteps);
+    }
     return boundedRetryAfter(m_meter.view(now, {}, *m_strategies.queue).predictedWait / 2);
 }
 
@@ -443,7 +451,8 @@
     m_endpoints.left(endpoint, ticket);
     --m_fills;
     if (how == fill_end::Failed) {
-        static_cast<void>(m_endpoints.failed(now, endpoint, false));
+        // an engine that is silent for so long is gone
+        static_cast<void>(m_endpoints.failed(now, endpoint, true));
         return;
     }
     static_cast<void>(m_endpoints.succeeded(endpoint));
@@ -480,7 +489,8 @@
     if (result.answered)
         findings.breakerClosed = m_endpoints.succeeded(endpoint);
     else if (!result.blameless)
-        findings.breakerOpened = m_endpoints.failed(now, endpoint, result.crashed);
+        findings.breakerOpened
+                = m_endpoints.failed(now, endpoint, result.crashed || result.unreachable);
     if (!result.answered)
         return findings;
     // an endpoint that tells no usage is taken to have done what was expected of it
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -72,6 +72,7 @@
 {
     bool answered = false;
     bool crashed = false;
+    bool unreachable = false; ///< no connection could be opened
     bool blameless = false; ///< the endpoint is neither praised nor blamed: cancelled, said not run
     token_usage usage;
     nanoseconds firstToken{};
@@ -206,7 +207,8 @@
     std::map<std::uint64_t, waiting_entry> m_waiting;
     std::deque<std::uint64_t> m_parked; ///< taken from the queue, no endpoint for them yet
     std::map<std::uint64_t, running_entry> m_running;
-    std::size_t m_fills = 0; ///< prompts of this entry that prefill engines fill now
+    std::uint64_t m_refusals = 0; ///< spreads the advice to come back
+    std::size_t m_fills = 0;      ///< prompts of this entry that prefill engines fill now
     retry_budget m_retries;
     policy::prefix_index m_prefixes;
     policy::queue_meter m_meter;
--- a/src/yuccascale/kernel/requests/request_session.cpp
+++ b/src/yuccascale/kernel/requests/request_session.cpp
@@ -85,6 +85,7 @@
                      {"failure", attemptFailureName(failed.how)}});
     attempt_result result;
     result.crashed = failed.how == attempt_failure::Crashed;
+    result.unreachable = failed.how == attempt_failure::NeverSent;
     result.blameless
             = failed.how == attempt_failure::SaidNotRun || failed.how == attempt_failure::Answered;
     finishTurn(result);
--- a/src/yuccascale/kernel/state/tables.hpp
+++ b/src/yuccascale/kernel/state/tables.hpp
@@ -95,6 +95,20 @@
                                                 drainingForOrder, startedMs)
 };
 
+/// \brief What the platform sells for a pool.
+struct endpoint_scaling
+{
+    int least = 0;         ///< endpoints in each availability zone
+    int most = 0;          ///< endpoints in each availability zone
+    double cheapPrice = 0; ///< of an endpoint that may be reclaimed, relative to a steady one
+    std::map<std::string, double> zonePrices; ///< by availability zone
+
+    [[nodiscard]] bool operator==(const endpoint_scaling &) const = default;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(endpoint_scaling, least, most, cheapPrice,
+                                                zonePrices)
+};
+
 /// \brief A named set of endpoints of one kind.
 struct pool
 {
@@ -108,12 +122,13 @@
     int maxConnections = 0;  ///< that one endpoint takes from all entries together; 0: no bound
     bool discovered = false; ///< its endpoints come from the platform's list, not from this row
     std::vector<endpoint> endpoints;
+    std::vector<endpoint_scaling> scaling = {}; ///< one item, or none when it cannot be ordered
 
     [[nodiscard]] bool operator==(const pool &) const = default;
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(pool, name, kind, model, version, adapters,
                                                 minEndpoints, maxEndpoints, maxConnections,
-                                                discovered, endpoints)
+                                                discovered, endpoints, scaling)
 };
 
 /// \brief A customer with its share of the fleet.
--- a/src/yuccascale/platform/cloud_api.cpp
+++ b/src/yuccascale/platform/cloud_api.cpp
@@ -139,6 +139,47 @@
     driver_settings m_settings;
 };
 
+class server_counts final : public endpoint_counts
+{
+public:
+    explicit server_counts(const driver_settings &settings)
+        : m_settings(settings)
+    { }
+
+    [[nodiscard]] result<bool> order(const kernel::policy::count_order &order, std::uint64_t fence,
+                                     const send_permit &permit) override
+    {
+        json body{{"service", order.pool}, {"zone", order.zone}, {"desired", order.count}};
+        if (order.tenure == kernel::state::endpoint_tenure::Cheap)
+            body["spot"] = true;
+        const std::string path(calls::scale);
+        BOOST_LEAF_AUTO(
+                answer,
+                plugins::exchange(m_settings,
+                                  {m_settings.address,
+                                   "POST",
+                                   path,
+                                   body.dump(),
+                                   {{std::string(headers::dutyHolder), m_settings.holder},
+                                    {std::string(headers::dutyFence), std::to_string(fence)}},
+                                   permit}));
+        if (answer.status == httpOk)
+            return true;
+        // the same status says that a higher fence was seen; the lease tells the two apart
+        if (answer.status == httpConflict)
+            return false;
+        return fail(error_kind::OutcomeUnknown, m_settings.address + path,
+                    "answered with status " + std::to_string(answer.status)
+                            + "; the number is ordered again");
+    }
+
+private:
+    driver_settings m_settings;
+};
+
+const endpoint_counts_registry::registration addCounts{
+        "platform",
+        [](const driver_settings &settings) { return std::make_unique<server_counts>(settings); }};
 const endpoint_lister_registry::registration addList{
         "platform",
         [](const driver_settings &settings) { return std::make_unique<server_list>(settings); }};
--- a/src/yuccascale/platform/names.hpp
+++ b/src/yuccascale/platform/names.hpp
@@ -52,6 +52,7 @@
 inline constexpr std::string_view document = "/config";
 inline constexpr std::string_view servers = "/instances";
 inline constexpr std::string_view usage = "/usage";
+inline constexpr std::string_view scale = "/scale";
 inline constexpr std::string_view kvHandle = "/kv-handle/";
 
 } // namespace calls
--- a/src/yuccascale/platform/operator_document.cpp
+++ b/src/yuccascale/platform/operator_document.cpp
@@ -88,6 +88,16 @@
     return row;
 }
 
+[[nodiscard]] endpoint_scaling scalingFrom(const json &from)
+{
+    endpoint_scaling scaling;
+    scaling.least = optional(from, "min", 0);
+    scaling.most = optional(from, "max", 0);
+    scaling.cheapPrice = optional(from, "spot_price", 0.0);
+    scaling.zonePrices = optional(from, "zone_prices", scaling.zonePrices);
+    return scaling;
+}
+
 [[nodiscard]] pool poolFrom(const json &from)
 {
     pool row;
@@ -95,6 +105,9 @@
     row.discovered = true;
     row.minEndpoints = 0;
     row.maxConnections = optional(from, "max_connections", 0);
+    const auto scaling = from.find("scaling");
+    if (scaling != from.end() && scaling->is_object())
+        row.scaling.push_back(scalingFrom(*scaling));
     const auto engine = from.find("engine");
     const bool model = engine != from.end() && engine->is_object();
     row.kind = model ? backend_kind::Model : backend_kind::Service;
--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -108,6 +108,8 @@
         done = makeDriver(made.loads, "http", at({}));
     if (done && !platform.endpointList.empty())
         done = makeDriver(made.endpoints, platform.drivers, at(platform.endpointList));
+    if (done && !platform.endpointCounts.empty())
+        done = makeDriver(made.counts, platform.drivers, at(platform.endpointCounts));
     if (done && !platform.endpointOrders.empty())
         done = makeDriver(made.platform, "http_platform", at(platform.endpointOrders));
     if (done && (!platform.endpointOrders.empty() || !platform.vmList.empty()))
@@ -392,11 +394,43 @@
                                         {{"where", "endpoint list"},
                                          {"problem", known ? "" : outcome.failure.message}});
              }
-             if (outcome.answer)
-                 m_around.listed(fence, *outcome.answer);
+             if (!outcome.answer)
+                 return;
+             m_around.listed(fence, *outcome.answer);
+             const authority held = m_around.authority.current(m_around.clock.now());
+             if (held && held->fence == fence)
+                 orderCounts(*held, *outcome.answer);
          });
 }
 
+void duties::orderCounts(const kernel::leadership &held,
+                         const std::vector<kernel::feed::listed_endpoint> &listed)
+{
+    const instant now = m_around.clock.now();
+    if (!m_drivers.counts || !m_tables || now < held.ordersFrom)
+        return;
+    if (std::exchange(m_headroomFence, held.fence) != held.fence)
+        m_headroom = {};
+    for (const kernel::policy::count_order &order : m_headroom.decide(now, *m_tables, listed)) {
+        call([counts = m_drivers.counts.get(), order, fence = held.fence,
+              permit = permitFor(held.fence, now)] { return counts->order(order, fence, permit); },
+             [this, order, fence = held.fence](const call_outcome<bool> &outcome) {
+                 const bool taken = outcome.answer.value_or(false);
+                 m_around.events.record(countOrdered,
+                                        {{"pool", order.pool},
+                                         {"zone", order.zone},
+                                         {"cheap", order.count},
+                                         {"fence", fence},
+                                         {"outcome",
+                                          taken                    ? "accepted"
+                                                  : outcome.answer ? "none to be had"
+                                                                   : outcome.failure.message}});
+                 if (!taken)
+                     m_headroom.refused(m_around.clock.now(), order);
+             });
+    }
+}
+
 void duties::noteLeaving(const std::vector<vm_row> &vms)
 {
     if (!m_tables)
--- a/src/yuccascale/runtime/duties.hpp
+++ b/src/yuccascale/runtime/duties.hpp
@@ -31,6 +31,7 @@
     std::unique_ptr<kernel::orders::weight_store> weights;
     std::unique_ptr<kernel::orders::usage_sink> usage;
     std::unique_ptr<kernel::orders::endpoint_lister> endpoints;
+    std::unique_ptr<kernel::orders::endpoint_counts> counts;
 };
 
 /// \returns the HTTP drivers at the addresses of the settings.
@@ -91,6 +92,8 @@
     void retireEntries(kernel::instant now, const kernel::state::leader_view &view);
     void readLists(kernel::instant now);
     void readEndpoints(kernel::instant now, std::uint64_t fence);
+    void orderCounts(const kernel::leadership &held,
+                     const std::vector<kernel::feed::listed_endpoint> &listed);
     void noteLeaving(const std::vector<kernel::orders::vm_row> &vms);
     void submit(kernel::state::command command);
     [[nodiscard]] kernel::orders::order_target *targetAt(const std::string &address) const;
@@ -113,8 +116,10 @@
     bool m_readingLists = false;
     kernel::instant m_nextEndpoints{};
     bool m_readingEndpoints = false;
-    bool m_listKnown = true; ///< the last reading of the endpoint list worked
-    int m_submits = 0;       ///< of orders and notices, under way
+    kernel::policy::cheap_headroom m_headroom;
+    std::uint64_t m_headroomFence = 0; ///< of the term that m_headroom belongs to
+    bool m_listKnown = true;           ///< the last reading of the endpoint list worked
+    int m_submits = 0;                 ///< of orders and notices, under way
 
     periodic_task m_task;
     duties_workers m_workers; ///< last, so that it ends before what its jobs use
--- a/src/yuccascale/runtime/settings.cpp
+++ b/src/yuccascale/runtime/settings.cpp
@@ -98,6 +98,7 @@
 {
     node.text("drivers", platform.drivers);
     platform.endpointList = node.address("endpoint_list", false);
+    platform.endpointCounts = node.address("endpoint_counts", false);
     node.duration("list_interval", platform.listInterval);
     node.duration("usage_batch", platform.usageBatch);
     platform.endpointOrders = node.address("endpoint_orders", false);
--- a/src/yuccascale/runtime/settings.hpp
+++ b/src/yuccascale/runtime/settings.hpp
@@ -77,6 +77,7 @@
 {
     std::string drivers = "http";             ///< plug-ins that speak to these interfaces
     std::string endpointList;                 ///< IP:port of the list of endpoints
+    std::string endpointCounts;               ///< IP:port where numbers of endpoints are ordered
     std::string endpointOrders;               ///< IP:port of the endpoint ordering interface
     std::string usageReports;                 ///< IP:port of the usage report interface
     std::string weightStore;                  ///< IP:port of the weight store
