A document is committed through any node; log lines never wait for a reader

A follower's redirect was one more answer that could be lost. The log sink wrote on the thread that decided.

Change: followers commit through the leader in place of redirecting; reads are still redirected. An asynchronous sink with a bounded queue drops what finds it full and tells how many (1030).

Ruled out: a lost quorum; the leader had accepted the document after 2.4 s.

--- a/src/yuccascale/http/document_interface.cpp
+++ b/src/yuccascale/http/document_interface.cpp
@@ -81,9 +81,6 @@
             note(0, "refused", problem.where + ": " + problem.message);
             return errorReply(problem);
         }
-        const std::string leader = m_services.leaderAddress();
-        if (!leader.empty())
-            return redirect(leader, from.target);
         return commit(std::move(document));
     }
 
--- a/src/yuccascale/http/document_interface.hpp
+++ b/src/yuccascale/http/document_interface.hpp
@@ -19,7 +19,7 @@
 {
     kernel::clock &clock;
     kernel::event_sink &events;
-    /// Commits a command if this node is the leader.
+    /// Commits a command through the leader, whichever node that is.
     std::function<kernel::result<kernel::state::command_result>(const kernel::state::command &,
                                                                 kernel::instant deadline)>
             commit;
@@ -33,8 +33,9 @@
 
 /// \brief Answers an operator that keeps all tables in one document.
 ///
-/// An invalid document is refused by any node. A valid one is committed by the leader; the others
-/// redirect to it, or refuse with 503 while they know none.
+/// An invalid document is refused by any node, and a valid one committed through the leader: a
+/// redirect would be one more answer that can be lost. Reads are redirected to the leader, or
+/// refused with 503 while none is known.
 class document_interface
 {
 public:
--- a/src/yuccascale/runtime/event_log.cpp
+++ b/src/yuccascale/runtime/event_log.cpp
@@ -1,8 +1,11 @@
 #include "yuccascale/runtime/event_log.hpp"
 
+#include "yuccascale/runtime/events.hpp"
+
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
@@ -12,6 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <ctime>
 #include <fstream>
@@ -74,18 +78,62 @@
     return line;
 }
 
+/// Lines that wait for a reader; more are dropped and counted.
+constexpr std::size_t queuedLines = 4'096;
+
+std::atomic<std::uint64_t> droppedLines{0};
+
+/// Drops a line that finds the queue full, so that a reader which stops holds nobody up.
+class count_dropped
+{
+public:
+    template<typename Lock>
+    static bool on_overflow(const logging::record_view &, Lock &) // NOLINT: Boost.Log names it
+    {
+        ++droppedLines;
+        return false;
+    }
+    static void on_queue_space_available() { } // NOLINT: Boost.Log names it
+    static void interrupt() { }
+};
+
+using line_queue = logging::sinks::bounded_fifo_queue<queuedLines, count_dropped>;
+using line_sink
+        = logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend, line_queue>;
+
+[[nodiscard]] boost::shared_ptr<std::ostream> streamOf(const std::string &file)
+{
+    if (file.empty())
+        return {&std::cerr, boost::null_deleter()};
+    if (file == "-")
+        return {&std::cout, boost::null_deleter()};
+    return boost::make_shared<std::ofstream>(file, std::ios::app);
+}
+
+/// The sink of this process; its thread writes the lines.
+boost::shared_ptr<line_sink> &theSink()
+{
+    static boost::shared_ptr<line_sink> sink;
+    return sink;
+}
+
 void addSink(const std::string &file)
 {
-    using text_sink = logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
     const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-    if (file.empty())
-        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
-    else if (file == "-")
-        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-    else
-        backend->add_stream(boost::make_shared<std::ofstream>(file, std::ios::app));
+    backend->add_stream(streamOf(file));
     backend->auto_flush(true);
-    logging::core::get()->add_sink(boost::make_shared<text_sink>(backend));
+    theSink() = boost::make_shared<line_sink>(backend);
+    logging::core::get()->add_sink(theSink());
+}
+
+void removeSink()
+{
+    const boost::shared_ptr<line_sink> sink = std::exchange(theSink(), nullptr);
+    if (!sink)
+        return;
+    logging::core::get()->remove_sink(sink);
+    sink->stop();
+    sink->flush();
 }
 
 } // namespace
@@ -104,13 +152,20 @@
 
 event_log::~event_log()
 {
-    logging::core::get()->remove_all_sinks();
+    removeSink();
 }
 
 void event_log::record(const kernel::event_kind &kind, std::span<const kernel::event_field> fields)
 {
     if (kind.level() < m_settings.level)
         return;
+    if (const std::uint64_t dropped = droppedLines.exchange(0); dropped > 0)
+        write(linesDropped, std::array{kernel::event_field("count", dropped)});
+    write(kind, fields);
+}
+
+void event_log::write(const kernel::event_kind &kind, std::span<const kernel::event_field> fields)
+{
     thread_local logging::sources::severity_logger<kernel::severity> logger;
     BOOST_LOG_SEV(logger, kind.level())
             << (m_settings.json ? jsonLine(kind, m_node, fields) : textLine(kind, m_node, fields));
--- a/src/yuccascale/runtime/event_log.hpp
+++ b/src/yuccascale/runtime/event_log.hpp
@@ -10,7 +10,8 @@
 
 namespace yuccascale::runtime {
 
-/// \brief Writes events to the standard error stream or a file. Thread-safe.
+/// \brief Writes events to a standard stream or a file. Thread-safe; never waits for a reader: a
+/// bounded queue drops lines that find it full and tells how many.
 class event_log final : public kernel::event_sink
 {
 public:
@@ -25,6 +26,8 @@
                 std::span<const kernel::event_field> fields) override;
 
 private:
+    void write(const kernel::event_kind &kind, std::span<const kernel::event_field> fields);
+
     log_settings m_settings;
     std::string m_node;
 };
--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -34,4 +34,8 @@
         "A node sent a message that this version cannot read; it was dropped. Upgrade the older "
         "node."};
 
+inline const event_kind linesDropped{
+        1030, "lines_dropped", severity::Warning,
+        "So many log lines were dropped because nobody read them in time."};
+
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -84,8 +84,6 @@
     [[nodiscard]] std::vector<orders::pool_facts> poolFacts() const;
     [[nodiscard]] std::vector<std::string> otherEntries() const;
     [[nodiscard]] std::string leaderDocumentAddress() const;
-    [[nodiscard]] result<state::command_result> commitHere(const state::command &command,
-                                                           instant deadline);
     [[nodiscard]] result<void> listen(const std::string &address, net::http_handler handler);
     void answerMetrics(const std::shared_ptr<net::http_exchange> &exchange);
     [[nodiscard]] std::string metricsText();
@@ -171,7 +169,7 @@
     http::document_services services{
             clock, events,
             [this](const state::command &command, instant deadline) {
-                return commitHere(command, deadline);
+                return client->submit(command, deadline);
             },
             [this](instant deadline) { return control->confirmedDocument(deadline); },
             [this] { return leaderDocumentAddress(); }};
@@ -179,15 +177,6 @@
     return {};
 }
 
-result<state::command_result> node::parts::commitHere(const state::command &command,
-                                                      instant deadline)
-{
-    submit_reply reply = control->propose(command, deadline);
-    if (!reply.answered)
-        return fail(reply.kind, "control", reply.message);
-    return std::move(reply.answer);
-}
-
 /// Empty when this node leads, or no leader with an address is known.
 std::string node::parts::leaderDocumentAddress() const
 {
