--- a/tests/fakes/replica_group.hpp
+++ b/tests/fakes/replica_group.hpp
@@ -21,8 +21,10 @@
 {
 public:
     /// \param seed of the election timeouts
-    explicit replica_group(std::size_t size, std::uint64_t seed = 0)
+    /// \param seeds replicas that begin the first log; the others only know them; 0: all
+    explicit replica_group(std::size_t size, std::uint64_t seed = 0, std::size_t seeds = 0)
         : m_seed(seed)
+        , m_seeds(seeds == 0 ? size : seeds)
     {
         for (std::size_t at = 0; at < size; ++at)
             m_members.push_back({std::string(1, static_cast<char>('a' + at)), at + 1});
@@ -39,12 +41,22 @@
     {
         replica_config config;
         config.self = m_members[at];
-        for (const member_id &member : m_members)
-            config.configured.push_back(member.name);
+        for (std::size_t first = 0; first < m_seeds; ++first)
+            config.configured.push_back(m_members[first].name);
+        config.firstStart = m_firstStart;
         config.seed = m_seed * m_members.size() + at + 1;
         m_replicas[at] = std::make_unique<replica>(config, m_disks[at], *m_sinks[at], now());
         note(m_members[at].name, "start");
     }
+    /// \brief The incarnation that a replica draws at its next start.
+    void setIncarnation(std::size_t at, std::uint64_t incarnation)
+    {
+        m_members[at].incarnation = incarnation;
+    }
+
+    /// \brief Whether replicas that start from now on may begin an empty log.
+    void setFirstStart(bool allowed) noexcept { m_firstStart = allowed; }
+
     void stop(std::size_t at)
     {
         m_replicas[at].reset();
@@ -201,6 +213,8 @@
     }
 
     std::uint64_t m_seed;
+    std::size_t m_seeds;
+    bool m_firstStart = true;
     std::vector<member_id> m_members;
     std::vector<durable_state> m_disks;
     std::vector<std::unique_ptr<replica>> m_replicas;
--- /dev/null
+++ b/tests/unit/consensus_membership_test.cpp
@@ -0,0 +1,93 @@
+#include "fakes/replica_group.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccascale::kernel::consensus {
+
+namespace {
+
+using fakes::replica_group;
+
+constexpr std::size_t seeds = 3;
+
+std::vector<std::string> votersOf(replica_group &group, std::size_t at)
+{
+    std::vector<std::string> names;
+    for (const member_id &member : group.at(at).log().members().voters)
+        names.push_back(member.name);
+    std::ranges::sort(names);
+    return names;
+}
+
+} // namespace
+
+TEST(consensus_membership, aNewReplicaStandsByAndTakesTheVoteOfOneThatIsGone)
+{
+    replica_group group(4, 1, seeds);
+    const std::size_t leader = group.runUntilLeader();
+    ASSERT_LT(leader, seeds) << "only the seeds begin the log";
+    group.run(milliseconds(3'000));
+    EXPECT_EQ(group.at(3).role(), replica_role::Learner);
+    EXPECT_EQ(votersOf(group, leader), (std::vector<std::string>{"a", "b", "c"}));
+    const std::size_t gone = (leader + 1) % seeds;
+    group.stop(gone);
+    group.run(milliseconds(6'000));
+    std::vector<std::string> wanted{"a", "b", "c", "d"};
+    std::erase(wanted, group.member(gone).name);
+    EXPECT_EQ(votersOf(group, leader), wanted);
+    EXPECT_EQ(group.at(3).role(), replica_role::Follower);
+    const std::size_t second = seeds - leader - gone;
+    group.stop(second);
+    group.run(milliseconds(3'000));
+    EXPECT_TRUE(group.at(leader).leadershipAt(group.now())) << "the new one makes the quorum";
+}
+
+TEST(consensus_membership, aReplicaThatWasTakenOutWhileAwayComesBackAsALearner)
+{
+    replica_group group(4, 2, seeds);
+    const std::size_t leader = group.runUntilLeader();
+    ASSERT_LT(leader, seeds);
+    group.run(milliseconds(2'000));
+    const std::size_t away = (leader + 1) % seeds;
+    group.cutOff(away, true);
+    group.run(milliseconds(6'000));
+    EXPECT_EQ(votersOf(group, leader).size(), seeds);
+    EXPECT_FALSE(group.at(leader).log().members().has(group.member(away)));
+    group.cutOff(away, false);
+    group.run(milliseconds(5'000));
+    EXPECT_TRUE(group.at(leader).log().members().has(group.member(away)));
+    EXPECT_EQ(group.at(away).role(), replica_role::Learner);
+}
+
+TEST(consensus_membership, emptyReplicasNeverBeginALogUnlessItIsTheFirstStart)
+{
+    replica_group group(3, 3);
+    group.runUntilLeader();
+    group.setFirstStart(false);
+    for (std::size_t at = 0; at < seeds; ++at) {
+        group.loseDisk(at);
+        group.start(at);
+    }
+    group.run(milliseconds(10'000));
+    for (std::size_t at = 0; at < seeds; ++at) {
+        EXPECT_EQ(group.at(at).role(), replica_role::Joining);
+        EXPECT_TRUE(group.at(at).log().empty());
+    }
+}
+
+TEST(consensus_membership, aLostDiskIsReplacedThoughTheClockOfItsNodeWasWrong)
+{
+    replica_group group(3, 4);
+    const std::size_t leader = group.runUntilLeader();
+    ASSERT_LT(leader, seeds);
+    const std::size_t lost = (leader + 1) % seeds;
+    group.loseDisk(lost);
+    group.setIncarnation(lost, 0); // lower than the one that the others know
+    group.run(milliseconds(2'000));
+    group.start(lost);
+    group.run(milliseconds(4'000));
+    EXPECT_EQ(group.at(lost).role(), replica_role::Follower);
+    EXPECT_EQ(votersOf(group, leader).size(), seeds);
+}
+
+} // namespace yuccascale::kernel::consensus
