--- /dev/null
+++ b/src/yuccascale/net/short_call.cpp
@@ -0,0 +1,72 @@
+#include "yuccascale/net/http_client.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <utility>
+
+namespace yuccascale::net {
+
+namespace {
+
+/// Collects a small answer.
+class short_receiver final : public answer_receiver,
+                             public std::enable_shared_from_this<short_receiver>
+{
+public:
+    short_receiver(io_context &loop, std::function<void(short_answer)> done)
+        : m_timer(loop)
+        , m_done(std::move(done))
+    { }
+
+    void watch(std::shared_ptr<http_call> call, kernel::milliseconds timeout)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = shared_from_this(),
+                            call = std::move(call)](const boost::system::error_code &problem) {
+            if (problem)
+                return;
+            call->cancel();
+            self->ended(call_end::Broken);
+        });
+    }
+
+    [[nodiscard]] verdict head(const response_head &head) override
+    {
+        m_answer.status = head.status;
+        m_answer.headers = head.headers;
+        return verdict::Take;
+    }
+
+    [[nodiscard]] bool body(std::string_view bytes) override
+    {
+        m_answer.body += bytes;
+        return true;
+    }
+
+    void ended(call_end how) override
+    {
+        m_timer.cancel();
+        m_answer.end = how;
+        if (const auto done = std::exchange(m_done, nullptr))
+            done(std::move(m_answer));
+    }
+
+private:
+    boost::asio::steady_timer m_timer;
+    std::function<void(short_answer)> m_done;
+    short_answer m_answer;
+};
+
+} // namespace
+
+std::shared_ptr<http_call> callShort(http_client &client, io_context &loop,
+                                     outgoing_request request, kernel::milliseconds timeout,
+                                     std::function<void(short_answer)> done)
+{
+    const auto receiver = std::make_shared<short_receiver>(loop, std::move(done));
+    std::shared_ptr<http_call> call = client.start(std::move(request), receiver);
+    receiver->watch(call, timeout);
+    return call;
+}
+
+} // namespace yuccascale::net
--- a/src/yuccascale/platform/cloud_api.cpp
+++ b/src/yuccascale/platform/cloud_api.cpp
@@ -82,6 +82,21 @@
     driver_settings m_settings;
 };
 
+/// Makes a call that is the duty of one node at a time.
+[[nodiscard]] result<plugins::http_answer> dutyCall(const driver_settings &settings,
+                                                    const std::string &path, const json &body,
+                                                    std::uint64_t fence, const send_permit &permit)
+{
+    return plugins::exchange(settings,
+                             {settings.address,
+                              "POST",
+                              path,
+                              body.dump(),
+                              {{std::string(headers::dutyHolder), settings.holder},
+                               {std::string(headers::dutyFence), std::to_string(fence)}},
+                              permit});
+}
+
 /// The counts of a window's figures by organisation.
 [[nodiscard]] json countsFrom(const json &figures)
 {
@@ -115,16 +130,7 @@
         const json body{{"window_id", window.windowStartMs / length},
                         {"counts", countsFrom(figures)}};
         const std::string path(calls::usage);
-        BOOST_LEAF_AUTO(
-                answer,
-                plugins::exchange(m_settings,
-                                  {m_settings.address,
-                                   "POST",
-                                   path,
-                                   body.dump(),
-                                   {{std::string(headers::dutyHolder), m_settings.holder},
-                                    {std::string(headers::dutyFence), std::to_string(fence)}},
-                                   permit}));
+        BOOST_LEAF_AUTO(answer, dutyCall(m_settings, path, body, fence, permit));
         if (answer.status == httpOk)
             return usage_reply::Accepted;
         if (answer.status == httpConflict)
@@ -153,16 +159,7 @@
         if (order.tenure == kernel::state::endpoint_tenure::Cheap)
             body["spot"] = true;
         const std::string path(calls::scale);
-        BOOST_LEAF_AUTO(
-                answer,
-                plugins::exchange(m_settings,
-                                  {m_settings.address,
-                                   "POST",
-                                   path,
-                                   body.dump(),
-                                   {{std::string(headers::dutyHolder), m_settings.holder},
-                                    {std::string(headers::dutyFence), std::to_string(fence)}},
-                                   permit}));
+        BOOST_LEAF_AUTO(answer, dutyCall(m_settings, path, body, fence, permit));
         if (answer.status == httpOk)
             return true;
         // the same status says that a higher fence was seen; the lease tells the two apart
--- a/src/yuccascale/plugins/endpoint_plain_service.cpp
+++ b/src/yuccascale/plugins/endpoint_plain_service.cpp
@@ -96,20 +96,16 @@
         return std::make_unique<service_answer_reader>(subject.endpointId, facts.attempt);
     }
 
+    /// A service has no prompts.
     [[nodiscard]] outbound_request fill(const request &subject,
                                         const attempt_facts &facts) const override
     {
-        outbound_request outbound = prepare(subject, facts);
-        outbound.headers.emplace_back("X-Prefill-Only", "1");
-        return outbound;
+        return prepare(subject, facts);
     }
-
-    [[nodiscard]] std::optional<filled_prompt> filled(int status, std::string_view,
-                                                      const std::string &address) const override
+    [[nodiscard]] std::optional<filled_prompt> filled(int, std::string_view,
+                                                      const std::string &) const override
     {
-        if (status != 200)
-            return std::nullopt;
-        return filled_prompt{{"X-Kv-From", address}, std::nullopt};
+        return std::nullopt;
     }
 
     [[nodiscard]] std::optional<outbound_request> cancel(const request &) const override
--- a/src/yuccascale/runtime/cluster_client.cpp
+++ b/src/yuccascale/runtime/cluster_client.cpp
@@ -50,7 +50,7 @@
 
 std::string cluster_client::firstTarget() const
 {
-    const std::string leader = m_feed.view().leader;
+    std::string leader = m_feed.view().leader;
     if (!leader.empty())
         return leader;
     return m_proposer != nullptr ? m_settings.linkAddress : nextTarget(0);
