--- a/tests/processes/cluster.cpp
+++ b/tests/processes/cluster.cpp
@@ -132,6 +132,23 @@
     return *m_nodes.at(node).process;
 }
 
+fs::path cluster::settingsFile(std::size_t node) const
+{
+    return m_folder / (m_nodes.at(node).name + ".yaml");
+}
+
+std::vector<std::string> cluster::reloads(std::size_t node) const
+{
+    std::vector<std::string> outcomes;
+    std::ifstream file(m_folder / (m_nodes.at(node).name + ".log"));
+    for (std::string line; std::getline(file, line);) {
+        const json read = json::parse(line, nullptr, false);
+        if (read.is_object() && read.value("name", "") == "settings_reloaded")
+            outcomes.push_back(read.value("outcome", ""));
+    }
+    return outcomes;
+}
+
 void cluster::startStandin(const std::string &name, const json &rows)
 {
     writeFile(m_folder / (name + ".json"), rows.dump());
--- a/tests/processes/cluster.hpp
+++ b/tests/processes/cluster.hpp
@@ -60,6 +60,10 @@
     [[nodiscard]] child_process &process(std::size_t node) const;
     [[nodiscard]] const std::string &key() const noexcept { return m_key; }
     [[nodiscard]] const std::filesystem::path &folder() const noexcept { return m_folder; }
+    [[nodiscard]] std::filesystem::path settingsFile(std::size_t node) const;
+
+    /// \returns the outcomes of the settings that node \a node read again, oldest first.
+    [[nodiscard]] std::vector<std::string> reloads(std::size_t node) const;
 
     /// \returns the index of the leading node, as node \a asked knows it.
     [[nodiscard]] std::size_t leader(std::size_t asked) const;
--- a/tests/processes/whole_path_test.cpp
+++ b/tests/processes/whole_path_test.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <thread>
 
 namespace yuccascale::processes {
@@ -76,4 +78,33 @@
     EXPECT_EQ(system.process(3).exitCode(), 0);
 }
 
+TEST(whole_path, settingsReadAgainCutNoStreamAndRefusedOnesChangeNothing)
+{
+    const cluster system{{}};
+    constexpr std::size_t node = 3;
+    const std::filesystem::path good = system.folder() / "good.yaml";
+    std::filesystem::copy_file(system.settingsFile(node), good);
+    const std::string prompt = "read while the settings change";
+    constexpr int pieces = 300;
+    chat_stream stream;
+    stream.run(system.chat(node, "reload", prompt, pieces), [&](std::int64_t count) {
+        if (count == 10) {
+            std::ofstream(system.settingsFile(node), std::ios::app) << "no_such_setting: 1\n";
+            system.process(node).signal(SIGHUP);
+        }
+        if (count == 150) {
+            std::filesystem::copy_file(good, system.settingsFile(node),
+                                       std::filesystem::copy_options::overwrite_existing);
+            system.process(node).signal(SIGHUP);
+        }
+    });
+    EXPECT_TRUE(stream.finished()) << stream.problem();
+    EXPECT_EQ(stream.text(), wholeAnswer(prompt, pieces));
+    const std::vector<std::string> expected{"refused", "taken over"};
+    EXPECT_TRUE(waitUntil(milliseconds(5'000), [&] { return system.reloads(node) == expected; }));
+    chat_stream after;
+    after.run(system.chat(node, "after-reload", prompt, 20));
+    EXPECT_TRUE(after.finished()) << after.problem();
+}
+
 } // namespace yuccascale::processes
