What fails at an endpoint is learned once for all entries, and costs no request that nobody ran

Change: - The circuit breaker counts failures among the last ten answers, ignores answers to what was sent before it opened, and goes on doubling its pause when it opens again within 30 s. - Entries tell each other of failures at once (load channel). An endpoint with two in 3 s, or one crash, is suspected: what may run once only goes elsewhere while another has room (event 2026); requests that may be repeated go on there and show when it is well. - A 421 is attempt_failure::Replaced: the breaker opens at once and the cache is forgotten. - An attempt of which no byte left is none of the route's attempts and costs no budget (three at most). - A request that an endpoint broke off counts as usage once.

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -180,10 +180,9 @@
         found->second->put(std::move(turn));
         pool.mailboxes.erase(found);
     }
-    for (placement &placed : pool.scheduler.takePlacements()) {
-        if (m_placementListener)
-            m_placementListener(std::move(placed));
-    }
+    endpoint_news news = pool.scheduler.takeNews();
+    if (!news.empty() && m_newsListener)
+        m_newsListener(std::move(news));
 }
 
 std::optional<refusal> caller_pools::push(std::uint64_t ticket, const request &subject,
@@ -334,15 +333,23 @@
     }
 }
 
-void caller_pools::placedElsewhere(std::span<const placement> placements)
+std::vector<std::string> caller_pools::heardElsewhere(const endpoint_news &news)
 {
-    for (const placement &placed : placements) {
-        const std::shared_ptr<shard> pool = find(placed.pool);
-        if (!pool)
-            continue;
-        const std::scoped_lock guard(pool->mutex);
-        pool->scheduler.placedElsewhere(m_clock.now(), placed);
+    std::vector<std::string> suspected;
+    for (const placement &placed : news.placements) {
+        if (const std::shared_ptr<shard> pool = find(placed.pool)) {
+            const std::scoped_lock guard(pool->mutex);
+            pool->scheduler.placedElsewhere(m_clock.now(), placed);
+        }
+    }
+    for (const endpoint_failure &failure : news.failures) {
+        if (const std::shared_ptr<shard> pool = find(failure.pool)) {
+            const std::scoped_lock guard(pool->mutex);
+            if (pool->scheduler.failedElsewhere(m_clock.now(), failure))
+                suspected.push_back(failure.endpoint);
+        }
     }
+    return suspected;
 }
 
 void caller_pools::scheduleAll()
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -85,14 +85,15 @@
     void chargedElsewhere(std::span<const kernel::requests::pool_charge> charges,
                           const kernel::state::table_set &tables);
 
-    /// \brief Takes in the long prompts that another entry placed.
-    void placedElsewhere(std::span<const kernel::requests::placement> placements);
+    /// \brief Takes in what another entry tells of endpoints.
+    /// \returns the endpoints that are suspected from now on.
+    std::vector<std::string> heardElsewhere(const kernel::requests::endpoint_news &news);
 
-    /// \brief Sets who is told of the long prompts placed here; before any request. The listener is
-    /// called under a pool's lock and must not call back.
-    void setPlacementListener(std::function<void(kernel::requests::placement)> listener)
+    /// \brief Sets who passes this entry's news on to the others; before any request. The listener
+    /// is called under a pool's lock and must not call back.
+    void setNewsListener(std::function<void(kernel::requests::endpoint_news)> listener)
     {
-        m_placementListener = std::move(listener);
+        m_newsListener = std::move(listener);
     }
 
     /// \brief Gives out turns that time alone has made possible.
@@ -136,7 +137,7 @@
     mutable std::shared_mutex m_mutex;
     std::map<std::string, std::shared_ptr<shard>> m_shards; ///< by pool name
     std::vector<listed_endpoint> m_endpoints;
-    std::function<void(kernel::requests::placement)> m_placementListener;
+    std::function<void(kernel::requests::endpoint_news)> m_newsListener;
 };
 
 } // namespace yuccascale::http
--- a/src/yuccascale/kernel/requests/circuit_breaker.hpp
+++ b/src/yuccascale/kernel/requests/circuit_breaker.hpp
@@ -2,6 +2,8 @@
 
 #include "yuccascale/kernel/clock.hpp"
 
+#include <cstdint>
+
 /// \file
 /// \brief Keeps work from an endpoint that fails, and brings it back gently.
 
@@ -10,9 +12,11 @@
 /// \brief Times and counts of a circuit breaker.
 struct breaker_limits
 {
-    int failuresToOpen = 3;              ///< in a row
+    int failuresToOpen = 3; ///< among the last answers
+    int answersWatched = 10;
     nanoseconds firstPause = seconds(1); ///< before the first trial; doubles with each failed one
     nanoseconds longestPause = seconds(30);
+    nanoseconds pauseMemory = seconds(30); ///< opened again within this, it goes on doubling
     int trialsToClose = 4; ///< answered in a row; the number allowed at once doubles with each
 };
 
@@ -29,8 +33,9 @@
     /// \returns true when one more request may be sent.
     [[nodiscard]] bool allows(instant now, int outstanding) const noexcept;
 
+    /// \param sentAt when the answered request was sent; one from before it opened is no trial
     /// \returns true when this closed the breaker.
-    bool succeeded() noexcept;
+    bool succeeded(instant now, instant sentAt) noexcept;
 
     /// \param crashed opens the breaker at once
     /// \returns true when this opened the breaker.
@@ -39,12 +44,16 @@
     [[nodiscard]] bool open() const noexcept { return m_open; }
 
 private:
+    void note(bool failed) noexcept;
+    void openAt(instant now) noexcept;
+
     breaker_limits m_limits;
     bool m_open = false;
-    int m_failures = 0;
+    std::uint32_t m_recent = 0; ///< the last answers, newest in the lowest bit; 1: failed
     int m_trialsAnswered = 0;
     nanoseconds m_pause{};
     instant m_trialAt{};
+    instant m_closedAt{};
 };
 
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -10,6 +10,10 @@
 
 /// Requests that may wait inside an endpoint, per slot, while a report is on its way.
 constexpr double slotSlack = 0.25;
+/// A failed request counts against its endpoint for so long, at all entries.
+constexpr seconds failureLife{3};
+/// Failures at which an endpoint is suspected; a crash has this weight alone.
+constexpr int weightToSuspect = 2;
 /// A report older than this says nothing about the requests in the batch.
 constexpr seconds reportLife{3};
 
@@ -130,16 +134,62 @@
     }));
 }
 
-bool endpoint_table::succeeded(const std::string &endpoint)
+bool endpoint_table::succeeded(instant now, const std::string &endpoint, instant sentAt)
 {
     entry *known = find(endpoint);
-    return known && known->breaker.succeeded();
+    return known && known->breaker.succeeded(now, sentAt);
 }
 
 bool endpoint_table::failed(instant now, const std::string &endpoint, bool crashed)
 {
     entry *known = find(endpoint);
-    return known && known->breaker.failed(now, crashed);
+    if (!known)
+        return false;
+    noteFailure(now, *known, crashed);
+    return known->breaker.failed(now, crashed);
+}
+
+bool endpoint_table::failedElsewhere(instant now, const std::string &endpoint, bool crashed)
+{
+    entry *known = find(endpoint);
+    if (!known)
+        return false;
+    const bool before = suspected(now, *known);
+    noteFailure(now, *known, crashed);
+    return !before && suspected(now, *known);
+}
+
+void endpoint_table::noteFailure(instant now, entry &entry, bool crashed)
+{
+    std::erase_if(entry.failures, [now](const auto &one) { return one.at + failureLife <= now; });
+    entry.failures.push_back({now, crashed ? weightToSuspect : 1});
+}
+
+bool endpoint_table::suspected(instant now, const entry &entry)
+{
+    int weight = 0;
+    for (const seen_failure &one : entry.failures)
+        weight += one.at + failureLife > now ? one.weight : 0;
+    return entry.breaker.open() || weight >= weightToSuspect;
+}
+
+void endpoint_table::avoidSuspected(instant now, std::span<policy::endpoint_view> all) const
+{
+    const auto sound = [&](std::size_t index) {
+        const bool generates = all[index].row->role != state::engine_role::Prefill;
+        return generates && all[index].usable && !suspected(now, m_rows[index]);
+    };
+    bool any = false;
+    for (std::size_t index = 0; index < all.size() && !any; ++index)
+        any = sound(index);
+    if (!any)
+        return;
+    for (std::size_t index = 0; index < all.size(); ++index) {
+        if (!all[index].usable || !suspected(now, m_rows[index]))
+            continue;
+        all[index].usable = false;
+        all[index].unusableBecause = "suspected";
+    }
 }
 
 bool endpoint_table::takesWork(const entry &entry, bool steadyOnly)
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -23,7 +24,7 @@
 /// \brief Who asks for an endpoint, as far as it bears on which are usable.
 struct endpoint_needs
 {
-    bool steadyOnly = false; ///< non-idempotent work stays on endpoints that are not reclaimed
+    bool steadyOnly = false; ///< it may outlast the notice of an endpoint that is reclaimed
     std::vector<std::string> avoidEndpoints; ///< as long as another one takes work
 };
 
@@ -68,16 +69,25 @@
     /// \brief A request left the endpoint.
     void left(const std::string &endpoint, std::uint64_t ticket);
 
+    /// \param sentAt when the answered request was sent
     /// \returns true when this closed the endpoint's circuit breaker.
-    bool succeeded(const std::string &endpoint);
+    bool succeeded(instant now, const std::string &endpoint, instant sentAt);
 
     /// \returns true when this opened the endpoint's circuit breaker.
     bool failed(instant now, const std::string &endpoint, bool crashed);
 
+    /// \brief Another entry saw a request fail.
+    /// \returns true when the endpoint is suspected from now on.
+    bool failedElsewhere(instant now, const std::string &endpoint, bool crashed);
+
     /// \brief Views of all endpoints for one request; valid until the next call of this object.
     [[nodiscard]] std::vector<policy::endpoint_view> views(instant now,
                                                            const endpoint_needs &needs) const;
 
+    /// \brief Marks endpoints that failed requests of late as unusable, if another one is usable.
+    /// \param all from views(), in its order
+    void avoidSuspected(instant now, std::span<policy::endpoint_view> all) const;
+
     /// \returns true when some endpoint takes work at all, be it full or sick now.
     [[nodiscard]] bool serves(bool steadyOnly) const;
 
@@ -101,6 +111,12 @@
         bool prefilled = false;
     };
 
+    struct seen_failure
+    {
+        instant at{};
+        int weight = 1;
+    };
+
     struct prompt_elsewhere
     {
         std::int64_t tokens = 0;
@@ -117,11 +133,14 @@
         std::vector<running_request> running;
         std::vector<prompt_elsewhere> elsewhere; ///< long prompts of the other entries
         circuit_breaker breaker;
+        std::vector<seen_failure> failures; ///< of late, here and elsewhere
 
         [[nodiscard]] int outstanding() const noexcept { return static_cast<int>(running.size()); }
         [[nodiscard]] int sentSinceReport() const noexcept;
     };
 
+    static void noteFailure(instant now, entry &entry, bool crashed);
+    [[nodiscard]] static bool suspected(instant now, const entry &entry);
     [[nodiscard]] static bool takesWork(const entry &entry, bool steadyOnly);
     [[nodiscard]] int roomOf(const entry &entry) const noexcept;
     [[nodiscard]] std::string_view closedBecause(instant now, const entry &entry) const;
--- a/src/yuccascale/kernel/requests/events.hpp
+++ b/src/yuccascale/kernel/requests/events.hpp
@@ -33,6 +33,10 @@
                                      "An endpoint failed repeatedly and gets only trial requests."};
 inline const event_kind endpointRecovered{2021, "endpoint_recovered", severity::Info,
                                           "An endpoint answered its trial requests."};
+inline const event_kind endpointSuspected{2026, "endpoint_suspected", severity::Warning,
+                                          "Other entries saw this endpoint fail requests; for some "
+                                          "seconds, requests that may run once "
+                                          "only go elsewhere while another one has room."};
 inline const event_kind endpointCrashed{2022, "endpoint_crashed", severity::Warning,
                                         "An endpoint went away while it ran requests; they are "
                                         "suspects until they finish elsewhere."};
--- a/src/yuccascale/kernel/requests/placement.hpp
+++ b/src/yuccascale/kernel/requests/placement.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 /// \file
-/// \brief What an entry tells the other entries of a long prompt that it has placed.
+/// \brief What an entry tells the other entries of endpoints: prompts placed, failures seen.
 
 namespace yuccascale::kernel::requests {
 
@@ -22,4 +22,21 @@
     std::vector<prompt_part> parts; ///< shared by many requests
 };
 
+/// \brief A request failed at an endpoint, or it could not be reached.
+struct endpoint_failure
+{
+    std::string pool;
+    std::string endpoint;
+    bool crashed = false; ///< it is gone or out of reach; else it only failed the request
+};
+
+/// \brief What an entry has to tell at once.
+struct endpoint_news
+{
+    std::vector<placement> placements;
+    std::vector<endpoint_failure> failures;
+
+    [[nodiscard]] bool empty() const noexcept { return placements.empty() && failures.empty(); }
+};
+
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -80,12 +80,12 @@
                        "no endpoint of this route takes work; come back later", false,
                        noEndpointRetryAfter};
     }
-    if (how.retry) {
+    if (how.retry && how.reached) {
         if (auto refused = refuseRetry(now))
             return refused;
-    } else {
-        m_retries.firstAttempt(now);
     }
+    if (!how.retry)
+        m_retries.firstAttempt(now);
     waiting_entry waiting;
     waiting.row = {ticket,
                    subject.organisation,
@@ -103,6 +103,7 @@
     waiting.work = {subject.promptTokens, subject.outputTokens};
     waiting.parts = subject.parts;
     waiting.steadyOnly = steadyOnly;
+    waiting.runsOnce = !subject.route.idempotent;
     waiting.how = how;
     if (!how.retry) {
         m_demand.offered(subject.promptTokens, subject.outputTokens, subject.route.idempotent);
@@ -303,6 +304,10 @@
     keepSuspectsApart(waiting, views);
     avoidZones(waiting, views);
     m_window.limit(now, views, sendingEntries());
+    // what may run once only is lost with its answer; what may be repeated goes on and shows when
+    // an endpoint is well again
+    if (waiting.runsOnce)
+        m_endpoints.avoidSuspected(now, views);
     m_caches.estimate(now, waiting.parts, views);
     policy::routing_request asked;
     asked.id = waiting.id;
@@ -312,7 +317,7 @@
     asked.outputTokens = waiting.work.outputTokens;
     asked.deadline = waiting.row.deadline;
     asked.firstTokenBy = waiting.row.firstTokenBy;
-    asked.idempotent = !waiting.steadyOnly;
+    asked.idempotent = !waiting.runsOnce;
     asked.avoidZones = waiting.how.avoidZones;
     asked.entries = sendingEntries();
     asked.fleetEntries = m_position.count;
@@ -357,9 +362,13 @@
     m_endpoints.sent(now, turn.endpoint, turn.ticket, work);
     m_suspects.started(turn.endpoint, waiting.fingerprint);
     notePlaced(waiting, turn, waiting.work.promptTokens - cached);
-    running_entry running{waiting,   turn.endpoint,
-                          turn.zone, chosen.report.running + chosen.sentSinceReport,
-                          cached,    turn.prefillEndpoint};
+    running_entry running{waiting,
+                          turn.endpoint,
+                          turn.zone,
+                          now,
+                          chosen.report.running + chosen.sentSinceReport,
+                          cached,
+                          turn.prefillEndpoint};
     m_waiting.erase(turn.ticket);
     m_running.insert_or_assign(turn.ticket, std::move(running));
     return turn;
@@ -379,7 +388,7 @@
                      waiting.parts};
     if (!placed.parts.empty())
         placed.parts.pop_back(); // its own part is of no use to others
-    m_placed.push_back(std::move(placed));
+    m_news.placements.push_back(std::move(placed));
 }
 
 void pool_scheduler::placedElsewhere(instant now, const placement &placed)
@@ -408,10 +417,10 @@
     --m_fills;
     if (how == fill_end::Failed) {
         // an engine that is silent for so long is gone
-        static_cast<void>(m_endpoints.failed(now, endpoint, true));
+        noteFailed(now, running.was.row.pool, endpoint, true);
         return;
     }
-    static_cast<void>(m_endpoints.succeeded(endpoint));
+    static_cast<void>(m_endpoints.succeeded(now, endpoint, running.sentAt));
     if (how == fill_end::Refused)
         return;
     m_strategies.router->observe(now,
@@ -419,6 +428,14 @@
                                   took, took, 0, true});
 }
 
+/// \returns true when this opened the endpoint's circuit breaker.
+bool pool_scheduler::noteFailed(instant now, const std::string &pool, const std::string &endpoint,
+                                bool crashed)
+{
+    m_news.failures.push_back({pool, endpoint, crashed});
+    return m_endpoints.failed(now, endpoint, crashed);
+}
+
 finish_findings pool_scheduler::finish(instant now, std::uint64_t ticket,
                                        const attempt_result &result)
 {
@@ -435,16 +452,17 @@
         m_endpoints.left(running.fillEndpoint, ticket);
         --m_fills;
     }
-    if (result.crashed)
+    if (result.crashed || result.replaced)
         m_caches.forget(endpoint);
     if (result.crashed)
         findings.guiltyFingerprint = m_suspects.crashed(now, endpoint, running.zone);
     m_suspects.finished(endpoint, fingerprint, result.answered);
     if (result.answered)
-        findings.breakerClosed = m_endpoints.succeeded(endpoint);
+        findings.breakerClosed = m_endpoints.succeeded(now, endpoint, running.sentAt);
     else if (!result.blameless)
         findings.breakerOpened
-                = m_endpoints.failed(now, endpoint, result.crashed || result.unreachable);
+                = noteFailed(now, running.was.row.pool, endpoint,
+                             result.crashed || result.unreachable || result.replaced);
     if (!result.answered)
         return findings;
     // an endpoint that tells no usage is taken to have done what was expected of it
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -79,6 +79,7 @@
     bool answered = false;
     bool crashed = false;
     bool unreachable = false; ///< no connection could be opened
+    bool replaced = false;    ///< another endpoint answers at its address
     bool blameless = false; ///< the endpoint is neither praised nor blamed: cancelled, said not run
     token_usage usage;
     nanoseconds firstToken{};
@@ -152,8 +153,15 @@
 
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
 
-    /// \returns the long prompts placed since the last call, to be told to the other entries.
-    [[nodiscard]] std::vector<placement> takePlacements() { return std::exchange(m_placed, {}); }
+    /// \returns what is new since the last call, to be told to the other entries.
+    [[nodiscard]] endpoint_news takeNews() { return std::exchange(m_news, {}); }
+
+    /// \brief Takes in a failure that another entry saw.
+    /// \returns true when the endpoint is suspected from now on.
+    bool failedElsewhere(instant now, const endpoint_failure &failure)
+    {
+        return m_endpoints.failedElsewhere(now, failure.endpoint, failure.crashed);
+    }
 
     /// \brief Takes in a long prompt that another entry placed.
     void placedElsewhere(instant now, const placement &placed);
@@ -179,6 +187,7 @@
         endpoint_work work;
         std::vector<prompt_part> parts;
         bool steadyOnly = false;
+        bool runsOnce = false;
         enqueue how;
     };
     struct running_entry
@@ -186,6 +195,7 @@
         waiting_entry was;
         std::string endpoint;
         std::string zone;
+        instant sentAt{};
         int runningAtDispatch = 0;
         std::int64_t cachedTokens = 0; ///< believed cached where the prompt is filled
         std::string fillEndpoint = {}; ///< empty unless another engine fills the prompt
@@ -193,6 +203,8 @@
 
     [[nodiscard]] std::optional<scheduled_turn> place(instant now, waiting_entry &waiting);
     void notePlaced(const waiting_entry &waiting, const scheduled_turn &turn, std::int64_t tokens);
+    bool noteFailed(instant now, const std::string &pool, const std::string &endpoint,
+                    bool crashed);
     [[nodiscard]] int sendingEntries() const noexcept;
     [[nodiscard]] std::size_t fillSlots() const noexcept;
     static void avoidZones(const waiting_entry &waiting, std::vector<policy::endpoint_view> &views);
@@ -215,9 +227,9 @@
     std::map<std::uint64_t, waiting_entry> m_waiting;
     std::deque<std::uint64_t> m_parked; ///< taken from the queue, no endpoint for them yet
     std::map<std::uint64_t, running_entry> m_running;
-    std::vector<placement> m_placed; ///< not told to the other entries yet
-    std::uint64_t m_refusals = 0;    ///< spreads the advice to come back
-    std::size_t m_fills = 0;         ///< prompts of this entry that prefill engines fill now
+    endpoint_news m_news;         ///< not told to the other entries yet
+    std::uint64_t m_refusals = 0; ///< spreads the advice to come back
+    std::size_t m_fills = 0;      ///< prompts of this entry that prefill engines fill now
     retry_budget m_retries;
     prompt_caches m_caches;
     policy::queue_meter m_meter;
--- a/src/yuccascale/kernel/requests/request_actions.hpp
+++ b/src/yuccascale/kernel/requests/request_actions.hpp
@@ -70,6 +70,7 @@
 enum class attempt_failure {
     NeverSent,  ///< no byte left
     SaidNotRun, ///< the endpoint says that it did not run it
+    Replaced,   ///< another endpoint answers at its address; it did not run it
     Broken,     ///< the connection ended early; the endpoint lives
     Crashed,    ///< the connection ended early with the endpoint
     Doubtful,   ///< the answer was crossed, short or malformed
@@ -107,8 +108,9 @@
 /// \brief Wait for an endpoint.
 struct enqueue
 {
-    bool retry = false;                      ///< counts against the route's retry budget
-    bool suspect = false;                    ///< must run apart from other suspects
+    bool retry = false;   ///< counts against the route's retry budget
+    bool suspect = false; ///< must run apart from other suspects
+    bool reached = true;  ///< an endpoint got the last attempt; else it costs no budget
     std::vector<std::string> avoidEndpoints; ///< earlier attempts failed there
     std::vector<std::string> avoidZones;     ///< an earlier attempt died there
 };
--- a/src/yuccascale/kernel/requests/request_life.cpp
+++ b/src/yuccascale/kernel/requests/request_life.cpp
@@ -10,6 +10,8 @@
 
 /// Time that must be left before the deadline for another attempt.
 constexpr milliseconds minRetryTime{20};
+/// Attempts that may find no connection; none of them is one that an endpoint could have run.
+constexpr int mostUnsent = 3;
 /// Time that must be left before the deadline for sending a claim again.
 constexpr milliseconds minClaimTime{200};
 /// Advice to a caller whose entry has no fresh tables or no log to claim in.
@@ -20,8 +22,9 @@
 constexpr std::array<std::string_view, 7> requestStateNames{
         "received", "queued", "claiming", "dispatched", "streaming", "committing", "ended",
 };
-constexpr std::array<std::string_view, 7> attemptFailureNames{
-        "never_sent", "said_not_run", "broken", "crashed", "doubtful", "timed_out", "answered",
+constexpr std::array<std::string_view, 8> attemptFailureNames{
+        "never_sent", "said_not_run", "replaced",  "broken",
+        "crashed",    "doubtful",     "timed_out", "answered",
 };
 
 [[nodiscard]] refusal refusalOf(start_check check)
@@ -47,7 +50,8 @@
 /// Whether an endpoint cannot have run any of it.
 [[nodiscard]] bool surelyNotRun(attempt_failure how)
 {
-    return how == attempt_failure::NeverSent || how == attempt_failure::SaidNotRun;
+    return how == attempt_failure::NeverSent || how == attempt_failure::SaidNotRun
+            || how == attempt_failure::Replaced;
 }
 
 void addOnce(std::vector<std::string> &names, const std::string &name)
@@ -353,7 +357,7 @@
                    "no answer came before the deadline; come back later");
         return;
     }
-    if (failed.how == attempt_failure::Answered)
+    if (failed.how == attempt_failure::Answered || failed.how == attempt_failure::Broken)
         countUsage(out, {});
     if (failed.how == attempt_failure::Answered && !m_request.route.idempotent) {
         m_state = request_state::Ended;
@@ -371,9 +375,14 @@
 
 void request_life::retry(actions &out, instant now, const attempt_failed &failed)
 {
-    if (m_attempt < m_request.route.maxAttempts && now + minRetryTime < m_request.deadline) {
+    const bool reached = failed.how != attempt_failure::NeverSent;
+    if (!reached)
+        ++m_unsent;
+    const bool another
+            = m_attempt - m_unsent < m_request.route.maxAttempts && m_unsent <= mostUnsent;
+    if (another && now + minRetryTime < m_request.deadline) {
         m_state = request_state::Queued;
-        out.emplace_back(enqueue{true, m_suspect, m_avoidEndpoints, m_avoidZones});
+        out.emplace_back(enqueue{true, m_suspect, reached, m_avoidEndpoints, m_avoidZones});
         return;
     }
     if (giveLastAnswer(out))
--- a/src/yuccascale/kernel/requests/request_life.hpp
+++ b/src/yuccascale/kernel/requests/request_life.hpp
@@ -91,6 +91,7 @@
 
     request m_request;
     request_state m_state = request_state::Received;
+    int m_unsent = 0; ///< attempts of which no byte left
     int m_attempt = 0;
     std::string m_endpoint;
     std::string m_zone;
--- a/src/yuccascale/kernel/requests/request_session.cpp
+++ b/src/yuccascale/kernel/requests/request_session.cpp
@@ -86,6 +86,7 @@
     attempt_result result;
     result.crashed = failed.how == attempt_failure::Crashed;
     result.unreachable = failed.how == attempt_failure::NeverSent;
+    result.replaced = failed.how == attempt_failure::Replaced;
     result.blameless
             = failed.how == attempt_failure::SaidNotRun || failed.how == attempt_failure::Answered;
     finishTurn(result);
--- a/src/yuccascale/runtime/load_exchange.cpp
+++ b/src/yuccascale/runtime/load_exchange.cpp
@@ -1,5 +1,7 @@
 #include "yuccascale/runtime/load_exchange.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace yuccascale::runtime {
@@ -44,21 +46,22 @@
     m_task.stop();
 }
 
-void load_exchange::placed(requests::placement placement)
+void load_exchange::tellSoon(requests::endpoint_news news)
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_placed.push_back(std::move(placement));
+        std::ranges::move(news.placements, std::back_inserter(m_news.placements));
+        std::ranges::move(news.failures, std::back_inserter(m_news.failures));
     }
     m_task.runSoon();
 }
 
 void load_exchange::tellOthers()
 {
-    wire::load_message message{m_hooks.takeCharges(mostChargesPerPool), {}};
+    wire::load_message message{m_hooks.takeCharges(mostChargesPerPool)};
     {
         const std::lock_guard lock(m_mutex);
-        message.placements = std::exchange(m_placed, {});
+        message.news = std::exchange(m_news, {});
     }
     if (message.empty())
         return;
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccascale/http/caller_pools.hpp"
 #include "yuccascale/http/caller_server.hpp"
+#include "yuccascale/kernel/requests/events.hpp"
 #include "yuccascale/http/document_interface.hpp"
 #include "yuccascale/http/operator_routes.hpp"
 #include "yuccascale/net/http_server.hpp"
@@ -228,7 +229,8 @@
                          const auto tables = client->view().tables;
                          if (tables)
                              callers->pools().chargedElsewhere(message.charges, *tables);
-                         callers->pools().placedElsewhere(message.placements);
+                         for (const auto &endpoint : callers->pools().heardElsewhere(message.news))
+                             events.record(requests::endpointSuspected, {{"endpoint", endpoint}});
                      },
                      [this] { return otherEntries(); }};
     load = std::make_unique<load_exchange>(*transport, std::move(hooks));
@@ -327,8 +329,8 @@
                             [this](const exchange_pointer &exchange) { answerMetrics(exchange); }));
     if (callers) {
         BOOST_LEAF_CHECK(callers->start());
-        callers->pools().setPlacementListener(
-                [this](requests::placement placed) { load->placed(std::move(placed)); });
+        callers->pools().setNewsListener(
+                [this](requests::endpoint_news news) { load->tellSoon(std::move(news)); });
     }
     loops.start();
     feed->start();
--- a/src/yuccascale/wire/load_codec.cpp
+++ b/src/yuccascale/wire/load_codec.cpp
@@ -40,6 +40,13 @@
             builder.CreateVectorOfStructs(parts));
 }
 
+flatbuffers::Offset<fb::Failure> write(builder_type &builder, const endpoint_failure &failure)
+{
+    const auto pool = builder.CreateSharedString(failure.pool);
+    const auto endpoint = builder.CreateSharedString(failure.endpoint);
+    return fb::CreateFailure(builder, pool, endpoint, failure.crashed);
+}
+
 template<typename Row, typename Table>
 flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Table>>>
 writeAll(builder_type &builder, const std::vector<Row> &rows)
@@ -81,6 +88,13 @@
     return placed;
 }
 
+[[nodiscard]] std::optional<endpoint_failure> read(const fb::Failure &table)
+{
+    if (table.pool() == nullptr || table.endpoint() == nullptr)
+        return std::nullopt;
+    return endpoint_failure{table.pool()->str(), table.endpoint()->str(), table.crashed()};
+}
+
 template<typename Row, typename Tables>
 void readAll(const Tables *tables, std::vector<Row> &out)
 {
@@ -98,8 +112,9 @@
 {
     builder_type builder;
     const auto charges = writeAll<pool_charge, fb::Charge>(builder, message.charges);
-    const auto placements = writeAll<placement, fb::Placement>(builder, message.placements);
-    builder.Finish(fb::CreateLoad(builder, charges, placements));
+    const auto placements = writeAll<placement, fb::Placement>(builder, message.news.placements);
+    const auto failures = writeAll<endpoint_failure, fb::Failure>(builder, message.news.failures);
+    builder.Finish(fb::CreateLoad(builder, charges, placements, failures));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -112,7 +127,8 @@
         return out;
     const fb::Load &load = *flatbuffers::GetRoot<fb::Load>(bytes.data());
     readAll(load.charges(), out.charges);
-    readAll(load.placements(), out.placements);
+    readAll(load.placements(), out.news.placements);
+    readAll(load.failures(), out.news.failures);
     return out;
 }
 
--- a/src/yuccascale/wire/load_codec.hpp
+++ b/src/yuccascale/wire/load_codec.hpp
@@ -16,9 +16,9 @@
 struct load_message
 {
     std::vector<kernel::requests::pool_charge> charges;
-    std::vector<kernel::requests::placement> placements;
+    kernel::requests::endpoint_news news = {};
 
-    [[nodiscard]] bool empty() const noexcept { return charges.empty() && placements.empty(); }
+    [[nodiscard]] bool empty() const noexcept { return charges.empty() && news.empty(); }
 };
 
 [[nodiscard]] std::string encodeLoad(const load_message &message);
--- a/src/yuccascale/wire/load_generated.h
+++ b/src/yuccascale/wire/load_generated.h
@@ -25,6 +25,9 @@
 struct Placement;
 struct PlacementBuilder;
 
+struct Failure;
+struct FailureBuilder;
+
 struct Load;
 struct LoadBuilder;
 
@@ -245,11 +248,89 @@
       parts__);
 }
 
+struct Failure FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FailureBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POOL = 4,
+    VT_ENDPOINT = 6,
+    VT_CRASHED = 8
+  };
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  bool crashed() const {
+    return GetField<uint8_t>(VT_CRASHED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint8_t>(verifier, VT_CRASHED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct FailureBuilder {
+  typedef Failure Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(Failure::VT_POOL, pool);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(Failure::VT_ENDPOINT, endpoint);
+  }
+  void add_crashed(bool crashed) {
+    fbb_.AddElement<uint8_t>(Failure::VT_CRASHED, static_cast<uint8_t>(crashed), 0);
+  }
+  explicit FailureBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Failure> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Failure>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Failure> CreateFailure(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    bool crashed = false) {
+  FailureBuilder builder_(_fbb);
+  builder_.add_endpoint(endpoint);
+  builder_.add_pool(pool);
+  builder_.add_crashed(crashed);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Failure> CreateFailureDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *pool = nullptr,
+    const char *endpoint = nullptr,
+    bool crashed = false) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return yuccascale::wire::fb::CreateFailure(
+      _fbb,
+      pool__,
+      endpoint__,
+      crashed);
+}
+
 struct Load FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoadBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CHARGES = 4,
-    VT_PLACEMENTS = 6
+    VT_PLACEMENTS = 6,
+    VT_FAILURES = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>> *charges() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>> *>(VT_CHARGES);
@@ -257,6 +338,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Placement>> *placements() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Placement>> *>(VT_PLACEMENTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Failure>> *failures() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Failure>> *>(VT_FAILURES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CHARGES) &&
@@ -265,6 +349,9 @@
            VerifyOffset(verifier, VT_PLACEMENTS) &&
            verifier.VerifyVector(placements()) &&
            verifier.VerifyVectorOfTables(placements()) &&
+           VerifyOffset(verifier, VT_FAILURES) &&
+           verifier.VerifyVector(failures()) &&
+           verifier.VerifyVectorOfTables(failures()) &&
            verifier.EndTable();
   }
 };
@@ -279,6 +366,9 @@
   void add_placements(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Placement>>> placements) {
     fbb_.AddOffset(Load::VT_PLACEMENTS, placements);
   }
+  void add_failures(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Failure>>> failures) {
+    fbb_.AddOffset(Load::VT_FAILURES, failures);
+  }
   explicit LoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -293,8 +383,10 @@
 inline flatbuffers::Offset<Load> CreateLoad(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>>> charges = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Placement>>> placements = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Placement>>> placements = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Failure>>> failures = 0) {
   LoadBuilder builder_(_fbb);
+  builder_.add_failures(failures);
   builder_.add_placements(placements);
   builder_.add_charges(charges);
   return builder_.Finish();
@@ -303,13 +395,16 @@
 inline flatbuffers::Offset<Load> CreateLoadDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>> *charges = nullptr,
-    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Placement>> *placements = nullptr) {
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Placement>> *placements = nullptr,
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Failure>> *failures = nullptr) {
   auto charges__ = charges ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Charge>>(*charges) : 0;
   auto placements__ = placements ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Placement>>(*placements) : 0;
+  auto failures__ = failures ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Failure>>(*failures) : 0;
   return yuccascale::wire::fb::CreateLoad(
       _fbb,
       charges__,
-      placements__);
+      placements__,
+      failures__);
 }
 
 inline const yuccascale::wire::fb::Load *GetLoad(const void *buf) {
--- /dev/null
+++ b/tests/unit/requests_failures_test.cpp
@@ -0,0 +1,202 @@
+#include "yuccascale/kernel/requests/circuit_breaker.hpp"
+#include "yuccascale/kernel/requests/pool_scheduler.hpp"
+#include "yuccascale/kernel/requests/request_life.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+/// \file
+/// \brief Endpoints that fail requests, restart or lose answers: what the entries learn from it.
+
+namespace yuccascale::kernel::requests {
+
+namespace {
+
+constexpr instant start{seconds(100)};
+
+[[nodiscard]] pool_scheduler schedulerOf(int engines)
+{
+    pool_scheduler scheduler({policy::router_registry::make("round_robin", 0).value(),
+                              policy::admission_registry::make("always").value(),
+                              policy::fair_queue_registry::make("first_come_first_served").value()},
+                             {});
+    state::pool pool;
+    for (int number = 0; number < engines; ++number) {
+        state::endpoint row;
+        row.name = "e" + std::to_string(number);
+        row.slots = 16;
+        pool.endpoints.push_back(row);
+    }
+    scheduler.setRows(pool);
+    return scheduler;
+}
+
+[[nodiscard]] request requestOf(bool idempotent, int attempts)
+{
+    request subject;
+    subject.id = "r";
+    subject.organisation = "o";
+    subject.route.name = "query";
+    subject.route.idempotent = idempotent;
+    subject.route.claimed = false;
+    subject.route.maxAttempts = attempts;
+    subject.promptTokens = 10;
+    subject.outputTokens = 10;
+    subject.usageAt = usage_point::AtStart;
+    subject.receivedAt = start;
+    subject.deadline = start + seconds(3'600);
+    return subject;
+}
+
+/// \returns how many of 12 requests went to \a endpoint.
+[[nodiscard]] std::ptrdiff_t sentTo(pool_scheduler &scheduler, instant now, bool idempotent,
+                                    const std::string &endpoint)
+{
+    static std::uint64_t ticket = 0;
+    for (int number = 0; number < 12; ++number)
+        EXPECT_FALSE(scheduler.push(now, ++ticket, requestOf(idempotent, 1), 1, {}));
+    const auto turns = scheduler.schedule(now);
+    EXPECT_EQ(turns.size(), 12U);
+    for (const scheduled_turn &turn : turns) {
+        attempt_result unused;
+        unused.blameless = true;
+        scheduler.finish(now, turn.ticket, unused);
+    }
+    return std::ranges::count(turns, endpoint, &scheduled_turn::endpoint);
+}
+
+/// A life that has been sent to its first endpoint.
+[[nodiscard]] request_life sentOnce(const request &subject)
+{
+    request_life life(subject);
+    static_cast<void>(life.start(start, start_check::Allowed));
+    static_cast<void>(life.handle(start, turn_came{"e0", "z0", start_check::Allowed}));
+    return life;
+}
+
+template<typename Kind>
+[[nodiscard]] const Kind *find(const std::vector<action> &actions)
+{
+    for (const action &one : actions) {
+        if (const auto *found = std::get_if<Kind>(&one))
+            return found;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+TEST(circuit_breaker, opensWhenOneAnswerInThreeFails)
+{
+    circuit_breaker breaker;
+    bool opened = false;
+    for (int number = 0; number < 9 && !opened; ++number) {
+        if (number % 3 == 2)
+            opened = breaker.failed(start, false);
+        else
+            static_cast<void>(breaker.succeeded(start, start));
+    }
+    EXPECT_TRUE(opened);
+}
+
+TEST(circuit_breaker, answersToWhatWasSentBeforeItOpenedAreNoTrials)
+{
+    const breaker_limits limits;
+    circuit_breaker breaker(limits);
+    EXPECT_TRUE(breaker.failed(start, true));
+    const instant late = start + milliseconds(300);
+    for (int number = 0; number < 2 * limits.trialsToClose; ++number)
+        EXPECT_FALSE(breaker.succeeded(late, start - seconds(1)));
+    EXPECT_TRUE(breaker.open());
+}
+
+TEST(circuit_breaker, oneThatOpensAgainSoonKeepsItsLongerPause)
+{
+    const breaker_limits limits;
+    circuit_breaker breaker(limits);
+    EXPECT_TRUE(breaker.failed(start, true));
+    const instant trial = start + limits.firstPause;
+    for (int number = 0; number < limits.trialsToClose; ++number)
+        static_cast<void>(breaker.succeeded(trial, trial));
+    EXPECT_FALSE(breaker.open());
+    EXPECT_TRUE(breaker.failed(trial, true));
+    EXPECT_FALSE(breaker.allows(trial + limits.firstPause, 0));
+    EXPECT_TRUE(breaker.allows(trial + 2 * limits.firstPause, 0));
+}
+
+TEST(suspected_endpoint, getsOnlyWhatMayBeRepeatedOnceAnotherEntrySawItFail)
+{
+    pool_scheduler scheduler = schedulerOf(3);
+    EXPECT_GT(sentTo(scheduler, start, false, "e0"), 0);
+    EXPECT_FALSE(scheduler.failedElsewhere(start, {"pool", "e0", false}));
+    EXPECT_GT(sentTo(scheduler, start, false, "e0"), 0) << "one failure says little";
+    EXPECT_TRUE(scheduler.failedElsewhere(start, {"pool", "e0", false}));
+    EXPECT_EQ(sentTo(scheduler, start, false, "e0"), 0);
+    EXPECT_GT(sentTo(scheduler, start, true, "e0"), 0);
+    EXPECT_GT(sentTo(scheduler, start + seconds(4), false, "e0"), 0) << "it has been well since";
+}
+
+TEST(suspected_endpoint, isUsedWhenNoOtherHasRoom)
+{
+    pool_scheduler scheduler = schedulerOf(1);
+    EXPECT_TRUE(scheduler.failedElsewhere(start, {"pool", "e0", true}));
+    EXPECT_EQ(sentTo(scheduler, start, false, "e0"), 12);
+}
+
+TEST(suspected_endpoint, isToldToTheOtherEntries)
+{
+    pool_scheduler scheduler = schedulerOf(1);
+    EXPECT_FALSE(scheduler.push(start, 1, requestOf(false, 1), 1, {}));
+    ASSERT_EQ(scheduler.schedule(start).size(), 1U);
+    attempt_result replaced;
+    replaced.replaced = true;
+    EXPECT_TRUE(scheduler.finish(start, 1, replaced).breakerOpened)
+            << "another endpoint answers there, so nothing more is sent";
+    const auto failures = scheduler.takeNews().failures;
+    ASSERT_EQ(failures.size(), 1U);
+    EXPECT_EQ(failures[0].endpoint, "e0");
+    EXPECT_TRUE(failures[0].crashed);
+    EXPECT_TRUE(scheduler.takeNews().empty());
+}
+
+TEST(request_life, anAttemptOfWhichNoByteLeftIsNoneOfItsAttempts)
+{
+    request_life life = sentOnce(requestOf(false, 1));
+    const auto after = life.handle(start, attempt_failed{1, attempt_failure::NeverSent, {}});
+    const auto *again = find<enqueue>(after);
+    ASSERT_NE(again, nullptr) << "nobody can have run it";
+    EXPECT_FALSE(again->reached) << "it costs no retry budget";
+    static_cast<void>(life.handle(start, turn_came{"e1", "z1", start_check::Allowed}));
+    const auto refused = life.handle(start, attempt_failed{2, attempt_failure::SaidNotRun, {}});
+    EXPECT_EQ(find<enqueue>(refused), nullptr) << "one endpoint was reached, as many as allowed";
+    ASSERT_NE(find<refuse>(refused), nullptr);
+    EXPECT_FALSE(find<refuse>(refused)->reason.mayHaveRun);
+}
+
+TEST(request_life, triesOnlyAFewConnections)
+{
+    request_life life = sentOnce(requestOf(true, 1));
+    int tries = 1;
+    while (true) {
+        const auto next = life.handle(start, attempt_failed{tries, attempt_failure::NeverSent, {}});
+        if (find<enqueue>(next) == nullptr)
+            break;
+        static_cast<void>(life.handle(start, turn_came{"e1", "z1", start_check::Allowed}));
+        ++tries;
+        ASSERT_LT(tries, 10);
+    }
+    EXPECT_EQ(tries, 4);
+}
+
+TEST(request_life, anAnswerThatBrokeOffCountsAsUsageOnce)
+{
+    request_life life = sentOnce(requestOf(true, 2));
+    const auto broken = life.handle(start, attempt_failed{1, attempt_failure::Broken, {}});
+    EXPECT_NE(find<commit_usage>(broken), nullptr) << "the endpoint had begun it";
+    static_cast<void>(life.handle(start, turn_came{"e1", "z1", start_check::Allowed}));
+    const auto whole = life.handle(start, answer_arrived{2, {200, {}, "x", {}}, {}});
+    EXPECT_EQ(find<commit_usage>(whole), nullptr);
+}
+
+} // namespace yuccascale::kernel::requests
