Voters that all restarted elect a leader at once

Processes were back at 42.53 s, the leader was elected at 43.71 s: each restarted voter waits an election timeout, since it may have acknowledged a leader whose lease counts on it.

Change: such a voter answers with a stamp that names this life of it. A candidate that has a grant or a stamp from every voter knows that nobody leads, and echoes the stamps in its real request; a voter that has heard no leader since then votes without waiting. A restarted voter asks early; a candidate that waits itself is elected by a quorum only after its own wait, as before.

Ruled out: a shorter election timeout (0.5 s, heartbeat 120 ms).

--- a/src/yuccascale/kernel/consensus/messages.hpp
+++ b/src/yuccascale/kernel/consensus/messages.hpp
@@ -16,6 +16,9 @@
     term_number candidateTerm = 0;
     log_index lastIndex = 0;
     term_number lastTerm = 0;
+    /// The receiver's, from its reply in a round in which no voter led: it need not wait any
+    /// longer.
+    std::uint64_t startStamp = 0;
 };
 
 /// \brief Answer to a vote_request.
@@ -24,6 +27,9 @@
     bool preVote = false;
     bool granted = false;
     term_number candidateTerm = 0; ///< of the request
+    /// Not zero when the vote is refused only since this replica has just started and may have
+    /// promised something to a leader before. It names this life of the replica.
+    std::uint64_t startStamp = 0;
 };
 
 /// \brief Entries after \a previousIndex; without entries a heartbeat.
--- a/src/yuccascale/kernel/consensus/replica.cpp
+++ b/src/yuccascale/kernel/consensus/replica.cpp
@@ -36,6 +36,13 @@
     return true;
 }
 
+/// \returns a number that another life of the replica will not have; never zero.
+[[nodiscard]] std::uint64_t stampOf(std::uint64_t seed, instant startedAt) noexcept
+{
+    const auto ticks = static_cast<std::uint64_t>(startedAt.time_since_epoch().count());
+    return (seed ^ ticks) | 1U;
+}
+
 } // namespace
 
 replica::replica(replica_config config, const durable_state &recovered, event_sink &events,
@@ -56,8 +63,12 @@
     // a replica that never voted and has no log has acknowledged no leader either
     if (m_log.empty() && m_hard == hard_state{})
         m_leaderHeardAt = instant::min();
+    else
+        m_startStamp = stampOf(m_config.seed, now);
+    // the others may have started too, and need not wait for each other then
     if (m_log.members().voters != std::vector{m_config.self})
-        m_electionAt = now + randomBetween(m_config.electionTimeout, 2 * m_config.electionTimeout);
+        m_electionAt
+                = now + randomBetween(m_config.electionTimeout / 16, m_config.electionTimeout / 4);
     refreshRole();
 }
 
@@ -109,8 +120,8 @@
         return on(received, *greeting, now);
     if (received.term < m_hard.term && !holds<vote_reply>(received))
         return answerLowerTerm(received);
-    if (received.term > m_hard.term && holds<vote_request>(received)
-        && !std::get<vote_request>(received.body).preVote && heardLeaderRecently(now))
+    const auto *vote = std::get_if<vote_request>(&received.body);
+    if (vote != nullptr && !vote->preVote && received.term > m_hard.term && !freeToVote(*vote, now))
         return;
     if (received.term > m_hard.term && carriesTerm(received))
         adoptTerm(received.term, now);
@@ -161,6 +172,7 @@
         m_events.record(leaderFollowed, {{"leader", m_leader}, {"term", m_hard.term}});
     }
     m_leaderHeardAt = now;
+    m_startStamp = 0;
     m_electionAt = now + randomBetween(m_config.electionTimeout, 2 * m_config.electionTimeout);
     m_helloAt = now + 2 * m_config.electionTimeout;
 }
--- a/src/yuccascale/kernel/consensus/replica.hpp
+++ b/src/yuccascale/kernel/consensus/replica.hpp
@@ -179,6 +179,8 @@
     void startPreVote(instant now);
     void startElection(instant now);
     void askForVotes(bool preVote);
+    [[nodiscard]] bool freeToVote(const vote_request &request, instant now) const;
+    void considerElection(instant now);
     void countVote(const member_id &voter, instant now);
     void becomeLeader(instant now);
     [[nodiscard]] bool heardLeaderRecently(instant now) const;
@@ -240,7 +242,10 @@
     instant m_electionAt;
     bool m_preVoting = false;
     std::set<member_id> m_votes;
-    std::string m_snapshotBytes; ///< received so far
+    /// Names this life of the replica until it hears a leader; then zero.
+    std::uint64_t m_startStamp = 0;
+    std::map<member_id, std::uint64_t> m_startStamps; ///< of voters that wait after their start
+    std::string m_snapshotBytes;                      ///< received so far
     snapshot_chunk m_snapshotHead;
 
     // leader
--- a/src/yuccascale/wire/consensus_codec.cpp
+++ b/src/yuccascale/wire/consensus_codec.cpp
@@ -25,13 +25,15 @@
 body_offset pack(buffer_builder &builder, const vote_request &body)
 {
     return fb::CreateVoteRequest(builder, body.preVote, body.candidateTerm, body.lastIndex,
-                                 body.lastTerm)
+                                 body.lastTerm, body.startStamp)
             .Union();
 }
 
 body_offset pack(buffer_builder &builder, const vote_reply &body)
 {
-    return fb::CreateVoteReply(builder, body.preVote, body.granted, body.candidateTerm).Union();
+    return fb::CreateVoteReply(builder, body.preVote, body.granted, body.candidateTerm,
+                               body.startStamp)
+            .Union();
 }
 
 body_offset pack(buffer_builder &builder, const append_request &body)
@@ -84,12 +86,13 @@
 message_body unpack(const fb::VoteRequest &table)
 {
     return vote_request{table.pre_vote(), table.candidate_term(), table.last_index(),
-                        table.last_term()};
+                        table.last_term(), table.start_stamp()};
 }
 
 message_body unpack(const fb::VoteReply &table)
 {
-    return vote_reply{table.pre_vote(), table.granted(), table.candidate_term()};
+    return vote_reply{table.pre_vote(), table.granted(), table.candidate_term(),
+                      table.start_stamp()};
 }
 
 message_body unpack(const fb::AppendRequest &table)
--- a/src/yuccascale/wire/consensus_generated.h
+++ b/src/yuccascale/wire/consensus_generated.h
@@ -375,7 +375,8 @@
     VT_PRE_VOTE = 4,
     VT_CANDIDATE_TERM = 6,
     VT_LAST_INDEX = 8,
-    VT_LAST_TERM = 10
+    VT_LAST_TERM = 10,
+    VT_START_STAMP = 12
   };
   bool pre_vote() const {
     return GetField<uint8_t>(VT_PRE_VOTE, 0) != 0;
@@ -389,12 +390,16 @@
   uint64_t last_term() const {
     return GetField<uint64_t>(VT_LAST_TERM, 0);
   }
+  uint64_t start_stamp() const {
+    return GetField<uint64_t>(VT_START_STAMP, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PRE_VOTE, 1) &&
            VerifyField<uint64_t>(verifier, VT_CANDIDATE_TERM, 8) &&
            VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
            VerifyField<uint64_t>(verifier, VT_LAST_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_START_STAMP, 8) &&
            verifier.EndTable();
   }
 };
@@ -415,6 +420,9 @@
   void add_last_term(uint64_t last_term) {
     fbb_.AddElement<uint64_t>(VoteRequest::VT_LAST_TERM, last_term, 0);
   }
+  void add_start_stamp(uint64_t start_stamp) {
+    fbb_.AddElement<uint64_t>(VoteRequest::VT_START_STAMP, start_stamp, 0);
+  }
   explicit VoteRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -431,8 +439,10 @@
     bool pre_vote = false,
     uint64_t candidate_term = 0,
     uint64_t last_index = 0,
-    uint64_t last_term = 0) {
+    uint64_t last_term = 0,
+    uint64_t start_stamp = 0) {
   VoteRequestBuilder builder_(_fbb);
+  builder_.add_start_stamp(start_stamp);
   builder_.add_last_term(last_term);
   builder_.add_last_index(last_index);
   builder_.add_candidate_term(candidate_term);
@@ -445,7 +455,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_PRE_VOTE = 4,
     VT_GRANTED = 6,
-    VT_CANDIDATE_TERM = 8
+    VT_CANDIDATE_TERM = 8,
+    VT_START_STAMP = 10
   };
   bool pre_vote() const {
     return GetField<uint8_t>(VT_PRE_VOTE, 0) != 0;
@@ -456,11 +467,15 @@
   uint64_t candidate_term() const {
     return GetField<uint64_t>(VT_CANDIDATE_TERM, 0);
   }
+  uint64_t start_stamp() const {
+    return GetField<uint64_t>(VT_START_STAMP, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PRE_VOTE, 1) &&
            VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
            VerifyField<uint64_t>(verifier, VT_CANDIDATE_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_START_STAMP, 8) &&
            verifier.EndTable();
   }
 };
@@ -478,6 +493,9 @@
   void add_candidate_term(uint64_t candidate_term) {
     fbb_.AddElement<uint64_t>(VoteReply::VT_CANDIDATE_TERM, candidate_term, 0);
   }
+  void add_start_stamp(uint64_t start_stamp) {
+    fbb_.AddElement<uint64_t>(VoteReply::VT_START_STAMP, start_stamp, 0);
+  }
   explicit VoteReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -493,8 +511,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     bool pre_vote = false,
     bool granted = false,
-    uint64_t candidate_term = 0) {
+    uint64_t candidate_term = 0,
+    uint64_t start_stamp = 0) {
   VoteReplyBuilder builder_(_fbb);
+  builder_.add_start_stamp(start_stamp);
   builder_.add_candidate_term(candidate_term);
   builder_.add_granted(granted);
   builder_.add_pre_vote(pre_vote);
--- a/tests/unit/consensus_replica_test.cpp
+++ b/tests/unit/consensus_replica_test.cpp
@@ -162,6 +162,28 @@
     EXPECT_EQ(m_replica->term(), 2U);
 }
 
+TEST_F(consensus_lone_replica, needNotWaitAfterItsStartWhenNobodyLeadsButOnlyInThisLife)
+{
+    startWith({membershipEntry(1)}, 1);
+    const auto stampAskedFor = [this] {
+        receive({"b", 2}, 1, vote_request{true, 2, 1, 1, 0});
+        for (const message &sent : durably().messages) {
+            if (const auto *reply = std::get_if<vote_reply>(&sent.body))
+                return reply->startStamp;
+        }
+        return std::uint64_t{0};
+    };
+    const std::uint64_t former = stampAskedFor();
+    EXPECT_NE(former, 0U);
+    m_now += 50ms;
+    startWith({membershipEntry(1)}, 1);
+    receive({"b", 2}, 2, vote_request{false, 2, 1, 1, former});
+    EXPECT_EQ(m_replica->term(), 1U) << "it may have acknowledged a leader in between";
+    const std::uint64_t stamp = stampAskedFor();
+    receive({"b", 2}, 2, vote_request{false, 2, 1, 1, stamp});
+    EXPECT_EQ(m_replica->term(), 2U);
+}
+
 TEST_F(consensus_lone_replica, grantsNoVoteMeantForItsFormerIncarnation)
 {
     startWith({}, 0);
@@ -219,4 +241,47 @@
     EXPECT_EQ(group.at(leader).term(), term);
 }
 
+TEST(consensus_replica, replicasThatAllRestartedDoNotWaitForALeader)
+{
+    for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        replica_group group(3, seed);
+        const std::size_t leader = group.runUntilLeader();
+        group.run(1s);
+        const term_number term = group.at(leader).term();
+        for (std::size_t at = 0; at < 3; ++at)
+            group.stop(at);
+        group.run(100ms);
+        for (std::size_t at = 0; at < 3; ++at)
+            group.start(at);
+        const kernel::instant restarted = group.now();
+        const std::size_t next = group.runUntilLeader();
+        ASSERT_LT(next, 3U);
+        EXPECT_GT(group.at(next).term(), term);
+        EXPECT_LT(group.now() - restarted, 700ms) << "seed " << seed;
+    }
+}
+
+TEST(consensus_replica, aLeaderThatLivesKeepsItsLeaseThoughAllOthersRestart)
+{
+    for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        replica_group group(3, seed);
+        const std::size_t leader = group.runUntilLeader();
+        group.run(1s);
+        group.cutOff(leader, true); // it goes on for as long as it was promised
+        for (std::size_t at = 0; at < 3; ++at) {
+            if (at == leader)
+                continue;
+            group.stop(at);
+            group.start(at);
+        }
+        for (int step = 0; step < 3'000; ++step) {
+            group.run(1ms);
+            int leading = 0;
+            for (std::size_t at = 0; at < 3; ++at)
+                leading += group.at(at).leadershipAt(group.now()) ? 1 : 0;
+            ASSERT_LE(leading, 1) << "seed " << seed << ", step " << step;
+        }
+    }
+}
+
 } // namespace yuccascale::kernel::consensus
