The other entries' short prompts are taken to be as many as this entry's

Entries tell each other of long prompts only.

Change: the router counts its own unread short prompts at an engine once for each entry.

Test: policy_routing.aShortPromptAvoidsTheEngineThatReadsOthersLikeIt (red without the factor).

--- a/src/yuccascale/kernel/policy/routing.hpp
+++ b/src/yuccascale/kernel/policy/routing.hpp
@@ -39,9 +39,10 @@
     std::int64_t prefillTokensSinceReport = 0; ///< by this entry, no first token yet
     int outstandingHere = 0;                   ///< all requests of this entry that it runs now
     std::int64_t prefillTokensHere = 0;        ///< prompt tokens of those without a first token
-    std::int64_t prefillTokensElsewhere = 0;   ///< prompt tokens that the other entries told of
-    std::int64_t decodeTokensHere = 0;         ///< expected output tokens of those
-    nanoseconds usedFor{};                     ///< since this entry first sent it a request
+    std::int64_t untoldTokensHere = 0; ///< those of prompts so short that no other entry is told
+    std::int64_t prefillTokensElsewhere = 0; ///< prompt tokens that the other entries told of
+    std::int64_t decodeTokensHere = 0;       ///< expected output tokens of those
+    nanoseconds usedFor{};                   ///< since this entry first sent it a request
     bool home = false; ///< the long shared part of this request's prompt belongs here
     std::int64_t cachedPromptTokens = 0;       ///< of this request's prompt, as far as is known
     std::int64_t fetchableTokens = 0;          ///< further tokens of it that another engine holds
--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -1,5 +1,7 @@
 #include "yuccascale/kernel/requests/endpoint_table.hpp"
 
+#include "yuccascale/kernel/requests/placement.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -240,6 +242,8 @@
             ++view.sentSinceReport;
         if (!one.prefilled)
             view.prefillTokensHere += one.work.promptTokens;
+        if (!one.prefilled && one.work.promptTokens < leastToldTokens)
+            view.untoldTokensHere += one.work.promptTokens;
         if (!one.prefilled && sinceReport)
             view.prefillTokensSinceReport += one.work.promptTokens;
         view.decodeTokensHere += one.work.outputTokens;
--- a/src/yuccascale/kernel/requests/placement.hpp
+++ b/src/yuccascale/kernel/requests/placement.hpp
@@ -11,6 +11,9 @@
 
 namespace yuccascale::kernel::requests {
 
+/// The other entries are told of prompts of so many tokens; shorter ones hardly hold up anyone.
+inline constexpr std::int64_t leastToldTokens = 1'024;
+
 /// \brief A long prompt on its way to an engine.
 struct placement
 {
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -22,8 +22,6 @@
 constexpr milliseconds fillRetrySpread{150};
 /// Prompts that may be at a prefill engine at once; the next ones are read where they generate.
 constexpr double fillsPerEngine = 4;
-/// The other entries are told of prompts of so many tokens; shorter ones hardly hold up anyone.
-constexpr std::int64_t leastToldTokens = 1'024;
 /// Part of the retry burst that the entries share out; the rest is for entries that come and go.
 constexpr double sharedBurst = 0.8;
 
--- a/src/yuccascale/plugins/router_prompt_homes.cpp
+++ b/src/yuccascale/plugins/router_prompt_homes.cpp
@@ -126,8 +126,10 @@
             const double rest = static_cast<double>(std::max<std::int64_t>(
                     request.promptTokens - view.cachedPromptTokens - view.fetchableTokens, 0));
             const double fetched = fetchSeconds(view, views);
-            const double ahead
-                    = backlog.prefillTokens + static_cast<double>(view.prefillTokensElsewhere);
+            // the others' short prompts are not told of; they are as many as this entry's
+            const double ahead = backlog.prefillTokens
+                    + static_cast<double>(view.prefillTokensElsewhere)
+                    + static_cast<double>(view.untoldTokensHere) * (request.fleetEntries - 1);
             if (view.row->role == engine_role::Prefill) {
                 m_fill.push_back({m_indexes[at], fetched + (ahead + rest) / fillRate});
                 continue;
--- a/tests/unit/policy_routing_test.cpp
+++ b/tests/unit/policy_routing_test.cpp
@@ -83,6 +83,21 @@
     EXPECT_NE(choice->index, 0U);
 }
 
+TEST(policy_routing, aShortPromptAvoidsTheEngineThatReadsOthersLikeIt)
+{
+    const policy_fleet fleet(2);
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        auto router = strategy<router_registry>("prompt_homes", seed);
+        std::vector<endpoint_view> views = viewsOf(fleet);
+        views[0].untoldTokensHere = views[0].prefillTokensHere = 300;
+        routing_request request = requestOf(300);
+        request.entries = 1;
+        request.fleetEntries = entries;
+        EXPECT_EQ(router->choose(at(0.1), request, views)->index, 1U)
+                << "the other entries' short prompts there are as many";
+    }
+}
+
 TEST(policy_routing, avoidsZonesAndUnusableEndpoints)
 {
     const policy_fleet fleet(3);
