A soak of real programs under faults from outside; a node that is cut off ends within its promised time

Requests whose usage is not committed yet wait for that until their own deadline, and `promises.shutdown` bounded only how long callers with old addresses are waited for.

Change: tests/processes/soak_test.cpp (308 lines): kills, stops, pauses, all killed, one disk wiped, the last node's links cut both ways, cut one way, delayed and reset, racing edits, under a load of streams and non-idempotent tickets with lost answers. Checked: no wrong answer, no ticket run twice, none run that was said not to have run, windows reported the same, acknowledged edits at every node, a clean end on SIGTERM within 20 s. A leaving entry tells such callers, shortly before its promised time, that the usage was not recorded (the answer that a passed deadline gets).

Also: net/http_client.cpp held two ideas; connections have their own file (no change of behaviour).

--- a/src/yuccascale/http/caller_commits.cpp
+++ b/src/yuccascale/http/caller_commits.cpp
@@ -1,5 +1,6 @@
 #include "yuccascale/http/caller_commits.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace yuccascale::http {
@@ -54,6 +55,12 @@
     m_background.shutdown();
 }
 
+void caller_commits::giveUpAt(kernel::instant when)
+{
+    const std::scoped_lock guard(m_mutex);
+    m_giveUpAt = when;
+}
+
 bool caller_commits::stopping() const
 {
     const std::scoped_lock guard(m_mutex);
@@ -249,7 +256,7 @@
         const std::scoped_lock guard(m_mutex);
         const kernel::instant now = m_clock.now();
         for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
-            if (now < waiter->second.deadline) {
+            if (now < std::min(waiter->second.deadline, m_giveUpAt)) {
                 ++waiter;
                 continue;
             }
--- a/src/yuccascale/http/caller_commits.hpp
+++ b/src/yuccascale/http/caller_commits.hpp
@@ -57,6 +57,9 @@
     /// \brief Commits what waits and ends the threads.
     void shutdown();
 
+    /// \brief The node ends soon: requests whose usage is not committed by then are told so.
+    void giveUpAt(kernel::instant when);
+
 private:
     struct waiting_usage
     {
@@ -87,6 +90,7 @@
     std::map<std::uint64_t, waiting_usage> m_waiters;
     std::uint64_t m_nextTicket = 0;
     bool m_stopping = false;
+    kernel::instant m_giveUpAt = kernel::instant::max();
     worker_pool m_background;
     std::thread m_usageThread;
 };
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -302,6 +302,9 @@
         return;
     for (const auto &server : m_servers)
         server->closeAfterAnswers();
+    const milliseconds bound = m_parts.settings.promises.shutdown;
+    if (bound.count() > 0)
+        m_services.commits.giveUpAt(m_parts.clock.now() + bound - shutdownReserve);
     m_parts.events.record(entryLeaving, {{"node", m_parts.settings.node}});
 }
 
--- /dev/null
+++ b/src/yuccascale/net/client_connection.cpp
@@ -0,0 +1,321 @@
+#include "yuccascale/net/client_connection.hpp"
+
+#include "yuccascale/wire/socket.hpp"
+
+#include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace yuccascale::net {
+
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t readChunkBytes = 8U << 10U;
+constexpr std::uint32_t headerBytes = 64U << 10U;
+constexpr int firstFinalStatus = 200;
+/// Probes of a silent connection that still waits for an answer, in seconds and count.
+constexpr int keepAliveSeconds = 1;
+constexpr int keepAliveProbes = 2;
+/// A server that names its idle timeout may count it from a little earlier.
+constexpr kernel::milliseconds idleMargin{800};
+
+[[nodiscard]] std::string requestHead(const outgoing_request &request)
+{
+    std::string out;
+    out.reserve(512);
+    out += request.method;
+    out += ' ';
+    out += request.target;
+    out += " HTTP/1.1\r\n";
+    if (!findHeader(request.headers, "Host"))
+        appendHeader(out, "Host", request.address);
+    for (const header_field &field : request.headers)
+        appendHeader(out, field.name, field.value);
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
+        appendHeader(out, "Content-Length", std::to_string(request.body.size()));
+    out += "\r\n";
+    return out;
+}
+
+/// \returns the idle timeout that the server states, or nothing.
+[[nodiscard]] std::optional<kernel::milliseconds> statedIdleTimeout(std::string_view keepAlive)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::size_t at = keepAlive.find(name);
+    int wholeSeconds = 0;
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view digits = keepAlive.substr(at + name.size());
+    const auto read = std::from_chars(digits.data(), digits.data() + digits.size(), wholeSeconds);
+    if (read.ec != std::errc())
+        return std::nullopt;
+    return kernel::seconds(wholeSeconds);
+}
+
+void setOption(int descriptor, int level, int name, int value)
+{
+    // an option that the system lacks only makes a dead peer noticed later
+    (void)::setsockopt(descriptor, level, name, &value, sizeof value);
+}
+
+void boundSilence(tcp::socket &socket, kernel::milliseconds userTimeout)
+{
+    const int descriptor = socket.native_handle();
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(userTimeout.count()));
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+}
+
+} // namespace
+
+void http_client::connection::connect(std::function<void(bool)> done)
+{
+    m_connected = std::move(done);
+    const auto finish = [self = shared_from_this()](bool good) {
+        self->m_timer.cancel();
+        if (!good)
+            self->close();
+        if (const auto action = std::exchange(self->m_connected, nullptr))
+            action(good);
+    };
+    kernel::error ignored;
+    wire::socket_address parsed;
+    const bool readable = kernel::succeeded(
+            [&]() -> kernel::result<void> {
+                BOOST_LEAF_ASSIGN(parsed, wire::parseAddress(m_address));
+                return {};
+            },
+            ignored);
+    error_code problem;
+    const auto ip = boost::asio::ip::make_address_v4(parsed.host, problem);
+    if (!readable || problem)
+        return boost::asio::post(m_owner->loop, [finish] { finish(false); });
+    m_socket.open(tcp::v4(), problem);
+    if (problem)
+        return boost::asio::post(m_owner->loop, [finish] { finish(false); });
+    boundSilence(m_socket, m_owner->limits.userTimeout);
+    m_socket.non_blocking(true, problem);
+    ++m_owner->opened;
+    m_timer.expires_after(m_owner->limits.connectTimeout);
+    m_timer.async_wait([finish](error_code ended) {
+        if (!ended)
+            finish(false);
+    });
+    m_socket.async_connect({ip, parsed.port}, [finish](error_code ended) { finish(!ended); });
+}
+
+bool http_client::connection::usable()
+{
+    char byte = 0;
+    const ssize_t count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return !m_closed && count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void http_client::connection::newParser()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(headerBytes);
+    m_parser->body_limit(boost::none);
+    if (m_headRequest)
+        m_parser->skip(true);
+    m_headReported = false;
+    m_skipping = false;
+}
+
+void http_client::connection::carry(const outgoing_request &request,
+                                    std::shared_ptr<answer_receiver> receiver)
+{
+    m_receiver = std::move(receiver);
+    m_headRequest = request.method == "HEAD";
+    newParser();
+    m_head = requestHead(request);
+    m_body = request.body;
+    m_writing = true;
+    const std::array<boost::asio::const_buffer, 2> parts{boost::asio::buffer(m_head),
+                                                         boost::asio::buffer(m_body)};
+    boost::asio::async_write(m_socket, parts,
+                             [self = shared_from_this()](error_code problem, std::size_t) {
+                                 self->m_writing = false;
+                                 self->m_head = {};
+                                 self->m_body = {};
+                                 // an early answer may still be there to be read
+                                 if (problem && !self->m_reading)
+                                     self->end(call_end::Broken);
+                             });
+    read();
+}
+
+void http_client::connection::read()
+{
+    if (m_reading || m_closed)
+        return;
+    m_reading = true;
+    // a connection that waits holds no buffer
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code problem) {
+        self->readable(problem);
+    });
+}
+
+void http_client::connection::readable(error_code problem)
+{
+    m_reading = false;
+    if (m_closed)
+        return;
+    std::size_t count = 0;
+    if (!problem)
+        count = m_socket.read_some(m_buffer.prepare(readChunkBytes), problem);
+    if (problem == boost::asio::error::would_block)
+        return read();
+    if (problem)
+        return inputEnded(problem);
+    m_buffer.commit(count);
+    if (!m_receiver)
+        return close(); // bytes that no request waits for
+    parse();
+    read();
+}
+
+void http_client::connection::parse()
+{
+    while (m_receiver && m_buffer.size() > 0) {
+        error_code problem;
+        m_buffer.consume(m_parser->put(m_buffer.data(), problem));
+        if (m_parser->is_header_done() && (!reportHead() || !reportBody()))
+            return;
+        if (problem == http::error::need_more)
+            return;
+        if (problem)
+            return end(call_end::Malformed);
+        if (m_parser->is_done() && !messageEnded())
+            return;
+    }
+}
+
+/// \returns false when the call is over.
+bool http_client::connection::reportHead()
+{
+    if (std::exchange(m_headReported, true))
+        return true;
+    const auto &message = m_parser->get();
+    response_head head;
+    head.status = static_cast<int>(message.result_int());
+    if (head.status < firstFinalStatus) {
+        m_skipping = true;
+        return true;
+    }
+    for (const auto &field : message)
+        head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    head.bounded = !m_parser->need_eof();
+    const std::shared_ptr<answer_receiver> receiver = m_receiver;
+    switch (receiver->head(head)) {
+    case answer_receiver::verdict::Take:
+        return !m_closed;
+    case answer_receiver::verdict::Skip:
+        m_skipping = true;
+        return true;
+    case answer_receiver::verdict::Stop:
+        break;
+    }
+    m_receiver.reset();
+    close();
+    return false;
+}
+
+bool http_client::connection::reportBody()
+{
+    std::string &body = m_parser->get().body();
+    if (body.empty())
+        return true;
+    const std::shared_ptr<answer_receiver> receiver = m_receiver;
+    const bool wanted = m_skipping || receiver->body(body);
+    if (m_closed)
+        return false;
+    body.clear();
+    if (wanted)
+        return true;
+    m_receiver.reset();
+    close();
+    return false;
+}
+
+/// \returns whether another message is awaited.
+bool http_client::connection::messageEnded()
+{
+    if (m_skipping) {
+        newParser();
+        return true;
+    }
+    end(call_end::Whole);
+    return false;
+}
+
+void http_client::connection::inputEnded(error_code problem)
+{
+    if (!m_receiver)
+        return close();
+    const bool endsWithConnection = problem == boost::asio::error::eof && m_parser
+            && m_parser->is_header_done() && m_parser->need_eof() && !m_skipping;
+    if (endsWithConnection) {
+        error_code ignored;
+        m_parser->put_eof(ignored);
+        if (!ignored && m_parser->is_done())
+            return end(call_end::Whole);
+    }
+    end(call_end::Broken);
+}
+
+void http_client::connection::end(call_end how)
+{
+    const std::shared_ptr<answer_receiver> receiver = std::exchange(m_receiver, nullptr);
+    if (!receiver)
+        return;
+    const bool keep = how == call_end::Whole && m_parser->keep_alive() && m_buffer.size() == 0
+            && !m_writing && !m_closed;
+    const auto stated = statedIdleTimeout(m_parser->get()[http::field::keep_alive]);
+    m_parser.reset();
+    m_buffer = {};
+    if (keep) {
+        const kernel::milliseconds limit = m_owner->limits.idleLimit;
+        m_idleUntil = std::chrono::steady_clock::now()
+                + (stated ? std::min(limit, *stated - idleMargin) : limit);
+        m_owner->keep(shared_from_this());
+        m_owner->sweepLater(m_owner);
+    } else {
+        close();
+    }
+    receiver->ended(how);
+}
+
+void http_client::connection::becomeIdle()
+{
+    m_idleUntil = std::chrono::steady_clock::now() + m_owner->limits.idleLimit;
+    m_owner->keep(shared_from_this());
+    m_owner->sweepLater(m_owner);
+    read();
+}
+
+void http_client::connection::close()
+{
+    if (std::exchange(m_closed, true))
+        return;
+    m_receiver.reset();
+    error_code ignored;
+    m_socket.close(ignored);
+    m_timer.cancel();
+    m_owner->drop(*this);
+}
+
+} // namespace yuccascale::net
--- /dev/null
+++ b/src/yuccascale/net/client_connection.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "yuccascale/net/http_client.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// \file
+/// \brief The client's side of one connection; private to http_client.
+
+namespace yuccascale::net {
+
+/// \brief What a client shares with its connections.
+struct http_client::state
+{
+    state(io_context &context, client_limits bounds)
+        : loop(context)
+        , limits(bounds)
+        , timer(context)
+    { }
+
+    void keep(const std::shared_ptr<connection> &idle);
+    [[nodiscard]] std::shared_ptr<connection> take(const std::string &address);
+    void drop(const connection &ended);
+    void sweepLater(const std::shared_ptr<state> &self);
+
+    io_context &loop;
+    client_limits limits;
+    std::map<std::string, std::vector<std::shared_ptr<connection>>, std::less<>> idle;
+    std::size_t idleCount = 0;
+    std::uint64_t opened = 0;
+    boost::asio::steady_timer timer;
+    bool sweeping = false;
+    bool stopped = false;
+};
+
+/// \brief One connection to a server; carries one call at a time.
+class http_client::connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(std::shared_ptr<state> owner, std::string address)
+        : m_owner(std::move(owner))
+        , m_address(std::move(address))
+        , m_socket(m_owner->loop)
+        , m_timer(m_owner->loop)
+    { }
+
+    [[nodiscard]] const std::string &address() const noexcept { return m_address; }
+    [[nodiscard]] bool overdue(std::chrono::steady_clock::time_point now) const noexcept
+    {
+        return now >= m_idleUntil;
+    }
+
+    void connect(std::function<void(bool)> done);
+    void carry(const outgoing_request &request, std::shared_ptr<answer_receiver> receiver);
+    [[nodiscard]] bool usable();
+    void becomeIdle();
+    void close();
+
+private:
+    using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void read();
+    void readable(boost::system::error_code problem);
+    void parse();
+    [[nodiscard]] bool reportHead();
+    [[nodiscard]] bool reportBody();
+    [[nodiscard]] bool messageEnded();
+    void inputEnded(boost::system::error_code problem);
+    void end(call_end how);
+    void newParser();
+
+    std::shared_ptr<state> m_owner;
+    std::string m_address;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::function<void(bool)> m_connected;
+    std::shared_ptr<answer_receiver> m_receiver;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<response_parser> m_parser;
+    std::string m_head; ///< being sent
+    std::string m_body; ///< being sent
+    bool m_headRequest = false;
+    bool m_headReported = false;
+    bool m_skipping = false;
+    bool m_reading = false;
+    bool m_writing = false;
+    bool m_closed = false;
+    std::chrono::steady_clock::time_point m_idleUntil;
+};
+
+} // namespace yuccascale::net
--- a/tests/processes/cluster.cpp
+++ b/tests/processes/cluster.cpp
@@ -245,6 +245,8 @@
          << "\n  weight_store: " << loopback(m_platformPorts.at("weights"))
          << "\n  vm_list: " << loopback(m_platformPorts.at("vms"))
          << "\n  usage_window: " << m_options.usageWindow << "\n";
+    if (!m_options.shutdown.empty())
+        text << "promises: {shutdown: " << m_options.shutdown << "}\n";
     writeFile(m_folder / (name + ".yaml"), text.str());
 }
 
@@ -425,10 +427,21 @@
             m_folder / "load.out");
 }
 
+void cluster::eachRelay(const std::function<void(relay &)> &action) const
+{
+    for (const std::unique_ptr<relay> &one : m_relays)
+        action(*one);
+}
+
+std::vector<json> cluster::loadResults() const
+{
+    return readLines(m_folder / "load.jsonl");
+}
+
 std::map<std::string, int> cluster::loadOutcomes() const
 {
     std::map<std::string, int> out;
-    for (const json &line : readLines(m_folder / "load.jsonl"))
+    for (const json &line : loadResults())
         ++out[line.value("outcome", "")];
     return out;
 }
--- a/tests/processes/cluster.hpp
+++ b/tests/processes/cluster.hpp
@@ -32,6 +32,7 @@
     json engineOptions = json::object();  ///< for every engine stand-in
     json serviceOptions = json::object(); ///< for the plain service stand-in
     std::string usageWindow = "60s";
+    std::string shutdown;   ///< time within which a node that was told to end is gone; empty: none
     bool relayLast = false; ///< the last node's links pass through relays, see cutLastNode()
 };
 
@@ -79,6 +80,12 @@
     /// \brief Swallows or passes the bytes between the last node and all others.
     void cutLastNode(bool on);
 
+    /// \brief Does something to each relay between the last node and the others.
+    void eachRelay(const std::function<void(relay &)> &action) const;
+
+    /// \returns the load program's results, one object a request.
+    [[nodiscard]] std::vector<json> loadResults() const;
+
     /// \brief Runs a command of the command line against \a nodes; all when empty.
     [[nodiscard]] command_answer command(std::vector<std::string> words,
                                          const std::vector<std::size_t> &nodes = {}) const;
--- a/tests/processes/relay.cpp
+++ b/tests/processes/relay.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <thread>
 
 namespace yuccascale::processes {
 
@@ -41,15 +42,25 @@
         auto far = wire::socket::connect(m_target, connectTimeout, userTimeout);
         if (!far)
             continue;
+        const std::scoped_lock guard(m_mutex);
         connection &made = m_connections.emplace_back();
         made.near = std::move(near);
         made.far = std::move(far.value());
-        made.forth = std::thread([this, &made] { pump(made.near, made.far); });
-        made.back = std::thread([this, &made] { pump(made.far, made.near); });
+        made.forth = std::thread([this, &made] { pump(made.near, made.far, m_cut); });
+        made.back = std::thread([this, &made] { pump(made.far, made.near, m_answersCut); });
     }
 }
 
-void relay::pump(const wire::socket &from, const wire::socket &to)
+void relay::reset()
+{
+    const std::scoped_lock guard(m_mutex);
+    for (connection &one : m_connections) {
+        one.near.shutdown();
+        one.far.shutdown();
+    }
+}
+
+void relay::pump(const wire::socket &from, const wire::socket &to, const std::atomic<bool> &cut)
 {
     constexpr std::size_t bufferBytes = 65'536;
     std::array<char, bufferBytes> buffer{};
@@ -58,7 +69,8 @@
         const ssize_t size = ::recv(from.descriptor(), buffer.data(), buffer.size(), 0);
         if (size <= 0)
             break;
-        swallowed = swallowed || m_cut; // a stream that lost bytes never carries any again
+        std::this_thread::sleep_for(m_delay.load());
+        swallowed = swallowed || cut || m_cut; // a stream that lost bytes never carries any again
         if (!swallowed && !to.writeAll({buffer.data(), static_cast<std::size_t>(size)}))
             break;
     }
--- a/tests/processes/relay.hpp
+++ b/tests/processes/relay.hpp
@@ -1,14 +1,16 @@
 #pragma once
 
+#include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/wire/socket.hpp"
 
 #include <atomic>
 #include <list>
+#include <mutex>
 #include <string>
 #include <thread>
 
 /// \file
-/// \brief A TCP relay that can swallow every byte, as a silent network partition does.
+/// \brief A TCP relay that can swallow, delay or reset, as a bad network does.
 
 namespace yuccascale::processes {
 
@@ -25,9 +27,18 @@
     /// \brief While cut, connections stay open and their bytes vanish.
     void cut(bool on) noexcept { m_cut = on; }
 
+    /// \brief While cut one way, only the bytes of the side that accepted vanish.
+    void cutAnswers(bool on) noexcept { m_answersCut = on; }
+
+    /// \brief Each read is passed on so much later.
+    void delay(kernel::milliseconds time) noexcept { m_delay = time; }
+
+    /// \brief Ends all open connections.
+    void reset();
+
 private:
     void accept();
-    void pump(const wire::socket &from, const wire::socket &to);
+    void pump(const wire::socket &from, const wire::socket &to, const std::atomic<bool> &cut);
 
     struct connection
     {
@@ -40,7 +51,10 @@
     wire::socket_address m_target;
     wire::socket m_listener;
     std::list<connection> m_connections;
+    std::mutex m_mutex; ///< of m_connections
     std::atomic<bool> m_cut{false};
+    std::atomic<bool> m_answersCut{false};
+    std::atomic<kernel::milliseconds> m_delay{kernel::milliseconds(0)};
     std::atomic<bool> m_stopped{false};
     std::thread m_accepter;
 };
--- /dev/null
+++ b/tests/processes/soak_test.cpp
@@ -0,0 +1,308 @@
+#include "processes/cluster.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <numeric>
+#include <random>
+#include <set>
+#include <thread>
+
+/// \file
+/// \brief Real programs under a seeded series of overlapping faults from outside them.
+///
+/// CI plays the seeds below. More: YUCCASCALE_SOAK_FIRST=100 YUCCASCALE_SOAK_SEEDS=50.
+
+namespace yuccascale::processes {
+
+namespace {
+
+/// Seeds that CI plays: one of each session, and each that ever failed with its cause beside it.
+/// 101: a node that was cut off and told to end waited for ever to commit its usage; none of the
+/// soak's settings bounded that, and now `promises.shutdown` does.
+constexpr std::array<unsigned, 2> ciSeeds{1, 101};
+
+constexpr int loadSeconds = 24;
+constexpr milliseconds faultsFor{18'000};
+constexpr milliseconds endsWithin{20'000}; ///< of a node that was told to end
+constexpr milliseconds settlesWithin{40'000};
+
+/// One run: a cluster under load, what was done to it, and what it acknowledged.
+class soak
+{
+public:
+    explicit soak(unsigned seed)
+        : m_random(seed)
+        , m_seed(seed)
+        , m_system(options())
+    { }
+
+    void play()
+    {
+        const auto load = m_system.startLoad(
+                {{"seed", m_seed},
+                 {"callers", 64},
+                 {"serviceShare", 0.3},
+                 {"organisations", {{{"name", "albany"}, {"requestsPerSecond", 12}}}},
+                 {"phases",
+                  {{{"seconds", loadSeconds}, {"promptTokens", 200}, {"outputTokens", 30}}}}});
+        const auto end = std::chrono::steady_clock::now() + faultsFor;
+        while (std::chrono::steady_clock::now() < end && !testing::Test::HasFailure()) {
+            (this->*faults.at(draw(faults.size())))();
+            std::this_thread::sleep_for(milliseconds(draw(700)));
+        }
+        mendAll();
+        ASSERT_TRUE(m_system.waitAllReady()) << m_story;
+        ASSERT_TRUE(load->waitForEnd(milliseconds(60'000))) << m_story;
+        check();
+    }
+
+private:
+    using fault = void (soak::*)();
+    static const std::array<fault, 10> faults;
+
+    [[nodiscard]] static cluster_options options()
+    {
+        cluster_options made;
+        made.usageWindow = "2s";
+        made.shutdown = "8s";
+        made.relayLast = true;
+        made.serviceOptions = {{"loseAnswerEvery", 40}, {"refuseEvery", 25}};
+        return made;
+    }
+
+    [[nodiscard]] std::size_t draw(std::size_t below) { return m_random() % below; }
+    [[nodiscard]] std::size_t last() const { return m_system.size() - 1; }
+
+    void tell(const std::string &what, std::size_t node)
+    {
+        m_story += what + " " + std::to_string(node) + "; ";
+    }
+
+    /// One that runs; the others are down or stand still.
+    [[nodiscard]] std::size_t runningNode()
+    {
+        std::size_t node = draw(m_system.size());
+        while (m_down.contains(node) || m_paused.contains(node))
+            node = (node + 1) % m_system.size();
+        return node;
+    }
+
+    /// A minority of the control nodes may be away at once, and never all entries.
+    [[nodiscard]] bool mayTake() const { return m_down.size() + m_paused.size() == 0; }
+
+    void killOne()
+    {
+        if (!mayTake())
+            return startDown();
+        const std::size_t node = runningNode();
+        tell("kill", node);
+        m_system.process(node).kill();
+        m_down.insert(node);
+    }
+
+    void killAll()
+    {
+        if (std::exchange(m_allKilled, true))
+            return startDown();
+        resume();
+        for (std::size_t node = 0; node < m_system.size(); ++node) {
+            tell("kill", node);
+            m_system.process(node).kill();
+            m_down.insert(node);
+        }
+        startDown();
+    }
+
+    void stopOne()
+    {
+        if (!mayTake())
+            return startDown();
+        const std::size_t node = runningNode();
+        tell("stop", node);
+        m_system.process(node).signal(SIGTERM);
+        EXPECT_TRUE(m_system.process(node).waitForEnd(endsWithin)) << m_story;
+        EXPECT_EQ(m_system.process(node).exitCode(), 0) << m_story;
+        m_down.insert(node);
+    }
+
+    void wipeOne()
+    {
+        if (!mayTake() || std::exchange(m_wiped, true) || !m_system.waitAllReady())
+            return startDown();
+        const std::size_t node = draw(3);
+        tell("wipe", node);
+        m_system.process(node).kill();
+        m_system.wipeData(node);
+        m_system.startNode(node);
+        EXPECT_TRUE(m_system.waitReady(node)) << m_story;
+    }
+
+    void startDown()
+    {
+        for (const std::size_t node : std::exchange(m_down, {})) {
+            tell("start", node);
+            m_system.startNode(node);
+        }
+    }
+
+    void pauseOne()
+    {
+        if (!mayTake())
+            return resume();
+        const std::size_t node = runningNode();
+        tell("pause", node);
+        m_system.process(node).signal(SIGSTOP);
+        m_paused.insert(node);
+    }
+
+    void resume()
+    {
+        for (const std::size_t node : std::exchange(m_paused, {})) {
+            tell("resume", node);
+            m_system.process(node).signal(SIGCONT);
+        }
+    }
+
+    void cutLast()
+    {
+        m_cut = !m_cut;
+        tell(m_cut ? "cut" : "join", last());
+        m_system.cutLastNode(m_cut);
+    }
+
+    void cutAnswers()
+    {
+        m_answersCut = !m_answersCut;
+        tell(m_answersCut ? "cut answers of" : "join answers of", last());
+        m_system.eachRelay([this](relay &one) { one.cutAnswers(m_answersCut); });
+    }
+
+    void spoilLinks()
+    {
+        const milliseconds delay(draw(300));
+        tell("reset, delay " + std::to_string(delay.count()) + " ms", last());
+        m_system.eachRelay([delay](relay &one) {
+            one.delay(delay);
+            one.reset();
+        });
+    }
+
+    /// Two operators at once: each write is acknowledged or not; the highest acknowledged one
+    /// holds.
+    void edit()
+    {
+        std::array<std::uint64_t, 2> revisions{};
+        std::array<std::string, 2> names;
+        std::array<std::thread, 2> operators;
+        for (std::size_t each = 0; each < operators.size(); ++each) {
+            names.at(each) = "org-" + std::to_string(m_edits++);
+            operators.at(each) = std::thread([&, each] {
+                const command_answer answer
+                        = m_system.put("organisation", json{{"name", names.at(each)}});
+                if (answer.code == 0 && answer.document.is_object())
+                    revisions.at(each) = answer.document.value("revision", std::uint64_t{0});
+            });
+        }
+        for (std::thread &one : operators)
+            one.join();
+        for (std::size_t each = 0; each < operators.size(); ++each) {
+            if (revisions.at(each) == 0)
+                continue;
+            m_acknowledged.insert(names.at(each));
+            m_revision = std::max(m_revision, revisions.at(each));
+        }
+    }
+
+    void mendAll()
+    {
+        resume();
+        startDown();
+        m_system.cutLastNode(false);
+        m_system.eachRelay([](relay &one) {
+            one.cutAnswers(false);
+            one.delay(milliseconds(0));
+            one.reset();
+        });
+    }
+
+    void check()
+    {
+        std::set<std::string> notRun;
+        for (const json &result : m_system.loadResults()) {
+            EXPECT_NE(result.at("outcome"), "wrong") << result << m_story;
+            if (result.at("outcome") == "not_run")
+                notRun.insert(result.at("id").get<std::string>());
+        }
+        std::set<std::string> ran;
+        for (const json &run : m_system.history("services", "run")) {
+            EXPECT_EQ(run.at("runs_of_key"), 1) << run << m_story;
+            ran.insert(run.at("idempotency_key").get<std::string>());
+        }
+        for (const std::string &id : notRun)
+            EXPECT_FALSE(ran.contains(id)) << id << " was said not to have run; " << m_story;
+        EXPECT_GT(m_system.loadOutcomes()["whole"], 50) << m_story;
+        for (const json &report : m_system.history("platform", "report"))
+            EXPECT_TRUE(report.at("same").get<bool>()) << report << m_story;
+        checkEdits();
+    }
+
+    void checkEdits()
+    {
+        EXPECT_TRUE(waitUntil(settlesWithin, [this] {
+            return m_system.command({"wait", "--revision=" + std::to_string(m_revision)}).code == 0;
+        })) << m_story;
+        for (std::size_t node = 0; node < m_system.size(); ++node) {
+            const std::string table = m_system.command({"organisation", "list"}, {node}).text;
+            for (const std::string &name : m_acknowledged)
+                EXPECT_NE(table.find(name + "\""), std::string::npos)
+                        << name << " is lost at node " << node << "; " << m_story;
+        }
+    }
+
+    std::mt19937 m_random;
+    unsigned m_seed;
+    cluster m_system;
+    std::set<std::size_t> m_down;
+    std::set<std::size_t> m_paused;
+    bool m_cut = false;
+    bool m_answersCut = false;
+    bool m_wiped = false;
+    bool m_allKilled = false;
+    int m_edits = 0;
+    std::set<std::string> m_acknowledged;
+    std::uint64_t m_revision = 1;
+    std::string m_story; ///< what was done, for the report of a failure
+};
+
+const std::array<soak::fault, 10> soak::faults{
+        &soak::killOne, &soak::killAll,    &soak::stopOne,    &soak::wipeOne, &soak::pauseOne,
+        &soak::cutLast, &soak::cutAnswers, &soak::spoilLinks, &soak::edit,    &soak::edit};
+
+[[nodiscard]] unsigned numberFrom(const char *variable, unsigned otherwise)
+{
+    const char *text = std::getenv(variable); // NOLINT(concurrency-mt-unsafe): before any thread
+    return text == nullptr ? otherwise : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
+}
+
+} // namespace
+
+TEST(soak, promisesHoldUnderFaultsFromOutside)
+{
+    const unsigned count = numberFrom("YUCCASCALE_SOAK_SEEDS", 0);
+    const unsigned first = numberFrom("YUCCASCALE_SOAK_FIRST", 1);
+    std::vector<unsigned> seeds(ciSeeds.begin(), ciSeeds.end());
+    if (count > 0) {
+        seeds.resize(count);
+        std::iota(seeds.begin(), seeds.end(), first);
+    }
+    for (const unsigned seed : seeds) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        soak(seed).play();
+    }
+}
+
+} // namespace yuccascale::processes
