--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -202,6 +202,14 @@
     };
 
     [[nodiscard]] std::optional<scheduled_turn> place(instant now, waiting_entry &waiting);
+    [[nodiscard]] std::vector<policy::endpoint_view> viewsFor(instant now,
+                                                              const waiting_entry &waiting);
+    [[nodiscard]] policy::routing_request routingRequest(const waiting_entry &waiting) const;
+    [[nodiscard]] scheduled_turn turnFrom(instant now, const waiting_entry &waiting,
+                                          const policy::routing_choice &choice,
+                                          std::span<const policy::endpoint_view> views) const;
+    void noteSent(instant now, const waiting_entry &waiting, const scheduled_turn &turn,
+                  std::int64_t cached);
     void notePlaced(const waiting_entry &waiting, const scheduled_turn &turn, std::int64_t tokens);
     bool noteFailed(instant now, const std::string &pool, const std::string &endpoint,
                     bool crashed);
