--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -2,9 +2,9 @@
 
 #include "yuccascale/http/caller_pools.hpp"
 #include "yuccascale/http/caller_server.hpp"
-#include "yuccascale/kernel/requests/events.hpp"
 #include "yuccascale/http/document_interface.hpp"
 #include "yuccascale/http/operator_routes.hpp"
+#include "yuccascale/kernel/requests/events.hpp"
 #include "yuccascale/net/http_server.hpp"
 #include "yuccascale/runtime/cluster_client.hpp"
 #include "yuccascale/runtime/control_service.hpp"
