Elections make allowance for the time of a sync

Cause: a candidate's timeout ran while it made its own vote durable. With syncs longer than the election timeout it started the next election before a vote of the last one could arrive, and a leader found no quorum after its own sync. No leader could be elected.

Change: replica::syncFinished() tells how long the sync took; the election timeout and the check-quorum of the leader are longer by two syncs, at most four election timeouts each. Leases and votes are as before.

--- a/src/yuccascale/kernel/consensus/replica.cpp
+++ b/src/yuccascale/kernel/consensus/replica.cpp
@@ -78,7 +78,8 @@
     if (m_role == replica_role::Leader) {
         const instant confirmed
                 = m_acknowledgements.quorumAckedSendTime(m_log.members(), m_config.self, now);
-        if (std::max(confirmed, m_electedAt) + m_config.electionTimeout < now) {
+        const nanoseconds quorumTimeout = m_config.electionTimeout + 2 * m_syncTime;
+        if (std::max(confirmed, m_electedAt) + quorumTimeout < now) {
             m_events.record(quorumLost, {{"term", m_hardState.term}});
             stepDown(now);
             return;
--- a/src/yuccascale/kernel/consensus/replica.hpp
+++ b/src/yuccascale/kernel/consensus/replica.hpp
@@ -110,6 +110,10 @@
     /// \brief Reports that the entries up to this one are durable here.
     void persisted(log_index index, term_number term, instant now);
 
+    /// \brief Reports that the state in the last actions is durable. No message was handled during
+    /// the sync, so its time does not count as silence of the others.
+    void syncFinished(nanoseconds syncTime);
+
     /// \brief Discards entries before \a keepFrom that a durable \a snapshot covers.
     void compact(snapshot_data snapshot, log_index keepFrom);
 
@@ -244,6 +248,9 @@
     // follower and candidate
     instant m_leaderContactAt;
     instant m_electionAt;
+    /// Duration of the last sync, up to a limit; the other voters' syncs are expected to take as
+    /// long.
+    nanoseconds m_syncTime{};
     bool m_preVoting = false;
     std::set<member_id> m_votes;
     /// Identifies this start of the replica until a message from a leader arrives; then 0.
--- a/src/yuccascale/kernel/consensus/replica_election.cpp
+++ b/src/yuccascale/kernel/consensus/replica_election.cpp
@@ -5,6 +5,14 @@
 
 namespace yuccascale::kernel::consensus {
 
+namespace {
+
+/// Longest sync that timeouts make allowance for, in election timeouts. A disk that takes longer
+/// should not keep its replica leader.
+constexpr int maxSyncTimeouts = 4;
+
+} // namespace
+
 void replica::startPreVote(instant now)
 {
     m_role = replica_role::Candidate;
@@ -99,6 +107,14 @@
     return noLeaderExists || !hasRecentLeaderContact(now);
 }
 
+/// After a sync, messages that arrived meanwhile are still to be handled, and the others' votes and
+/// acknowledgements may wait for syncs that take as long.
+void replica::syncFinished(nanoseconds syncTime)
+{
+    m_syncTime = std::min<nanoseconds>(syncTime, maxSyncTimeouts * m_config.electionTimeout);
+    m_electionAt += 2 * m_syncTime;
+}
+
 bool replica::upToDate(log_index lastIndex, term_number lastTerm) const
 {
     if (lastTerm != m_log.lastTerm())
--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -363,7 +363,9 @@
     revokeLostLeadership();
     send(batch.earlyMessages);
     if (batch.mustSync()) {
+        const instant startedAt = m_clock.now();
         BOOST_LEAF_CHECK(persist(batch));
+        m_replica->syncFinished(m_clock.now() - startedAt);
     }
     if (!batch.entries.empty()) {
         const log_entry &last = batch.entries.back();
--- a/tests/fakes/replica_group.hpp
+++ b/tests/fakes/replica_group.hpp
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -33,6 +35,7 @@
         m_disks.resize(size);
         m_replicas.resize(size);
         m_paused.resize(size, false);
+        m_syncs.resize(size);
         for (std::size_t index = 0; index < size; ++index)
             m_sinks.push_back(std::make_unique<tracing_events>(*this, m_members[index].name));
         for (std::size_t index = 0; index < size; ++index)
@@ -63,6 +66,7 @@
     void stop(std::size_t index)
     {
         m_replicas[index].reset();
+        m_syncs[index].reset();
         appendTrace(m_members[index].name, "stop");
     }
     void loseDisk(std::size_t index)
@@ -86,6 +90,9 @@
         appendTrace(m_members[index].name, isolated ? "cut off" : "joined again");
     }
 
+    /// \brief Sets how long each sync takes; meanwhile the replica handles no message and no tick.
+    void setSyncTime(kernel::milliseconds time) noexcept { m_syncTime = time; }
+
     /// \brief Advances the clock by \a time and runs the replicas.
     void run(kernel::milliseconds time)
     {
@@ -93,8 +100,9 @@
             m_now += kernel::milliseconds(1);
             deliverInFlight();
             for (std::size_t index = 0; index < m_replicas.size(); ++index) {
-                if (!m_replicas[index] || m_paused[index])
+                if (!m_replicas[index] || m_paused[index] || syncing(index))
                     continue;
+                finishSync(index);
                 if (now() >= m_replicas[index]->nextTick())
                     m_replicas[index]->tick(now());
                 performActions(index);
@@ -126,17 +134,13 @@
         while (pendingActions.mustSync() || !pendingActions.earlyMessages.empty()
                || !pendingActions.messages.empty() || !pendingActions.committed.empty()
                || !pendingActions.reads.empty()) {
-            save(m_disks[index], pendingActions);
-            if (!pendingActions.entries.empty())
-                current.persisted(pendingActions.entries.back().index,
-                                  pendingActions.entries.back().term, now());
-            for (const auto *list : {&pendingActions.earlyMessages, &pendingActions.messages})
-                m_inFlight.insert(m_inFlight.end(), list->begin(), list->end());
-            for (const log_entry &entry : pendingActions.committed)
-                appendTrace(m_members[index].name,
-                            "apply " + std::to_string(entry.index) + " of term "
-                                    + std::to_string(entry.term) + " " + describeEntry(entry));
-            m_reads.insert(m_reads.end(), pendingActions.reads.begin(), pendingActions.reads.end());
+            sendMessages(pendingActions.earlyMessages);
+            pendingActions.earlyMessages.clear();
+            if (pendingActions.mustSync() && m_syncTime.count() > 0) {
+                m_syncs[index] = {std::move(pendingActions), now(), now() + m_syncTime};
+                return;
+            }
+            afterSync(index, pendingActions, now());
             pendingActions = current.takeActions(now());
         }
     }
@@ -180,6 +184,46 @@
         std::string m_name;
     };
 
+    /// A sync in progress, and what is done after it.
+    struct pending_sync
+    {
+        actions batch;
+        kernel::instant startedAt{};
+        kernel::instant endsAt{};
+    };
+
+    [[nodiscard]] bool syncing(std::size_t index) const noexcept
+    {
+        return m_syncs[index] && m_now < m_syncs[index]->endsAt;
+    }
+
+    void finishSync(std::size_t index)
+    {
+        if (const auto finished = std::exchange(m_syncs[index], std::nullopt))
+            afterSync(index, finished->batch, finished->startedAt);
+    }
+
+    void afterSync(std::size_t index, const actions &batch, kernel::instant startedAt)
+    {
+        replica &current = *m_replicas[index];
+        save(m_disks[index], batch);
+        if (batch.mustSync())
+            current.syncFinished(now() - startedAt);
+        if (!batch.entries.empty())
+            current.persisted(batch.entries.back().index, batch.entries.back().term, now());
+        sendMessages(batch.messages);
+        for (const log_entry &entry : batch.committed)
+            appendTrace(m_members[index].name,
+                        "apply " + std::to_string(entry.index) + " of term "
+                                + std::to_string(entry.term) + " " + describeEntry(entry));
+        m_reads.insert(m_reads.end(), batch.reads.begin(), batch.reads.end());
+    }
+
+    void sendMessages(const std::vector<message> &messages)
+    {
+        m_inFlight.insert(m_inFlight.end(), messages.begin(), messages.end());
+    }
+
     static std::string describeEntry(const log_entry &entry)
     {
         if (entry.kind == entry_kind::Command)
@@ -211,7 +255,7 @@
             const auto number = static_cast<std::size_t>(to - m_members.begin());
             if (m_isolated.contains(delivered.from.name) || m_isolated.contains(delivered.to.name))
                 continue;
-            if (m_replicas[number] && m_paused[number])
+            if (m_replicas[number] && (m_paused[number] || syncing(number)))
                 m_inFlight.push_back(delivered);
             else if (m_replicas[number])
                 m_replicas[number]->receive(delivered, now());
@@ -225,6 +269,8 @@
     std::vector<durable_state> m_disks;
     std::vector<std::unique_ptr<replica>> m_replicas;
     std::vector<bool> m_paused;
+    kernel::milliseconds m_syncTime{};
+    std::vector<std::optional<pending_sync>> m_syncs;
     std::vector<std::unique_ptr<tracing_events>> m_sinks;
     std::set<std::string> m_isolated;
     std::deque<message> m_inFlight;
--- a/tests/unit/consensus_replica_test.cpp
+++ b/tests/unit/consensus_replica_test.cpp
@@ -284,4 +284,22 @@
     }
 }
 
+/// Guards against elections that can never succeed on slow disks: the candidate's timeout passed
+/// while it made its own vote durable, so it started anew before any vote could arrive.
+TEST(consensus_replica, electsALeaderThatCommitsWhenSyncsTakeLongerThanTheElectionTimeout)
+{
+    constexpr kernel::milliseconds syncTime{1'500}; // the group's election timeout is 700 ms
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        replica_group group(3, seed);
+        group.setSyncTime(syncTime);
+        const std::size_t leader = group.runUntilLeader();
+        ASSERT_LT(leader, 3U) << "seed " << seed;
+        const proposal proposed = group.at(leader).propose("change");
+        ASSERT_EQ(proposed.outcome, proposal_outcome::Accepted) << "seed " << seed;
+        group.run(5 * syncTime);
+        EXPECT_EQ(group.at(leader).role(), replica_role::Leader) << "seed " << seed;
+        EXPECT_GE(group.at(leader).commitIndex(), proposed.index) << "seed " << seed;
+    }
+}
+
 } // namespace yuccascale::kernel::consensus
