Prompts of requests that run at most once are prefilled separately

Cause: a separate prefill was only considered for idempotent requests, so on a deployment whose streams may not be resumed the prefill engines stood idle while the others read the prompts at half speed. A prefill call generates nothing and may be repeated; only the generation runs at most once.

Test: prompt_prefill.prefillsNonIdempotentRequestsSeparately, red before.

--- a/src/yuccascale/kernel/policy/routing.hpp
+++ b/src/yuccascale/kernel/policy/routing.hpp
@@ -65,7 +65,7 @@
             avoidZones;                 ///< zones in which an endpoint crashed with this request
     int entries = 1;                    ///< entries assumed to choose as this one does
     int fleetEntries = 1;               ///< entries that send to the same endpoints
-    bool mayDisaggregatePrefill = true; ///< idempotent, and this entry has a free prefill slot
+    bool mayDisaggregatePrefill = true; ///< this entry has a free prefill slot
 };
 
 /// \brief The chosen endpoint and the reason for the choice.
--- a/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
@@ -84,7 +84,8 @@
     routing.avoidZones = waiting.options.avoidZones;
     routing.entries = sendingEntries();
     routing.fleetEntries = m_position.count;
-    routing.mayDisaggregatePrefill = routing.idempotent && m_activePrefills < prefillSlots();
+    // a prefill call generates nothing, so it may be repeated for any request
+    routing.mayDisaggregatePrefill = m_activePrefills < prefillSlots();
     return routing;
 }
 
--- a/tests/unit/requests_fill_test.cpp
+++ b/tests/unit/requests_fill_test.cpp
@@ -88,6 +88,19 @@
     EXPECT_TRUE(scheduler.takeLate(start).empty());
 }
 
+/// A prefill call generates nothing, so it is no run of a request that may run only once.
+TEST(prompt_prefill, prefillsNonIdempotentRequestsSeparately)
+{
+    pool_scheduler scheduler = schedulerOf(fleet());
+    request subject = longPrompt(start, 1);
+    subject.route.idempotent = false;
+    subject.route.claimed = false;
+    EXPECT_FALSE(scheduler.push(start, 1, subject, 1, {}));
+    const auto assignments = scheduler.schedule(start);
+    ASSERT_EQ(assignments.size(), 1U);
+    EXPECT_FALSE(assignments[0].prefillEndpoint.empty()) << assignments[0].reason;
+}
+
 TEST(prompt_prefill, avoidsEngineReadingAnotherEntrysPromptThenReusesItsCache)
 {
     const state::pool pool = fleet();
