The number of voters follows from the losses to tolerate

Test: consensus_membership.fiveVotersKeepWhatWasAcknowledgedWhenTwoLoseTheirDisks, settings_test.derivesTheVotersFromTheLossesToTolerate.

--- a/src/yuccascale/runtime/settings.cpp
+++ b/src/yuccascale/runtime/settings.cpp
@@ -64,6 +64,24 @@
     node.rejectUnknownFields();
 }
 
+void readToleratedLosses(yaml_reader &node, control_settings &control)
+{
+    constexpr int maxToleratedLosses = 4;
+    double losses = 0;
+    node.number("tolerated_losses", losses);
+    control.toleratedLosses = static_cast<int>(losses);
+    if (losses > maxToleratedLosses || losses != control.toleratedLosses)
+        return node.problem("tolerated_losses",
+                            "must be a whole number from 0 to "
+                                    + std::to_string(maxToleratedLosses));
+    if (control.toleratedLosses == 0)
+        return;
+    const int voters = 2 * control.toleratedLosses + 1;
+    if (control.voters != control_settings{}.voters && control.voters != voters)
+        node.problem("voters", "differs from the number that tolerated_losses needs; leave it out");
+    control.voters = voters;
+}
+
 void readControl(yaml_reader node, control_settings &control)
 {
     node.duration("heartbeat", control.heartbeat);
@@ -74,6 +92,7 @@
     node.duration("order_life", control.orderLifetime);
     node.count("snapshot_entries", control.snapshotEntries);
     node.count("voters", control.voters);
+    readToleratedLosses(node, control);
     node.rejectUnknownFields();
     if (control.voters % 2 == 0)
         node.problem("voters",
--- a/src/yuccascale/runtime/settings.hpp
+++ b/src/yuccascale/runtime/settings.hpp
@@ -59,6 +59,8 @@
     kernel::milliseconds orderLifetime{3'000}; ///< longest time an order can be in flight
     std::uint64_t snapshotEntries = 4'096;     ///< log entries between snapshots
     int voters = 3; ///< replicas that should vote; 2n+1 tolerate the loss of n
+    /// Replicas that may be lost at the same time, with their disks. Sets voters unless it is 0.
+    int toleratedLosses = 0;
 };
 
 /// \brief Bounds that the deployment guarantees; internal times are derived from them.
--- a/tests/fakes/replica_group.hpp
+++ b/tests/fakes/replica_group.hpp
@@ -25,9 +25,11 @@
     /// \param seed seed of the random election timeouts
     /// \param initialMemberCount number of replicas, counted from the first, that form the initial
     ///        membership; the others only know their names; 0: all
+    /// \param voterCount target number of voters; 0: as many as initial members
     explicit replica_group(std::size_t size, std::uint64_t seed = 0,
-                           std::size_t initialMemberCount = 0)
+                           std::size_t initialMemberCount = 0, std::size_t voterCount = 0)
         : m_seed(seed)
+        , m_voterCount(voterCount)
         , m_initialMemberCount(initialMemberCount == 0 ? size : initialMemberCount)
     {
         for (std::size_t index = 0; index < size; ++index)
@@ -49,6 +51,7 @@
         for (std::size_t first = 0; first < m_initialMemberCount; ++first)
             config.initialMembers.push_back(m_members[first].name);
         config.firstStart = m_firstStart;
+        config.voters = m_voterCount;
         config.seed = m_seed * m_members.size() + index + 1;
         m_replicas[index]
                 = std::make_unique<replica>(config, m_disks[index], *m_sinks[index], now());
@@ -263,6 +266,7 @@
     }
 
     std::uint64_t m_seed;
+    std::size_t m_voterCount;
     std::size_t m_initialMemberCount;
     bool m_firstStart = true;
     std::vector<member_id> m_members;
--- a/tests/unit/consensus_membership_test.cpp
+++ b/tests/unit/consensus_membership_test.cpp
@@ -91,4 +91,35 @@
     EXPECT_EQ(votersOf(group, leader).size(), seeds);
 }
 
+/// Two disks are wiped right after an acknowledgement while the other replicas lose power.
+TEST(consensus_membership, fiveVotersKeepWhatWasAcknowledgedWhenTwoLoseTheirDisks)
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        replica_group group(5, seed, seeds, 5);
+        std::size_t leader = group.runUntilLeader();
+        ASSERT_LT(leader, seeds);
+        group.run(milliseconds(3'000));
+        ASSERT_EQ(votersOf(group, leader).size(), 5U) << "seed " << seed;
+        const proposal proposed = group.at(leader).propose("acknowledged");
+        ASSERT_EQ(proposed.outcome, proposal_outcome::Accepted);
+        while (group.at(leader).commitIndex() < proposed.index)
+            group.run(milliseconds(1));
+        const std::size_t second = (leader + 1 + seed % 4) % 5;
+        for (std::size_t at = 0; at < 5; ++at) {
+            if (at == leader || at == second)
+                group.loseDisk(at);
+            else
+                group.stop(at);
+        }
+        group.setFirstStart(false);
+        for (std::size_t at = 0; at < 5; ++at)
+            group.start(at);
+        leader = group.runUntilLeader();
+        ASSERT_LT(leader, 5U) << "seed " << seed;
+        EXPECT_GE(group.at(leader).commitIndex(), proposed.index) << "seed " << seed;
+        group.run(milliseconds(8'000));
+        EXPECT_EQ(votersOf(group, leader).size(), 5U) << "seed " << seed;
+    }
+}
+
 } // namespace yuccascale::kernel::consensus
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -90,4 +90,27 @@
     EXPECT_EQ(std::ranges::count(problems, '\n'), 2) << problems;
 }
 
+TEST_F(settings_test, derivesTheVotersFromTheLossesToTolerate)
+{
+    const auto votersOf = [&](const std::string &control) {
+        EXPECT_EQ(problemsOf("control: {" + control + "}\n"), "");
+        int voters = 0;
+        kernel::error problem;
+        EXPECT_TRUE(kernel::succeeded(
+                [&]() -> kernel::result<void> {
+                    BOOST_LEAF_AUTO(read, readSettings((m_folder / "node.yaml").string()));
+                    voters = read.control.voters;
+                    return {};
+                },
+                problem));
+        return voters;
+    };
+    EXPECT_EQ(votersOf("tolerated_losses: 1"), 3);
+    EXPECT_EQ(votersOf("tolerated_losses: 2"), 5);
+    EXPECT_EQ(votersOf("tolerated_losses: 0"), 3) << "the default";
+    EXPECT_NE(problemsOf("control: {tolerated_losses: 2, voters: 7}\n"), "");
+    EXPECT_NE(problemsOf("control: {tolerated_losses: 1.5}\n"), "");
+    EXPECT_NE(problemsOf("control: {tolerated_losses: -1}\n"), "");
+}
+
 } // namespace yuccascale::runtime
