The service time of a request is learnt per route; unknown is not refused

Cause: the predicted service time began with the prefill rate of slow engines (8,000 tokens a second) and one factor for all prompt lengths.

A non-idempotent request with an unknown service time still avoids cheap endpoints. A request at its deadline is late.

--- a/src/yuccascale/kernel/policy/admission.hpp
+++ b/src/yuccascale/kernel/policy/admission.hpp
@@ -27,7 +27,7 @@
     instant receivedAt{};
     instant deadline{}; ///< of the complete answer
     instant firstTokenDeadline{};
-    nanoseconds predictedService{}; ///< from dispatch to the complete answer on an idle endpoint
+    nanoseconds predictedService{}; ///< from dispatch to the complete answer; 0: not known yet
 };
 
 /// \brief Reason why a request was not admitted to the queue.
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -71,9 +71,10 @@
                                             const request &callerRequest, double weight,
                                             const enqueue &options)
 {
-    const nanoseconds service = m_services[callerRequest.route.name].predict(
+    const std::optional<nanoseconds> service = m_services[callerRequest.route.name].predict(
             callerRequest.promptTokens, callerRequest.outputTokens);
-    const bool steadyOnly = !callerRequest.route.idempotent && service >= m_limits.cheapNotice;
+    const bool endsWithinNotice = service && *service < m_limits.cheapNotice;
+    const bool steadyOnly = !callerRequest.route.idempotent && !endsWithinNotice;
     if (!m_endpoints.canServe(steadyOnly)) {
         return refusal{error_kind::Unavailable,
                        "no endpoint of this route accepts work; retry later", false,
@@ -96,7 +97,7 @@
                    callerRequest.receivedAt,
                    callerRequest.deadline,
                    callerRequest.receivedAt + milliseconds(callerRequest.route.firstTokenMs),
-                   service};
+                   service.value_or(nanoseconds::zero())};
     waiting.id = callerRequest.id;
     waiting.fingerprint = callerRequest.fingerprint;
     waiting.work = {callerRequest.promptTokens, callerRequest.outputTokens};
--- a/src/yuccascale/plugins/queue_fair_share.cpp
+++ b/src/yuccascale/plugins/queue_fair_share.cpp
@@ -76,7 +76,7 @@
     [[nodiscard]] std::vector<waiting_request> takeLate(instant now) override
     {
         std::vector<waiting_request> late;
-        while (!m_latestStarts.empty() && m_latestStarts.begin()->first < now)
+        while (!m_latestStarts.empty() && m_latestStarts.begin()->first <= now)
             late.push_back(*extractByTicket(m_latestStarts.begin()->second));
         return late;
     }
--- a/tests/measure/fleet_run.cpp
+++ b/tests/measure/fleet_run.cpp
@@ -198,8 +198,10 @@
     waiting.deadline = event_loop::toInstant(request.deadline);
     waiting.firstTokenDeadline
             = event_loop::toInstant(request.arrivedAt + firstTokenDeadlineSeconds);
-    waiting.predictedService = m_entries[static_cast<std::size_t>(request.entry)].service.predict(
-            request.promptTokens, request.expectedOutputTokens);
+    const entry &sender = m_entries[static_cast<std::size_t>(request.entry)];
+    waiting.predictedService
+            = sender.service.predict(request.promptTokens, request.expectedOutputTokens)
+                      .value_or(kernel::nanoseconds::zero());
     return waiting;
 }
 
--- a/tests/unit/requests_fill_test.cpp
+++ b/tests/unit/requests_fill_test.cpp
@@ -101,6 +101,18 @@
     EXPECT_FALSE(assignments[0].prefillEndpoint.empty()) << assignments[0].reason;
 }
 
+/// The longest prompts were refused in the first seconds, for a service time of slower engines.
+TEST(prompt_prefill, sendsAVeryLongPromptBeforeAnyAnswerHasBeenSeen)
+{
+    pool_scheduler scheduler = schedulerOf(fleet());
+    request subject = longPrompt(start, 1);
+    subject.promptTokens = 100'000;
+    subject.parts = {{1, 50'000}, {2, 50'000}};
+    EXPECT_FALSE(scheduler.push(start, 1, subject, 1, {}));
+    EXPECT_TRUE(scheduler.takeLate(start + milliseconds(1)).empty());
+    EXPECT_EQ(scheduler.schedule(start + milliseconds(1)).size(), 1U);
+}
+
 TEST(prompt_prefill, avoidsEngineReadingAnotherEntrysPromptThenReusesItsCache)
 {
     const state::pool pool = fleet();
