The home of a prompt follows from all its shared parts

Cause: the home engine of a prompt was drawn by its first part, if that part was long. Where prompts begin with a short preamble before the long shared part, no prompt had a home and nothing was fetched: each request of a group was read anew elsewhere.

Change: the last shared part names the prefix, and the sum of the shared parts decides whether it is worth a home.

Test: prompt_prefill.choosesTheHomeByAllSharedPartsOfThePrompt, red before.

--- a/src/yuccascale/kernel/requests/prompt_caches.cpp
+++ b/src/yuccascale/kernel/requests/prompt_caches.cpp
@@ -10,7 +10,7 @@
 
 using policy::endpoint_view;
 
-/// Shortest shared part, in tokens, that has a home engine; prefilling a shorter one again is
+/// Shortest shared prefix, in tokens, that has a home engine; prefilling a shorter one again is
 /// cheap.
 constexpr std::int64_t minHomeTokens = 1'024;
 /// Smallest number of tokens worth fetching; fetching fewer takes longer than prefilling them.
@@ -32,6 +32,14 @@
     return view.unusableReason != "sick";
 }
 
+[[nodiscard]] std::int64_t tokensOf(std::span<const prompt_part> parts)
+{
+    std::int64_t tokens = 0;
+    for (const prompt_part &part : parts)
+        tokens += part.tokens;
+    return tokens;
+}
+
 [[nodiscard]] std::optional<std::size_t> homeOf(std::uint64_t part,
                                                 std::span<const endpoint_view> views)
 {
@@ -87,10 +95,11 @@
                 break;
         }
     }
-    const prompt_part &shared = parts.front();
-    if (parts.size() < 2 || shared.tokens < minHomeTokens)
+    const std::span<const prompt_part> shared = parts.first(parts.size() - 1);
+    if (shared.empty() || tokensOf(shared) < minHomeTokens)
         return;
-    const std::optional<std::size_t> home = homeOf(shared.id, views);
+    // requests that share the last shared part share those before it too
+    const std::optional<std::size_t> home = homeOf(shared.back().id, views);
     if (!home)
         return;
     views[*home].home = true;
--- a/tests/unit/requests_fill_test.cpp
+++ b/tests/unit/requests_fill_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace yuccascale::kernel::requests {
 
@@ -30,12 +31,12 @@
     return pool;
 }
 
-pool_scheduler schedulerOf(const state::pool &pool)
+pool_scheduler schedulerOf(const state::pool &pool, std::uint64_t seed = 1)
 {
     queue_limits limits;
     limits.window.prefillAheadTokens = 24'000;
     limits.assumeOthers = false;
-    pool_scheduler scheduler({policy::router_registry::make("prompt_homes", 1).value(),
+    pool_scheduler scheduler({policy::router_registry::make("prompt_homes", seed).value(),
                               policy::admission_registry::make("deadline").value(),
                               policy::fair_queue_registry::make("fair_share").value()},
                              limits);
@@ -169,6 +170,27 @@
     EXPECT_EQ(homeOf(other, 2), home);
 }
 
+/// Prompts may begin with a short part that all requests share, before the long part that only some
+/// share. Without a home for the long part, each request of a group was read anew elsewhere.
+TEST(prompt_prefill, choosesTheHomeByAllSharedPartsOfThePrompt)
+{
+    const auto homeOf = [](std::uint64_t seed, std::uint64_t group) {
+        pool_scheduler scheduler = schedulerOf(fleet(), seed);
+        request subject = longPrompt(start, 1);
+        subject.parts = {{7, 500}, {100 + group, 12'800}, {5'000 + seed, 3'700}};
+        EXPECT_FALSE(scheduler.push(start, 1, subject, 1, {}));
+        const auto assignments = scheduler.schedule(start);
+        return assignments.empty() ? std::string() : assignments.front().endpoint;
+    };
+    std::set<std::string> homes;
+    for (std::uint64_t group = 0; group < 20; ++group) {
+        const std::string home = homeOf(1, group);
+        EXPECT_EQ(homeOf(2, group), home) << "another entry, group " << group;
+        homes.insert(home);
+    }
+    EXPECT_GT(homes.size(), 5U) << "the short part does not draw all groups to one engine";
+}
+
 TEST(sse_event_splitter, splitsTheSameEventsForAnyChunking)
 {
     const std::string text = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndat";
