Prefill rates are learnt for each kind of engine; transfer times follow from the pool

Cause: the router placed long prompts by constants that fit one engine: 50,000 and 16,000 prompt tokens a second, 2 us a token for a transfer.

Change: policy::prefill_rates follows the upper quartile of the observed rates of engines that only prefill and of those that also decode, counting what was known to be ahead of a prompt. The KV cache size of a token and the speed of the links come from the operator's document. A fetch to an engine that keeps no parts carries no penalty for evicting others. An answer whose prompt was prefilled elsewhere says nothing about its own engine's prefill rate.

Tests: prefill_rates.*, quantile_tracker.*. prompt_placement.longPromptsMeetTheirTargetsOnSlowerAnd- FasterEngines plays engines of a quarter to four times the speed; it passes with the learning taken out too, since all its times are scaled alike. Its fake reported a first token after 100 ms for every answer; it reports the time that was played now.

--- a/src/yuccascale/kernel/policy/routing.hpp
+++ b/src/yuccascale/kernel/policy/routing.hpp
@@ -66,6 +66,7 @@
     int entries = 1;                    ///< entries assumed to choose as this one does
     int fleetEntries = 1;               ///< entries that send to the same endpoints
     bool mayDisaggregatePrefill = true; ///< this entry has a free prefill slot
+    double kvSecondsPerToken = 0; ///< transfer time of a token's KV cache in a zone; 0: not known
 };
 
 /// \brief The chosen endpoint and the reason for the choice.
@@ -91,6 +92,8 @@
     nanoseconds totalTime{};        ///< from dispatch
     int runningAtDispatch = 0;
     bool answered = false;
+    bool prefillOnly = false;     ///< it was the prefill for another engine
+    std::int64_t tokensAhead = 0; ///< prompt tokens that the engine had to compute before
 };
 
 /// \brief Chooses endpoints. One instance per pool; its owner serialises calls.
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -53,12 +53,23 @@
     return m_limits.assumeOthers ? m_position.count : 1;
 }
 
+/// \returns the transfer time of a token's KV cache in seconds; 0 when not known.
+double pool_scheduler::kvSecondsPerToken(const state::pool &pool) noexcept
+{
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMegabit = 1e6;
+    if (pool.kvTokenBytes <= 0 || pool.linkMbps <= 0)
+        return 0;
+    return static_cast<double>(pool.kvTokenBytes) * bitsPerByte / (pool.linkMbps * bitsPerMegabit);
+}
+
 /// Entries do not share their lists of suspects, so each runs its suspects on its own subset of the
 /// endpoints. The subsets are chosen by hash, because rows often alternate between availability
 /// zones and a subset should not coincide with a zone.
 void pool_scheduler::setRows(const state::pool &pool)
 {
     m_endpoints.setRows(pool);
+    m_kvSecondsPerToken = kvSecondsPerToken(pool);
     m_suspectEndpointOrder.clear();
     for (const state::endpoint &row : pool.endpoints)
         m_suspectEndpointOrder.push_back(row.name);
@@ -282,9 +293,10 @@
     static_cast<void>(m_endpoints.succeeded(now, endpoint, running.sentAt));
     if (outcome == prefill_outcome::Refused)
         return;
+    running.prefilledElsewhere = true;
     m_strategies.router->observe(now,
                                  {endpoint, running.queued.work.promptTokens, running.cachedTokens,
-                                  0, prefillTime, prefillTime, 0, true});
+                                  0, prefillTime, prefillTime, 0, true, true, running.tokensAhead});
 }
 
 bool pool_scheduler::applyNotice(instant now, const std::string &pool, const std::string &endpoint,
@@ -343,6 +355,8 @@
             = policy::requestCost(usage.promptTokens, usage.cachedTokens, usage.completionTokens);
     m_strategies.queue->charge(running.queued.row.organisation, running.queued.row.weight,
                                cost - running.queued.row.cost);
+    if (running.prefilledElsewhere)
+        usage.cachedTokens = usage.promptTokens;
     const policy::routing_outcome outcome{endpoint,
                                           usage.promptTokens,
                                           usage.cachedTokens,
@@ -350,7 +364,9 @@
                                           result.timeToFirstToken,
                                           result.totalTime,
                                           running.runningAtDispatch,
-                                          true};
+                                          true,
+                                          false,
+                                          running.tokensAhead};
     m_strategies.router->observe(now, outcome);
     m_window.observe(outcome);
     m_services[running.queued.row.route].observe(outcome);
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -209,7 +209,9 @@
         instant sentAt{};
         int runningAtDispatch = 0;
         std::int64_t cachedTokens = 0;    ///< estimated cached tokens at the prefilling engine
+        std::int64_t tokensAhead = 0;     ///< prompt tokens that engine had to compute before
         std::string prefillEndpoint = {}; ///< empty unless a separate engine prefills the prompt
+        bool prefilledElsewhere = false;  ///< a separate engine has prefilled the prompt
     };
 
     [[nodiscard]] std::optional<endpoint_assignment> place(instant now, queued_request &waiting);
@@ -227,6 +229,7 @@
                        bool crashed);
     [[nodiscard]] int sendingEntries() const noexcept;
     [[nodiscard]] std::size_t prefillSlots() const noexcept;
+    [[nodiscard]] static double kvSecondsPerToken(const state::pool &pool) noexcept;
     static void avoidZones(const queued_request &waiting,
                            std::vector<policy::endpoint_view> &views);
     [[nodiscard]] bool mayRunOwnSuspects(const std::string &endpoint) const;
@@ -258,6 +261,7 @@
     policy::queue_meter m_queueMeter;
     std::map<std::string, policy::service_estimate> m_services; ///< by route
     policy::dispatch_window m_window;
+    double m_kvSecondsPerToken = 0; ///< transfer time of a token's KV cache; 0: not known
 };
 
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
@@ -85,6 +85,7 @@
     routing.entries = sendingEntries();
     routing.fleetEntries = m_position.count;
     // a prefill call generates nothing, so it may be repeated for any request
+    routing.kvSecondsPerToken = m_kvSecondsPerToken;
     routing.mayDisaggregatePrefill = m_activePrefills < prefillSlots();
     return routing;
 }
@@ -139,6 +140,7 @@
                             now,
                             chosen.report.running + chosen.sentSinceReport,
                             cached,
+                            prefillView.ownPrefillTokens + prefillView.remotePrefillTokens,
                             assignment.prefillEndpoint};
     m_waiting.erase(assignment.ticket);
     m_running.insert_or_assign(assignment.ticket, std::move(running));
--- a/src/yuccascale/kernel/state/tables.hpp
+++ b/src/yuccascale/kernel/state/tables.hpp
@@ -123,6 +123,8 @@
     int maxEndpoints = 64;
     int maxConnections = 0;  ///< per endpoint, from all entries together; 0: no limit
     bool discovered = false; ///< its endpoints come from the platform's list, not from this row
+    std::int64_t kvTokenBytes = 0; ///< size of a token in the KV cache; 0: not known
+    double linkMbps = 0; ///< of an engine's link for KV cache transfers, Mbit/s; 0: not known
     std::vector<endpoint> endpoints;
     /// One item, or none when numbers of endpoints cannot be ordered for it from the platform
     std::vector<endpoint_scaling> scaling = {};
@@ -131,7 +133,8 @@
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(pool, name, kind, model, version, adapters,
                                                 minEndpoints, maxEndpoints, maxConnections,
-                                                discovered, endpoints, scaling)
+                                                discovered, kvTokenBytes, linkMbps, endpoints,
+                                                scaling)
 };
 
 /// \brief A customer with its share of the fleet.
--- a/src/yuccascale/platform/operator_document.cpp
+++ b/src/yuccascale/platform/operator_document.cpp
@@ -115,6 +115,8 @@
     row.kind = model ? backend_kind::Model : backend_kind::Service;
     if (model) {
         row.model = "default";
+        row.kvTokenBytes = optional(*engine, "kv_token_bytes", row.kvTokenBytes);
+        row.linkMbps = optional(*engine, "link_mbps", row.linkMbps);
         for (const json &modelRow : listOf(*engine, "models", false))
             row.model = required<std::string>(modelRow, "name");
     }
--- a/src/yuccascale/plugins/router_prompt_homes.cpp
+++ b/src/yuccascale/plugins/router_prompt_homes.cpp
@@ -1,4 +1,5 @@
 #include "yuccascale/kernel/policy/engine_backlog.hpp"
+#include "yuccascale/kernel/policy/prefill_rates.hpp"
 
 #include <algorithm>
 #include <random>
@@ -25,15 +26,12 @@
 constexpr std::int64_t minSplitPrefillTokens = 1'024;
 /// Cost of one more call and the transfer of the KV cache.
 constexpr double transferBaseSeconds = 0.02;
-constexpr double transferSecondsPerToken = 2e-6;
+/// Time to transfer the KV cache of a token when the pool does not state its size and its link.
+constexpr double defaultKvSecondsPerToken = 2e-6;
 constexpr double otherZoneFactor = 2; ///< a transfer between zones takes this many times as long
-/// Penalty for each fetch, and for decoding off the prompt's home: a fetched prompt evicts other
-/// parts from the engine's cache, and the transfer costs time.
+/// Penalty for each fetch to an engine that keeps it, and for decoding off the prompt's home: a
+/// fetched prompt evicts other parts from the engine's cache.
 constexpr double nonHomePenaltySeconds = 0.1;
-/// Prefill rate of an engine that only does prefill, and of one that also decodes and interleaves
-/// prefill in small chunks between decode steps.
-constexpr double prefillOnlyTokensPerSecond = 50'000;
-constexpr double mixedPrefillTokensPerSecond = 16'000;
 /// Added delay of the tokens in a full batch over an empty one.
 constexpr double fullBatchDelaySeconds = 0.4;
 /// Predicted wait for each request beyond the slots.
@@ -44,18 +42,23 @@
 constexpr double tieFraction = 0.03; ///< candidates within this share of the best count as equal
 constexpr double tieSeconds = 0.004;
 
-[[nodiscard]] double transferSeconds(std::int64_t tokens, bool otherZone) noexcept
+[[nodiscard]] double transferSeconds(const routing_request &request, std::int64_t tokens,
+                                     bool otherZone) noexcept
 {
+    const double secondsPerToken
+            = request.kvSecondsPerToken > 0 ? request.kvSecondsPerToken : defaultKvSecondsPerToken;
     const double factor = otherZone ? otherZoneFactor : 1.0;
-    return transferBaseSeconds + factor * transferSecondsPerToken * static_cast<double>(tokens);
+    return transferBaseSeconds + factor * secondsPerToken * static_cast<double>(tokens);
 }
 
-[[nodiscard]] double fetchSeconds(const endpoint_view &view, std::span<const endpoint_view> views)
+[[nodiscard]] double fetchSeconds(const routing_request &request, const endpoint_view &view,
+                                  std::span<const endpoint_view> views)
 {
     if (!view.fetchFrom || view.fetchableTokens == 0)
         return 0;
     const bool otherZone = views[*view.fetchFrom].row->zone != view.row->zone;
-    return transferSeconds(view.fetchableTokens, otherZone) + nonHomePenaltySeconds;
+    const double penalty = view.row->role == engine_role::Prefill ? 0.0 : nonHomePenaltySeconds;
+    return transferSeconds(request, view.fetchableTokens, otherZone) + penalty;
 }
 
 struct candidate
@@ -107,6 +110,9 @@
     {
         m_estimates.observe(outcome);
         m_backlogs.observe(outcome);
+        if (outcome.answered)
+            m_rates.observe(outcome.prefillOnly, outcome.promptTokens - outcome.cachedTokens,
+                            outcome.tokensAhead, outcome.timeToFirstToken);
     }
 
 private:
@@ -128,21 +134,19 @@
             const engine_backlog &backlog = backlogs[position];
             const double remainingTokens = static_cast<double>(std::max<std::int64_t>(
                     request.promptTokens - view.cachedPromptTokens - view.fetchableTokens, 0));
-            const double fetchDelay = fetchSeconds(view, views);
+            const double fetchDelay = fetchSeconds(request, view, views);
             // other entries do not report their short prompts; each is assumed to have as many as
             // this entry
             const double queuedPrefillTokens = backlog.prefillTokens
                     + static_cast<double>(view.remotePrefillTokens)
                     + static_cast<double>(view.ownUnannouncedTokens) * (request.fleetEntries - 1);
-            if (view.row->role == engine_role::Prefill) {
-                m_prefill.push_back({m_indexes[position],
-                                     fetchDelay
-                                             + (queuedPrefillTokens + remainingTokens)
-                                                     / prefillOnlyTokensPerSecond});
+            const bool prefillOnly = view.row->role == engine_role::Prefill;
+            const double tokensPerSecond = m_rates.tokensPerSecond(prefillOnly);
+            const double prefillSeconds = (queuedPrefillTokens + remainingTokens) / tokensPerSecond;
+            if (prefillOnly) {
+                m_prefill.push_back({m_indexes[position], fetchDelay + prefillSeconds});
                 continue;
             }
-            const double tokensPerSecond = mixedPrefillTokensPerSecond;
-            const double prefillSeconds = (queuedPrefillTokens + remainingTokens) / tokensPerSecond;
             const double decodeDelay = batchDelay(view, backlog);
             const double decodeStall = remainingTokens < minSplitPrefillTokens
                     ? 0.0
@@ -165,8 +169,9 @@
         const std::optional<candidate> decode = pick(m_decode);
         if (!prefill || !decode)
             return;
-        const nanoseconds splitFirstToken = toDuration(
-                prefill->seconds + decode->seconds + transferSeconds(request.promptTokens, false));
+        const nanoseconds splitFirstToken
+                = toDuration(prefill->seconds + decode->seconds
+                             + transferSeconds(request, request.promptTokens, false));
         if (splitFirstToken >= choice.predictedFirstToken)
             return;
         choice = {decode->index,
@@ -193,6 +198,7 @@
     std::mt19937_64 m_random;
     engine_estimates m_estimates;
     backlog_estimator m_backlogs;
+    prefill_rates m_rates;
     std::vector<std::size_t> m_indexes;
     std::vector<candidate> m_unsplit; ///< engines that would prefill and decode
     std::vector<candidate> m_prefill; ///< engines that would only prefill
--- a/tests/fakes/reading_engines.cpp
+++ b/tests/fakes/reading_engines.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-simulated_prefill_pool::simulated_prefill_pool(int prefillCount, int mixedCount)
+simulated_prefill_pool::simulated_prefill_pool(int prefillCount, int mixedCount, double speed)
 {
     m_pool.name = "pool";
     for (int number = 0; number < prefillCount + mixedCount; ++number) {
@@ -33,8 +33,10 @@
         row.zone = "z" + std::to_string(number % zones);
         row.role = prefillOnly ? state::engine_role::Prefill : state::engine_role::Mixed;
         row.slots = 16;
-        m_engines[row.name]
-                = {prefillOnly ? prefillTokensPerMs : mixedTokensPerMs, !prefillOnly, {}, {}};
+        m_engines[row.name] = {speed * (prefillOnly ? prefillTokensPerMs : mixedTokensPerMs),
+                               !prefillOnly,
+                               {},
+                               {}};
         m_pool.endpoints.push_back(std::move(row));
     }
 }
--- a/tests/fakes/reading_engines.hpp
+++ b/tests/fakes/reading_engines.hpp
@@ -17,7 +17,8 @@
 class simulated_prefill_pool
 {
 public:
-    simulated_prefill_pool(int prefillCount, int mixedCount);
+    /// \param speed of the engines, relative to 50 prompt tokens a ms of a prefill engine
+    simulated_prefill_pool(int prefillCount, int mixedCount, double speed = 1.0);
 
     [[nodiscard]] const kernel::state::pool &pool() const noexcept { return m_pool; }
 
--- a/tests/unit/requests_placing_test.cpp
+++ b/tests/unit/requests_placing_test.cpp
@@ -59,8 +59,10 @@
 class fleet
 {
 public:
-    explicit fleet(bool announces)
+    /// \param speed of the engines, relative to the load that is played at 1
+    explicit fleet(bool announces, double speed = 1.0)
         : m_announces(announces)
+        , m_speed(speed)
     {
         queue_limits limits;
         limits.window.prefillAheadTokens = 24'000;
@@ -80,13 +82,13 @@
     {
         instant nextLong = start;
         instant nextShort = start;
-        while (std::min(nextLong, nextShort) < start + loadDuration) {
+        while (std::min(nextLong, nextShort) < start + scaled(loadDuration)) {
             instant &next = nextLong < nextShort ? nextLong : nextShort;
             processUntil(next);
             submit(next, &next == &nextLong ? m_long : m_short);
-            next += &next == &nextLong ? longInterval : shortInterval;
+            next += scaled(&next == &nextLong ? longInterval : shortInterval);
         }
-        processUntil(start + loadDuration + seconds(20));
+        processUntil(start + scaled(loadDuration) + seconds(20));
     }
 
     [[nodiscard]] const request_kind &longPrompts() const noexcept { return m_long; }
@@ -94,6 +96,12 @@
     [[nodiscard]] std::int64_t readAgain() const noexcept { return m_engines.recomputedTokens(); }
 
 private:
+    /// \returns the duration that corresponds to \a time on engines of this speed.
+    [[nodiscard]] nanoseconds scaled(nanoseconds time) const
+    {
+        return std::chrono::duration_cast<nanoseconds>(time / m_speed);
+    }
+
     [[nodiscard]] pool_scheduler &entryOf(std::uint64_t ticket)
     {
         return m_entries[ticket % entries];
@@ -114,8 +122,8 @@
         subject.promptTokens = kind.shared + kind.own;
         subject.outputTokens = 20;
         subject.receivedAt = now;
-        subject.deadline = now + seconds(8);
-        kind.submitted += now >= start + warmUp ? 1 : 0;
+        subject.deadline = now + scaled(seconds(8));
+        kind.submitted += now >= start + scaled(warmUp) ? 1 : 0;
         m_submitted[ticket] = subject;
         static_cast<void>(entryOf(ticket).push(now, ticket, subject, 1, {}));
         sendAssigned(now, entryOf(ticket));
@@ -155,8 +163,8 @@
         if (next.ends) {
             attempt_result result;
             result.answered = true;
-            result.timeToFirstToken = milliseconds(100);
-            result.totalTime = result.timeToFirstToken + generationTime;
+            result.totalTime = next.at - subject.receivedAt;
+            result.timeToFirstToken = result.totalTime - generationTime;
             static_cast<void>(entry.finish(next.at, next.ticket, result));
             sendAssigned(next.at, entry);
             return;
@@ -166,12 +174,14 @@
                                   next.at - subject.receivedAt);
         entry.firstPieceArrived(next.at, next.ticket);
         request_kind &kind = subject.route.name == "long" ? m_long : m_short;
-        if (subject.receivedAt >= start + warmUp && next.at - subject.receivedAt <= kind.target)
+        if (subject.receivedAt >= start + scaled(warmUp)
+            && next.at - subject.receivedAt <= scaled(kind.target))
             ++kind.inTime;
     }
 
     bool m_announces;
-    fakes::simulated_prefill_pool m_engines{prefillEngines, generatingEngines};
+    double m_speed;
+    fakes::simulated_prefill_pool m_engines{prefillEngines, generatingEngines, m_speed};
     std::vector<pool_scheduler> m_entries;
     request_kind m_long{13'300, 3'700, milliseconds(600)};
     request_kind m_short{92, 291, milliseconds(250)};
@@ -191,6 +201,17 @@
     EXPECT_GE(announcing.shortPrompts().share(), minInTimeShare);
 }
 
+/// Guards against placing by the rates of another engine: too slow a rate sends prompts to engines
+/// that also decode although a prefill engine would be sooner, too fast a rate queues them there.
+TEST(prompt_placement, longPromptsMeetTheirTargetsOnSlowerAndFasterEngines)
+{
+    for (const double speed : {0.25, 0.5, 2.0, 4.0}) {
+        fleet scaledFleet(true, speed);
+        scaledFleet.run();
+        EXPECT_GE(scaledFleet.longPrompts().share(), minInTimeShare) << "speed " << speed;
+    }
+}
+
 TEST(prompt_placement, announcedPlacementsReduceRepeatedPrefill)
 {
     fleet announcing(true);
