--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -91,11 +91,14 @@
     return endpoint.report.load.leaving || endpoint.listedLeaving || endpoint.announcedLeaving;
 }
 
-int endpoint_table::prefillEngines() const noexcept
+int endpoint_table::prefillEngineSlots() const noexcept
 {
-    return static_cast<int>(std::ranges::count_if(m_rows, [](const endpoint_state &one) {
-        return one.row.role == state::engine_role::Prefill && acceptsWork(one, false);
-    }));
+    int slots = 0;
+    for (const endpoint_state &one : m_rows) {
+        if (one.row.role == state::engine_role::Prefill && acceptsWork(one, false))
+            slots += one.row.slots;
+    }
+    return slots;
 }
 
 void endpoint_table::setLeaving(const std::string &endpoint, bool leaving)
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -108,8 +108,8 @@
 
     [[nodiscard]] std::size_t size() const noexcept { return m_rows.size(); }
 
-    /// \returns the number of prefill engines that accept work.
-    [[nodiscard]] int prefillEngines() const noexcept;
+    /// \returns the slots of the prefill engines that accept work.
+    [[nodiscard]] int prefillEngineSlots() const noexcept;
 
 private:
     struct running_request
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -20,8 +20,9 @@
 /// Retry delay advised while all prefill slots are in use, and the step between two such callers.
 constexpr milliseconds prefillRetryAfter{1'200};
 constexpr milliseconds prefillRetryStep{150};
-/// Concurrent prompts per prefill engine; further prompts are prefilled at their decoding engine.
-constexpr double prefillsPerEngine = 4;
+/// Concurrent prompts per slot of the prefill engines; further prompts are prefilled at their
+/// decoding engine.
+constexpr double prefillsPerSlot = 0.25;
 /// Fraction of the retry burst that is divided among the entries; the rest is a reserve for changes
 /// in the number of entries.
 constexpr double sharedBurstFraction = 0.8;
@@ -191,7 +192,7 @@
 /// \returns this entry's share of the concurrent prompts at prefill engines, at least 1.
 std::size_t pool_scheduler::prefillSlots() const noexcept
 {
-    const double share = prefillsPerEngine * m_endpoints.prefillEngines() / m_position.count;
+    const double share = prefillsPerSlot * m_endpoints.prefillEngineSlots() / m_position.count;
     return static_cast<std::size_t>(std::max(std::lround(share), 1L));
 }
 
--- a/tests/unit/requests_fill_test.cpp
+++ b/tests/unit/requests_fill_test.cpp
@@ -61,6 +61,15 @@
     return subject;
 }
 
+/// A prompt that any number of prefill engines can take a dozen of.
+request shortenedPrompt(instant now, std::uint64_t number)
+{
+    request subject = longPrompt(now, number);
+    subject.promptTokens = 6'000;
+    subject.parts = {{number, 2'000}, {1'000 + number, 4'000}};
+    return subject;
+}
+
 request shortPrompt(instant now, std::uint64_t number)
 {
     request subject = longPrompt(now, number);
@@ -89,6 +98,23 @@
     EXPECT_TRUE(scheduler.takeLate(start).empty());
 }
 
+TEST(prompt_prefill, sharesPrefillEnginesByTheirSlots)
+{
+    state::pool pool = fleet();
+    for (state::endpoint &row : pool.endpoints)
+        row.slots = 64;
+    pool_scheduler scheduler = schedulerOf(pool);
+    for (std::uint64_t ticket = 1; ticket <= 12; ++ticket)
+        EXPECT_FALSE(scheduler.push(start, ticket, shortenedPrompt(start, ticket), 1, {}));
+    const auto assignments = scheduler.schedule(start);
+    EXPECT_EQ(std::ranges::count_if(assignments,
+                                    [](const endpoint_assignment &assignment) {
+                                        return !assignment.prefillEndpoint.empty();
+                                    }),
+              12)
+            << "16 for each of six engines, divided among eight entries";
+}
+
 /// A prefill call generates nothing, so it is no run of a request that may run only once.
 TEST(prompt_prefill, prefillsNonIdempotentRequestsSeparately)
 {
