--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -360,11 +360,12 @@
                 suspected.push_back(failure.endpoint);
         }
     }
-    for (const endpoint_leaving &left : updates.leaving) {
-        if (const std::shared_ptr<guarded_pool> pool = find(left.pool)) {
+    for (const endpoint_leaving &leaving : updates.leaving) {
+        if (const std::shared_ptr<guarded_pool> pool = find(leaving.pool)) {
             const std::scoped_lock guard(pool->mutex);
-            static_cast<void>(pool->scheduler.endpoints().applyNotice(m_clock.now(), left.endpoint,
-                                                                      {true, {}, {}}));
+            const endpoint_notice notice{true, {}, {}};
+            static_cast<void>(pool->scheduler.endpoints().applyNotice(m_clock.now(),
+                                                                      leaving.endpoint, notice));
         }
     }
     return suspected;
--- a/src/yuccascale/http/endpoint_client.cpp
+++ b/src/yuccascale/http/endpoint_client.cpp
@@ -72,6 +72,7 @@
     exchange(endpoint_client &client, endpoint_attempt attempt)
         : m_client(client)
         , m_attempt(std::move(attempt))
+        , m_heldByAll(client.m_heldBytes)
     { }
 
     ~exchange() override { releaseHeldBytes(); }
@@ -183,8 +184,8 @@
     /// \returns whether the attempt may hold this many bytes of an incomplete answer.
     [[nodiscard]] bool mayHold(std::size_t bytes) noexcept
     {
-        m_client.m_heldBytes += bytes - std::exchange(m_heldBytes, bytes);
-        return bytes <= unlimitedHeldBytes || m_client.m_heldBytes <= maxHeldBytes;
+        *m_heldByAll += bytes - std::exchange(m_heldBytes, bytes);
+        return bytes <= unlimitedHeldBytes || *m_heldByAll <= maxHeldBytes;
     }
 
     void releaseHeldBytes() noexcept { static_cast<void>(mayHold(0)); }
@@ -217,7 +218,8 @@
     endpoint_attempt m_attempt;
     std::shared_ptr<net::http_call> m_call;
     std::optional<outbound_request> m_prefillRelease;
-    std::size_t m_heldBytes = 0; ///< counted in the client's sum
+    std::shared_ptr<std::size_t> m_heldByAll;
+    std::size_t m_heldBytes = 0; ///< of this attempt, counted in m_heldByAll
     bool m_cancelled = false;
 };
 
--- a/src/yuccascale/http/endpoint_client.hpp
+++ b/src/yuccascale/http/endpoint_client.hpp
@@ -77,7 +77,8 @@
 
     net::io_context &m_loop;
     net::http_client m_client;
-    std::size_t m_heldBytes = 0; ///< of incomplete answers, of all attempts
+    /// Bytes of incomplete answers that all attempts hold; attempts may outlive this client.
+    std::shared_ptr<std::size_t> m_heldBytes = std::make_shared<std::size_t>(0);
 };
 
 } // namespace yuccascale::http
