A feed reply may take longer than the feed interval

Change: a poll may take half of the freshness; links notice a dead peer by their own timeouts.

Test: feed_service.takesAReplyThatArrivesMoreSlowlyThanTheFeedInterval, red before.

--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -209,6 +209,15 @@
     return true;
 }
 
+/// Large tables may take longer than the feed interval on a slow link, and a reply that is given up
+/// is requested again from its start. Half of the freshness leaves time to ask another node before
+/// the tables expire.
+nanoseconds feed_service::pollTimeout() const
+{
+    const control_settings &control = m_settings.control;
+    return std::max<nanoseconds>(control.feedInterval, control.freshness / 2);
+}
+
 bool feed_service::pollPeer(instant sentAt)
 {
     const std::string peer = selectTarget();
@@ -223,8 +232,7 @@
     const bool answered = succeeded(
             [&]() -> result<void> {
                 BOOST_LEAF_AUTO(bytes,
-                                m_transport.call(peer, channel::Feed, request,
-                                                 m_settings.control.feedInterval));
+                                m_transport.call(peer, channel::Feed, request, pollTimeout()));
                 BOOST_LEAF_ASSIGN(reply, wire::decodeFeedReply(bytes));
                 return {};
             },
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -93,6 +93,7 @@
     [[nodiscard]] bool pollOnce();
     void switchTargetFrom(const std::string &peer);
     [[nodiscard]] bool readLocalLeader(kernel::instant sentAt);
+    [[nodiscard]] kernel::nanoseconds pollTimeout() const;
     [[nodiscard]] bool pollPeer(kernel::instant sentAt);
     [[nodiscard]] std::string selectTarget();
     [[nodiscard]] std::vector<std::string> knownControlNodes() const;
--- a/tests/unit/feed_service_test.cpp
+++ b/tests/unit/feed_service_test.cpp
@@ -19,7 +19,7 @@
     void record(const event_kind &, std::span<const event_field>) override { }
 };
 
-/// Control nodes that answer at once, each from the last reading installed on it.
+/// Control nodes that answer from the last reading installed on each, after replyTime.
 class control_nodes final : public transport
 {
 public:
@@ -27,13 +27,15 @@
     void post(std::string_view, channel, std::string) override { }
 
     [[nodiscard]] result<std::string> call(std::string_view node, channel, std::string payload,
-                                           nanoseconds) override
+                                           nanoseconds timeout) override
     {
         const auto found = states.find(std::string(node));
         if (found == states.end())
             return fail(error_kind::Unavailable, std::string(node), "not reached");
         BOOST_LEAF_AUTO(request, wire::decodeFeedRequest(payload));
         calledNodes.emplace_back(node);
+        if (replyTime > timeout)
+            return fail(error_kind::OutcomeUnknown, std::string(node), "no reply in time");
         return wire::encodeFeedReply(found->second.answer(now, "entry", request));
     }
 
@@ -54,6 +56,7 @@
     std::map<std::string, feed::feed_state> states;
     std::vector<std::string> calledNodes;
     instant now{seconds(100)};
+    nanoseconds replyTime{}; ///< until a reply has arrived as a whole
 };
 
 settings entrySettings()
@@ -105,4 +108,22 @@
     EXPECT_EQ(feed.view().tables->revision, 7U);
 }
 
+/// Guards against large tables that never arrive: on a slow link the reply takes longer than the
+/// feed interval, and a reply that is given up is requested again from its start.
+TEST(feed_service, takesAReplyThatArrivesMoreSlowlyThanTheFeedInterval)
+{
+    const settings config = entrySettings();
+    fakes::manual_clock clock;
+    control_nodes nodes;
+    null_sink events;
+    clock.advance(nodes.now.time_since_epoch());
+    nodes.installReading("a", 7);
+    nodes.replyTime = 2 * config.control.feedInterval;
+    feed_service feed(config, clock, nodes, events, 1, nullptr);
+    feed.pollRound();
+    ASSERT_TRUE(feed.view().tables);
+    EXPECT_EQ(feed.view().tables->revision, 7U);
+    EXPECT_EQ(nodes.calledNodes.size(), 1U);
+}
+
 } // namespace yuccascale::runtime
