--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -32,6 +32,11 @@
 inline const event_kind freshnessGained{
         1012, "freshness_gained", severity::Info,
         "A leader has confirmed the tables: keyed requests are served."};
+inline const event_kind feedLoad{
+        1013, "feed_load", severity::Info,
+        "This node has sent tables to other nodes since its last such line. 'replies' counts all "
+        "replies to polls, 'with_tables' those that held tables, 'tables_encoded' how often tables "
+        "were encoded for them, 'peers' the nodes that poll this one."};
 inline const event_kind badMessage{1020, "bad_message", severity::Warning,
                                    "A message from another node could not be decoded and was "
                                    "dropped. Upgrade the older of the two nodes."};
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -19,6 +19,8 @@
 /// A control node whose own confirmation is older than this many feed intervals may be partitioned
 /// from the leader.
 constexpr double maxLagIntervals = 2.5;
+constexpr seconds loadEventInterval{5}; ///< least time between two feed_load events
+constexpr seconds subscriberWindow{5};  ///< a node that polled within it is a peer
 constexpr std::uint64_t listCounterMask = (std::uint64_t{1} << listCounterBits) - 1;
 
 } // namespace
@@ -160,6 +162,7 @@
         pollRound();
         if (m_listener)
             m_listener();
+        recordLoad();
         const bool fresh = view().fresh(m_clock.now());
         if (fresh != wasFresh)
             m_events.record(fresh ? freshnessGained : freshnessLost, {});
@@ -296,7 +299,49 @@
         return {};
     }
     const std::lock_guard lock(m_mutex);
-    return wire::encodeFeedReply(m_state.answer(m_clock.now(), peer, request));
+    const feed::feed_reply reply = m_state.answer(m_clock.now(), peer, request);
+    std::string bytes = wire::encodeFeedReply(reply);
+    countReply(reply, bytes.size());
+    return bytes;
+}
+
+/// Requires m_mutex to be held.
+void feed_service::countReply(const feed::feed_reply &reply, std::size_t bytes)
+{
+    const std::size_t tables = reply.edits.size() + reply.fullTables.size();
+    ++m_load.replies;
+    m_load.repliesWithTables += tables > 0 ? 1 : 0;
+    m_load.tablesEncoded += tables;
+    m_load.bytes += bytes;
+}
+
+feed_load feed_service::load() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_load;
+}
+
+void feed_service::recordLoad()
+{
+    const instant now = m_clock.now();
+    std::unique_lock lock(m_mutex);
+    const bool tablesSent = m_load.repliesWithTables != m_recordedLoad.repliesWithTables;
+    if (!tablesSent || now - m_loadRecordedAt < loadEventInterval)
+        return;
+    const feed_load since{m_load.replies - m_recordedLoad.replies,
+                          m_load.repliesWithTables - m_recordedLoad.repliesWithTables,
+                          m_load.tablesEncoded - m_recordedLoad.tablesEncoded,
+                          m_load.bytes - m_recordedLoad.bytes};
+    const std::size_t peers = m_state.directory().directPeers(now, subscriberWindow).size();
+    m_recordedLoad = m_load;
+    m_loadRecordedAt = now;
+    lock.unlock();
+    m_events.record(feedLoad,
+                    {{"peers", peers},
+                     {"replies", since.replies},
+                     {"with_tables", since.repliesWithTables},
+                     {"tables_encoded", since.tablesEncoded},
+                     {"bytes", since.bytes}});
 }
 
 /// Requires m_mutex to be held.
@@ -321,7 +366,6 @@
 {
     if (!newer)
         return;
-    constexpr seconds subscriberWindow{5};
     std::vector<std::string> peers;
     std::uint64_t revision = 0;
     std::uint64_t endpointListVersion = 0;
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -33,6 +33,15 @@
     confirmedReading(kernel::instant deadline) = 0;
 };
 
+/// \brief What a node has sent in its replies to the polls of other nodes.
+struct feed_load
+{
+    std::uint64_t replies = 0;
+    std::uint64_t repliesWithTables = 0; ///< replies that held edits or full tables
+    std::uint64_t tablesEncoded = 0;     ///< edits and full tables that were encoded for them
+    std::uint64_t bytes = 0;
+};
+
 /// \brief Runs the feed of one node. Thread-safe.
 class feed_service
 {
@@ -78,6 +87,9 @@
     /// \returns the last report of each node that polls this one, with its age, and of this node.
     [[nodiscard]] std::vector<kernel::feed::node_report> nodeReports() const;
 
+    /// \returns what this node has sent since it was started.
+    [[nodiscard]] feed_load load() const;
+
     /// \brief Polls at once instead of at the next interval.
     void pollSoon();
 
@@ -100,6 +112,8 @@
     [[nodiscard]] std::string handleRequest(std::string_view peer, std::string_view payload);
     [[nodiscard]] kernel::feed::node_report selfReport() const;
     void notifyPeers(bool newer);
+    void countReply(const kernel::feed::feed_reply &reply, std::size_t bytes);
+    void recordLoad();
 
     const settings &m_settings;
     kernel::clock &m_clock;
@@ -114,6 +128,9 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_wake;
     kernel::feed::feed_state m_state;
+    feed_load m_load;
+    feed_load m_recordedLoad; ///< as of the last feed_load event
+    kernel::instant m_loadRecordedAt{};
     bool m_pollRequested = false;
     bool m_stopped = false;
     bool m_leaving = false;
--- a/tests/unit/feed_service_test.cpp
+++ b/tests/unit/feed_service_test.cpp
@@ -23,7 +23,7 @@
 class control_nodes final : public transport
 {
 public:
-    void handle(channel, handler) override { }
+    void handle(channel, handler handler) override { ownHandler = std::move(handler); }
     void post(std::string_view, channel, std::string) override { }
 
     [[nodiscard]] result<std::string> call(std::string_view node, channel, std::string payload,
@@ -52,13 +52,48 @@
         static_cast<void>(state->second.installConfirmedState(now, now, {tables, 0, {}}, self));
     }
 
+    /// Makes \a follower in \a zone known to \a leader, and gives it the leader's reading.
+    void join(const std::string &follower, const std::string &zone, const std::string &leader)
+    {
+        feed::node_report self;
+        self.node = self.link = follower;
+        self.zone = zone;
+        self.control = true;
+        feed::feed_state &state = states.try_emplace(follower, freshness).first->second;
+        const feed::feed_request request = state.request(now, self, true);
+        static_cast<void>(states.at(leader).answer(now, follower, request));
+        installReading(leader, states.at(leader).view().tables->revision);
+        static_cast<void>(state.install(now, states.at(leader).answer(now, follower, request)));
+    }
+
     static constexpr milliseconds freshness{4'700};
+    handler ownHandler; ///< of the node under test
     std::map<std::string, feed::feed_state> states;
     std::vector<std::string> calledNodes;
     instant now{seconds(100)};
     nanoseconds replyTime{}; ///< until a reply has arrived as a whole
 };
 
+/// A leader's state with as many routes as its revision.
+class leader_reader final : public leader_state_reader
+{
+public:
+    [[nodiscard]] std::string leader() const override { return "a"; }
+    [[nodiscard]] result<feed::confirmed_state> confirmedReading(instant) override
+    {
+        auto tables = std::make_shared<state::table_set>();
+        tables->revision = revision;
+        for (std::uint64_t number = 0; number < revision; ++number) {
+            state::route row;
+            row.name = "route-" + std::to_string(number);
+            tables->routes[row.name] = row;
+        }
+        return feed::confirmed_state{tables, 0, {}};
+    }
+
+    std::uint64_t revision = 1;
+};
+
 settings entrySettings()
 {
     settings out;
@@ -126,4 +161,67 @@
     EXPECT_EQ(nodes.calledNodes.size(), 1U);
 }
 
+/// Guards against one control node that serves the feed of all entries while the others are idle.
+TEST(feed_service, pollsTheControlNodeOfItsOwnAvailabilityZone)
+{
+    settings config = entrySettings();
+    config.zone = "perth-b";
+    fakes::manual_clock clock;
+    control_nodes nodes;
+    null_sink events;
+    clock.advance(nodes.now.time_since_epoch());
+    nodes.installReading("a", 7);
+    nodes.join("b", "perth-b", "a");
+    feed_service feed(config, clock, nodes, events, 1, nullptr);
+    feed.pollRound();
+    feed.pollRound();
+    EXPECT_EQ(nodes.calledNodes.back(), "b");
+}
+
+TEST(feed_service, entriesOfOneZoneSpreadOverItsControlNodes)
+{
+    std::map<std::string, int> polls;
+    for (int number = 0; number < 40; ++number) {
+        settings config = entrySettings();
+        config.node = config.linkAddress = "entry-" + std::to_string(number);
+        fakes::manual_clock clock;
+        control_nodes nodes;
+        null_sink events;
+        clock.advance(nodes.now.time_since_epoch());
+        nodes.installReading("a", 7);
+        nodes.join("b", "perth-a", "a");
+        nodes.join("c", "perth-a", "a");
+        feed_service feed(config, clock, nodes, events, 1, nullptr);
+        feed.pollRound();
+        feed.pollRound();
+        ++polls[nodes.calledNodes.back()];
+    }
+    EXPECT_GE(polls["b"], 10);
+    EXPECT_GE(polls["c"], 10);
+}
+
+/// Guards against a large document that is late at the last entries, since it is encoded for each.
+TEST(feed_service, encodesARevisionOnceForAllEntries)
+{
+    settings config = entrySettings();
+    config.linkAddress = "a";
+    fakes::manual_clock clock;
+    control_nodes nodes;
+    null_sink events;
+    leader_reader leader;
+    feed_service feed(config, clock, nodes, events, 1, &leader);
+    feed.pollRound();
+    leader.revision = 2;
+    feed.pollRound();
+    constexpr std::uint64_t entries = 68;
+    for (std::uint64_t number = 0; number < entries; ++number) {
+        feed::feed_request request;
+        request.haveTables = number % 2 == 0;
+        request.haveRevision = request.haveTables ? 1 : 0;
+        ASSERT_FALSE(nodes.ownHandler("entry", wire::encodeFeedRequest(request)).empty());
+    }
+    EXPECT_EQ(feed.load().repliesWithTables, entries);
+    EXPECT_EQ(feed.load().tablesEncoded, 2U) << "one edit and one full set of tables";
+}
+
 } // namespace yuccascale::runtime
