A node polls a control node of its own availability zone

Cause: a node kept the first control node that answered it, which at the first start is the first seed for every node. Nothing moved it to its own zone, so one control node with 0.15 cores served the feed of all entries.

A node that fails no longer decides for good where its pollers go.

--- /dev/null
+++ b/src/yuccascale/kernel/feed/relay_choice.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/feed/feed_messages.hpp"
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Chooses the control node that a node polls for what is in force.
+
+namespace yuccascale::kernel::feed {
+
+/// \brief Spreads the nodes of an availability zone over its control nodes. Not thread-safe.
+///
+/// \example
+///     relay_choice relays({"10.1.0.7:7660", "perth-a"});
+///     const std::string relay = relays.choose(now, relays.order(nodes, seeds));
+class relay_choice
+{
+public:
+    /// \brief The node that polls.
+    struct poller
+    {
+        std::string link; ///< IP:port
+        std::string zone;
+    };
+
+    explicit relay_choice(poller self)
+        : m_self(std::move(self))
+    { }
+
+    /// \returns link addresses of the control nodes among \a nodes, those of the own zone first,
+    /// and
+    ///          then of the \a seeds, without this node. Each group has an order of its own for
+    ///          each polling node, so that the polls are spread.
+    [[nodiscard]] std::vector<std::string> order(std::span<const node_report> nodes,
+                                                 std::span<const std::string> seeds) const;
+
+    /// \returns the first of \a ordered that has not failed lately, else the one whose failure is
+    ///          the oldest; empty when there is none.
+    [[nodiscard]] std::string choose(instant now, std::span<const std::string> ordered) const;
+
+    /// \brief Records that a control node did not answer, or answered what may be outdated.
+    void failed(instant now, const std::string &relay);
+
+    /// \brief Records an answer that is up to date.
+    void succeeded(const std::string &relay) { m_avoidedUntil.erase(relay); }
+
+private:
+    void spread(std::span<std::string> group) const;
+
+    poller m_self;
+    std::map<std::string, instant> m_avoidedUntil; ///< by link address
+};
+
+} // namespace yuccascale::kernel::feed
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -34,6 +34,7 @@
     , m_events(events)
     , m_leaderState(leaderState)
     , m_seeds(settings.seeds)
+    , m_relays({settings.linkAddress, settings.zone})
     , m_incarnation(incarnation)
     , m_state(settings.control.freshness)
 {
@@ -90,18 +91,7 @@
 /// Requires m_mutex to be held.
 std::vector<std::string> feed_service::knownControlNodes() const
 {
-    std::vector<std::string> sameZone;
-    std::vector<std::string> otherZones;
-    for (const feed::node_report &node : m_state.nodes()) {
-        if (node.control && node.link != m_settings.linkAddress)
-            (node.zone == m_settings.zone ? sameZone : otherZones).push_back(node.link);
-    }
-    sameZone.insert(sameZone.end(), otherZones.begin(), otherZones.end());
-    for (const std::string &seed : m_seeds) {
-        if (seed != m_settings.linkAddress && std::ranges::find(sameZone, seed) == sameZone.end())
-            sameZone.push_back(seed);
-    }
-    return sameZone;
+    return m_relays.order(m_state.nodes(), m_seeds);
 }
 
 void feed_service::setSeeds(std::vector<std::string> seeds)
@@ -244,8 +234,10 @@
     const auto longestLag = std::chrono::duration_cast<nanoseconds>(
             maxLagIntervals * m_settings.control.feedInterval);
     const bool upToDate = answered && reply.confirmed && lag <= longestLag;
-    if (!upToDate)
-        switchTargetFrom(peer);
+    if (upToDate)
+        m_relays.succeeded(peer);
+    else
+        m_relays.failed(m_clock.now(), peer);
     if (!answered)
         return false;
     lock.lock();
@@ -255,17 +247,6 @@
     return upToDate;
 }
 
-/// Makes the control node after \a peer the target of the next poll.
-void feed_service::switchTargetFrom(const std::string &peer)
-{
-    const std::vector<std::string> known = controlNodes();
-    const auto found = std::ranges::find(known, peer);
-    if (known.empty())
-        return;
-    m_target = found == known.end() || std::next(found) == known.end() ? known.front()
-                                                                       : *std::next(found);
-}
-
 std::string feed_service::selectTarget()
 {
     if (m_leaderState != nullptr) {
@@ -273,11 +254,7 @@
         if (!leader.empty())
             return leader == m_settings.linkAddress ? std::string() : leader;
     }
-    if (m_target.empty()) {
-        const std::vector<std::string> known = controlNodes();
-        m_target = known.empty() ? std::string() : known.front();
-    }
-    return m_target;
+    return m_relays.choose(m_clock.now(), controlNodes());
 }
 
 std::string feed_service::handleRequest(std::string_view peer, std::string_view payload)
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccascale/kernel/feed/feed_state.hpp"
+#include "yuccascale/kernel/feed/relay_choice.hpp"
 #include "yuccascale/kernel/transport.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
@@ -103,7 +104,6 @@
 private:
     void pollLoop();
     [[nodiscard]] bool pollOnce();
-    void switchTargetFrom(const std::string &peer);
     [[nodiscard]] bool readLocalLeader(kernel::instant sentAt);
     [[nodiscard]] kernel::nanoseconds pollTimeout() const;
     [[nodiscard]] bool pollPeer(kernel::instant sentAt);
@@ -122,7 +122,7 @@
     leader_state_reader *m_leaderState;
     std::vector<std::string> m_seeds;
     std::function<void()> m_listener;
-    std::string m_target; ///< control node to poll; empty before the first poll
+    kernel::feed::relay_choice m_relays; ///< only order() is used outside the feed's thread
     std::uint64_t m_incarnation;
 
     mutable std::mutex m_mutex;
--- a/tests/unit/feed_service_test.cpp
+++ b/tests/unit/feed_service_test.cpp
@@ -116,17 +116,20 @@
     control_nodes nodes;
     null_sink events;
     clock.advance(nodes.now.time_since_epoch());
-    nodes.installReading("a", 2);
+    feed_service feed(config, clock, nodes, events, 1, nullptr);
+    const std::vector<std::string> order = feed.controlNodes();
+    ASSERT_EQ(order.size(), 2U);
+    nodes.installReading(order.front(), 2);
     nodes.now += seconds(2);
     clock.advance(seconds(2));
-    nodes.installReading("b", 3);
-    feed_service feed(config, clock, nodes, events, 1, nullptr);
+    nodes.installReading(order.back(), 3);
     feed.pollRound();
     ASSERT_TRUE(feed.view().tables);
     EXPECT_EQ(feed.view().tables->revision, 3U);
-    EXPECT_EQ(nodes.calledNodes, (std::vector<std::string>{"a", "b"}));
+    EXPECT_EQ(nodes.calledNodes, order);
     feed.pollRound();
-    EXPECT_EQ(nodes.calledNodes.back(), "b") << "the next poll goes to the node that is up to date";
+    EXPECT_EQ(nodes.calledNodes.back(), order.back())
+            << "the next poll goes to the node that is up to date";
 }
 
 TEST(feed_service, pollsTheNextNodeAtOnceWhenOneIsUnreachable)
@@ -136,8 +139,8 @@
     control_nodes nodes;
     null_sink events;
     clock.advance(nodes.now.time_since_epoch());
-    nodes.installReading("b", 7);
     feed_service feed(config, clock, nodes, events, 1, nullptr);
+    nodes.installReading(feed.controlNodes().back(), 7);
     feed.pollRound();
     ASSERT_TRUE(feed.view().tables);
     EXPECT_EQ(feed.view().tables->revision, 7U);
@@ -153,6 +156,7 @@
     null_sink events;
     clock.advance(nodes.now.time_since_epoch());
     nodes.installReading("a", 7);
+    nodes.installReading("b", 7);
     nodes.replyTime = 2 * config.control.feedInterval;
     feed_service feed(config, clock, nodes, events, 1, nullptr);
     feed.pollRound();
