A revision of the tables is encoded once for all nodes

Cause: each reply of the feed was encoded anew from its rows, under the lock that polls and requests share. The cost of a revision was its size times the number of nodes that poll.

Change: kernel/encoded_value makes the CBOR form of a value once; the history keeps edits and tables as such values, and so does the feed the list of endpoints, whose changes had the same cost. Replies join these bytes outside the lock; what is on the wire is the same. A reply with several endpoint lists no longer forgets that an earlier one was newer.

--- a/src/yuccascale/kernel/feed/feed_messages.hpp
+++ b/src/yuccascale/kernel/feed/feed_messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccascale/kernel/encoded_value.hpp"
 #include "yuccascale/kernel/state/commands.hpp"
 #include "yuccascale/kernel/state/tables.hpp"
 
@@ -70,13 +71,16 @@
     std::string leader;          ///< as far as known
     std::int64_t freshForMs = 0; ///< remaining freshness, counted from when the request was sent
     std::uint64_t revision = 0;
-    std::vector<state::edit_tables> edits;    ///< from haveRevision to revision, in order
-    std::vector<state::table_set> fullTables; ///< one item when the edits are not available
+    /// From haveRevision to revision, in order
+    std::vector<encoded_pointer<state::edit_tables>> edits;
+    /// One item when the edits are not available
+    std::vector<encoded_pointer<state::table_set>> fullTables;
     std::uint64_t bansVersion = 0;
-    std::vector<std::string> bans;        ///< full list when bansVersion is not haveBansVersion
-    std::vector<node_report> nodes;       ///< those with a recent report that are not leaving
-    std::vector<endpoint_list> endpoints; ///< one item when it is newer than haveEndpointsVersion
-    std::int64_t clusterWallMs = 0;       ///< agreed time when the reply was made; 0: not known
+    std::vector<std::string> bans;  ///< full list when bansVersion is not haveBansVersion
+    std::vector<node_report> nodes; ///< those with a recent report that are not leaving
+    /// One item when it is newer than haveEndpointsVersion
+    std::vector<encoded_pointer<endpoint_list>> endpoints;
+    std::int64_t clusterWallMs = 0; ///< agreed time when the reply was made; 0: not known
 };
 
 } // namespace yuccascale::kernel::feed
--- a/src/yuccascale/kernel/feed/feed_state.cpp
+++ b/src/yuccascale/kernel/feed/feed_state.cpp
@@ -20,12 +20,12 @@
 feed_state::feed_state(nanoseconds freshness)
     : m_freshness(freshness)
     , m_bans(std::make_shared<const std::set<std::string>>())
-    , m_endpoints(std::make_shared<const endpoint_list>())
+    , m_endpoints(makeEncoded(endpoint_list()))
 { }
 
 control_view feed_state::view() const
 {
-    return {m_history.newest(), m_freshUntil, m_bans, m_leader, m_endpoints};
+    return {m_history.newest(), m_freshUntil, m_bans, m_leader, endpoints()};
 }
 
 feed_request feed_state::request(instant now, const node_report &self, bool includeRelayed) const
@@ -34,7 +34,7 @@
     out.haveTables = m_history.newest() != nullptr;
     out.haveRevision = out.haveTables ? m_history.newest()->revision : 0;
     out.haveBansVersion = m_bansVersion;
-    out.haveEndpointsVersion = m_endpoints->version;
+    out.haveEndpointsVersion = endpoints()->version;
     if (includeRelayed)
         out.reports = m_directory.reports(now, nodeReportMaxAge);
     std::erase_if(out.reports, [&](const auto &report) { return report.node == self.node; });
@@ -47,8 +47,8 @@
     if (!reply.leader.empty())
         m_leader = reply.leader;
     bool newer = false;
-    for (const endpoint_list &list : reply.endpoints)
-        newer = installEndpoints(list);
+    for (const encoded_pointer<endpoint_list> &list : reply.endpoints)
+        newer = installEndpoints(list->value()) || newer;
     if (!reply.confirmed)
         return newer;
     newer = installTables(reply) || newer;
@@ -66,14 +66,14 @@
 bool feed_state::installTables(const feed_reply &reply)
 {
     if (!reply.fullTables.empty())
-        return m_history.advance(std::make_shared<state::table_set>(reply.fullTables.front()));
+        return m_history.advance(reply.fullTables.front()->pointer());
     if (reply.edits.empty() || !m_history.newest())
         return false;
     auto next = std::make_shared<state::table_set>(*m_history.newest());
-    if (reply.edits.front().fromRevision != next->revision)
+    if (reply.edits.front()->value().fromRevision != next->revision)
         return false;
-    for (const state::edit_tables &edit : reply.edits)
-        applyRows(*next, edit, reply.revision);
+    for (const encoded_pointer<state::edit_tables> &edit : reply.edits)
+        applyRows(*next, edit->value(), reply.revision);
     return m_history.advance(next);
 }
 
@@ -114,11 +114,11 @@
     return wall_time(sinceBoot(now) + *m_wallOffset);
 }
 
-bool feed_state::installEndpoints(const endpoint_list &list)
+bool feed_state::installEndpoints(endpoint_list list)
 {
-    if (list.version <= m_endpoints->version)
+    if (list.version <= endpoints()->version)
         return false;
-    m_endpoints = std::make_shared<const endpoint_list>(list);
+    m_endpoints = makeEncoded(std::move(list));
     return true;
 }
 
@@ -140,8 +140,8 @@
     m_directory.update(now, peer, request.reports);
     feed_reply reply;
     reply.leader = m_leader;
-    if (m_endpoints->version > request.haveEndpointsVersion)
-        reply.endpoints.push_back(*m_endpoints);
+    if (endpoints()->version > request.haveEndpointsVersion)
+        reply.endpoints.push_back(m_endpoints);
     const auto &newest = m_history.newest();
     if (!newest || now >= m_freshUntil)
         return reply;
@@ -153,7 +153,7 @@
     if (edits)
         reply.edits = *edits;
     else if (!request.haveTables || request.haveRevision < newest->revision)
-        reply.fullTables.push_back(*newest);
+        reply.fullTables.push_back(m_history.encodedNewest());
     reply.bansVersion = m_bansVersion;
     if (request.haveBansVersion != m_bansVersion)
         reply.bans.assign(m_bans->begin(), m_bans->end());
--- a/src/yuccascale/kernel/feed/feed_state.hpp
+++ b/src/yuccascale/kernel/feed/feed_state.hpp
@@ -47,14 +47,14 @@
     [[nodiscard]] std::optional<wall_time> agreedTime(instant now) const;
 
     /// \returns the newest endpoint list; version 0 before the first.
-    [[nodiscard]] std::shared_ptr<const endpoint_list> endpoints() const noexcept
+    [[nodiscard]] const std::shared_ptr<const endpoint_list> &endpoints() const noexcept
     {
-        return m_endpoints;
+        return m_endpoints->pointer();
     }
 
     /// \brief Installs a list of endpoints.
     /// \returns true when it is newer than the current one.
-    bool installEndpoints(const endpoint_list &list);
+    bool installEndpoints(endpoint_list list);
 
     [[nodiscard]] const node_directory &directory() const noexcept { return m_directory; }
 
@@ -92,7 +92,7 @@
     std::uint64_t m_bansVersion = 0;
     std::shared_ptr<const std::set<std::string>> m_bans;
     std::vector<node_report> m_nodes;
-    std::shared_ptr<const endpoint_list> m_endpoints;
+    encoded_pointer<endpoint_list> m_endpoints;
     std::optional<milliseconds> m_wallOffset; ///< agreed time minus this VM's boot clock
     std::string m_leader;
 };
--- a/src/yuccascale/kernel/feed/table_history.cpp
+++ b/src/yuccascale/kernel/feed/table_history.cpp
@@ -74,18 +74,20 @@
     if (!tables || (m_newest && tables->revision <= m_newest->revision))
         return false;
     if (m_newest) {
-        m_steps.push_back({m_newest->revision, tables->revision, difference(*m_newest, *tables)});
+        m_steps.push_back({m_newest->revision, tables->revision,
+                           makeEncoded(difference(*m_newest, *tables))});
         if (m_steps.size() > m_maxSteps)
             m_steps.pop_front();
     }
     m_newest = tables;
+    m_encodedNewest = std::make_shared<const encoded_value<state::table_set>>(tables);
     return true;
 }
 
-std::optional<std::vector<state::edit_tables>>
+std::optional<std::vector<encoded_pointer<state::edit_tables>>>
 table_history::editsSince(std::uint64_t revision) const
 {
-    std::vector<state::edit_tables> edits;
+    std::vector<encoded_pointer<state::edit_tables>> edits;
     if (m_newest && m_newest->revision == revision)
         return edits;
     const auto first = std::ranges::find(m_steps, revision, &revision_step::fromRevision);
--- a/src/yuccascale/kernel/feed/table_history.hpp
+++ b/src/yuccascale/kernel/feed/table_history.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccascale/kernel/encoded_value.hpp"
 #include "yuccascale/kernel/state/commands.hpp"
 #include "yuccascale/kernel/state/tables.hpp"
 
@@ -32,7 +33,7 @@
     {
         std::uint64_t fromRevision = 0;
         std::uint64_t toRevision = 0;
-        state::edit_tables edit;
+        encoded_pointer<state::edit_tables> edit;
     };
 
     /// \param maxSteps number of steps kept; a node further behind is sent the full tables
@@ -43,17 +44,24 @@
     /// \returns the newest tables; null before the first.
     [[nodiscard]] const table_pointer &newest() const noexcept { return m_newest; }
 
+    /// \returns the newest tables, to be encoded once for all nodes; null before the first.
+    [[nodiscard]] const encoded_pointer<state::table_set> &encodedNewest() const noexcept
+    {
+        return m_encodedNewest;
+    }
+
     /// \brief Installs newer tables. Older or equal ones are ignored.
     /// \returns true when they were newer.
     bool advance(const table_pointer &tables);
 
     /// \returns the edits from \a revision to the newest, or nullopt when they are no longer kept.
-    [[nodiscard]] std::optional<std::vector<state::edit_tables>>
+    [[nodiscard]] std::optional<std::vector<encoded_pointer<state::edit_tables>>>
     editsSince(std::uint64_t revision) const;
 
 private:
     std::size_t m_maxSteps;
     table_pointer m_newest;
+    encoded_pointer<state::table_set> m_encodedNewest;
     std::deque<revision_step> m_steps;
 };
 
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -23,6 +23,13 @@
 constexpr seconds subscriberWindow{5};  ///< a node that polled within it is a peer
 constexpr std::uint64_t listCounterMask = (std::uint64_t{1} << listCounterBits) - 1;
 
+template<typename Row>
+[[nodiscard]] std::size_t countUnencoded(const std::vector<encoded_pointer<Row>> &rows)
+{
+    return static_cast<std::size_t>(
+            std::ranges::count_if(rows, [](const auto &row) { return !row->isEncoded(); }));
+}
+
 } // namespace
 
 feed_service::feed_service(const settings &settings, clock &clock, transport &transport,
@@ -275,21 +282,17 @@
         m_events.record(badMessage, {{"peer", peer}, {"problem", problem.message}});
         return {};
     }
-    const std::lock_guard lock(m_mutex);
+    std::unique_lock lock(m_mutex);
     const feed::feed_reply reply = m_state.answer(m_clock.now(), peer, request);
+    lock.unlock();
+    const std::size_t unencoded = countUnencoded(reply.edits) + countUnencoded(reply.fullTables);
     std::string bytes = wire::encodeFeedReply(reply);
-    countReply(reply, bytes.size());
-    return bytes;
-}
-
-/// Requires m_mutex to be held.
-void feed_service::countReply(const feed::feed_reply &reply, std::size_t bytes)
-{
-    const std::size_t tables = reply.edits.size() + reply.fullTables.size();
+    lock.lock();
     ++m_load.replies;
-    m_load.repliesWithTables += tables > 0 ? 1 : 0;
-    m_load.tablesEncoded += tables;
-    m_load.bytes += bytes;
+    m_load.repliesWithTables += reply.edits.empty() && reply.fullTables.empty() ? 0 : 1;
+    m_load.tablesEncoded += unencoded;
+    m_load.bytes += bytes.size();
+    return bytes;
 }
 
 feed_load feed_service::load() const
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -112,7 +112,6 @@
     [[nodiscard]] std::string handleRequest(std::string_view peer, std::string_view payload);
     [[nodiscard]] kernel::feed::node_report selfReport() const;
     void notifyPeers(bool newer);
-    void countReply(const kernel::feed::feed_reply &reply, std::size_t bytes);
     void recordLoad();
 
     const settings &m_settings;
--- a/src/yuccascale/wire/feed_codec.cpp
+++ b/src/yuccascale/wire/feed_codec.cpp
@@ -21,22 +21,44 @@
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
-template<typename Rows>
-flatbuffers::Offset<byte_vector> rowsToBytes(builder_type &builder, const Rows &rows)
+/// \returns the CBOR head of an array of \a count items.
+std::string cborArrayHead(std::size_t count)
+{
+    constexpr std::size_t maxInlineCount = 23;
+    constexpr std::uint8_t inlineHead = 0x80;
+    constexpr std::uint8_t longHead = 0x9a; // a count of 32 bits follows, most significant first
+    if (count <= maxInlineCount)
+        return {static_cast<char>(inlineHead | count)};
+    std::string head{static_cast<char>(longHead)};
+    for (int shift = 24; shift >= 0; shift -= 8)
+        head += static_cast<char>(count >> static_cast<unsigned>(shift));
+    return head;
+}
+
+/// Joins the rows' own encodings, so that a row is encoded once for all replies.
+template<typename Row>
+flatbuffers::Offset<byte_vector> rowsToBytes(builder_type &builder,
+                                             const std::vector<kernel::encoded_pointer<Row>> &rows)
 {
     if (rows.empty())
         return 0;
-    const std::string bytes = kernel::toCbor(rows);
+    std::string bytes = cborArrayHead(rows.size());
+    for (const kernel::encoded_pointer<Row> &row : rows)
+        bytes += row->cbor();
     return builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
 }
 
-template<typename Rows>
-result<Rows> rowsFromBytes(const byte_vector *bytes)
+template<typename Row>
+result<std::vector<kernel::encoded_pointer<Row>>> rowsFromBytes(const byte_vector *bytes)
 {
+    std::vector<kernel::encoded_pointer<Row>> out;
     if (bytes == nullptr)
-        return Rows{};
+        return out;
     const std::string_view view(reinterpret_cast<const char *>(bytes->data()), bytes->size());
-    return kernel::fromCbor<Rows>(view, "feed rows");
+    BOOST_LEAF_AUTO(rows, kernel::fromCbor<std::vector<Row>>(view, "feed rows"));
+    for (Row &row : rows)
+        out.push_back(kernel::makeEncoded(std::move(row)));
+    return out;
 }
 
 flatbuffers::Offset<text_vector> textsToVector(builder_type &builder,
@@ -164,15 +186,14 @@
     out.leader = toString(table->leader());
     out.freshForMs = table->fresh_for_ms();
     out.revision = table->revision();
-    BOOST_LEAF_ASSIGN(out.edits,
-                      rowsFromBytes<std::vector<kernel::state::edit_tables>>(table->edits()));
+    BOOST_LEAF_ASSIGN(out.edits, rowsFromBytes<kernel::state::edit_tables>(table->edits()));
     BOOST_LEAF_ASSIGN(out.fullTables,
-                      rowsFromBytes<std::vector<kernel::state::table_set>>(table->full_tables()));
+                      rowsFromBytes<kernel::state::table_set>(table->full_tables()));
     out.bansVersion = table->bans_version();
     out.bans = textsFromVector(table->bans());
     out.nodes = reportsFromVector(table->nodes());
     BOOST_LEAF_ASSIGN(out.endpoints,
-                      rowsFromBytes<std::vector<kernel::feed::endpoint_list>>(table->endpoints()));
+                      rowsFromBytes<kernel::feed::endpoint_list>(table->endpoints()));
     out.clusterWallMs = table->cluster_wall_ms();
     return out;
 }
--- a/tests/unit/feed_codec_test.cpp
+++ b/tests/unit/feed_codec_test.cpp
@@ -15,15 +15,18 @@
     reply.leader = "perth-a-1";
     reply.freshForMs = 1'900;
     reply.revision = 7;
-    reply.edits.resize(1);
-    reply.edits.front().putOrganisations.push_back({"north", 2.0});
-    reply.fullTables.resize(1);
-    reply.fullTables.front().revision = 7;
+    kernel::state::edit_tables edit;
+    edit.putOrganisations.push_back({"north", 2.0});
+    reply.edits.push_back(kernel::makeEncoded(edit));
+    kernel::state::table_set tables;
+    tables.revision = 7;
+    reply.fullTables.push_back(kernel::makeEncoded(tables));
     reply.bansVersion = 3;
     reply.bans = {"fingerprint"};
     reply.nodes = {{"perth-b-1", 5, 7, 20, false, "10.2.0.1:7600", "10.2.0.1:7500", "perth-b", true,
                     1'700'000'000'000, "10.2.0.1:8407"}};
-    reply.endpoints = {{9, {{"engines", {}}}}};
+    reply.endpoints.push_back(
+            kernel::makeEncoded(kernel::feed::endpoint_list{9, {{"engines", {}}}}));
     reply.clusterWallMs = 1'700'000'000'001;
     return reply;
 }
@@ -46,12 +49,28 @@
     kernel::feed::feed_reply copy;
     ASSERT_TRUE(decodes(encodeFeedReply(sampleReply()), copy));
     EXPECT_EQ(encodeFeedReply(copy), encodeFeedReply(sampleReply()));
-    EXPECT_EQ(copy.edits.front().putOrganisations.front().weight, 2.0);
+    EXPECT_EQ(copy.edits.front()->value().putOrganisations.front().weight, 2.0);
     EXPECT_EQ(kernel::json(copy.nodes), kernel::json(sampleReply().nodes));
-    EXPECT_EQ(copy.endpoints.front().version, 9U);
+    EXPECT_EQ(copy.endpoints.front()->value().version, 9U);
     EXPECT_EQ(copy.clusterWallMs, sampleReply().clusterWallMs);
 }
 
+TEST(feed_codec_test, keepsTheOrderOfMoreEditsThanAShortArrayHolds)
+{
+    for (const std::uint64_t count : {23U, 24U, 300U}) {
+        kernel::feed::feed_reply reply;
+        for (std::uint64_t number = 0; number < count; ++number) {
+            kernel::state::edit_tables edit;
+            edit.fromRevision = number;
+            reply.edits.push_back(kernel::makeEncoded(edit));
+        }
+        kernel::feed::feed_reply copy;
+        ASSERT_TRUE(decodes(encodeFeedReply(reply), copy));
+        ASSERT_EQ(copy.edits.size(), count);
+        EXPECT_EQ(copy.edits.back()->value().fromRevision, count - 1);
+    }
+}
+
 TEST(feed_codec_test, keepsEveryFieldOfARequest)
 {
     kernel::feed::feed_request request{7, true, 3, {{"perth-a-1", 5, 7, 20, true}}, 4};
