--- a/tests/unit/http_caller_server_test.cpp
+++ b/tests/unit/http_caller_server_test.cpp
@@ -1,12 +1,16 @@
 #include "fakes/control_log.hpp"
+#include "fakes/raw_peer.hpp"
 #include "http_fake_engine.hpp"
 #include "yuccascale/http/caller_server.hpp"
 #include "yuccascale/kernel/requests/key_check.hpp"
+#include "yuccascale/net/http_server.hpp"
 #include "yuccascale/runtime/system_clock.hpp"
 
+#include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <future>
 #include <memory>
 
 namespace yuccascale::http {
@@ -40,15 +44,24 @@
 
     void start(const std::vector<const fakes::endpoint_server *> &engines,
                const fakes::endpoint_server *service = nullptr)
+    {
+        std::vector<std::string> addresses;
+        for (const fakes::endpoint_server *engine : engines)
+            addresses.push_back(engine->address());
+        startWith(addresses, service);
+    }
+
+    void startWith(const std::vector<std::string> &engineAddresses,
+                   const fakes::endpoint_server *service = nullptr)
     {
         kernel::state::edit_tables edit;
         kernel::state::pool pool;
         pool.name = "engines";
         pool.model = "assistant";
-        for (const fakes::endpoint_server *engine : engines) {
+        for (const std::string &address : engineAddresses) {
             kernel::state::endpoint row;
             row.name = "e" + std::to_string(pool.endpoints.size());
-            row.address = engine->address();
+            row.address = address;
             row.zone = "perth-a";
             pool.endpoints.push_back(row);
         }
@@ -115,6 +128,74 @@
     std::unique_ptr<httplib::Client> m_caller;
 };
 
+/// An engine that keeps connections open and counts the requests it gets.
+class persistent_engine
+{
+public:
+    persistent_engine()
+    {
+        kernel::error problem;
+        int port = 0;
+        const bool listens = kernel::succeeded(
+                [&]() -> kernel::result<void> {
+                    BOOST_LEAF_ASSIGN(port, m_server.listen("127.0.0.1:0"));
+                    return {};
+                },
+                problem);
+        EXPECT_TRUE(listens) << problem.message;
+        m_address = "127.0.0.1:" + std::to_string(port);
+        m_loops.start();
+    }
+    ~persistent_engine()
+    {
+        m_server.stop();
+        m_loops.stop();
+    }
+
+    [[nodiscard]] const std::string &address() const noexcept { return m_address; }
+    [[nodiscard]] int runs() const noexcept { return m_runs; }
+
+private:
+    void serve(const std::shared_ptr<net::http_exchange> &exchange)
+    {
+        const std::string id(exchange->request().header("X-Request-Id"));
+        if (exchange->request().path() != "/v1/chat/completions")
+            return exchange->reply({200, {}, R"({"incarnation":1,"age_ms":0})"});
+        ++m_runs;
+        const json whole{{"id", id},
+                         {"choices", {{{"message", {{"content", "whole"}}}}}},
+                         {"usage", {{"prompt_tokens", 7}, {"completion_tokens", 3}}}};
+        exchange->reply(
+                {200, {{"X-Request-Id", id}, {"Content-Type", "application/json"}}, whole.dump()});
+    }
+
+    std::atomic<int> m_runs{0};
+    std::string m_address;
+    net::event_loops m_loops{1};
+    net::http_server m_server{m_loops, {}, [this](const auto &exchange) { serve(exchange); }};
+};
+
+/// Keeps a loop from running anything else until it is destroyed.
+class busy_loop
+{
+public:
+    explicit busy_loop(net::io_context &loop)
+    {
+        std::promise<void> begun;
+        boost::asio::post(loop, [&begun, end = m_end.get_future().share()] {
+            begun.set_value();
+            end.wait();
+        });
+        begun.get_future().wait();
+    }
+    ~busy_loop() { m_end.set_value(); }
+    busy_loop(const busy_loop &) = delete;
+    busy_loop &operator=(const busy_loop &) = delete;
+
+private:
+    std::promise<void> m_end;
+};
+
 [[nodiscard]] std::string kindOf(const httplib::Result &answer)
 {
     return json::parse(answer->body).at("error").at("kind").get<std::string>();
@@ -239,4 +320,31 @@
     EXPECT_FALSE(m_server->drained());
 }
 
+/// Guards against requests that run for nobody: on a loop that is late, the caller's close is read
+/// after its request was sent.
+TEST_F(caller_server_test, doesNotSendARequestWhoseCallerClosedWhileTheLoopWasBusy)
+{
+    const persistent_engine engine;
+    startWith({engine.address()});
+    ASSERT_EQ(ask(false)->status, 200);
+    ASSERT_EQ(engine.runs(), 1);
+    const json body{{"model", "briefing"}, {"prompt", "file of a member"}};
+    const std::string head
+            = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+            + std::string(briefingKey) + "\r\nContent-Length: " + std::to_string(body.dump().size())
+            + "\r\n\r\n";
+    {
+        const busy_loop first(m_loops.at(0));
+        const busy_loop second(m_loops.at(1));
+        for (int number = 0; number < 8; ++number) {
+            fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
+            caller.send(head + body.dump());
+            caller.close();
+        }
+    }
+    for (int number = 0; number < 4; ++number)
+        ASSERT_EQ(ask(false)->status, 200);
+    EXPECT_EQ(engine.runs(), 6);
+}
+
 } // namespace yuccascale::http
