A request whose caller has closed its connection is not sent

Cause: an entry whose loop is late reads a request and sends it on before it reads the end of the connection that has arrived behind it. The same holds for a request that gets its endpoint from the queue, and for one that waits for a new connection or a prefill.

Change: http_exchange::checkCaller reads what has arrived from the caller, also behind pipelined requests; a session asks it right before a request is sent: when it gets its endpoint, when a new connection is open and when a prefill has ended.

--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -130,12 +130,20 @@
 void caller_session::handleMessage(caller_mailbox::message message)
 {
     if (auto *assignment = std::get_if<endpoint_assignment>(&message))
-        m_session.assignEndpoint(std::move(*assignment));
+        assignEndpoint(std::move(*assignment));
     else
         m_session.handle(std::move(std::get<event>(message)));
     finishIfEnded();
 }
 
+/// A request whose caller has left by now is not sent.
+void caller_session::assignEndpoint(endpoint_assignment assignment)
+{
+    m_exchange->checkCaller();
+    if (!m_session.ended())
+        m_session.assignEndpoint(std::move(assignment));
+}
+
 void caller_session::finishIfEnded()
 {
     if (!m_session.ended())
@@ -255,6 +263,10 @@
                       endpoint = assignment.endpoint](const answer_head &head) {
         services->applyNotice(pool, endpoint, driver.notice(head));
     };
+    attempt.checkCaller = [exchange = std::weak_ptr(m_exchange)] {
+        if (const auto current = exchange.lock())
+            current->checkCaller();
+    };
     attempt.onTaken = [services = &m_services, pool = callerRequest.route.pool,
                        endpoint = assignment.endpoint](const answer_reader &reader) {
         if (const auto load = reader.load(services->clock.now()))
--- a/src/yuccascale/http/caller_session.hpp
+++ b/src/yuccascale/http/caller_session.hpp
@@ -31,6 +31,7 @@
 private:
     void begin();
     void handleMessage(caller_mailbox::message message);
+    void assignEndpoint(kernel::requests::endpoint_assignment assignment);
     void startDeadlineTimer();
     void finishIfEnded();
 
--- a/src/yuccascale/http/endpoint_client.cpp
+++ b/src/yuccascale/http/endpoint_client.cpp
@@ -17,7 +17,8 @@
 constexpr std::string_view requestIdHeader = "X-Request-Id";
 
 [[nodiscard]] net::outgoing_request outgoingRequestOf(const std::string &address,
-                                                      const outbound_request &outbound)
+                                                      const outbound_request &outbound,
+                                                      std::function<void()> onConnected)
 {
     net::outgoing_request request;
     request.address = address;
@@ -25,6 +26,7 @@
     request.target = outbound.path;
     request.body = outbound.body;
     request.freshConnection = outbound.freshConnection;
+    request.onConnected = std::move(onConnected);
     for (const auto &[name, value] : outbound.headers)
         request.headers.push_back({name, value});
     if (!outbound.contentType.empty())
@@ -91,11 +93,12 @@
     {
         if (m_attempt.prefillAddress.empty())
             return sendRequest();
-        m_call = m_client.call(m_attempt.prefillAddress, m_attempt.prefillRequest,
-                               m_attempt.prefillTimeout,
-                               [self = shared_from_this()](const net::buffered_answer &answer) {
-                                   self->onPrefillAnswer(answer);
-                               });
+        m_call = m_client.call(
+                m_attempt.prefillAddress, m_attempt.prefillRequest, m_attempt.prefillTimeout,
+                [self = shared_from_this()](const net::buffered_answer &answer) {
+                    self->onPrefillAnswer(answer);
+                },
+                m_attempt.checkCaller);
     }
 
     void onPrefillAnswer(const net::buffered_answer &answer)
@@ -105,6 +108,8 @@
             m_attempt.request.headers.push_back(std::move(prefilled->header));
             m_prefillRelease = std::move(prefilled->release);
         }
+        if (m_attempt.checkCaller && !m_cancelled)
+            m_attempt.checkCaller();
         if (m_cancelled)
             releasePrefill();
         else
@@ -171,7 +176,8 @@
     {
         if (!m_cancelled)
             m_call = m_client.m_client.start(
-                    outgoingRequestOf(m_attempt.address, m_attempt.request), shared_from_this());
+                    outgoingRequestOf(m_attempt.address, m_attempt.request, m_attempt.checkCaller),
+                    shared_from_this());
     }
 
     /// Frees a prefilled prompt that the endpoint has not fetched.
@@ -237,9 +243,11 @@
 
 std::shared_ptr<net::http_call>
 endpoint_client::call(const std::string &address, const outbound_request &request,
-                      milliseconds timeout, std::function<void(net::buffered_answer)> done)
+                      milliseconds timeout, std::function<void(net::buffered_answer)> done,
+                      std::function<void()> onConnected)
 {
-    return net::callBuffered(m_client, m_loop, outgoingRequestOf(address, request), timeout,
+    return net::callBuffered(m_client, m_loop,
+                             outgoingRequestOf(address, request, std::move(onConnected)), timeout,
                              std::move(done), requestIdOf(request));
 }
 
--- a/src/yuccascale/http/endpoint_client.hpp
+++ b/src/yuccascale/http/endpoint_client.hpp
@@ -30,6 +30,9 @@
     std::function<void(kernel::requests::event)> deliver;
     /// Called for the head of each answer, also of one that is for another request; may be null.
     std::function<void(const kernel::requests::answer_head &)> onHead;
+    /// Called before a request that could not be sent at once is sent; may cancel the attempt. May
+    /// be null.
+    std::function<void()> checkCaller;
     /// Called once the reader has taken the answer; may be null.
     std::function<void(const kernel::requests::answer_reader &)> onTaken;
 };
@@ -61,10 +64,12 @@
 
     /// \brief Makes a call whose answer is buffered. An answer that names another request in
     /// X-Request-Id is skipped.
+    /// \param onConnected see net::outgoing_request
     std::shared_ptr<net::http_call> call(const std::string &address,
                                          const kernel::requests::outbound_request &request,
                                          kernel::milliseconds timeout,
-                                         std::function<void(net::buffered_answer)> done);
+                                         std::function<void(net::buffered_answer)> done,
+                                         std::function<void()> onConnected = {});
 
     /// \brief Makes a call whose answer is ignored.
     void callIgnoringAnswer(const std::string &address,
--- a/src/yuccascale/net/http_client.cpp
+++ b/src/yuccascale/net/http_client.cpp
@@ -120,6 +120,8 @@
     handle->activeConnection = newConnection;
     newConnection->connect([handle, newConnection, request = std::move(request),
                             receiver = std::move(receiver)](bool connected) mutable {
+        if (connected && !handle->cancelled && request.onConnected)
+            request.onConnected();
         if (handle->cancelled)
             return;
         if (connected)
--- a/src/yuccascale/net/http_client.hpp
+++ b/src/yuccascale/net/http_client.hpp
@@ -72,6 +72,9 @@
     header_list headers; ///< Host and Content-Length are added
     std::string body;
     bool freshConnection = false; ///< not an idle one, which the server may be closing
+    /// Called once a new connection is open, before the request is sent; may cancel the call. May
+    /// be null.
+    std::function<void()> onConnected = {};
 };
 
 /// \brief A call in flight.
--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -141,14 +141,12 @@
     m_reading = false;
     if (m_phase == phase::Closed)
         return;
-    std::size_t count = 0;
     if (!problem)
-        count = m_socket.read_some(m_buffer.prepare(readChunkBytes), problem);
+        problem = receive();
     if (problem == boost::asio::error::would_block)
         return read();
     if (problem)
         return handleCallerLeft();
-    m_buffer.commit(count);
     if (m_phase == phase::Ending)
         m_buffer.clear();
     if (m_phase == phase::Idle || m_phase == phase::Reading)
@@ -156,6 +154,24 @@
     read();
 }
 
+/// Appends to the buffer what has arrived.
+error_code http_server::connection::receive()
+{
+    error_code problem;
+    m_buffer.commit(m_socket.read_some(m_buffer.prepare(readChunkBytes), problem));
+    return problem;
+}
+
+/// Bytes of the caller's next requests may lie before the end of the connection.
+void http_server::connection::checkCaller()
+{
+    error_code problem;
+    while (!problem && m_phase == phase::Answering && m_buffer.size() < maxReadAheadBytes)
+        problem = receive();
+    if (problem && problem != boost::asio::error::would_block)
+        handleCallerLeft();
+}
+
 void http_server::connection::parse()
 {
     if (m_phase == phase::Idle && m_buffer.size() > 0) {
@@ -433,6 +449,12 @@
         m_connection->abort();
 }
 
+void http_server::exchange::checkCaller()
+{
+    if (isCurrent())
+        m_connection->checkCaller();
+}
+
 void http_server::exchange::onCallerDisconnected(std::function<void()> action)
 {
     if (isCurrent())
--- a/src/yuccascale/net/http_connection.hpp
+++ b/src/yuccascale/net/http_connection.hpp
@@ -85,6 +85,7 @@
     void finish();
     void abort();
     void onCallerDisconnected(std::function<void()> action);
+    void checkCaller();
 
     [[nodiscard]] io_context &loop() noexcept { return m_owner->loop; }
     [[nodiscard]] const std::string &listener() const noexcept { return m_listener; }
@@ -101,6 +102,7 @@
 
     void read();
     void onReadable(error_code problem);
+    [[nodiscard]] error_code receive();
     void parse();
     void awaitRequest();
     [[nodiscard]] bool checkHeader();
@@ -155,6 +157,7 @@
     void finish() override;
     void abort() override;
     void onCallerDisconnected(std::function<void()> action) override;
+    void checkCaller() override;
 
 private:
     [[nodiscard]] bool isCurrent() const noexcept
--- a/src/yuccascale/net/http_exchange.hpp
+++ b/src/yuccascale/net/http_exchange.hpp
@@ -46,6 +46,10 @@
 
     /// \brief Sets what runs once when the caller disconnects before the answer has ended.
     virtual void onCallerDisconnected(std::function<void()> action) = 0;
+
+    /// \brief Reads what has arrived from the caller, so that the action above runs now if the
+    /// caller has disconnected. On a loop that is late its own read may come much later.
+    virtual void checkCaller() = 0;
 };
 
 using http_handler = std::function<void(const std::shared_ptr<http_exchange> &)>;
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -135,6 +135,19 @@
     EXPECT_EQ(malformed.get().end, call_end::Malformed);
 }
 
+TEST_F(http_client_test, doesNotSendARequestThatIsCancelledOnceItsConnectionIsOpen)
+{
+    boost::asio::post(m_loops.at(0), [this] {
+        outgoing_request request;
+        request.address = m_server.address();
+        request.method = "GET";
+        request.target = "/a";
+        request.onConnected = [this] { m_call->cancel(); };
+        m_call = m_client->start(std::move(request), std::make_shared<id_receiver>());
+    });
+    EXPECT_EQ(m_server.accept().readToEnd(), "");
+}
+
 TEST_F(http_client_test, reportsNotConnectedWhenTheConnectionIsRefused)
 {
     std::string address;
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -52,6 +52,15 @@
     {
         ++m_served;
         const http_request &request = exchange->request();
+        if (request.target == "/check") {
+            exchange->onCallerDisconnected([this, exchange] { m_callerLeft.set_value(); });
+            m_callerClosed.get_future().wait();
+            exchange->checkCaller();
+            m_noticed = m_callerLeft.get_future().wait_for(std::chrono::seconds(0))
+                    == std::future_status::ready;
+            m_checked.set_value();
+            return;
+        }
         if (request.target == "/wait") {
             exchange->onCallerDisconnected([this, exchange] { m_callerLeft.set_value(); });
             return;
@@ -61,6 +70,9 @@
 
     std::atomic<int> m_served{0};
     std::promise<void> m_callerLeft;
+    std::promise<void> m_callerClosed;
+    std::promise<void> m_checked;
+    bool m_noticed = false;
     int m_port = 0;
     event_loops m_loops{2};
     http_server m_server{m_loops, limits(), [this](const auto &exchange) { serve(exchange); }};
@@ -132,6 +144,20 @@
               std::future_status::ready);
 }
 
+TEST_F(http_server_test, noticesACloseBehindAPipelinedRequestBeforeTheLoopReadsIt)
+{
+    fakes::raw_peer caller = fakes::raw_peer::connect(m_port);
+    caller.send("GET /check HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (m_served == 0)
+        std::this_thread::yield();
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    caller.close();
+    m_callerClosed.set_value();
+    m_checked.get_future().wait();
+    EXPECT_TRUE(m_noticed);
+    EXPECT_EQ(m_served, 1);
+}
+
 TEST_F(http_server_test, acceptsManyConnectionsAtOnce)
 {
     constexpr std::size_t callers = 300;
