Parts of prompts that crash endpoints are found from all entries and banned

Cause: the request that crashes endpoints was sought among whole requests, known by a digest of route, method, path and body, at each entry alone. What crashes here is a part that many different requests share, and seven entries see the crashes in turn. The class: evidence is keyed by the identity of the carrier instead of what it carries, and is not put together across nodes.

Change: kernel/requests/part_suspects collects which shared parts an endpoint was working on when it crashed. Entries tell each other crashes and, for suspected parts, answers (load channel). A part is the cause if so many independent crashes without an answer are less likely than 1e-6 for a sound part, at the rate at which requests are now lost in other crashes; no count fits one fleet. A part that is in all crashes of another and in more goes before it; parts that were only seen together are banned together, so that sound requests with some of them run and clear them. The ban goes through the log like that of a request, under an operation id that all entries share.

--- a/src/yuccascale/http/caller_commits.cpp
+++ b/src/yuccascale/http/caller_commits.cpp
@@ -167,8 +167,9 @@
     ban.fingerprint = fingerprint;
     ban.route = route;
     ban.untilWallMs = (m_clock.wallNow() + banDuration).time_since_epoch().count();
-    const std::string operationId
-            = "ban/" + m_entry + "/" + fingerprint + "/" + std::to_string(ban.untilWallMs);
+    // the same at all entries that find the cause at about the same time
+    const auto period = ban.untilWallMs / kernel::milliseconds(banDuration).count();
+    const std::string operationId = "ban/" + fingerprint + "/" + std::to_string(period);
     m_background.run([this, command = kernel::state::command{operationId, std::move(ban)}] {
         static_cast<void>(submitWithRetries(command));
     });
--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -1,5 +1,7 @@
 #include "yuccascale/http/caller_pools.hpp"
 
+#include "yuccascale/kernel/requests/key_check.hpp"
+
 #include <functional>
 #include <utility>
 
@@ -103,7 +105,7 @@
     const bool succeeded = kernel::succeeded(
             [&]() -> kernel::result<void> {
                 BOOST_LEAF_AUTO(strategies, makeStrategies(pool));
-                created = std::make_shared<guarded_pool>(std::move(strategies), m_limits);
+                created = std::make_shared<guarded_pool>(pool, std::move(strategies), m_limits);
                 return {};
             },
             problem);
@@ -168,8 +170,21 @@
     }
 }
 
+void caller_pools::refuseCrashCauses(guarded_pool &pool)
+{
+    const std::vector<part_set> causes = pool.scheduler.takeCrashCauses(m_clock.now());
+    if (causes.empty())
+        return;
+    for (const part_set &cause : causes) {
+        if (m_crashCauseListener)
+            m_crashCauseListener(pool.name, cause);
+    }
+    refuseWaiting(pool, pool.scheduler.takeBanned(m_clock.now()), bannedRefusal());
+}
+
 void caller_pools::runScheduler(guarded_pool &pool)
 {
+    refuseCrashCauses(pool);
     refuseWaiting(pool, pool.scheduler.takeUnservable(), noEndpointRefusal());
     const auto lateTickets = pool.scheduler.takeLate(m_clock.now());
     if (!lateTickets.empty())
@@ -360,6 +375,20 @@
                 suspected.push_back(failure.endpoint);
         }
     }
+    for (const endpoint_crash &crash : updates.crashes) {
+        if (const std::shared_ptr<guarded_pool> pool = find(crash.pool)) {
+            const std::scoped_lock guard(pool->mutex);
+            pool->scheduler.applyRemoteCrash(m_clock.now(), crash);
+            refuseCrashCauses(*pool);
+        }
+    }
+    for (const cleared_parts &cleared : updates.cleared) {
+        if (const std::shared_ptr<guarded_pool> pool = find(cleared.pool)) {
+            const std::scoped_lock guard(pool->mutex);
+            pool->scheduler.applyRemoteCleared(cleared);
+            refuseCrashCauses(*pool);
+        }
+    }
     for (const endpoint_leaving &leaving : updates.leaving) {
         if (const std::shared_ptr<guarded_pool> pool = find(leaving.pool)) {
             const std::scoped_lock guard(pool->mutex);
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -92,7 +92,7 @@
     void applyCharges(std::span<const kernel::requests::pool_charge> charges,
                       const kernel::state::table_set &tables);
 
-    /// \brief Applies the placements and endpoint failures of another entry.
+    /// \brief Applies what another entry learnt about endpoints.
     /// \returns the endpoints that became suspected.
     std::vector<std::string>
     applyEndpointUpdates(const kernel::requests::endpoint_updates &updates);
@@ -104,6 +104,16 @@
         m_endpointUpdateListener = std::move(listener);
     }
 
+    /// \brief Sets the function that makes all entries refuse a pool's requests with parts that
+    /// crash endpoints; call before the first request. It is called under a pool's lock and must
+    /// not call back.
+    void setCrashCauseListener(
+            std::function<void(const std::string &pool, const kernel::requests::part_set &)>
+                    listener)
+    {
+        m_crashCauseListener = std::move(listener);
+    }
+
     /// \brief Runs all schedulers, for assignments that become possible by the passing of time
     /// alone.
     void scheduleAll();
@@ -116,11 +126,13 @@
 private:
     struct guarded_pool
     {
-        guarded_pool(kernel::requests::pool_strategies strategies,
+        guarded_pool(std::string poolName, kernel::requests::pool_strategies strategies,
                      const kernel::requests::queue_limits &limits)
-            : scheduler(std::move(strategies), limits)
+            : name(std::move(poolName))
+            , scheduler(std::move(strategies), limits)
         { }
 
+        const std::string name;
         std::mutex mutex;
         kernel::requests::pool_scheduler scheduler;
         std::map<std::uint64_t, std::shared_ptr<caller_mailbox>> mailboxes;
@@ -136,6 +148,7 @@
     void setRows(guarded_pool &pool, const kernel::state::pool &row);
     static void refuseWaiting(guarded_pool &pool, std::span<const std::uint64_t> tickets,
                               const kernel::requests::refusal &reason);
+    void refuseCrashCauses(guarded_pool &pool);
     void runScheduler(guarded_pool &pool);
 
     runtime::policy_settings m_policy;
@@ -147,6 +160,8 @@
     std::map<std::string, std::shared_ptr<guarded_pool>> m_pools; ///< by pool name
     std::vector<polled_endpoint> m_endpoints;
     std::function<void(kernel::requests::endpoint_updates)> m_endpointUpdateListener;
+    std::function<void(const std::string &, const kernel::requests::part_set &)>
+            m_crashCauseListener;
 };
 
 } // namespace yuccascale::http
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -128,6 +128,11 @@
     BOOST_LEAF_ASSIGN(m_services.pools,
                       caller_pools::make(settings, m_dependencies.clock,
                                          std::hash<std::string>{}(m_services.entry)));
+    m_services.pools->setCrashCauseListener([this](const std::string &pool, const part_set &parts) {
+        const std::string fingerprint = partBanOf(pool, parts);
+        m_services.events.record(promptPartBanned, {{"fingerprint", fingerprint}});
+        m_services.commits.ban(fingerprint, {});
+    });
     using kernel::state::backend_kind;
     BOOST_LEAF_ASSIGN(
             m_services.engineDriver,
--- a/src/yuccascale/kernel/requests/key_check.cpp
+++ b/src/yuccascale/kernel/requests/key_check.cpp
@@ -1,5 +1,6 @@
 #include "yuccascale/kernel/requests/key_check.hpp"
 
+#include "yuccascale/kernel/requests/part_suspects.hpp"
 #include "yuccascale/kernel/state/key_digest.hpp"
 
 namespace yuccascale::kernel::requests {
@@ -21,11 +22,26 @@
     return match->organisation;
 }
 
+bool isBanned(const std::set<std::string> &bans, const request &request)
+{
+    return bans.contains(request.fingerprint)
+            || isBannedByParts(bans, request.route.pool, request.parts);
+}
+
+refusal bannedRefusal()
+{
+    return {error_kind::Forbidden,
+            "this request, or a part of its prompt, crashed the endpoints that ran it; change it "
+            "before sending it again",
+            false,
+            {}};
+}
+
 start_check checkStart(instant now, const control_view &view, const request &request)
 {
     if (!view.tables)
         return start_check::NotFresh;
-    if (view.bannedFingerprints && view.bannedFingerprints->contains(request.fingerprint))
+    if (view.bannedFingerprints && isBanned(*view.bannedFingerprints, request))
         return start_check::Banned;
     if (request.route.access == state::route_access::Open)
         return start_check::Allowed;
--- a/src/yuccascale/kernel/requests/key_check.hpp
+++ b/src/yuccascale/kernel/requests/key_check.hpp
@@ -3,6 +3,7 @@
 #include "yuccascale/kernel/control_client.hpp"
 #include "yuccascale/kernel/requests/request.hpp"
 
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -24,10 +25,16 @@
     Allowed,
     KeyWithdrawn, ///< the key no longer belongs to the request's organisation
     NotFresh,     ///< the entry's tables are not confirmed, so its keys may be outdated
-    Banned,       ///< the request's fingerprint is banned for crashing endpoints
+    Banned,       ///< the request, or a part of its prompt, is banned for crashing endpoints
 };
 
-/// \brief Checks the key, the freshness lease and the banned fingerprints.
+/// \returns whether the \a bans hold the request's fingerprint or parts of its prompt.
+[[nodiscard]] bool isBanned(const std::set<std::string> &bans, const request &request);
+
+/// \returns the refusal of a banned request that has not run.
+[[nodiscard]] refusal bannedRefusal();
+
+/// \brief Checks the key, the freshness lease and the bans.
 [[nodiscard]] start_check checkStart(instant now, const control_view &view, const request &request);
 
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/requests/placement.hpp
+++ b/src/yuccascale/kernel/requests/placement.hpp
@@ -2,12 +2,14 @@
 
 #include "yuccascale/kernel/requests/request.hpp"
 
+#include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <string>
 #include <vector>
 
 /// \file
-/// \brief Endpoint updates that entries exchange: placed prompts, failures and
+/// \brief Endpoint updates that entries exchange: placed prompts, failures, crashes and
 /// announcements that an endpoint is leaving.
 
 namespace yuccascale::kernel::requests {
@@ -42,16 +44,44 @@
     std::string endpoint;
 };
 
+/// \brief An endpoint crashed while it worked on prompts.
+struct endpoint_crash
+{
+    std::string pool;
+    std::string endpoint;
+    std::vector<std::uint64_t> parts; ///< of these prompts that other requests may share
+};
+
+/// \brief Parts that were suspected of crashing endpoints were answered.
+struct cleared_parts
+{
+    std::string pool;
+    std::vector<std::uint64_t> parts;
+};
+
 /// \brief Updates that an entry sends to the other entries without delay.
 struct endpoint_updates
 {
     std::vector<placement> placements;
     std::vector<endpoint_failure> failures;
     std::vector<endpoint_leaving> leaving;
+    std::vector<endpoint_crash> crashes = {};
+    std::vector<cleared_parts> cleared = {};
 
     [[nodiscard]] bool empty() const noexcept
     {
-        return placements.empty() && failures.empty() && leaving.empty();
+        return placements.empty() && failures.empty() && leaving.empty() && crashes.empty()
+                && cleared.empty();
+    }
+
+    /// \brief Adds later updates.
+    void append(endpoint_updates later)
+    {
+        std::ranges::move(later.placements, std::back_inserter(placements));
+        std::ranges::move(later.failures, std::back_inserter(failures));
+        std::ranges::move(later.leaving, std::back_inserter(leaving));
+        std::ranges::move(later.crashes, std::back_inserter(crashes));
+        std::ranges::move(later.cleared, std::back_inserter(cleared));
     }
 };
 
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/kernel/requests/pool_scheduler.hpp"
 
 #include "yuccascale/kernel/policy/request_cost.hpp"
+#include "yuccascale/kernel/requests/key_check.hpp"
 
 #include <xxhash.h>
 
@@ -92,6 +93,8 @@
                        "no endpoint of this route accepts work; retry later", false,
                        noEndpointRetryAfter};
     }
+    if (m_partSuspects.isBanned(now, callerRequest.parts))
+        return bannedRefusal();
     if (options.retry && options.endpointReached) {
         if (auto refused = refuseRetry(now))
             return refused;
@@ -224,6 +227,49 @@
     return tickets;
 }
 
+std::vector<std::uint64_t> pool_scheduler::takeBanned(instant now)
+{
+    std::vector<std::uint64_t> tickets;
+    for (const auto &[ticket, waiting] : m_waiting) {
+        if (m_partSuspects.isBanned(now, waiting.parts))
+            tickets.push_back(ticket);
+    }
+    for (const std::uint64_t ticket : tickets)
+        remove(ticket);
+    return tickets;
+}
+
+/// Every prompt that the endpoint worked on is a suspect, not only the one whose failure was
+/// noticed first.
+void pool_scheduler::recordCrash(instant now, const running_request &crashed)
+{
+    part_set parts = sharedParts(crashed.queued.parts);
+    for (const auto &[ticket, running] : m_running) {
+        if (running.endpoint == crashed.endpoint)
+            parts.merge(sharedParts(running.queued.parts));
+    }
+    if (m_partSuspects.crashed(now, crashed.endpoint, parts, 1))
+        m_updates.crashes.push_back(
+                {crashed.queued.row.pool, crashed.endpoint, {parts.begin(), parts.end()}});
+}
+
+void pool_scheduler::recordAnswered(instant now, const queued_request &answered)
+{
+    const part_set cleared = m_partSuspects.answered(now, sharedParts(answered.parts));
+    if (!cleared.empty())
+        m_updates.cleared.push_back({answered.row.pool, {cleared.begin(), cleared.end()}});
+}
+
+void pool_scheduler::applyRemoteCrash(instant now, const endpoint_crash &crash)
+{
+    m_partSuspects.crashed(now, crash.endpoint, {crash.parts.begin(), crash.parts.end()}, 0);
+}
+
+void pool_scheduler::applyRemoteCleared(const cleared_parts &cleared)
+{
+    m_partSuspects.clear({cleared.parts.begin(), cleared.parts.end()});
+}
+
 demand_report pool_scheduler::takeDemand(instant now)
 {
     demand_report out = m_demand.takeReport(now);
@@ -335,8 +381,12 @@
     }
     if (result.crashed || result.replaced)
         m_caches.removeEngine(endpoint);
-    if (result.crashed)
+    if (result.crashed) {
         findings.crashingFingerprint = m_suspects.crashed(now, endpoint, running.zone);
+        recordCrash(now, running);
+    }
+    if (result.answered)
+        recordAnswered(now, running.queued);
     m_suspects.finished(endpoint, fingerprint, result.answered);
     if (result.answered)
         findings.breakerClosed = m_endpoints.succeeded(now, endpoint, running.sentAt);
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -8,6 +8,7 @@
 #include "yuccascale/kernel/requests/charge_book.hpp"
 #include "yuccascale/kernel/requests/demand_meter.hpp"
 #include "yuccascale/kernel/requests/endpoint_table.hpp"
+#include "yuccascale/kernel/requests/part_suspects.hpp"
 #include "yuccascale/kernel/requests/placement.hpp"
 #include "yuccascale/kernel/requests/prompt_caches.hpp"
 #include "yuccascale/kernel/requests/request_actions.hpp"
@@ -143,6 +144,16 @@
     /// \returns their tickets.
     [[nodiscard]] std::vector<std::uint64_t> takeFingerprint(const std::string &fingerprint);
 
+    /// \brief Removes the queued requests whose prompts hold parts that crash endpoints.
+    /// \returns their tickets.
+    [[nodiscard]] std::vector<std::uint64_t> takeBanned(instant now);
+
+    /// \returns the parts that were found to crash endpoints since the last call.
+    [[nodiscard]] std::vector<part_set> takeCrashCauses(instant now)
+    {
+        return m_partSuspects.takeCauses(now);
+    }
+
     /// \brief Assigns endpoints to queued requests while the dispatch window has room.
     [[nodiscard]] std::vector<endpoint_assignment> schedule(instant now);
 
@@ -174,6 +185,12 @@
     bool applyNotice(instant now, const std::string &pool, const std::string &endpoint,
                      const endpoint_notice &notice);
 
+    /// \brief Records a crash that another entry saw.
+    void applyRemoteCrash(instant now, const endpoint_crash &crash);
+
+    /// \brief Clears parts that another entry saw answered.
+    void applyRemoteCleared(const cleared_parts &cleared);
+
     /// \brief Records a long prompt that another entry placed.
     void applyRemotePlacement(instant now, const placement &placed);
 
@@ -225,6 +242,8 @@
                     const endpoint_assignment &assignment, std::int64_t cached);
     void announcePlacement(const queued_request &waiting, const endpoint_assignment &assignment,
                            std::int64_t tokens);
+    void recordCrash(instant now, const running_request &crashed);
+    void recordAnswered(instant now, const queued_request &answered);
     bool recordFailure(instant now, const std::string &pool, const std::string &endpoint,
                        bool crashed);
     [[nodiscard]] int sendingEntries() const noexcept;
@@ -243,6 +262,7 @@
     pool_strategies m_strategies;
     queue_limits m_limits;
     crash_suspects m_suspects;
+    part_suspects m_partSuspects;
     std::vector<std::string>
             m_suspectEndpointOrder; ///< endpoint names by hash, assigned to the entries round-robin
     entry_position m_position;
--- a/src/yuccascale/kernel/requests/request_life.cpp
+++ b/src/yuccascale/kernel/requests/request_life.cpp
@@ -39,10 +39,7 @@
                 "address",
                 false, controlRetryAfter};
     case start_check::Banned:
-        return {error_kind::Forbidden,
-                "this request crashed the endpoints that ran it; change it before sending it again",
-                false,
-                {}};
+        return bannedRefusal();
     case start_check::Allowed:
         break;
     }
--- a/src/yuccascale/kernel/requests/request_session.cpp
+++ b/src/yuccascale/kernel/requests/request_session.cpp
@@ -105,7 +105,8 @@
     result.totalTime = now - m_sentAt;
     const finish_findings findings = m_ports.finish(m_ticket, callerRequest(), result);
     if (result.crashed)
-        m_events.record(endpointCrashed, {{"endpoint", endpoint}});
+        m_events.record(endpointCrashed,
+                        {{"endpoint", endpoint}, {"request_id", callerRequest().id}});
     if (findings.breakerOpened)
         m_events.record(endpointSick, {{"endpoint", endpoint}});
     if (findings.breakerClosed)
--- a/src/yuccascale/runtime/load_exchange.cpp
+++ b/src/yuccascale/runtime/load_exchange.cpp
@@ -1,7 +1,5 @@
 #include "yuccascale/runtime/load_exchange.hpp"
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace yuccascale::runtime {
@@ -50,9 +48,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        std::ranges::move(updates.placements, std::back_inserter(m_pendingUpdates.placements));
-        std::ranges::move(updates.failures, std::back_inserter(m_pendingUpdates.failures));
-        std::ranges::move(updates.leaving, std::back_inserter(m_pendingUpdates.leaving));
+        m_pendingUpdates.append(std::move(updates));
     }
     m_task.runSoon();
 }
--- a/src/yuccascale/wire/load_codec.cpp
+++ b/src/yuccascale/wire/load_codec.cpp
@@ -55,6 +55,19 @@
     return fb::CreateLeaving(builder, pool, endpoint);
 }
 
+flatbuffers::Offset<fb::Crash> write(builder_type &builder, const endpoint_crash &crash)
+{
+    const auto pool = builder.CreateSharedString(crash.pool);
+    const auto endpoint = builder.CreateSharedString(crash.endpoint);
+    return fb::CreateCrash(builder, pool, endpoint, builder.CreateVector(crash.parts));
+}
+
+flatbuffers::Offset<fb::Cleared> write(builder_type &builder, const cleared_parts &cleared)
+{
+    const auto pool = builder.CreateSharedString(cleared.pool);
+    return fb::CreateCleared(builder, pool, builder.CreateVector(cleared.parts));
+}
+
 template<typename Row, typename Table>
 flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Table>>>
 writeAll(builder_type &builder, const std::vector<Row> &rows)
@@ -111,6 +124,28 @@
     return endpoint_leaving{table.pool()->str(), table.endpoint()->str()};
 }
 
+using part_vector = flatbuffers::Vector<std::uint64_t>;
+
+[[nodiscard]] std::vector<std::uint64_t> partsOf(const part_vector *parts)
+{
+    return parts == nullptr ? std::vector<std::uint64_t>()
+                            : std::vector<std::uint64_t>(parts->begin(), parts->end());
+}
+
+[[nodiscard]] std::optional<endpoint_crash> read(const fb::Crash &table)
+{
+    if (table.pool() == nullptr || table.endpoint() == nullptr)
+        return std::nullopt;
+    return endpoint_crash{table.pool()->str(), table.endpoint()->str(), partsOf(table.parts())};
+}
+
+[[nodiscard]] std::optional<cleared_parts> read(const fb::Cleared &table)
+{
+    if (table.pool() == nullptr)
+        return std::nullopt;
+    return cleared_parts{table.pool()->str(), partsOf(table.parts())};
+}
+
 template<typename Row, typename Tables>
 void readAll(const Tables *tables, std::vector<Row> &out)
 {
@@ -132,7 +167,10 @@
     const auto failures
             = writeAll<endpoint_failure, fb::Failure>(builder, message.updates.failures);
     const auto leaving = writeAll<endpoint_leaving, fb::Leaving>(builder, message.updates.leaving);
-    builder.Finish(fb::CreateLoad(builder, charges, placements, failures, leaving));
+    const auto crashes = writeAll<endpoint_crash, fb::Crash>(builder, message.updates.crashes);
+    const auto cleared = writeAll<cleared_parts, fb::Cleared>(builder, message.updates.cleared);
+    builder.Finish(
+            fb::CreateLoad(builder, charges, placements, failures, leaving, crashes, cleared));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -148,6 +186,8 @@
     readAll(load.placements(), out.updates.placements);
     readAll(load.failures(), out.updates.failures);
     readAll(load.leaving(), out.updates.leaving);
+    readAll(load.crashes(), out.updates.crashes);
+    readAll(load.cleared(), out.updates.cleared);
     return out;
 }
 
--- a/src/yuccascale/wire/load_generated.h
+++ b/src/yuccascale/wire/load_generated.h
@@ -31,6 +31,12 @@
 struct Leaving;
 struct LeavingBuilder;
 
+struct Crash;
+struct CrashBuilder;
+
+struct Cleared;
+struct ClearedBuilder;
+
 struct Load;
 struct LoadBuilder;
 
@@ -393,13 +399,159 @@
       endpoint__);
 }
 
+struct Crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POOL = 4,
+    VT_ENDPOINT = 6,
+    VT_PARTS = 8
+  };
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashBuilder {
+  typedef Crash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(Crash::VT_POOL, pool);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(Crash::VT_ENDPOINT, endpoint);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(Crash::VT_PARTS, parts);
+  }
+  explicit CrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Crash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Crash>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Crash> CreateCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+  CrashBuilder builder_(_fbb);
+  builder_.add_parts(parts);
+  builder_.add_endpoint(endpoint);
+  builder_.add_pool(pool);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Crash> CreateCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *pool = nullptr,
+    const char *endpoint = nullptr,
+    const std::vector<uint64_t> *parts = nullptr) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  return yuccascale::wire::fb::CreateCrash(
+      _fbb,
+      pool__,
+      endpoint__,
+      parts__);
+}
+
+struct Cleared FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ClearedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POOL = 4,
+    VT_PARTS = 6
+  };
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ClearedBuilder {
+  typedef Cleared Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(Cleared::VT_POOL, pool);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(Cleared::VT_PARTS, parts);
+  }
+  explicit ClearedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Cleared> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Cleared>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Cleared> CreateCleared(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+  ClearedBuilder builder_(_fbb);
+  builder_.add_parts(parts);
+  builder_.add_pool(pool);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Cleared> CreateClearedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *pool = nullptr,
+    const std::vector<uint64_t> *parts = nullptr) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  return yuccascale::wire::fb::CreateCleared(
+      _fbb,
+      pool__,
+      parts__);
+}
+
 struct Load FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoadBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CHARGES = 4,
     VT_PLACEMENTS = 6,
     VT_FAILURES = 8,
-    VT_LEAVING = 10
+    VT_LEAVING = 10,
+    VT_CRASHES = 12,
+    VT_CLEARED = 14
   };
   const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>> *charges() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>> *>(VT_CHARGES);
@@ -413,6 +565,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>> *leaving() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>> *>(VT_LEAVING);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Crash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Crash>> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>> *cleared() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>> *>(VT_CLEARED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CHARGES) &&
@@ -427,6 +585,12 @@
            VerifyOffset(verifier, VT_LEAVING) &&
            verifier.VerifyVector(leaving()) &&
            verifier.VerifyVectorOfTables(leaving()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_CLEARED) &&
+           verifier.VerifyVector(cleared()) &&
+           verifier.VerifyVectorOfTables(cleared()) &&
            verifier.EndTable();
   }
 };
@@ -447,6 +611,12 @@
   void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>>> leaving) {
     fbb_.AddOffset(Load::VT_LEAVING, leaving);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Crash>>> crashes) {
+    fbb_.AddOffset(Load::VT_CRASHES, crashes);
+  }
+  void add_cleared(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>>> cleared) {
+    fbb_.AddOffset(Load::VT_CLEARED, cleared);
+  }
   explicit LoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -463,8 +633,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>>> charges = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Placement>>> placements = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Failure>>> failures = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>>> leaving = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>>> leaving = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Crash>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>>> cleared = 0) {
   LoadBuilder builder_(_fbb);
+  builder_.add_cleared(cleared);
+  builder_.add_crashes(crashes);
   builder_.add_leaving(leaving);
   builder_.add_failures(failures);
   builder_.add_placements(placements);
@@ -477,17 +651,23 @@
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>> *charges = nullptr,
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Placement>> *placements = nullptr,
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Failure>> *failures = nullptr,
-    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>> *leaving = nullptr) {
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>> *leaving = nullptr,
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Crash>> *crashes = nullptr,
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>> *cleared = nullptr) {
   auto charges__ = charges ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Charge>>(*charges) : 0;
   auto placements__ = placements ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Placement>>(*placements) : 0;
   auto failures__ = failures ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Failure>>(*failures) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>>(*leaving) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Crash>>(*crashes) : 0;
+  auto cleared__ = cleared ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>>(*cleared) : 0;
   return yuccascale::wire::fb::CreateLoad(
       _fbb,
       charges__,
       placements__,
       failures__,
-      leaving__);
+      leaving__,
+      crashes__,
+      cleared__);
 }
 
 inline const yuccascale::wire::fb::Load *GetLoad(const void *buf) {
--- a/tests/unit/load_exchange_test.cpp
+++ b/tests/unit/load_exchange_test.cpp
@@ -133,6 +133,37 @@
     EXPECT_EQ(received[0].parts[0].tokens, 13'300);
 }
 
+TEST(load_exchange, crashesAndClearedPartsAreDecodedAsTheyWereEncoded)
+{
+    endpoint_updates updates;
+    updates.crashes.push_back({"pool", "e1", {7, 0x5c1e07a2}});
+    updates.cleared.push_back({"pool", {7}});
+    const auto received = wire::decodeLoad(wire::encodeLoad({{}, updates})).updates;
+    ASSERT_EQ(received.crashes.size(), 1U);
+    EXPECT_EQ(received.crashes.front().endpoint, "e1");
+    EXPECT_EQ(received.crashes.front().parts, (std::vector<std::uint64_t>{7, 0x5c1e07a2}));
+    ASSERT_EQ(received.cleared.size(), 1U);
+    EXPECT_EQ(received.cleared.front().parts, (std::vector<std::uint64_t>{7}));
+}
+
+TEST(load_exchange, updatesOfTwoSendersAreJoinedWhole)
+{
+    endpoint_updates first;
+    first.failures.push_back({"pool", "e1", true});
+    endpoint_updates second;
+    second.placements.emplace_back();
+    second.failures.push_back({"pool", "e2", true});
+    second.leaving.push_back({"pool", "e3"});
+    second.crashes.push_back({"pool", "e4", {7}});
+    second.cleared.push_back({"pool", {8}});
+    first.append(second);
+    EXPECT_EQ(first.placements.size(), 1U);
+    EXPECT_EQ(first.failures.size(), 2U);
+    EXPECT_EQ(first.leaving.size(), 1U);
+    EXPECT_EQ(first.crashes.size(), 1U);
+    EXPECT_EQ(first.cleared.size(), 1U);
+}
+
 TEST(load_exchange, anEndpointThatIsLeavingIsDecodedAsItWasEncoded)
 {
     const endpoint_updates updates{{}, {}, {{"pool", "e1"}}};
