--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -85,6 +85,7 @@
     , m_clock(clock)
     , m_events(events)
     , m_consumer(consumer)
+    , m_pendingProposals(m_settings.self)
 {
     m_status.role = "stopped";
     m_transport.handle(kernel::channel::Consensus,
@@ -157,12 +158,10 @@
     m_inboxChanged.notify_all();
 }
 
-result<std::string> replicated_log::enqueue(std::vector<request_pointer> inbox::*queue,
+result<std::string> replicated_log::enqueue(std::vector<log_request_pointer> inbox::*queue,
                                             std::string payload, instant deadline)
 {
-    const request_pointer request = std::make_shared<pending_request>();
-    request->payload = std::move(payload);
-    std::future<outcome> future = request->promise.get_future();
+    const auto request = std::make_shared<log_request>(std::move(payload));
     {
         const std::lock_guard lock(m_inboxMutex);
         if (!m_running)
@@ -174,18 +173,7 @@
         (m_inbox.*queue).push_back(request);
     }
     m_inboxChanged.notify_all();
-    if (future.wait_for(deadline - m_clock.now()) != std::future_status::ready) {
-        request_state expected = request_state::Queued;
-        if (request->state.compare_exchange_strong(expected, request_state::TimedOut))
-            return fail(error_kind::Unavailable, m_settings.self,
-                        "the request was still queued at its deadline and was not run; retry");
-        return fail(error_kind::OutcomeUnknown, m_settings.self,
-                    "not committed before the deadline; send it again with the same operation id");
-    }
-    outcome answered = future.get();
-    if (!answered.succeeded)
-        return boost::leaf::new_error(std::move(answered.problem));
-    return std::move(answered.answer);
+    return request->wait(deadline - m_clock.now(), m_settings.self);
 }
 
 result<std::string> replicated_log::propose(std::string payload, instant deadline)
@@ -303,48 +291,39 @@
     const instant now = m_clock.now();
     for (const message &received : input.messages)
         m_replica->receive(received, now);
-    for (const request_pointer &proposal : input.proposals)
+    for (const log_request_pointer &proposal : input.proposals)
         handleProposal(proposal);
-    for (const request_pointer &read : input.reads)
+    for (const log_request_pointer &read : input.reads)
         handleRead(read, now);
     if (now >= m_replica->nextTick())
         m_replica->tick(now);
 }
 
-void replicated_log::handleProposal(const request_pointer &proposal)
+void replicated_log::handleProposal(const log_request_pointer &proposal)
 {
-    request_state expected = request_state::Queued;
-    if (!proposal->state.compare_exchange_strong(expected, request_state::Started))
+    if (!proposal->begin())
         return;
-    const kernel::consensus::proposal proposed = m_replica->propose(std::move(proposal->payload));
+    const kernel::consensus::proposal proposed = m_replica->propose(proposal->takePayload());
     switch (proposed.outcome) {
     case proposal_outcome::Accepted:
-        proposal->term = proposed.term;
-        // a request pending at this index was proposed in an earlier term; its entry is replaced
-        resolve(proposed.index, proposed.term, {});
-        m_pendingProposals[proposed.index] = proposal;
-        return;
+        return m_pendingProposals.add(proposed.index, proposed.term, proposal);
     case proposal_outcome::NotLeader:
-        return proposal->promise.set_value({false, {}, notLeader()});
+        return proposal->fail(notLeader());
     case proposal_outcome::Overloaded:
-        return proposal->promise.set_value({false,
-                                            {},
-                                            {error_kind::Overloaded, m_settings.self,
-                                             "too many commands await a quorum; retry "
-                                             "later"}});
+        return proposal->fail({error_kind::Overloaded, m_settings.self,
+                               "too many commands await a quorum; retry later"});
     }
 }
 
-void replicated_log::handleRead(const request_pointer &read, instant now)
+void replicated_log::handleRead(const log_request_pointer &read, instant now)
 {
-    request_state expected = request_state::Queued;
-    if (!read->state.compare_exchange_strong(expected, request_state::Started))
+    if (!read->begin())
         return;
     const std::uint64_t id = m_nextRead++;
     if (m_replica->requestRead(id, now))
         m_pendingReads[id] = read;
     else
-        read->promise.set_value({false, {}, notLeader()});
+        read->fail(notLeader());
 }
 
 kernel::error replicated_log::notLeader() const
@@ -407,41 +386,14 @@
     if (entry.kind == entry_kind::Command)
         answer = m_consumer.apply(entry.index, entry.payload);
     m_applied = entry.index;
-    resolve(entry.index, entry.term, std::move(answer));
-}
-
-/// Answers the proposal pending at \a index. If its term differs, another leader's entry has
-/// replaced it.
-void replicated_log::resolve(std::uint64_t index, std::uint64_t term, std::string answer)
-{
-    const auto found = m_pendingProposals.find(index);
-    if (found == m_pendingProposals.end())
-        return;
-    const request_pointer proposal = std::move(found->second);
-    m_pendingProposals.erase(found);
-    if (proposal->term == term)
-        return proposal->promise.set_value({true, std::move(answer), {}});
-    proposal->promise.set_value(
-            {false,
-             {},
-             {error_kind::Unavailable, m_settings.self,
-              "the leader changed and the command was not committed; send it again"}});
+    m_pendingProposals.resolve(entry.index, entry.term, std::move(answer));
 }
 
 result<void> replicated_log::install(const snapshot_data &snapshot)
 {
     BOOST_LEAF_CHECK(m_consumer.restore(*snapshot.bytes));
     m_applied = m_snapshotIndex = snapshot.index;
-    for (auto pending = m_pendingProposals.begin();
-         pending != m_pendingProposals.end() && pending->first <= snapshot.index;
-         pending = m_pendingProposals.erase(pending)) {
-        pending->second->promise.set_value(
-                {false,
-                 {},
-                 {error_kind::OutcomeUnknown, m_settings.self,
-                  "the leader changed; the command may be committed, send it again with the "
-                  "same operation id"}});
-    }
+    m_pendingProposals.failCovered(snapshot.index);
     return {};
 }
 
@@ -452,9 +404,9 @@
         if (found == m_pendingReads.end())
             continue;
         if (read.confirmed)
-            found->second->promise.set_value({true, {}, {}});
+            found->second->answer({});
         else
-            found->second->promise.set_value({false, {}, notLeader()});
+            found->second->fail(notLeader());
         m_pendingReads.erase(found);
     }
 }
@@ -535,17 +487,14 @@
         m_running = false;
         std::swap(remaining, m_inbox);
     }
-    const outcome notRun{false, {}, {error_kind::Unavailable, m_settings.self, reason}};
-    const outcome unknown{false, {}, {error_kind::OutcomeUnknown, m_settings.self, reason}};
-    for (const request_pointer &request : remaining.proposals)
-        request->promise.set_value(notRun);
-    for (const request_pointer &request : remaining.reads)
-        request->promise.set_value(notRun);
-    for (const auto &[index, request] : m_pendingProposals)
-        request->promise.set_value(unknown);
+    const kernel::error notRun{error_kind::Unavailable, m_settings.self, reason};
+    for (const log_request_pointer &request : remaining.proposals)
+        request->fail(notRun);
+    for (const log_request_pointer &request : remaining.reads)
+        request->fail(notRun);
+    m_pendingProposals.failAll(reason);
     for (const auto &[id, request] : m_pendingReads)
-        request->promise.set_value(notRun);
-    m_pendingProposals.clear();
+        request->fail(notRun);
     m_pendingReads.clear();
 }
 
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -6,11 +6,10 @@
 #include "yuccascale/kernel/events.hpp"
 #include "yuccascale/kernel/leadership.hpp"
 #include "yuccascale/kernel/transport.hpp"
+#include "yuccascale/runtime/log_request.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
-#include <atomic>
 #include <condition_variable>
-#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -122,52 +121,29 @@
     [[nodiscard]] replicated_log_status status() const;
 
 private:
-    enum class request_state { Queued, Started, TimedOut };
-
-    /// The outcome of a proposal or read.
-    struct outcome
-    {
-        bool succeeded = false;
-        std::string answer;
-        kernel::error problem;
-    };
-
-    /// A proposal or read whose caller waits. The log's thread moves it from Queued to Started, the
-    /// caller at its deadline to TimedOut; the first of the two decides whether it is executed.
-    struct pending_request
-    {
-        std::string payload;
-        std::atomic<request_state> state{request_state::Queued};
-        std::promise<outcome> promise;
-        std::uint64_t term = 0;
-    };
-
-    using request_pointer = std::shared_ptr<pending_request>;
-
     struct inbox
     {
         std::vector<kernel::consensus::message> messages;
-        std::vector<request_pointer> proposals;
-        std::vector<request_pointer> reads;
+        std::vector<log_request_pointer> proposals;
+        std::vector<log_request_pointer> reads;
     };
 
     void receive(std::string_view peer, std::string_view payload);
-    [[nodiscard]] kernel::result<std::string> enqueue(std::vector<request_pointer> inbox::*queue,
-                                                      std::string payload,
-                                                      kernel::instant deadline);
+    [[nodiscard]] kernel::result<std::string>
+    enqueue(std::vector<log_request_pointer> inbox::*queue, std::string payload,
+            kernel::instant deadline);
     [[nodiscard]] kernel::result<void> openStore();
     void run();
     [[nodiscard]] std::string runUntilFailure();
     [[nodiscard]] bool waitToReopen();
     [[nodiscard]] bool takeInbox(inbox &input);
     void handle(inbox &input);
-    void handleProposal(const request_pointer &proposal);
-    void handleRead(const request_pointer &read, kernel::instant now);
+    void handleProposal(const log_request_pointer &proposal);
+    void handleRead(const log_request_pointer &read, kernel::instant now);
     [[nodiscard]] kernel::result<bool> executeActions();
     [[nodiscard]] kernel::result<void> persist(const kernel::consensus::actions &batch);
     void send(const std::vector<kernel::consensus::message> &messages);
     void apply(const kernel::consensus::log_entry &entry);
-    void resolve(std::uint64_t index, std::uint64_t term, std::string answer);
     [[nodiscard]] kernel::result<void> install(const kernel::consensus::snapshot_data &snapshot);
     void finishReads(const std::vector<kernel::consensus::confirmed_read> &reads);
     [[nodiscard]] kernel::result<void> saveSnapshotWhenDue();
@@ -193,8 +169,8 @@
     // used only by the thread
     std::unique_ptr<store::replica_store> m_store;
     std::unique_ptr<kernel::consensus::replica> m_replica;
-    std::map<std::uint64_t, request_pointer> m_pendingProposals; ///< by log index
-    std::map<std::uint64_t, request_pointer> m_pendingReads;
+    pending_proposals m_pendingProposals;
+    std::map<std::uint64_t, log_request_pointer> m_pendingReads;
     std::uint64_t m_nextRead = 1;
     std::uint64_t m_applied = 0;
     std::uint64_t m_snapshotIndex = 0;
