A poll ends early when the node sends nothing

Cause: a poll waits up to half of the freshness (2.35 s), so that large tables can arrive over a slow link. It waited as long for a node that sends nothing. Entries, the other control nodes and the new leader itself were all in such a poll, and the new leader published its tables only after it.

Change: kernel::call_timeout has a silent time beside the whole time; peer_link ends a call when no byte arrives for so long. The feed takes two feed intervals.

feed_service.doesNotWaitForANodeThatSendsNothingAsLongAsForALargeReply and tcp_transport_test.aCallEndsWhenNothingArrivesAndNotWhileALongReplyArrives.

--- a/src/yuccascale/kernel/transport.hpp
+++ b/src/yuccascale/kernel/transport.hpp
@@ -22,6 +22,27 @@
     Demand = 5,    ///< demand on the pools, sent to the leader
 };
 
+/// \brief How long to wait for the reply of a call.
+struct call_timeout
+{
+    /// \brief Waits for the whole time, whether bytes of the reply arrive or not.
+    template<typename Rep, typename Period>
+    call_timeout(std::chrono::duration<Rep, Period> time)
+        : total(time)
+        , silent(time)
+    { }
+
+    /// \param silentTime ends the call earlier when nothing arrives from the peer for so long; for
+    ///        replies that may be long
+    call_timeout(nanoseconds time, nanoseconds silentTime)
+        : total(time)
+        , silent(silentTime)
+    { }
+
+    nanoseconds total;
+    nanoseconds silent;
+};
+
 /// \brief Sends to other nodes. Thread-safe.
 class transport
 {
@@ -43,7 +64,7 @@
     /// \returns error_kind::Unavailable when the message was certainly not sent,
     /// error_kind::OutcomeUnknown when it was sent and no reply came in time.
     [[nodiscard]] virtual result<std::string> call(std::string_view node, channel channel,
-                                                   std::string payload, nanoseconds timeout)
+                                                   std::string payload, call_timeout timeout)
             = 0;
 };
 
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -19,6 +19,7 @@
 /// A control node whose own confirmation is older than this many feed intervals may be partitioned
 /// from the leader.
 constexpr double maxLagIntervals = 2.5;
+constexpr int silentIntervals = 2;      ///< feed intervals without a byte of a reply
 constexpr seconds loadEventInterval{5}; ///< least time between two feed_load events
 constexpr seconds subscriberWindow{5};  ///< a node that polled within it is a peer
 constexpr std::uint64_t listCounterMask = (std::uint64_t{1} << listCounterBits) - 1;
@@ -211,11 +212,12 @@
 
 /// Large tables may take longer than the feed interval on a slow link, and a reply that is given up
 /// is requested again from its start. Half of the freshness leaves time to ask another node before
-/// the tables expire.
-nanoseconds feed_service::pollTimeout() const
+/// the tables expire. A node that sends nothing may be frozen, and is given up earlier.
+call_timeout feed_service::pollTimeout() const
 {
     const control_settings &control = m_settings.control;
-    return std::max<nanoseconds>(control.feedInterval, control.freshness / 2);
+    return {std::max<nanoseconds>(control.feedInterval, control.freshness / 2),
+            silentIntervals * control.feedInterval};
 }
 
 bool feed_service::pollPeer(instant sentAt)
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -105,7 +105,7 @@
     void pollLoop();
     [[nodiscard]] bool pollOnce();
     [[nodiscard]] bool readLocalLeader(kernel::instant sentAt);
-    [[nodiscard]] kernel::nanoseconds pollTimeout() const;
+    [[nodiscard]] kernel::call_timeout pollTimeout() const;
     [[nodiscard]] bool pollPeer(kernel::instant sentAt);
     [[nodiscard]] std::string selectTarget();
     [[nodiscard]] std::vector<std::string> knownControlNodes() const;
--- a/src/yuccascale/wire/peer_link.cpp
+++ b/src/yuccascale/wire/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "yuccascale/wire/peer_link.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace yuccascale::wire {
@@ -56,7 +57,7 @@
     m_changed.notify_all();
 }
 
-result<std::string> peer_link::call(std::string payload, kernel::nanoseconds timeout)
+result<std::string> peer_link::call(std::string payload, kernel::call_timeout timeout)
 {
     std::unique_lock lock(m_mutex);
     if (m_stopped || m_queue.size() >= m_settings.maxQueuedFrames)
@@ -71,9 +72,7 @@
     m_queue.push_back(
             {encodeFrame({m_channel, correlation, false, std::move(payload)}), correlation});
     m_changed.notify_all();
-    m_changed.wait_for(lock, timeout, [&] {
-        return pending->state == call_state::Answered || pending->state == call_state::Lost;
-    });
+    awaitReply(lock, *pending, timeout);
     m_calls.erase(correlation);
     if (pending->state == call_state::Answered)
         return std::move(pending->reply);
@@ -89,6 +88,28 @@
                 "no reply before the timeout; send it again with the same operation id");
 }
 
+/// Requires m_mutex to be held by \a lock. A long reply may take the whole time as long as some of
+/// it arrives in each silent time.
+void peer_link::awaitReply(std::unique_lock<std::mutex> &lock, const pending_call &pending,
+                           kernel::call_timeout timeout)
+{
+    const auto bytesRead
+            = [&] { return m_connection ? m_connection->bytesRead() : std::uint64_t{0}; };
+    const auto deadline = std::chrono::steady_clock::now() + timeout.total;
+    while (true) {
+        const std::uint64_t bytesBefore = bytesRead();
+        const auto left = deadline - std::chrono::steady_clock::now();
+        const bool ended = m_changed.wait_for(
+                lock, std::min<kernel::nanoseconds>(left, timeout.silent), [&] {
+                    return pending.state == call_state::Answered
+                            || pending.state == call_state::Lost;
+                });
+        const bool expired = std::chrono::steady_clock::now() >= deadline;
+        if (ended || expired || bytesRead() == bytesBefore)
+            return;
+    }
+}
+
 void peer_link::sendLoop()
 {
     std::unique_lock lock(m_mutex);
--- a/src/yuccascale/wire/peer_link.hpp
+++ b/src/yuccascale/wire/peer_link.hpp
@@ -41,7 +41,7 @@
 
     /// \brief Queues a call and waits for its reply (see kernel::transport::call()).
     [[nodiscard]] kernel::result<std::string> call(std::string payload,
-                                                   kernel::nanoseconds timeout);
+                                                   kernel::call_timeout timeout);
 
     void stop();
 
@@ -52,6 +52,8 @@
         std::uint64_t correlation = 0;
     };
 
+    void awaitReply(std::unique_lock<std::mutex> &lock, const pending_call &pending,
+                    kernel::call_timeout timeout);
     void sendLoop();
     void readLoop(const std::shared_ptr<socket> &connection);
     [[nodiscard]] std::shared_ptr<socket> connectedSocket();
--- a/src/yuccascale/wire/socket.cpp
+++ b/src/yuccascale/wire/socket.cpp
@@ -97,6 +97,7 @@
     if (this != &other) {
         close();
         m_descriptor = std::exchange(other.m_descriptor, -1);
+        m_bytesRead = other.m_bytesRead.load();
     }
     return *this;
 }
@@ -165,6 +166,7 @@
             continue;
         if (received <= 0)
             return false;
+        m_bytesRead += static_cast<std::uint64_t>(received);
         out += received;
         size -= static_cast<std::size_t>(received);
     }
--- a/src/yuccascale/wire/socket.hpp
+++ b/src/yuccascale/wire/socket.hpp
@@ -3,6 +3,7 @@
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/error.hpp"
 
+#include <atomic>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -35,6 +36,7 @@
     ~socket() { close(); }
     socket(socket &&other) noexcept
         : m_descriptor(std::exchange(other.m_descriptor, -1))
+        , m_bytesRead(other.m_bytesRead.load())
     { }
     socket &operator=(socket &&other) noexcept;
     socket(const socket &) = delete;
@@ -65,6 +67,9 @@
     /// \returns false when the connection closed or failed before \a size bytes arrived.
     [[nodiscard]] bool readExactly(char *out, std::size_t size) const noexcept;
 
+    /// \returns the bytes that readExactly() has received, also those of a read in progress.
+    [[nodiscard]] std::uint64_t bytesRead() const noexcept { return m_bytesRead; }
+
     /// \brief Sets the timeout of each later read; zero means none.
     void setReadTimeout(kernel::milliseconds timeout) const noexcept;
 
@@ -75,6 +80,7 @@
 
 private:
     int m_descriptor = -1;
+    mutable std::atomic<std::uint64_t> m_bytesRead{0};
 };
 
 } // namespace yuccascale::wire
--- a/src/yuccascale/wire/tcp_transport.cpp
+++ b/src/yuccascale/wire/tcp_transport.cpp
@@ -54,7 +54,7 @@
 }
 
 result<std::string> tcp_transport::call(std::string_view node, kernel::channel channel,
-                                        std::string payload, kernel::nanoseconds timeout)
+                                        std::string payload, kernel::call_timeout timeout)
 {
     const std::shared_ptr<peer_link> link = linkTo(node, channel);
     if (!link) {
--- a/src/yuccascale/wire/tcp_transport.hpp
+++ b/src/yuccascale/wire/tcp_transport.hpp
@@ -69,7 +69,7 @@
     void post(std::string_view node, kernel::channel channel, std::string payload) override;
     [[nodiscard]] kernel::result<std::string> call(std::string_view node, kernel::channel channel,
                                                    std::string payload,
-                                                   kernel::nanoseconds timeout) override;
+                                                   kernel::call_timeout timeout) override;
 
 private:
     [[nodiscard]] std::optional<socket_address> addressOf(std::string_view node) const;
--- a/tests/unit/cluster_client_test.cpp
+++ b/tests/unit/cluster_client_test.cpp
@@ -21,7 +21,7 @@
     void handle(channel, handler) override { }
     void post(std::string_view, channel, std::string) override { }
     [[nodiscard]] result<std::string> call(std::string_view node, channel, std::string,
-                                           nanoseconds) override
+                                           call_timeout) override
     {
         calledNodes.emplace_back(node);
         const auto found = answers.find(node);
--- a/tests/unit/feed_service_test.cpp
+++ b/tests/unit/feed_service_test.cpp
@@ -27,14 +27,14 @@
     void post(std::string_view, channel, std::string) override { }
 
     [[nodiscard]] result<std::string> call(std::string_view node, channel, std::string payload,
-                                           nanoseconds timeout) override
+                                           call_timeout timeout) override
     {
         const auto found = states.find(std::string(node));
         if (found == states.end())
             return fail(error_kind::Unavailable, std::string(node), "not reached");
         BOOST_LEAF_AUTO(request, wire::decodeFeedRequest(payload));
         calledNodes.emplace_back(node);
-        if (replyTime > timeout)
+        if (replyTime > timeout.total || silentTime > timeout.silent)
             return fail(error_kind::OutcomeUnknown, std::string(node), "no reply in time");
         return wire::encodeFeedReply(found->second.answer(now, "entry", request));
     }
@@ -71,7 +71,8 @@
     std::map<std::string, feed::feed_state> states;
     std::vector<std::string> calledNodes;
     instant now{seconds(100)};
-    nanoseconds replyTime{}; ///< until a reply has arrived as a whole
+    nanoseconds replyTime{};  ///< until a reply has arrived as a whole
+    nanoseconds silentTime{}; ///< until the first byte of a reply has arrived
 };
 
 /// A leader's state with as many routes as its revision.
@@ -165,6 +166,22 @@
     EXPECT_EQ(nodes.calledNodes.size(), 1U);
 }
 
+TEST(feed_service, doesNotWaitForANodeThatSendsNothingAsLongAsForALargeReply)
+{
+    const settings config = entrySettings();
+    fakes::manual_clock clock;
+    control_nodes nodes;
+    null_sink events;
+    clock.advance(nodes.now.time_since_epoch());
+    nodes.installReading("a", 7);
+    nodes.installReading("b", 7);
+    nodes.silentTime = 3 * config.control.feedInterval;
+    feed_service feed(config, clock, nodes, events, 1, nullptr);
+    feed.pollRound();
+    EXPECT_FALSE(feed.view().tables);
+    EXPECT_EQ(nodes.calledNodes.size(), 2U);
+}
+
 /// Guards against one control node that serves the feed of all entries while the others are idle.
 TEST(feed_service, pollsTheControlNodeOfItsOwnAvailabilityZone)
 {
--- a/tests/unit/tcp_transport_test.cpp
+++ b/tests/unit/tcp_transport_test.cpp
@@ -138,6 +138,47 @@
     release.set_value();
 }
 
+/// Guards against waiting for a peer that is frozen as long as for one whose long reply is
+/// arriving.
+TEST_F(tcp_transport_test, aCallEndsWhenNothingArrivesAndNotWhileALongReplyArrives)
+{
+    tcp_transport one(m_oneSettings);
+    tcp_transport other(m_otherSettings);
+    const std::string longReply(24U << 20U, 'x');
+    std::promise<void> release;
+    other.handle(channel::Submit,
+                 [&, released = release.get_future().share()](std::string_view,
+                                                              std::string_view payload) {
+                     if (payload == "ping")
+                         released.wait();
+                     return longReply;
+                 });
+    start(one);
+    start(other);
+    const auto startedAt = std::chrono::steady_clock::now();
+    kernel::error problem;
+    EXPECT_FALSE(kernel::succeeded(
+            [&] {
+                return one.call("other", channel::Submit, "ping",
+                                kernel::call_timeout{std::chrono::hours(1), milliseconds(200)});
+            },
+            problem));
+    EXPECT_EQ(problem.kind, error_kind::OutcomeUnknown);
+    EXPECT_LT(std::chrono::steady_clock::now() - startedAt, callTimeout);
+    release.set_value();
+    std::string reply;
+    ASSERT_TRUE(kernel::succeeded(
+            [&]() -> kernel::result<void> {
+                BOOST_LEAF_ASSIGN(reply,
+                                  one.call("other", channel::Submit, "long",
+                                           kernel::call_timeout{callTimeout, callTimeout}));
+                return {};
+            },
+            problem))
+            << problem.message;
+    EXPECT_EQ(reply.size(), longReply.size());
+}
+
 TEST_F(tcp_transport_test, anOversizedOrMalformedHandshakeClosesOnlyThatConnection)
 {
     tcp_transport one(m_oneSettings);
