An entry asks an outdated control node before an unreachable one

Cause: a node that answered, but was behind while there was no leader, was avoided like one that did not answer. Once all had failed, the oldest failure was tried again first: the frozen leader, for another 2.35 s.

Change: relay_choice keeps why a node is avoided; outdated ones go before unreachable ones and are avoided for 5 s instead of 30 s.

feed_relay_choice.prefersANodeThatIsOutdatedToOneThatIsUnreachable fails without it.

--- a/src/yuccascale/kernel/feed/relay_choice.cpp
+++ b/src/yuccascale/kernel/feed/relay_choice.cpp
@@ -11,7 +11,9 @@
 
 /// A poll of a node that is cut off from this one only lasts until its timeout, so such a node is
 /// not tried again soon.
-constexpr seconds avoidTime{30};
+constexpr seconds unreachableTime{30};
+/// An outdated node answers at once, and is up to date again soon after a leader is known.
+constexpr seconds outdatedTime{5};
 
 } // namespace
 
@@ -39,18 +41,28 @@
 
 std::string relay_choice::choose(instant now, std::span<const std::string> ordered) const
 {
-    const auto avoidedUntil = [&](const std::string &relay) {
-        const auto found = m_avoidedUntil.find(relay);
-        return found == m_avoidedUntil.end() || found->second <= now ? instant{} : found->second;
+    const auto avoidanceOf = [&](const std::string &relay) {
+        const auto found = m_avoided.find(relay);
+        return found == m_avoided.end() || found->second.until <= now ? avoidance{} : found->second;
     };
-    const auto best = std::ranges::min_element(ordered, {}, avoidedUntil);
+    const auto best = std::ranges::min_element(ordered, {}, avoidanceOf);
     return best == ordered.end() ? std::string() : *best;
 }
 
-void relay_choice::failed(instant now, const std::string &relay)
+void relay_choice::unreachable(instant now, const std::string &relay)
 {
-    std::erase_if(m_avoidedUntil, [&](const auto &entry) { return entry.second <= now; });
-    m_avoidedUntil[relay] = now + avoidTime;
+    avoid(now, relay, reason::Unreachable, unreachableTime);
+}
+
+void relay_choice::outdated(instant now, const std::string &relay)
+{
+    avoid(now, relay, reason::Outdated, outdatedTime);
+}
+
+void relay_choice::avoid(instant now, const std::string &relay, reason why, nanoseconds time)
+{
+    std::erase_if(m_avoided, [&](const auto &entry) { return entry.second.until <= now; });
+    m_avoided[relay] = {why, now + time};
 }
 
 /// Sorts by a hash of both nodes: each polling node has its own order, which changes little when
--- a/src/yuccascale/kernel/feed/relay_choice.hpp
+++ b/src/yuccascale/kernel/feed/relay_choice.hpp
@@ -3,6 +3,7 @@
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/feed/feed_messages.hpp"
 
+#include <compare>
 #include <map>
 #include <span>
 #include <string>
@@ -39,21 +40,36 @@
     [[nodiscard]] std::vector<std::string> order(std::span<const node_report> nodes,
                                                  std::span<const std::string> seeds) const;
 
-    /// \returns the first of \a ordered that has not failed lately, else the one whose failure is
-    ///          the oldest; empty when there is none.
+    /// \returns the first of \a ordered that is not avoided, else an outdated one before an
+    ///          unreachable one, those avoided for the longest time first; empty when there is
+    ///          none.
     [[nodiscard]] std::string choose(instant now, std::span<const std::string> ordered) const;
 
-    /// \brief Records that a control node did not answer, or answered what may be outdated.
-    void failed(instant now, const std::string &relay);
+    /// \brief Records that a control node did not answer.
+    void unreachable(instant now, const std::string &relay);
+
+    /// \brief Records an answer that may be outdated.
+    void outdated(instant now, const std::string &relay);
 
     /// \brief Records an answer that is up to date.
-    void succeeded(const std::string &relay) { m_avoidedUntil.erase(relay); }
+    void upToDate(const std::string &relay) { m_avoided.erase(relay); }
 
 private:
+    enum class reason { None, Outdated, Unreachable };
+
+    struct avoidance
+    {
+        reason why = reason::None;
+        instant until{};
+
+        [[nodiscard]] auto operator<=>(const avoidance &) const = default;
+    };
+
+    void avoid(instant now, const std::string &relay, reason why, nanoseconds time);
     void spread(std::span<std::string> group) const;
 
     poller m_self;
-    std::map<std::string, instant> m_avoidedUntil; ///< by link address
+    std::map<std::string, avoidance> m_avoided; ///< by link address
 };
 
 } // namespace yuccascale::kernel::feed
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -243,12 +243,14 @@
     const auto longestLag = std::chrono::duration_cast<nanoseconds>(
             maxLagIntervals * m_settings.control.feedInterval);
     const bool upToDate = answered && reply.confirmed && lag <= longestLag;
+    if (!answered) {
+        m_relays.unreachable(m_clock.now(), peer);
+        return false;
+    }
     if (upToDate)
-        m_relays.succeeded(peer);
+        m_relays.upToDate(peer);
     else
-        m_relays.failed(m_clock.now(), peer);
-    if (!answered)
-        return false;
+        m_relays.outdated(m_clock.now(), peer);
     lock.lock();
     const bool newer = m_state.install(sentAt, reply);
     lock.unlock();
--- a/tests/unit/feed_relay_choice_test.cpp
+++ b/tests/unit/feed_relay_choice_test.cpp
@@ -33,21 +33,33 @@
 {
     relay_choice relays({"self", "z2"});
     const std::vector<std::string> ordered = relays.order(nodes, seeds);
-    relays.failed(start, "b");
+    relays.unreachable(start, "b");
     EXPECT_EQ(relays.choose(start + seconds(5), ordered), "a")
             << "each poll of a node that is cut off costs a poll timeout";
     EXPECT_EQ(relays.choose(start + seconds(60), ordered), "b");
 }
 
+/// Guards against entries that wait for a frozen leader again while its successor is not ready yet.
+TEST(feed_relay_choice, prefersANodeThatIsOutdatedToOneThatIsUnreachable)
+{
+    relay_choice relays({"self", "z2"});
+    const std::vector<std::string> ordered = relays.order(nodes, seeds);
+    relays.unreachable(start, "b");
+    relays.outdated(start + milliseconds(10), "a");
+    relays.outdated(start + milliseconds(20), "c");
+    EXPECT_EQ(relays.choose(start + milliseconds(600), ordered), "a");
+    EXPECT_EQ(relays.choose(start + seconds(28), ordered), "a");
+}
+
 TEST(feed_relay_choice, triesTheNodeWhoseFailureIsOldestWhenAllHaveFailed)
 {
     relay_choice relays({"self", "z2"});
     const std::vector<std::string> ordered = relays.order(nodes, seeds);
     instant now = start;
     for (const std::string relay : {"a", "c", "b"})
-        relays.failed(now += milliseconds(10), relay);
+        relays.unreachable(now += milliseconds(10), relay);
     EXPECT_EQ(relays.choose(now, ordered), "a");
-    relays.succeeded("c");
+    relays.upToDate("c");
     EXPECT_EQ(relays.choose(now, ordered), "c");
     EXPECT_TRUE(relays.choose(now, {}).empty());
 }
