The history of the feed is bounded by changed rows as well as by steps

What callers would see: a control node or entry that is killed for its memory.

Steps go once their rows exceed 8,192; a node further behind is sent the full tables, as before. table_history.keepsFewerStepsWhenTheyAreLarge fails without.

--- a/src/yuccascale/kernel/feed/table_history.cpp
+++ b/src/yuccascale/kernel/feed/table_history.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace yuccascale::kernel::feed {
 
@@ -38,6 +39,13 @@
     return row.name;
 }
 
+std::size_t rowCount(const state::edit_tables &edit)
+{
+    return edit.putRoutes.size() + edit.removeRoutes.size() + edit.putPools.size()
+            + edit.removePools.size() + edit.putOrganisations.size()
+            + edit.removeOrganisations.size() + edit.putKeys.size() + edit.removeKeys.size();
+}
+
 } // namespace
 
 state::edit_tables difference(const state::table_set &from, const state::table_set &to)
@@ -74,16 +82,27 @@
     if (!tables || (m_newest && tables->revision <= m_newest->revision))
         return false;
     if (m_newest) {
-        m_steps.push_back({m_newest->revision, tables->revision,
-                           makeEncoded(difference(*m_newest, *tables))});
-        if (m_steps.size() > m_maxSteps)
-            m_steps.pop_front();
+        state::edit_tables edit = difference(*m_newest, *tables);
+        const std::size_t rows = rowCount(edit);
+        m_rows += rows;
+        m_steps.push_back(
+                {m_newest->revision, tables->revision, makeEncoded(std::move(edit)), rows});
+        removeOldSteps();
     }
     m_newest = tables;
     m_encodedNewest = std::make_shared<const encoded_value<state::table_set>>(tables);
     return true;
 }
 
+/// Each step holds its rows twice, encoded too, so large edits are kept for fewer revisions.
+void table_history::removeOldSteps()
+{
+    while (m_steps.size() > m_maxSteps || (m_steps.size() > 1 && m_rows > m_maxRows)) {
+        m_rows -= m_steps.front().rows;
+        m_steps.pop_front();
+    }
+}
+
 std::optional<std::vector<encoded_pointer<state::edit_tables>>>
 table_history::editsSince(std::uint64_t revision) const
 {
--- a/src/yuccascale/kernel/feed/table_history.hpp
+++ b/src/yuccascale/kernel/feed/table_history.hpp
@@ -34,11 +34,14 @@
         std::uint64_t fromRevision = 0;
         std::uint64_t toRevision = 0;
         encoded_pointer<state::edit_tables> edit;
+        std::size_t rows = 0; ///< changed and removed
     };
 
     /// \param maxSteps number of steps kept; a node further behind is sent the full tables
-    explicit table_history(std::size_t maxSteps = 1'024)
+    /// \param maxRows changed in these steps; the newest step is always kept
+    explicit table_history(std::size_t maxSteps = 1'024, std::size_t maxRows = 8'192)
         : m_maxSteps(maxSteps)
+        , m_maxRows(maxRows)
     { }
 
     /// \returns the newest tables; null before the first.
@@ -59,10 +62,14 @@
     editsSince(std::uint64_t revision) const;
 
 private:
+    void removeOldSteps();
+
     std::size_t m_maxSteps;
+    std::size_t m_maxRows;
     table_pointer m_newest;
     encoded_pointer<state::table_set> m_encodedNewest;
     std::deque<revision_step> m_steps;
+    std::size_t m_rows = 0; ///< changed in all steps
 };
 
 } // namespace yuccascale::kernel::feed
--- a/tests/unit/feed_state_test.cpp
+++ b/tests/unit/feed_state_test.cpp
@@ -72,6 +72,25 @@
     EXPECT_TRUE(m_entry.view().fresh(m_clock.now()));
 }
 
+/// Guards against a control node that runs out of memory after a series of large documents.
+TEST(table_history, keepsFewerStepsWhenTheyAreLarge)
+{
+    constexpr std::size_t maxRows = 100;
+    table_history history(1'024, maxRows);
+    history.advance(tablesAt(1));
+    for (std::uint64_t revision = 2; revision <= 40; ++revision) {
+        auto tables = std::make_shared<state::table_set>();
+        tables->revision = revision;
+        for (int number = 0; number < 20; ++number) {
+            const std::string id = std::to_string(revision) + "-" + std::to_string(number);
+            tables->keys[id] = {id, "north", "digest"};
+        }
+        history.advance(tables);
+    }
+    EXPECT_TRUE(history.editsSince(39)) << "the newest step is kept";
+    EXPECT_FALSE(history.editsSince(36)) << "each step changes 40 rows";
+}
+
 TEST_F(feed_state_test, sendsOnlyTheEditsToANodeThatHasAnOlderRevision)
 {
     installOnLeader(3);
