--- a/src/yuccascale/http/caller_commits.hpp
+++ b/src/yuccascale/http/caller_commits.hpp
@@ -54,7 +54,9 @@
                      usage_callback done);
 
     /// \brief Commits a ban of a fingerprint for all entries, in the background. Several entries
-    /// may commit the same one. \param route of the banned request; empty for parts of prompts
+    /// may commit the same one.
+    ///
+    /// \param route of the banned request; empty for parts of prompts
     void ban(const std::string &fingerprint, const std::string &route);
 
     /// \brief Commits what is queued and joins the threads.
--- a/src/yuccascale/kernel/feed/relay_choice.hpp
+++ b/src/yuccascale/kernel/feed/relay_choice.hpp
@@ -33,10 +33,9 @@
         : m_self(std::move(self))
     { }
 
-    /// \returns link addresses of the control nodes among \a nodes, those of the own zone first,
-    /// and
-    ///          then of the \a seeds, without this node. Each group has an order of its own for
-    ///          each polling node, so that the polls are spread.
+    /// \brief Orders the control nodes: those of the own zone, the others, then unlisted seeds.
+    /// Each group has an order of its own for each polling node, so that the polls are spread.
+    /// \returns link addresses, without this node's own.
     [[nodiscard]] std::vector<std::string> order(std::span<const node_report> nodes,
                                                  std::span<const std::string> seeds) const;
 
--- a/src/yuccascale/kernel/requests/events.hpp
+++ b/src/yuccascale/kernel/requests/events.hpp
@@ -58,8 +58,8 @@
 inline const event_kind promptPartBanned{
         2029, "prompt_part_banned", severity::Error,
         "Endpoints crashed again and again while they worked on prompts with these parts, and no "
-        "such "
-        "prompt was answered; requests with all of them are refused at all entries for an hour."};
+        "such prompt was answered; requests with all of them are refused at all entries for an "
+        "hour."};
 inline const event_kind endpointLeaving{
         2024, "endpoint_leaving", severity::Info,
         "An endpoint announced that it is leaving and gets no new requests."};
--- a/tests/unit/http_caller_pools_test.cpp
+++ b/tests/unit/http_caller_pools_test.cpp
@@ -126,10 +126,11 @@
         if (!isDown(engine))
             m_crashes.push_back(m_clock.now());
         m_downUntil[engine] = m_clock.now() + restartTime;
-        const auto lost = std::ranges::stable_partition(
-                m_running, [&](const running &one) { return one.engine != engine; });
-        const std::vector<running> failed(lost.begin(), lost.end());
-        m_running.erase(lost.begin(), lost.end());
+        const auto lost
+                = std::stable_partition(m_running.begin(), m_running.end(),
+                                        [&](const running &one) { return one.engine != engine; });
+        const std::vector<running> failed(lost, m_running.end());
+        m_running.erase(lost, m_running.end());
         attempt_result crashed;
         crashed.crashed = true;
         for (const running &one : failed)
--- a/tests/unit/http_caller_server_test.cpp
+++ b/tests/unit/http_caller_server_test.cpp
@@ -46,6 +46,7 @@
                const fakes::endpoint_server *service = nullptr)
     {
         std::vector<std::string> addresses;
+        addresses.reserve(engines.size());
         for (const fakes::endpoint_server *engine : engines)
             addresses.push_back(engine->address());
         startWith(addresses, service);
--- a/tests/unit/tcp_transport_test.cpp
+++ b/tests/unit/tcp_transport_test.cpp
@@ -144,7 +144,7 @@
 {
     tcp_transport one(m_oneSettings);
     tcp_transport other(m_otherSettings);
-    const std::string longReply(24U << 20U, 'x');
+    std::string longReply(24U << 20U, 'x');
     std::promise<void> release;
     other.handle(channel::Submit,
                  [&, released = release.get_future().share()](std::string_view,
