--- a/src/yuccascale/kernel/requests/part_suspects.cpp
+++ b/src/yuccascale/kernel/requests/part_suspects.cpp
@@ -5,7 +5,6 @@
 #include <charconv>
 #include <cmath>
 #include <string_view>
-#include <utility>
 
 namespace yuccascale::kernel::requests {
 
@@ -145,8 +144,10 @@
 std::vector<part_set> part_suspects::takeCauses(instant now)
 {
     std::vector<part_set> found;
-    if (!std::exchange(m_evidenceChanged, false))
+    if (!m_evidenceChanged || now < m_evaluateFrom)
         return found;
+    m_evidenceChanged = false;
+    m_evaluateFrom = now + m_limits.evaluationInterval;
     removeExpired(now);
     const std::map<std::uint64_t, crash_set> byPart = crashesByPart();
     for (const auto &[part, crashes] : byPart) {
--- a/src/yuccascale/kernel/requests/part_suspects.hpp
+++ b/src/yuccascale/kernel/requests/part_suspects.hpp
@@ -44,7 +44,9 @@
     nanoseconds rateWindow = seconds(10);
     /// Time after which a crash is forgotten.
     nanoseconds retention = std::chrono::minutes(10);
-    std::size_t maxCrashes = 256; ///< kept
+    std::size_t maxCrashes = 64; ///< kept
+    /// Between two evaluations, since many endpoints may crash at once.
+    nanoseconds evaluationInterval = milliseconds(100);
     nanoseconds banTime = std::chrono::minutes(60);
 };
 
@@ -84,7 +86,8 @@
     /// \returns those that were suspected.
     part_set clear(const part_set &parts);
 
-    /// \returns the causes found since the last call; cheap when there is no new evidence.
+    /// \returns the causes found since the last call. Cheap when there is no new evidence; new
+    ///          evidence may be evaluated by a later call.
     [[nodiscard]] std::vector<part_set> takeCauses(instant now);
 
     /// \returns whether a request holds all parts of a cause.
@@ -115,7 +118,8 @@
     part_suspect_limits m_limits;
     std::deque<crash> m_crashes;               ///< in the order of their times
     std::deque<answer_count> m_answers;        ///< within the rate window
-    bool m_evidenceChanged = false;            ///< since the last call of takeCauses()
+    bool m_evidenceChanged = false;            ///< since the last evaluation
+    instant m_evaluateFrom{};                  ///< no evaluation before
     std::map<part_set, instant> m_bannedUntil; ///< by cause
 };
 
