--- a/src/yuccascale/kernel/feed/relay_choice.cpp
+++ b/src/yuccascale/kernel/feed/relay_choice.cpp
@@ -41,11 +41,13 @@
 
 std::string relay_choice::choose(instant now, std::span<const std::string> ordered) const
 {
-    const auto avoidanceOf = [&](const std::string &relay) {
+    const auto rankOf = [&](const std::string &relay) {
         const auto found = m_avoided.find(relay);
-        return found == m_avoided.end() || found->second.until <= now ? avoidance{} : found->second;
+        const bool avoided = found != m_avoided.end() && now < found->second.until;
+        return avoided ? std::pair(found->second.why, found->second.until)
+                       : std::pair(reason::None, instant{});
     };
-    const auto best = std::ranges::min_element(ordered, {}, avoidanceOf);
+    const auto best = std::ranges::min_element(ordered, {}, rankOf);
     return best == ordered.end() ? std::string() : *best;
 }
 
--- a/src/yuccascale/kernel/feed/relay_choice.hpp
+++ b/src/yuccascale/kernel/feed/relay_choice.hpp
@@ -3,7 +3,6 @@
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/feed/feed_messages.hpp"
 
-#include <compare>
 #include <map>
 #include <span>
 #include <string>
@@ -60,8 +59,6 @@
     {
         reason why = reason::None;
         instant until{};
-
-        [[nodiscard]] auto operator<=>(const avoidance &) const = default;
     };
 
     void avoid(instant now, const std::string &relay, reason why, nanoseconds time);
