--- a/src/yuccascale/kernel/feed/relay_choice.hpp
+++ b/src/yuccascale/kernel/feed/relay_choice.hpp
@@ -3,7 +3,6 @@
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/feed/feed_messages.hpp"
 
-#include <compare>
 #include <map>
 #include <span>
 #include <string>
@@ -33,10 +32,9 @@
         : m_self(std::move(self))
     { }
 
-    /// \returns link addresses of the control nodes among \a nodes, those of the own zone first,
-    /// and
-    ///          then of the \a seeds, without this node. Each group has an order of its own for
-    ///          each polling node, so that the polls are spread.
+    /// \brief Orders the control nodes: those of the own zone, the others, then unlisted seeds.
+    /// Each group has an order of its own for each polling node, so that the polls are spread.
+    /// \returns link addresses, without this node's own.
     [[nodiscard]] std::vector<std::string> order(std::span<const node_report> nodes,
                                                  std::span<const std::string> seeds) const;
 
@@ -61,8 +59,6 @@
     {
         reason why = reason::None;
         instant until{};
-
-        [[nodiscard]] auto operator<=>(const avoidance &) const = default;
     };
 
     void avoid(instant now, const std::string &relay, reason why, nanoseconds time);
