Log the limit that an endpoint names (events 2031, 2032)

No line told whether an entry had seen the limit of an endpoint, which, and when, so "no entry reads it" and "some entries do not know it yet" could only be told apart by rates over time. The adapter decodes the header into endpoint_notice::requestLimit (any answer but a misdirected one; unreadable values are ignored and logged), the endpoint table remembers it, and a change is logged. No decision uses it.

A notice that changes nothing no longer runs the scheduler.

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -286,16 +286,18 @@
     return notice;
 }
 
-bool caller_pools::applyNotice(const std::string &pool, const std::string &endpoint,
-                               const endpoint_notice &notice)
+notice_effect caller_pools::applyNotice(const std::string &pool, const std::string &endpoint,
+                                        const endpoint_notice &notice)
 {
     const std::shared_ptr<guarded_pool> found = find(pool);
     if (!found)
-        return false;
+        return {};
     const std::scoped_lock guard(found->mutex);
-    const bool firstToLeave = found->scheduler.applyNotice(m_clock.now(), pool, endpoint, notice);
-    runScheduler(*found);
-    return firstToLeave;
+    const notice_effect effect
+            = found->scheduler.applyNotice(m_clock.now(), pool, endpoint, notice);
+    if (effect.leaving || effect.limitChanged)
+        runScheduler(*found);
+    return effect;
 }
 
 void caller_pools::setLeaving(const std::string &endpoint, bool leaving)
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -69,9 +69,9 @@
                 const kernel::requests::endpoint_report &report);
 
     /// \brief Applies what an endpoint asked in an answer.
-    /// \returns true when it is the first to announce that the endpoint is leaving.
-    bool applyNotice(const std::string &pool, const std::string &endpoint,
-                     const kernel::requests::endpoint_notice &notice);
+    kernel::requests::notice_effect applyNotice(const std::string &pool,
+                                                const std::string &endpoint,
+                                                const kernel::requests::endpoint_notice &notice);
 
     /// \brief Sets whether the VM list shows the VM of an endpoint as leaving.
     void setLeaving(const std::string &endpoint, bool leaving);
--- a/src/yuccascale/http/caller_services.hpp
+++ b/src/yuccascale/http/caller_services.hpp
@@ -116,16 +116,26 @@
         using namespace kernel::requests;
         for (const std::string &header : notice.unreadableHeaders)
             events.record(endpointHeaderIgnored, {{"endpoint", endpoint}, {"header", header}});
-        if (!notice.leaving && notice.pause == kernel::nanoseconds::zero())
-            return;
-        if (pools->applyNotice(pool, endpoint, notice))
+        const notice_effect effect = pools->applyNotice(pool, endpoint, notice);
+        if (effect.leaving)
             events.record(endpointLeaving, {{"endpoint", endpoint}});
+        if (effect.limitChanged)
+            recordLimit(endpoint, *notice.requestLimit);
         if (notice.pause > kernel::nanoseconds::zero()) {
             const auto pause = std::chrono::ceil<kernel::milliseconds>(notice.pause);
             events.record(endpointPaused, {{"endpoint", endpoint}, {"pause_ms", pause.count()}});
         }
     }
 
+    void recordLimit(const std::string &endpoint, double requestsPerSecond) const
+    {
+        using namespace kernel::requests;
+        if (requestsPerSecond == noRequestLimit)
+            return events.record(endpointLimitLifted, {{"endpoint", endpoint}});
+        events.record(endpointLimited,
+                      {{"endpoint", endpoint}, {"requests_per_s", requestsPerSecond}});
+    }
+
     /// \returns whether a request may be sent now.
     [[nodiscard]] kernel::requests::start_check
     checkStart(const kernel::requests::request &callerRequest) const
--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -74,16 +74,19 @@
     return notice;
 }
 
-bool endpoint_table::applyNotice(instant now, const std::string &endpoint,
-                                 const endpoint_notice &notice)
+notice_effect endpoint_table::applyNotice(instant now, const std::string &endpoint,
+                                          const endpoint_notice &notice)
 {
+    notice_effect effect;
     endpoint_state *known = find(endpoint);
     if (!known)
-        return false;
+        return effect;
     known->pausedUntil = std::max(known->pausedUntil, now + notice.pause);
-    const bool first = notice.leaving && !leaving(*known);
+    effect.leaving = notice.leaving && !leaving(*known);
     known->announcedLeaving = known->announcedLeaving || notice.leaving;
-    return first;
+    const double limit = notice.requestLimit.value_or(known->requestLimit);
+    effect.limitChanged = std::exchange(known->requestLimit, limit) != limit;
+    return effect;
 }
 
 bool endpoint_table::leaving(const endpoint_state &endpoint) noexcept
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -53,8 +53,8 @@
     bool report(const std::string &endpoint, const endpoint_report &report);
 
     /// \brief Applies what the endpoint asked in an answer to this entry.
-    /// \returns true when it is the first to announce that the endpoint is leaving.
-    bool applyNotice(instant now, const std::string &endpoint, const endpoint_notice &notice);
+    notice_effect applyNotice(instant now, const std::string &endpoint,
+                              const endpoint_notice &notice);
 
     /// \brief Sets whether the VM list marks the endpoint's VM as leaving.
     void setLeaving(const std::string &endpoint, bool leaving);
@@ -138,8 +138,9 @@
         state::endpoint row;
         endpoint_report report;
         bool listedLeaving = false;
-        bool announcedLeaving = false; ///< in an answer to this entry or to another one
-        instant pausedUntil{};         ///< it asked this entry for no requests until then
+        bool announcedLeaving = false;        ///< in an answer to this entry or to another one
+        instant pausedUntil{};                ///< it asked this entry for no requests until then
+        double requestLimit = noRequestLimit; ///< per second, from all entries together
         instant firstSentAt{};
         std::vector<running_request> running;
         std::vector<remote_prompt> remotePrompts; ///< long prompts sent by other entries
--- a/src/yuccascale/kernel/requests/events.hpp
+++ b/src/yuccascale/kernel/requests/events.hpp
@@ -66,6 +66,12 @@
 inline const event_kind answerDoubtful{
         2025, "answer_doubtful", severity::Warning,
         "An answer was truncated, out of order or for another request; its connection was closed."};
+inline const event_kind endpointLimited{
+        2031, "endpoint_limited", severity::Info,
+        "An endpoint named the requests a second that it accepts from all entries together."};
+inline const event_kind endpointLimitLifted{
+        2032, "endpoint_limit_lifted", severity::Info,
+        "An endpoint that had named a limit of requests a second answered without one."};
 inline const event_kind entryLeaving{
         2030, "entry_leaving", severity::Info,
         "This entry was removed from the published addresses and finishes its requests."};
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -346,13 +346,14 @@
                                   0, prefillTime, prefillTime, 0, true, true, running.tokensAhead});
 }
 
-bool pool_scheduler::applyNotice(instant now, const std::string &pool, const std::string &endpoint,
-                                 const endpoint_notice &notice)
+notice_effect pool_scheduler::applyNotice(instant now, const std::string &pool,
+                                          const std::string &endpoint,
+                                          const endpoint_notice &notice)
 {
-    const bool firstToLeave = m_endpoints.applyNotice(now, endpoint, notice);
-    if (firstToLeave)
+    const notice_effect effect = m_endpoints.applyNotice(now, endpoint, notice);
+    if (effect.leaving)
         m_updates.leaving.push_back({pool, endpoint});
-    return firstToLeave;
+    return effect;
 }
 
 /// \returns true when this opened the endpoint's circuit breaker.
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -181,9 +181,8 @@
     }
 
     /// \brief Applies what an endpoint asked in an answer.
-    /// \returns true when it is the first to announce that the endpoint is leaving.
-    bool applyNotice(instant now, const std::string &pool, const std::string &endpoint,
-                     const endpoint_notice &notice);
+    notice_effect applyNotice(instant now, const std::string &pool, const std::string &endpoint,
+                              const endpoint_notice &notice);
 
     /// \brief Records a crash that another entry saw.
     void applyRemoteCrash(instant now, const endpoint_crash &crash);
--- a/src/yuccascale/platform/endpoint_driver.cpp
+++ b/src/yuccascale/platform/endpoint_driver.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 /// \file
 /// \brief Endpoint driver "platform": builds requests to the platform's servers and reads answers.
@@ -50,6 +51,17 @@
     return report;
 }
 
+/// \returns a decimal number that is not negative; nothing when \a text is not one.
+[[nodiscard]] std::optional<double> parseRate(std::string_view text)
+{
+    double rate = 0;
+    const char *end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, rate, std::chars_format::fixed);
+    const bool valid
+            = read.ec == std::errc() && read.ptr == end && std::isfinite(rate) && rate >= 0;
+    return valid ? std::optional(rate) : std::nullopt;
+}
+
 class server_answer_reader final : public answer_reader
 {
 public:
@@ -238,6 +250,7 @@
         notice.leaving = leaving == "1";
         if (!leaving.empty() && !notice.leaving)
             notice.unreadableHeaders.emplace_back(headers::leaving);
+        readRequestLimit(head, notice);
         if (head.status != unavailableStatus || !findHeader(head.headers, headers::retryAfter))
             return notice;
         const auto pause = parseRetryAfter(valueOf(head.headers, headers::retryAfter));
@@ -262,6 +275,20 @@
     }
 
 private:
+    /// A misdirected request was answered by another server, whose limit is not this one's.
+    static void readRequestLimit(const answer_head &head, endpoint_notice &notice)
+    {
+        if (head.status == misdirectedStatus)
+            return;
+        notice.requestLimit = noRequestLimit;
+        const std::string *named = findHeader(head.headers, headers::requestLimit);
+        if (named == nullptr)
+            return;
+        notice.requestLimit = parseRate(*named);
+        if (!notice.requestLimit)
+            notice.unreadableHeaders.emplace_back(headers::requestLimit);
+    }
+
     [[nodiscard]] static int urgencyOf(const kernel::state::route &route) noexcept
     {
         return std::clamp(defaultUrgency - urgencyStep * route.priority, 0, maxUrgency);
--- a/src/yuccascale/platform/names.hpp
+++ b/src/yuccascale/platform/names.hpp
@@ -41,6 +41,9 @@
 /// "IP:port" of a server whose KV cache holds parts of the prompt; they are copied from there.
 inline constexpr std::string_view cacheSource = "Kv-Fetch";
 inline constexpr std::string_view retryAfter = "Retry-After";
+/// Requests per second that the server accepts from all entries together, a decimal number; absent
+/// while it names no limit.
+inline constexpr std::string_view requestLimit = "Server-Limit";
 /// "1": the server that answers is leaving.
 inline constexpr std::string_view leaving = "Server-Leaving";
 /// Name of the control node that holds the lease for a call that one node makes at a time. The
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -275,6 +275,24 @@
     EXPECT_EQ(notice.unreadableHeaders, std::vector<std::string>{"Server-Leaving"});
 }
 
+TEST(platform_driver, readsTheLimitThatAServerNamesInAnyOfItsAnswersAndIgnoresUnreadableValues)
+{
+    const auto noticeOf = [](int status, const header_list &headers) {
+        return driver()->notice(headOf(status, headers));
+    };
+    for (const int status : {200, 400, 429, 500, 503})
+        EXPECT_EQ(noticeOf(status, {{"Server-Limit", "1.75"}}).requestLimit, 1.75) << status;
+    EXPECT_EQ(noticeOf(200, {{"Server-Limit", "0"}}).requestLimit, 0);
+    EXPECT_EQ(noticeOf(200, {}).requestLimit, noRequestLimit);
+    EXPECT_EQ(noticeOf(421, {}).requestLimit, std::nullopt) << "another server answered";
+    EXPECT_EQ(noticeOf(421, {{"Server-Limit", "1"}}).requestLimit, std::nullopt);
+    for (const std::string value : {"", "few", "-1", "inf", "nan", "1e3", "2 s"}) {
+        const endpoint_notice notice = noticeOf(200, {{"Server-Limit", value}});
+        EXPECT_EQ(notice.requestLimit, std::nullopt) << value;
+        EXPECT_EQ(notice.unreadableHeaders, std::vector<std::string>{"Server-Limit"}) << value;
+    }
+}
+
 TEST(platform_document, isConvertedToTables)
 {
     const auto now = tables();
--- a/tests/unit/requests_failures_test.cpp
+++ b/tests/unit/requests_failures_test.cpp
@@ -208,9 +208,9 @@
 TEST(endpoint_notice, aPausedEndpointGetsNothingUntilThePauseEnds)
 {
     pool_scheduler scheduler = schedulerOf(3);
-    EXPECT_FALSE(scheduler.applyNotice(start, "pool", "e1", {false, seconds(2), {}}));
+    EXPECT_FALSE(scheduler.applyNotice(start, "pool", "e1", {false, seconds(2), {}}).leaving);
     EXPECT_EQ(sentTo(scheduler, start, true, "e1"), 0);
-    EXPECT_FALSE(scheduler.applyNotice(start + seconds(1), "pool", "e1", {false, {}, {}}))
+    EXPECT_FALSE(scheduler.applyNotice(start + seconds(1), "pool", "e1", {false, {}, {}}).leaving)
             << "an answer without a pause does not end it";
     EXPECT_EQ(sentTo(scheduler, start + milliseconds(1'999), true, "e1"), 0);
     EXPECT_GT(sentTo(scheduler, start + seconds(2), true, "e1"), 0);
@@ -220,8 +220,8 @@
 TEST(endpoint_notice, aLeavingEndpointGetsNothingMoreAndIsAnnouncedOnce)
 {
     pool_scheduler scheduler = schedulerOf(3);
-    EXPECT_TRUE(scheduler.applyNotice(start, "pool", "e1", {true, {}, {}}));
-    EXPECT_FALSE(scheduler.applyNotice(start, "pool", "e1", {true, {}, {}}));
+    EXPECT_TRUE(scheduler.applyNotice(start, "pool", "e1", {true, {}, {}}).leaving);
+    EXPECT_FALSE(scheduler.applyNotice(start, "pool", "e1", {true, {}, {}}).leaving);
     EXPECT_EQ(sentTo(scheduler, start + seconds(60), true, "e1"), 0);
     const endpoint_updates updates = scheduler.takeUpdates();
     ASSERT_EQ(updates.leaving.size(), 1U);
@@ -231,7 +231,7 @@
 TEST(endpoint_notice, requestsForAPoolOfLeavingEndpointsAreRefusedAtOnce)
 {
     pool_scheduler scheduler = schedulerOf(1);
-    EXPECT_TRUE(scheduler.applyNotice(start, "pool", "e0", {true, {}, {}}));
+    EXPECT_TRUE(scheduler.applyNotice(start, "pool", "e0", {true, {}, {}}).leaving);
     const auto refused = scheduler.push(start, 1, requestOf(true, 1), 1, {});
     ASSERT_TRUE(refused);
     EXPECT_FALSE(refused->mayHaveRun);
