Log the software version of endpoints and which stream a request takes up

The list's `version` was not read, and no line told which version a request was sent to or whether a caller took up a stream with it. No decision uses them.

--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -55,6 +55,7 @@
     std::string endpoint;
     std::string zone;
     std::string address;           ///< IP:port
+    std::string softwareVersion;   ///< of the endpoint
     std::uint64_t incarnation = 0; ///< of the endpoint at the time of the choice; 0 when unknown
     std::string prefillEndpoint;   ///< empty unless a separate engine prefills the prompt
     std::string prefillAddress;
--- a/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
@@ -102,6 +102,7 @@
     assignment.endpoint = chosen.row->name;
     assignment.zone = chosen.row->zone;
     assignment.address = chosen.row->address;
+    assignment.softwareVersion = chosen.row->softwareVersion;
     assignment.incarnation = m_endpoints.incarnation(assignment.endpoint);
     assignment.reason = choice.reason;
     assignment.predictedFirstToken = choice.predictedFirstToken;
--- a/src/yuccascale/kernel/requests/request.hpp
+++ b/src/yuccascale/kernel/requests/request.hpp
@@ -52,6 +52,7 @@
     std::vector<prompt_part>
             parts;           ///< of the prompt, in order; the last one is unique to this request
     std::string lastPieceId; ///< event id of the last piece that the caller has; may be empty
+    std::string continuedId; ///< id of the request that brought the first piece; may be empty
     usage_commit_point usageCommitPoint = usage_commit_point::BeforeEnd;
 
     /// \returns whether the request needs a claim in the log before it runs.
--- a/src/yuccascale/kernel/state/tables.hpp
+++ b/src/yuccascale/kernel/state/tables.hpp
@@ -88,13 +88,14 @@
     bool draining = false; ///< gets no new requests; set by an operator, a VM's stop notice or an
                            ///< open order
     std::uint64_t drainingForOrder = 0; ///< the open order that set draining; 0: none
-    std::int64_t startedMs = 0; ///< when its process started, on the wall clock; 0: not known
+    std::int64_t startedMs = 0;       ///< when its process started, on the wall clock; 0: not known
+    std::string softwareVersion = {}; ///< of the endpoint itself, not of its model's weights
 
     [[nodiscard]] bool operator==(const endpoint &) const = default;
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(endpoint, name, address, zone, role, tenure,
                                                 fencesOrders, pricePerHour, slots, draining,
-                                                drainingForOrder, startedMs)
+                                                drainingForOrder, startedMs, softwareVersion)
 };
 
 /// \brief What the platform can start for a pool, and at what prices.
--- a/src/yuccascale/platform/caller_protocol.cpp
+++ b/src/yuccascale/platform/caller_protocol.cpp
@@ -183,6 +183,7 @@
         callerRequest.streamed = callerRequest.route.streamed;
         callerRequest.usageCommitPoint = usage_commit_point::AtStart;
         callerRequest.lastPieceId = std::string(httpRequest.header(headers::lastEventId));
+        callerRequest.continuedId = std::string(httpRequest.header(headers::continuedRequest));
         readPromptHeaders(httpRequest, callerRequest);
         callerRequest.receivedAt = context.now;
         callerRequest.deadline
--- a/src/yuccascale/platform/cloud_api.cpp
+++ b/src/yuccascale/platform/cloud_api.cpp
@@ -36,6 +36,7 @@
         out.row.zone = entry.at("zone").get<std::string>();
         out.row.slots = entry.at("slots").get<int>();
         out.row.draining = state == "draining";
+        out.row.softwareVersion = entry.at("version").get<std::string>();
         // "born" is when the server process started, in milliseconds on the wall clock
         out.row.startedMs = entry.value("born", std::int64_t{0});
         if (entry.value("spot", false))
--- a/src/yuccascale/platform/names.hpp
+++ b/src/yuccascale/platform/names.hpp
@@ -15,6 +15,8 @@
 /// name it is not a point in time.
 inline constexpr std::string_view timeLeft = "X-Request-Deadline";
 inline constexpr std::string_view lastEventId = "Last-Event-Id";
+/// X-Request-Id of the request that brought the first event of the stream that a caller takes up.
+inline constexpr std::string_view continuedRequest = "Resumes";
 inline constexpr std::string_view authorization = "Authorization";
 /// Name of the organisation; set by entries only and dropped when a caller sends it.
 inline constexpr std::string_view organisation = "X-Tenant";
