A retry goes on with a stream at the software version that began it

Cause: the retry after a break chose among all endpoints of the pool. The class: state that is continued elsewhere belongs to the kind of endpoint that made it, and the choice did not know the kind.

Change: an assignment carries the endpoint's software version; the first piece binds the request to it; a retry after that is placed only at endpoints of that version, and ends at once when none accepts work.

--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -322,10 +322,18 @@
     return !endpoint.row.draining && !leaving(endpoint) && !reclaimable && !closed;
 }
 
-bool endpoint_table::canServe(bool steadyOnly) const
+bool endpoint_table::hasVersion(const endpoint_state &endpoint,
+                                const endpoint_requirements &requirements)
 {
-    return std::ranges::any_of(
-            m_rows, [&](const endpoint_state &one) { return acceptsWork(one, steadyOnly); });
+    return !requirements.softwareVersion
+            || *requirements.softwareVersion == endpoint.row.softwareVersion;
+}
+
+bool endpoint_table::canServe(const endpoint_requirements &requirements) const
+{
+    return std::ranges::any_of(m_rows, [&](const endpoint_state &one) {
+        return acceptsWork(one, requirements.steadyOnly) && hasVersion(one, requirements);
+    });
 }
 
 std::string_view endpoint_table::unavailableReason(instant now,
@@ -352,12 +360,15 @@
 }
 
 std::string_view endpoint_table::unusableReason(instant now, const endpoint_state &endpoint,
-                                                bool steadyOnly) const
+                                                const endpoint_requirements &requirements) const
 {
+    if (!hasVersion(endpoint, requirements))
+        return "another software version than the stream's";
     const std::string_view reason = unavailableReason(now, endpoint);
     if (!reason.empty())
         return reason;
-    const bool reclaimable = steadyOnly && endpoint.row.tenure == state::endpoint_tenure::Cheap;
+    const bool reclaimable
+            = requirements.steadyOnly && endpoint.row.tenure == state::endpoint_tenure::Cheap;
     return reclaimable ? "cheap" : std::string_view();
 }
 
@@ -400,14 +411,15 @@
                 != requirements.avoidEndpoints.end();
     };
     const bool otherAccepts = std::ranges::any_of(m_rows, [&](const endpoint_state &one) {
-        return acceptsWork(one, requirements.steadyOnly) && !avoided(one);
+        return acceptsWork(one, requirements.steadyOnly) && hasVersion(one, requirements)
+                && !avoided(one);
     });
     std::vector<policy::endpoint_view> all;
     all.reserve(m_rows.size());
     for (const endpoint_state &one : m_rows) {
         policy::endpoint_view view;
         view.row = &one.row;
-        view.unusableReason = unusableReason(now, one, requirements.steadyOnly);
+        view.unusableReason = unusableReason(now, one, requirements);
         if (view.unusableReason.empty() && otherAccepts && avoided(one))
             view.unusableReason = "failed this request";
         view.usable = view.unusableReason.empty();
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -38,7 +38,8 @@
 {
     bool steadyOnly = false; ///< it may run longer than the notice before a cheap endpoint is
                              ///< reclaimed
-    std::vector<std::string> avoidEndpoints; ///< unless no other endpoint accepts work
+    std::vector<std::string> avoidEndpoints;         ///< unless no other endpoint accepts work
+    std::optional<std::string> softwareVersion = {}; ///< of its endpoint; nothing: any
 };
 
 /// \brief Work of one request, in tokens.
@@ -121,9 +122,9 @@
     /// \param all result of views(), in the same order
     void avoidSuspected(instant now, std::span<policy::endpoint_view> all) const;
 
-    /// \returns true when some endpoint accepts work, even if it is currently full or its circuit
-    /// breaker is open.
-    [[nodiscard]] bool canServe(bool steadyOnly) const;
+    /// \returns true when some endpoint accepts such work, even if it is currently full or its
+    /// circuit breaker is open.
+    [[nodiscard]] bool canServe(const endpoint_requirements &requirements) const;
 
     /// \returns the row of the endpoint, or null when the pool does not list it.
     [[nodiscard]] const state::endpoint *row(const std::string &endpoint) const;
@@ -188,7 +189,9 @@
     [[nodiscard]] std::string_view unavailableReason(instant now,
                                                      const endpoint_state &endpoint) const;
     [[nodiscard]] std::string_view unusableReason(instant now, const endpoint_state &endpoint,
-                                                  bool steadyOnly) const;
+                                                  const endpoint_requirements &requirements) const;
+    [[nodiscard]] static bool hasVersion(const endpoint_state &endpoint,
+                                         const endpoint_requirements &requirements);
     [[nodiscard]] static std::int64_t remotePromptTokens(instant now,
                                                          const endpoint_state &endpoint);
     static void countRunning(const endpoint_state &endpoint, policy::endpoint_view &view);
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -88,7 +88,7 @@
             callerRequest.promptTokens, callerRequest.outputTokens);
     const bool endsWithinNotice = service && *service < m_limits.cheapNotice;
     const bool steadyOnly = !callerRequest.route.idempotent && !endsWithinNotice;
-    if (!m_endpoints.canServe(steadyOnly)) {
+    if (!m_endpoints.canServe({steadyOnly, {}, options.softwareVersion})) {
         return refusal{error_kind::Unavailable,
                        "no endpoint of this route accepts work; retry later", false,
                        noEndpointRetryAfter};
@@ -134,6 +134,8 @@
         m_unplaced.push_back(ticket);
     else
         m_strategies.queue->push(now, waiting.row);
+    if (options.softwareVersion)
+        m_versionBound.insert(ticket);
     m_waiting.emplace(ticket, std::move(waiting));
     return std::nullopt;
 }
@@ -194,6 +196,7 @@
         return;
     if (!m_strategies.queue->remove(ticket))
         std::erase(m_unplaced, ticket);
+    m_versionBound.erase(ticket);
     m_waiting.erase(found);
 }
 
@@ -202,6 +205,7 @@
     std::vector<std::uint64_t> tickets;
     for (const policy::waiting_request &late : m_strategies.queue->takeLate(now)) {
         tickets.push_back(late.ticket);
+        m_versionBound.erase(late.ticket);
         m_waiting.erase(late.ticket);
     }
     return tickets;
@@ -217,12 +221,15 @@
 std::vector<std::uint64_t> pool_scheduler::takeUnservable()
 {
     std::vector<std::uint64_t> tickets;
-    const bool anyServes = m_endpoints.canServe(false);
-    const bool steadyServes = m_endpoints.canServe(true);
-    if (anyServes && steadyServes)
+    const bool anyServes = m_endpoints.canServe({false, {}, {}});
+    const bool steadyServes = m_endpoints.canServe({true, {}, {}});
+    if (anyServes && steadyServes && m_versionBound.empty())
         return tickets;
     for (const auto &[ticket, waiting] : m_waiting) {
-        if (!(waiting.steadyOnly ? steadyServes : anyServes))
+        const auto &version = waiting.options.softwareVersion;
+        const bool versionServes
+                = !version || m_endpoints.canServe({waiting.steadyOnly, {}, version});
+        if (!(waiting.steadyOnly ? steadyServes : anyServes) || !versionServes)
             tickets.push_back(ticket);
     }
     for (const std::uint64_t ticket : tickets)
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -265,6 +266,7 @@
     charge_accumulator m_charges;
     demand_meter m_demand;
     std::map<std::uint64_t, queued_request> m_waiting;
+    std::set<std::uint64_t> m_versionBound; ///< of those, the ones bound to a software version
     std::deque<std::uint64_t>
             m_unplaced; ///< retries, and requests popped from the fair queue; no endpoint yet
     std::map<std::uint64_t, running_request> m_running;
--- a/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
@@ -57,8 +57,9 @@
 std::vector<policy::endpoint_view> pool_scheduler::viewsFor(instant now,
                                                             const queued_request &waiting)
 {
-    std::vector<policy::endpoint_view> views
-            = m_endpoints.views(now, {waiting.steadyOnly, waiting.options.avoidEndpoints});
+    std::vector<policy::endpoint_view> views = m_endpoints.views(
+            now,
+            {waiting.steadyOnly, waiting.options.avoidEndpoints, waiting.options.softwareVersion});
     isolateSuspects(waiting, views);
     avoidZones(waiting, views);
     m_window.markFull(now, views, sendingEntries());
@@ -143,6 +144,7 @@
                             cached,
                             prefillView.ownPrefillTokens + prefillView.remotePrefillTokens,
                             assignment.prefillEndpoint};
+    m_versionBound.erase(assignment.ticket);
     m_waiting.erase(assignment.ticket);
     m_running.insert_or_assign(assignment.ticket, std::move(running));
     return assignment;
--- a/src/yuccascale/kernel/requests/request_actions.hpp
+++ b/src/yuccascale/kernel/requests/request_actions.hpp
@@ -4,6 +4,7 @@
 #include "yuccascale/kernel/requests/key_check.hpp"
 #include "yuccascale/kernel/requests/request.hpp"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -19,6 +20,7 @@
     std::string endpoint;
     std::string zone;
     start_check check = start_check::Allowed; ///< result at the time of the assignment
+    std::string softwareVersion = {};         ///< of the endpoint
 };
 
 /// \brief The queue refused the request or removed it.
@@ -117,6 +119,8 @@
                                  ///< against the retry budget
     std::vector<std::string> avoidEndpoints; ///< earlier attempts failed there
     std::vector<std::string> avoidZones;     ///< the endpoint of an earlier attempt crashed there
+    /// The only one whose endpoints may go on with the stream; nothing before its first piece.
+    std::optional<std::string> softwareVersion = {};
 };
 
 /// \brief Remove the request from the queue.
--- a/src/yuccascale/kernel/requests/request_life.cpp
+++ b/src/yuccascale/kernel/requests/request_life.cpp
@@ -115,6 +115,7 @@
         return;
     m_endpoint = assignment.endpoint;
     m_zone = assignment.zone;
+    m_softwareVersion = assignment.softwareVersion;
     if (!mayStart(out, now, assignment.check)) {
         out.emplace_back(release_endpoint{m_endpoint});
         return;
@@ -269,6 +270,8 @@
         return;
     }
     m_state = request_state::Streaming;
+    if (!m_streamVersion)
+        m_streamVersion = m_softwareVersion;
     countUsage(out, {});
     sendHead(out);
     ++m_delivered;
@@ -382,7 +385,8 @@
             && m_unsentAttempts <= maxUnsentAttempts;
     if (another && now + minRetryTime < m_request.deadline) {
         m_state = request_state::Queued;
-        out.emplace_back(enqueue{true, m_suspect, endpointReached, m_avoidEndpoints, m_avoidZones});
+        out.emplace_back(enqueue{true, m_suspect, endpointReached, m_avoidEndpoints, m_avoidZones,
+                                 m_streamVersion});
         return;
     }
     if (sendLastAnswer(out))
--- a/src/yuccascale/kernel/requests/request_life.hpp
+++ b/src/yuccascale/kernel/requests/request_life.hpp
@@ -96,6 +96,9 @@
     int m_attempt = 0;
     std::string m_endpoint;
     std::string m_zone;
+    std::string m_softwareVersion; ///< of the endpoint
+    /// Of the endpoint that began the stream; nothing before the first piece.
+    std::optional<std::string> m_streamVersion;
     std::vector<std::string> m_avoidEndpoints;
     std::vector<std::string> m_avoidZones;
     std::int64_t m_delivered = 0;
--- a/src/yuccascale/kernel/requests/request_session.cpp
+++ b/src/yuccascale/kernel/requests/request_session.cpp
@@ -37,7 +37,7 @@
         return;
     }
     handle(endpoint_assigned{m_assignment->endpoint, m_assignment->zone,
-                             m_ports.checkStart(callerRequest())});
+                             m_ports.checkStart(callerRequest()), m_assignment->softwareVersion});
 }
 
 void request_session::handle(event newEvent)
