Rank the entries that keep a stream's record without copying them

keepersOf() copied and hashed each link for each comparison of a sort. An entry that sees a second version sends all its records at once; at 300 entries and 500 records that was counted, not measured, as some ten thousand string copies a record. Each link is hashed once and only the first ranks are sorted; the order is the same.

--- a/src/yuccascale/kernel/requests/stream_origins.cpp
+++ b/src/yuccascale/kernel/requests/stream_origins.cpp
@@ -68,15 +68,24 @@
     return stream_origin{std::string(pool), *only};
 }
 
-std::vector<std::string> keepersOf(std::string_view requestId, std::vector<std::string> links,
+/// Rendezvous hashing: each entry ranks the links alike, and a change of one link moves only the
+/// streams that it keeps.
+std::vector<std::string> keepersOf(std::string_view requestId, std::span<const std::string> links,
                                    std::size_t count)
 {
     const std::uint64_t seed = XXH3_64bits(requestId.data(), requestId.size());
-    std::ranges::sort(links, {}, [seed](const std::string &link) {
-        return std::pair(XXH3_64bits_withSeed(link.data(), link.size(), seed), link);
-    });
-    links.resize(std::min(links.size(), count));
-    return links;
+    std::vector<std::pair<std::uint64_t, std::size_t>> ranks;
+    ranks.reserve(links.size());
+    for (std::size_t index = 0; index < links.size(); ++index) {
+        const std::string &link = links[index];
+        ranks.emplace_back(XXH3_64bits_withSeed(link.data(), link.size(), seed), index);
+    }
+    const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranks.size()));
+    std::partial_sort(ranks.begin(), end, ranks.end());
+    std::vector<std::string> keepers;
+    for (auto rank = ranks.begin(); rank != end; ++rank)
+        keepers.push_back(links[rank->second]);
+    return keepers;
 }
 
 void version_history::update(instant now, std::vector<std::string> versions)
--- a/src/yuccascale/kernel/requests/stream_origins.hpp
+++ b/src/yuccascale/kernel/requests/stream_origins.hpp
@@ -74,8 +74,8 @@
 
 /// \returns the \a count entries that keep the record of a stream, of those in \a links, in an
 ///          order that each entry computes alike.
-[[nodiscard]] std::vector<std::string> keepersOf(std::string_view requestId,
-                                                 std::vector<std::string> links, std::size_t count);
+[[nodiscard]] std::vector<std::string>
+keepersOf(std::string_view requestId, std::span<const std::string> links, std::size_t count);
 
 /// \brief The software versions that a pool has had lately. Not thread-safe.
 class version_history
