--- a/tests/fakes/limited_fleet.cpp
+++ b/tests/fakes/limited_fleet.cpp
@@ -158,6 +158,22 @@
     endWaiting();
 }
 
+request limited_fleet::newRequest() const
+{
+    request out;
+    out.id = "r" + std::to_string(m_lastTicket + 1);
+    out.endpointId = out.id;
+    out.fingerprint = out.id;
+    out.organisation = "o";
+    out.route.name = "query";
+    out.route.pool = poolName;
+    out.promptTokens = 300;
+    out.outputTokens = 8;
+    out.receivedAt = m_clock.now();
+    out.deadline = out.receivedAt + deadlineTime;
+    return out;
+}
+
 void limited_fleet::submit()
 {
     m_owedRequests += m_plan.offeredRate * std::chrono::duration<double>(stepTime).count();
@@ -165,22 +181,11 @@
         const std::shared_ptr<entry_life> &entry = m_entries[m_random() % m_entries.size()];
         if (!entry)
             continue;
-        request subject;
-        subject.id = "r" + std::to_string(m_lastTicket + 1);
-        subject.endpointId = subject.id;
-        subject.fingerprint = subject.id;
-        subject.organisation = "o";
-        subject.route.name = "query";
-        subject.route.pool = poolName;
-        subject.promptTokens = 300;
-        subject.outputTokens = 8;
-        subject.receivedAt = m_clock.now();
-        subject.deadline = subject.receivedAt + deadlineTime;
-        push(entry, std::move(subject), {});
+        push(entry, newRequest(), {});
     }
 }
 
-void limited_fleet::push(const std::shared_ptr<entry_life> &entry, request subject,
+void limited_fleet::push(const std::shared_ptr<entry_life> &entry, const request &subject,
                          const enqueue &options)
 {
     const std::uint64_t ticket = ++m_lastTicket;
@@ -265,18 +270,7 @@
     static_cast<void>(sent.entry->pools->finish(poolName, sent.ticket, result));
     if (!sent.notRun)
         return;
-    request again;
-    again.id = "r" + std::to_string(m_lastTicket + 1);
-    again.endpointId = again.id;
-    again.fingerprint = again.id;
-    again.organisation = "o";
-    again.route.name = "query";
-    again.route.pool = poolName;
-    again.promptTokens = 300;
-    again.outputTokens = 8;
-    again.receivedAt = m_clock.now();
-    again.deadline = again.receivedAt + deadlineTime;
-    push(sent.entry, std::move(again), {true, false, true, {nameOf(sent.endpoint)}, {}});
+    push(sent.entry, newRequest(), {true, false, true, {nameOf(sent.endpoint)}, {}});
 }
 
 void limited_fleet::post(std::size_t from, const endpoint_updates &updates)
--- a/tests/fakes/limited_fleet.hpp
+++ b/tests/fakes/limited_fleet.hpp
@@ -119,7 +119,8 @@
     void setPositions();
     void step();
     void submit();
-    void push(const std::shared_ptr<entry_life> &entry, kernel::requests::request request,
+    [[nodiscard]] kernel::requests::request newRequest() const;
+    void push(const std::shared_ptr<entry_life> &entry, const kernel::requests::request &subject,
               const kernel::requests::enqueue &options);
     void handle(std::uint64_t ticket, const http::caller_mailbox::message &message);
     void arrive(const waiting_request &sent, const kernel::requests::endpoint_assignment &target);
