--- a/src/yuccascale/kernel/requests/request_life.cpp
+++ b/src/yuccascale/kernel/requests/request_life.cpp
@@ -192,8 +192,7 @@
     }
 }
 
-/// An endpoint names an event id with each piece; without one, a stream cannot be taken up at
-/// another version's endpoint unnoticed.
+/// A caller that names the last event it has takes up a stream that began with another request.
 bool request_lifecycle::takesUpStream() const noexcept
 {
     return m_request.streamed && !m_request.lastPieceId.empty();
--- a/src/yuccascale/kernel/requests/stream_origins.cpp
+++ b/src/yuccascale/kernel/requests/stream_origins.cpp
@@ -93,7 +93,7 @@
     if (!m_since)
         m_since = now;
     std::ranges::sort(versions);
-    versions.erase(std::ranges::unique(versions).begin(), versions.end());
+    versions.erase(std::unique(versions.begin(), versions.end()), versions.end());
     for (const std::string &version : m_current)
         m_goneAt[version] = now;
     for (const std::string &version : versions)
