--- a/tests/unit/requests_shared_limit_test.cpp
+++ b/tests/unit/requests_shared_limit_test.cpp
@@ -17,6 +17,7 @@
 std::vector<shared_limit> entriesOf(int entries, double requestsPerSecond)
 {
     std::vector<shared_limit> out;
+    out.reserve(static_cast<std::size_t>(entries));
     for (int rank = 0; rank < entries; ++rank)
         out.emplace_back(start, requestsPerSecond, limit_position{rank, entries});
     return out;
