--- a/tests/unit/requests_stream_origins_test.cpp
+++ b/tests/unit/requests_stream_origins_test.cpp
@@ -21,6 +21,7 @@
 [[nodiscard]] std::vector<std::string> linksOf(int count)
 {
     std::vector<std::string> links;
+    links.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
         links.push_back("10.1.0." + std::to_string(number) + ":7660");
     return links;
--- a/tests/unit/stream_versions_test.cpp
+++ b/tests/unit/stream_versions_test.cpp
@@ -244,6 +244,7 @@
         for (fakes::versioned_server &server : m_servers)
             server.hold(true);
         std::vector<std::future<received_stream>> running;
+        running.reserve(static_cast<std::size_t>(count));
         for (int number = 0; number < count; ++number)
             running.push_back(std::async(std::launch::async, [&] { return ask(index); }));
         const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
@@ -252,6 +253,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
         kill(index);
         std::vector<received_stream> begun;
+        begun.reserve(running.size());
         for (auto &one : running)
             begun.push_back(one.get());
         for (fakes::versioned_server &server : m_servers)
