Failing tests: requests that are cut when a leaving entry ends

Callers saw a request that was taken 4.65 s after SIGTERM cut by the end of the process (LOST). The test clock can be read from several threads now.

--- a/tests/fakes/manual_clock.hpp
+++ b/tests/fakes/manual_clock.hpp
@@ -2,26 +2,31 @@
 
 #include "yuccascale/kernel/clock.hpp"
 
+#include <atomic>
+
 /// \file
 /// \brief A clock that tests control.
 
 namespace yuccascale::fakes {
 
-/// \brief Stands still until a test advances it.
+/// \brief Stands still until a test advances it. Thread-safe.
 class manual_clock final : public kernel::clock
 {
 public:
-    [[nodiscard]] kernel::instant now() const noexcept override { return m_now; }
+    [[nodiscard]] kernel::instant now() const noexcept override
+    {
+        return kernel::instant(kernel::nanoseconds(m_sinceStart.load()));
+    }
     [[nodiscard]] kernel::wall_time wallNow() const noexcept override
     {
         return m_wallStart
-                + std::chrono::duration_cast<kernel::milliseconds>(m_now.time_since_epoch());
+                + std::chrono::duration_cast<kernel::milliseconds>(now().time_since_epoch());
     }
 
-    void advance(kernel::nanoseconds step) noexcept { m_now += step; }
+    void advance(kernel::nanoseconds step) noexcept { m_sinceStart += step.count(); }
 
 private:
-    kernel::instant m_now{};
+    std::atomic<kernel::nanoseconds::rep> m_sinceStart{0}; ///< ns
     kernel::wall_time m_wallStart{kernel::milliseconds(1'700'000'000'000)};
 };
 
--- /dev/null
+++ b/tests/unit/http_shutdown_test.cpp
@@ -0,0 +1,320 @@
+#include "fakes/control_log.hpp"
+#include "fakes/manual_clock.hpp"
+#include "fakes/raw_peer.hpp"
+#include "yuccascale/http/caller_server.hpp"
+#include "yuccascale/kernel/json.hpp"
+#include "yuccascale/kernel/requests/key_check.hpp"
+#include "yuccascale/net/http_server.hpp"
+
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+/// \file
+/// \brief An entry that is shutting down, from the view of its callers.
+
+namespace yuccascale::http {
+
+namespace {
+
+using kernel::json;
+using kernel::milliseconds;
+
+constexpr const char *callerKey = "yk_mehta";
+constexpr milliseconds shutdownLimit{8'000};
+/// The deadlines of the two routes.
+constexpr milliseconds longDeadline{20'000};
+constexpr milliseconds shortDeadline{2'000};
+
+class null_event_sink final : public kernel::event_sink
+{
+public:
+    void record(const kernel::event_kind &, std::span<const kernel::event_field>) override { }
+};
+
+/// An engine that answers a request when the test releases it.
+class held_engine
+{
+public:
+    explicit held_engine(std::size_t answerBytes = 16)
+        : m_answerBytes(answerBytes)
+    {
+        kernel::error problem;
+        int port = 0;
+        const bool listens = kernel::succeeded(
+                [&]() -> kernel::result<void> {
+                    BOOST_LEAF_ASSIGN(port, m_server.listen("127.0.0.1:0"));
+                    return {};
+                },
+                problem);
+        EXPECT_TRUE(listens) << problem.message;
+        m_address = "127.0.0.1:" + std::to_string(port);
+        m_loops.start();
+    }
+    ~held_engine()
+    {
+        m_server.stop();
+        m_loops.stop();
+    }
+    held_engine(const held_engine &) = delete;
+    held_engine &operator=(const held_engine &) = delete;
+
+    [[nodiscard]] const std::string &address() const noexcept { return m_address; }
+
+    /// Answers this and all later requests at once.
+    void releaseAll()
+    {
+        const std::scoped_lock guard(m_mutex);
+        m_released = true;
+        for (const auto &exchange : m_held)
+            boost::asio::post(m_loops.at(0), [this, exchange] { answer(exchange); });
+        m_held.clear();
+    }
+
+    /// Waits until \a count requests have arrived.
+    void waitForArrivals(int count)
+    {
+        std::unique_lock guard(m_mutex);
+        m_arrived.wait(guard, [&] { return m_arrivals >= count; });
+    }
+
+    [[nodiscard]] int arrivals() const
+    {
+        const std::scoped_lock guard(m_mutex);
+        return m_arrivals;
+    }
+
+private:
+    using exchange_pointer = std::shared_ptr<net::http_exchange>;
+
+    void serve(const exchange_pointer &exchange)
+    {
+        if (exchange->request().path() != "/v1/chat/completions")
+            return exchange->reply({200, {}, R"({"incarnation":1,"age_ms":0})"});
+        const std::scoped_lock guard(m_mutex);
+        ++m_arrivals;
+        m_arrived.notify_all();
+        if (m_released)
+            answer(exchange);
+        else
+            m_held.push_back(exchange);
+    }
+
+    void answer(const exchange_pointer &exchange) const
+    {
+        const std::string id(exchange->request().header("X-Request-Id"));
+        const json whole{
+                {"id", id},
+                {"choices", {{{"message", {{"content", std::string(m_answerBytes, 'x')}}}}}},
+                {"usage", {{"prompt_tokens", 7}, {"completion_tokens", 3}}}};
+        exchange->reply(
+                {200, {{"X-Request-Id", id}, {"Content-Type", "application/json"}}, whole.dump()});
+    }
+
+    const std::size_t m_answerBytes;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_arrived;
+    int m_arrivals = 0;
+    bool m_released = false;
+    std::vector<exchange_pointer> m_held;
+    std::string m_address;
+    net::event_loops m_loops{1};
+    net::http_server m_server{m_loops, {}, [this](const auto &exchange) { serve(exchange); }};
+};
+
+/// One entry before one engine, with a route of long and one of short answers.
+class leaving_entry : public testing::Test
+{
+protected:
+    leaving_entry()
+    {
+        m_clock.advance(kernel::seconds(100));
+        m_settings.node = "ahmedabad-1";
+        m_settings.zone = "ahmedabad";
+        m_settings.roles = {true, true};
+        m_settings.callerAddress = "127.0.0.1:0";
+        m_settings.policy.routing = "round_robin";
+        m_settings.policy.admission = "always";
+        m_settings.policy.fairness = "first_come_first_served";
+        m_settings.promises.shutdown = shutdownLimit;
+        m_settings.http.addressTtl = milliseconds(2'000);
+    }
+    ~leaving_entry() override
+    {
+        if (m_server)
+            m_server->stop();
+        m_loops.stop();
+    }
+
+    void start(const held_engine &engine)
+    {
+        kernel::state::edit_tables edit;
+        kernel::state::pool pool;
+        pool.name = "engines";
+        pool.model = "assistant";
+        pool.endpoints.emplace_back();
+        pool.endpoints.back().name = "e0";
+        pool.endpoints.back().zone = "ahmedabad";
+        pool.endpoints.back().address = engine.address();
+        kernel::state::route appraisal{"appraisal", "engines"};
+        appraisal.deadlineMs = longDeadline.count();
+        kernel::state::route query{"query", "engines"};
+        query.deadlineMs = shortDeadline.count();
+        edit.putPools = {pool};
+        edit.putRoutes = {appraisal, query};
+        edit.putOrganisations = {{"mehta", 1.0}};
+        edit.putKeys = {{"k1", "mehta", kernel::requests::digestOf(callerKey)}};
+        ASSERT_TRUE(m_control.edit(edit).accepted);
+        m_server = std::make_unique<caller_server>(caller_server_dependencies{
+                m_settings, m_clock, m_events, m_control, m_loops, "0123456789abcdef", 1,
+                [this] { return otherEntries(); }, nullptr, nullptr});
+        kernel::error problem;
+        ASSERT_TRUE(kernel::succeeded([&] { return m_server->start(); }, problem))
+                << problem.message;
+        m_loops.start();
+    }
+
+    [[nodiscard]] std::vector<kernel::feed::node_report> otherEntries() const
+    {
+        if (!m_othersExist)
+            return {};
+        kernel::feed::node_report other;
+        other.node = "surat-1";
+        other.callers = "127.0.0.1:9";
+        other.zone = "surat";
+        return {other};
+    }
+
+    [[nodiscard]] static std::string requestText(const std::string &model)
+    {
+        const std::string body = json{{"model", model}, {"prompt", "a lot"}}.dump();
+        return "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+                + std::string(callerKey) + "\r\nContent-Length: " + std::to_string(body.size())
+                + "\r\n\r\n" + body;
+    }
+
+    /// \returns the bytes up to the end of the connection.
+    [[nodiscard]] std::string ask(const std::string &model) const
+    {
+        const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
+        caller.send(requestText(model));
+        return caller.readUntil("", 5'000);
+    }
+
+    fakes::manual_clock m_clock;
+    bool m_othersExist = true;
+    runtime::settings m_settings;
+    null_event_sink m_events;
+    fakes::control_log m_control;
+    net::event_loops m_loops{2};
+    std::unique_ptr<caller_server> m_server;
+};
+
+[[nodiscard]] std::size_t answersIn(const std::string &received)
+{
+    std::size_t count = 0;
+    for (std::size_t at = received.find("HTTP/1.1 "); at != std::string::npos;
+         at = received.find("HTTP/1.1 ", at + 1))
+        ++count;
+    return count;
+}
+
+} // namespace
+
+/// Guards against requests that are taken after SIGTERM and cut by the end of the process.
+TEST_F(leaving_entry, refusesAtOnceWhatMayOutlastTheProcess)
+{
+    held_engine engine;
+    engine.releaseAll();
+    start(engine);
+    m_server->beginShutdown();
+    for (int second = 0; second < 8; ++second) {
+        const std::string answer = ask("appraisal");
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << second << " s: " << answer;
+        EXPECT_NE(answer.find("\"may_have_run\":false"), std::string::npos) << answer;
+        EXPECT_NE(answer.find("127.0.0.1:9"), std::string::npos) << answer;
+        m_clock.advance(kernel::seconds(1));
+    }
+    EXPECT_EQ(engine.arrivals(), 0);
+}
+
+/// Guards against requests that are turned away although the process outlasts them.
+TEST_F(leaving_entry, takesWhatSurelyEndsBeforeTheProcess)
+{
+    held_engine engine;
+    engine.releaseAll();
+    start(engine);
+    m_server->beginShutdown();
+    for (int second = 0; second < 5; ++second) {
+        EXPECT_TRUE(ask("query").starts_with("HTTP/1.1 200")) << second << " s";
+        m_clock.advance(kernel::seconds(1));
+    }
+}
+
+/// Guards against callers that lose the connection in place of an answer when the process ends.
+TEST_F(leaving_entry, answersWhatStillRunsBeforeTheProcessIsKilled)
+{
+    held_engine engine;
+    start(engine);
+    const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
+    caller.send(requestText("appraisal"));
+    engine.waitForArrivals(1);
+    m_clock.advance(milliseconds(100));
+    m_server->beginShutdown();
+    m_clock.advance(shutdownLimit - milliseconds(1));
+    const std::string answer = caller.readUntil("may_have_run", 9'000);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 504")) << answer;
+    EXPECT_TRUE(m_server->drained());
+}
+
+/// Guards against a pipelined request that was received and is dropped with the connection.
+TEST_F(leaving_entry, answersAPipelinedRequestThatItReceivedBeforeItCloses)
+{
+    held_engine engine;
+    start(engine);
+    const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
+    caller.send(requestText("query") + requestText("query"));
+    engine.waitForArrivals(1);
+    m_server->beginShutdown();
+    engine.releaseAll();
+    const std::string received = caller.readUntil("", 5'000);
+    EXPECT_EQ(answersIn(received), 2U) << received;
+}
+
+/// Guards against an answer of which a part is still unsent when the process ends.
+TEST_F(leaving_entry, isNotDrainedWhileAnAnswerIsBeingSent)
+{
+    constexpr std::size_t answerBytes = 3U << 20U;
+    held_engine engine(answerBytes);
+    engine.releaseAll();
+    start(engine);
+    const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
+    caller.send(requestText("query"));
+    const std::string begin = caller.readUntil("HTTP/1.1 200");
+    while (m_server->metricsText().find("yuccascale_requests_running 0") == std::string::npos)
+        std::this_thread::yield();
+    m_server->beginShutdown();
+    m_clock.advance(milliseconds(6'600));
+    EXPECT_FALSE(m_server->drained());
+    const std::string rest = caller.readUntil("completion_tokens");
+    EXPECT_GT(begin.size() + rest.size(), answerBytes);
+    while (!m_server->drained())
+        std::this_thread::yield();
+}
+
+/// Guards against a directory that names nobody because all entries are leaving.
+TEST_F(leaving_entry, offersItselfWhileThereIsNoOther)
+{
+    held_engine engine;
+    engine.releaseAll();
+    start(engine);
+    m_othersExist = false;
+    m_server->beginShutdown();
+    EXPECT_EQ(m_server->addresses().size(), 1U);
+}
+
+} // namespace yuccascale::http
