A pipelined request is answered before a planned close

Callers that sent a second request on a connection before the first was answered lost it when their entry was leaving (LOST): the entry had received it, said Connection: close and dropped it. Cause: the decision to close looked at the shutdown alone, not at bytes that had arrived. Change: a connection with received bytes stays open until the requests in them are answered.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -252,9 +252,10 @@
     return m_phase == phase::Answering && exchangeNumber == m_exchangeNumber;
 }
 
+/// A request of which bytes were received is answered before a planned close.
 bool http_server::connection::closesAfterAnswer() const noexcept
 {
-    return !m_keepAlive || m_shared->closing;
+    return !m_keepAlive || (m_shared->closing && m_buffer.size() == 0);
 }
 
 void http_server::connection::reply(const http_reply &answer)
--- a/src/yuccascale/net/http_server.hpp
+++ b/src/yuccascale/net/http_server.hpp
@@ -47,7 +47,8 @@
     /// \brief Changes the limits; connections apply them from their next request on.
     void setLimits(const http_limits &limits);
 
-    /// \brief From now on each connection is closed after its answer.
+    /// \brief From now on each connection is closed after its answer, or after the answers to the
+    /// requests of which it has received bytes by then.
     void closeAfterAnswers() noexcept;
 
     /// \brief Stops accepting and closes all connections. The loops must run or have ended.
