A directory of leaving entries names itself when there is no other

Cause: an entry takes itself out of its answer whether or not anybody else is in it. Evidence: leaving_entry.offersItselfWhileThereIsNoOther was red in (0 addresses). Change: with nobody else to name, it names itself; refusals still name others only.

--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -251,7 +251,8 @@
                 offered.push_back({node.callers, node.zone, 1});
         }
     }
-    if (!othersOnly && m_leavingSince == 0)
+    // callers that reach nobody else are better served by an entry that is leaving
+    if (!othersOnly && (m_leavingSince == 0 || offered.empty()))
         offered.push_back({m_dependencies.settings.callerAddress, m_dependencies.settings.zone, 1});
     std::ranges::sort(offered, {}, &offered_address::address);
     return offered;
