A leaving entry begins only what ends before its process

Callers saw a stream cut by the end of the process: it was taken 4.65 s after SIGTERM with 3.35 s left, and might last 8 s (LOST). Cause: work was taken without comparing the time that it needs with the time that the process has. Nothing bounded a request by the entry's own end, neither when it arrives nor when it is sent, sent again or prefilled. Change: kernel/requests/drain_plan gives the end of a leaving entry, a sixteenth of its time limit before the kill. A request begins, is sent or waits on only if its deadline lies before that end, or if half as much again as the longest recent answer of its route (policy/answer_times, those still running included) does; else it is refused at once as not run, without a delay, since other entries take it. Whatever still runs at the end is answered with 504 (502 where it may run once), and endpoints are handed no more time than the entry has.

--- a/src/yuccascale/http/caller_commits.cpp
+++ b/src/yuccascale/http/caller_commits.cpp
@@ -93,7 +93,8 @@
 {
     kernel::state::command_result answer;
     kernel::error problem;
-    const kernel::instant deadline = std::min(callerRequest.deadline, m_clock.now() + claimTimeout);
+    const kernel::instant deadline
+            = std::min(callerRequest.answerBy(), m_clock.now() + claimTimeout);
     const bool answered = kernel::succeeded(
             [&]() -> kernel::result<void> {
                 BOOST_LEAF_ASSIGN(
--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -174,6 +174,16 @@
     return found->versions.onlyVersion(m_clock.now(), lookback);
 }
 
+std::optional<kernel::nanoseconds> caller_pools::longestAnswer(const std::string &pool,
+                                                               const std::string &route) const
+{
+    const std::shared_ptr<guarded_pool> found = find(pool);
+    if (!found)
+        return std::nullopt;
+    const std::scoped_lock guard(found->mutex);
+    return found->scheduler.longestAnswer(m_clock.now(), route);
+}
+
 void caller_pools::refuseWaiting(guarded_pool &pool, std::span<const std::uint64_t> tickets,
                                  const kernel::requests::refusal &reason)
 {
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -121,6 +121,11 @@
     [[nodiscard]] std::optional<std::string> onlyVersion(const std::string &pool,
                                                          kernel::nanoseconds lookback) const;
 
+    /// \returns the time that recent requests of a route took at most; nothing when too few were
+    ///          answered.
+    [[nodiscard]] std::optional<kernel::nanoseconds> longestAnswer(const std::string &pool,
+                                                                   const std::string &route) const;
+
     /// \brief Runs all schedulers, for assignments that become possible by the passing of time
     /// alone.
     void scheduleAll();
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -80,6 +80,7 @@
     [[nodiscard]] entry_status status();
     [[nodiscard]] bool ready() const;
     [[nodiscard]] milliseconds addressGracePeriod() const;
+    static void tellSessions(entry_loop &loop);
 
     caller_server_dependencies m_dependencies;
     caller_services m_services;
@@ -90,7 +91,6 @@
     std::uint64_t m_revision = 0;                   ///< of the tables applied to the pools
     std::uint64_t m_endpointListVersion = 0;        ///< of the list applied to the pools
     bool m_haveTables = false;
-    std::atomic<std::int64_t> m_leavingSince{0}; ///< ns, boot clock; 0 before shutdown
     std::atomic<bool> m_stopped{false};
 };
 
@@ -115,6 +115,7 @@
                  nullptr,
                  nullptr,
                  [this](bool othersOnly) { return addresses(othersOnly); },
+                 entry_drain(m_dependencies.settings.promises.shutdown),
                  {},
                  {},
                  {},
@@ -239,7 +240,8 @@
 
 bool caller_server::implementation::ready() const
 {
-    return m_leavingSince == 0 && m_dependencies.control.view().fresh(m_dependencies.clock.now());
+    return !m_services.drain.leaving()
+            && m_dependencies.control.view().fresh(m_dependencies.clock.now());
 }
 
 std::vector<offered_address> caller_server::implementation::addresses(bool othersOnly) const
@@ -252,7 +254,7 @@
         }
     }
     // callers that reach nobody else are better served by an entry that is leaving
-    if (!othersOnly && (m_leavingSince == 0 || offered.empty()))
+    if (!othersOnly && (!m_services.drain.leaving() || offered.empty()))
         offered.push_back({m_dependencies.settings.callerAddress, m_dependencies.settings.zone, 1});
     std::ranges::sort(offered, {}, &offered_address::address);
     return offered;
@@ -311,18 +313,19 @@
                  {"revision", context.view.tables ? context.view.tables->revision : 0}});
         return exchange->reply(m_services.protocol->errorReply(reason, id, addresses(true)));
     }
+    callerRequest.entryEnd = m_services.drain.plan().end();
     const double weight = organisationWeight(context.view, callerRequest.organisation);
     caller_session::start(m_services, std::move(callerRequest), weight, exchange);
 }
 
 void caller_server::implementation::beginShutdown()
 {
-    std::int64_t notLeaving = 0;
-    const std::int64_t now = m_dependencies.clock.now().time_since_epoch().count();
-    if (!m_leavingSince.compare_exchange_strong(notLeaving, std::max<std::int64_t>(now, 1)))
+    if (!m_services.drain.begin(m_dependencies.clock.now()))
         return;
     for (const auto &server : m_servers)
         server->closeAfterAnswers();
+    for (const auto &loop : m_services.loops)
+        boost::asio::post(loop->context, [&running = *loop] { tellSessions(running); });
     const milliseconds shutdownLimit = m_dependencies.settings.promises.shutdown;
     if (shutdownLimit.count() > 0)
         m_services.commits.setUsageDeadline(m_dependencies.clock.now() + shutdownLimit
@@ -342,11 +345,25 @@
 
 bool caller_server::implementation::drained() const
 {
-    if (m_leavingSince == 0)
+    const entry_drain &drain = m_services.drain;
+    if (!drain.leaving())
         return false;
-    const kernel::instant since{kernel::nanoseconds(m_leavingSince)};
-    const bool addressExpired = m_dependencies.clock.now() - since >= addressGracePeriod();
-    return addressExpired && m_services.runningRequests == 0;
+    const kernel::instant now = m_dependencies.clock.now();
+    const bool addressExpired = now - drain.since() >= addressGracePeriod();
+    const bool idle = m_services.runningRequests == 0;
+    return now >= drain.plan().end() || (addressExpired && idle);
+}
+
+/// A session may end, and leave the set, when it is told.
+void caller_server::implementation::tellSessions(entry_loop &loop)
+{
+    std::vector<std::shared_ptr<caller_session>> running;
+    for (caller_session *session : loop.sessions) {
+        if (auto alive = session->weak_from_this().lock())
+            running.push_back(std::move(alive));
+    }
+    for (const std::shared_ptr<caller_session> &session : running)
+        session->onEntryLeaving();
 }
 
 std::string caller_server::implementation::metricsText()
--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -66,8 +66,8 @@
     /// once.
     void beginShutdown();
 
-    /// \returns true after beginShutdown(), once older address lists have expired and no request
-    /// is running.
+    /// \returns true after beginShutdown(), once older address lists have expired and no answer is
+    /// owed, or when the time to end has come.
     [[nodiscard]] bool drained() const;
 
     /// \brief Closes all connections; the loops may be stopped then.
--- a/src/yuccascale/http/caller_services.hpp
+++ b/src/yuccascale/http/caller_services.hpp
@@ -4,6 +4,7 @@
 #include "yuccascale/http/caller_pools.hpp"
 #include "yuccascale/http/caller_protocol.hpp"
 #include "yuccascale/http/endpoint_client.hpp"
+#include "yuccascale/http/entry_drain.hpp"
 #include "yuccascale/http/stream_registry.hpp"
 #include "yuccascale/kernel/requests/events.hpp"
 #include "yuccascale/kernel/requests/key_check.hpp"
@@ -60,6 +61,8 @@
     std::shared_ptr<const kernel::requests::route_index> m_index;
 };
 
+class caller_session;
+
 /// \brief Objects of one event loop of an entry.
 struct entry_loop
 {
@@ -70,6 +73,7 @@
 
     net::io_context &context;
     endpoint_client endpoints;
+    std::set<caller_session *> sessions; ///< that run on this loop; used on it only
 };
 
 /// \brief Objects that all requests of an entry share.
@@ -89,6 +93,7 @@
     std::unique_ptr<kernel::requests::endpoint_driver> engineDriver;
     std::unique_ptr<kernel::requests::endpoint_driver> serviceDriver;
     std::function<std::vector<offered_address>(bool othersOnly)> addresses; ///< of entries
+    entry_drain drain;
     local_bans bans;
     route_cache routes;
     runtime::metrics metrics;
@@ -138,12 +143,22 @@
                       {{"endpoint", endpoint}, {"requests_per_s", requestsPerSecond}});
     }
 
+    /// \returns whether a request that begins now ends before this process.
+    [[nodiscard]] bool endsInTime(const kernel::requests::request &callerRequest) const
+    {
+        const kernel::state::route &route = callerRequest.route;
+        return drain.plan().endsInTime(clock.now(), callerRequest.deadline,
+                                       pools->longestAnswer(route.pool, route.name));
+    }
+
     /// \returns whether a request may be sent now.
     [[nodiscard]] kernel::requests::start_check
     checkStart(const kernel::requests::request &callerRequest) const
     {
         if (bans.contains(callerRequest.fingerprint))
             return kernel::requests::start_check::Banned;
+        if (drain.leaving() && !endsInTime(callerRequest))
+            return kernel::requests::start_check::Leaving;
         return kernel::requests::checkStart(clock.now(), control.view(), callerRequest);
     }
 };
--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -22,6 +22,9 @@
             + kernel::milliseconds(callerRequest.promptTokens / prefillTokensPerMillisecond);
 }
 
+/// Between checks whether a request still ends before this entry does.
+constexpr kernel::milliseconds leavingCheckInterval{50};
+
 /// A prefill call in flight.
 struct prefill_call
 {
@@ -84,10 +87,12 @@
                 services.events)
 {
     ++m_services.runningRequests;
+    m_loop.sessions.insert(this);
 }
 
 caller_session::~caller_session()
 {
+    m_loop.sessions.erase(this);
     --m_services.runningRequests;
 }
 
@@ -114,19 +119,52 @@
 
 void caller_session::startDeadlineTimer()
 {
-    m_timer.expires_after(std::max<nanoseconds>(callerRequest().deadline - now(), nanoseconds(1)));
+    nanoseconds wait = std::max<nanoseconds>(callerRequest().answerBy() - now(), nanoseconds(1));
+    if (m_services.drain.leaving())
+        wait = std::min<nanoseconds>(wait, leavingCheckInterval);
+    m_timer.expires_after(wait);
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &problem) {
         const auto self = weak.lock();
-        if (problem || !self || self->m_session.ended())
-            return;
-        // the timer does not count the time that the VM was suspended, and may fire a little early
-        if (self->now() < self->callerRequest().deadline)
-            return self->startDeadlineTimer();
-        self->m_session.handle(deadline_passed{});
-        self->finishIfEnded();
+        if (!problem && self && !self->m_session.ended())
+            self->onDeadlineTimer();
     });
 }
 
+/// The timer does not count the time that the VM was suspended, and may fire a little early.
+void caller_session::onDeadlineTimer()
+{
+    if (now() >= callerRequest().answerBy())
+        m_session.handle(deadline_passed{});
+    else if (m_services.drain.leaving())
+        m_session.handle(entry_leaving{m_services.drain.plan().end(), checkStart(callerRequest())});
+    if (!m_session.ended())
+        startDeadlineTimer();
+    finishIfEnded();
+}
+
+void caller_session::onEntryLeaving()
+{
+    if (m_session.ended())
+        return;
+    const auto self = shared_from_this();
+    m_session.handle(entry_leaving{m_services.drain.plan().end(), checkStart(callerRequest())});
+    if (!m_session.ended())
+        startDeadlineTimer();
+    finishIfEnded();
+}
+
+/// A request that waited for a connection or a prefill may no longer end before this entry does.
+void caller_session::checkBeforeSend(int attempt)
+{
+    m_exchange->checkCaller();
+    if (m_session.ended() || !m_services.drain.leaving())
+        return;
+    const start_check check = checkStart(callerRequest());
+    if (check == start_check::Leaving)
+        m_session.handle(send_refused{attempt, check});
+    finishIfEnded();
+}
+
 void caller_session::handleMessage(caller_mailbox::message message)
 {
     if (auto *assignment = std::get_if<endpoint_assignment>(&message))
@@ -242,7 +280,7 @@
     m_endpoint = assignment.endpoint;
     const endpoint_driver &driver = m_services.driverOf(callerRequest.route.kind);
     const bool separatePrefill = !assignment.prefillAddress.empty() && sent.resumeFrom == 0;
-    attempt_context context{sent.attempt, sent.resumeFrom, callerRequest.deadline - now(),
+    attempt_context context{sent.attempt, sent.resumeFrom, callerRequest.answerBy() - now(),
                             sent.lastPieceId, assignment.endpoint};
     if (!separatePrefill)
         context.cacheAddress = assignment.cacheAddress;
@@ -276,9 +314,9 @@
                       endpoint = assignment.endpoint](const answer_head &head) {
         services->applyNotice(pool, endpoint, driver.notice(head));
     };
-    attempt.checkCaller = [exchange = std::weak_ptr(m_exchange)] {
-        if (const auto current = exchange.lock())
-            current->checkCaller();
+    attempt.checkCaller = [weak = weak_from_this(), number = sent.attempt] {
+        if (const auto self = weak.lock())
+            self->checkBeforeSend(number);
     };
     attempt.onTaken = [services = &m_services, pool = callerRequest.route.pool,
                        endpoint = assignment.endpoint](const answer_reader &reader) {
--- a/src/yuccascale/http/caller_session.hpp
+++ b/src/yuccascale/http/caller_session.hpp
@@ -28,11 +28,16 @@
     caller_session(const caller_session &) = delete;
     caller_session &operator=(const caller_session &) = delete;
 
+    /// \brief This entry has begun to shut down; call on the session's loop.
+    void onEntryLeaving();
+
 private:
     void begin();
     void handleMessage(caller_mailbox::message message);
     void assignEndpoint(kernel::requests::endpoint_assignment assignment);
     void startDeadlineTimer();
+    void onDeadlineTimer();
+    void checkBeforeSend(int attempt);
     void finishIfEnded();
 
     [[nodiscard]] const kernel::requests::request &callerRequest() const noexcept
--- a/src/yuccascale/kernel/requests/key_check.hpp
+++ b/src/yuccascale/kernel/requests/key_check.hpp
@@ -26,6 +26,7 @@
     KeyWithdrawn, ///< the key no longer belongs to the request's organisation
     NotFresh,     ///< the entry's tables are not confirmed, so its keys may be outdated
     Banned,       ///< the request, or a part of its prompt, is banned for crashing endpoints
+    Leaving,      ///< the entry is shutting down and may end before the answer
 };
 
 /// \returns whether the \a bans hold the request's fingerprint or parts of its prompt.
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -95,7 +95,7 @@
     }
     if (m_partSuspects.isBanned(now, callerRequest.parts))
         return bannedRefusal();
-    const nanoseconds left = callerRequest.deadline - now;
+    const nanoseconds left = callerRequest.answerBy() - now;
     if (auto refused = refuseLimited(now, steadyOnly, left - service.value_or(nanoseconds::zero())))
         return refused;
     if (options.retry && options.endpointReached) {
@@ -113,7 +113,7 @@
                    callerRequest.route.priority,
                    policy::requestCost(callerRequest.promptTokens, 0, callerRequest.outputTokens),
                    callerRequest.receivedAt,
-                   callerRequest.deadline,
+                   callerRequest.answerBy(),
                    callerRequest.receivedAt + milliseconds(callerRequest.route.firstTokenMs),
                    service.value_or(nanoseconds::zero())};
     waiting.id = callerRequest.id;
@@ -292,6 +292,20 @@
     m_partSuspects.clear({cleared.parts.begin(), cleared.parts.end()});
 }
 
+std::optional<nanoseconds> pool_scheduler::longestAnswer(instant now,
+                                                         const std::string &route) const
+{
+    const auto times = m_answerTimes.find(route);
+    if (times == m_answerTimes.end())
+        return std::nullopt;
+    std::optional<nanoseconds> longest = times->second.longest(now);
+    for (const auto &[ticket, running] : m_running) {
+        if (longest && running.queued.row.route == route)
+            longest = std::max(*longest, now - running.queued.row.receivedAt);
+    }
+    return longest;
+}
+
 demand_report pool_scheduler::takeDemand(instant now)
 {
     demand_report out = m_demand.takeReport(now);
@@ -419,6 +433,12 @@
         findings.breakerOpened
                 = recordFailure(now, running.queued.row.pool, endpoint,
                                 result.crashed || result.unreachable || result.replaced);
+    policy::answer_times &times = m_answerTimes[running.queued.row.route];
+    const nanoseconds sinceArrival = now - running.queued.row.receivedAt;
+    if (result.answered)
+        times.answered(now, sinceArrival);
+    else
+        times.ended(now, sinceArrival);
     if (!result.answered)
         return findings;
     // without reported usage, assume that the expected tokens were processed
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccascale/kernel/policy/admission.hpp"
+#include "yuccascale/kernel/policy/answer_times.hpp"
 #include "yuccascale/kernel/policy/dispatch_window.hpp"
 #include "yuccascale/kernel/policy/queue_meter.hpp"
 #include "yuccascale/kernel/policy/routing.hpp"
@@ -163,6 +164,11 @@
     /// \brief Records the end of an attempt, or releases an assigned endpoint unused.
     finish_findings finish(instant now, std::uint64_t ticket, const attempt_result &result);
 
+    /// \returns the time from arrival to the end that recent requests of a route took at most,
+    ///          those that still run included; nothing when too few were answered.
+    [[nodiscard]] std::optional<nanoseconds> longestAnswer(instant now,
+                                                           const std::string &route) const;
+
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
 
     /// \returns the updates since the last call, to be sent to the other entries.
@@ -277,6 +283,7 @@
     prompt_caches m_caches;
     policy::queue_meter m_queueMeter;
     std::map<std::string, policy::service_estimate> m_services; ///< by route
+    std::map<std::string, policy::answer_times> m_answerTimes;  ///< by route
     policy::dispatch_window m_window;
     double m_kvSecondsPerToken = 0; ///< transfer time of a token's KV cache; 0: not known
 };
--- a/src/yuccascale/kernel/requests/request.hpp
+++ b/src/yuccascale/kernel/requests/request.hpp
@@ -5,6 +5,7 @@
 #include "yuccascale/kernel/requests/header_field.hpp"
 #include "yuccascale/kernel/state/tables.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -47,7 +48,9 @@
     bool sentBefore = false;       ///< the caller indicates an earlier attempt at an entry
     std::int64_t resumeFrom = 0;   ///< pieces that the caller already has
     instant receivedAt{};
-    instant deadline{};  ///< of the complete answer
+    instant deadline{}; ///< of the complete answer
+    /// When this entry must have ended it, because the entry is shutting down.
+    instant entryEnd = instant::max();
     header_list headers; ///< forwarded to endpoints unchanged
     std::vector<prompt_part>
             parts;           ///< of the prompt, in order; the last one is unique to this request
@@ -55,6 +58,9 @@
     std::string continuedId; ///< id of the request that brought the first piece; may be empty
     usage_commit_point usageCommitPoint = usage_commit_point::BeforeEnd;
 
+    /// \returns when it ends at the latest, with or without an answer.
+    [[nodiscard]] instant answerBy() const noexcept { return std::min(deadline, entryEnd); }
+
     /// \returns whether the request needs a claim in the log before it runs.
     [[nodiscard]] bool claimed() const noexcept { return !route.idempotent && route.claimed; }
 };
--- a/src/yuccascale/kernel/requests/request_actions.hpp
+++ b/src/yuccascale/kernel/requests/request_actions.hpp
@@ -112,10 +112,24 @@
 struct request_banned
 { };
 
-using event
-        = std::variant<endpoint_assigned, queue_refused, claim_answered, stream_located,
-                       stream_began, piece_arrived, stream_finished, answer_arrived, attempt_failed,
-                       usage_commit_finished, caller_disconnected, deadline_passed, request_banned>;
+/// \brief This entry is shutting down.
+struct entry_leaving
+{
+    instant end{};                            ///< when this entry ends
+    start_check check = start_check::Allowed; ///< result now
+};
+
+/// \brief The request must not be sent any more, and nothing of this attempt was sent yet.
+struct send_refused
+{
+    int attempt = 0;
+    start_check check = start_check::Leaving;
+};
+
+using event = std::variant<endpoint_assigned, queue_refused, claim_answered, stream_located,
+                           stream_began, piece_arrived, stream_finished, answer_arrived,
+                           attempt_failed, usage_commit_finished, caller_disconnected,
+                           deadline_passed, request_banned, entry_leaving, send_refused>;
 
 /// \brief Queue the request until an endpoint is assigned.
 struct enqueue
--- a/src/yuccascale/kernel/requests/request_life.cpp
+++ b/src/yuccascale/kernel/requests/request_life.cpp
@@ -29,6 +29,16 @@
         "crashed",    "doubtful",     "timed_out", "answered",
 };
 
+/// The caller may come back at once, at another entry.
+[[nodiscard]] refusal leavingRefusal()
+{
+    return {error_kind::NotReady,
+            "this entry is shutting down and may end before the answer; retry at another entry "
+            "address",
+            false,
+            {}};
+}
+
 [[nodiscard]] refusal refusalOf(start_check check)
 {
     switch (check) {
@@ -41,6 +51,8 @@
                 false, controlRetryAfter};
     case start_check::Banned:
         return bannedRefusal();
+    case start_check::Leaving:
+        return leavingRefusal();
     case start_check::Allowed:
         break;
     }
@@ -248,7 +260,7 @@
 
 void request_lifecycle::resendClaim(actions &out, instant now)
 {
-    if (now + minClaimTime < m_request.deadline) {
+    if (now + minClaimTime < m_request.answerBy()) {
         out.emplace_back(submit_claim{});
         return;
     }
@@ -263,13 +275,16 @@
 /// \returns false when it ended the request with a refusal.
 bool request_lifecycle::mayStart(actions &out, instant now, start_check check)
 {
+    // what this entry may have had run already is better continued than given up
+    if (check == start_check::Leaving && m_mayHaveRun && m_attempt > 0)
+        check = start_check::Allowed;
     if (check != start_check::Allowed) {
         refusal reason = refusalOf(check);
         reason.mayHaveRun = m_mayHaveRun;
         end(out, std::move(reason));
         return false;
     }
-    if (now >= m_request.deadline) {
+    if (now >= m_request.answerBy()) {
         end(out,
             {error_kind::DeadlineExceeded,
              "the request's deadline passed before it was sent to an endpoint; retry later",
@@ -429,7 +444,7 @@
         ++m_unsentAttempts;
     const bool another = m_attempt - m_unsentAttempts < m_request.route.maxAttempts
             && m_unsentAttempts <= maxUnsentAttempts;
-    if (another && now + minRetryTime < m_request.deadline) {
+    if (another && now + minRetryTime < m_request.answerBy()) {
         m_state = request_state::Queued;
         out.emplace_back(enqueue{true, m_suspect, endpointReached, m_avoidEndpoints, m_avoidZones,
                                  m_streamVersion});
@@ -470,7 +485,7 @@
 
 void request_lifecycle::on(actions &out, instant now, const deadline_passed &)
 {
-    if (now < m_request.deadline)
+    if (now < m_request.answerBy())
         return;
     if (m_state == request_state::Queued) {
         out.emplace_back(dequeue{});
@@ -504,6 +519,30 @@
     end(out, std::move(reason));
 }
 
+void request_lifecycle::on(actions &out, instant, const entry_leaving &leaving)
+{
+    m_request.entryEnd = leaving.end;
+    const bool triedHere = m_mayHaveRun && m_attempt > 0;
+    if (m_state != request_state::Queued || leaving.check != start_check::Leaving || triedHere)
+        return;
+    out.emplace_back(dequeue{});
+    refusal reason = leavingRefusal();
+    reason.mayHaveRun = m_mayHaveRun;
+    end(out, std::move(reason));
+}
+
+/// Nothing of the attempt has reached its endpoint.
+void request_lifecycle::on(actions &out, instant, const send_refused &refused)
+{
+    const bool triedHere = m_mayHaveRun && m_attempt > 1;
+    if (!running(refused.attempt) || m_state != request_state::Dispatched || triedHere)
+        return;
+    out.emplace_back(cancel{m_attempt, m_endpoint});
+    refusal reason = refusalOf(refused.check);
+    reason.mayHaveRun = m_mayHaveRun;
+    end(out, std::move(reason));
+}
+
 void request_lifecycle::endDispatched(actions &out, error_kind kind, const std::string &message)
 {
     if (m_request.route.idempotent) {
--- a/src/yuccascale/kernel/requests/request_life.hpp
+++ b/src/yuccascale/kernel/requests/request_life.hpp
@@ -77,6 +77,8 @@
     void on(actions &out, instant now, const caller_disconnected &);
     void on(actions &out, instant now, const deadline_passed &);
     void on(actions &out, instant now, const request_banned &);
+    void on(actions &out, instant now, const entry_leaving &leaving);
+    void on(actions &out, instant now, const send_refused &refused);
 
     void claimGranted(actions &out, instant now, start_check check);
     void resendClaim(actions &out, instant now);
