A node closes to callers and operators before it stops anything else

Cause: an entry counted as drained once its sessions had ended, though bytes of answers were unsent; then the feed, the duties and the load exchange were stopped and joined while the callers' server still took requests, which its own stop then cut. A control node stopped at once, whatever it owed. Change: connections that owe an answer or a part of one are counted; a node is drained when none does, or at the end of its drain_plan. Then it accepts no more connections, closes idle ones, refuses what still arrives and waits up to 200 ms for the others, before anything else is stopped. Control nodes go the same way.

--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -60,6 +60,8 @@
     void scheduleFeedUpdate();
     void beginShutdown();
     [[nodiscard]] bool drained() const;
+    void closeToCallers();
+    [[nodiscard]] std::size_t connections() const;
     void stop();
     [[nodiscard]] std::vector<offered_address> addresses(bool othersOnly) const;
     [[nodiscard]] caller_pools &pools() noexcept { return *m_services.pools; }
@@ -80,6 +82,7 @@
     [[nodiscard]] entry_status status();
     [[nodiscard]] bool ready() const;
     [[nodiscard]] milliseconds addressGracePeriod() const;
+    [[nodiscard]] bool answering() const;
     static void tellSessions(entry_loop &loop);
 
     caller_server_dependencies m_dependencies;
@@ -350,10 +353,16 @@
         return false;
     const kernel::instant now = m_dependencies.clock.now();
     const bool addressExpired = now - drain.since() >= addressGracePeriod();
-    const bool idle = m_services.runningRequests == 0;
+    const bool idle = m_services.runningRequests == 0 && !answering();
     return now >= drain.plan().end() || (addressExpired && idle);
 }
 
+bool caller_server::implementation::answering() const
+{
+    return std::ranges::any_of(m_servers,
+                               [](const auto &server) { return server->answering() > 0; });
+}
+
 /// A session may end, and leave the set, when it is told.
 void caller_server::implementation::tellSessions(entry_loop &loop)
 {
@@ -366,18 +375,30 @@
         session->onEntryLeaving();
 }
 
+void caller_server::implementation::closeToCallers()
+{
+    m_services.drain.close();
+    for (const auto &server : m_servers)
+        server->closeListeners();
+}
+
 std::string caller_server::implementation::metricsText()
 {
     m_services.metrics.setGauge("yuccascale_requests_waiting",
                                 static_cast<double>(m_services.pools->waiting()));
     m_services.metrics.setGauge("yuccascale_requests_running", m_services.runningRequests);
-    std::size_t connections = 0;
-    for (const auto &server : m_servers)
-        connections += server->connections();
-    m_services.metrics.setGauge("yuccascale_connections", static_cast<double>(connections));
+    m_services.metrics.setGauge("yuccascale_connections", static_cast<double>(connections()));
     return m_services.metrics.text();
 }
 
+std::size_t caller_server::implementation::connections() const
+{
+    std::size_t sum = 0;
+    for (const auto &server : m_servers)
+        sum += server->connections();
+    return sum;
+}
+
 void caller_server::implementation::stop()
 {
     if (m_stopped.exchange(true))
@@ -418,6 +439,16 @@
     return m_implementation->drained();
 }
 
+void caller_server::closeToCallers()
+{
+    m_implementation->closeToCallers();
+}
+
+std::size_t caller_server::connections() const
+{
+    return m_implementation->connections();
+}
+
 void caller_server::stop()
 {
     m_implementation->stop();
--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -70,6 +70,12 @@
     /// owed, or when the time to end has come.
     [[nodiscard]] bool drained() const;
 
+    /// \brief Takes no more connections and refuses each request, since the process ends.
+    void closeToCallers();
+
+    /// \returns the number of open connections.
+    [[nodiscard]] std::size_t connections() const;
+
     /// \brief Closes all connections; the loops may be stopped then.
     void stop();
 
--- a/src/yuccascale/http/caller_services.hpp
+++ b/src/yuccascale/http/caller_services.hpp
@@ -147,8 +147,9 @@
     [[nodiscard]] bool endsInTime(const kernel::requests::request &callerRequest) const
     {
         const kernel::state::route &route = callerRequest.route;
-        return drain.plan().endsInTime(clock.now(), callerRequest.deadline,
-                                       pools->longestAnswer(route.pool, route.name));
+        return !drain.closed()
+                && drain.plan().endsInTime(clock.now(), callerRequest.deadline,
+                                           pools->longestAnswer(route.pool, route.name));
     }
 
     /// \returns whether a request may be sent now.
--- a/src/yuccascale/http/entry_drain.hpp
+++ b/src/yuccascale/http/entry_drain.hpp
@@ -41,9 +41,14 @@
                          : kernel::requests::drain_plan();
     }
 
+    /// \brief From now on every request is refused, because the process ends.
+    void close() noexcept { m_closed = true; }
+    [[nodiscard]] bool closed() const noexcept { return m_closed; }
+
 private:
     const kernel::nanoseconds m_limit;
     std::atomic<std::int64_t> m_since{0}; ///< ns, boot clock; 0 before the shutdown
+    std::atomic<bool> m_closed{false};
 };
 
 } // namespace yuccascale::http
--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -85,6 +85,13 @@
     timer.cancel();
 }
 
+void http_server::loop_connections::closeIdle()
+{
+    const auto all = connections;
+    for (const std::shared_ptr<connection> &opened : all)
+        opened->closeIfIdle();
+}
+
 http_server::connection::connection(std::shared_ptr<shared_state> shared,
                                     std::shared_ptr<loop_connections> owner, tcp::socket socket,
                                     std::string listener)
@@ -96,6 +103,24 @@
     ++m_shared->openConnections;
 }
 
+void http_server::connection::setPhase(phase next)
+{
+    m_phase = next;
+    countAnswering();
+}
+
+void http_server::connection::countAnswering()
+{
+    const bool owesBytes = m_writing || !m_unsent.empty();
+    const bool answering = m_phase == phase::Answering || (m_phase != phase::Closed && owesBytes);
+    if (std::exchange(m_countedAsAnswering, answering) == answering)
+        return;
+    if (answering)
+        ++m_shared->answering;
+    else
+        --m_shared->answering;
+}
+
 void http_server::connection::start()
 {
     if (m_shared->stopped)
@@ -114,7 +139,7 @@
 void http_server::connection::awaitRequest()
 {
     m_limits = m_shared->limits();
-    m_phase = phase::Idle;
+    setPhase(phase::Idle);
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits->headerBytes));
@@ -175,7 +200,7 @@
 void http_server::connection::parse()
 {
     if (m_phase == phase::Idle && m_buffer.size() > 0) {
-        m_phase = phase::Reading;
+        setPhase(phase::Reading);
         setDeadline(m_limits->readTimeout);
     }
     while (m_phase == phase::Reading && m_buffer.size() > 0) {
@@ -219,7 +244,7 @@
 
 void http_server::connection::dispatch()
 {
-    m_phase = phase::Answering;
+    setPhase(phase::Answering);
     m_deadline = steady_instant::max();
     m_keepAlive = m_parser->keep_alive();
     auto message = m_parser->release();
@@ -242,7 +267,7 @@
     body += message;
     body += R"(","may_have_run":false}})";
     m_keepAlive = false;
-    m_phase = phase::Answering;
+    setPhase(phase::Answering);
     ++m_exchangeNumber;
     reply({status, {{"Content-Type", "application/json"}}, std::move(body)});
 }
@@ -300,7 +325,7 @@
 {
     m_onCallerDisconnected = nullptr;
     m_keepAlive = false;
-    m_phase = phase::Ending;
+    setPhase(phase::Ending);
     setDeadline(lingerTimeout);
     shutdownAfterWrite();
 }
@@ -314,7 +339,7 @@
 {
     m_onCallerDisconnected = nullptr;
     if (!m_keepAlive) {
-        m_phase = phase::Ending;
+        setPhase(phase::Ending);
         setDeadline(lingerTimeout);
         return shutdownAfterWrite();
     }
@@ -341,6 +366,7 @@
     if (m_writing || m_unsent.empty() || m_phase == phase::Closed)
         return;
     m_writing = true;
+    countAnswering();
     m_sending = std::exchange(m_unsent, {});
     m_writeDeadline = std::chrono::steady_clock::now() + m_limits->writeTimeout;
     boost::asio::async_write(m_socket, boost::asio::buffer(m_sending),
@@ -360,6 +386,7 @@
     if (problem)
         return handleCallerLeft();
     flush();
+    countAnswering();
     if (m_phase == phase::Ending)
         shutdownAfterWrite();
 }
@@ -381,11 +408,17 @@
         action();
 }
 
+void http_server::connection::closeIfIdle()
+{
+    if (m_phase == phase::Idle && m_buffer.size() == 0 && !m_writing)
+        close();
+}
+
 void http_server::connection::close()
 {
     if (m_phase == phase::Closed)
         return;
-    m_phase = phase::Closed;
+    setPhase(phase::Closed);
     --m_shared->openConnections;
     error_code ignored;
     m_socket.close(ignored);
--- a/src/yuccascale/net/http_connection.hpp
+++ b/src/yuccascale/net/http_connection.hpp
@@ -41,6 +41,7 @@
     std::atomic<bool> closing{false};
     std::atomic<bool> stopped{false};
     std::atomic<std::size_t> openConnections{0};
+    std::atomic<std::size_t> answering{0}; ///< connections that owe an answer or a part of one
 };
 
 /// \brief The connections of one loop, and the timer that closes those past their deadline.
@@ -55,6 +56,7 @@
     void remove(const std::shared_ptr<connection> &closed);
     void sweep();
     void closeAll();
+    void closeIdle();
 
     io_context &loop;
     boost::asio::steady_timer timer;
@@ -74,6 +76,9 @@
     /// \brief Closes the connection when one of its deadlines has passed.
     void checkDeadlines(steady_instant now);
 
+    /// \brief Closes when no byte of a next request was received.
+    void closeIfIdle();
+
     /// \brief Closes at once; does not run the action set by onCallerDisconnected().
     void close();
 
@@ -116,6 +121,8 @@
     void handleCallerLeft();
     void setDeadline(kernel::milliseconds timeout);
     [[nodiscard]] bool closesAfterAnswer() const noexcept;
+    void setPhase(phase next);
+    void countAnswering();
 
     std::shared_ptr<shared_state> m_shared;
     std::shared_ptr<loop_connections> m_owner;
@@ -123,6 +130,7 @@
     std::string m_listener;
     std::shared_ptr<const http_limits> m_limits;
     phase m_phase = phase::Idle;
+    bool m_countedAsAnswering = false;
     boost::beast::flat_buffer m_buffer;
     std::optional<request_parser> m_parser;
     bool m_headerChecked = false;
--- a/src/yuccascale/net/http_server.cpp
+++ b/src/yuccascale/net/http_server.cpp
@@ -114,10 +114,9 @@
     m_shared->closing = true;
 }
 
-void http_server::stop()
+void http_server::closeListeners()
 {
-    if (m_shared->stopped.exchange(true))
-        return;
+    closeAfterAnswers();
     for (const std::shared_ptr<listener> &accepting : m_listeners) {
         boost::asio::post(m_loops.at(0), [accepting] {
             error_code ignored;
@@ -125,6 +124,20 @@
             accepting->retryTimer.cancel();
         });
     }
+    for (const std::shared_ptr<loop_connections> &owner : m_shared->loopConnections)
+        boost::asio::post(owner->loop, [owner] { owner->closeIdle(); });
+}
+
+std::size_t http_server::answering() const noexcept
+{
+    return m_shared->answering;
+}
+
+void http_server::stop()
+{
+    if (m_shared->stopped.exchange(true))
+        return;
+    closeListeners();
     for (const std::shared_ptr<loop_connections> &owner : m_shared->loopConnections)
         boost::asio::post(owner->loop, [owner] { owner->closeAll(); });
 }
--- a/src/yuccascale/net/http_server.hpp
+++ b/src/yuccascale/net/http_server.hpp
@@ -51,6 +51,12 @@
     /// requests of which it has received bytes by then.
     void closeAfterAnswers() noexcept;
 
+    /// \brief Accepts no more connections and closes those between two requests.
+    void closeListeners();
+
+    /// \returns the number of connections that owe an answer or a part of one.
+    [[nodiscard]] std::size_t answering() const noexcept;
+
     /// \brief Stops accepting and closes all connections. The loops must run or have ended.
     void stop();
 
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -4,6 +4,7 @@
 #include "yuccascale/http/caller_server.hpp"
 #include "yuccascale/http/document_interface.hpp"
 #include "yuccascale/http/operator_routes.hpp"
+#include "yuccascale/kernel/requests/drain_plan.hpp"
 #include "yuccascale/kernel/requests/events.hpp"
 #include "yuccascale/net/http_server.hpp"
 #include "yuccascale/runtime/cluster_client.hpp"
@@ -19,9 +20,11 @@
 #include "yuccascale/runtime/system_clock.hpp"
 #include "yuccascale/wire/tcp_transport.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 #include <utility>
 
 namespace yuccascale::runtime {
@@ -31,6 +34,10 @@
 namespace {
 
 constexpr milliseconds drainPollInterval{50};
+/// For the last refusals, and for callers and operators to close their ends.
+constexpr milliseconds closingTimeout{200};
+/// Between checks whether all connections are closed.
+constexpr milliseconds closingPollInterval{5};
 /// How long another entry may take to tell what it knows of a stream.
 constexpr milliseconds streamAnswerTimeout{150};
 
@@ -93,6 +100,9 @@
     void serveMetrics(const std::shared_ptr<net::http_exchange> &exchange);
     [[nodiscard]] std::string metricsText();
     [[nodiscard]] result<void> startAll();
+    [[nodiscard]] bool drained(const requests::drain_plan &plan) const;
+    void closeToCallers();
+    [[nodiscard]] bool hasConnections() const;
     void stopAll();
     [[nodiscard]] node_snapshot snapshot() const;
 
@@ -383,16 +393,44 @@
     return {};
 }
 
+/// Whether nothing is owed to callers and operators, or the time to answer them is up.
+bool node::parts::drained(const requests::drain_plan &plan) const
+{
+    const bool owed = std::ranges::any_of(
+            servers, [](const auto &server) { return server->answering() > 0; });
+    return (!owed && (!callers || callers->drained())) || clock.now() >= plan.end();
+}
+
+bool node::parts::hasConnections() const
+{
+    const bool open = std::ranges::any_of(
+            servers, [](const auto &server) { return server->connections() > 0; });
+    return open || (callers && callers->connections() > 0);
+}
+
+/// Ends what callers and operators see first, while all that it needs still runs.
+void node::parts::closeToCallers()
+{
+    if (callers)
+        callers->closeToCallers();
+    for (const auto &server : servers)
+        server->closeListeners();
+    const instant end = clock.now() + closingTimeout;
+    while (hasConnections() && clock.now() < end)
+        std::this_thread::sleep_for(closingPollInterval);
+    if (callers)
+        callers->stop();
+}
+
 void node::parts::stopAll()
 {
+    closeToCallers();
     if (leaderDuties)
         leaderDuties->stop();
     demand->stop();
     if (load)
         load->stop();
     feed->stop();
-    if (callers)
-        callers->stop();
     loops.stop();
     operators.reset();
     document.reset();
@@ -445,11 +483,13 @@
     m_parts->changed.wait(lock, [&] { return m_parts->leaving; });
     m_parts->events.record(nodeLeaving, {});
     m_parts->feed->setLeaving();
-    if (m_parts->callers) {
+    const requests::drain_plan plan(m_parts->clock.now(), m_parts->settings.promises.shutdown);
+    if (m_parts->callers)
         m_parts->callers->beginShutdown();
-        while (!m_parts->callers->drained())
-            m_parts->changed.wait_for(lock, drainPollInterval);
-    }
+    for (const auto &server : m_parts->servers)
+        server->closeAfterAnswers();
+    while (!m_parts->drained(plan))
+        m_parts->changed.wait_for(lock, drainPollInterval);
     lock.unlock();
     m_parts->stopAll();
 }
--- a/tests/unit/http_shutdown_test.cpp
+++ b/tests/unit/http_shutdown_test.cpp
@@ -259,6 +259,24 @@
     EXPECT_EQ(engine.arrivals(), 0);
 }
 
+/// Guards against requests that are taken between the last answer and the end of the process.
+TEST_F(leaving_entry, refusesEveryRequestOnceItCloses)
+{
+    held_engine engine;
+    engine.releaseAll();
+    start(engine);
+    const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
+    const std::string text = requestText("query");
+    caller.send(text.substr(0, text.size() / 2));
+    ASSERT_TRUE(ask("query").starts_with("HTTP/1.1 200"));
+    m_server->beginShutdown();
+    m_server->closeToCallers();
+    caller.send(text.substr(text.size() / 2));
+    const std::string answer = caller.readUntil("", 5'000);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_EQ(engine.arrivals(), 1);
+}
+
 /// Guards against requests that are turned away although the process outlasts them.
 TEST_F(leaving_entry, takesWhatSurelyEndsBeforeTheProcess)
 {
