A leaving entry checks only queued requests again, and sent ones less often

Cause: each check walks the running requests of the pool, and every request of a leaving entry was checked each 50 ms; with hundreds of them that is a good part of the little processor time that an entry has. Only a queued one can still be refused.

--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -22,8 +22,10 @@
             + kernel::milliseconds(callerRequest.promptTokens / prefillTokensPerMillisecond);
 }
 
-/// Between checks whether a request still ends before this entry does.
-constexpr kernel::milliseconds leavingCheckInterval{50};
+/// While this entry is leaving: between checks whether a queued request still ends before it.
+constexpr kernel::milliseconds queuedCheckInterval{50};
+/// While this entry is leaving: between checks whether a sent request has reached its end.
+constexpr kernel::milliseconds sentCheckInterval{250};
 
 /// A prefill call in flight.
 struct prefill_call
@@ -121,7 +123,8 @@
 {
     nanoseconds wait = std::max<nanoseconds>(callerRequest().answerBy() - now(), nanoseconds(1));
     if (m_services.drain.leaving())
-        wait = std::min<nanoseconds>(wait, leavingCheckInterval);
+        wait = std::min<nanoseconds>(wait,
+                                     m_session.queued() ? queuedCheckInterval : sentCheckInterval);
     m_timer.expires_after(wait);
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &problem) {
         const auto self = weak.lock();
@@ -136,18 +139,26 @@
     if (now() >= callerRequest().answerBy())
         m_session.handle(deadline_passed{});
     else if (m_services.drain.leaving())
-        m_session.handle(entry_leaving{m_services.drain.plan().end(), checkStart(callerRequest())});
+        handleLeaving();
     if (!m_session.ended())
         startDeadlineTimer();
     finishIfEnded();
 }
 
+/// The check is costly, and only a queued request can still be refused.
+void caller_session::handleLeaving()
+{
+    const start_check check
+            = m_session.queued() ? checkStart(callerRequest()) : start_check::Allowed;
+    m_session.handle(entry_leaving{m_services.drain.plan().end(), check});
+}
+
 void caller_session::onEntryLeaving()
 {
     if (m_session.ended())
         return;
     const auto self = shared_from_this();
-    m_session.handle(entry_leaving{m_services.drain.plan().end(), checkStart(callerRequest())});
+    handleLeaving();
     if (!m_session.ended())
         startDeadlineTimer();
     finishIfEnded();
--- a/src/yuccascale/http/caller_session.hpp
+++ b/src/yuccascale/http/caller_session.hpp
@@ -37,6 +37,7 @@
     void assignEndpoint(kernel::requests::endpoint_assignment assignment);
     void startDeadlineTimer();
     void onDeadlineTimer();
+    void handleLeaving();
     void checkBeforeSend(int attempt);
     void finishIfEnded();
 
--- a/src/yuccascale/kernel/requests/request_session.hpp
+++ b/src/yuccascale/kernel/requests/request_session.hpp
@@ -91,6 +91,10 @@
     {
         return m_lifecycle.state() == request_state::Ended;
     }
+    [[nodiscard]] bool queued() const noexcept
+    {
+        return m_lifecycle.state() == request_state::Queued;
+    }
     [[nodiscard]] const request &callerRequest() const noexcept
     {
         return m_lifecycle.callerRequest();
