A request past its deadline sets no more timers while its usage is committed

Cause: since the deadline timer is set again, at once, for a request that the deadline does not end: one whose usage or claim is still being committed.

--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -133,11 +133,13 @@
 /// The timer does not count the time that the VM was suspended, and may fire a little early.
 void caller_session::onDeadlineTimer()
 {
-    if (now() >= callerRequest().answerBy())
+    // afterwards nothing waits for the timer, even while usage is still being committed
+    const bool passed = now() >= callerRequest().answerBy();
+    if (passed)
         m_session.handle(deadline_passed{});
     else if (m_services.drain.leaving())
         m_session.handle(entry_leaving{m_services.drain.plan().end(), checkStart(callerRequest())});
-    if (!m_session.ended())
+    if (!passed && !m_session.ended())
         startDeadlineTimer();
     finishIfEnded();
 }
--- a/tests/unit/http_shutdown_test.cpp
+++ b/tests/unit/http_shutdown_test.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include <condition_variable>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -26,9 +27,11 @@
 
 constexpr const char *callerKey = "yk_mehta";
 constexpr milliseconds shutdownLimit{8'000};
-/// The deadlines of the two routes.
+/// The deadlines of the routes.
 constexpr milliseconds longDeadline{20'000};
 constexpr milliseconds shortDeadline{2'000};
+/// A deadline that passes during a test, since timers do not use the test clock.
+constexpr milliseconds briefDeadline{30};
 
 class null_event_sink final : public kernel::event_sink
 {
@@ -165,7 +168,9 @@
         kernel::state::route query{"query", "engines"};
         query.deadlineMs = shortDeadline.count();
         edit.putPools = {pool};
-        edit.putRoutes = {appraisal, query};
+        kernel::state::route brief{"brief", "engines"};
+        brief.deadlineMs = briefDeadline.count();
+        edit.putRoutes = {appraisal, query, brief};
         edit.putOrganisations = {{"mehta", 1.0}};
         edit.putKeys = {{"k1", "mehta", kernel::requests::digestOf(callerKey)}};
         ASSERT_TRUE(m_control.edit(edit).accepted);
@@ -205,6 +210,18 @@
         return caller.readUntil("", 5'000);
     }
 
+    /// Lets each loop run whatever is due \a turns times.
+    void turnLoops(int turns)
+    {
+        for (std::size_t index = 0; index < m_loops.size(); ++index) {
+            for (int turn = 0; turn < turns; ++turn) {
+                std::promise<void> turned;
+                boost::asio::post(m_loops.at(index), [&turned] { turned.set_value(); });
+                turned.get_future().wait();
+            }
+        }
+    }
+
     fakes::manual_clock m_clock;
     bool m_othersExist = true;
     runtime::settings m_settings;
@@ -352,4 +369,36 @@
     EXPECT_EQ(m_server->addresses().size(), 1U);
 }
 
+/// Guards against a loop that does nothing but fire the timer of a request past its deadline.
+TEST_F(leaving_entry, doesNotSpinWhileUsageIsCommittedAfterTheDeadline)
+{
+    held_engine engine;
+    engine.releaseAll();
+    std::promise<void> submitted;
+    std::promise<void> released;
+    start(engine);
+    m_control.setFaults(
+            [&, first = std::make_shared<std::atomic<bool>>(true)](
+                    const kernel::state::command &) -> kernel::result<void> {
+                if (first->exchange(false)) {
+                    submitted.set_value();
+                    released.get_future().wait();
+                }
+                return {};
+            },
+            nullptr);
+    const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
+    caller.send(requestText("brief"));
+    submitted.get_future().wait();
+    m_clock.advance(briefDeadline + milliseconds(1));
+    const auto timerFired = std::chrono::steady_clock::now() + 2 * briefDeadline;
+    while (std::chrono::steady_clock::now() < timerFired)
+        turnLoops(100);
+    constexpr int turns = 2'000;
+    const std::size_t before = m_clock.reads();
+    turnLoops(turns);
+    EXPECT_LT(m_clock.reads() - before, turns / 10U);
+    released.set_value();
+}
+
 } // namespace yuccascale::http
