A caller that pipelines without end cannot put off a planned close

Cause: since a connection stays open while any byte of a next request is there, also of requests that began to arrive after the shutdown. Change: the bytes received by the first answer of a planned close are remembered; requests that begin behind them are not answered. Result: the test passes, as does leaving_entry.answersAPipelinedRequestThatItReceivedBeforeItCloses.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -183,7 +183,9 @@
 error_code http_server::connection::receive()
 {
     error_code problem;
-    m_buffer.commit(m_socket.read_some(m_buffer.prepare(readChunkBytes), problem));
+    const std::size_t count = m_socket.read_some(m_buffer.prepare(readChunkBytes), problem);
+    m_buffer.commit(count);
+    m_receivedBytes += count;
     return problem;
 }
 
@@ -205,7 +207,9 @@
     }
     while (m_phase == phase::Reading && m_buffer.size() > 0) {
         error_code problem;
-        m_buffer.consume(m_parser->put(m_buffer.data(), problem));
+        const std::size_t count = m_parser->put(m_buffer.data(), problem);
+        m_buffer.consume(count);
+        m_parsedBytes += count;
         if (m_parser->is_header_done() && !checkHeader())
             return;
         if (problem == http::error::need_more)
@@ -277,10 +281,15 @@
     return m_phase == phase::Answering && exchangeNumber == m_exchangeNumber;
 }
 
-/// A request of which bytes were received is answered before a planned close.
-bool http_server::connection::closesAfterAnswer() const noexcept
+/// Requests of which bytes were received before the first answer of a planned close are answered,
+/// but no later ones, so that a caller cannot put off the close.
+bool http_server::connection::closesAfterAnswer() noexcept
 {
-    return !m_keepAlive || (m_shared->closing && m_buffer.size() == 0);
+    if (!m_shared->closing)
+        return !m_keepAlive;
+    if (!m_closeAfterBytes)
+        m_closeAfterBytes = m_receivedBytes;
+    return !m_keepAlive || m_parsedBytes >= *m_closeAfterBytes;
 }
 
 void http_server::connection::reply(const http_reply &answer)
--- a/src/yuccascale/net/http_connection.hpp
+++ b/src/yuccascale/net/http_connection.hpp
@@ -120,7 +120,7 @@
     void shutdownAfterWrite();
     void handleCallerLeft();
     void setDeadline(kernel::milliseconds timeout);
-    [[nodiscard]] bool closesAfterAnswer() const noexcept;
+    [[nodiscard]] bool closesAfterAnswer() noexcept;
     void setPhase(phase next);
     void countAnswering();
 
@@ -132,6 +132,9 @@
     phase m_phase = phase::Idle;
     bool m_countedAsAnswering = false;
     boost::beast::flat_buffer m_buffer;
+    std::uint64_t m_receivedBytes = 0;
+    std::uint64_t m_parsedBytes = 0;
+    std::optional<std::uint64_t> m_closeAfterBytes; ///< of a planned close
     std::optional<request_parser> m_parser;
     bool m_headerChecked = false;
     bool m_reading = false;
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <future>
+#include <thread>
 #include <vector>
 
 namespace yuccascale::net {
@@ -65,6 +66,10 @@
             exchange->onCallerDisconnected([this, exchange] { m_callerLeft.set_value(); });
             return;
         }
+        if (request.target == "/large") {
+            constexpr std::size_t moreThanIsQueued = 5U << 20U;
+            return exchange->reply({200, {}, std::string(moreThanIsQueued, 'x')});
+        }
         exchange->reply({200, {}, request.target + " " + request.body});
     }
 
@@ -158,6 +163,33 @@
     EXPECT_EQ(m_served, 1);
 }
 
+/// Guards against a planned close that a caller puts off by sending request after request.
+TEST_F(http_server_test, closesAConnectionThatPipelinesWithoutEnd)
+{
+    constexpr int batch = 100;
+    constexpr std::size_t muchReceived = 20U << 20U;
+    std::string requests;
+    for (int number = 0; number < batch; ++number)
+        requests += "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    const fakes::raw_peer caller = fakes::raw_peer::connect(m_port);
+    std::atomic<bool> ended{false};
+    std::thread flood([&] {
+        while (!ended)
+            caller.send(requests);
+    });
+    std::size_t received = caller.readUntil("/a ").size();
+    m_server.closeAfterAnswers();
+    std::string last;
+    while (received < muchReceived && last.find("Connection: close") == std::string::npos) {
+        last = caller.readUntil("/a ");
+        received += last.size();
+    }
+    EXPECT_LT(received, muchReceived);
+    ended = true;
+    m_server.stop();
+    flood.join();
+}
+
 TEST_F(http_server_test, acceptsManyConnectionsAtOnce)
 {
     constexpr std::size_t callers = 300;
