A connection that closes while it is answered is counted off once

Callers of an entry that had closed a few connections in the middle of a long answer got 503 "the maximum of open connections is reached" for every request from then on, until the entry was started again. Cause: reply() closes the connection when more than 4 MiB wait to be sent, and then ended the answer as if it were open; the second close counted it off again, below zero. A node that ends also waited for connections that did not exist. Evidence: http_server_test.servesOthersAfterAnswersThatAreTooLongToQueue was red on (503; 2^64 - 1 connections). Change: the end of an answer does nothing on a closed connection.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -347,6 +347,8 @@
 void http_server::connection::onAnswerEnd()
 {
     m_onCallerDisconnected = nullptr;
+    if (m_phase == phase::Closed)
+        return;
     if (!m_keepAlive) {
         setPhase(phase::Ending);
         setDeadline(lingerTimeout);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr std::size_t moreThanIsQueued = 5U << 20U;
+
 /// A server that answers each request with its target and body.
 class http_server_test : public testing::Test
 {
@@ -67,7 +69,6 @@
             return;
         }
         if (request.target == "/large") {
-            constexpr std::size_t moreThanIsQueued = 5U << 20U;
             return exchange->reply({200, {}, std::string(moreThanIsQueued, 'x')});
         }
         exchange->reply({200, {}, request.target + " " + request.body});
@@ -163,6 +164,17 @@
     EXPECT_EQ(m_served, 1);
 }
 
+/// Guards against connections that are counted off twice, after which every new one is refused.
+TEST_F(http_server_test, servesOthersAfterAnswersThatAreTooLongToQueue)
+{
+    const std::string request = "GET /large HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (int time = 0; time < 3; ++time)
+        static_cast<void>(ask(request + request + request + request));
+    const std::string answer = ask("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    EXPECT_LE(m_server.connections(), 1U);
+}
+
 /// Guards against a planned close that a caller puts off by sending request after request.
 TEST_F(http_server_test, closesAConnectionThatPipelinesWithoutEnd)
 {
