An answer longer than 4 MiB is sent

Callers got no answer and a closed connection when the endpoint had answered with more than 4 MiB (LOST: passed on, and closed without an answer). Cause: the limit of what may wait for a slow caller was applied after the new bytes were queued, so that one long answer alone exceeded it and was dropped, whatever the caller read. Evidence: http_server_test.sendsAnswersThatAreLongerThanWhatIsQueuedForASlowCaller was red (0 bytes received). Change: the limit is compared with what is already queued; memory stays bounded by the limit and one answer. Result: http_server_test.* passes.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -15,7 +15,8 @@
 constexpr std::size_t readChunkBytes = 24U << 10U;
 /// Bytes of a caller's next requests that are read before its current answer has ended.
 constexpr std::size_t maxReadAheadBytes = 64U << 10U;
-/// Bytes of an answer that are queued for a slow caller; with more the connection is closed.
+/// With more bytes queued for a slow caller, the connection is closed before others are queued. One
+/// answer may be longer.
 constexpr std::size_t maxUnsentBytes = 4U << 20U;
 /// A buffer that grew beyond this is freed after its request.
 constexpr std::size_t maxRetainedBufferBytes = 4U << 10U;
@@ -366,9 +367,9 @@
 
 void http_server::connection::write(std::string_view bytes)
 {
-    m_unsent += bytes;
     if (m_unsent.size() > maxUnsentBytes)
         return handleCallerLeft();
+    m_unsent += bytes;
     flush();
 }
 
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -175,6 +175,13 @@
     EXPECT_LE(m_server.connections(), 1U);
 }
 
+/// Guards against a whole answer that is dropped because of its length.
+TEST_F(http_server_test, sendsAnswersThatAreLongerThanWhatIsQueuedForASlowCaller)
+{
+    const std::string answer = ask("GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    EXPECT_GT(answer.size(), moreThanIsQueued);
+}
+
 /// Guards against a planned close that a caller puts off by sending request after request.
 TEST_F(http_server_test, closesAConnectionThatPipelinesWithoutEnd)
 {
