What a leaving entry begins is judged by the time from sending to the end

Cause: the longest answer was taken from arrival, queue included, and compared again when the request was sent; a timed-out request counted as an answer. Change: answer times run from sending and hold answers only; a node that closes waits for what it owes until the end of its plan; the wait for address lists ends with the plan. Evidence: read by the reviewer, no test of its own.

--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -24,9 +24,8 @@
 /// Callers that get no newer address list use the last one for up to this many times its time to
 /// live.
 constexpr int addressTtlFactor = 3;
-/// Part of the shutdown time limit that remains when the wait for callers with an older address
-/// list ends.
-constexpr milliseconds shutdownReserve{1'500};
+/// Part of the shutdown time limit that remains when usage is no longer waited for.
+constexpr milliseconds usageReserve{1'500};
 
 [[nodiscard]] net::http_limits limitsFrom(const runtime::http_settings &settings)
 {
@@ -332,7 +331,7 @@
     const milliseconds shutdownLimit = m_dependencies.settings.promises.shutdown;
     if (shutdownLimit.count() > 0)
         m_services.commits.setUsageDeadline(m_dependencies.clock.now() + shutdownLimit
-                                            - shutdownReserve);
+                                            - usageReserve);
     m_dependencies.events.record(entryLeaving, {{"node", m_dependencies.settings.node}});
 }
 
@@ -343,7 +342,8 @@
     const milliseconds shutdownLimit = m_dependencies.settings.promises.shutdown;
     if (shutdownLimit.count() == 0)
         return m_dependencies.settings.http.addressTtl;
-    return std::min(gracePeriod, std::max(shutdownLimit - shutdownReserve, milliseconds(0)));
+    const kernel::nanoseconds timeLeft = m_services.drain.plan().end() - m_services.drain.since();
+    return std::min(gracePeriod, std::chrono::floor<milliseconds>(timeLeft));
 }
 
 bool caller_server::implementation::drained() const
--- a/src/yuccascale/kernel/policy/answer_times.cpp
+++ b/src/yuccascale/kernel/policy/answer_times.cpp
@@ -13,8 +13,7 @@
 
 } // namespace
 
-/// \returns the current period, after ending one that is over.
-answer_times::period &answer_times::at(instant now) noexcept
+void answer_times::answered(instant now, nanoseconds time) noexcept
 {
     if (m_current.used && now - m_current.from >= periodLength) {
         m_last = m_current;
@@ -22,20 +21,8 @@
     }
     if (!m_current.used)
         m_current = {now, {}, 0, true};
-    return m_current;
-}
-
-void answer_times::answered(instant now, nanoseconds time) noexcept
-{
-    period &current = at(now);
-    current.longest = std::max(current.longest, time);
-    ++current.answers;
-}
-
-void answer_times::ended(instant now, nanoseconds time) noexcept
-{
-    period &current = at(now);
-    current.longest = std::max(current.longest, time);
+    m_current.longest = std::max(m_current.longest, time);
+    ++m_current.answers;
 }
 
 std::optional<nanoseconds> answer_times::longest(instant now) const noexcept
--- a/src/yuccascale/kernel/policy/answer_times.hpp
+++ b/src/yuccascale/kernel/policy/answer_times.hpp
@@ -13,13 +13,9 @@
 class answer_times
 {
 public:
-    /// \param time from a request's arrival to the end of its answer
+    /// \param time from the sending of a request to the end of its answer
     void answered(instant now, nanoseconds time) noexcept;
 
-    /// \param time from a request's arrival to its end without an answer, which would have taken
-    ///        longer
-    void ended(instant now, nanoseconds time) noexcept;
-
     /// \returns the longest time; nothing when only a few requests were answered lately.
     [[nodiscard]] std::optional<nanoseconds> longest(instant now) const noexcept;
 
@@ -33,8 +29,6 @@
         bool used = false;
     };
 
-    [[nodiscard]] period &at(instant now) noexcept;
-
     period m_current;
     period m_last;
 };
--- a/src/yuccascale/kernel/requests/drain_plan.cpp
+++ b/src/yuccascale/kernel/requests/drain_plan.cpp
@@ -25,10 +25,10 @@
     m_end = since + std::max(limit - reserve, nanoseconds::zero());
 }
 
-bool drain_plan::endsInTime(instant now, instant answerBy,
+bool drain_plan::endsInTime(instant now, instant deadline,
                             std::optional<nanoseconds> longestAnswer) const noexcept
 {
-    if (answerBy <= m_end)
+    if (deadline <= m_end)
         return true;
     return longestAnswer && now + *longestAnswer * marginNumerator / marginDenominator <= m_end;
 }
--- a/src/yuccascale/kernel/requests/drain_plan.hpp
+++ b/src/yuccascale/kernel/requests/drain_plan.hpp
@@ -28,11 +28,12 @@
     /// \returns when the last answer must have been sent.
     [[nodiscard]] instant end() const noexcept { return m_end; }
 
-    /// \param answerBy the latest end that the caller and the route allow
-    /// \param longestAnswer time that recent answers of the kind took at most; nothing when none
-    ///        was seen, so that only \a answerBy bounds it
-    /// \returns whether a request that begins now ends before the process.
-    [[nodiscard]] bool endsInTime(instant now, instant answerBy,
+    /// \param deadline the latest end that the caller and the route allow
+    /// \param longestAnswer time that recent answers of the kind took at most once sent; nothing
+    /// when none
+    ///        was seen, so that only \a deadline bounds it
+    /// \returns whether a request that is sent now ends before the process.
+    [[nodiscard]] bool endsInTime(instant now, instant deadline,
                                   std::optional<nanoseconds> longestAnswer) const noexcept;
 
 private:
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -301,7 +301,7 @@
     std::optional<nanoseconds> longest = times->second.longest(now);
     for (const auto &[ticket, running] : m_running) {
         if (longest && running.queued.row.route == route)
-            longest = std::max(*longest, now - running.queued.row.receivedAt);
+            longest = std::max(*longest, now - running.sentAt);
     }
     return longest;
 }
@@ -433,14 +433,9 @@
         findings.breakerOpened
                 = recordFailure(now, running.queued.row.pool, endpoint,
                                 result.crashed || result.unreachable || result.replaced);
-    policy::answer_times &times = m_answerTimes[running.queued.row.route];
-    const nanoseconds sinceArrival = now - running.queued.row.receivedAt;
-    if (result.answered)
-        times.answered(now, sinceArrival);
-    else
-        times.ended(now, sinceArrival);
     if (!result.answered)
         return findings;
+    m_answerTimes[running.queued.row.route].answered(now, now - running.sentAt);
     // without reported usage, assume that the expected tokens were processed
     token_usage usage = result.usage;
     if (usage.promptTokens == 0) {
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -164,7 +164,7 @@
     /// \brief Records the end of an attempt, or releases an assigned endpoint unused.
     finish_findings finish(instant now, std::uint64_t ticket, const attempt_result &result);
 
-    /// \returns the time from arrival to the end that recent requests of a route took at most,
+    /// \returns the time from sending to the end that recent requests of a route took at most,
     ///          those that still run included; nothing when too few were answered.
     [[nodiscard]] std::optional<nanoseconds> longestAnswer(instant now,
                                                            const std::string &route) const;
--- a/src/yuccascale/kernel/requests/request_life.cpp
+++ b/src/yuccascale/kernel/requests/request_life.cpp
@@ -29,7 +29,7 @@
         "crashed",    "doubtful",     "timed_out", "answered",
 };
 
-/// The caller may come back at once, at another entry.
+/// Without a delay: another entry takes the request at once.
 [[nodiscard]] refusal leavingRefusal()
 {
     return {error_kind::NotReady,
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -101,9 +101,9 @@
     [[nodiscard]] std::string metricsText();
     [[nodiscard]] result<void> startAll();
     [[nodiscard]] bool drained(const requests::drain_plan &plan) const;
-    void closeToCallers();
+    void closeToCallers(const requests::drain_plan &plan);
     [[nodiscard]] bool hasConnections() const;
-    void stopAll();
+    void stopAll(const requests::drain_plan &plan);
     [[nodiscard]] node_snapshot snapshot() const;
 
     runtime::settings settings;
@@ -409,22 +409,23 @@
 }
 
 /// Ends what callers and operators see first, while all that it needs still runs.
-void node::parts::closeToCallers()
+void node::parts::closeToCallers(const requests::drain_plan &plan)
 {
     if (callers)
         callers->closeToCallers();
     for (const auto &server : servers)
         server->closeListeners();
     const instant end = clock.now() + closingTimeout;
-    while (hasConnections() && clock.now() < end)
+    // a request may have been taken just before
+    while ((hasConnections() && clock.now() < end) || !drained(plan))
         std::this_thread::sleep_for(closingPollInterval);
     if (callers)
         callers->stop();
 }
 
-void node::parts::stopAll()
+void node::parts::stopAll(const requests::drain_plan &plan)
 {
-    closeToCallers();
+    closeToCallers(plan);
     if (leaderDuties)
         leaderDuties->stop();
     demand->stop();
@@ -491,7 +492,7 @@
     while (!m_parts->drained(plan))
         m_parts->changed.wait_for(lock, drainPollInterval);
     lock.unlock();
-    m_parts->stopAll();
+    m_parts->stopAll(plan);
 }
 
 } // namespace yuccascale::runtime
