runtime: drivers and times of the leader's duties are modules of their own

duties.cpp held two ideas: what the leader does in each round, and how the drivers of external systems are made from the settings. The second needs nothing of a running leader, yet it stood before the first line of the class and its struct before the class in the header.

duty_drivers makes the drivers; duty_times derives the timeouts of orders and usage reports from the settings (both modules read them).

No behaviour changes.

--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -4,6 +4,7 @@
 #include "yuccascale/kernel/orders/permit.hpp"
 #include "yuccascale/kernel/usage/entry_succession.hpp"
 #include "yuccascale/kernel/usage/events.hpp"
+#include "yuccascale/runtime/duty_times.hpp"
 
 #include <algorithm>
 #include <set>
@@ -14,7 +15,6 @@
 using namespace kernel::orders;
 using kernel::error_kind;
 using kernel::instant;
-using kernel::nanoseconds;
 using kernel::result;
 using std::chrono::milliseconds;
 
@@ -25,32 +25,6 @@
 constexpr milliseconds listInterval{1'000};
 constexpr milliseconds submitTimeout{3'000};
 
-order_times orderTimes(const settings &config)
-{
-    order_times times;
-    times.orderLifetime = config.control.orderLifetime;
-    times.drainPropagationTime = config.control.freshness + config.control.feedInterval;
-    times.sendTimeout = std::min<nanoseconds>(times.sendTimeout, config.control.lease / 2);
-    return times;
-}
-
-kernel::usage::usage_times usageTimes(const settings &config)
-{
-    kernel::usage::usage_times times;
-    times.window = config.platform.usageWindow;
-    times.sendTimeout = orderTimes(config).sendTimeout;
-    return times;
-}
-
-driver_settings driverSettings(const settings &config, const std::string &address)
-{
-    driver_settings driver;
-    driver.address = address;
-    driver.nodeName = config.node;
-    driver.sendTimeout = std::chrono::duration_cast<milliseconds>(orderTimes(config).sendTimeout);
-    return driver;
-}
-
 template<typename Policy>
 std::function<std::unique_ptr<Policy>()> policyFactory(const std::string &name)
 {
@@ -87,44 +61,8 @@
     return outcome;
 }
 
-template<typename Driver, typename... Arguments>
-result<void> makeDriver(std::unique_ptr<Driver> &driver, std::string_view name,
-                        Arguments... arguments)
-{
-    using registry = kernel::plugin_registry<Driver, Arguments...>;
-    BOOST_LEAF_ASSIGN(driver, registry::make(name, arguments...));
-    return {};
-}
-
 } // namespace
 
-result<duty_drivers> makeDutyDrivers(const settings &config)
-{
-    duty_drivers drivers;
-    const auto settingsAt
-            = [&](const std::string &address) { return driverSettings(config, address); };
-    const platform_settings &platform = config.platform;
-    result<void> status = makeDriver(drivers.engines, "http_engine", settingsAt({}));
-    if (status)
-        status = makeDriver(drivers.loads, "http", settingsAt({}));
-    if (status && !platform.endpointList.empty())
-        status = makeDriver(drivers.endpoints, platform.drivers, settingsAt(platform.endpointList));
-    if (status && !platform.endpointCounts.empty())
-        status = makeDriver(drivers.counts, platform.drivers, settingsAt(platform.endpointCounts));
-    if (status && !platform.endpointOrders.empty())
-        status = makeDriver(drivers.platform, "http_platform", settingsAt(platform.endpointOrders));
-    if (status && (!platform.endpointOrders.empty() || !platform.vmList.empty()))
-        status = makeDriver(drivers.platformReader, "http", settingsAt(platform.vmList),
-                            settingsAt(platform.endpointOrders));
-    if (status && !platform.weightStore.empty())
-        status = makeDriver(drivers.weights, "http", settingsAt(platform.weightStore));
-    if (status && !platform.usageReports.empty())
-        status = makeDriver(drivers.usage, platform.drivers, settingsAt(platform.usageReports));
-    if (!status)
-        return status.error();
-    return drivers;
-}
-
 leader_duties::leader_duties(duty_context context, duty_drivers drivers)
     : m_context(std::move(context))
     , m_drivers(std::move(drivers))
--- a/src/yuccascale/runtime/duties.hpp
+++ b/src/yuccascale/runtime/duties.hpp
@@ -8,6 +8,7 @@
 #include "yuccascale/kernel/state/leader_view.hpp"
 #include "yuccascale/kernel/usage/window_reporter.hpp"
 #include "yuccascale/runtime/duties_workers.hpp"
+#include "yuccascale/runtime/duty_drivers.hpp"
 #include "yuccascale/runtime/periodic_task.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
@@ -22,22 +23,6 @@
 
 namespace yuccascale::runtime {
 
-/// \brief The drivers of external systems; null where the settings turn one off.
-struct duty_drivers
-{
-    std::unique_ptr<kernel::orders::order_target> engines;
-    std::unique_ptr<kernel::orders::load_source> loads;
-    std::unique_ptr<kernel::orders::order_target> platform;
-    std::unique_ptr<kernel::orders::platform_reader> platformReader;
-    std::unique_ptr<kernel::orders::weight_store> weights;
-    std::unique_ptr<kernel::orders::usage_sink> usage;
-    std::unique_ptr<kernel::orders::endpoint_lister> endpoints;
-    std::unique_ptr<kernel::orders::endpoint_scaler> counts;
-};
-
-/// \returns the drivers for the addresses in the settings.
-[[nodiscard]] kernel::result<duty_drivers> makeDutyDrivers(const settings &settings);
-
 /// \brief The parts of the node that leader_duties uses.
 struct duty_context
 {
