leader_duties: one function proposes commands, one records refusals

The call that proposes a command to the log stood three times in duties.cpp, and the record of a refused one twice, with the same nested choice between the answer's message and the error's.

propose() runs the call on a worker and recordRefusal() writes the event; the three places keep only what they do with the outcome. submit() says in its comment what it adds: its outcome is awaited before the next round's commands.

No behaviour changes.

--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -61,6 +61,21 @@
     return outcome;
 }
 
+using submit_outcome = call_outcome<kernel::state::command_result>;
+
+bool isAccepted(const submit_outcome &outcome)
+{
+    return outcome.answer && outcome.answer->accepted;
+}
+
+void recordRefusal(kernel::event_sink &events, const submit_outcome &outcome)
+{
+    if (isAccepted(outcome))
+        return;
+    const std::string &message = outcome.answer ? outcome.answer->message : outcome.failure.message;
+    events.record(commandRefused, {{"message", message}});
+}
+
 } // namespace
 
 leader_duties::leader_duties(duty_context context, duty_drivers drivers)
@@ -124,6 +139,16 @@
             });
 }
 
+template<typename Handler>
+void leader_duties::propose(kernel::state::command command, Handler onDone)
+{
+    runOnWorker(
+            [this, command = std::move(command)] {
+                return m_context.control.submit(command, m_context.clock.now() + submitTimeout);
+            },
+            std::move(onDone));
+}
+
 order_target *leader_duties::targetAt(const std::string &address) const
 {
     return address.empty() ? m_drivers.platform.get() : m_drivers.engines.get();
@@ -207,19 +232,9 @@
 
 void leader_duties::execute(submit_command action)
 {
-    runOnWorker(
-            [this, command = std::move(action.command)] {
-                return m_context.control.submit(command, m_context.clock.now() + submitTimeout);
-            },
-            [this,
-             ticket = action.ticket](const call_outcome<kernel::state::command_result> &outcome) {
-                const bool accepted = outcome.answer && outcome.answer->accepted;
-                if (!accepted) {
-                    m_context.events.record(
-                            commandRefused,
-                            {{"message",
-                              outcome.answer ? outcome.answer->message : outcome.failure.message}});
-                }
+    propose(std::move(action.command),
+            [this, ticket = action.ticket](const submit_outcome &outcome) {
+                recordRefusal(m_context.events, outcome);
                 m_orderDriver.onSubmitResult(m_context.clock.now(), ticket);
             });
 }
@@ -227,14 +242,10 @@
 void leader_duties::executeUsage(kernel::usage::usage_action action)
 {
     if (auto *submission = std::get_if<submit_command>(&action)) {
-        runOnWorker(
-                [this, command = std::move(submission->command)] {
-                    return m_context.control.submit(command, m_context.clock.now() + submitTimeout);
-                },
-                [this, ticket = submission->ticket](
-                        const call_outcome<kernel::state::command_result> &outcome) {
-                    const bool accepted = outcome.answer && outcome.answer->accepted;
-                    m_usageReporter.onSubmitResult(m_context.clock.now(), ticket, accepted);
+        propose(std::move(submission->command),
+                [this, ticket = submission->ticket](const submit_outcome &outcome) {
+                    m_usageReporter.onSubmitResult(m_context.clock.now(), ticket,
+                                                   isAccepted(outcome));
                 });
         return;
     }
@@ -284,20 +295,10 @@
 void leader_duties::submit(kernel::state::command command)
 {
     ++m_pendingSubmits;
-    runOnWorker(
-            [this, command = std::move(command)] {
-                return m_context.control.submit(command, m_context.clock.now() + submitTimeout);
-            },
-            [this](const call_outcome<kernel::state::command_result> &outcome) {
-                --m_pendingSubmits;
-                const bool accepted = outcome.answer && outcome.answer->accepted;
-                if (!accepted) {
-                    m_context.events.record(
-                            commandRefused,
-                            {{"message",
-                              outcome.answer ? outcome.answer->message : outcome.failure.message}});
-                }
-            });
+    propose(std::move(command), [this](const submit_outcome &outcome) {
+        --m_pendingSubmits;
+        recordRefusal(m_context.events, outcome);
+    });
 }
 
 void leader_duties::readVmsAndOffers(instant now)
--- a/src/yuccascale/runtime/duties.hpp
+++ b/src/yuccascale/runtime/duties.hpp
@@ -81,7 +81,6 @@
     void orderEndpointCounts(const kernel::leadership &leadership,
                              const std::vector<kernel::feed::listed_endpoint> &endpointList);
     void markLeavingEndpoints(const std::vector<kernel::orders::vm_row> &vms);
-    void submit(kernel::state::command command);
     [[nodiscard]] kernel::orders::order_target *targetAt(const std::string &address) const;
     [[nodiscard]] kernel::orders::send_permit permitFor(std::uint64_t fence,
                                                         kernel::instant decidedAt) const;
@@ -91,6 +90,14 @@
     template<typename Call, typename Handler>
     void runOnWorker(Call call, Handler onDone);
 
+    /// Proposes a command to the log on a worker.
+    template<typename Handler>
+    void propose(kernel::state::command command, Handler onDone);
+
+    /// Proposes a command whose outcome is awaited before the next retirements, fleet decisions and
+    /// reads of the VM list.
+    void submit(kernel::state::command command);
+
     duty_context m_context;
     duty_drivers m_drivers;
     kernel::orders::order_driver m_orderDriver;
