replicated_log: what waits for its thread is a module of its own

log_inbox holds them behind open(), close(), stop(), addMessage(), addProposal(), addRead() and take(); the log no longer sees the mutex. Bounds and error messages are moved unchanged.

No behaviour changes.

--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-constexpr std::size_t maxInboxMessages = 8'192;
-constexpr std::size_t maxInboxRequests = 8'192;
 constexpr std::size_t maxPayloadBytes = 16U << 20U;
 /// Between two attempts to reopen the data folder after a disk failure.
 constexpr kernel::milliseconds reopenInterval{500};
@@ -85,6 +83,7 @@
     , m_clock(clock)
     , m_events(events)
     , m_consumer(consumer)
+    , m_inbox(m_settings.self)
     , m_pendingProposals(m_settings.self)
 {
     m_status.role = "stopped";
@@ -105,10 +104,7 @@
     m_initialState = m_consumer.snapshot();
     BOOST_LEAF_CHECK(openStore());
     publishStatus();
-    {
-        const std::lock_guard lock(m_inboxMutex);
-        m_running = true;
-    }
+    m_inbox.open();
     m_thread = std::thread([this] { run(); });
     return {};
 }
@@ -134,12 +130,7 @@
 
 void replicated_log::stop()
 {
-    {
-        const std::lock_guard lock(m_inboxMutex);
-        m_running = false;
-        m_stopping = true;
-    }
-    m_inboxChanged.notify_all();
+    m_inbox.stop();
     if (m_thread.joinable())
         m_thread.join();
 }
@@ -151,29 +142,7 @@
         m_events.record(messageRefused, {{"peer", peer}});
         return;
     }
-    const std::lock_guard lock(m_inboxMutex);
-    if (!m_running || m_inbox.messages.size() >= maxInboxMessages)
-        return;
-    m_inbox.messages.push_back(std::move(*decoded));
-    m_inboxChanged.notify_all();
-}
-
-result<std::string> replicated_log::enqueue(std::vector<log_request_pointer> inbox::*queue,
-                                            std::string payload, instant deadline)
-{
-    const auto request = std::make_shared<log_request>(std::move(payload));
-    {
-        const std::lock_guard lock(m_inboxMutex);
-        if (!m_running)
-            return fail(error_kind::Unavailable, m_settings.self,
-                        "this replica is stopped; retry at another node");
-        if ((m_inbox.*queue).size() >= maxInboxRequests)
-            return fail(error_kind::Overloaded, m_settings.self,
-                        std::to_string(maxInboxRequests) + " requests already wait; retry later");
-        (m_inbox.*queue).push_back(request);
-    }
-    m_inboxChanged.notify_all();
-    return request->wait(deadline - m_clock.now(), m_settings.self);
+    m_inbox.addMessage(std::move(*decoded));
 }
 
 result<std::string> replicated_log::propose(std::string payload, instant deadline)
@@ -184,12 +153,16 @@
                             + " bytes, more than the limit of " + std::to_string(maxPayloadBytes)
                             + "; split it");
     }
-    return enqueue(&inbox::proposals, std::move(payload), deadline);
+    const auto request = std::make_shared<log_request>(std::move(payload));
+    BOOST_LEAF_CHECK(m_inbox.addProposal(request));
+    return request->wait(deadline - m_clock.now(), m_settings.self);
 }
 
 result<void> replicated_log::confirmLeadership(instant deadline)
 {
-    BOOST_LEAF_CHECK(enqueue(&inbox::reads, {}, deadline));
+    const auto request = std::make_shared<log_request>(std::string());
+    BOOST_LEAF_CHECK(m_inbox.addRead(request));
+    BOOST_LEAF_CHECK(request->wait(deadline - m_clock.now(), m_settings.self));
     return {};
 }
 
@@ -227,8 +200,8 @@
 /// \returns the reason why it ended.
 std::string replicated_log::runUntilFailure()
 {
-    inbox input;
-    while (takeInbox(input)) {
+    log_inbox::content input;
+    while (m_inbox.take(input, m_replica->nextTick() - m_clock.now())) {
         handle(input);
         kernel::error problem;
         const bool executed = kernel::succeeded(
@@ -254,39 +227,18 @@
 /// \returns false once the log is stopped.
 bool replicated_log::waitToReopen()
 {
-    while (true) {
-        {
-            std::unique_lock lock(m_inboxMutex);
-            m_inboxChanged.wait_for(lock, reopenInterval, [&] { return m_stopping; });
-            if (m_stopping)
-                return false;
-        }
+    while (!m_inbox.waitForStop(reopenInterval)) {
         kernel::error problem;
         if (!kernel::succeeded([&] { return openStore(); }, problem))
             continue;
         m_events.record(storeReopened, {{"folder", m_settings.dataFolder}});
-        const std::lock_guard lock(m_inboxMutex);
-        m_running = true;
+        m_inbox.open();
         return true;
     }
+    return false;
 }
 
-/// Waits for messages, requests or the next tick.
-/// \returns false once the log is stopped.
-bool replicated_log::takeInbox(inbox &input)
-{
-    input = {};
-    const kernel::nanoseconds pause = m_replica->nextTick() - m_clock.now();
-    std::unique_lock lock(m_inboxMutex);
-    m_inboxChanged.wait_for(lock, pause, [&] {
-        return !m_running || !m_inbox.messages.empty() || !m_inbox.proposals.empty()
-                || !m_inbox.reads.empty();
-    });
-    std::swap(input, m_inbox);
-    return m_running;
-}
-
-void replicated_log::handle(inbox &input)
+void replicated_log::handle(const log_inbox::content &input)
 {
     const instant now = m_clock.now();
     for (const message &received : input.messages)
@@ -481,12 +433,7 @@
 
 void replicated_log::failPendingRequests(const std::string &reason)
 {
-    inbox remaining;
-    {
-        const std::lock_guard lock(m_inboxMutex);
-        m_running = false;
-        std::swap(remaining, m_inbox);
-    }
+    const log_inbox::content remaining = m_inbox.close();
     const kernel::error notRun{error_kind::Unavailable, m_settings.self, reason};
     for (const log_request_pointer &request : remaining.proposals)
         request->fail(notRun);
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -6,10 +6,10 @@
 #include "yuccascale/kernel/events.hpp"
 #include "yuccascale/kernel/leadership.hpp"
 #include "yuccascale/kernel/transport.hpp"
+#include "yuccascale/runtime/log_inbox.hpp"
 #include "yuccascale/runtime/log_request.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
-#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -121,23 +121,12 @@
     [[nodiscard]] replicated_log_status status() const;
 
 private:
-    struct inbox
-    {
-        std::vector<kernel::consensus::message> messages;
-        std::vector<log_request_pointer> proposals;
-        std::vector<log_request_pointer> reads;
-    };
-
     void receive(std::string_view peer, std::string_view payload);
-    [[nodiscard]] kernel::result<std::string>
-    enqueue(std::vector<log_request_pointer> inbox::*queue, std::string payload,
-            kernel::instant deadline);
     [[nodiscard]] kernel::result<void> openStore();
     void run();
     [[nodiscard]] std::string runUntilFailure();
     [[nodiscard]] bool waitToReopen();
-    [[nodiscard]] bool takeInbox(inbox &input);
-    void handle(inbox &input);
+    void handle(const log_inbox::content &input);
     void handleProposal(const log_request_pointer &proposal);
     void handleRead(const log_request_pointer &read, kernel::instant now);
     [[nodiscard]] kernel::result<bool> executeActions();
@@ -159,11 +148,7 @@
     kernel::event_sink &m_events;
     log_consumer &m_consumer;
 
-    std::mutex m_inboxMutex;
-    std::condition_variable m_inboxChanged;
-    inbox m_inbox;
-    bool m_running = false;
-    bool m_stopping = false;
+    log_inbox m_inbox;
     std::string m_initialState; ///< snapshot of the consumer before the first entry
 
     // used only by the thread
