replicated_log: the published status is a module of its own

The other half of what stood beside the log's thread: how a replica's state becomes the operators' status (role names, member names) and the copy of it and of the leadership that other threads read, with a second mutex. The rule that ends a leadership with an event stood twice.

log_status has statusOf() and published_log_status, which records the event in one place.

No behaviour changes.

--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -32,32 +32,6 @@
     return (milliseconds << randomBits) | (std::random_device{}() & 0xffffU);
 }
 
-std::string roleName(replica_role role)
-{
-    switch (role) {
-    case replica_role::Joining:
-        return "joining";
-    case replica_role::Learner:
-        return "learner";
-    case replica_role::Follower:
-        return "follower";
-    case replica_role::Candidate:
-        return "candidate";
-    case replica_role::Leader:
-        return "leader";
-    }
-    return {};
-}
-
-std::vector<std::string> namesOf(const std::vector<member_id> &members)
-{
-    std::vector<std::string> names;
-    names.reserve(members.size());
-    for (const member_id &member : members)
-        names.push_back(member.name);
-    return names;
-}
-
 replica_config configOf(const replicated_log_settings &settings, std::uint64_t incarnation)
 {
     replica_config config;
@@ -85,8 +59,8 @@
     , m_consumer(consumer)
     , m_inbox(m_settings.self)
     , m_pendingProposals(m_settings.self)
+    , m_published(events)
 {
-    m_status.role = "stopped";
     m_transport.handle(kernel::channel::Consensus,
                        [this](std::string_view peer, std::string_view payload) {
                            receive(peer, payload);
@@ -168,29 +142,24 @@
 
 std::string replicated_log::leader() const
 {
-    const std::lock_guard lock(m_publishedMutex);
-    return m_status.leader;
+    return m_published.leader();
 }
 
 std::optional<kernel::leadership> replicated_log::current(instant now) const
 {
-    const std::lock_guard lock(m_publishedMutex);
-    if (!m_leadership || now >= m_leadership->leaseEnd)
-        return std::nullopt;
-    return m_leadership;
+    return m_published.leadershipAt(now);
 }
 
 replicated_log_status replicated_log::status() const
 {
-    const std::lock_guard lock(m_publishedMutex);
-    return m_status;
+    return m_published.status();
 }
 
 void replicated_log::run()
 {
     while (true) {
         const std::string reason = runUntilFailure();
-        publishStoppedStatus(reason);
+        m_published.publishStopped(reason, m_clock.now());
         failPendingRequests(reason);
         if (!waitToReopen())
             return;
@@ -382,53 +351,14 @@
 /// lets another replica become leader.
 void replicated_log::revokeLostLeadership()
 {
-    if (m_replica->role() == replica_role::Leader)
-        return;
-    std::optional<kernel::leadership> previous;
-    {
-        const std::lock_guard lock(m_publishedMutex);
-        previous = std::exchange(m_leadership, std::nullopt);
-    }
-    if (previous)
-        m_events.record(authorityLost, {{"fence", previous->fence}});
+    if (m_replica->role() != replica_role::Leader)
+        m_published.revokeLeadership();
 }
 
 void replicated_log::publishStatus()
 {
     const instant now = m_clock.now();
-    const std::optional<kernel::leadership> leadership = m_replica->leadershipAt(now);
-    replicated_log_status newStatus;
-    newStatus.term = m_replica->term();
-    newStatus.role = roleName(m_replica->role());
-    newStatus.leader = m_replica->leader();
-    newStatus.commitIndex = m_replica->commitIndex();
-    newStatus.appliedIndex = m_applied;
-    newStatus.entriesInMemory = m_replica->log().lastIndex() - m_replica->log().baseIndex();
-    newStatus.degraded = m_replica->degradedReasons(now);
-    newStatus.voters = namesOf(m_replica->log().members().voters);
-    newStatus.learners = namesOf(m_replica->log().members().learners);
-
-    std::optional<kernel::leadership> previous;
-    {
-        const std::lock_guard lock(m_publishedMutex);
-        const bool unchanged
-                = newStatus.role == m_status.role && newStatus.leader == m_status.leader;
-        newStatus.stateSince = unchanged ? m_status.stateSince : now;
-        previous = std::exchange(m_leadership, leadership);
-        m_status = std::move(newStatus);
-    }
-    if (previous && !leadership)
-        m_events.record(authorityLost, {{"fence", previous->fence}});
-}
-
-void replicated_log::publishStoppedStatus(const std::string &reason)
-{
-    const std::lock_guard lock(m_publishedMutex);
-    m_leadership.reset();
-    m_status.role = "stopped";
-    m_status.leader.clear();
-    m_status.stateSince = m_clock.now();
-    m_status.degraded = {reason};
+    m_published.publish(statusOf(*m_replica, m_applied, now), m_replica->leadershipAt(now), now);
 }
 
 void replicated_log::failPendingRequests(const std::string &reason)
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -8,11 +8,11 @@
 #include "yuccascale/kernel/transport.hpp"
 #include "yuccascale/runtime/log_inbox.hpp"
 #include "yuccascale/runtime/log_request.hpp"
+#include "yuccascale/runtime/log_status.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
 #include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -55,21 +55,6 @@
     bool firstStart = true; ///< the voters may bootstrap an empty log
 };
 
-/// \brief The state of a replica that is shown to operators.
-struct replicated_log_status
-{
-    std::uint64_t term = 0;
-    std::string role;   ///< "joining", "learner", "follower", "candidate", "leader" or "stopped"
-    std::string leader; ///< node name; empty when none is known
-    std::uint64_t commitIndex = 0;
-    std::uint64_t appliedIndex = 0;
-    std::uint64_t entriesInMemory = 0; ///< log entries since the last compaction
-    kernel::instant stateSince{};      ///< when the role or the leader last changed
-    std::vector<std::string> degraded; ///< each with its remedy; empty when healthy
-    std::vector<std::string> voters;
-    std::vector<std::string> learners;
-};
-
 /// \brief A replica of the log with its store and links.
 ///
 /// The first start of a cluster needs all voters: the log is bootstrapped once each of them has
@@ -138,7 +123,6 @@
     [[nodiscard]] kernel::result<void> saveSnapshotWhenDue();
     void revokeLostLeadership();
     void publishStatus();
-    void publishStoppedStatus(const std::string &reason);
     void failPendingRequests(const std::string &reason);
     [[nodiscard]] kernel::error notLeader() const;
 
@@ -160,9 +144,7 @@
     std::uint64_t m_applied = 0;
     std::uint64_t m_snapshotIndex = 0;
 
-    mutable std::mutex m_publishedMutex;
-    std::optional<kernel::leadership> m_leadership;
-    replicated_log_status m_status;
+    published_log_status m_published;
 
     std::thread m_thread;
 };
