measure: figures of a run are a module of their own

tests/measure/fleet_run.cpp (508 lines) began with the arithmetic of result figures, which knows nothing of a run, and the list of its thirteen fields stood there twice; the report included the whole run for the struct alone.

No behaviour changes.

--- a/tests/measure/fleet_run.cpp
+++ b/tests/measure/fleet_run.cpp
@@ -24,6 +24,7 @@
 constexpr double cacheEventLoss = 0.1;
 constexpr std::size_t maxUndispatched = 4; ///< popped requests for which no endpoint is usable
 constexpr std::int64_t minSplitPromptTokens = 512; ///< from here a baseline uses prefill engines
+
 std::string organisationName(int index)
 {
     return "organisation-" + std::to_string(index);
@@ -40,33 +41,6 @@
 
 } // namespace
 
-void figures::add(const figures &other)
-{
-    for (double figures::*field :
-         {&figures::offered, &figures::inTime, &figures::refused, &figures::late, &figures::lost,
-          &figures::worstShare, &figures::worstWait, &figures::roleChanges, &figures::cost,
-          &figures::cheapShare, &figures::firstToken, &figures::tokenGap,
-          &figures::nonIdempotentOnCheap})
-        this->*field += other.*field;
-    goodput.resize(std::max(goodput.size(), other.goodput.size()));
-    for (std::size_t at = 0; at < other.goodput.size(); ++at)
-        goodput[at] += other.goodput[at];
-}
-
-void figures::scale(double factor)
-{
-    figures previous;
-    std::swap(*this, previous);
-    for (double figures::*field :
-         {&figures::offered, &figures::inTime, &figures::refused, &figures::late, &figures::lost,
-          &figures::worstShare, &figures::worstWait, &figures::roleChanges, &figures::cost,
-          &figures::cheapShare, &figures::firstToken, &figures::tokenGap,
-          &figures::nonIdempotentOnCheap})
-        this->*field = previous.*field * factor;
-    for (const double value : previous.goodput)
-        goodput.push_back(value * factor);
-}
-
 fleet_run::fleet_run(const load_scenario &scenario, const strategy_set &strategies,
                      std::uint64_t seed)
     : m_scenario(scenario)
--- a/tests/measure/measure.cpp
+++ b/tests/measure/measure.cpp
@@ -1,3 +1,4 @@
+#include "fleet_run.hpp"
 #include "report.hpp"
 
 #include <algorithm>
--- a/tests/measure/report.cpp
+++ b/tests/measure/report.cpp
@@ -1,6 +1,7 @@
 #include "report.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <fstream>
 
--- a/tests/measure/report.hpp
+++ b/tests/measure/report.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "fleet_run.hpp"
+#include "figures.hpp"
+#include "script.hpp"
 
 #include <string>
 #include <vector>
