consensus simulation: history and random numbers are modules of their own

cluster_history and seeded_random have their own files, moved unchanged; the history is told the orders' lifetime in place of a constant that it shared with the simulated nodes. No check, bound, seed or test changes.

No behaviour changes.

--- a/tests/properties/consensus_simulation.cpp
+++ b/tests/properties/consensus_simulation.cpp
@@ -12,77 +12,10 @@
 
 } // namespace
 
-std::uint64_t seeded_random::next() noexcept
-{
-    m_state += 0x9e3779b97f4a7c15U;
-    std::uint64_t mixed = m_state;
-    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
-    mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
-    return mixed ^ (mixed >> 31U);
-}
-
-nanoseconds seeded_random::between(milliseconds shortest, milliseconds longest) noexcept
-{
-    const nanoseconds width = longest - shortest;
-    return shortest
-            + nanoseconds(static_cast<std::int64_t>(
-                    below(static_cast<std::uint64_t>(width.count()) + 1)));
-}
-
-void cluster_history::recordViolation(std::string description)
-{
-    if (m_violation.empty())
-        m_violation = std::move(description);
-}
-
-void cluster_history::recordApplied(const std::string &node, const log_entry &entry)
-{
-    const auto [row, inserted] = m_applied.try_emplace(entry.index, entry);
-    if (!inserted && row->second != entry)
-        recordViolation("two different entries applied at index " + std::to_string(entry.index)
-                        + ", the second by " + node);
-}
-
-void cluster_history::recordAcknowledged(const log_entry &entry)
-{
-    m_acknowledged[entry.index] = entry.payload;
-    m_newestAcknowledged = std::max(m_newestAcknowledged, entry.index);
-}
-
-void cluster_history::recordAuthority(const member_id &node, std::uint64_t fence,
-                                      instant authorityEnd, instant ordersAllowedFrom)
-{
-    const auto [row, inserted] = m_fences.try_emplace(fence, fence_record{node, authorityEnd});
-    if (row->second.holder != node)
-        recordViolation("fence " + std::to_string(fence) + " held by two nodes");
-    if (inserted && std::next(row) != m_fences.end())
-        recordViolation("fence " + std::to_string(fence) + " was issued after a higher fence");
-    row->second.authorityEnd = std::max(row->second.authorityEnd, authorityEnd);
-    for (const auto &[older, record] : m_fences) {
-        if (older < fence && record.authorityEnd + orderLifetime > ordersAllowedFrom)
-            recordViolation("orders under fence " + std::to_string(fence)
-                            + " may overlap orders in flight under fence " + std::to_string(older));
-    }
-}
-
-void cluster_history::checkConfirmedRead(log_index acknowledgedAtRequest,
-                                         log_index appliedAtConfirmation)
-{
-    if (appliedAtConfirmation < acknowledgedAtRequest)
-        recordViolation("a confirmed read at applied index " + std::to_string(appliedAtConfirmation)
-                        + " missed the acknowledged index "
-                        + std::to_string(acknowledgedAtRequest));
-}
-
-void cluster_history::checkHolderCount(std::size_t count)
-{
-    if (count > 1)
-        recordViolation("two nodes hold authority at once");
-}
-
 cluster_simulation::cluster_simulation(const schedule_settings &settings)
     : m_settings(settings)
     , m_random(settings.seed)
+    , m_history(orderLifetime)
     , m_nodes(settings.nodes)
     , m_linkCut(settings.nodes, std::vector<bool>(settings.nodes, false))
 {
--- a/tests/properties/consensus_simulation.hpp
+++ b/tests/properties/consensus_simulation.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "properties/cluster_history.hpp"
+#include "properties/seeded_random.hpp"
 #include "yuccascale/kernel/consensus/replica.hpp"
 
 #include <functional>
@@ -19,56 +21,6 @@
 using kernel::milliseconds;
 using kernel::nanoseconds;
 
-/// \brief Random numbers from a seed; the sequence is the same on every machine.
-class seeded_random
-{
-public:
-    explicit seeded_random(std::uint64_t seed)
-        : m_state(seed)
-    { }
-    [[nodiscard]] std::uint64_t next() noexcept;
-    [[nodiscard]] std::uint64_t below(std::uint64_t bound) noexcept { return next() % bound; }
-    [[nodiscard]] bool chance(unsigned percent) noexcept { return below(100) < percent; }
-    [[nodiscard]] nanoseconds between(milliseconds shortest, milliseconds longest) noexcept;
-
-private:
-    std::uint64_t m_state;
-};
-
-/// \brief Records what the nodes did and the first violation of a safety property.
-class cluster_history
-{
-public:
-    void recordApplied(const std::string &node, const log_entry &entry);
-    void recordAcknowledged(const log_entry &entry);
-    void recordAuthority(const member_id &node, std::uint64_t fence, instant authorityEnd,
-                         instant ordersAllowedFrom);
-    void checkConfirmedRead(log_index acknowledgedAtRequest, log_index appliedAtConfirmation);
-    void checkHolderCount(std::size_t count);
-    void recordViolation(std::string description);
-
-    [[nodiscard]] const std::string &violation() const noexcept { return m_violation; }
-    [[nodiscard]] log_index newestAcknowledged() const noexcept { return m_newestAcknowledged; }
-    [[nodiscard]] const std::map<log_index, std::string> &acknowledgedCommands() const noexcept
-    {
-        return m_acknowledged;
-    }
-    [[nodiscard]] std::size_t fenceCount() const noexcept { return m_fences.size(); }
-
-private:
-    struct fence_record
-    {
-        member_id holder;
-        instant authorityEnd{}; ///< latest end of the authority, in simulated true time
-    };
-
-    std::map<log_index, log_entry> m_applied;
-    std::map<log_index, std::string> m_acknowledged;
-    std::map<std::uint64_t, fence_record> m_fences;
-    log_index m_newestAcknowledged = 0;
-    std::string m_violation;
-};
-
 /// \brief Parameters of one fault schedule.
 struct schedule_settings
 {
