order_driver: times that stood twice have a name

Three times were computed in two places each: when a drain is in force, whether the lease ends before a send would, and from when on no copy of an order can be in flight. The last was written once as a condition and once as a wait, so that the reader had to see that both mean the same moment.

drainInForceFrom(), leaseEndsBeforeASend() and noCopyInFlightFrom() say it once; copyMayBeInFlight() compares with the last. No decision changes.

No behaviour changes.

--- a/src/yuccascale/kernel/orders/order_driver.cpp
+++ b/src/yuccascale/kernel/orders/order_driver.cpp
@@ -178,11 +178,10 @@
         order.currentPhase = phase::Fetch;
         return std::nullopt;
     }
-    const instant drainInForceAt = order.firstSeenAt + m_times.drainPropagationTime;
-    if (context.now < drainInForceAt) {
+    if (context.now < drainInForceFrom(order)) {
         m_events.record(orderWaitsForDrain,
                         {{"order", order.record.id}, {"target", order.record.target}});
-        order.notBefore = drainInForceAt;
+        order.notBefore = drainInForceFrom(order);
         return std::nullopt;
     }
     return inspect_target{issueTicket(context.now, order), order.record.id, order.record.address};
@@ -196,8 +195,7 @@
         return std::nullopt;
     }
     const bool fetchesHeld = m_uncommittedFetchHoldUntilMs || context.wallMs < m_fetchesHeldUntilMs;
-    const bool leaseEndsTooSoon = context.now + m_times.sendTimeout > context.authority.leaseEnd;
-    if (m_fetchTicket != 0 || fetchesHeld || leaseEndsTooSoon
+    if (m_fetchTicket != 0 || fetchesHeld || leaseEndsBeforeASend(context)
         || context.now < context.authority.ordersAllowedFrom)
         return std::nullopt;
     m_fetchTicket = issueTicket(context.now, order);
@@ -209,8 +207,7 @@
 std::optional<order_action> order_driver::sendStep(const step_context &context,
                                                    tracked_order &order)
 {
-    const bool leaseEndsTooSoon = context.now + m_times.sendTimeout > context.authority.leaseEnd;
-    if (leaseEndsTooSoon || copyMayBeInFlight(context.now, order))
+    if (leaseEndsBeforeASend(context) || copyMayBeInFlight(context.now, order))
         return std::nullopt;
     order.neverSent = false;
     m_events.record(orderSent,
@@ -230,11 +227,27 @@
                           {"settle-" + std::to_string(order.record.id), order.settlement}};
 }
 
-bool order_driver::copyMayBeInFlight(instant now, const tracked_order &order) const
+bool order_driver::leaseEndsBeforeASend(const step_context &context) const
+{
+    return context.now + m_times.sendTimeout > context.authority.leaseEnd;
+}
+
+instant order_driver::drainInForceFrom(const tracked_order &order) const
+{
+    return order.firstSeenAt + m_times.drainPropagationTime;
+}
+
+instant order_driver::noCopyInFlightFrom(const tracked_order &order) const
 {
     const auto noResendUntil = m_noResendUntil.find(order.record.target);
-    return now < m_ordersAllowedFrom
-            || (noResendUntil != m_noResendUntil.end() && now < noResendUntil->second);
+    if (noResendUntil == m_noResendUntil.end())
+        return m_ordersAllowedFrom;
+    return std::max(m_ordersAllowedFrom, noResendUntil->second);
+}
+
+bool order_driver::copyMayBeInFlight(instant now, const tracked_order &order) const
+{
+    return now < noCopyInFlightFrom(order);
 }
 
 std::uint64_t order_driver::issueTicket(instant now, tracked_order &order)
@@ -312,10 +325,7 @@
 {
     if (copyMayBeInFlight(order.issuedAt, order)) {
         order.currentPhase = phase::Query;
-        const auto noResendUntil = m_noResendUntil.find(order.record.target);
-        order.notBefore = m_ordersAllowedFrom;
-        if (noResendUntil != m_noResendUntil.end())
-            order.notBefore = std::max(order.notBefore, noResendUntil->second);
+        order.notBefore = noCopyInFlightFrom(order);
         return;
     }
     order.neverSent = true;
@@ -328,9 +338,8 @@
     tracked_order *order = takeTicket(ticket);
     if (order == nullptr)
         return;
-    const instant drainInForceAt = order->firstSeenAt + m_times.drainPropagationTime;
     if (report && report->running + report->queued == 0
-        && order->issuedAt - report->age >= drainInForceAt) {
+        && order->issuedAt - report->age >= drainInForceFrom(*order)) {
         order->retryDelay = {};
         order->currentPhase = phase::Fetch;
         return;
--- a/src/yuccascale/kernel/orders/order_driver.hpp
+++ b/src/yuccascale/kernel/orders/order_driver.hpp
@@ -128,6 +128,11 @@
     void settle(tracked_order &order, state::order_outcome end, std::string detail,
                 std::vector<state::endpoint> started = {});
     void applyReply(instant now, tracked_order &order, const target_reply &reply);
+    [[nodiscard]] bool leaseEndsBeforeASend(const step_context &context) const;
+    /// \returns from when on no entry sends requests to the order's draining endpoint.
+    [[nodiscard]] instant drainInForceFrom(const tracked_order &order) const;
+    /// \returns from when on no copy of the order can arrive, whichever leader sent it.
+    [[nodiscard]] instant noCopyInFlightFrom(const tracked_order &order) const;
     [[nodiscard]] bool copyMayBeInFlight(instant now, const tracked_order &order) const;
 
     order_times m_times;
