table_rules: the check of a route's host does not hide the check of its split

problemInHostAndPrefix() ended by calling problemInSplit(), so that a reader of problemInRow() found no check of the weights, and its condition compared two emptiness tests with each other. Both checks stand in the list of the row's checks now, in the same order, and the condition says which cases are right.

No behaviour changes.

--- a/src/yuccascale/kernel/state/table_rules.cpp
+++ b/src/yuccascale/kernel/state/table_rules.cpp
@@ -88,9 +88,10 @@
 
 problem problemInHostAndPrefix(const std::string &location, const route &row)
 {
+    const bool neitherSet = row.host.empty() && row.pathPrefix.empty();
     const bool delimited = row.pathPrefix.starts_with('/') && row.pathPrefix.ends_with('/');
-    if (row.host.empty() == row.pathPrefix.empty() && (row.host.empty() || delimited))
-        return problemInSplit(location, row);
+    if (neitherSet || (!row.host.empty() && delimited))
+        return std::nullopt;
     return location + ".pathPrefix: '" + row.pathPrefix
             + "' must begin and end with '/', and host and pathPrefix must be set together; "
               "correct them or leave both out";
@@ -99,10 +100,9 @@
 problem problemInRow(const route &row)
 {
     const std::string location = "route/" + row.name;
-    if (auto found = problemInHostAndPrefix(location, row))
-        return found;
     return firstProblem(
-            {problemInName(location, row.name),
+            {problemInHostAndPrefix(location, row), problemInSplit(location, row),
+             problemInName(location, row.name),
              problemInRange<std::int64_t>(location + ".deadlineMs", row.deadlineMs, 1,
                                           maxDeadlineMs),
              problemInRange<std::int64_t>(location + ".firstTokenMs", row.firstTokenMs, 1,
