--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -4,6 +4,7 @@
 #include "yuccascale/kernel/orders/permit.hpp"
 #include "yuccascale/kernel/usage/entry_succession.hpp"
 #include "yuccascale/kernel/usage/events.hpp"
+#include "yuccascale/runtime/duty_times.hpp"
 
 #include <algorithm>
 #include <set>
@@ -14,7 +15,6 @@
 using namespace kernel::orders;
 using kernel::error_kind;
 using kernel::instant;
-using kernel::nanoseconds;
 using kernel::result;
 using std::chrono::milliseconds;
 
@@ -25,32 +25,6 @@
 constexpr milliseconds listInterval{1'000};
 constexpr milliseconds submitTimeout{3'000};
 
-order_times orderTimes(const settings &config)
-{
-    order_times times;
-    times.orderLifetime = config.control.orderLifetime;
-    times.drainPropagationTime = config.control.freshness + config.control.feedInterval;
-    times.sendTimeout = std::min<nanoseconds>(times.sendTimeout, config.control.lease / 2);
-    return times;
-}
-
-kernel::usage::usage_times usageTimes(const settings &config)
-{
-    kernel::usage::usage_times times;
-    times.window = config.platform.usageWindow;
-    times.sendTimeout = orderTimes(config).sendTimeout;
-    return times;
-}
-
-driver_settings driverSettings(const settings &config, const std::string &address)
-{
-    driver_settings driver;
-    driver.address = address;
-    driver.nodeName = config.node;
-    driver.sendTimeout = std::chrono::duration_cast<milliseconds>(orderTimes(config).sendTimeout);
-    return driver;
-}
-
 template<typename Policy>
 std::function<std::unique_ptr<Policy>()> policyFactory(const std::string &name)
 {
@@ -87,44 +61,23 @@
     return outcome;
 }
 
-template<typename Driver, typename... Arguments>
-result<void> makeDriver(std::unique_ptr<Driver> &driver, std::string_view name,
-                        Arguments... arguments)
+using submit_outcome = call_outcome<kernel::state::command_result>;
+
+bool isAccepted(const submit_outcome &outcome)
 {
-    using registry = kernel::plugin_registry<Driver, Arguments...>;
-    BOOST_LEAF_ASSIGN(driver, registry::make(name, arguments...));
-    return {};
+    return outcome.answer && outcome.answer->accepted;
 }
 
-} // namespace
-
-result<duty_drivers> makeDutyDrivers(const settings &config)
+void recordRefusal(kernel::event_sink &events, const submit_outcome &outcome)
 {
-    duty_drivers drivers;
-    const auto settingsAt
-            = [&](const std::string &address) { return driverSettings(config, address); };
-    const platform_settings &platform = config.platform;
-    result<void> status = makeDriver(drivers.engines, "http_engine", settingsAt({}));
-    if (status)
-        status = makeDriver(drivers.loads, "http", settingsAt({}));
-    if (status && !platform.endpointList.empty())
-        status = makeDriver(drivers.endpoints, platform.drivers, settingsAt(platform.endpointList));
-    if (status && !platform.endpointCounts.empty())
-        status = makeDriver(drivers.counts, platform.drivers, settingsAt(platform.endpointCounts));
-    if (status && !platform.endpointOrders.empty())
-        status = makeDriver(drivers.platform, "http_platform", settingsAt(platform.endpointOrders));
-    if (status && (!platform.endpointOrders.empty() || !platform.vmList.empty()))
-        status = makeDriver(drivers.platformReader, "http", settingsAt(platform.vmList),
-                            settingsAt(platform.endpointOrders));
-    if (status && !platform.weightStore.empty())
-        status = makeDriver(drivers.weights, "http", settingsAt(platform.weightStore));
-    if (status && !platform.usageReports.empty())
-        status = makeDriver(drivers.usage, platform.drivers, settingsAt(platform.usageReports));
-    if (!status)
-        return status.error();
-    return drivers;
+    if (isAccepted(outcome))
+        return;
+    const std::string &message = outcome.answer ? outcome.answer->message : outcome.failure.message;
+    events.record(commandRefused, {{"message", message}});
 }
 
+} // namespace
+
 leader_duties::leader_duties(duty_context context, duty_drivers drivers)
     : m_context(std::move(context))
     , m_drivers(std::move(drivers))
@@ -186,6 +139,16 @@
             });
 }
 
+template<typename Handler>
+void leader_duties::propose(kernel::state::command command, Handler onDone)
+{
+    runOnWorker(
+            [this, command = std::move(command)] {
+                return m_context.control.submit(command, m_context.clock.now() + submitTimeout);
+            },
+            std::move(onDone));
+}
+
 order_target *leader_duties::targetAt(const std::string &address) const
 {
     return address.empty() ? m_drivers.platform.get() : m_drivers.engines.get();
@@ -269,19 +232,9 @@
 
 void leader_duties::execute(submit_command action)
 {
-    runOnWorker(
-            [this, command = std::move(action.command)] {
-                return m_context.control.submit(command, m_context.clock.now() + submitTimeout);
-            },
-            [this,
-             ticket = action.ticket](const call_outcome<kernel::state::command_result> &outcome) {
-                const bool accepted = outcome.answer && outcome.answer->accepted;
-                if (!accepted) {
-                    m_context.events.record(
-                            commandRefused,
-                            {{"message",
-                              outcome.answer ? outcome.answer->message : outcome.failure.message}});
-                }
+    propose(std::move(action.command),
+            [this, ticket = action.ticket](const submit_outcome &outcome) {
+                recordRefusal(m_context.events, outcome);
                 m_orderDriver.onSubmitResult(m_context.clock.now(), ticket);
             });
 }
@@ -289,14 +242,10 @@
 void leader_duties::executeUsage(kernel::usage::usage_action action)
 {
     if (auto *submission = std::get_if<submit_command>(&action)) {
-        runOnWorker(
-                [this, command = std::move(submission->command)] {
-                    return m_context.control.submit(command, m_context.clock.now() + submitTimeout);
-                },
-                [this, ticket = submission->ticket](
-                        const call_outcome<kernel::state::command_result> &outcome) {
-                    const bool accepted = outcome.answer && outcome.answer->accepted;
-                    m_usageReporter.onSubmitResult(m_context.clock.now(), ticket, accepted);
+        propose(std::move(submission->command),
+                [this, ticket = submission->ticket](const submit_outcome &outcome) {
+                    m_usageReporter.onSubmitResult(m_context.clock.now(), ticket,
+                                                   isAccepted(outcome));
                 });
         return;
     }
@@ -346,20 +295,10 @@
 void leader_duties::submit(kernel::state::command command)
 {
     ++m_pendingSubmits;
-    runOnWorker(
-            [this, command = std::move(command)] {
-                return m_context.control.submit(command, m_context.clock.now() + submitTimeout);
-            },
-            [this](const call_outcome<kernel::state::command_result> &outcome) {
-                --m_pendingSubmits;
-                const bool accepted = outcome.answer && outcome.answer->accepted;
-                if (!accepted) {
-                    m_context.events.record(
-                            commandRefused,
-                            {{"message",
-                              outcome.answer ? outcome.answer->message : outcome.failure.message}});
-                }
-            });
+    propose(std::move(command), [this](const submit_outcome &outcome) {
+        --m_pendingSubmits;
+        recordRefusal(m_context.events, outcome);
+    });
 }
 
 void leader_duties::readVmsAndOffers(instant now)
--- a/src/yuccascale/runtime/duties.hpp
+++ b/src/yuccascale/runtime/duties.hpp
@@ -8,6 +8,7 @@
 #include "yuccascale/kernel/state/leader_view.hpp"
 #include "yuccascale/kernel/usage/window_reporter.hpp"
 #include "yuccascale/runtime/duties_workers.hpp"
+#include "yuccascale/runtime/duty_drivers.hpp"
 #include "yuccascale/runtime/periodic_task.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
@@ -22,22 +23,6 @@
 
 namespace yuccascale::runtime {
 
-/// \brief The drivers of external systems; null where the settings turn one off.
-struct duty_drivers
-{
-    std::unique_ptr<kernel::orders::order_target> engines;
-    std::unique_ptr<kernel::orders::load_source> loads;
-    std::unique_ptr<kernel::orders::order_target> platform;
-    std::unique_ptr<kernel::orders::platform_reader> platformReader;
-    std::unique_ptr<kernel::orders::weight_store> weights;
-    std::unique_ptr<kernel::orders::usage_sink> usage;
-    std::unique_ptr<kernel::orders::endpoint_lister> endpoints;
-    std::unique_ptr<kernel::orders::endpoint_scaler> counts;
-};
-
-/// \returns the drivers for the addresses in the settings.
-[[nodiscard]] kernel::result<duty_drivers> makeDutyDrivers(const settings &settings);
-
 /// \brief The parts of the node that leader_duties uses.
 struct duty_context
 {
@@ -96,7 +81,6 @@
     void orderEndpointCounts(const kernel::leadership &leadership,
                              const std::vector<kernel::feed::listed_endpoint> &endpointList);
     void markLeavingEndpoints(const std::vector<kernel::orders::vm_row> &vms);
-    void submit(kernel::state::command command);
     [[nodiscard]] kernel::orders::order_target *targetAt(const std::string &address) const;
     [[nodiscard]] kernel::orders::send_permit permitFor(std::uint64_t fence,
                                                         kernel::instant decidedAt) const;
@@ -106,6 +90,14 @@
     template<typename Call, typename Handler>
     void runOnWorker(Call call, Handler onDone);
 
+    /// Proposes a command to the log on a worker.
+    template<typename Handler>
+    void propose(kernel::state::command command, Handler onDone);
+
+    /// Proposes a command whose outcome is awaited before the next retirements, fleet decisions and
+    /// reads of the VM list.
+    void submit(kernel::state::command command);
+
     duty_context m_context;
     duty_drivers m_drivers;
     kernel::orders::order_driver m_orderDriver;
--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-constexpr std::size_t maxInboxMessages = 8'192;
-constexpr std::size_t maxInboxRequests = 8'192;
 constexpr std::size_t maxPayloadBytes = 16U << 20U;
 /// Between two attempts to reopen the data folder after a disk failure.
 constexpr kernel::milliseconds reopenInterval{500};
@@ -34,32 +32,6 @@
     return (milliseconds << randomBits) | (std::random_device{}() & 0xffffU);
 }
 
-std::string roleName(replica_role role)
-{
-    switch (role) {
-    case replica_role::Joining:
-        return "joining";
-    case replica_role::Learner:
-        return "learner";
-    case replica_role::Follower:
-        return "follower";
-    case replica_role::Candidate:
-        return "candidate";
-    case replica_role::Leader:
-        return "leader";
-    }
-    return {};
-}
-
-std::vector<std::string> namesOf(const std::vector<member_id> &members)
-{
-    std::vector<std::string> names;
-    names.reserve(members.size());
-    for (const member_id &member : members)
-        names.push_back(member.name);
-    return names;
-}
-
 replica_config configOf(const replicated_log_settings &settings, std::uint64_t incarnation)
 {
     replica_config config;
@@ -85,9 +57,10 @@
     , m_clock(clock)
     , m_events(events)
     , m_consumer(consumer)
+    , m_inbox(m_settings.self)
     , m_pendingProposals(m_settings.self)
+    , m_published(events)
 {
-    m_status.role = "stopped";
     m_transport.handle(kernel::channel::Consensus,
                        [this](std::string_view peer, std::string_view payload) {
                            receive(peer, payload);
@@ -105,10 +78,7 @@
     m_initialState = m_consumer.snapshot();
     BOOST_LEAF_CHECK(openStore());
     publishStatus();
-    {
-        const std::lock_guard lock(m_inboxMutex);
-        m_running = true;
-    }
+    m_inbox.open();
     m_thread = std::thread([this] { run(); });
     return {};
 }
@@ -134,12 +104,7 @@
 
 void replicated_log::stop()
 {
-    {
-        const std::lock_guard lock(m_inboxMutex);
-        m_running = false;
-        m_stopping = true;
-    }
-    m_inboxChanged.notify_all();
+    m_inbox.stop();
     if (m_thread.joinable())
         m_thread.join();
 }
@@ -151,29 +116,7 @@
         m_events.record(messageRefused, {{"peer", peer}});
         return;
     }
-    const std::lock_guard lock(m_inboxMutex);
-    if (!m_running || m_inbox.messages.size() >= maxInboxMessages)
-        return;
-    m_inbox.messages.push_back(std::move(*decoded));
-    m_inboxChanged.notify_all();
-}
-
-result<std::string> replicated_log::enqueue(std::vector<log_request_pointer> inbox::*queue,
-                                            std::string payload, instant deadline)
-{
-    const auto request = std::make_shared<log_request>(std::move(payload));
-    {
-        const std::lock_guard lock(m_inboxMutex);
-        if (!m_running)
-            return fail(error_kind::Unavailable, m_settings.self,
-                        "this replica is stopped; retry at another node");
-        if ((m_inbox.*queue).size() >= maxInboxRequests)
-            return fail(error_kind::Overloaded, m_settings.self,
-                        std::to_string(maxInboxRequests) + " requests already wait; retry later");
-        (m_inbox.*queue).push_back(request);
-    }
-    m_inboxChanged.notify_all();
-    return request->wait(deadline - m_clock.now(), m_settings.self);
+    m_inbox.addMessage(std::move(*decoded));
 }
 
 result<std::string> replicated_log::propose(std::string payload, instant deadline)
@@ -184,40 +127,39 @@
                             + " bytes, more than the limit of " + std::to_string(maxPayloadBytes)
                             + "; split it");
     }
-    return enqueue(&inbox::proposals, std::move(payload), deadline);
+    const auto request = std::make_shared<log_request>(std::move(payload));
+    BOOST_LEAF_CHECK(m_inbox.addProposal(request));
+    return request->wait(deadline - m_clock.now(), m_settings.self);
 }
 
 result<void> replicated_log::confirmLeadership(instant deadline)
 {
-    BOOST_LEAF_CHECK(enqueue(&inbox::reads, {}, deadline));
+    const auto request = std::make_shared<log_request>(std::string());
+    BOOST_LEAF_CHECK(m_inbox.addRead(request));
+    BOOST_LEAF_CHECK(request->wait(deadline - m_clock.now(), m_settings.self));
     return {};
 }
 
 std::string replicated_log::leader() const
 {
-    const std::lock_guard lock(m_publishedMutex);
-    return m_status.leader;
+    return m_published.leader();
 }
 
 std::optional<kernel::leadership> replicated_log::current(instant now) const
 {
-    const std::lock_guard lock(m_publishedMutex);
-    if (!m_leadership || now >= m_leadership->leaseEnd)
-        return std::nullopt;
-    return m_leadership;
+    return m_published.leadershipAt(now);
 }
 
 replicated_log_status replicated_log::status() const
 {
-    const std::lock_guard lock(m_publishedMutex);
-    return m_status;
+    return m_published.status();
 }
 
 void replicated_log::run()
 {
     while (true) {
         const std::string reason = runUntilFailure();
-        publishStoppedStatus(reason);
+        m_published.publishStopped(reason, m_clock.now());
         failPendingRequests(reason);
         if (!waitToReopen())
             return;
@@ -227,8 +169,8 @@
 /// \returns the reason why it ended.
 std::string replicated_log::runUntilFailure()
 {
-    inbox input;
-    while (takeInbox(input)) {
+    log_inbox::content input;
+    while (m_inbox.take(input, m_replica->nextTick() - m_clock.now())) {
         handle(input);
         kernel::error problem;
         const bool executed = kernel::succeeded(
@@ -254,39 +196,18 @@
 /// \returns false once the log is stopped.
 bool replicated_log::waitToReopen()
 {
-    while (true) {
-        {
-            std::unique_lock lock(m_inboxMutex);
-            m_inboxChanged.wait_for(lock, reopenInterval, [&] { return m_stopping; });
-            if (m_stopping)
-                return false;
-        }
+    while (!m_inbox.waitForStop(reopenInterval)) {
         kernel::error problem;
         if (!kernel::succeeded([&] { return openStore(); }, problem))
             continue;
         m_events.record(storeReopened, {{"folder", m_settings.dataFolder}});
-        const std::lock_guard lock(m_inboxMutex);
-        m_running = true;
+        m_inbox.open();
         return true;
     }
+    return false;
 }
 
-/// Waits for messages, requests or the next tick.
-/// \returns false once the log is stopped.
-bool replicated_log::takeInbox(inbox &input)
-{
-    input = {};
-    const kernel::nanoseconds pause = m_replica->nextTick() - m_clock.now();
-    std::unique_lock lock(m_inboxMutex);
-    m_inboxChanged.wait_for(lock, pause, [&] {
-        return !m_running || !m_inbox.messages.empty() || !m_inbox.proposals.empty()
-                || !m_inbox.reads.empty();
-    });
-    std::swap(input, m_inbox);
-    return m_running;
-}
-
-void replicated_log::handle(inbox &input)
+void replicated_log::handle(const log_inbox::content &input)
 {
     const instant now = m_clock.now();
     for (const message &received : input.messages)
@@ -430,63 +351,19 @@
 /// lets another replica become leader.
 void replicated_log::revokeLostLeadership()
 {
-    if (m_replica->role() == replica_role::Leader)
-        return;
-    std::optional<kernel::leadership> previous;
-    {
-        const std::lock_guard lock(m_publishedMutex);
-        previous = std::exchange(m_leadership, std::nullopt);
-    }
-    if (previous)
-        m_events.record(authorityLost, {{"fence", previous->fence}});
+    if (m_replica->role() != replica_role::Leader)
+        m_published.revokeLeadership();
 }
 
 void replicated_log::publishStatus()
 {
     const instant now = m_clock.now();
-    const std::optional<kernel::leadership> leadership = m_replica->leadershipAt(now);
-    replicated_log_status newStatus;
-    newStatus.term = m_replica->term();
-    newStatus.role = roleName(m_replica->role());
-    newStatus.leader = m_replica->leader();
-    newStatus.commitIndex = m_replica->commitIndex();
-    newStatus.appliedIndex = m_applied;
-    newStatus.entriesInMemory = m_replica->log().lastIndex() - m_replica->log().baseIndex();
-    newStatus.degraded = m_replica->degradedReasons(now);
-    newStatus.voters = namesOf(m_replica->log().members().voters);
-    newStatus.learners = namesOf(m_replica->log().members().learners);
-
-    std::optional<kernel::leadership> previous;
-    {
-        const std::lock_guard lock(m_publishedMutex);
-        const bool unchanged
-                = newStatus.role == m_status.role && newStatus.leader == m_status.leader;
-        newStatus.stateSince = unchanged ? m_status.stateSince : now;
-        previous = std::exchange(m_leadership, leadership);
-        m_status = std::move(newStatus);
-    }
-    if (previous && !leadership)
-        m_events.record(authorityLost, {{"fence", previous->fence}});
-}
-
-void replicated_log::publishStoppedStatus(const std::string &reason)
-{
-    const std::lock_guard lock(m_publishedMutex);
-    m_leadership.reset();
-    m_status.role = "stopped";
-    m_status.leader.clear();
-    m_status.stateSince = m_clock.now();
-    m_status.degraded = {reason};
+    m_published.publish(statusOf(*m_replica, m_applied, now), m_replica->leadershipAt(now), now);
 }
 
 void replicated_log::failPendingRequests(const std::string &reason)
 {
-    inbox remaining;
-    {
-        const std::lock_guard lock(m_inboxMutex);
-        m_running = false;
-        std::swap(remaining, m_inbox);
-    }
+    const log_inbox::content remaining = m_inbox.close();
     const kernel::error notRun{error_kind::Unavailable, m_settings.self, reason};
     for (const log_request_pointer &request : remaining.proposals)
         request->fail(notRun);
