tests: a relay that cuts single entries from the endpoints

The clusters of the process tests could cut the last node's links, but no entry's way to the endpoints: all nodes read one address for each endpoint.

Clusters also take the time to live of addresses and the routes' deadline from their options; the values so far are the defaults.

--- a/tests/processes/child_process.hpp
+++ b/tests/processes/child_process.hpp
@@ -22,6 +22,9 @@
     child_process(const child_process &) = delete;
     child_process &operator=(const child_process &) = delete;
 
+    /// \returns the process id; -1 once the end of the process was noticed.
+    [[nodiscard]] pid_t id() const noexcept { return m_pid; }
+
     /// \brief Sends a signal if the process is still running.
     void signal(int number) const;
 
--- a/tests/processes/cluster.cpp
+++ b/tests/processes/cluster.cpp
@@ -116,6 +116,7 @@
 cluster::~cluster()
 {
     m_nodes.clear();
+    m_endpointRelays.clear();
     m_standins.clear();
     m_relays.clear();
     if (testing::Test::HasFailure())
@@ -242,7 +243,8 @@
          << m_nodes[node].linkAddress << "'\ncallers: '" << m_nodes[node].callerAddress
          << "'\nfirst_start: true\nseeds: [" << seedList() << "]\nlink_routes: {"
          << linkRoutes(node) << "}\n";
-    text << "http: {address_ttl: 1s}\nlog: {format: json, file: '" << folder << "/" << name
+    text << "http: {address_ttl: " << m_options.addressTtl << "}\nlog: {format: json, file: '"
+         << folder << "/" << name
          << ".log'}\nplatform:\n  endpoint_orders: " << loopback(m_platformPorts.at("endpoints"))
          << "\n  usage_reports: " << loopback(m_platformPorts.at("usage"))
          << "\n  weight_store: " << loopback(m_platformPorts.at("weights"))
@@ -345,26 +347,55 @@
     return command({table, "put", file}, nodes);
 }
 
+/// \returns the address at which nodes reach the endpoint on \a port.
+std::string cluster::endpointAddress(int port)
+{
+    if (!m_options.relayEndpoints)
+        return loopback(port);
+    std::string address = loopback(fakes::freePort());
+    m_endpointRelays.push_back(std::make_unique<endpoint_relay>(address, loopback(port)));
+    return address;
+}
+
+void cluster::cutFromEndpoints(const std::set<std::size_t> &nodes, endpoint_fault fault) const
+{
+    std::set<pid_t> processes;
+    for (const std::size_t node : nodes)
+        processes.insert(nodeProcess(node).id());
+    for (const std::unique_ptr<endpoint_relay> &one : m_endpointRelays)
+        one->setFault(fault, processes);
+}
+
+void cluster::rejoinEndpoints() const
+{
+    cutFromEndpoints({}, endpoint_fault::None);
+}
+
 void cluster::createTables()
 {
     json engines = json::array();
     for (std::size_t index = 0; index < m_enginePorts.size(); ++index)
         engines.push_back({{"name", "engine-" + std::to_string(index + 1)},
-                           {"address", loopback(m_enginePorts[index])},
+                           {"address", endpointAddress(m_enginePorts[index])},
                            {"zone", zones.at(index % zones.size())},
                            {"slots", "8"}});
-    const json service{
-            {"name", "service-1"}, {"address", loopback(m_servicePort)}, {"zone", zones.front()}};
+    const json service{{"name", "service-1"},
+                       {"address", endpointAddress(m_servicePort)},
+                       {"zone", zones.front()}};
     const json pools{{{"name", "engines"},
                       {"kind", "model"},
                       {"model", "model"},
                       {"version", "1"},
                       {"endpoints", engines}},
                      {{"name", "services"}, {"kind", "service"}, {"endpoints", {service}}}};
-    const json routes{{{"name", "chat"}, {"pool", "engines"}, {"kind", "model"}},
+    const json routes{{{"name", "chat"},
+                       {"pool", "engines"},
+                       {"kind", "model"},
+                       {"deadline", m_options.routeDeadline}},
                       {{"name", "tickets"},
                        {"pool", "services"},
                        {"kind", "service"},
+                       {"deadline", m_options.routeDeadline},
                        {"idempotent", "false"}}};
     const std::vector<command_answer> answers{put("organisation", json{{"name", "albany"}}),
                                               put("pool", pools), put("route", routes),
@@ -409,11 +440,16 @@
 
 std::vector<json> cluster::history(const std::string &name, const std::string &event) const
 {
-    std::vector<json> out = readLines(m_folder / (name + ".jsonl"));
+    std::vector<json> out = history(name);
     std::erase_if(out, [&](const json &line) { return line.value("event", "") != event; });
     return out;
 }
 
+std::vector<json> cluster::history(const std::string &name) const
+{
+    return readLines(m_folder / (name + ".jsonl"));
+}
+
 std::unique_ptr<child_process> cluster::startLoad(json plan) const
 {
     for (const node_parts &node : m_nodes)
--- a/tests/processes/cluster.hpp
+++ b/tests/processes/cluster.hpp
@@ -2,6 +2,7 @@
 
 #include "fakes/http_client.hpp"
 #include "processes/child_process.hpp"
+#include "processes/endpoint_relay.hpp"
 #include "processes/relay.hpp"
 #include "yuccascale/kernel/json.hpp"
 
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,8 +34,11 @@
     json engineOptions = json::object();  ///< for every engine stand-in
     json serviceOptions = json::object(); ///< for the plain service stand-in
     std::string usageWindow = "60s";
-    std::string shutdownLimit;  ///< setting promises.shutdown; empty: not set
-    bool relayLastNode = false; ///< puts relays on the last node's links, see setLastNodeCut()
+    std::string shutdownLimit; ///< setting promises.shutdown; empty: not set
+    std::string addressTtl = "1s";
+    std::string routeDeadline = "30s"; ///< of both routes
+    bool relayLastNode = false;  ///< puts relays on the last node's links, see setLastNodeCut()
+    bool relayEndpoints = false; ///< puts a relay before each endpoint, see cutFromEndpoints()
 };
 
 /// \brief Result of a command-line command.
@@ -84,6 +89,12 @@
     /// \brief Calls \a action for each relay between the last node and the others.
     void forEachRelay(const std::function<void(relay &)> &action) const;
 
+    /// \brief Applies \a fault to what \a nodes send to and receive from every endpoint.
+    void cutFromEndpoints(const std::set<std::size_t> &nodes, endpoint_fault fault) const;
+
+    /// \brief Ends the faults of cutFromEndpoints().
+    void rejoinEndpoints() const;
+
     /// \returns the results of the load program, one object per request.
     [[nodiscard]] std::vector<json> loadResults() const;
 
@@ -108,6 +119,9 @@
     [[nodiscard]] std::vector<json> history(const std::string &name,
                                             const std::string &event) const;
 
+    /// \returns all recorded events of the stand-ins \a name.
+    [[nodiscard]] std::vector<json> history(const std::string &name) const;
+
     /// \brief Starts the load program with \a plan, to which addresses, key and routes are added.
     [[nodiscard]] std::unique_ptr<child_process> startLoad(json plan) const;
 
@@ -127,6 +141,7 @@
     void startAllStandins();
     void startStandinProcess(const std::string &name, const json &rows);
     void startRelays();
+    [[nodiscard]] std::string endpointAddress(int port);
     [[nodiscard]] std::string seedList() const;
     [[nodiscard]] std::string linkRoutes(std::size_t node) const;
     void writeSettings(std::size_t node) const;
@@ -141,6 +156,7 @@
     std::map<std::string, int> m_platformPorts;
     std::map<std::string, std::string> m_relayAddresses; ///< by "from>to"
     std::vector<std::unique_ptr<relay>> m_relays;
+    std::vector<std::unique_ptr<endpoint_relay>> m_endpointRelays;
     std::vector<std::unique_ptr<child_process>> m_standins;
     std::string m_key;
 };
