--- a/tests/processes/soak_test.cpp
+++ b/tests/processes/soak_test.cpp
@@ -1,12 +1,11 @@
 #include "processes/cluster.hpp"
+#include "processes/soak_seeds.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <cstdlib>
-#include <numeric>
 #include <random>
 #include <set>
 #include <thread>
@@ -288,24 +287,11 @@
                                                &soak::toggleAnswersCut, &soak::resetAndDelayLinks,
                                                &soak::editConcurrently, &soak::editConcurrently};
 
-[[nodiscard]] unsigned environmentNumber(const char *variable, unsigned fallback)
-{
-    const char *text = std::getenv(variable); // NOLINT(concurrency-mt-unsafe): before any thread
-    return text == nullptr ? fallback : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
-}
-
 } // namespace
 
 TEST(soak, promisesHoldUnderExternalFaults)
 {
-    const unsigned count = environmentNumber("YUCCASCALE_SOAK_SEEDS", 0);
-    const unsigned first = environmentNumber("YUCCASCALE_SOAK_FIRST", 1);
-    std::vector<unsigned> seeds(ciSeeds.begin(), ciSeeds.end());
-    if (count > 0) {
-        seeds.resize(count);
-        std::iota(seeds.begin(), seeds.end(), first);
-    }
-    for (const unsigned seed : seeds) {
+    for (const unsigned seed : soakSeeds(ciSeeds)) {
         SCOPED_TRACE("seed " + std::to_string(seed));
         soak(seed).run();
     }
