--- a/src/yuccascale/net/http_server.hpp
+++ b/src/yuccascale/net/http_server.hpp
@@ -47,9 +47,16 @@
     /// \brief Changes the limits; connections apply them from their next request on.
     void setLimits(const http_limits &limits);
 
-    /// \brief From now on each connection is closed after its answer.
+    /// \brief From now on each connection is closed after its answer, or after the answers to the
+    /// requests of which it has received bytes by then.
     void closeAfterAnswers() noexcept;
 
+    /// \brief Accepts no more connections and closes those between two requests.
+    void closeListeners();
+
+    /// \returns the number of connections that owe an answer or a part of one.
+    [[nodiscard]] std::size_t answering() const noexcept;
+
     /// \brief Stops accepting and closes all connections. The loops must run or have ended.
     void stop();
 
