Tests of streams that callers take up after entries lost their memory

stream_fleet puts the real pools, stream registry and codec of 7 or 300 entries on one test clock. The cases of the report hold (all killed while two versions serve, after the old one left, killed twice, 44 drawn schedules: none joined). Beside them each test prints how many streams were refused though an endpoint was left that could have gone on.

--- /dev/null
+++ b/tests/unit/stream_rejoin_test.cpp
@@ -0,0 +1,425 @@
+#include "fakes/stream_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <iostream>
+#include <random>
+
+/// \file
+/// \brief Guards against streams joined from two software versions after entries lost their memory.
+
+namespace yuccascale::http {
+
+namespace {
+
+using namespace kernel;
+using fakes::begun_stream;
+using fakes::fleet_versions;
+using fakes::stream_fleet;
+using fakes::take_up_counts;
+
+constexpr const char *pool = "engines";
+/// Callers give a stream up after its deadline; entries look back for twice as long.
+constexpr seconds callerDeadline{8};
+constexpr seconds lookback{16};
+
+[[nodiscard]] fleet_versions serving(std::set<std::string> versions)
+{
+    return {{pool, std::move(versions)}};
+}
+
+void print(const std::string &what, const take_up_counts &counts)
+{
+    std::cout << "[ measured ] " << what << ": " << counts.all() << " taken up, " << counts.wentOn
+              << " went on, " << counts.joined << " joined, " << counts.refused
+              << " refused that nothing could go on with, " << counts.refusedInVain
+              << " refused that could have gone on\n";
+}
+
+/// \returns streams that began at all entries, of each version in turn.
+[[nodiscard]] std::vector<begun_stream> beginAtAll(stream_fleet &fleet,
+                                                   const std::vector<std::string> &versions)
+{
+    std::vector<begun_stream> begun;
+    for (std::size_t entry = 0; entry < fleet.size(); ++entry) {
+        for (const std::string &version : versions)
+            begun.push_back(fleet.begin(entry, version));
+    }
+    return begun;
+}
+
+void takeUpAll(stream_fleet &fleet, const std::vector<begun_stream> &begun)
+{
+    for (std::size_t number = 0; number < begun.size(); ++number)
+        static_cast<void>(fleet.takeUp((number * 7 + 3) % fleet.size(), begun[number]));
+}
+
+void killAndStartAll(stream_fleet &fleet)
+{
+    fleet.killAll();
+    fleet.advance(seconds(1));
+    fleet.startAll();
+    fleet.hearAll();
+}
+
+/// Releases, kills of most or all entries that come back in turn, and lists that entries hear late,
+/// drawn from a seed.
+class kill_schedule
+{
+public:
+    kill_schedule(std::size_t entries, std::uint64_t seed)
+        : m_random(seed)
+        , m_fleet(entries, serving({"v1"}))
+        , m_states(entries)
+    {
+        m_fleet.run(seconds(30));
+    }
+
+    void play(seconds time)
+    {
+        for (const instant end = m_fleet.now() + time; m_fleet.now() < end;) {
+            if (chance(0.01))
+                changeVersions();
+            if (chance(0.008))
+                killMost();
+            startDue();
+            hearDue();
+            beginSome();
+            takeUpDue();
+            m_fleet.run(tick);
+        }
+    }
+
+    [[nodiscard]] const take_up_counts &counts() const { return m_fleet.counts(); }
+
+private:
+    static constexpr milliseconds tick{100};
+
+    struct entry_state
+    {
+        instant startsAt{};
+        instant hearsAt{}; ///< when it hears the newest list
+    };
+
+    struct running_stream
+    {
+        begun_stream begun;
+        std::size_t entry = 0;
+        bool broken = false;
+        instant takenUpAt{};
+        int attempts = 0;
+    };
+
+    [[nodiscard]] bool chance(double share)
+    {
+        return std::uniform_real_distribution<>(0, 1)(m_random) < share;
+    }
+
+    [[nodiscard]] milliseconds between(int from, int to)
+    {
+        return milliseconds(std::uniform_int_distribution<>(from, to)(m_random));
+    }
+
+    [[nodiscard]] std::size_t anyEntry()
+    {
+        return std::uniform_int_distribution<std::size_t>(0, m_fleet.size() - 1)(m_random);
+    }
+
+    /// A version appears, leaves or comes back; endpoints are never without one.
+    void changeVersions()
+    {
+        const std::string version = "v" + std::to_string(1 + anyEntry() % 3);
+        if (m_versions.size() > 1 && m_versions.contains(version))
+            m_versions.erase(version);
+        else
+            m_versions.insert(version);
+        m_fleet.setVersions(serving(m_versions));
+        for (entry_state &state : m_states)
+            state.hearsAt = m_fleet.now() + between(0, 400);
+    }
+
+    void killMost()
+    {
+        const double share = chance(0.6) ? 1.0 : 0.7;
+        for (std::size_t entry = 0; entry < m_fleet.size(); ++entry) {
+            if (!m_fleet.running(entry) || !chance(share))
+                continue;
+            m_fleet.kill(entry);
+            m_states[entry].startsAt = m_fleet.now() + between(600, 3'000);
+        }
+        for (running_stream &stream : m_streams) {
+            if (!stream.broken && !m_fleet.running(stream.entry)) {
+                stream.broken = true;
+                stream.takenUpAt = m_fleet.now() + between(100, 4'000);
+            }
+        }
+    }
+
+    void startDue()
+    {
+        for (std::size_t entry = 0; entry < m_fleet.size(); ++entry) {
+            if (m_fleet.running(entry) || m_states[entry].startsAt > m_fleet.now())
+                continue;
+            m_fleet.start(entry);
+            m_fleet.hearTablesOnly(entry);
+            m_states[entry].hearsAt = m_fleet.now() + between(0, 1'500);
+        }
+    }
+
+    void hearDue()
+    {
+        for (std::size_t entry = 0; entry < m_fleet.size(); ++entry) {
+            const bool due = m_fleet.running(entry) && m_states[entry].hearsAt <= m_fleet.now();
+            if (due && !m_fleet.hasNewest(entry))
+                m_fleet.hear(entry);
+        }
+    }
+
+    void beginSome()
+    {
+        for (int count = 0; count < 3; ++count) {
+            const std::size_t entry = anyEntry();
+            if (!m_fleet.serves(entry))
+                continue;
+            auto version = m_versions.begin();
+            std::advance(version, anyEntry() % m_versions.size());
+            if (m_fleet.listsVersion(entry, *version))
+                m_streams.push_back({m_fleet.begin(entry, *version), entry, false, {}, 0});
+        }
+    }
+
+    void takeUpDue()
+    {
+        std::erase_if(m_streams, [&](const running_stream &stream) {
+            return m_fleet.now() - stream.begun.beganAt > callerDeadline;
+        });
+        for (running_stream &stream : m_streams) {
+            if (!stream.broken || stream.takenUpAt > m_fleet.now() || stream.attempts > 3)
+                continue;
+            const std::size_t entry = anyEntry();
+            if (!m_fleet.serves(entry))
+                continue;
+            ++stream.attempts;
+            stream.broken = !m_fleet.takeUp(entry, stream.begun);
+            stream.entry = entry;
+            stream.takenUpAt = m_fleet.now() + between(300, 1'500);
+        }
+    }
+
+    std::mt19937_64 m_random;
+    stream_fleet m_fleet;
+    std::vector<entry_state> m_states;
+    std::set<std::string> m_versions{"v1"};
+    std::deque<running_stream> m_streams;
+};
+
+class stream_rejoin : public testing::TestWithParam<std::size_t>
+{ };
+
+} // namespace
+
+TEST_P(stream_rejoin, noStreamIsJoinedWhenAllEntriesAreKilledWhileTwoVersionsServe)
+{
+    stream_fleet fleet(GetParam(), serving({"v1", "v2"}));
+    fleet.run(seconds(30));
+    const auto begun = beginAtAll(fleet, {"v1", "v2"});
+    killAndStartAll(fleet);
+    for (int second = 2; second <= callerDeadline.count(); second += 2) {
+        takeUpAll(fleet, begun);
+        fleet.run(seconds(2));
+    }
+    print("all killed, two versions", fleet.counts());
+    EXPECT_EQ(fleet.counts().joined, 0);
+}
+
+TEST_P(stream_rejoin, noStreamIsJoinedWhenTheOldVersionLeavesBesideTheKill)
+{
+    for (const seconds leftBefore : {seconds(0), seconds(1), seconds(5)}) {
+        stream_fleet fleet(GetParam(), serving({"v1", "v2"}));
+        fleet.run(seconds(30));
+        const auto begun = beginAtAll(fleet, {"v1", "v2"});
+        fleet.setVersions(serving({"v2"}));
+        fleet.hearAll();
+        fleet.run(leftBefore);
+        killAndStartAll(fleet);
+        for (auto waited = leftBefore; waited < callerDeadline; waited += seconds(1)) {
+            takeUpAll(fleet, begun);
+            fleet.run(seconds(1));
+        }
+        print("all killed " + std::to_string(leftBefore.count()) + " s after the old version left",
+              fleet.counts());
+        EXPECT_EQ(fleet.counts().joined, 0);
+    }
+}
+
+TEST_P(stream_rejoin, noStreamIsJoinedWhenAllEntriesAreKilledTwice)
+{
+    stream_fleet fleet(GetParam(), serving({"v1", "v2"}));
+    fleet.run(seconds(30));
+    const auto begun = beginAtAll(fleet, {"v1", "v2"});
+    killAndStartAll(fleet);
+    fleet.run(seconds(2));
+    fleet.setVersions(serving({"v2"}));
+    fleet.hearAll();
+    killAndStartAll(fleet);
+    for (int second = 0; second < 5; ++second) {
+        takeUpAll(fleet, begun);
+        fleet.run(seconds(1));
+    }
+    print("all killed twice", fleet.counts());
+    EXPECT_EQ(fleet.counts().joined, 0);
+}
+
+TEST_P(stream_rejoin, aFleetOfOneVersionGoesOnAgainOnceItsEntriesKnowThat)
+{
+    stream_fleet fleet(GetParam(), serving({"v1"}));
+    fleet.run(seconds(30));
+    takeUpAll(fleet, beginAtAll(fleet, {"v1"}));
+    EXPECT_EQ(fleet.counts().wentOn, fleet.counts().all()) << "before the kill";
+    const auto broken = beginAtAll(fleet, {"v1"});
+    killAndStartAll(fleet);
+    takeUpAll(fleet, broken);
+    print("one version, before and after all are killed", fleet.counts());
+    fleet.run(lookback);
+    const int before = fleet.counts().wentOn;
+    const auto begun = beginAtAll(fleet, {"v1"});
+    takeUpAll(fleet, begun);
+    EXPECT_EQ(fleet.counts().wentOn - before, static_cast<int>(begun.size()));
+    EXPECT_EQ(fleet.counts().joined, 0);
+}
+
+TEST_P(stream_rejoin, entriesThatHaveNotHeardOfANewVersionDoNotSpeakForThoseThatHave)
+{
+    stream_fleet fleet(GetParam(), serving({"v1"}));
+    fleet.run(seconds(30));
+    fleet.setVersions(serving({"v1", "v2"}));
+    const std::size_t ahead = fleet.size() - 2; // all others have the former list
+    for (std::size_t entry = 0; entry < ahead; ++entry)
+        fleet.hear(entry);
+    std::vector<begun_stream> begun;
+    for (std::size_t entry = 0; entry < ahead; ++entry)
+        begun.push_back(fleet.begin(entry, "v2"));
+    for (std::size_t entry = 0; entry < ahead; ++entry)
+        fleet.kill(entry);
+    fleet.advance(milliseconds(600));
+    for (std::size_t entry = 0; entry < ahead; ++entry) {
+        fleet.start(entry);
+        fleet.hear(entry);
+    }
+    for (std::size_t number = 0; number < begun.size(); ++number)
+        static_cast<void>(fleet.takeUp(number, begun[number]));
+    for (const begun_stream &stream : begun)
+        static_cast<void>(fleet.takeUp(fleet.size() - 1, stream));
+    print("two survivors with the former list", fleet.counts());
+    EXPECT_EQ(fleet.counts().joined, 0);
+}
+
+TEST_P(stream_rejoin, anEntryThatHadNoListDoesNotKnowWhichVersionsServed)
+{
+    stream_fleet fleet(GetParam(), serving({"v1", "v2"}));
+    const std::size_t young = fleet.size() - 1;
+    fleet.kill(young);
+    fleet.start(young);
+    fleet.hearTablesOnly(young);
+    fleet.run(lookback + seconds(4));
+    std::vector<begun_stream> begun;
+    for (std::size_t entry = 0; entry < young; ++entry)
+        begun.push_back(fleet.begin(entry, "v1"));
+    fleet.setVersions(serving({"v2"}));
+    for (std::size_t entry = 0; entry < young; ++entry)
+        fleet.kill(entry);
+    fleet.advance(seconds(1));
+    fleet.startAll();
+    fleet.hearAll();
+    for (const begun_stream &stream : begun)
+        static_cast<void>(fleet.takeUp(young, stream));
+    print("a survivor that had no list", fleet.counts());
+    EXPECT_EQ(fleet.counts().joined, 0);
+}
+
+TEST_P(stream_rejoin, aStreamOfThePoolThatTheRouteHasLeftGoesOnInNoOther)
+{
+    stream_fleet fleet(GetParam(), {{pool, {"v1"}}, {"others", {"v1"}}});
+    fleet.run(seconds(30));
+    const auto begun = beginAtAll(fleet, {"v1"});
+    state::route moved = fleet.route();
+    moved.pool = "others";
+    fleet.setRoute(moved);
+    fleet.hearAll();
+    fleet.kill(0);
+    fleet.advance(seconds(1));
+    fleet.start(0);
+    fleet.hear(0);
+    takeUpAll(fleet, {begun.front()});
+    static_cast<void>(fleet.takeUp(1, begun.front()));
+    print("one killed after the route moved", fleet.counts());
+    EXPECT_EQ(fleet.counts().joined, 0);
+}
+
+TEST_P(stream_rejoin, aShorterDeadlineOfTheRouteDoesNotShortenTheStreamsThatHaveBegun)
+{
+    stream_fleet fleet(GetParam(), serving({"v1", "v2"}));
+    fleet.run(seconds(30));
+    const auto begun = beginAtAll(fleet, {"v1"});
+    state::route shorter = fleet.route();
+    shorter.deadlineMs = 2'000;
+    fleet.setRoute(shorter);
+    fleet.setVersions(serving({"v2"}));
+    fleet.hearAll();
+    killAndStartAll(fleet);
+    for (int second = 1; second < callerDeadline.count(); ++second) {
+        takeUpAll(fleet, begun);
+        fleet.run(seconds(1));
+    }
+    print("all killed after the deadline was cut", fleet.counts());
+    EXPECT_EQ(fleet.counts().joined, 0);
+}
+
+TEST_P(stream_rejoin, anEntryThatWasCutOffDoesNotKnowWhichVersionsServedMeanwhile)
+{
+    stream_fleet fleet(GetParam(), serving({"v1"}));
+    fleet.run(seconds(30));
+    const std::size_t cut = fleet.size() - 1;
+    fleet.setCut(cut, true);
+    fleet.setVersions(serving({"v1", "v2"}));
+    fleet.hearAll();
+    fleet.run(seconds(10));
+    std::vector<begun_stream> begun;
+    for (std::size_t entry = 0; entry < cut; ++entry)
+        begun.push_back(fleet.begin(entry, "v2"));
+    fleet.setVersions(serving({"v1"}));
+    for (std::size_t entry = 0; entry < cut; ++entry)
+        fleet.kill(entry);
+    fleet.advance(seconds(1));
+    fleet.startAll();
+    fleet.setCut(cut, false);
+    fleet.hearAll();
+    for (const begun_stream &stream : begun)
+        static_cast<void>(fleet.takeUp(cut, stream));
+    print("a survivor that was cut off", fleet.counts());
+    EXPECT_EQ(fleet.counts().joined, 0);
+}
+
+TEST_P(stream_rejoin, noStreamIsJoinedUnderSchedulesOfReleasesAndKills)
+{
+    take_up_counts total;
+    const int schedules = GetParam() > 100 ? 4 : 40;
+    for (int seed = 1; seed <= schedules; ++seed) {
+        kill_schedule schedule(GetParam(), static_cast<std::uint64_t>(seed));
+        schedule.play(seconds(40));
+        const take_up_counts &counts = schedule.counts();
+        EXPECT_EQ(counts.joined, 0) << "seed " << seed;
+        total.wentOn += counts.wentOn;
+        total.joined += counts.joined;
+        total.refused += counts.refused;
+        total.refusedInVain += counts.refusedInVain;
+    }
+    print(std::to_string(schedules) + " schedules", total);
+    EXPECT_GT(total.wentOn, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(entries, stream_rejoin, testing::Values(7, 300));
+
+} // namespace yuccascale::http
