An entry that has seen two versions contradicts those that have not

All entries but two had heard of the new version and were killed; the two that were left still had the former list.

Cause: an entry's answer on a stream without a record was the only version that it had seen, or nothing. "I saw two" and "I have just started" looked the same, so two entries with an older list outvoted all that knew better, even the entry that asked.

Change: an answer holds the versions that the entry has seen, and whether it watched the pool for the whole lookback. A stream without a record goes on only if one entry watched throughout and all answers together name one version; another entry has to have a list at all. The former fields of the answer stay deprecated: an entry of the former software proves nothing to a new one and the reverse, so that streams are refused, not joined, while entries are updated.

stream_origins.withoutARecord... had one answer stand for both cases and expected the stream to go on; it now has both, and expects a refusal where an entry saw two.

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -164,14 +164,14 @@
     runScheduler(pool);
 }
 
-std::optional<std::string> caller_pools::onlyVersion(const std::string &pool,
-                                                     kernel::nanoseconds lookback) const
+versions_seen caller_pools::versionsSeen(const std::string &pool,
+                                         kernel::nanoseconds lookback) const
 {
     const std::shared_ptr<guarded_pool> found = find(pool);
     if (!found)
-        return std::nullopt;
+        return {};
     const std::scoped_lock guard(found->mutex);
-    return found->versions.onlyVersion(m_clock.now(), lookback);
+    return found->versions.seen(m_clock.now(), lookback);
 }
 
 void caller_pools::refuseWaiting(guarded_pool &pool, std::span<const std::uint64_t> tickets,
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -116,10 +116,9 @@
         m_crashCauseListener = std::move(listener);
     }
 
-    /// \returns the only software version of a pool's endpoints during the last \a lookback;
-    ///          nothing when there were several, or when this entry does not know.
-    [[nodiscard]] std::optional<std::string> onlyVersion(const std::string &pool,
-                                                         kernel::nanoseconds lookback) const;
+    /// \returns the software versions of a pool's endpoints during the last \a lookback.
+    [[nodiscard]] kernel::requests::versions_seen versionsSeen(const std::string &pool,
+                                                               kernel::nanoseconds lookback) const;
 
     /// \brief Runs all schedulers, for assignments that become possible by the passing of time
     /// alone.
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -133,7 +133,7 @@
     m_services.streams = std::make_unique<stream_registry>(
             m_dependencies.clock, m_dependencies.otherEntries,
             [this](const std::string &pool, kernel::nanoseconds lookback) {
-                return m_services.pools->onlyVersion(pool, lookback);
+                return m_services.pools->versionsSeen(pool, lookback);
             });
     m_services.pools->setCrashCauseListener([this](const std::string &pool, const part_set &parts) {
         const std::string fingerprint = partBanOf(pool, parts);
--- a/src/yuccascale/http/stream_registry.cpp
+++ b/src/yuccascale/http/stream_registry.cpp
@@ -30,10 +30,10 @@
 } // namespace
 
 stream_registry::stream_registry(const kernel::clock &clock, entry_exchange exchange,
-                                 version_lookup onlyVersion)
+                                 version_lookup versionsSeen)
     : m_clock(clock)
     , m_exchange(std::move(exchange))
-    , m_onlyVersion(std::move(onlyVersion))
+    , m_versionsSeen(std::move(versionsSeen))
     , m_workers(maxThreads)
 { }
 
@@ -52,7 +52,7 @@
 std::vector<stream_record> stream_registry::recordsToSend(const stream_record &began)
 {
     const std::string &pool = began.origin.pool;
-    const bool mixed = !m_onlyVersion(pool, began.kept);
+    const bool mixed = !m_versionsSeen(pool, began.kept).only();
     const std::scoped_lock guard(m_mutex);
     m_origins.record(m_clock.now(), began);
     if (!mixed) {
@@ -88,7 +88,7 @@
                                      nanoseconds lookback)
 {
     origin_answer out;
-    out.onlyVersion = m_onlyVersion(pool, lookback);
+    out.seen = m_versionsSeen(pool, lookback);
     const std::scoped_lock guard(m_mutex);
     out.origin = m_origins.find(m_clock.now(), requestId);
     return out;
--- a/src/yuccascale/http/stream_registry.hpp
+++ b/src/yuccascale/http/stream_registry.hpp
@@ -39,12 +39,12 @@
 public:
     using origin_callback
             = std::function<void(std::optional<kernel::requests::stream_origin> origin)>;
-    /// \returns the only software version of a pool during the lookback, if there was one.
-    using version_lookup = std::function<std::optional<std::string>(const std::string &pool,
-                                                                    kernel::nanoseconds lookback)>;
+    /// \returns the software versions of a pool during the lookback.
+    using version_lookup = std::function<kernel::requests::versions_seen(
+            const std::string &pool, kernel::nanoseconds lookback)>;
 
     stream_registry(const kernel::clock &clock, entry_exchange exchange,
-                    version_lookup onlyVersion);
+                    version_lookup versionsSeen);
 
     /// \brief Records that the first piece of a request's stream arrived.
     void record(const kernel::requests::request &callerRequest, const std::string &version);
@@ -72,7 +72,7 @@
 
     const kernel::clock &m_clock;
     const entry_exchange m_exchange;
-    const version_lookup m_onlyVersion;
+    const version_lookup m_versionsSeen;
     std::mutex m_mutex;
     kernel::requests::stream_origins m_origins;
     std::set<std::string> m_mixedPools; ///< whose records were sent
--- a/src/yuccascale/kernel/requests/stream_origins.cpp
+++ b/src/yuccascale/kernel/requests/stream_origins.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace yuccascale::kernel::requests {
@@ -48,24 +49,29 @@
     return out;
 }
 
+std::optional<std::string> versions_seen::only() const
+{
+    return throughout && versions.size() == 1 ? std::optional(versions.front()) : std::nullopt;
+}
+
 std::optional<stream_origin>
 decideOrigin(std::string_view pool, std::span<const origin_answer> answers, std::size_t othersAsked)
 {
-    std::optional<std::string> only;
+    std::set<std::string> versions;
+    bool throughout = false;
+    std::size_t informed = 0;
     for (const origin_answer &answer : answers) {
         if (answer.origin)
             return answer.origin;
-        if (!answer.onlyVersion)
-            continue;
-        if (only && only != answer.onlyVersion)
-            return std::nullopt;
-        only = answer.onlyVersion;
+        versions.insert(answer.seen.versions.begin(), answer.seen.versions.end());
+        throughout = throughout || answer.seen.throughout;
+        informed += answer.seen.versions.empty() ? 0 : 1;
     }
-    // without an answer of another entry, a record may exist that this one cannot see
-    const bool heardOthers = answers.size() > 1 || othersAsked == 0;
-    if (!only || !heardOthers)
+    // another entry's list may be newer than that of an entry that has seen one version only
+    const bool confirmed = informed > 1 || othersAsked == 0;
+    if (versions.size() != 1 || !throughout || !confirmed)
         return std::nullopt;
-    return stream_origin{std::string(pool), *only};
+    return stream_origin{std::string(pool), *versions.begin()};
 }
 
 /// Rendezvous hashing: each entry ranks the links alike, and a change of one link moves only the
@@ -101,13 +107,14 @@
     m_current = std::move(versions);
 }
 
-std::optional<std::string> version_history::onlyVersion(instant now, nanoseconds lookback) const
+versions_seen version_history::seen(instant now, nanoseconds lookback) const
 {
-    if (!m_since || now - *m_since < lookback || m_current.size() != 1)
-        return std::nullopt;
-    const bool another = std::ranges::any_of(
-            m_goneAt, [&](const auto &gone) { return now - gone.second < lookback; });
-    return another ? std::nullopt : std::optional(m_current.front());
+    versions_seen out{m_current, m_since && now - *m_since >= lookback};
+    for (const auto &[version, goneAt] : m_goneAt) {
+        if (now - goneAt < lookback)
+            out.versions.push_back(version);
+    }
+    return out;
 }
 
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/requests/stream_origins.hpp
+++ b/src/yuccascale/kernel/requests/stream_origins.hpp
@@ -33,13 +33,23 @@
     nanoseconds kept{}; ///< how much longer it may be taken up
 };
 
+/// \brief The software versions that a pool has had lately, as one entry saw them.
+struct versions_seen
+{
+    std::vector<std::string> versions; ///< empty: the entry knows none
+    bool throughout = false;           ///< the entry has watched the pool for the whole time
+
+    /// \returns the only version; nothing when there were, or may have been, others.
+    [[nodiscard]] std::optional<std::string> only() const;
+
+    [[nodiscard]] bool operator==(const versions_seen &) const = default;
+};
+
 /// \brief What one entry knows of a stream.
 struct origin_answer
 {
     std::optional<stream_origin> origin; ///< recorded
-    /// The only software version in the stream's pool since before the stream can have begun, as
-    /// this entry saw it.
-    std::optional<std::string> onlyVersion;
+    versions_seen seen;                  ///< since before the stream can have begun
 };
 
 /// \brief Records of the streams that began lately. Not thread-safe.
@@ -64,8 +74,11 @@
 };
 
 /// \brief Decides where a stream goes on.
+///
+/// Without a record, one entry that has watched the pool must have seen one version only, and no
+/// other answer may name another. An entry that has just started contradicts, but proves nothing.
 /// \param pool of the request that takes it up
-/// \param answers of this entry and of those that answered
+/// \param answers of this entry, which is the first, and of those that answered
 /// \param othersAsked other entries that should know the stream
 /// \returns nothing when that is not known for sure.
 [[nodiscard]] std::optional<stream_origin> decideOrigin(std::string_view pool,
@@ -84,9 +97,8 @@
     /// \brief Records the versions of the pool's endpoints as they are now.
     void update(instant now, std::vector<std::string> versions);
 
-    /// \returns the version of all endpoints during the last \a lookback; nothing when there were
-    ///          several, or when the history is shorter.
-    [[nodiscard]] std::optional<std::string> onlyVersion(instant now, nanoseconds lookback) const;
+    /// \returns the versions of the endpoints during the last \a lookback.
+    [[nodiscard]] versions_seen seen(instant now, nanoseconds lookback) const;
 
 private:
     std::optional<instant> m_since; ///< first update
--- a/src/yuccascale/wire/stream_codec.cpp
+++ b/src/yuccascale/wire/stream_codec.cpp
@@ -98,8 +98,8 @@
     flatbuffers::Offset<fb::StreamRecord> origin;
     if (answer.origin)
         origin = write(builder, {{}, *answer.origin, {}});
-    const auto only = builder.CreateString(answer.onlyVersion.value_or(std::string()));
-    builder.Finish(fb::CreateStreamAnswer(builder, origin, answer.onlyVersion.has_value(), only));
+    const auto versions = builder.CreateVectorOfStrings(answer.seen.versions);
+    builder.Finish(fb::CreateStreamAnswer(builder, origin, versions, answer.seen.throughout));
     return bytesOf(builder);
 }
 
@@ -112,8 +112,11 @@
     origin_answer out;
     if (const auto record = read(answer.origin()))
         out.origin = record->origin;
-    if (answer.has_only_version() && answer.only_version() != nullptr)
-        out.onlyVersion = answer.only_version()->str();
+    out.seen.throughout = answer.throughout();
+    if (answer.versions() != nullptr) {
+        for (const flatbuffers::String *version : *answer.versions())
+            out.seen.versions.push_back(version->str());
+    }
     return out;
 }
 
--- a/src/yuccascale/wire/streams_generated.h
+++ b/src/yuccascale/wire/streams_generated.h
@@ -266,25 +266,26 @@
   typedef StreamAnswerBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ORIGIN = 4,
-    VT_HAS_ONLY_VERSION = 6,
-    VT_ONLY_VERSION = 8
+    VT_VERSIONS = 10,
+    VT_THROUGHOUT = 12
   };
   const yuccascale::wire::fb::StreamRecord *origin() const {
     return GetPointer<const yuccascale::wire::fb::StreamRecord *>(VT_ORIGIN);
   }
-  bool has_only_version() const {
-    return GetField<uint8_t>(VT_HAS_ONLY_VERSION, 0) != 0;
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *versions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_VERSIONS);
   }
-  const flatbuffers::String *only_version() const {
-    return GetPointer<const flatbuffers::String *>(VT_ONLY_VERSION);
+  bool throughout() const {
+    return GetField<uint8_t>(VT_THROUGHOUT, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ORIGIN) &&
            verifier.VerifyTable(origin()) &&
-           VerifyField<uint8_t>(verifier, VT_HAS_ONLY_VERSION, 1) &&
-           VerifyOffset(verifier, VT_ONLY_VERSION) &&
-           verifier.VerifyString(only_version()) &&
+           VerifyOffset(verifier, VT_VERSIONS) &&
+           verifier.VerifyVector(versions()) &&
+           verifier.VerifyVectorOfStrings(versions()) &&
+           VerifyField<uint8_t>(verifier, VT_THROUGHOUT, 1) &&
            verifier.EndTable();
   }
 };
@@ -296,11 +297,11 @@
   void add_origin(flatbuffers::Offset<yuccascale::wire::fb::StreamRecord> origin) {
     fbb_.AddOffset(StreamAnswer::VT_ORIGIN, origin);
   }
-  void add_has_only_version(bool has_only_version) {
-    fbb_.AddElement<uint8_t>(StreamAnswer::VT_HAS_ONLY_VERSION, static_cast<uint8_t>(has_only_version), 0);
+  void add_versions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> versions) {
+    fbb_.AddOffset(StreamAnswer::VT_VERSIONS, versions);
   }
-  void add_only_version(flatbuffers::Offset<flatbuffers::String> only_version) {
-    fbb_.AddOffset(StreamAnswer::VT_ONLY_VERSION, only_version);
+  void add_throughout(bool throughout) {
+    fbb_.AddElement<uint8_t>(StreamAnswer::VT_THROUGHOUT, static_cast<uint8_t>(throughout), 0);
   }
   explicit StreamAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -316,26 +317,26 @@
 inline flatbuffers::Offset<StreamAnswer> CreateStreamAnswer(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<yuccascale::wire::fb::StreamRecord> origin = 0,
-    bool has_only_version = false,
-    flatbuffers::Offset<flatbuffers::String> only_version = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> versions = 0,
+    bool throughout = false) {
   StreamAnswerBuilder builder_(_fbb);
-  builder_.add_only_version(only_version);
+  builder_.add_versions(versions);
   builder_.add_origin(origin);
-  builder_.add_has_only_version(has_only_version);
+  builder_.add_throughout(throughout);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<StreamAnswer> CreateStreamAnswerDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<yuccascale::wire::fb::StreamRecord> origin = 0,
-    bool has_only_version = false,
-    const char *only_version = nullptr) {
-  auto only_version__ = only_version ? _fbb.CreateString(only_version) : 0;
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *versions = nullptr,
+    bool throughout = false) {
+  auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*versions) : 0;
   return yuccascale::wire::fb::CreateStreamAnswer(
       _fbb,
       origin,
-      has_only_version,
-      only_version__);
+      versions__,
+      throughout);
 }
 
 inline const yuccascale::wire::fb::StreamMessage *GetStreamMessage(const void *buf) {
--- a/tests/fakes/stream_fleet.cpp
+++ b/tests/fakes/stream_fleet.cpp
@@ -126,7 +126,7 @@
     started.streams = std::make_unique<http::stream_registry>(
             m_clock, exchangeOf(entry),
             [pools = started.pools.get()](const std::string &pool, nanoseconds lookback) {
-                return pools->onlyVersion(pool, lookback);
+                return pools->versionsSeen(pool, lookback);
             });
 }
 
--- a/tests/unit/requests_stream_origins_test.cpp
+++ b/tests/unit/requests_stream_origins_test.cpp
@@ -52,23 +52,28 @@
 
 TEST(stream_origins, aRecordGoesBeforeTheOnlyVersionOfAnEntryWhoseListIsOld)
 {
-    const std::vector<origin_answer> answers{{std::nullopt, "v1"},
-                                             {stream_origin{"engines", "v2"}, std::nullopt}};
+    const std::vector<origin_answer> answers{{std::nullopt, {{"v1"}, true}},
+                                             {stream_origin{"engines", "v2"}, {}}};
     EXPECT_EQ(decideOrigin("engines", answers, 2), (stream_origin{"engines", "v2"}));
 }
 
 TEST(stream_origins, withoutARecordAStreamGoesOnOnlyAtTheOneVersionThatAllSaw)
 {
-    const origin_answer sawV1{std::nullopt, "v1"};
-    const origin_answer sawV2{std::nullopt, "v2"};
-    const origin_answer sawSeveral;
-    const std::vector<origin_answer> agreed{sawSeveral, sawV1, sawV1};
+    const origin_answer sawV1{std::nullopt, {{"v1"}, true}};
+    const origin_answer sawV2{std::nullopt, {{"v2"}, true}};
+    const origin_answer sawSeveral{std::nullopt, {{"v1", "v2"}, true}};
+    const origin_answer sawNothing;
+    const std::vector<origin_answer> agreed{sawNothing, sawV1, sawV1};
     const std::vector<origin_answer> disagreed{sawV1, sawV2};
     const std::vector<origin_answer> mixed{sawSeveral, sawSeveral};
+    const std::vector<origin_answer> contradicted{sawSeveral, sawV1, sawV1};
     const std::vector<origin_answer> alone{sawV1};
+    const std::vector<origin_answer> aloneWithNewEntries{sawV1, sawNothing, sawNothing};
     EXPECT_EQ(decideOrigin("engines", agreed, 2), (stream_origin{"engines", "v1"}));
     EXPECT_FALSE(decideOrigin("engines", disagreed, 2));
     EXPECT_FALSE(decideOrigin("engines", mixed, 2));
+    EXPECT_FALSE(decideOrigin("engines", contradicted, 2));
+    EXPECT_FALSE(decideOrigin("engines", aloneWithNewEntries, 2));
     EXPECT_FALSE(decideOrigin("engines", alone, 2)) << "no other entry answered";
     EXPECT_TRUE(decideOrigin("engines", alone, 0)) << "there is no other entry";
 }
@@ -99,13 +104,26 @@
     }
 }
 
+TEST(stream_origins, anEntryThatHasJustStartedContradictsButProvesNothing)
+{
+    const origin_answer sawV1{std::nullopt, {{"v1"}, true}};
+    const origin_answer startedWithV1{std::nullopt, {{"v1"}, false}};
+    const origin_answer startedWithV2{std::nullopt, {{"v2"}, false}};
+    const std::vector<origin_answer> confirmed{startedWithV1, sawV1};
+    const std::vector<origin_answer> contradicted{sawV1, sawV1, startedWithV2};
+    const std::vector<origin_answer> allStarted{startedWithV1, startedWithV1};
+    EXPECT_EQ(decideOrigin("engines", confirmed, 2), (stream_origin{"engines", "v1"}));
+    EXPECT_FALSE(decideOrigin("engines", contradicted, 2));
+    EXPECT_FALSE(decideOrigin("engines", allStarted, 2));
+}
+
 TEST(version_history, knowsTheOnlyVersionOnceItHasLookedLongEnough)
 {
     version_history history;
-    EXPECT_FALSE(history.onlyVersion(start, lookback));
+    EXPECT_FALSE(history.seen(start, lookback).only());
     history.update(start, {"v1", "v1"});
-    EXPECT_FALSE(history.onlyVersion(start + seconds(15), lookback));
-    EXPECT_EQ(history.onlyVersion(start + lookback, lookback), "v1");
+    EXPECT_FALSE(history.seen(start + seconds(15), lookback).only());
+    EXPECT_EQ(history.seen(start + lookback, lookback).only(), "v1");
 }
 
 TEST(version_history, remembersAVersionThatIsGoneForAsLongAsItsStreamsMayBeTakenUp)
@@ -113,12 +131,12 @@
     version_history history;
     history.update(start, {"v1"});
     history.update(start + seconds(20), {"v1", "v2"});
-    EXPECT_FALSE(history.onlyVersion(start + seconds(20), lookback));
+    EXPECT_FALSE(history.seen(start + seconds(20), lookback).only());
     history.update(start + seconds(30), {"v2"});
-    EXPECT_FALSE(history.onlyVersion(start + seconds(45), lookback));
-    EXPECT_EQ(history.onlyVersion(start + seconds(46), lookback), "v2");
+    EXPECT_FALSE(history.seen(start + seconds(45), lookback).only());
+    EXPECT_EQ(history.seen(start + seconds(46), lookback).only(), "v2");
     history.update(start + seconds(50), {"v2", "v1"});
-    EXPECT_FALSE(history.onlyVersion(start + seconds(50), lookback)) << "v1 came back";
+    EXPECT_FALSE(history.seen(start + seconds(50), lookback).only()) << "v1 came back";
 }
 
 TEST(stream_codec, messagesAndAnswersAreDecodedAsTheyWereEncoded)
@@ -134,14 +152,15 @@
     EXPECT_EQ(message.query->requestId, "c");
     EXPECT_EQ(message.query->lookback, lookback);
     const auto recorded = wire::decodeStreamAnswer(
-            wire::encodeStreamAnswer({stream_origin{"engines", "v2"}, std::nullopt}));
+            wire::encodeStreamAnswer({stream_origin{"engines", "v2"}, {}}));
     ASSERT_TRUE(recorded);
     EXPECT_EQ(recorded->origin, (stream_origin{"engines", "v2"}));
-    EXPECT_FALSE(recorded->onlyVersion);
-    const auto only = wire::decodeStreamAnswer(wire::encodeStreamAnswer({std::nullopt, ""}));
-    ASSERT_TRUE(only);
-    EXPECT_FALSE(only->origin);
-    EXPECT_EQ(only->onlyVersion, "") << "an endpoint may name no version";
+    EXPECT_EQ(recorded->seen, versions_seen());
+    const versions_seen seen{{"", "v1"}, true};
+    const auto unrecorded = wire::decodeStreamAnswer(wire::encodeStreamAnswer({{}, seen}));
+    ASSERT_TRUE(unrecorded);
+    EXPECT_FALSE(unrecorded->origin);
+    EXPECT_EQ(unrecorded->seen, seen) << "an endpoint may name no version";
     EXPECT_TRUE(wire::decodeStreamMessage("nonsense").records.empty());
     EXPECT_FALSE(wire::decodeStreamAnswer("nonsense"));
 }
