The time before the first list of endpoints is no knowledge of their versions

Cause: the history of a pool's versions began with the tables, with no endpoints in it, so that the first list looked as if its versions had served all the time.

Change: a pool whose endpoints come from the platform's list has no history before a list.

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -51,6 +51,13 @@
     return row;
 }
 
+/// \returns false before the first list of the platform, when nothing is known of the endpoints.
+[[nodiscard]] bool haveEndpoints(const kernel::state::pool &row,
+                                 const kernel::feed::endpoint_list *endpointList)
+{
+    return !row.discovered || (endpointList != nullptr && endpointList->version > 0);
+}
+
 } // namespace
 
 caller_pools::caller_pools(const runtime::settings &settings, const kernel::clock &clock,
@@ -139,7 +146,7 @@
         const kernel::state::pool row = withListedEndpoints(tableRow, endpointList);
         for (const kernel::state::endpoint &endpoint : row.endpoints)
             endpoints.push_back({name, endpoint.name, endpoint.address, row.kind});
-        setRows(*pool, row);
+        setRows(*pool, row, haveEndpoints(tableRow, endpointList));
     }
     std::map<std::string, std::shared_ptr<guarded_pool>> pools;
     {
@@ -149,17 +156,18 @@
     }
     for (const auto &[name, pool] : pools) {
         if (!tables.pools.contains(name))
-            setRows(*pool, {});
+            setRows(*pool, {}, true);
     }
 }
 
-void caller_pools::setRows(guarded_pool &pool, const kernel::state::pool &row)
+void caller_pools::setRows(guarded_pool &pool, const kernel::state::pool &row, bool endpointsKnown)
 {
     const std::scoped_lock guard(pool.mutex);
     std::vector<std::string> versions;
     for (const kernel::state::endpoint &endpoint : row.endpoints)
         versions.push_back(endpoint.softwareVersion);
-    pool.versions.update(m_clock.now(), std::move(versions));
+    if (endpointsKnown)
+        pool.versions.update(m_clock.now(), std::move(versions));
     pool.scheduler.setRows(row);
     runScheduler(pool);
 }
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -152,7 +152,7 @@
     [[nodiscard]] std::shared_ptr<guarded_pool> find(const std::string &pool) const;
     [[nodiscard]] std::shared_ptr<guarded_pool> findOrCreate(const std::string &pool);
     [[nodiscard]] std::vector<std::shared_ptr<guarded_pool>> allPools() const;
-    void setRows(guarded_pool &pool, const kernel::state::pool &row);
+    void setRows(guarded_pool &pool, const kernel::state::pool &row, bool endpointsKnown);
     static void refuseWaiting(guarded_pool &pool, std::span<const std::uint64_t> tickets,
                               const kernel::requests::refusal &reason);
     void refuseCrashCauses(guarded_pool &pool);
