A stream goes on in no pool but the one that its route led to when it began

Cause: what an entry watched were the versions of a pool; which pools a route had led to was not remembered, and records were sent to other entries only while a pool had several versions.

Change: version_history becomes name_history and is also kept for the pools of each route; the question and the answer between entries carry both. A route that is removed is forgotten, so that nothing is claimed when it comes back.

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -51,6 +51,19 @@
     return row;
 }
 
+/// The pools that a route may send a request to.
+[[nodiscard]] std::vector<std::string> poolsOf(const kernel::state::route &row)
+{
+    if (row.split.empty())
+        return {row.pool};
+    std::vector<std::string> pools;
+    for (const kernel::state::pool_share &share : row.split) {
+        if (share.weight > 0)
+            pools.push_back(share.pool);
+    }
+    return pools;
+}
+
 /// \returns false before the first list of the platform, when nothing is known of the endpoints.
 [[nodiscard]] bool haveEndpoints(const kernel::state::pool &row,
                                  const kernel::feed::endpoint_list *endpointList)
@@ -152,6 +165,7 @@
     {
         const std::unique_lock guard(m_mutex);
         m_endpoints = std::move(endpoints);
+        updateRoutes(tables.routes);
         pools = m_pools;
     }
     for (const auto &[name, pool] : pools) {
@@ -172,14 +186,29 @@
     runScheduler(pool);
 }
 
-versions_seen caller_pools::versionsSeen(const std::string &pool,
-                                         kernel::nanoseconds lookback) const
+/// A route that is removed is forgotten: when it comes back, nothing is known of its streams.
+void caller_pools::updateRoutes(const std::map<std::string, kernel::state::route> &routes)
 {
-    const std::shared_ptr<guarded_pool> found = find(pool);
-    if (!found)
-        return {};
-    const std::scoped_lock guard(found->mutex);
-    return found->versions.seen(m_clock.now(), lookback);
+    std::erase_if(m_routePools, [&](const auto &known) { return !routes.contains(known.first); });
+    for (const auto &[name, row] : routes)
+        m_routePools[name].update(m_clock.now(), poolsOf(row));
+}
+
+origins_seen caller_pools::originsSeen(const std::string &route, const std::string &pool,
+                                       kernel::nanoseconds lookback) const
+{
+    origins_seen out;
+    {
+        const std::shared_lock guard(m_mutex);
+        const auto history = m_routePools.find(route);
+        if (history != m_routePools.end())
+            out.pools = history->second.seen(m_clock.now(), lookback);
+    }
+    if (const std::shared_ptr<guarded_pool> found = find(pool)) {
+        const std::scoped_lock guard(found->mutex);
+        out.versions = found->versions.seen(m_clock.now(), lookback);
+    }
+    return out;
 }
 
 void caller_pools::refuseWaiting(guarded_pool &pool, std::span<const std::uint64_t> tickets,
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -116,9 +116,10 @@
         m_crashCauseListener = std::move(listener);
     }
 
-    /// \returns the software versions of a pool's endpoints during the last \a lookback.
-    [[nodiscard]] kernel::requests::versions_seen versionsSeen(const std::string &pool,
-                                                               kernel::nanoseconds lookback) const;
+    /// \returns where streams of a route and its pool can have begun during the last \a lookback.
+    [[nodiscard]] kernel::requests::origins_seen originsSeen(const std::string &route,
+                                                             const std::string &pool,
+                                                             kernel::nanoseconds lookback) const;
 
     /// \brief Runs all schedulers, for assignments that become possible by the passing of time
     /// alone.
@@ -141,7 +142,7 @@
         const std::string name;
         std::mutex mutex;
         kernel::requests::pool_scheduler scheduler;
-        kernel::requests::version_history versions;
+        kernel::requests::name_history versions;
         std::map<std::uint64_t, std::shared_ptr<caller_mailbox>> mailboxes;
     };
 
@@ -152,6 +153,8 @@
     [[nodiscard]] std::shared_ptr<guarded_pool> find(const std::string &pool) const;
     [[nodiscard]] std::shared_ptr<guarded_pool> findOrCreate(const std::string &pool);
     [[nodiscard]] std::vector<std::shared_ptr<guarded_pool>> allPools() const;
+    /// Requires m_mutex to be held.
+    void updateRoutes(const std::map<std::string, kernel::state::route> &routes);
     void setRows(guarded_pool &pool, const kernel::state::pool &row, bool endpointsKnown);
     static void refuseWaiting(guarded_pool &pool, std::span<const std::uint64_t> tickets,
                               const kernel::requests::refusal &reason);
@@ -167,6 +170,7 @@
     mutable std::shared_mutex m_mutex;
     std::map<std::string, std::shared_ptr<guarded_pool>> m_pools; ///< by pool name
     std::vector<polled_endpoint> m_endpoints;
+    std::map<std::string, kernel::requests::name_history> m_routePools; ///< by route name
     std::function<void(kernel::requests::endpoint_updates)> m_endpointUpdateListener;
     std::function<void(const std::string &, const kernel::requests::part_set &)>
             m_crashCauseListener;
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -132,8 +132,9 @@
                                          std::hash<std::string>{}(m_services.entry)));
     m_services.streams = std::make_unique<stream_registry>(
             m_dependencies.clock, m_dependencies.otherEntries,
-            [this](const std::string &pool, kernel::nanoseconds lookback) {
-                return m_services.pools->versionsSeen(pool, lookback);
+            [this](const std::string &routeName, const std::string &pool,
+                   kernel::nanoseconds lookback) {
+                return m_services.pools->originsSeen(routeName, pool, lookback);
             });
     m_services.pools->setCrashCauseListener([this](const std::string &pool, const part_set &parts) {
         const std::string fingerprint = partBanOf(pool, parts);
--- a/src/yuccascale/http/stream_registry.cpp
+++ b/src/yuccascale/http/stream_registry.cpp
@@ -1,13 +1,12 @@
 #include "yuccascale/http/stream_registry.hpp"
 
-#include "yuccascale/wire/stream_codec.hpp"
-
 #include <map>
 #include <utility>
 
 namespace yuccascale::http {
 
 using namespace kernel::requests;
+namespace state = kernel::state;
 using kernel::nanoseconds;
 
 namespace {
@@ -27,13 +26,21 @@
     return kernel::milliseconds(deadlinesKept * callerRequest.route.deadlineMs);
 }
 
+/// The pools of the route's streams, among them the one that has just begun.
+[[nodiscard]] std::set<std::string> poolsOf(const origins_seen &seen, const stream_record &began)
+{
+    std::set<std::string> pools(seen.pools.names.begin(), seen.pools.names.end());
+    pools.insert(began.origin.pool);
+    return pools;
+}
+
 } // namespace
 
 stream_registry::stream_registry(const kernel::clock &clock, entry_exchange exchange,
-                                 version_lookup versionsSeen)
+                                 origins_lookup originsSeen)
     : m_clock(clock)
     , m_exchange(std::move(exchange))
-    , m_versionsSeen(std::move(versionsSeen))
+    , m_originsSeen(std::move(originsSeen))
     , m_workers(maxThreads)
 { }
 
@@ -46,21 +53,27 @@
 {
     const stream_record began{
             callerRequest.id, {callerRequest.route.pool, version}, keptTime(callerRequest)};
-    send(recordsToSend(began));
+    send(recordsToSend(callerRequest.route.name, began));
 }
 
-std::vector<stream_record> stream_registry::recordsToSend(const stream_record &began)
+std::vector<stream_record> stream_registry::recordsToSend(const std::string &route,
+                                                          const stream_record &began)
 {
-    const std::string &pool = began.origin.pool;
-    const bool mixed = !m_versionsSeen(pool, began.kept).only();
+    const origins_seen seen = m_originsSeen(route, began.origin.pool, began.kept);
     const std::scoped_lock guard(m_mutex);
     m_origins.record(m_clock.now(), began);
-    if (!mixed) {
-        m_mixedPools.erase(pool);
+    if (seen.unambiguous()) {
+        m_ambiguousRoutes.erase(route);
         return {};
     }
-    const bool newlyMixed = m_mixedPools.insert(pool).second;
-    return newlyMixed ? m_origins.recordsOf(m_clock.now(), pool) : std::vector{began};
+    if (!m_ambiguousRoutes.insert(route).second)
+        return {began};
+    std::vector<stream_record> records;
+    for (const std::string &pool : poolsOf(seen, began)) {
+        const std::vector<stream_record> ofPool = m_origins.recordsOf(m_clock.now(), pool);
+        records.insert(records.end(), ofPool.begin(), ofPool.end());
+    }
+    return records;
 }
 
 void stream_registry::send(const std::vector<stream_record> &records)
@@ -79,28 +92,27 @@
 
 void stream_registry::locate(const request &callerRequest, origin_callback done)
 {
-    m_workers.run([this, id = callerRequest.continuedId, pool = callerRequest.route.pool,
-                   lookback = keptTime(callerRequest),
-                   done = std::move(done)] { done(find(id, pool, lookback)); });
+    const state::route &route = callerRequest.route;
+    m_workers.run([this,
+                   query = wire::stream_query{callerRequest.continuedId, route.name, route.pool,
+                                              keptTime(callerRequest)},
+                   done = std::move(done)] { done(find(query)); });
 }
 
-origin_answer stream_registry::known(const std::string &requestId, const std::string &pool,
-                                     nanoseconds lookback)
+origin_answer stream_registry::known(const wire::stream_query &query)
 {
     origin_answer out;
-    out.seen = m_versionsSeen(pool, lookback);
+    out.seen = m_originsSeen(query.route, query.pool, query.lookback);
     const std::scoped_lock guard(m_mutex);
-    out.origin = m_origins.find(m_clock.now(), requestId);
+    out.origin = m_origins.find(m_clock.now(), query.requestId);
     return out;
 }
 
-std::optional<stream_origin> stream_registry::find(const std::string &requestId,
-                                                   const std::string &pool, nanoseconds lookback)
+std::optional<stream_origin> stream_registry::find(const wire::stream_query &query)
 {
-    std::vector<origin_answer> answers{known(requestId, pool, lookback)};
-    const std::vector<std::string> asked = keepersOf(requestId, others(), askedEntries);
-    const std::string question
-            = wire::encodeStreamMessage({{}, wire::stream_query{requestId, pool, lookback}});
+    std::vector<origin_answer> answers{known(query)};
+    const std::vector<std::string> asked = keepersOf(query.requestId, others(), askedEntries);
+    const std::string question = wire::encodeStreamMessage({{}, query});
     for (const std::string &link : asked) {
         if (answers.back().origin || !m_exchange.call)
             break;
@@ -110,7 +122,7 @@
         if (auto answer = wire::decodeStreamAnswer(*bytes))
             answers.push_back(std::move(*answer));
     }
-    return decideOrigin(pool, answers, asked.size());
+    return decideOrigin(query.pool, answers, asked.size());
 }
 
 std::string stream_registry::handle(std::string_view message)
@@ -123,8 +135,7 @@
     }
     if (!received.query)
         return {};
-    return wire::encodeStreamAnswer(
-            known(received.query->requestId, received.query->pool, received.query->lookback));
+    return wire::encodeStreamAnswer(known(*received.query));
 }
 
 } // namespace yuccascale::http
--- a/src/yuccascale/http/stream_registry.hpp
+++ b/src/yuccascale/http/stream_registry.hpp
@@ -4,6 +4,7 @@
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/requests/request.hpp"
 #include "yuccascale/kernel/requests/stream_origins.hpp"
+#include "yuccascale/wire/stream_codec.hpp"
 
 #include <functional>
 #include <mutex>
@@ -32,19 +33,19 @@
 /// \brief Records where streams began, here and at entries that keep the record for others.
 /// Thread-safe.
 ///
-/// While a pool has one software version only, a stream can have begun at no other, and nothing is
-/// sent. An entry that sees another version sends all records that it has.
+/// While a route leads to one pool with one software version only, a stream can have begun at no
+/// other, and nothing is sent. An entry that sees another sends all records that it has.
 class stream_registry
 {
 public:
     using origin_callback
             = std::function<void(std::optional<kernel::requests::stream_origin> origin)>;
-    /// \returns the software versions of a pool during the lookback.
-    using version_lookup = std::function<kernel::requests::versions_seen(
-            const std::string &pool, kernel::nanoseconds lookback)>;
+    /// \returns where streams of a route and its pool can have begun during the lookback.
+    using origins_lookup = std::function<kernel::requests::origins_seen(
+            const std::string &route, const std::string &pool, kernel::nanoseconds lookback)>;
 
     stream_registry(const kernel::clock &clock, entry_exchange exchange,
-                    version_lookup versionsSeen);
+                    origins_lookup originsSeen);
 
     /// \brief Records that the first piece of a request's stream arrived.
     void record(const kernel::requests::request &callerRequest, const std::string &version);
@@ -61,21 +62,20 @@
     void shutdown() { m_workers.shutdown(); }
 
 private:
-    [[nodiscard]] kernel::requests::origin_answer
-    known(const std::string &requestId, const std::string &pool, kernel::nanoseconds lookback);
+    [[nodiscard]] kernel::requests::origin_answer known(const wire::stream_query &query);
     [[nodiscard]] std::optional<kernel::requests::stream_origin>
-    find(const std::string &requestId, const std::string &pool, kernel::nanoseconds lookback);
+    find(const wire::stream_query &query);
     [[nodiscard]] std::vector<kernel::requests::stream_record>
-    recordsToSend(const kernel::requests::stream_record &began);
+    recordsToSend(const std::string &route, const kernel::requests::stream_record &began);
     void send(const std::vector<kernel::requests::stream_record> &records);
     [[nodiscard]] std::vector<std::string> others() const;
 
     const kernel::clock &m_clock;
     const entry_exchange m_exchange;
-    const version_lookup m_versionsSeen;
+    const origins_lookup m_originsSeen;
     std::mutex m_mutex;
     kernel::requests::stream_origins m_origins;
-    std::set<std::string> m_mixedPools; ///< whose records were sent
+    std::set<std::string> m_ambiguousRoutes; ///< whose records were sent
     worker_pool m_workers;
 };
 
--- a/src/yuccascale/kernel/requests/stream_origins.cpp
+++ b/src/yuccascale/kernel/requests/stream_origins.cpp
@@ -49,29 +49,56 @@
     return out;
 }
 
-std::optional<std::string> versions_seen::only() const
+namespace {
+
+/// What the answers of several entries say together.
+class merged_names
+{
+public:
+    void add(const names_seen &seen)
+    {
+        m_names.insert(seen.names.begin(), seen.names.end());
+        m_throughout = m_throughout || seen.throughout;
+        m_informed += seen.names.empty() ? 0 : 1;
+    }
+
+    [[nodiscard]] std::optional<std::string> only() const
+    {
+        return m_throughout && m_names.size() == 1 ? std::optional(*m_names.begin()) : std::nullopt;
+    }
+
+    /// \returns the number of entries that know any name.
+    [[nodiscard]] std::size_t informed() const noexcept { return m_informed; }
+
+private:
+    std::set<std::string> m_names;
+    bool m_throughout = false;
+    std::size_t m_informed = 0;
+};
+
+} // namespace
+
+std::optional<std::string> names_seen::only() const
 {
-    return throughout && versions.size() == 1 ? std::optional(versions.front()) : std::nullopt;
+    return throughout && names.size() == 1 ? std::optional(names.front()) : std::nullopt;
 }
 
 std::optional<stream_origin>
 decideOrigin(std::string_view pool, std::span<const origin_answer> answers, std::size_t othersAsked)
 {
-    std::set<std::string> versions;
-    bool throughout = false;
-    std::size_t informed = 0;
+    merged_names pools;
+    merged_names versions;
     for (const origin_answer &answer : answers) {
         if (answer.origin)
             return answer.origin;
-        versions.insert(answer.seen.versions.begin(), answer.seen.versions.end());
-        throughout = throughout || answer.seen.throughout;
-        informed += answer.seen.versions.empty() ? 0 : 1;
+        pools.add(answer.seen.pools);
+        versions.add(answer.seen.versions);
     }
     // another entry's list may be newer than that of an entry that has seen one version only
-    const bool confirmed = informed > 1 || othersAsked == 0;
-    if (versions.size() != 1 || !throughout || !confirmed)
+    const bool confirmed = versions.informed() > 1 || othersAsked == 0;
+    if (!confirmed || pools.only() != pool || !versions.only())
         return std::nullopt;
-    return stream_origin{std::string(pool), *versions.begin()};
+    return stream_origin{std::string(pool), *versions.only()};
 }
 
 /// Rendezvous hashing: each entry ranks the links alike, and a change of one link moves only the
@@ -94,25 +121,25 @@
     return keepers;
 }
 
-void version_history::update(instant now, std::vector<std::string> versions)
+void name_history::update(instant now, std::vector<std::string> names)
 {
     if (!m_since)
         m_since = now;
-    std::ranges::sort(versions);
-    versions.erase(std::unique(versions.begin(), versions.end()), versions.end());
-    for (const std::string &version : m_current)
-        m_goneAt[version] = now;
-    for (const std::string &version : versions)
-        m_goneAt.erase(version);
-    m_current = std::move(versions);
+    std::ranges::sort(names);
+    names.erase(std::unique(names.begin(), names.end()), names.end());
+    for (const std::string &name : m_current)
+        m_goneAt[name] = now;
+    for (const std::string &name : names)
+        m_goneAt.erase(name);
+    m_current = std::move(names);
 }
 
-versions_seen version_history::seen(instant now, nanoseconds lookback) const
+names_seen name_history::seen(instant now, nanoseconds lookback) const
 {
-    versions_seen out{m_current, m_since && now - *m_since >= lookback};
-    for (const auto &[version, goneAt] : m_goneAt) {
+    names_seen out{m_current, m_since && now - *m_since >= lookback};
+    for (const auto &[name, goneAt] : m_goneAt) {
         if (now - goneAt < lookback)
-            out.versions.push_back(version);
+            out.names.push_back(name);
     }
     return out;
 }
--- a/src/yuccascale/kernel/requests/stream_origins.hpp
+++ b/src/yuccascale/kernel/requests/stream_origins.hpp
@@ -33,23 +33,35 @@
     nanoseconds kept{}; ///< how much longer it may be taken up
 };
 
-/// \brief The software versions that a pool has had lately, as one entry saw them.
-struct versions_seen
+/// \brief Names that were in force lately, as one entry saw them.
+struct names_seen
 {
-    std::vector<std::string> versions; ///< empty: the entry knows none
-    bool throughout = false;           ///< the entry has watched the pool for the whole time
+    std::vector<std::string> names; ///< empty: the entry knows none
+    bool throughout = false;        ///< the entry has watched for the whole time
 
-    /// \returns the only version; nothing when there were, or may have been, others.
+    /// \returns the only name; nothing when there were, or may have been, others.
     [[nodiscard]] std::optional<std::string> only() const;
 
-    [[nodiscard]] bool operator==(const versions_seen &) const = default;
+    [[nodiscard]] bool operator==(const names_seen &) const = default;
+};
+
+/// \brief Where streams can have begun, as one entry saw it.
+struct origins_seen
+{
+    names_seen pools;    ///< that the route led to
+    names_seen versions; ///< software versions of the pool that it leads to now
+
+    /// \returns whether a stream can have begun at one kind of endpoint only.
+    [[nodiscard]] bool unambiguous() const { return pools.only() && versions.only(); }
+
+    [[nodiscard]] bool operator==(const origins_seen &) const = default;
 };
 
 /// \brief What one entry knows of a stream.
 struct origin_answer
 {
     std::optional<stream_origin> origin; ///< recorded
-    versions_seen seen;                  ///< since before the stream can have begun
+    origins_seen seen;                   ///< since before the stream can have begun
 };
 
 /// \brief Records of the streams that began lately. Not thread-safe.
@@ -75,12 +87,11 @@
 
 /// \brief Decides where a stream goes on.
 ///
-/// Without a record, one entry that has watched the pool must have seen one version only, and no
-/// other answer may name another. An entry that has just started contradicts, but proves nothing.
-/// \param pool of the request that takes it up
-/// \param answers of this entry, which is the first, and of those that answered
-/// \param othersAsked other entries that should know the stream
-/// \returns nothing when that is not known for sure.
+/// Without a record, one entry that has watched the route must have seen one pool and one software
+/// version only, and no other answer may name another. An entry that has just started contradicts,
+/// but proves nothing. \param pool of the request that takes it up \param answers of this entry,
+/// which is the first, and of those that answered \param othersAsked other entries that should know
+/// the stream \returns nothing when that is not known for sure.
 [[nodiscard]] std::optional<stream_origin> decideOrigin(std::string_view pool,
                                                         std::span<const origin_answer> answers,
                                                         std::size_t othersAsked);
@@ -90,20 +101,21 @@
 [[nodiscard]] std::vector<std::string>
 keepersOf(std::string_view requestId, std::span<const std::string> links, std::size_t count);
 
-/// \brief The software versions that a pool has had lately. Not thread-safe.
-class version_history
+/// \brief Names that were in force lately: the software versions of a pool's endpoints, or the
+/// pools of a route. Not thread-safe.
+class name_history
 {
 public:
-    /// \brief Records the versions of the pool's endpoints as they are now.
-    void update(instant now, std::vector<std::string> versions);
+    /// \brief Records the names that are in force now.
+    void update(instant now, std::vector<std::string> names);
 
-    /// \returns the versions of the endpoints during the last \a lookback.
-    [[nodiscard]] versions_seen seen(instant now, nanoseconds lookback) const;
+    /// \returns the names that were in force during the last \a lookback.
+    [[nodiscard]] names_seen seen(instant now, nanoseconds lookback) const;
 
 private:
     std::optional<instant> m_since; ///< first update
     std::vector<std::string> m_current;
-    std::map<std::string, instant> m_goneAt; ///< of versions that are not current
+    std::map<std::string, instant> m_goneAt; ///< of names that are not current
 };
 
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/wire/stream_codec.cpp
+++ b/src/yuccascale/wire/stream_codec.cpp
@@ -42,6 +42,23 @@
                          kernel::milliseconds(table->kept_ms())};
 }
 
+[[nodiscard]] flatbuffers::Offset<fb::NamesSeen> write(builder_type &builder,
+                                                       const names_seen &seen)
+{
+    return fb::CreateNamesSeen(builder, builder.CreateVectorOfStrings(seen.names), seen.throughout);
+}
+
+[[nodiscard]] names_seen read(const fb::NamesSeen *table)
+{
+    names_seen out;
+    if (table == nullptr || table->names() == nullptr)
+        return out;
+    out.throughout = table->throughout();
+    for (const flatbuffers::String *name : *table->names())
+        out.names.push_back(name->str());
+    return out;
+}
+
 [[nodiscard]] std::string bytesOf(const builder_type &builder)
 {
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
@@ -65,8 +82,10 @@
     flatbuffers::Offset<fb::StreamQuery> query;
     if (message.query) {
         const auto id = builder.CreateString(message.query->requestId);
+        const auto route = builder.CreateString(message.query->route);
         const auto pool = builder.CreateString(message.query->pool);
-        query = fb::CreateStreamQuery(builder, id, pool, inMilliseconds(message.query->lookback));
+        query = fb::CreateStreamQuery(builder, id, pool, inMilliseconds(message.query->lookback),
+                                      route);
     }
     builder.Finish(fb::CreateStreamMessage(builder, vector, query));
     return bytesOf(builder);
@@ -86,8 +105,9 @@
         }
     }
     const fb::StreamQuery *query = message.query();
-    if (query != nullptr && query->request_id() != nullptr && query->pool() != nullptr)
-        out.query = {query->request_id()->str(), query->pool()->str(),
+    if (query != nullptr && query->request_id() != nullptr && query->pool() != nullptr
+        && query->route() != nullptr)
+        out.query = {query->request_id()->str(), query->route()->str(), query->pool()->str(),
                      kernel::milliseconds(std::min(query->lookback_ms(), maxTimeMs))};
     return out;
 }
@@ -98,8 +118,9 @@
     flatbuffers::Offset<fb::StreamRecord> origin;
     if (answer.origin)
         origin = write(builder, {{}, *answer.origin, {}});
-    const auto versions = builder.CreateVectorOfStrings(answer.seen.versions);
-    builder.Finish(fb::CreateStreamAnswer(builder, origin, versions, answer.seen.throughout));
+    const auto versions = write(builder, answer.seen.versions);
+    const auto pools = write(builder, answer.seen.pools);
+    builder.Finish(fb::CreateStreamAnswer(builder, origin, versions, pools));
     return bytesOf(builder);
 }
 
@@ -112,11 +133,7 @@
     origin_answer out;
     if (const auto record = read(answer.origin()))
         out.origin = record->origin;
-    out.seen.throughout = answer.throughout();
-    if (answer.versions() != nullptr) {
-        for (const flatbuffers::String *version : *answer.versions())
-            out.seen.versions.push_back(version->str());
-    }
+    out.seen = {read(answer.pools()), read(answer.versions())};
     return out;
 }
 
--- a/src/yuccascale/wire/stream_codec.hpp
+++ b/src/yuccascale/wire/stream_codec.hpp
@@ -15,8 +15,9 @@
 /// \brief Asks what an entry knows of a stream.
 struct stream_query
 {
-    std::string requestId; ///< of the request that brought its first piece
-    std::string pool;
+    std::string requestId;          ///< of the request that brought its first piece
+    std::string route;              ///< of the request that takes it up
+    std::string pool;               ///< that the route leads to
     kernel::nanoseconds lookback{}; ///< the stream cannot have begun earlier
 };
 
--- a/src/yuccascale/wire/streams_generated.h
+++ b/src/yuccascale/wire/streams_generated.h
@@ -26,6 +26,9 @@
 struct StreamMessage;
 struct StreamMessageBuilder;
 
+struct NamesSeen;
+struct NamesSeenBuilder;
+
 struct StreamAnswer;
 struct StreamAnswerBuilder;
 
@@ -125,7 +128,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST_ID = 4,
     VT_POOL = 6,
-    VT_LOOKBACK_MS = 8
+    VT_LOOKBACK_MS = 8,
+    VT_ROUTE = 10
   };
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
@@ -136,6 +140,9 @@
   uint32_t lookback_ms() const {
     return GetField<uint32_t>(VT_LOOKBACK_MS, 0);
   }
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST_ID) &&
@@ -143,6 +150,8 @@
            VerifyOffset(verifier, VT_POOL) &&
            verifier.VerifyString(pool()) &&
            VerifyField<uint32_t>(verifier, VT_LOOKBACK_MS, 4) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
            verifier.EndTable();
   }
 };
@@ -160,6 +169,9 @@
   void add_lookback_ms(uint32_t lookback_ms) {
     fbb_.AddElement<uint32_t>(StreamQuery::VT_LOOKBACK_MS, lookback_ms, 0);
   }
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(StreamQuery::VT_ROUTE, route);
+  }
   explicit StreamQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -175,8 +187,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> request_id = 0,
     flatbuffers::Offset<flatbuffers::String> pool = 0,
-    uint32_t lookback_ms = 0) {
+    uint32_t lookback_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> route = 0) {
   StreamQueryBuilder builder_(_fbb);
+  builder_.add_route(route);
   builder_.add_lookback_ms(lookback_ms);
   builder_.add_pool(pool);
   builder_.add_request_id(request_id);
@@ -187,14 +201,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *request_id = nullptr,
     const char *pool = nullptr,
-    uint32_t lookback_ms = 0) {
+    uint32_t lookback_ms = 0,
+    const char *route = nullptr) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto route__ = route ? _fbb.CreateString(route) : 0;
   return yuccascale::wire::fb::CreateStreamQuery(
       _fbb,
       request_id__,
       pool__,
-      lookback_ms);
+      lookback_ms,
+      route__);
 }
 
 struct StreamMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -262,30 +279,94 @@
       query);
 }
 
+struct NamesSeen FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef NamesSeenBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAMES = 4,
+    VT_THROUGHOUT = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *names() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_NAMES);
+  }
+  bool throughout() const {
+    return GetField<uint8_t>(VT_THROUGHOUT, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAMES) &&
+           verifier.VerifyVector(names()) &&
+           verifier.VerifyVectorOfStrings(names()) &&
+           VerifyField<uint8_t>(verifier, VT_THROUGHOUT, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct NamesSeenBuilder {
+  typedef NamesSeen Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_names(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> names) {
+    fbb_.AddOffset(NamesSeen::VT_NAMES, names);
+  }
+  void add_throughout(bool throughout) {
+    fbb_.AddElement<uint8_t>(NamesSeen::VT_THROUGHOUT, static_cast<uint8_t>(throughout), 0);
+  }
+  explicit NamesSeenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<NamesSeen> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<NamesSeen>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<NamesSeen> CreateNamesSeen(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> names = 0,
+    bool throughout = false) {
+  NamesSeenBuilder builder_(_fbb);
+  builder_.add_names(names);
+  builder_.add_throughout(throughout);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<NamesSeen> CreateNamesSeenDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *names = nullptr,
+    bool throughout = false) {
+  auto names__ = names ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*names) : 0;
+  return yuccascale::wire::fb::CreateNamesSeen(
+      _fbb,
+      names__,
+      throughout);
+}
+
 struct StreamAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StreamAnswerBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ORIGIN = 4,
     VT_VERSIONS = 10,
-    VT_THROUGHOUT = 12
+    VT_POOLS = 12
   };
   const yuccascale::wire::fb::StreamRecord *origin() const {
     return GetPointer<const yuccascale::wire::fb::StreamRecord *>(VT_ORIGIN);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *versions() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_VERSIONS);
+  const yuccascale::wire::fb::NamesSeen *versions() const {
+    return GetPointer<const yuccascale::wire::fb::NamesSeen *>(VT_VERSIONS);
   }
-  bool throughout() const {
-    return GetField<uint8_t>(VT_THROUGHOUT, 0) != 0;
+  const yuccascale::wire::fb::NamesSeen *pools() const {
+    return GetPointer<const yuccascale::wire::fb::NamesSeen *>(VT_POOLS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ORIGIN) &&
            verifier.VerifyTable(origin()) &&
            VerifyOffset(verifier, VT_VERSIONS) &&
-           verifier.VerifyVector(versions()) &&
-           verifier.VerifyVectorOfStrings(versions()) &&
-           VerifyField<uint8_t>(verifier, VT_THROUGHOUT, 1) &&
+           verifier.VerifyTable(versions()) &&
+           VerifyOffset(verifier, VT_POOLS) &&
+           verifier.VerifyTable(pools()) &&
            verifier.EndTable();
   }
 };
@@ -297,11 +378,11 @@
   void add_origin(flatbuffers::Offset<yuccascale::wire::fb::StreamRecord> origin) {
     fbb_.AddOffset(StreamAnswer::VT_ORIGIN, origin);
   }
-  void add_versions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> versions) {
+  void add_versions(flatbuffers::Offset<yuccascale::wire::fb::NamesSeen> versions) {
     fbb_.AddOffset(StreamAnswer::VT_VERSIONS, versions);
   }
-  void add_throughout(bool throughout) {
-    fbb_.AddElement<uint8_t>(StreamAnswer::VT_THROUGHOUT, static_cast<uint8_t>(throughout), 0);
+  void add_pools(flatbuffers::Offset<yuccascale::wire::fb::NamesSeen> pools) {
+    fbb_.AddOffset(StreamAnswer::VT_POOLS, pools);
   }
   explicit StreamAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -317,28 +398,15 @@
 inline flatbuffers::Offset<StreamAnswer> CreateStreamAnswer(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<yuccascale::wire::fb::StreamRecord> origin = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> versions = 0,
-    bool throughout = false) {
+    flatbuffers::Offset<yuccascale::wire::fb::NamesSeen> versions = 0,
+    flatbuffers::Offset<yuccascale::wire::fb::NamesSeen> pools = 0) {
   StreamAnswerBuilder builder_(_fbb);
+  builder_.add_pools(pools);
   builder_.add_versions(versions);
   builder_.add_origin(origin);
-  builder_.add_throughout(throughout);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<StreamAnswer> CreateStreamAnswerDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<yuccascale::wire::fb::StreamRecord> origin = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *versions = nullptr,
-    bool throughout = false) {
-  auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*versions) : 0;
-  return yuccascale::wire::fb::CreateStreamAnswer(
-      _fbb,
-      origin,
-      versions__,
-      throughout);
-}
-
 inline const yuccascale::wire::fb::StreamMessage *GetStreamMessage(const void *buf) {
   return flatbuffers::GetRoot<yuccascale::wire::fb::StreamMessage>(buf);
 }
--- a/tests/fakes/stream_fleet.cpp
+++ b/tests/fakes/stream_fleet.cpp
@@ -125,8 +125,9 @@
     started.pools = http::caller_pools::make(settings, m_clock, entry).value();
     started.streams = std::make_unique<http::stream_registry>(
             m_clock, exchangeOf(entry),
-            [pools = started.pools.get()](const std::string &pool, nanoseconds lookback) {
-                return pools->versionsSeen(pool, lookback);
+            [pools = started.pools.get()](const std::string &routeName, const std::string &pool,
+                                          nanoseconds lookback) {
+                return pools->originsSeen(routeName, pool, lookback);
             });
 }
 
--- a/tests/unit/requests_stream_origins_test.cpp
+++ b/tests/unit/requests_stream_origins_test.cpp
@@ -18,6 +18,18 @@
     return {id, {"engines", version}, lookback};
 }
 
+/// The answer of an entry that has watched the route for the whole lookback.
+[[nodiscard]] origin_answer saw(std::vector<std::string> versions)
+{
+    return {std::nullopt, {{{"engines"}, true}, {std::move(versions), true}}};
+}
+
+/// The answer of an entry that has just started.
+[[nodiscard]] origin_answer startedWith(std::vector<std::string> versions)
+{
+    return {std::nullopt, {{{"engines"}, false}, {std::move(versions), false}}};
+}
+
 [[nodiscard]] std::vector<std::string> linksOf(int count)
 {
     std::vector<std::string> links;
@@ -52,23 +64,19 @@
 
 TEST(stream_origins, aRecordGoesBeforeTheOnlyVersionOfAnEntryWhoseListIsOld)
 {
-    const std::vector<origin_answer> answers{{std::nullopt, {{"v1"}, true}},
-                                             {stream_origin{"engines", "v2"}, {}}};
+    const std::vector<origin_answer> answers{saw({"v1"}), {stream_origin{"engines", "v2"}, {}}};
     EXPECT_EQ(decideOrigin("engines", answers, 2), (stream_origin{"engines", "v2"}));
 }
 
 TEST(stream_origins, withoutARecordAStreamGoesOnOnlyAtTheOneVersionThatAllSaw)
 {
-    const origin_answer sawV1{std::nullopt, {{"v1"}, true}};
-    const origin_answer sawV2{std::nullopt, {{"v2"}, true}};
-    const origin_answer sawSeveral{std::nullopt, {{"v1", "v2"}, true}};
     const origin_answer sawNothing;
-    const std::vector<origin_answer> agreed{sawNothing, sawV1, sawV1};
-    const std::vector<origin_answer> disagreed{sawV1, sawV2};
-    const std::vector<origin_answer> mixed{sawSeveral, sawSeveral};
-    const std::vector<origin_answer> contradicted{sawSeveral, sawV1, sawV1};
-    const std::vector<origin_answer> alone{sawV1};
-    const std::vector<origin_answer> aloneWithNewEntries{sawV1, sawNothing, sawNothing};
+    const std::vector<origin_answer> agreed{sawNothing, saw({"v1"}), saw({"v1"})};
+    const std::vector<origin_answer> disagreed{saw({"v1"}), saw({"v2"})};
+    const std::vector<origin_answer> mixed{saw({"v1", "v2"}), saw({"v1", "v2"})};
+    const std::vector<origin_answer> contradicted{saw({"v1", "v2"}), saw({"v1"}), saw({"v1"})};
+    const std::vector<origin_answer> alone{saw({"v1"})};
+    const std::vector<origin_answer> aloneWithNewEntries{saw({"v1"}), sawNothing, sawNothing};
     EXPECT_EQ(decideOrigin("engines", agreed, 2), (stream_origin{"engines", "v1"}));
     EXPECT_FALSE(decideOrigin("engines", disagreed, 2));
     EXPECT_FALSE(decideOrigin("engines", mixed, 2));
@@ -78,6 +86,28 @@
     EXPECT_TRUE(decideOrigin("engines", alone, 0)) << "there is no other entry";
 }
 
+TEST(stream_origins, anEntryThatHasJustStartedContradictsButProvesNothing)
+{
+    const std::vector<origin_answer> confirmed{startedWith({"v1"}), saw({"v1"})};
+    const std::vector<origin_answer> contradicted{saw({"v1"}), saw({"v1"}), startedWith({"v2"})};
+    const std::vector<origin_answer> allStarted{startedWith({"v1"}), startedWith({"v1"})};
+    EXPECT_EQ(decideOrigin("engines", confirmed, 2), (stream_origin{"engines", "v1"}));
+    EXPECT_FALSE(decideOrigin("engines", contradicted, 2));
+    EXPECT_FALSE(decideOrigin("engines", allStarted, 2));
+}
+
+TEST(stream_origins, withoutARecordAStreamGoesOnOnlyInTheOnePoolThatTheRouteLedTo)
+{
+    origin_answer moved = saw({"v1"});
+    moved.seen.pools = {{"engines", "others"}, true};
+    const std::vector<origin_answer> allMoved{moved, moved};
+    const std::vector<origin_answer> oneMoved{saw({"v1"}), moved};
+    const std::vector<origin_answer> unmoved{saw({"v1"}), saw({"v1"})};
+    EXPECT_FALSE(decideOrigin("engines", allMoved, 2));
+    EXPECT_FALSE(decideOrigin("engines", oneMoved, 2));
+    EXPECT_FALSE(decideOrigin("others", unmoved, 2)) << "the list of this entry is older";
+}
+
 TEST(stream_origins, entriesThatAreAskedIncludeTheKeepersThoughAnEntryWasLostOrStarted)
 {
     for (const int count : {3, 7, 300}) {
@@ -104,22 +134,9 @@
     }
 }
 
-TEST(stream_origins, anEntryThatHasJustStartedContradictsButProvesNothing)
-{
-    const origin_answer sawV1{std::nullopt, {{"v1"}, true}};
-    const origin_answer startedWithV1{std::nullopt, {{"v1"}, false}};
-    const origin_answer startedWithV2{std::nullopt, {{"v2"}, false}};
-    const std::vector<origin_answer> confirmed{startedWithV1, sawV1};
-    const std::vector<origin_answer> contradicted{sawV1, sawV1, startedWithV2};
-    const std::vector<origin_answer> allStarted{startedWithV1, startedWithV1};
-    EXPECT_EQ(decideOrigin("engines", confirmed, 2), (stream_origin{"engines", "v1"}));
-    EXPECT_FALSE(decideOrigin("engines", contradicted, 2));
-    EXPECT_FALSE(decideOrigin("engines", allStarted, 2));
-}
-
 TEST(version_history, knowsTheOnlyVersionOnceItHasLookedLongEnough)
 {
-    version_history history;
+    name_history history;
     EXPECT_FALSE(history.seen(start, lookback).only());
     history.update(start, {"v1", "v1"});
     EXPECT_FALSE(history.seen(start + seconds(15), lookback).only());
@@ -128,7 +145,7 @@
 
 TEST(version_history, remembersAVersionThatIsGoneForAsLongAsItsStreamsMayBeTakenUp)
 {
-    version_history history;
+    name_history history;
     history.update(start, {"v1"});
     history.update(start + seconds(20), {"v1", "v2"});
     EXPECT_FALSE(history.seen(start + seconds(20), lookback).only());
@@ -143,20 +160,22 @@
 {
     const auto message = wire::decodeStreamMessage(
             wire::encodeStreamMessage({{recordOf("a", "v1"), recordOf("b", "")},
-                                       wire::stream_query{"c", "engines", lookback}}));
+                                       wire::stream_query{"c", "briefing", "engines", lookback}}));
     ASSERT_EQ(message.records.size(), 2U);
     EXPECT_EQ(message.records[0].requestId, "a");
     EXPECT_EQ(message.records[0].origin, (stream_origin{"engines", "v1"}));
     EXPECT_EQ(message.records[0].kept, lookback);
     ASSERT_TRUE(message.query);
     EXPECT_EQ(message.query->requestId, "c");
+    EXPECT_EQ(message.query->route, "briefing");
+    EXPECT_EQ(message.query->pool, "engines");
     EXPECT_EQ(message.query->lookback, lookback);
     const auto recorded = wire::decodeStreamAnswer(
             wire::encodeStreamAnswer({stream_origin{"engines", "v2"}, {}}));
     ASSERT_TRUE(recorded);
     EXPECT_EQ(recorded->origin, (stream_origin{"engines", "v2"}));
-    EXPECT_EQ(recorded->seen, versions_seen());
-    const versions_seen seen{{"", "v1"}, true};
+    EXPECT_EQ(recorded->seen, origins_seen());
+    const origins_seen seen{{{"engines", "others"}, false}, {{"", "v1"}, true}};
     const auto unrecorded = wire::decodeStreamAnswer(wire::encodeStreamAnswer({{}, seen}));
     ASSERT_TRUE(unrecorded);
     EXPECT_FALSE(unrecorded->origin);
--- a/tests/unit/stream_rejoin_test.cpp
+++ b/tests/unit/stream_rejoin_test.cpp
@@ -358,6 +358,26 @@
     EXPECT_EQ(fleet.counts().joined, 0);
 }
 
+TEST_P(stream_rejoin, aStreamOfASplitRouteGoesOnInThePoolThatBeganIt)
+{
+    stream_fleet fleet(GetParam(), {{pool, {"v1"}}, {"others", {"v1"}}});
+    state::route split = fleet.route();
+    split.split = {{pool, 1}, {"others", 1}};
+    fleet.setRoute(split);
+    fleet.hearAll();
+    fleet.run(seconds(30));
+    std::vector<begun_stream> begun;
+    for (int number = 0; number < 20; ++number)
+        begun.push_back(fleet.begin(0, "v1"));
+    fleet.kill(0);
+    fleet.advance(seconds(1));
+    fleet.start(0);
+    fleet.hear(0);
+    takeUpAll(fleet, begun);
+    print("one killed on a split route", fleet.counts());
+    EXPECT_EQ(fleet.counts().wentOn, fleet.counts().all());
+}
+
 TEST_P(stream_rejoin, aShorterDeadlineOfTheRouteDoesNotShortenTheStreamsThatHaveBegun)
 {
     stream_fleet fleet(GetParam(), serving({"v1", "v2"}));
