What served while an entry's feed was not confirmed is not known to it

Cause: an entry's history counts from its start, also over a time in which its tables and list were not confirmed to be current, and it answered other entries during such a time.

Change: held_span remembers since when the freshness lease was held without a gap; an entry has watched throughout only if that covers the lookback.

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -148,6 +148,12 @@
     }
 }
 
+void caller_pools::confirmTables(kernel::instant until)
+{
+    const std::unique_lock guard(m_mutex);
+    m_confirmed.extend(m_clock.now(), until);
+}
+
 void caller_pools::setTables(const kernel::state::table_set &tables,
                              const kernel::feed::endpoint_list *endpointList)
 {
@@ -198,8 +204,10 @@
                                        kernel::nanoseconds lookback) const
 {
     origins_seen out;
+    bool confirmed = false;
     {
         const std::shared_lock guard(m_mutex);
+        confirmed = m_confirmed.covers(m_clock.now(), lookback);
         const auto history = m_routePools.find(route);
         if (history != m_routePools.end())
             out.pools = history->second.seen(m_clock.now(), lookback);
@@ -208,6 +216,8 @@
         const std::scoped_lock guard(found->mutex);
         out.versions = found->versions.seen(m_clock.now(), lookback);
     }
+    out.pools.throughout = out.pools.throughout && confirmed;
+    out.versions.throughout = out.versions.throughout && confirmed;
     return out;
 }
 
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -3,6 +3,7 @@
 #include "yuccascale/http/caller_mailbox.hpp"
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/feed/feed_messages.hpp"
+#include "yuccascale/kernel/requests/held_span.hpp"
 #include "yuccascale/kernel/requests/pool_scheduler.hpp"
 #include "yuccascale/kernel/requests/stream_origins.hpp"
 #include "yuccascale/runtime/settings.hpp"
@@ -46,6 +47,10 @@
     void setTables(const kernel::state::table_set &tables,
                    const kernel::feed::endpoint_list *endpointList);
 
+    /// \brief Extends the time for which the tables and the list are known to be current. What
+    /// served while they were not is not known.
+    void confirmTables(kernel::instant until);
+
     /// \brief Sets this entry's index among the entries, and their number.
     void setPosition(kernel::requests::entry_position position);
 
@@ -171,6 +176,7 @@
     std::map<std::string, std::shared_ptr<guarded_pool>> m_pools; ///< by pool name
     std::vector<polled_endpoint> m_endpoints;
     std::map<std::string, kernel::requests::name_history> m_routePools; ///< by route name
+    kernel::requests::held_span m_confirmed; ///< while tables and list were current
     std::function<void(kernel::requests::endpoint_updates)> m_endpointUpdateListener;
     std::function<void(const std::string &, const kernel::requests::part_set &)>
             m_crashCauseListener;
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -190,6 +190,7 @@
 {
     updatePosition();
     const kernel::control_view view = m_dependencies.control.view();
+    m_services.pools->confirmTables(view.freshUntil);
     if (!view.tables)
         return;
     const std::uint64_t listVersion = view.endpoints ? view.endpoints->version : 0;
--- a/tests/fakes/stream_fleet.cpp
+++ b/tests/fakes/stream_fleet.cpp
@@ -13,6 +13,7 @@
 
 constexpr const char *routeName = "briefing";
 constexpr milliseconds feedInterval{100};
+constexpr seconds freshness{3};
 constexpr int endpointsOfAVersion = 3;
 
 [[nodiscard]] feed::listed_endpoint endpointOf(const std::string &pool, const std::string &version,
@@ -100,7 +101,10 @@
     m_entries[entry].pools->setTables(tables(), &none);
 }
 
-void stream_fleet::confirm(const entry &) { }
+void stream_fleet::confirm(const entry &confirmed)
+{
+    confirmed.pools->confirmTables(now() + freshness);
+}
 
 void stream_fleet::kill(std::size_t entry)
 {
