--- a/tests/unit/requests_stream_origins_test.cpp
+++ b/tests/unit/requests_stream_origins_test.cpp
@@ -1,3 +1,4 @@
+#include "yuccascale/kernel/requests/held_span.hpp"
 #include "yuccascale/kernel/requests/stream_origins.hpp"
 #include "yuccascale/wire/stream_codec.hpp"
 
@@ -18,6 +19,18 @@
     return {id, {"engines", version}, lookback};
 }
 
+/// The answer of an entry that has watched the route for the whole lookback.
+[[nodiscard]] origin_answer saw(std::vector<std::string> versions)
+{
+    return {std::nullopt, {{{"engines"}, true}, {std::move(versions), true}}};
+}
+
+/// The answer of an entry that has just started.
+[[nodiscard]] origin_answer startedWith(std::vector<std::string> versions)
+{
+    return {std::nullopt, {{{"engines"}, false}, {std::move(versions), false}}};
+}
+
 [[nodiscard]] std::vector<std::string> linksOf(int count)
 {
     std::vector<std::string> links;
@@ -52,27 +65,50 @@
 
 TEST(stream_origins, aRecordGoesBeforeTheOnlyVersionOfAnEntryWhoseListIsOld)
 {
-    const std::vector<origin_answer> answers{{std::nullopt, "v1"},
-                                             {stream_origin{"engines", "v2"}, std::nullopt}};
+    const std::vector<origin_answer> answers{saw({"v1"}), {stream_origin{"engines", "v2"}, {}}};
     EXPECT_EQ(decideOrigin("engines", answers, 2), (stream_origin{"engines", "v2"}));
 }
 
 TEST(stream_origins, withoutARecordAStreamGoesOnOnlyAtTheOneVersionThatAllSaw)
 {
-    const origin_answer sawV1{std::nullopt, "v1"};
-    const origin_answer sawV2{std::nullopt, "v2"};
-    const origin_answer sawSeveral;
-    const std::vector<origin_answer> agreed{sawSeveral, sawV1, sawV1};
-    const std::vector<origin_answer> disagreed{sawV1, sawV2};
-    const std::vector<origin_answer> mixed{sawSeveral, sawSeveral};
-    const std::vector<origin_answer> alone{sawV1};
+    const origin_answer sawNothing;
+    const std::vector<origin_answer> agreed{sawNothing, saw({"v1"}), saw({"v1"})};
+    const std::vector<origin_answer> disagreed{saw({"v1"}), saw({"v2"})};
+    const std::vector<origin_answer> mixed{saw({"v1", "v2"}), saw({"v1", "v2"})};
+    const std::vector<origin_answer> contradicted{saw({"v1", "v2"}), saw({"v1"}), saw({"v1"})};
+    const std::vector<origin_answer> alone{saw({"v1"})};
+    const std::vector<origin_answer> aloneWithNewEntries{saw({"v1"}), sawNothing, sawNothing};
     EXPECT_EQ(decideOrigin("engines", agreed, 2), (stream_origin{"engines", "v1"}));
     EXPECT_FALSE(decideOrigin("engines", disagreed, 2));
     EXPECT_FALSE(decideOrigin("engines", mixed, 2));
+    EXPECT_FALSE(decideOrigin("engines", contradicted, 2));
+    EXPECT_FALSE(decideOrigin("engines", aloneWithNewEntries, 2));
     EXPECT_FALSE(decideOrigin("engines", alone, 2)) << "no other entry answered";
     EXPECT_TRUE(decideOrigin("engines", alone, 0)) << "there is no other entry";
 }
 
+TEST(stream_origins, anEntryThatHasJustStartedContradictsButProvesNothing)
+{
+    const std::vector<origin_answer> confirmed{startedWith({"v1"}), saw({"v1"})};
+    const std::vector<origin_answer> contradicted{saw({"v1"}), saw({"v1"}), startedWith({"v2"})};
+    const std::vector<origin_answer> allStarted{startedWith({"v1"}), startedWith({"v1"})};
+    EXPECT_EQ(decideOrigin("engines", confirmed, 2), (stream_origin{"engines", "v1"}));
+    EXPECT_FALSE(decideOrigin("engines", contradicted, 2));
+    EXPECT_FALSE(decideOrigin("engines", allStarted, 2));
+}
+
+TEST(stream_origins, withoutARecordAStreamGoesOnOnlyInTheOnePoolThatTheRouteLedTo)
+{
+    origin_answer moved = saw({"v1"});
+    moved.seen.pools = {{"engines", "others"}, true};
+    const std::vector<origin_answer> allMoved{moved, moved};
+    const std::vector<origin_answer> oneMoved{saw({"v1"}), moved};
+    const std::vector<origin_answer> unmoved{saw({"v1"}), saw({"v1"})};
+    EXPECT_FALSE(decideOrigin("engines", allMoved, 2));
+    EXPECT_FALSE(decideOrigin("engines", oneMoved, 2));
+    EXPECT_FALSE(decideOrigin("others", unmoved, 2)) << "the list of this entry is older";
+}
+
 TEST(stream_origins, entriesThatAreAskedIncludeTheKeepersThoughAnEntryWasLostOrStarted)
 {
     for (const int count : {3, 7, 300}) {
@@ -101,47 +137,66 @@
 
 TEST(version_history, knowsTheOnlyVersionOnceItHasLookedLongEnough)
 {
-    version_history history;
-    EXPECT_FALSE(history.onlyVersion(start, lookback));
+    name_history history;
+    EXPECT_FALSE(history.seen(start, lookback).only());
     history.update(start, {"v1", "v1"});
-    EXPECT_FALSE(history.onlyVersion(start + seconds(15), lookback));
-    EXPECT_EQ(history.onlyVersion(start + lookback, lookback), "v1");
+    EXPECT_FALSE(history.seen(start + seconds(15), lookback).only());
+    EXPECT_EQ(history.seen(start + lookback, lookback).only(), "v1");
 }
 
 TEST(version_history, remembersAVersionThatIsGoneForAsLongAsItsStreamsMayBeTakenUp)
 {
-    version_history history;
+    name_history history;
     history.update(start, {"v1"});
     history.update(start + seconds(20), {"v1", "v2"});
-    EXPECT_FALSE(history.onlyVersion(start + seconds(20), lookback));
+    EXPECT_FALSE(history.seen(start + seconds(20), lookback).only());
     history.update(start + seconds(30), {"v2"});
-    EXPECT_FALSE(history.onlyVersion(start + seconds(45), lookback));
-    EXPECT_EQ(history.onlyVersion(start + seconds(46), lookback), "v2");
+    EXPECT_FALSE(history.seen(start + seconds(45), lookback).only());
+    EXPECT_EQ(history.seen(start + seconds(46), lookback).only(), "v2");
     history.update(start + seconds(50), {"v2", "v1"});
-    EXPECT_FALSE(history.onlyVersion(start + seconds(50), lookback)) << "v1 came back";
+    EXPECT_FALSE(history.seen(start + seconds(50), lookback).only()) << "v1 came back";
+}
+
+TEST(held_span, aLeaseThatLapsedCountsFromItsNextExtensionOnly)
+{
+    held_span span;
+    EXPECT_FALSE(span.covers(start, seconds(0)));
+    span.extend(start, start + seconds(3));
+    span.extend(start + seconds(2), start + seconds(5));
+    EXPECT_TRUE(span.covers(start + seconds(4), seconds(4)));
+    EXPECT_FALSE(span.covers(start + seconds(4), seconds(5))) << "not held so long";
+    EXPECT_FALSE(span.covers(start + seconds(5), seconds(4))) << "lapsed";
+    span.extend(start + seconds(6), start + seconds(9));
+    EXPECT_FALSE(span.covers(start + seconds(8), seconds(3)));
+    EXPECT_TRUE(span.covers(start + seconds(8), seconds(2)));
+    span.extend(start + seconds(8), start + seconds(7));
+    EXPECT_TRUE(span.covers(start + seconds(8), seconds(2))) << "an older end changes nothing";
 }
 
 TEST(stream_codec, messagesAndAnswersAreDecodedAsTheyWereEncoded)
 {
     const auto message = wire::decodeStreamMessage(
             wire::encodeStreamMessage({{recordOf("a", "v1"), recordOf("b", "")},
-                                       wire::stream_query{"c", "engines", lookback}}));
+                                       wire::stream_query{"c", "briefing", "engines", lookback}}));
     ASSERT_EQ(message.records.size(), 2U);
     EXPECT_EQ(message.records[0].requestId, "a");
     EXPECT_EQ(message.records[0].origin, (stream_origin{"engines", "v1"}));
     EXPECT_EQ(message.records[0].kept, lookback);
     ASSERT_TRUE(message.query);
     EXPECT_EQ(message.query->requestId, "c");
+    EXPECT_EQ(message.query->route, "briefing");
+    EXPECT_EQ(message.query->pool, "engines");
     EXPECT_EQ(message.query->lookback, lookback);
     const auto recorded = wire::decodeStreamAnswer(
-            wire::encodeStreamAnswer({stream_origin{"engines", "v2"}, std::nullopt}));
+            wire::encodeStreamAnswer({stream_origin{"engines", "v2"}, {}}));
     ASSERT_TRUE(recorded);
     EXPECT_EQ(recorded->origin, (stream_origin{"engines", "v2"}));
-    EXPECT_FALSE(recorded->onlyVersion);
-    const auto only = wire::decodeStreamAnswer(wire::encodeStreamAnswer({std::nullopt, ""}));
-    ASSERT_TRUE(only);
-    EXPECT_FALSE(only->origin);
-    EXPECT_EQ(only->onlyVersion, "") << "an endpoint may name no version";
+    EXPECT_EQ(recorded->seen, origins_seen());
+    const origins_seen seen{{{"engines", "others"}, false}, {{"", "v1"}, true}};
+    const auto unrecorded = wire::decodeStreamAnswer(wire::encodeStreamAnswer({{}, seen}));
+    ASSERT_TRUE(unrecorded);
+    EXPECT_FALSE(unrecorded->origin);
+    EXPECT_EQ(unrecorded->seen, seen) << "an endpoint may name no version";
     EXPECT_TRUE(wire::decodeStreamMessage("nonsense").records.empty());
     EXPECT_FALSE(wire::decodeStreamAnswer("nonsense"));
 }
