An entry that reaches no endpoint has other entries serve its requests

Cause: an entry judged each endpoint alone, waited for each one's connect timeout and had no way but its own. The log shows never_sent at 27 endpoints of three zones without an answer between.

Change: endpoint_reach decides by a bounded sample of connections whether any endpoint is reached; entry_relay passes whole requests on to the entries that reach them, with a signed grant, once at most; the feed says which entries are cut off, and the directory leaves them out unless all are.

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -138,7 +138,7 @@
             continue;
         const kernel::state::pool row = withListedEndpoints(tableRow, endpointList);
         for (const kernel::state::endpoint &endpoint : row.endpoints)
-            endpoints.push_back({name, endpoint.name, endpoint.address, row.kind});
+            endpoints.push_back({name, endpoint.name, endpoint.address, row.kind, endpoint.zone});
         setRows(*pool, row);
     }
     std::map<std::string, std::shared_ptr<guarded_pool>> pools;
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -30,6 +30,7 @@
     std::string name;
     std::string address;
     kernel::state::backend_kind kind = kernel::state::backend_kind::Model;
+    std::string zone = {};
 };
 
 /// \brief Schedulers of all pools. Thread-safe.
--- a/src/yuccascale/http/caller_protocol.hpp
+++ b/src/yuccascale/http/caller_protocol.hpp
@@ -40,6 +40,10 @@
     /// \returns the name of the endpoint driver for backends of a kind.
     [[nodiscard]] virtual std::string_view driverFor(kernel::state::backend_kind kind) const = 0;
 
+    /// \returns the name of the driver that passes requests on to other entries; empty when the
+    ///          protocol has none.
+    [[nodiscard]] virtual std::string_view entryDriver() const { return {}; }
+
     /// \returns whether the entry polls endpoints for their load.
     [[nodiscard]] virtual bool pollsEndpointLoad() const = 0;
 
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -49,6 +49,16 @@
     limits.idleTimeout = milliseconds(row.idleTimeoutMs);
 }
 
+/// \returns the grant of another entry and removes it, so that it is never forwarded.
+[[nodiscard]] std::string takeRelayGrant(net::http_request &httpRequest)
+{
+    std::string grant(httpRequest.header(relayGrantHeader));
+    std::erase_if(httpRequest.headers, [](const net::header_field &field) {
+        return net::sameName(field.name, relayGrantHeader);
+    });
+    return grant;
+}
+
 } // namespace
 
 class caller_server::implementation
@@ -68,6 +78,8 @@
     [[nodiscard]] stream_registry &streams() noexcept { return *m_services.streams; }
     [[nodiscard]] std::string metricsText();
 
+    [[nodiscard]] bool endpointsLost() const noexcept { return m_services.monitor->lost(); }
+
     int port = 0;
 
 private:
@@ -76,6 +88,10 @@
     [[nodiscard]] kernel::result<void> listen(const std::string &address, listener_kind kind);
     void applyFeedUpdate();
     void updatePosition();
+    void updateHelpers();
+    [[nodiscard]] kernel::result<void> startRelay();
+    void onReachChanged();
+    void takeOver(std::string_view grant, kernel::requests::request &callerRequest);
     void startScheduleTimer();
     void serve(listener_kind listener, const exchange_pointer &exchange);
     void route(const exchange_pointer &exchange);
@@ -122,6 +138,8 @@
                  {},
                  {},
                  {},
+                 nullptr,
+                 nullptr,
                  {},
                  {}}
     , m_timer(m_dependencies.loops.at(0))
@@ -153,6 +171,7 @@
             endpoint_driver_registry::make(m_services.protocol->driverFor(backend_kind::Service)));
     for (std::size_t index = 0; index < m_dependencies.loops.size(); ++index)
         m_services.loops.push_back(std::make_unique<entry_loop>(m_dependencies.loops.at(index)));
+    BOOST_LEAF_CHECK(startRelay());
     if (m_services.protocol->pollsEndpointLoad())
         m_loadPoller = std::make_unique<load_poller>(m_services);
     updatePosition();
@@ -164,6 +183,38 @@
     return {};
 }
 
+kernel::result<void> caller_server::implementation::startRelay()
+{
+    const std::uint64_t seed = std::hash<std::string>{}(m_services.entry);
+    m_services.monitor = std::make_shared<endpoint_monitor>(
+            m_dependencies.clock, m_dependencies.events, m_dependencies.loops.at(0),
+            m_services.loops.front()->endpoints.httpClient(), seed, [this] { onReachChanged(); });
+    std::unique_ptr<endpoint_driver> driver;
+    const std::string_view name = m_services.protocol->entryDriver();
+    if (!name.empty()) {
+        BOOST_LEAF_ASSIGN(driver, endpoint_driver_registry::make(name));
+    }
+    m_services.relay = std::make_unique<entry_relay>(m_dependencies.clock, m_services.monitor,
+                                                     std::move(driver));
+    return {};
+}
+
+/// Idle connections may have died with the paths, and one that is reused would fail its request.
+void caller_server::implementation::onReachChanged()
+{
+    const bool lost = m_services.monitor->lost();
+    if (m_dependencies.onEndpointsLost)
+        m_dependencies.onEndpointsLost(lost);
+    if (!lost)
+        return;
+    for (const auto &loop : m_services.loops) {
+        boost::asio::post(loop->context, [this, loop = loop.get()] {
+            for (const polled_endpoint &endpoint : m_services.pools->endpoints())
+                loop->endpoints.httpClient().closeIdle(endpoint.address);
+        });
+    }
+}
+
 kernel::result<void> caller_server::implementation::listen(const std::string &address,
                                                            listener_kind kind)
 {
@@ -192,6 +243,7 @@
 void caller_server::implementation::applyFeedUpdate()
 {
     updatePosition();
+    updateHelpers();
     const kernel::control_view view = m_dependencies.control.view();
     if (!view.tables)
         return;
@@ -202,6 +254,7 @@
     m_revision = view.tables->revision;
     m_endpointListVersion = listVersion;
     m_services.pools->setTables(*view.tables, view.endpoints.get());
+    m_services.monitor->setEndpoints(m_services.pools->endpoints());
     if (view.tables->limits.empty())
         return;
     net::http_limits limits = limitsFrom(m_dependencies.settings.http);
@@ -226,9 +279,24 @@
     m_services.pools->setPosition(position);
 }
 
+void caller_server::implementation::updateHelpers()
+{
+    std::vector<helper_entry> helpers;
+    if (m_dependencies.nodes) {
+        for (const kernel::feed::node_report &node : m_dependencies.nodes()) {
+            const bool helps = !node.callers.empty() && !node.endpointsLost
+                    && node.node != m_dependencies.settings.node;
+            if (helps)
+                helpers.push_back({node.node, node.callers});
+        }
+    }
+    m_services.relay->setHelpers(std::move(helpers));
+}
+
 void caller_server::implementation::startScheduleTimer()
 {
-    const bool isFrequent = m_loadPoller || m_services.pools->waiting() > 0;
+    const bool unsure = m_services.monitor->state() != reach_state::Reached;
+    const bool isFrequent = m_loadPoller || unsure || m_services.pools->waiting() > 0;
     m_timer.expires_after(isFrequent ? scheduleInterval : idleInterval);
     m_timer.async_wait([this](const boost::system::error_code &problem) {
         if (problem || m_stopped)
@@ -237,6 +305,7 @@
             m_services.pools->scheduleAll();
         if (m_loadPoller)
             m_loadPoller->pollDue();
+        m_services.monitor->probeDue();
         startScheduleTimer();
     });
 }
@@ -250,15 +319,24 @@
 std::vector<offered_address> caller_server::implementation::addresses(bool othersOnly) const
 {
     std::vector<offered_address> offered;
+    std::vector<offered_address> cutOff; ///< offered when there is no other
     if (m_dependencies.nodes) {
         for (const kernel::feed::node_report &node : m_dependencies.nodes()) {
-            if (!node.callers.empty() && node.node != m_dependencies.settings.node)
-                offered.push_back({node.callers, node.zone, 1});
+            if (node.callers.empty() || node.node == m_dependencies.settings.node)
+                continue;
+            (node.endpointsLost ? cutOff : offered).push_back({node.callers, node.zone, 1});
         }
     }
+    const bool leaving = m_services.drain.leaving();
+    const offered_address self{m_dependencies.settings.callerAddress, m_dependencies.settings.zone,
+                               1};
+    if (!othersOnly && !leaving)
+        (endpointsLost() ? cutOff : offered).push_back(self);
+    if (offered.empty())
+        offered = std::move(cutOff);
     // callers that reach nobody else are better served by an entry that is leaving
-    if (!othersOnly && (!m_services.drain.leaving() || offered.empty()))
-        offered.push_back({m_dependencies.settings.callerAddress, m_dependencies.settings.zone, 1});
+    if (!othersOnly && offered.empty())
+        offered.push_back(self);
     std::ranges::sort(offered, {}, &offered_address::address);
     return offered;
 }
@@ -291,6 +369,7 @@
                             m_services.entry, m_services.nextTicket++, m_services.secret};
     context.routes = m_services.routes.indexFor(context.view.tables);
     const std::string id = m_services.protocol->callerRequestId(exchange->request(), context);
+    const std::string grant = takeRelayGrant(exchange->request());
     request callerRequest;
     kernel::error problem;
     const bool readable = kernel::succeeded(
@@ -317,10 +396,26 @@
         return exchange->reply(m_services.protocol->errorReply(reason, id, addresses(true)));
     }
     callerRequest.entryEnd = m_services.drain.plan().end();
+    takeOver(grant, callerRequest);
     const double weight = organisationWeight(context.view, callerRequest.organisation);
     caller_session::start(m_services, std::move(callerRequest), weight, exchange);
 }
 
+/// A request with a valid grant is served as if this entry had received it, but is passed on to no
+/// other entry.
+void caller_server::implementation::takeOver(std::string_view grant, request &callerRequest)
+{
+    callerRequest.relay = readRelayGrant(m_services.secret, callerRequest.id, grant);
+    if (!callerRequest.relay)
+        return;
+    if (callerRequest.continuedId.empty())
+        callerRequest.continuedId = callerRequest.relay->continuedId;
+    m_dependencies.events.record(requestTakenOver,
+                                 {{"request_id", callerRequest.id},
+                                  {"from", callerRequest.relay->entry},
+                                  {"attempts", callerRequest.relay->attempts}});
+}
+
 void caller_server::implementation::beginShutdown()
 {
     if (!m_services.drain.begin(m_dependencies.clock.now()))
@@ -474,6 +569,11 @@
     return m_implementation->streams();
 }
 
+bool caller_server::endpointsLost() const noexcept
+{
+    return m_implementation->endpointsLost();
+}
+
 std::string caller_server::metricsText()
 {
     return m_implementation->metricsText();
--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -39,6 +39,8 @@
     /// may be null.
     std::function<bool(const std::shared_ptr<net::http_exchange> &)> handleOtherCall;
     entry_exchange otherEntries = {};
+    /// Called when endpointsLost() changes; may be null.
+    std::function<void(bool lost)> onEndpointsLost = nullptr;
 };
 
 /// \brief Serves callers at the node's addresses.
@@ -92,6 +94,9 @@
     /// \returns the addresses that are sent to callers.
     [[nodiscard]] std::vector<offered_address> addresses() const;
 
+    /// \returns whether this entry reaches no endpoint, so that other entries serve for it.
+    [[nodiscard]] bool endpointsLost() const noexcept;
+
     /// \returns the metrics in the Prometheus text format.
     [[nodiscard]] std::string metricsText();
 
--- a/src/yuccascale/http/caller_services.hpp
+++ b/src/yuccascale/http/caller_services.hpp
@@ -4,7 +4,9 @@
 #include "yuccascale/http/caller_pools.hpp"
 #include "yuccascale/http/caller_protocol.hpp"
 #include "yuccascale/http/endpoint_client.hpp"
+#include "yuccascale/http/endpoint_monitor.hpp"
 #include "yuccascale/http/entry_drain.hpp"
+#include "yuccascale/http/entry_relay.hpp"
 #include "yuccascale/http/stream_registry.hpp"
 #include "yuccascale/kernel/requests/events.hpp"
 #include "yuccascale/kernel/requests/key_check.hpp"
@@ -97,6 +99,8 @@
     local_bans bans;
     route_cache routes;
     runtime::metrics metrics;
+    std::shared_ptr<endpoint_monitor> monitor = nullptr;
+    std::unique_ptr<entry_relay> relay = nullptr;
     std::atomic<std::uint64_t> nextTicket{1};
     std::atomic<int> runningRequests{0}; ///< requests that have no answer yet
 
--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -178,8 +178,10 @@
 void caller_session::assignEndpoint(endpoint_assignment assignment)
 {
     m_exchange->checkCaller();
-    if (!m_session.ended())
-        m_session.assignEndpoint(std::move(assignment));
+    if (m_session.ended())
+        return;
+    m_servedElsewhere = assignment.relayed;
+    m_session.assignEndpoint(std::move(assignment));
 }
 
 void caller_session::finishIfEnded()
@@ -204,27 +206,68 @@
 std::optional<refusal> caller_session::push(std::uint64_t ticket, const request &callerRequest,
                                             const enqueue &options)
 {
+    serving_decision decision = m_services.relay->decide(callerRequest, options);
+    if (auto *refused = std::get_if<refusal>(&decision)) {
+        m_unreached = true;
+        return std::move(*refused);
+    }
+    if (const auto *helper = std::get_if<helper_entry>(&decision)) {
+        passOn(ticket, *helper);
+        return std::nullopt;
+    }
     return m_services.pools->push(ticket, callerRequest, m_weight, options, m_mailbox);
 }
 
+void caller_session::passOn(std::uint64_t ticket, const helper_entry &helper)
+{
+    m_relayRunning = true;
+    endpoint_assignment assignment;
+    assignment.ticket = ticket;
+    assignment.endpoint = helper.node;
+    assignment.address = helper.callers;
+    assignment.relayed = true;
+    m_mailbox->post(std::move(assignment));
+}
+
+/// \returns whether the request was at another entry.
+bool caller_session::endRelay()
+{
+    if (!std::exchange(m_relayRunning, false))
+        return false;
+    m_services.relay->ended();
+    return true;
+}
+
 void caller_session::remove(std::uint64_t ticket, const request &callerRequest)
 {
-    m_services.pools->remove(callerRequest.route.pool, ticket);
+    if (!endRelay())
+        m_services.pools->remove(callerRequest.route.pool, ticket);
 }
 
 void caller_session::firstPieceArrived(std::uint64_t ticket, const request &callerRequest)
 {
-    m_services.pools->firstPieceArrived(callerRequest.route.pool, ticket);
+    if (!m_servedElsewhere)
+        m_services.pools->firstPieceArrived(callerRequest.route.pool, ticket);
 }
 
 finish_findings caller_session::finish(std::uint64_t ticket, const request &callerRequest,
                                        const attempt_result &result)
 {
+    if (endRelay())
+        return {};
+    attempt_result judged = result;
+    const bool connectionFailed
+            = !result.answered && !result.excludedFromHealth && !result.replaced;
+    if (connectionFailed) {
+        m_services.monitor->attemptFailed(m_endpoint);
+        // without a path to any endpoint, the failure says nothing about this one
+        judged.excludedFromHealth = m_services.monitor->state() != reach_state::Reached;
+    }
     if (result.answered)
         m_services.metrics.endpointAnswered(m_endpoint, result.timeToFirstToken, result.totalTime);
-    else if (!result.excludedFromHealth)
+    else if (!judged.excludedFromHealth)
         m_services.metrics.endpointFailed(m_endpoint);
-    return m_services.pools->finish(callerRequest.route.pool, ticket, result);
+    return m_services.pools->finish(callerRequest.route.pool, ticket, judged);
 }
 
 void caller_session::claim(const request &callerRequest, const std::string &operationId)
@@ -256,11 +299,16 @@
 
 void caller_session::recordStream(const request &callerRequest, const std::string &softwareVersion)
 {
-    m_services.streams->record(callerRequest, softwareVersion);
+    if (!m_servedElsewhere)
+        m_services.streams->record(callerRequest, softwareVersion);
 }
 
 void caller_session::recordUsage(const request &callerRequest, const token_usage &usage)
 {
+    if (m_servedElsewhere) {
+        m_mailbox->post(event{usage_commit_finished{true}});
+        return;
+    }
     m_services.commits.recordUsage(callerRequest, usage, callerRequest.deadline,
                                    [mailbox = m_mailbox](bool committed) {
                                        mailbox->post(event{usage_commit_finished{committed}});
@@ -278,6 +326,8 @@
                           const dispatch &sent)
 {
     m_endpoint = assignment.endpoint;
+    if (assignment.relayed)
+        return sendToEntry(callerRequest, assignment, sent);
     const endpoint_driver &driver = m_services.driverOf(callerRequest.route.kind);
     const bool separatePrefill = !assignment.prefillAddress.empty() && sent.resumeFrom == 0;
     attempt_context context{sent.attempt, sent.resumeFrom, callerRequest.answerBy() - now(),
@@ -308,8 +358,7 @@
                   };
     }
     attempt.reader = driver.reader(callerRequest, context);
-    attempt.deliver
-            = [mailbox = m_mailbox](event sessionEvent) { mailbox->post(std::move(sessionEvent)); };
+    attempt.deliver = eventsFromEndpoint();
     attempt.onHead = [services = &m_services, &driver, pool = callerRequest.route.pool,
                       endpoint = assignment.endpoint](const answer_head &head) {
         services->applyNotice(pool, endpoint, driver.notice(head));
@@ -326,10 +375,72 @@
     m_attempt = m_loop.endpoints.start(std::move(attempt));
 }
 
+void caller_session::sendToEntry(const request &callerRequest,
+                                 const endpoint_assignment &assignment, const dispatch &sent)
+{
+    const endpoint_driver &driver = m_services.relay->driver();
+    const attempt_context context{sent.attempt, sent.resumeFrom, callerRequest.answerBy() - now(),
+                                  sent.lastPieceId, assignment.endpoint};
+    endpoint_attempt attempt;
+    attempt.address = assignment.address;
+    attempt.attempt = sent.attempt;
+    attempt.timeLeft = context.timeLeft;
+    attempt.request = driver.prepare(callerRequest, context);
+    attempt.request.headers.emplace_back(
+            relayGrantHeader, issueRelayGrant(m_services.secret, callerRequest.id, grant()));
+    attempt.reader = driver.reader(callerRequest, context);
+    attempt.deliver = eventsFromEntry(assignment.endpoint);
+    attempt.checkCaller = [weak = weak_from_this(), number = sent.attempt] {
+        if (const auto self = weak.lock())
+            self->checkBeforeSend(number);
+    };
+    m_attempt = m_loop.endpoints.start(std::move(attempt));
+}
+
+relay_grant caller_session::grant() const
+{
+    const request &relayed = callerRequest();
+    relay_grant out;
+    out.entry = m_services.entry;
+    out.continuedId = relayed.continuedId.empty() ? relayed.id : relayed.continuedId;
+    out.attempts = m_session.lifecycle().reachedAttempts() - 1; // without the one that starts now
+    out.usageCounted = m_session.lifecycle().usageCounted();
+    return out;
+}
+
+/// Without a path to any endpoint, a connection that ends does not show that its endpoint crashed.
+std::function<void(event)> caller_session::eventsFromEndpoint() const
+{
+    return [mailbox = m_mailbox, monitor = m_services.monitor](event sessionEvent) {
+        auto *failed = std::get_if<attempt_failed>(&sessionEvent);
+        const bool crashed = failed && failed->failure == attempt_failure::Crashed;
+        if (crashed && monitor->state() != reach_state::Reached)
+            failed->failure = attempt_failure::Disconnected;
+        mailbox->post(std::move(sessionEvent));
+    };
+}
+
+/// The other entry has used the attempts of the route, unless nothing was sent to it or by it.
+std::function<void(event)> caller_session::eventsFromEntry(const std::string &entry) const
+{
+    return [mailbox = m_mailbox, relay = m_services.relay.get(), entry](event sessionEvent) {
+        if (auto *failed = std::get_if<attempt_failed>(&sessionEvent)) {
+            if (failed->failure == attempt_failure::Crashed)
+                failed->failure = attempt_failure::Broken;
+            failed->last = failed->failure != attempt_failure::NeverSent;
+            if (!failed->last)
+                relay->unavailable(entry);
+        }
+        mailbox->post(std::move(sessionEvent));
+    };
+}
+
 void caller_session::stop(const request &callerRequest, const endpoint_assignment &assignment)
 {
     if (m_attempt)
         m_attempt->cancel();
+    if (m_servedElsewhere)
+        return;
     const auto call = m_services.driverOf(callerRequest.route.kind).cancel(callerRequest);
     if (call)
         m_loop.endpoints.callIgnoringAnswer(assignment.address, *call);
@@ -379,8 +490,10 @@
 {
     const std::vector<offered_address> others = m_services.addresses(true);
     if (!m_streaming) {
-        m_exchange->reply(
-                m_services.protocol->errorReply(refused.reason, callerRequest().id, others));
+        auto reply = m_services.protocol->errorReply(refused.reason, callerRequest().id, others);
+        if (m_unreached && callerRequest().relay && !refused.reason.mayHaveRun)
+            reply.headers.push_back({std::string(relayUnreachedHeader), "1"});
+        m_exchange->reply(std::move(reply));
         return;
     }
     const auto bytes
--- a/src/yuccascale/http/caller_session.hpp
+++ b/src/yuccascale/http/caller_session.hpp
@@ -38,6 +38,15 @@
     void startDeadlineTimer();
     void onDeadlineTimer();
     void checkBeforeSend(int attempt);
+    void passOn(std::uint64_t ticket, const kernel::requests::helper_entry &helper);
+    void sendToEntry(const kernel::requests::request &callerRequest,
+                     const kernel::requests::endpoint_assignment &assignment,
+                     const kernel::requests::dispatch &sent);
+    [[nodiscard]] kernel::requests::relay_grant grant() const;
+    [[nodiscard]] std::function<void(kernel::requests::event)>
+    eventsFromEntry(const std::string &entry) const;
+    [[nodiscard]] std::function<void(kernel::requests::event)> eventsFromEndpoint() const;
+    bool endRelay();
     void finishIfEnded();
 
     [[nodiscard]] const kernel::requests::request &callerRequest() const noexcept
@@ -88,7 +97,10 @@
     entry_loop &m_loop;
     double m_weight;
     std::shared_ptr<net::http_exchange> m_exchange;
-    std::string m_endpoint; ///< of the last attempt
+    std::string m_endpoint;         ///< of the last attempt
+    bool m_relayRunning = false;    ///< a helper is chosen and was not released
+    bool m_unreached = false;       ///< refused, since nobody reaches an endpoint
+    bool m_servedElsewhere = false; ///< the last attempt is another entry's, which records it
     bool m_firstPieceSent = false;
     bool m_streaming = false; ///< status and headers were sent to the caller
     boost::asio::steady_timer m_timer;
--- a/src/yuccascale/kernel/feed/feed_messages.hpp
+++ b/src/yuccascale/kernel/feed/feed_messages.hpp
@@ -27,10 +27,11 @@
     bool control = false;       ///< it has the control role
     std::int64_t wallMs = 0;    ///< its wall clock when it made the report
     std::string operators = {}; ///< IP:port of the operator's document interface; may be empty
+    bool endpointsLost = false; ///< it reaches no endpoint, so that other entries serve for it
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(node_report, node, incarnation, revision, ageMs,
                                                 leaving, link, callers, zone, control, wallMs,
-                                                operators)
+                                                operators, endpointsLost)
 };
 
 /// \brief An endpoint as the platform lists it. It is not part of the tables: the list is read
--- a/src/yuccascale/kernel/requests/events.hpp
+++ b/src/yuccascale/kernel/requests/events.hpp
@@ -76,6 +76,19 @@
         2033, "stream_located", severity::Info,
         "A caller takes up a stream: known says whether an entry knows which software version "
         "began it; if none does, the request is refused."};
+inline const event_kind endpointsUnreached{
+        2034, "endpoints_unreached", severity::Warning,
+        "This entry reaches no endpoint, though it has failed at several; other entries serve its "
+        "requests meanwhile. Check the network between this VM and the endpoints."};
+inline const event_kind endpointsReached{
+        2035, "endpoints_reached", severity::Info,
+        "This entry reaches endpoints again and serves its requests itself."};
+inline const event_kind requestRelayed{
+        2036, "request_relayed", severity::Info,
+        "A request was sent to another entry, since this one reaches no endpoint."};
+inline const event_kind requestTakenOver{
+        2037, "request_taken_over", severity::Info,
+        "This entry serves a request for another entry, which reaches no endpoint."};
 inline const event_kind entryLeaving{
         2030, "entry_leaving", severity::Info,
         "This entry was removed from the published addresses and finishes its requests."};
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -71,6 +71,7 @@
             = 0;              ///< prompt tokens of this entry waiting at the prefilling engine
     int reportedRequests = 0; ///< running and queued requests in the endpoint's last load report
     nanoseconds reportAge{};  ///< age of that report; zero without a report
+    bool relayed = false;     ///< the endpoint is another entry, which serves the request
 };
 
 /// \brief Outcome of one attempt at an endpoint.
--- a/src/yuccascale/kernel/requests/request.hpp
+++ b/src/yuccascale/kernel/requests/request.hpp
@@ -3,10 +3,12 @@
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/error.hpp"
 #include "yuccascale/kernel/requests/header_field.hpp"
+#include "yuccascale/kernel/requests/relay_grant.hpp"
 #include "yuccascale/kernel/state/tables.hpp"
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,6 +59,8 @@
     std::string lastPieceId; ///< event id of the last piece that the caller has; may be empty
     std::string continuedId; ///< id of the request that brought the first piece; may be empty
     usage_commit_point usageCommitPoint = usage_commit_point::BeforeEnd;
+    std::string credential;           ///< as the caller sent it; passed to other entries only
+    std::optional<relay_grant> relay; ///< from the entry that received it; nothing: this one did
 
     /// \returns when it ends at the latest, with or without an answer.
     [[nodiscard]] instant answerBy() const noexcept { return std::min(deadline, entryEnd); }
--- a/src/yuccascale/kernel/requests/request_actions.hpp
+++ b/src/yuccascale/kernel/requests/request_actions.hpp
@@ -82,6 +82,7 @@
     Replaced,       ///< a different endpoint answered at the address and did not run the request
     Broken,         ///< the connection ended early, the endpoint is still running
     Crashed,        ///< the connection ended early because the endpoint crashed
+    Disconnected,   ///< the connection ended while this entry reached no endpoint
     InvalidAnswer,  ///< the answer belongs to another request, is truncated, out of order or
                     ///< malformed
     TimedOut,       ///< no answer within the deadline
@@ -95,7 +96,8 @@
     attempt_failure failure = attempt_failure::Broken;
     nanoseconds retryAfter{}; ///< for ReportedNotRun
     complete_answer answer
-            = {}; ///< for Answered: sent to the caller when no further attempt is possible
+            = {};      ///< for Answered: sent to the caller when no further attempt is possible
+    bool last = false; ///< no attempt may follow
 };
 
 /// \brief The usage of the answer was committed, or could not be before the deadline.
--- a/src/yuccascale/kernel/requests/request_life.cpp
+++ b/src/yuccascale/kernel/requests/request_life.cpp
@@ -24,9 +24,9 @@
         "received",   "queued",    "claiming",   "locating",
         "dispatched", "streaming", "committing", "ended",
 };
-constexpr std::array<std::string_view, 8> attemptFailureNames{
-        "never_sent", "said_not_run", "replaced",  "broken",
-        "crashed",    "doubtful",     "timed_out", "answered",
+constexpr std::array<std::string_view, 9> attemptFailureNames{
+        "never_sent",   "said_not_run", "replaced",  "broken",   "crashed",
+        "disconnected", "doubtful",     "timed_out", "answered",
 };
 
 /// The caller may come back at once, at another entry.
@@ -88,6 +88,7 @@
     : m_request(std::move(callerRequest))
     , m_delivered(m_request.resumeFrom)
     , m_lastPieceId(m_request.lastPieceId)
+    , m_usageCounted(m_request.relay && m_request.relay->usageCounted)
     , m_mayHaveRun(m_request.sentBefore || m_request.claimed())
 { }
 
@@ -112,7 +113,7 @@
         out.emplace_back(locate_stream{});
     } else {
         m_state = request_state::Queued;
-        out.emplace_back(enqueue{});
+        out.emplace_back(firstEnqueue());
     }
     return out;
 }
@@ -204,6 +205,19 @@
     }
 }
 
+/// Attempts that another entry made count as this entry's own.
+enqueue request_lifecycle::firstEnqueue() const
+{
+    enqueue options;
+    options.retry = m_request.relay && m_request.relay->attempts > 0;
+    return options;
+}
+
+int request_lifecycle::reachedAttempts() const noexcept
+{
+    return m_attempt - m_unsentAttempts + (m_request.relay ? m_request.relay->attempts : 0);
+}
+
 /// A caller that names the last event it has takes up a stream that began with another request.
 bool request_lifecycle::takesUpStream() const noexcept
 {
@@ -232,7 +246,7 @@
     m_request.route.pool = located.origin->pool;
     m_streamVersion = located.origin->softwareVersion;
     m_state = request_state::Queued;
-    enqueue options;
+    enqueue options = firstEnqueue();
     options.softwareVersion = m_streamVersion;
     out.emplace_back(std::move(options));
 }
@@ -442,7 +456,7 @@
     const bool endpointReached = failed.failure != attempt_failure::NeverSent;
     if (!endpointReached)
         ++m_unsentAttempts;
-    const bool another = m_attempt - m_unsentAttempts < m_request.route.maxAttempts
+    const bool another = !failed.last && reachedAttempts() < m_request.route.maxAttempts
             && m_unsentAttempts <= maxUnsentAttempts;
     if (another && now + minRetryTime < m_request.answerBy()) {
         m_state = request_state::Queued;
--- a/src/yuccascale/kernel/requests/request_life.hpp
+++ b/src/yuccascale/kernel/requests/request_life.hpp
@@ -58,6 +58,13 @@
     /// \returns whether an endpoint may have run the request.
     [[nodiscard]] bool mayHaveRun() const noexcept { return m_mayHaveRun; }
 
+    /// \returns how many attempts, at any entry, may have reached an endpoint; with the current
+    /// one.
+    [[nodiscard]] int reachedAttempts() const noexcept;
+
+    /// \returns whether its usage was submitted to the log, by any entry.
+    [[nodiscard]] bool usageCounted() const noexcept { return m_usageCounted; }
+
     /// \returns the number of pieces sent to the caller, including those sent by earlier entries.
     [[nodiscard]] std::int64_t delivered() const noexcept { return m_delivered; }
 
@@ -80,6 +87,7 @@
     void on(actions &out, instant now, const entry_leaving &leaving);
     void on(actions &out, instant now, const send_refused &refused);
 
+    [[nodiscard]] enqueue firstEnqueue() const;
     void claimGranted(actions &out, instant now, start_check check);
     void resendClaim(actions &out, instant now);
     [[nodiscard]] bool takesUpStream() const noexcept;
--- a/src/yuccascale/kernel/requests/request_session.cpp
+++ b/src/yuccascale/kernel/requests/request_session.cpp
@@ -103,6 +103,7 @@
     result.unreachable = failed.failure == attempt_failure::NeverSent;
     result.replaced = failed.failure == attempt_failure::Replaced;
     result.excludedFromHealth = failed.failure == attempt_failure::ReportedNotRun
+            || failed.failure == attempt_failure::Disconnected
             || failed.failure == attempt_failure::Answered;
     finishAttempt(result);
 }
@@ -191,6 +192,28 @@
 {
     m_sentAt = m_ports.now();
     m_firstPieceAt.reset();
+    if (m_assignment->relayed)
+        recordRelayed(sent);
+    else
+        recordRouted(sent);
+    m_ports.send(callerRequest(), *m_assignment, sent);
+}
+
+void request_session::recordRelayed(const dispatch &sent)
+{
+    m_events.record(requestRelayed,
+                    {{"request_id", callerRequest().id},
+                     {"route", callerRequest().route.name},
+                     {"organisation", callerRequest().organisation},
+                     {"entry", m_assignment->endpoint},
+                     {"attempt", sent.attempt},
+                     {"resume_from", sent.resumeFrom},
+                     {"after_event", sent.lastPieceId},
+                     {"waited_ms", inMilliseconds(m_sentAt - callerRequest().receivedAt)}});
+}
+
+void request_session::recordRouted(const dispatch &sent)
+{
     m_events.record(requestRouted,
                     {{"request_id", callerRequest().id},
                      {"route", callerRequest().route.name},
@@ -211,7 +234,6 @@
                      {"reported_requests", m_assignment->reportedRequests},
                      {"report_age_ms", inMilliseconds(m_assignment->reportAge)},
                      {"reason", m_assignment->reason}});
-    m_ports.send(callerRequest(), *m_assignment, sent);
 }
 
 void request_session::perform(const cancel &stopped)
--- a/src/yuccascale/kernel/requests/request_session.hpp
+++ b/src/yuccascale/kernel/requests/request_session.hpp
@@ -104,6 +104,8 @@
     void recordAttemptFailure(const attempt_failed &failed);
     void finishAttempt(attempt_result result);
     void performAll(const std::vector<action> &actions);
+    void recordRouted(const dispatch &sent);
+    void recordRelayed(const dispatch &sent);
     void recordRefusal(const refusal &reason);
     void recordAnswer(int status);
 
--- a/src/yuccascale/platform/caller_protocol.cpp
+++ b/src/yuccascale/platform/caller_protocol.cpp
@@ -145,6 +145,8 @@
         return "platform";
     }
 
+    [[nodiscard]] std::string_view entryDriver() const override { return "platform entry"; }
+
     [[nodiscard]] bool pollsEndpointLoad() const override { return false; }
 
     [[nodiscard]] std::optional<http_reply>
@@ -178,6 +180,7 @@
                         "header missing; send a unique id with each request");
         }
         callerRequest.endpointId = callerRequest.id;
+        callerRequest.credential = std::string(httpRequest.header(headers::authorization));
         callerRequest.method = httpRequest.method;
         callerRequest.path = httpRequest.target;
         callerRequest.streamed = callerRequest.route.streamed;
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -150,6 +150,15 @@
     pollSoon();
 }
 
+void feed_service::setEndpointsLost(bool lost)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_endpointsLost = lost;
+    }
+    pollSoon();
+}
+
 void feed_service::pollLoop()
 {
     bool wasFresh = false;
@@ -337,6 +346,7 @@
     const auto tables = m_state.view().tables;
     report.revision = tables ? tables->revision : 0;
     report.leaving = m_leaving;
+    report.endpointsLost = m_endpointsLost;
     report.link = m_settings.linkAddress;
     report.callers = m_settings.roles.entry ? m_settings.callerAddress : std::string();
     report.zone = m_settings.zone;
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -101,6 +101,9 @@
     /// \brief Reports to the other nodes that this one is shutting down.
     void setLeaving();
 
+    /// \brief Reports to the other nodes whether this one reaches no endpoint.
+    void setEndpointsLost(bool lost);
+
 private:
     void pollLoop();
     [[nodiscard]] bool pollOnce();
@@ -133,6 +136,7 @@
     bool m_pollRequested = false;
     bool m_stopped = false;
     bool m_leaving = false;
+    bool m_endpointsLost = false;
     std::thread m_thread;
 };
 
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -214,7 +214,7 @@
             [this](const std::shared_ptr<net::http_exchange> &exchange) {
                 return settings.http.protocol == "own" && operators->tryServe(exchange);
             },
-            entryExchange()});
+            entryExchange(), [this](bool lost) { feed->setEndpointsLost(lost); }});
     transport->handle(channel::Streams, [this](std::string_view, std::string_view message) {
         return callersStarted ? callers->streams().handle(message) : std::string();
     });
--- a/src/yuccascale/wire/feed_codec.cpp
+++ b/src/yuccascale/wire/feed_codec.cpp
@@ -105,7 +105,8 @@
             toString(table.zone()),
             table.control(),
             table.wall_ms(),
-            toString(table.operators())};
+            toString(table.operators()),
+            table.endpoints_lost()};
 }
 
 using report_vector = flatbuffers::Vector<flatbuffers::Offset<fb::NodeReport>>;
@@ -123,7 +124,7 @@
         rows.push_back(fb::CreateNodeReport(builder, node, report.incarnation, report.revision,
                                             static_cast<std::uint32_t>(report.ageMs),
                                             report.leaving, link, callers, zone, report.control,
-                                            report.wallMs, operators));
+                                            report.wallMs, operators, report.endpointsLost));
     }
     return builder.CreateVector(rows);
 }
--- a/src/yuccascale/wire/feed_generated.h
+++ b/src/yuccascale/wire/feed_generated.h
@@ -39,7 +39,8 @@
     VT_ZONE = 18,
     VT_CONTROL = 20,
     VT_WALL_MS = 22,
-    VT_OPERATORS = 24
+    VT_OPERATORS = 24,
+    VT_ENDPOINTS_LOST = 26
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -74,6 +75,9 @@
   const flatbuffers::String *operators() const {
     return GetPointer<const flatbuffers::String *>(VT_OPERATORS);
   }
+  bool endpoints_lost() const {
+    return GetField<uint8_t>(VT_ENDPOINTS_LOST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -92,6 +96,7 @@
            VerifyField<int64_t>(verifier, VT_WALL_MS, 8) &&
            VerifyOffset(verifier, VT_OPERATORS) &&
            verifier.VerifyString(operators()) &&
+           VerifyField<uint8_t>(verifier, VT_ENDPOINTS_LOST, 1) &&
            verifier.EndTable();
   }
 };
@@ -133,6 +138,9 @@
   void add_operators(flatbuffers::Offset<flatbuffers::String> operators) {
     fbb_.AddOffset(NodeReport::VT_OPERATORS, operators);
   }
+  void add_endpoints_lost(bool endpoints_lost) {
+    fbb_.AddElement<uint8_t>(NodeReport::VT_ENDPOINTS_LOST, static_cast<uint8_t>(endpoints_lost), 0);
+  }
   explicit NodeReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -156,7 +164,8 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     bool control = false,
     int64_t wall_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> operators = 0) {
+    flatbuffers::Offset<flatbuffers::String> operators = 0,
+    bool endpoints_lost = false) {
   NodeReportBuilder builder_(_fbb);
   builder_.add_wall_ms(wall_ms);
   builder_.add_revision(revision);
@@ -167,6 +176,7 @@
   builder_.add_link(link);
   builder_.add_age_ms(age_ms);
   builder_.add_node(node);
+  builder_.add_endpoints_lost(endpoints_lost);
   builder_.add_control(control);
   builder_.add_leaving(leaving);
   return builder_.Finish();
@@ -184,7 +194,8 @@
     const char *zone = nullptr,
     bool control = false,
     int64_t wall_ms = 0,
-    const char *operators = nullptr) {
+    const char *operators = nullptr,
+    bool endpoints_lost = false) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto link__ = link ? _fbb.CreateString(link) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
@@ -202,7 +213,8 @@
       zone__,
       control,
       wall_ms,
-      operators__);
+      operators__,
+      endpoints_lost);
 }
 
 struct FeedRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/fakes/partitioned_entries.cpp
+++ b/tests/fakes/partitioned_entries.cpp
@@ -4,6 +4,7 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <numeric>
 #include <thread>
 
@@ -112,6 +113,7 @@
     runtime::settings settings;
     control_log control;
     counting_sink events;
+    std::atomic<bool> lost{false}; ///< as it last told the others
     std::vector<std::unique_ptr<endpoint_path>> paths;
     net::event_loops loops{1};
     std::unique_ptr<http::caller_server> server;
@@ -175,9 +177,22 @@
     settings.policy.admission = "always";
     settings.policy.fairness = "first_come_first_served";
     settings.promises.retryBurst = 1'000;
-    created->server = std::make_unique<http::caller_server>(http::caller_server_dependencies{
-            settings, m_clock, created->events, created->control, created->loops,
-            "0123456789abcdef", 1, [this] { return nodes(); }, nullptr, nullptr});
+    created->server = std::make_unique<http::caller_server>(
+            http::caller_server_dependencies{settings,
+                                             m_clock,
+                                             created->events,
+                                             created->control,
+                                             created->loops,
+                                             "0123456789abcdef",
+                                             1,
+                                             [this] { return nodes(); },
+                                             nullptr,
+                                             nullptr,
+                                             {},
+                                             [this, self = created.get()](bool lost) {
+                                                 self->lost = lost;
+                                                 updateAll();
+                                             }});
     static_cast<void>(created->server->start().value());
     created->loops.start();
     const std::scoped_lock guard(m_mutex);
@@ -194,11 +209,19 @@
         node.link = one->settings.linkAddress;
         node.callers = one->settings.callerAddress;
         node.zone = one->settings.zone;
+        node.endpointsLost = one->lost;
         out.push_back(node);
     }
     return out;
 }
 
+void partitioned_entries::updateAll() const
+{
+    const std::scoped_lock guard(m_mutex);
+    for (const auto &one : m_entries)
+        one->server->scheduleFeedUpdate();
+}
+
 void partitioned_entries::setPaths(std::size_t entry, path_state state)
 {
     for (const auto &path : m_entries[entry]->paths)
--- a/tests/fakes/partitioned_entries.hpp
+++ b/tests/fakes/partitioned_entries.hpp
@@ -115,6 +115,7 @@
     struct entry;
 
     [[nodiscard]] std::vector<kernel::feed::node_report> nodes() const;
+    void updateAll() const;
     void startEntry(std::size_t index, std::span<recording_server *const> servers);
 
     runtime::system_clock m_clock;
