--- a/tests/unit/stream_rejoin_test.cpp
+++ b/tests/unit/stream_rejoin_test.cpp
@@ -366,8 +366,10 @@
     fleet.setRoute(split);
     fleet.hearAll();
     fleet.run(seconds(30));
+    constexpr int streams = 20;
     std::vector<begun_stream> begun;
-    for (int number = 0; number < 20; ++number)
+    begun.reserve(streams);
+    for (int number = 0; number < streams; ++number)
         begun.push_back(fleet.begin(0, "v1"));
     fleet.kill(0);
     fleet.advance(seconds(1));
