soak_stops: long answers on a route of their own, warmer entries, one failing seed

Leaving entries refused nearly all requests, since short and long answers shared a route and few had been answered before the stop: hardly any request was taken late, so that the soak's green said little. With an odd seed long chats now have their own route; there are six callers for each entry and 5 s of calm before.

Runs that had finished at the endpoint ended with "its usage could not be committed before the deadline" at 1.4 s before the end of the grace period: entries give usage up 1.5 s before it (caller_server's shutdownReserve), but take requests that end up to 0.5 s before it.

--- a/tests/processes/cluster.cpp
+++ b/tests/processes/cluster.cpp
@@ -412,14 +412,14 @@
 }
 
 fakes::http_call cluster::chat(std::size_t node, const std::string &id, const std::string &prompt,
-                               int outputTokens) const
+                               int outputTokens, const std::string &route) const
 {
     fakes::http_call call;
     call.address = callerAddress(node);
     call.method = "POST";
     call.path = "/v1/chat/completions";
     call.headers = {{"Authorization", "Bearer " + m_key}, {"X-Request-Id", id}};
-    call.body = json{{"model", "chat"},
+    call.body = json{{"model", route},
                      {"stream", true},
                      {"max_tokens", outputTokens},
                      {"messages", {{{"role", "user"}, {"content", prompt}}}}}
--- a/tests/processes/cluster.hpp
+++ b/tests/processes/cluster.hpp
@@ -108,7 +108,8 @@
 
     /// \returns a chat call for node \a node with the organisation's key.
     [[nodiscard]] fakes::http_call chat(std::size_t node, const std::string &id,
-                                        const std::string &prompt, int outputTokens) const;
+                                        const std::string &prompt, int outputTokens,
+                                        const std::string &route = "chat") const;
 
     /// \returns a ticket call for node \a node with the organisation's key.
     [[nodiscard]] fakes::http_call ticket(std::size_t node,
--- a/tests/processes/holding_callers.cpp
+++ b/tests/processes/holding_callers.cpp
@@ -87,13 +87,14 @@
             call.headers.emplace("X-Request-Id", record.id);
             return call;
         }
-        const int tokens = record.kind == request_kind::ShortChat
-                ? shortOutputTokens
-                : static_cast<int>(shortestLongOutput + draw(longOutputSpread));
+        const bool isShort = record.kind == request_kind::ShortChat;
+        const int tokens = isShort ? shortOutputTokens
+                                   : static_cast<int>(shortestLongOutput + draw(longOutputSpread));
         std::string prompt;
         for (std::size_t word = 0; word < promptWords; ++word)
             prompt += std::to_string(m_random()) + " ";
-        return m_owner.m_system.chat(m_node, record.id, prompt, tokens);
+        return m_owner.m_system.chat(m_node, record.id, prompt, tokens,
+                                     isShort ? "chat" : m_owner.m_mix.longChatRoute);
     }
 
     [[nodiscard]] prepared_request prepare()
--- a/tests/processes/holding_callers.hpp
+++ b/tests/processes/holding_callers.hpp
@@ -24,6 +24,7 @@
     milliseconds longestSending{0};   ///< of a request that is sent slowly; 0: none is
     std::size_t pipelinedPercent = 0; ///< of the requests, a second one follows at once
     std::size_t longChatPercent = 0;
+    std::string longChatRoute = "chat";
     std::size_t ticketPercent = 20;
     std::size_t newConnectionPercent = 10; ///< of the requests, not on the kept connection
     milliseconds patience{12'000};         ///< for an answer
--- a/tests/processes/soak_stops_test.cpp
+++ b/tests/processes/soak_stops_test.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr std::array<unsigned, 1> ciSeeds{1};
+/// Stops a leader while answers wait for the commit of their usage.
+constexpr std::array<unsigned, 1> leaderStopSeeds{33};
 constexpr int ciNodes = 9;
 constexpr std::size_t controlNodes = 3;
 constexpr int seriesCount = 2;
@@ -56,7 +58,8 @@
 
     void run()
     {
-        constexpr milliseconds calmBefore{2'000};
+        constexpr milliseconds calmBefore{5'000};
+        addRouteForLongChats();
         holding_callers callers(m_system, mix());
         table_edits edits(m_system);
         m_stops.advanceFor(calmBefore);
@@ -96,11 +99,28 @@
         made.seed = m_seed;
         made.longestSending = milliseconds(3'000);
         made.pipelinedPercent = 15;
-        made.longChatPercent = 20;
+        made.longChatPercent = 15;
+        made.longChatRoute = longChatRoute();
+        made.callersPerNode = 6;
         made.patience = milliseconds(m_settings.routeDeadline * 1'000 + 3'000);
         return made;
     }
 
+    /// With an even seed short and long answers share a route.
+    [[nodiscard]] std::string longChatRoute() const { return m_seed % 2 == 0 ? "chat" : "long"; }
+
+    void addRouteForLongChats() const
+    {
+        const json row{{"name", "long"},
+                       {"pool", "engines"},
+                       {"kind", "model"},
+                       {"deadline", inSeconds(m_settings.routeDeadline)}};
+        const command_answer answer = m_system.put("route", json::array({row}));
+        ASSERT_EQ(answer.exitCode, 0) << answer.text;
+        const std::string revision = std::to_string(answer.document.value("revision", 0));
+        ASSERT_EQ(m_system.command({"wait", "--revision=" + revision}).exitCode, 0);
+    }
+
     [[nodiscard]] std::size_t draw(std::size_t below) { return m_random() % below; }
 
     /// Stops all entries without a control replica but one, and at times one node with a replica.
@@ -202,4 +222,12 @@
     }
 }
 
+TEST(soak_stops, noAnswerIsGivenUpWhileItsUsageWaitsForALeader)
+{
+    for (const unsigned seed : leaderStopSeeds) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        stops_soak(seed).run();
+    }
+}
+
 } // namespace yuccascale::processes
