A leaving entry waits for the commit of usage until its own end

Cause: usage was given up 1.5 s before the kill by a constant of its own, while drain_plan takes requests that end half a second before it. A commit could besides outlast that moment by a second. Evidence: leaving_entry.waitsForTheCommitOfUsageUntilItEnds was red without the change (502). Change: usage is given up at the end of the plan, and a commit's deadline lies no later.

--- a/src/yuccascale/http/caller_commits.cpp
+++ b/src/yuccascale/http/caller_commits.cpp
@@ -212,13 +212,22 @@
     }
 }
 
+/// A commit does not outlast the time at which its usage is given up.
+kernel::instant caller_commits::commitDeadline() const
+{
+    const std::scoped_lock guard(m_mutex);
+    const kernel::instant now = m_clock.now();
+    const kernel::instant deadline = now + commitTimeout;
+    return m_usageDeadline > now ? std::min(deadline, m_usageDeadline) : deadline;
+}
+
 void caller_commits::commitBatch(const kernel::state::command &batch)
 {
     kernel::state::command_result answer;
     kernel::error problem;
     const bool answered = kernel::succeeded(
             [&]() -> kernel::result<void> {
-                BOOST_LEAF_ASSIGN(answer, m_control.submit(batch, m_clock.now() + commitTimeout));
+                BOOST_LEAF_ASSIGN(answer, m_control.submit(batch, commitDeadline()));
                 return {};
             },
             problem);
--- a/src/yuccascale/http/caller_commits.hpp
+++ b/src/yuccascale/http/caller_commits.hpp
@@ -81,6 +81,7 @@
     [[nodiscard]] bool submitWithRetries(const kernel::state::command &command);
     [[nodiscard]] bool isStopping() const;
     void commitUsage();
+    [[nodiscard]] kernel::instant commitDeadline() const;
     void commitBatch(const kernel::state::command &batch);
     void completeUsage(const std::vector<std::uint64_t> &tickets);
     void expireUsage();
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -24,8 +24,6 @@
 /// Callers that get no newer address list use the last one for up to this many times its time to
 /// live.
 constexpr int addressTtlFactor = 3;
-/// Part of the shutdown time limit that remains when usage is no longer waited for.
-constexpr milliseconds usageReserve{1'500};
 
 [[nodiscard]] net::http_limits limitsFrom(const runtime::http_settings &settings)
 {
@@ -425,10 +423,7 @@
         server->closeAfterAnswers();
     for (const auto &loop : m_services.loops)
         boost::asio::post(loop->context, [&running = *loop] { tellSessions(running); });
-    const milliseconds shutdownLimit = m_dependencies.settings.promises.shutdown;
-    if (shutdownLimit.count() > 0)
-        m_services.commits.setUsageDeadline(m_dependencies.clock.now() + shutdownLimit
-                                            - usageReserve);
+    m_services.commits.setUsageDeadline(m_services.drain.plan().end());
     m_dependencies.events.record(entryLeaving, {{"node", m_dependencies.settings.node}});
 }
 
--- a/tests/unit/http_shutdown_test.cpp
+++ b/tests/unit/http_shutdown_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <future>
 #include <memory>
@@ -375,6 +376,35 @@
     EXPECT_EQ(m_server->addresses().size(), 1U);
 }
 
+/// Guards against answers that are given up for their usage while the process still has time.
+TEST_F(leaving_entry, waitsForTheCommitOfUsageUntilItEnds)
+{
+    held_engine engine;
+    engine.releaseAll();
+    start(engine);
+    std::atomic<bool> logReachable{false};
+    std::atomic<int> failedLate{0};
+    const kernel::instant leavingAt = m_clock.now();
+    m_control.setFaults(
+            [&](const kernel::state::command &) -> kernel::result<void> {
+                if (logReachable)
+                    return {};
+                failedLate += m_clock.now() > leavingAt + milliseconds(6'900) ? 1 : 0;
+                return kernel::fail(kernel::error_kind::Unavailable, "log", "no leader");
+            },
+            nullptr);
+    const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
+    caller.send(requestText("appraisal"));
+    engine.waitForArrivals(1);
+    m_server->beginShutdown();
+    m_clock.advance(milliseconds(7'000));
+    while (failedLate < 2)
+        std::this_thread::yield();
+    logReachable = true;
+    const std::string answer = caller.readUntil("completion_tokens", 5'000);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+}
+
 /// Guards against a loop that does nothing but fire the timer of a request past its deadline.
 TEST_F(leaving_entry, doesNotSpinWhileUsageIsCommittedAfterTheDeadline)
 {
