--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -250,6 +250,10 @@
 
 def main(folder, play, limit_s=110):
     """Plays a case. Exit code: 1 when the rule was broken, 0 when it held, 2 when it couldn't run."""
+    def end(number, frame):
+        raise SystemExit(2)    # on the way out the processes are ended
+
+    signal.signal(signal.SIGTERM, end)
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"trouble: {'yes' if trouble else 'no'}")
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -202,8 +202,10 @@
     server.began(request)
     await asyncio.sleep(work_ms / 1000)
     body = (f"{request.method} {request.target} {request.id} ".encode() + b"." * size)
-    writer.write(head_bytes("HTTP/1.1 200 OK", server.fields(request, len(body))) + body)
+    answer = head_bytes("HTTP/1.1 200 OK", server.fields(request, len(body))) + body
+    writer.write(answer)
     await writer.drain()
+    return answer
 
 
 async def stream_events(server, request, writer, events, gap_ms):
