--- a/review/2/play.py
+++ b/review/2/play.py
@@ -12,7 +12,7 @@
 SLOTS = 6
 WORK_MS = 15
 COPIED_SHARE = 0.03     # of the answers, while the server is faulty
-FAULTY_S, SOUND_S, ROUNDS = 5.0, 1.0, 4
+FAULTY_S, SOUND_S, ROUNDS = 5.0, 1.0, 10
 CLIENTS_PER_ENTRY = 5
 TIMEOUT_MS = 2500
 
@@ -49,12 +49,12 @@
             writer.write(late[1])
             await writer.drain()
         if server.running >= SLOTS:
-            answer = server.rejection(request, 503)
-            self.note(request, answer)
+            self.note(request, server.rejection(request, 503))
             return await server.refuse(request, writer, 503, f"{server.running} run")
         server.running += 1
         try:
-            await answer_plainly(server, request, writer, random.uniform(0.5, 1.5) * WORK_MS)
+            answer = await answer_plainly(server, request, writer, random.uniform(0.5, 1.5) * WORK_MS)
+            self.note(request, answer)
         finally:
             server.running -= 1
 
