--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,4 +1,4 @@
-"""Case 2: a late second copy of a rejection is taken for the answer to the next attempt."""
+"""Case 2: a late second copy of a rejection is taken for the answer to the next attempt, so a booking runs twice."""
 import asyncio
 import pathlib
 import random
@@ -20,7 +20,7 @@
     "version": 1,
     "routes": [{"name": "r-book", "host": HOST, "path_prefix": "/book/", "kind": "unsafe",
                 "timeout_ms": TIMEOUT_MS, "target_latency_ms": 150, "priority": 1,
-                "service": "ledger", "max_attempts": 2, "anonymous": False, "sticky": False}],
+                "service": "ledger", "max_attempts": 3, "anonymous": False, "sticky": False}],
     "services": [{"name": "ledger", "health_path": "/health", "max_connections": 100,
                   "protocol": "h1", "tls": False}],
     "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -170,6 +170,8 @@
         }
 
     def start(self, bootstrap=False):
+        if self.running():
+            return
         role = self.deployment.deploy["roles"][self.role]
         template = (REPOSITORY / role["template"]).read_text()
         settings = self.deployment.folder / f"{self.name}.yaml"
