--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -14,7 +14,11 @@
 import subprocess
 import tempfile
 import time
-import tomllib
+
+try:
+    import tomllib
+except ImportError:    # before Python 3.11
+    tomllib = None
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 
@@ -103,6 +107,21 @@
     return walk(0, [fields], None)[0]
 
 
+def read_deploy_file():
+    text = (REPOSITORY / "deploy/system.toml").read_text()
+    if tomllib:
+        return tomllib.loads(text)
+    roles, role = {}, {}
+    for line in text.splitlines():
+        section = re.match(r"\[roles\.(\w+)\]", line)
+        if section:
+            role = roles.setdefault(section.group(1), {})
+        pair = re.match(r'(\w+) = "(.*)"', line)
+        if pair:
+            role[pair.group(1)] = pair.group(2)
+    return {"roles": roles}
+
+
 # ---- free addresses ----
 
 class Addresses:
@@ -203,7 +222,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="yuccascale-review-"))
         self.addresses = Addresses()
         self.bounds = dict(BOUNDS, **(bounds or {}))
-        self.deploy = tomllib.loads((REPOSITORY / "deploy/system.toml").read_text())
+        self.deploy = read_deploy_file()
         self.platform_address = ""
         self.controls = [Machine(self, f"core-{zone}-1", "control", zone) for zone in zones]
         self.entries = [Machine(self, f"front-{zones[index % len(zones)]}-{index}", "entry",
@@ -268,6 +287,9 @@
     except (asyncio.TimeoutError, TimeoutError):
         record.line("could not run: the time limit of the script passed")
         code = 2
+    except Exception as problem:    # an error of the script says nothing about the rule
+        record.line(f"could not run: {type(problem).__name__}: {problem}")
+        code = 2
     record.line(f"exit code {code}: " + {0: "the rule held", 1: "the rule was broken",
                                          2: "the case could not run"}[code])
     record.close()
