RECOVER: the store on an interface of a disk, and tests that lose power (failing)

The store spoke to the system's files directly, so no test could lose what was not synced. It now speaks to store::disk; the system's disk is one, fakes::volatile_disk another: a killed process loses nothing, a loss of power keeps, tears or drops each write and each name that was not synced. What the store does on a disk is as before, but for a torn tail, which is cut by replacing the file in place of truncating it; the unused diskBytes() is gone.

--- a/src/yuccascale/store/replica_store.cpp
+++ b/src/yuccascale/store/replica_store.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <system_error>
 #include <utility>
 
 namespace yuccascale::store {
@@ -47,11 +46,10 @@
 }
 
 /// \returns the numbers of the files with that prefix, sorted.
-std::vector<std::uint64_t> fileNumbers(const fs::path &folder, std::string_view prefix)
+std::vector<std::uint64_t> fileNumbers(std::span<const std::string> names, std::string_view prefix)
 {
     std::vector<std::uint64_t> numbers;
-    for (const fs::directory_entry &entry : fs::directory_iterator(folder)) {
-        const std::string name = entry.path().filename().string();
+    for (const std::string &name : names) {
         if (name.starts_with(prefix) && !name.ends_with(unfinishedSuffix))
             numbers.push_back(std::strtoull(name.c_str() + prefix.size(), nullptr, 16));
     }
@@ -59,18 +57,6 @@
     return numbers;
 }
 
-void removeUnfinished(const fs::path &folder)
-{
-    std::vector<fs::path> unfinished;
-    for (const fs::directory_entry &entry : fs::directory_iterator(folder)) {
-        if (entry.path().string().ends_with(unfinishedSuffix))
-            unfinished.push_back(entry.path());
-    }
-    std::error_code ignored;
-    for (const fs::path &path : unfinished)
-        fs::remove(path, ignored);
-}
-
 std::string packBatch(const replica_write &batch)
 {
     flatbuffers::FlatBufferBuilder builder;
@@ -104,29 +90,25 @@
 } // namespace
 
 result<std::unique_ptr<replica_store>> replica_store::open(const fs::path &folder,
-                                                           std::uint64_t newIncarnation)
+                                                           std::uint64_t newIncarnation, disk &on)
 {
-    std::error_code problem;
-    fs::create_directories(folder, problem);
-    if (problem) {
-        return fail(error_kind::Unavailable, folder.string(),
-                    problem.message() + "; make the data folder writable for this node");
-    }
-    std::unique_ptr<replica_store> opened(new replica_store(folder));
-    BOOST_LEAF_ASSIGN(opened->m_lock, lockFolder(folder));
-    const bool hasManifest = fs::exists(folder / manifestName);
+    BOOST_LEAF_CHECK(on.createFolder(folder));
+    std::unique_ptr<replica_store> opened(new replica_store(folder, on));
+    BOOST_LEAF_ASSIGN(opened->m_lock, on.lock(folder));
+    const bool hasManifest = on.exists(folder / manifestName);
     BOOST_LEAF_CHECK(hasManifest ? opened->recover() : opened->create(newIncarnation));
     return opened;
 }
 
 result<void> replica_store::create(std::uint64_t incarnation)
 {
-    for (const std::uint64_t number : fileNumbers(m_folder, segmentPrefix)) {
+    BOOST_LEAF_AUTO(names, m_disk.list(m_folder));
+    for (const std::uint64_t number : fileNumbers(names, segmentPrefix)) {
         // a crash during the first start can leave the first segment, still empty
-        if (number != firstSegmentNumber || fs::file_size(segmentPath(number)) > 0)
+        if (number != firstSegmentNumber || m_disk.size(segmentPath(number)) > 0)
             return corrupt(m_folder / manifestName, "the manifest of this log is missing");
     }
-    if (!fileNumbers(m_folder, snapshotPrefix).empty())
+    if (!fileNumbers(names, snapshotPrefix).empty())
         return corrupt(m_folder / manifestName, "the manifest of this snapshot is missing");
     m_incarnation = incarnation;
     m_recovery.incarnation = incarnation;
@@ -136,10 +118,11 @@
 
 result<void> replica_store::recover()
 {
-    removeUnfinished(m_folder);
+    BOOST_LEAF_AUTO(names, m_disk.list(m_folder));
+    removeUnfinished(names);
     BOOST_LEAF_AUTO(newest, readManifest());
-    BOOST_LEAF_CHECK(readSnapshot());
-    const std::vector<std::uint64_t> numbers = fileNumbers(m_folder, segmentPrefix);
+    BOOST_LEAF_CHECK(readSnapshot(fileNumbers(names, snapshotPrefix)));
+    const std::vector<std::uint64_t> numbers = fileNumbers(names, segmentPrefix);
     if (numbers.empty() || numbers.back() < newest)
         return corrupt(segmentPath(newest), "this log segment is missing");
     for (std::size_t at = 0; at < numbers.size(); ++at) {
@@ -153,10 +136,18 @@
     return startSegment(numbers.back() + 1);
 }
 
+void replica_store::removeUnfinished(std::span<const std::string> names)
+{
+    for (const std::string &name : names) {
+        if (name.ends_with(unfinishedSuffix))
+            m_disk.remove(m_folder / name);
+    }
+}
+
 result<std::uint64_t> replica_store::readManifest()
 {
     const fs::path path = m_folder / manifestName;
-    BOOST_LEAF_AUTO(bytes, readFile(path));
+    BOOST_LEAF_AUTO(bytes, m_disk.read(path));
     const frame_scan scan = scanFrames(bytes, 0);
     if (scan.records.size() != 1 || scan.tornTail)
         return corrupt(path, "the manifest is damaged");
@@ -171,16 +162,16 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(fb::CreateStoredManifest(builder, m_incarnation, newestSegment));
-    return replaceFile(m_folder / manifestName, frameRecord(0, wire::finishedBytes(builder)));
+    return replaceFile(m_disk, m_folder / manifestName,
+                       frameRecord(0, wire::finishedBytes(builder)));
 }
 
-result<void> replica_store::readSnapshot()
+result<void> replica_store::readSnapshot(std::span<const std::uint64_t> numbers)
 {
-    const std::vector<std::uint64_t> numbers = fileNumbers(m_folder, snapshotPrefix);
     if (numbers.empty())
         return {};
     const fs::path path = m_folder / numberedName(snapshotPrefix, numbers.back());
-    BOOST_LEAF_AUTO(bytes, readFile(path));
+    BOOST_LEAF_AUTO(bytes, m_disk.read(path));
     const frame_scan scan = scanFrames(bytes, numbers.back());
     if (scan.records.size() != 1 || scan.tornTail)
         return corrupt(path, "the snapshot is damaged");
@@ -196,7 +187,7 @@
 result<void> replica_store::readSegment(std::uint64_t number, bool newest)
 {
     const fs::path path = segmentPath(number);
-    BOOST_LEAF_AUTO(bytes, readFile(path));
+    BOOST_LEAF_AUTO(bytes, m_disk.read(path));
     const frame_scan scan = scanFrames(bytes, number << sequenceBits);
     if (scan.corruptMiddle || (scan.tornTail && !newest)) {
         return corrupt(path,
@@ -209,8 +200,8 @@
     }
     if (scan.tornTail) {
         m_recovery.tornTail = true;
-        BOOST_LEAF_AUTO(segment, file::openForAppend(path));
-        BOOST_LEAF_CHECK(segment.truncateDurably(scan.completeBytes));
+        const std::string_view complete = std::string_view(bytes).substr(0, scan.completeBytes);
+        BOOST_LEAF_CHECK(replaceFile(m_disk, path, complete));
     }
     return {};
 }
@@ -265,11 +256,11 @@
 
 result<void> replica_store::startSegment(std::uint64_t number)
 {
-    BOOST_LEAF_ASSIGN(m_currentSegment, file::openForAppend(segmentPath(number)));
+    BOOST_LEAF_ASSIGN(m_currentSegment, m_disk.openForAppend(segmentPath(number)));
     m_nextSequence = number << sequenceBits;
     m_currentSegmentBytes = 0;
     m_segments.push_back({number, 0});
-    BOOST_LEAF_CHECK(syncFolder(m_folder));
+    BOOST_LEAF_CHECK(m_disk.syncFolder(m_folder));
     BOOST_LEAF_CHECK(writeManifest(number));
     // each segment begins with the hard state, so that older ones can be removed
     return append(packBatch({m_hardState, std::nullopt, {}}));
@@ -284,7 +275,7 @@
     const std::string frame = frameRecord(m_nextSequence, record);
     m_failed = true; // until this write succeeds: after a failure, the content of the disk is
                      // unknown
-    BOOST_LEAF_CHECK(m_currentSegment.writeDurably(frame));
+    BOOST_LEAF_CHECK(appendDurably(*m_currentSegment, frame));
     m_failed = false;
     ++m_nextSequence;
     m_currentSegmentBytes += frame.size();
@@ -309,11 +300,12 @@
 result<void> replica_store::saveSnapshot(const snapshot_data &snapshot)
 {
     const fs::path path = m_folder / numberedName(snapshotPrefix, snapshot.index);
-    BOOST_LEAF_CHECK(replaceFile(path, frameRecord(snapshot.index, packSnapshot(snapshot))));
-    std::error_code ignored;
-    for (const std::uint64_t number : fileNumbers(m_folder, snapshotPrefix)) {
+    const std::string frame = frameRecord(snapshot.index, packSnapshot(snapshot));
+    BOOST_LEAF_CHECK(replaceFile(m_disk, path, frame));
+    BOOST_LEAF_AUTO(names, m_disk.list(m_folder));
+    for (const std::uint64_t number : fileNumbers(names, snapshotPrefix)) {
         if (number < snapshot.index)
-            fs::remove(m_folder / numberedName(snapshotPrefix, number), ignored);
+            m_disk.remove(m_folder / numberedName(snapshotPrefix, number));
     }
     return {};
 }
@@ -321,20 +313,11 @@
 result<void> replica_store::compact(log_index keepFrom)
 {
     BOOST_LEAF_CHECK(startSegment(m_segments.back().number + 1));
-    std::error_code ignored;
     while (m_segments.size() > 1 && m_segments.front().lastIndex < keepFrom) {
-        fs::remove(segmentPath(m_segments.front().number), ignored);
+        m_disk.remove(segmentPath(m_segments.front().number));
         m_segments.pop_front();
     }
-    return syncFolder(m_folder);
-}
-
-std::uint64_t replica_store::diskBytes() const
-{
-    std::uint64_t bytes = 0;
-    for (const fs::directory_entry &entry : fs::directory_iterator(m_folder))
-        bytes += entry.file_size();
-    return bytes;
+    return m_disk.syncFolder(m_folder);
 }
 
 fs::path replica_store::segmentPath(std::uint64_t number) const
--- a/src/yuccascale/store/replica_store.hpp
+++ b/src/yuccascale/store/replica_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "yuccascale/kernel/consensus/types.hpp"
-#include "yuccascale/store/files.hpp"
+#include "yuccascale/store/disk.hpp"
 
 #include <deque>
 #include <filesystem>
@@ -40,10 +40,12 @@
 {
 public:
     /// \param newIncarnation of the replica, used when the folder is empty
+    /// \param on must outlive the store
     /// \returns error_kind::Corrupt when durable data is damaged or missing, error_kind::Conflict
     ///          when another process uses the folder, error_kind::Unavailable when the disk fails.
     [[nodiscard]] static kernel::result<std::unique_ptr<replica_store>>
-    open(const std::filesystem::path &folder, std::uint64_t newIncarnation);
+    open(const std::filesystem::path &folder, std::uint64_t newIncarnation,
+         disk &on = systemDisk());
 
     /// \returns the state that open() recovered; empty when it was taken before.
     [[nodiscard]] recovery takeRecovery() { return std::move(m_recovery); }
@@ -59,9 +61,6 @@
     /// \brief Removes log segments that hold only entries before \a keepFrom.
     [[nodiscard]] kernel::result<void> compact(kernel::consensus::log_index keepFrom);
 
-    /// \returns bytes of all files of the store.
-    [[nodiscard]] std::uint64_t diskBytes() const;
-
 private:
     struct segment
     {
@@ -69,15 +68,17 @@
         kernel::consensus::log_index lastIndex = 0; ///< largest log index in the segment
     };
 
-    explicit replica_store(std::filesystem::path folder)
-        : m_folder(std::move(folder))
+    replica_store(std::filesystem::path folder, disk &on)
+        : m_disk(on)
+        , m_folder(std::move(folder))
     { }
 
     [[nodiscard]] kernel::result<void> create(std::uint64_t incarnation);
     [[nodiscard]] kernel::result<void> recover();
+    void removeUnfinished(std::span<const std::string> names);
     [[nodiscard]] kernel::result<std::uint64_t> readManifest();
     [[nodiscard]] kernel::result<void> writeManifest(std::uint64_t newestSegment);
-    [[nodiscard]] kernel::result<void> readSnapshot();
+    [[nodiscard]] kernel::result<void> readSnapshot(std::span<const std::uint64_t> numbers);
     [[nodiscard]] kernel::result<void> readSegment(std::uint64_t number, bool newest);
     [[nodiscard]] kernel::result<void> replay(std::string_view record,
                                               const std::filesystem::path &path);
@@ -86,9 +87,10 @@
     [[nodiscard]] kernel::result<void> append(std::string_view record);
     [[nodiscard]] std::filesystem::path segmentPath(std::uint64_t number) const;
 
+    disk &m_disk;
     std::filesystem::path m_folder;
-    file m_lock;
-    file m_currentSegment;
+    std::unique_ptr<folder_lock> m_lock;
+    std::unique_ptr<disk_file> m_currentSegment;
     std::uint64_t m_currentSegmentBytes = 0;
     std::uint64_t m_nextSequence = 0;
     std::deque<segment> m_segments; ///< the last one is being written
--- /dev/null
+++ b/tests/unit/store_power_loss_test.cpp
@@ -0,0 +1,314 @@
+#include "fakes/volatile_disk.hpp"
+#include "yuccascale/store/replica_store.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+/// \file
+/// \brief Schedules of kills, restarts and losses of power at a store on a disk that forgets.
+
+namespace yuccascale::store {
+
+namespace {
+
+using namespace kernel::consensus;
+using fakes::process_killed;
+using fakes::volatile_disk;
+
+constexpr unsigned schedules = 3'000;
+constexpr int stepsPerSchedule = 40;
+const std::filesystem::path folder = "data";
+
+/// A replica's store that is written, killed and restarted at random, and what it has promised.
+class promising_store
+{
+public:
+    explicit promising_store(unsigned seed)
+        : m_random(seed)
+        , m_disk(seed)
+    { }
+
+    /// \returns the first broken promise; empty if all were kept.
+    [[nodiscard]] std::string run()
+    {
+        restart();
+        for (int step = 0; step < stepsPerSchedule && m_violation.empty(); ++step)
+            takeStep();
+        return m_violation;
+    }
+
+private:
+    [[nodiscard]] unsigned draw(unsigned below) { return m_random() % below; }
+
+    void takeStep()
+    {
+        if (draw(3) == 0)
+            m_disk.killAfter(draw(12));
+        try {
+            const unsigned kind = draw(8);
+            if (kind == 0)
+                return crash(false);
+            if (kind == 1)
+                return crash(true);
+            if (kind == 2)
+                return saveSnapshot();
+            append();
+        } catch (const process_killed &) {
+            crash(draw(2) == 0);
+        }
+    }
+
+    void crash(bool powerLost)
+    {
+        m_disk.letLive();
+        m_store.reset();
+        if (powerLost)
+            m_disk.losePower();
+        restart();
+    }
+
+    /// The process may be killed while it starts, too.
+    void restart()
+    {
+        while (m_violation.empty()) {
+            if (draw(3) == 0)
+                m_disk.killAfter(draw(10));
+            try {
+                open();
+                m_disk.letLive();
+                return;
+            } catch (const process_killed &) {
+                m_disk.letLive();
+                m_store.reset();
+                if (draw(2) == 0)
+                    m_disk.losePower();
+            }
+        }
+    }
+
+    void open()
+    {
+        kernel::error problem;
+        const bool opened = kernel::succeeded(
+                [&]() -> kernel::result<void> {
+                    BOOST_LEAF_ASSIGN(m_store, replica_store::open(folder, 77, m_disk));
+                    return {};
+                },
+                problem);
+        if (m_disk.killed())
+            throw process_killed();
+        if (!opened) {
+            m_violation = "does not start: " + problem.where + ": " + problem.message;
+            return;
+        }
+        adopt(m_store->takeRecovery().state);
+    }
+
+    /// Compares what was found with what was promised; from now on, what was found is promised.
+    void adopt(const durable_state &found)
+    {
+        std::map<log_index, term_number> terms;
+        for (const log_entry &entry : found.entries)
+            terms[entry.index] = entry.term;
+        const log_index covered = found.snapshot ? found.snapshot->index : 0;
+        for (const auto &[index, term] : m_terms) {
+            const auto entry = terms.find(index);
+            if (index > covered && (entry == terms.end() || entry->second != term))
+                m_violation = "entry " + std::to_string(index) + " is lost";
+        }
+        if (found.hardState.term < m_hardState.term)
+            m_violation = "the term went back";
+        m_hardState = found.hardState;
+        m_terms = std::move(terms);
+        m_last = m_terms.empty() ? std::max(covered, log_index{0}) : m_terms.rbegin()->first;
+        m_covered = covered;
+    }
+
+    void append()
+    {
+        const hard_state next{m_hardState.term + draw(2), std::nullopt};
+        std::vector<log_entry> entries;
+        const unsigned count = draw(3);
+        for (unsigned each = 1; each <= count; ++each)
+            entries.push_back({next.term, m_last + each, entry_kind::Command,
+                               std::string(1 + draw(60), 'x')});
+        if (!done([&] { return m_store->write({next, std::nullopt, entries}); }))
+            return;
+        m_hardState = next;
+        for (const log_entry &entry : entries)
+            m_terms[entry.index] = entry.term;
+        m_last += count;
+    }
+
+    void saveSnapshot()
+    {
+        if (m_terms.empty() || m_last <= m_covered)
+            return;
+        const snapshot_data snapshot{m_last,
+                                     m_terms.at(m_last),
+                                     {{{"a", 1}}, {}},
+                                     std::make_shared<const std::string>("state")};
+        if (!done([&] { return m_store->saveSnapshot(snapshot); }))
+            return;
+        m_covered = m_last;
+        const log_index keepFrom = m_last - std::min<log_index>(m_last, draw(4));
+        static_cast<void>(done([&] { return m_store->compact(keepFrom); }));
+    }
+
+    template<typename Work>
+    [[nodiscard]] bool done(Work &&work)
+    {
+        kernel::error problem;
+        const bool succeeded = kernel::succeeded(std::forward<Work>(work), problem);
+        if (m_disk.killed())
+            throw process_killed();
+        if (!succeeded)
+            m_violation = problem.where + ": " + problem.message;
+        return succeeded;
+    }
+
+    std::minstd_rand m_random;
+    volatile_disk m_disk;
+    std::unique_ptr<replica_store> m_store;
+    hard_state m_hardState;
+    std::map<log_index, term_number> m_terms; ///< of the promised entries that the log holds
+    log_index m_last = 0;
+    log_index m_covered = 0; ///< by the snapshot
+    std::string m_violation;
+};
+
+log_entry entry(log_index index)
+{
+    return {1, index, entry_kind::Command, "entry " + std::to_string(index)};
+}
+
+/// Opens the store and takes what it recovered.
+[[nodiscard]] durable_state reopen(std::unique_ptr<replica_store> &store, volatile_disk &disk)
+{
+    durable_state found;
+    kernel::error problem;
+    const bool opened = kernel::succeeded(
+            [&]() -> kernel::result<void> {
+                BOOST_LEAF_ASSIGN(store, replica_store::open(folder, 77, disk));
+                found = store->takeRecovery().state;
+                return {};
+            },
+            problem);
+    EXPECT_TRUE(opened) << problem.where << ": " << problem.message;
+    return found;
+}
+
+/// Writes two entries, is killed before the sync of the second, and starts again.
+[[nodiscard]] std::size_t entriesReadAfterAKill(std::unique_ptr<replica_store> &store,
+                                                volatile_disk &disk)
+{
+    static_cast<void>(reopen(store, disk));
+    kernel::error problem;
+    const std::vector<log_entry> first{entry(1)};
+    const std::vector<log_entry> second{entry(2)};
+    EXPECT_TRUE(kernel::succeeded(
+            [&] {
+                return store->write({hard_state{1, {}}, std::nullopt, first});
+            },
+            problem));
+    disk.killAfter(1);
+    EXPECT_THROW(static_cast<void>(store->write({std::nullopt, std::nullopt, second})),
+                 process_killed);
+    store.reset();
+    return reopen(store, disk).entries.size();
+}
+
+} // namespace
+
+/// Guards against promises that rest on what a killed process had not synced.
+TEST(store_power_loss, whatWasReadAfterAKillSurvivesALossOfPower)
+{
+    for (unsigned seed = 0; seed < 40; ++seed) {
+        volatile_disk disk(seed);
+        std::unique_ptr<replica_store> store;
+        const std::size_t promised = entriesReadAfterAKill(store, disk);
+        store.reset();
+        disk.losePower();
+        EXPECT_GE(reopen(store, disk).entries.size(), promised) << "seed " << seed;
+        if (testing::Test::HasFailure())
+            return;
+    }
+}
+
+/// Guards against promises that rest on a write whose sync failed.
+TEST(store_power_loss, whatWasReadAfterAFailedSyncSurvivesALossOfPower)
+{
+    for (unsigned seed = 0; seed < 40; ++seed) {
+        volatile_disk disk(seed);
+        std::unique_ptr<replica_store> store;
+        static_cast<void>(reopen(store, disk));
+        kernel::error problem;
+        const std::vector<log_entry> first{entry(1)};
+        disk.failSyncs(1);
+        EXPECT_FALSE(kernel::succeeded(
+                [&] {
+                    return store->write({hard_state{1, {}}, std::nullopt, first});
+                },
+                problem));
+        store.reset();
+        const std::size_t promised = reopen(store, disk).entries.size();
+        store.reset();
+        disk.losePower();
+        EXPECT_GE(reopen(store, disk).entries.size(), promised) << "seed " << seed;
+        if (testing::Test::HasFailure())
+            return;
+    }
+}
+
+/// Guards against a replica that refuses its log since some removed segments came back with the
+/// power.
+TEST(store_power_loss, startsWhenSomeOfTheRemovedSegmentsComeBack)
+{
+    for (unsigned seed = 0; seed < 40; ++seed) {
+        volatile_disk disk(seed);
+        std::unique_ptr<replica_store> store;
+        kernel::error problem;
+        for (log_index index = 1; index <= 4; ++index) {
+            static_cast<void>(reopen(store, disk));
+            const std::vector<log_entry> next{entry(index)};
+            ASSERT_TRUE(kernel::succeeded(
+                    [&] {
+                        return store->write({hard_state{1, {}}, std::nullopt, next});
+                    },
+                    problem));
+            store.reset();
+        }
+        static_cast<void>(reopen(store, disk));
+        const snapshot_data snapshot{
+                4, 1, {{{"a", 1}}, {}}, std::make_shared<const std::string>("state")};
+        ASSERT_TRUE(kernel::succeeded([&] { return store->saveSnapshot(snapshot); }, problem));
+        disk.killAfter(12 + seed % 6);
+        try {
+            static_cast<void>(kernel::succeeded([&] { return store->compact(5); }, problem));
+        } catch (const process_killed &) { }
+        disk.letLive();
+        store.reset();
+        disk.losePower();
+        EXPECT_EQ(reopen(store, disk).snapshot.value_or(snapshot_data{}).index, 4U);
+        if (testing::Test::HasFailure())
+            return;
+    }
+}
+
+TEST(store_power_loss, noPromiseIsBrokenAndEveryReplicaStarts)
+{
+    std::map<std::string, unsigned> broken;
+    for (unsigned seed = 0; seed < schedules; ++seed) {
+        const std::string violation = promising_store(seed).run();
+        if (!violation.empty() && broken.empty())
+            ADD_FAILURE() << "seed " << seed << ": " << violation;
+        if (!violation.empty())
+            ++broken[violation.substr(0, violation.find_first_of("0123456789"))];
+    }
+    for (const auto &[violation, count] : broken)
+        ADD_FAILURE() << count << " of " << schedules << " schedules: " << violation;
+}
+
+} // namespace yuccascale::store
