RECOVER: what a replica reads back at its start is durable before it promises on it

What callers saw: after a loss of power nothing was served, since a control process ended again and again ('damaged after byte N while later data is intact') and another one had lost its disk: one voter of three is no quorum. Cause: a killed process leaves a write that it had not synced. The next process reads it from memory, believes it, votes and acknowledges on it, and begins the next segment; nobody syncs the former one again. A loss of power leaves that write torn, which is refused as damage for ever, or missing, so that an entry that was confirmed is gone. A failed sync does the same. Class: a belief read after a crash is taken for durable though its reader has not made it so. Change: each start writes the newest segment anew (file, sync, rename, sync of the folder) and syncs the older ones, which a former build may have left so, before open() returns. A torn tail goes the same way.

--- a/src/yuccascale/store/replica_store.cpp
+++ b/src/yuccascale/store/replica_store.cpp
@@ -198,12 +198,20 @@
     for (const std::string_view record : scan.records) {
         BOOST_LEAF_CHECK(replay(record, path));
     }
-    if (scan.tornTail) {
-        m_recovery.tornTail = true;
-        const std::string_view complete = std::string_view(bytes).substr(0, scan.completeBytes);
-        BOOST_LEAF_CHECK(replaceFile(m_disk, path, complete));
-    }
-    return {};
+    m_recovery.tornTail = m_recovery.tornTail || scan.tornTail;
+    return makeDurable(path, std::string_view(bytes).substr(0, scan.completeBytes), newest);
+}
+
+/// What was read may be in memory only: a process that was killed had not synced its last write. A
+/// failed sync leaves the memory clean and the disk behind, so that the newest segment is written
+/// again.
+result<void> replica_store::makeDurable(const fs::path &path, std::string_view complete,
+                                        bool newest)
+{
+    if (newest)
+        return replaceFile(m_disk, path, complete);
+    BOOST_LEAF_AUTO(segment, m_disk.openForAppend(path));
+    return segment->sync();
 }
 
 result<void> replica_store::replay(std::string_view record, const fs::path &path)
--- a/src/yuccascale/store/replica_store.hpp
+++ b/src/yuccascale/store/replica_store.hpp
@@ -35,7 +35,8 @@
 /// \brief Keeps a replica's state in one folder. Not thread-safe.
 ///
 /// A write that was interrupted by a crash is dropped when the folder is opened; it had not been
-/// acknowledged. Any other damage makes open() fail.
+/// acknowledged. What is recovered instead is durable before open() returns, whoever wrote it. Any
+/// other damage makes open() fail.
 class replica_store
 {
 public:
@@ -80,6 +81,8 @@
     [[nodiscard]] kernel::result<void> writeManifest(std::uint64_t newestSegment);
     [[nodiscard]] kernel::result<void> readSnapshot(std::span<const std::uint64_t> numbers);
     [[nodiscard]] kernel::result<void> readSegment(std::uint64_t number, bool newest);
+    [[nodiscard]] kernel::result<void> makeDurable(const std::filesystem::path &path,
+                                                   std::string_view complete, bool newest);
     [[nodiscard]] kernel::result<void> replay(std::string_view record,
                                               const std::filesystem::path &path);
     [[nodiscard]] kernel::result<void> reconcileLogWithSnapshot();
