RECOVER: removed log segments that come back with the power are told from missing ones

What callers saw: nothing is served while too few replicas start; a replica refused its log for ever with 'this log segment is missing'. Cause: a compaction removes several segments and syncs the folder once. A loss of power before that sync takes back each removal by itself, so that an older segment stands before a gap. Names are not durable before their folder is synced: the same class as what was read back and not synced. Change: the manifest names the oldest segment before earlier ones are removed; a start removes what comes before it and refuses a log that begins later. A start syncs the folder before it reads anything, since it acts on the manifest.

--- a/src/yuccascale/store/replica_store.cpp
+++ b/src/yuccascale/store/replica_store.cpp
@@ -113,18 +113,23 @@
     m_incarnation = incarnation;
     m_recovery.incarnation = incarnation;
     m_recovery.created = true;
+    m_oldestSegment = firstSegmentNumber;
     return startSegment(firstSegmentNumber);
 }
 
 result<void> replica_store::recover()
 {
+    // a process that was killed may have left names that a loss of power would take back
+    BOOST_LEAF_CHECK(m_disk.syncFolder(m_folder));
     BOOST_LEAF_AUTO(names, m_disk.list(m_folder));
     removeUnfinished(names);
     BOOST_LEAF_AUTO(newest, readManifest());
     BOOST_LEAF_CHECK(readSnapshot(fileNumbers(names, snapshotPrefix)));
-    const std::vector<std::uint64_t> numbers = fileNumbers(names, segmentPrefix);
+    const std::vector<std::uint64_t> numbers = withoutRemoved(fileNumbers(names, segmentPrefix));
     if (numbers.empty() || numbers.back() < newest)
         return corrupt(segmentPath(newest), "this log segment is missing");
+    if (m_oldestSegment != 0 && numbers.front() != m_oldestSegment)
+        return corrupt(segmentPath(m_oldestSegment), "this log segment is missing");
     for (std::size_t at = 0; at < numbers.size(); ++at) {
         if (numbers[at] != numbers.front() + at)
             return corrupt(segmentPath(numbers.front() + at), "this log segment is missing");
@@ -144,6 +149,18 @@
     }
 }
 
+/// A loss of power brings removed segments back, each by itself.
+/// \returns \a numbers from the oldest segment on; the files before it are removed.
+std::vector<std::uint64_t> replica_store::withoutRemoved(std::vector<std::uint64_t> numbers)
+{
+    std::erase_if(numbers, [&](std::uint64_t number) {
+        if (number < m_oldestSegment)
+            m_disk.remove(segmentPath(number));
+        return number < m_oldestSegment;
+    });
+    return numbers;
+}
+
 result<std::uint64_t> replica_store::readManifest()
 {
     const fs::path path = m_folder / manifestName;
@@ -155,13 +172,15 @@
     if (!table)
         return corrupt(path, "the file does not hold a manifest");
     m_incarnation = table->incarnation();
+    m_oldestSegment = table->oldest_segment();
     return table->newest_segment();
 }
 
 result<void> replica_store::writeManifest(std::uint64_t newestSegment)
 {
     flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(fb::CreateStoredManifest(builder, m_incarnation, newestSegment));
+    builder.Finish(
+            fb::CreateStoredManifest(builder, m_incarnation, newestSegment, m_oldestSegment));
     return replaceFile(m_disk, m_folder / manifestName,
                        frameRecord(0, wire::finishedBytes(builder)));
 }
@@ -318,10 +337,15 @@
     return {};
 }
 
+/// The manifest names the oldest segment before earlier ones are removed.
 result<void> replica_store::compact(log_index keepFrom)
 {
-    BOOST_LEAF_CHECK(startSegment(m_segments.back().number + 1));
-    while (m_segments.size() > 1 && m_segments.front().lastIndex < keepFrom) {
+    const auto kept = std::ranges::find_if(
+            m_segments, [&](const segment &each) { return each.lastIndex >= keepFrom; });
+    const std::uint64_t next = m_segments.back().number + 1;
+    m_oldestSegment = kept == m_segments.end() ? next : kept->number;
+    BOOST_LEAF_CHECK(startSegment(next));
+    while (m_segments.front().number < m_oldestSegment) {
         m_disk.remove(segmentPath(m_segments.front().number));
         m_segments.pop_front();
     }
--- a/src/yuccascale/store/replica_store.hpp
+++ b/src/yuccascale/store/replica_store.hpp
@@ -77,6 +77,7 @@
     [[nodiscard]] kernel::result<void> create(std::uint64_t incarnation);
     [[nodiscard]] kernel::result<void> recover();
     void removeUnfinished(std::span<const std::string> names);
+    [[nodiscard]] std::vector<std::uint64_t> withoutRemoved(std::vector<std::uint64_t> numbers);
     [[nodiscard]] kernel::result<std::uint64_t> readManifest();
     [[nodiscard]] kernel::result<void> writeManifest(std::uint64_t newestSegment);
     [[nodiscard]] kernel::result<void> readSnapshot(std::span<const std::uint64_t> numbers);
@@ -99,6 +100,7 @@
     std::deque<segment> m_segments; ///< the last one is being written
     kernel::consensus::hard_state m_hardState;
     std::uint64_t m_incarnation = 0;
+    std::uint64_t m_oldestSegment = 0; ///< earlier ones may be removed; 0: none was
     recovery m_recovery;
     bool m_failed = false;
 };
--- a/src/yuccascale/wire/consensus_generated.h
+++ b/src/yuccascale/wire/consensus_generated.h
@@ -1303,7 +1303,8 @@
   typedef StoredManifestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_INCARNATION = 4,
-    VT_NEWEST_SEGMENT = 6
+    VT_NEWEST_SEGMENT = 6,
+    VT_OLDEST_SEGMENT = 8
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -1311,10 +1312,14 @@
   uint64_t newest_segment() const {
     return GetField<uint64_t>(VT_NEWEST_SEGMENT, 0);
   }
+  uint64_t oldest_segment() const {
+    return GetField<uint64_t>(VT_OLDEST_SEGMENT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_NEWEST_SEGMENT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OLDEST_SEGMENT, 8) &&
            verifier.EndTable();
   }
 };
@@ -1329,6 +1334,9 @@
   void add_newest_segment(uint64_t newest_segment) {
     fbb_.AddElement<uint64_t>(StoredManifest::VT_NEWEST_SEGMENT, newest_segment, 0);
   }
+  void add_oldest_segment(uint64_t oldest_segment) {
+    fbb_.AddElement<uint64_t>(StoredManifest::VT_OLDEST_SEGMENT, oldest_segment, 0);
+  }
   explicit StoredManifestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1343,8 +1351,10 @@
 inline flatbuffers::Offset<StoredManifest> CreateStoredManifest(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t incarnation = 0,
-    uint64_t newest_segment = 0) {
+    uint64_t newest_segment = 0,
+    uint64_t oldest_segment = 0) {
   StoredManifestBuilder builder_(_fbb);
+  builder_.add_oldest_segment(oldest_segment);
   builder_.add_newest_segment(newest_segment);
   builder_.add_incarnation(incarnation);
   return builder_.Finish();
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -1,3 +1,5 @@
+#include "fakes/former_manifest_generated.h"
+#include "yuccascale/store/record_frames.hpp"
 #include "yuccascale/store/replica_store.hpp"
 
 #include <gtest/gtest.h>
@@ -185,6 +187,57 @@
     EXPECT_EQ(m_recovery.state.entries, std::vector{entry(5, 5)});
 }
 
+/// 522bba6 does not say from which segment on the log is kept.
+TEST_F(store_replica, readsTheManifestOfAFormerBuild)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(1, 1)});
+    m_store.reset();
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(former::fb::CreateStoredManifest(builder, 77, 1));
+    const std::string record(reinterpret_cast<const char *>(builder.GetBufferPointer()),
+                             builder.GetSize());
+    std::ofstream(m_folder / "manifest", std::ios::binary) << frameRecord(0, record);
+    ASSERT_TRUE(open()) << m_problem.message;
+    EXPECT_EQ(m_recovery.incarnation, 77U);
+    EXPECT_EQ(m_recovery.state.entries, std::vector{entry(1, 1)});
+    save(1, 1);
+    compact(2);
+    ASSERT_TRUE(open()) << m_problem.message;
+    EXPECT_EQ(m_recovery.state.snapshot->index, 1U);
+}
+
+TEST_F(store_replica, aFormerBuildReadsTheManifestOfThisOne)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(1, 1)});
+    save(1, 1);
+    compact(2);
+    std::ifstream stream(m_folder / "manifest", std::ios::binary);
+    const std::string bytes{std::istreambuf_iterator<char>(stream),
+                            std::istreambuf_iterator<char>()};
+    const frame_scan scan = scanFrames(bytes, 0);
+    ASSERT_EQ(scan.records.size(), 1U);
+    const std::string_view record = scan.records.front();
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(record.data()),
+                                   record.size());
+    ASSERT_TRUE(verifier.VerifyBuffer<former::fb::StoredManifest>(nullptr));
+    const auto *manifest = flatbuffers::GetRoot<former::fb::StoredManifest>(record.data());
+    EXPECT_EQ(manifest->incarnation(), 77U);
+    EXPECT_EQ(manifest->newest_segment(), 2U);
+}
+
+TEST_F(store_replica, refusesALogWhoseOldestSegmentIsMissing)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(1, 1)});
+    ASSERT_TRUE(open());
+    m_store.reset();
+    fs::remove(segment(1));
+    EXPECT_FALSE(open());
+    EXPECT_EQ(m_problem.kind, kernel::error_kind::Corrupt);
+}
+
 TEST_F(store_replica, aLogThatDiffersFromTheSnapshotIsDropped)
 {
     ASSERT_TRUE(open());
