RECOVER: a replica with a damaged log joins anew by itself

What callers saw: nothing is served; one control process of three ended 53 times in 16 s at a log that it refused, another had lost its disk. Cause: a replica that cannot read its log ended and waited for a person, while its group lacked a quorum. That is no safer than joining anew: what it has promised is unknown, as after a lost disk. Change: the files are renamed to damaged-* (event 3025) and the replica begins empty under a new incarnation, so that it neither votes nor counts until the others have admitted it. It does so not when it is the only replica, not for errors of the disk, and a replica with files set aside never takes part in a first start nor calls itself empty, so that no second log can begin beside them. Events that were missing: log_opened (3026) and voters_awaited (3027) tell how far a start has come and for whom a candidate waits. Evidence: aNodeWithADamagedLogJoinsAnewByItself cannot pass before (start() returned corrupt, as refusesDamage... of store_replica still shows); theOnlyReplicaKeepsItsDamagedLog, replicasThatSetTheirLogsAsideStartNoNewOne, beginsAnewOnceADamagedLogIsSetAside.

--- a/src/yuccascale/kernel/consensus/events.hpp
+++ b/src/yuccascale/kernel/consensus/events.hpp
@@ -66,6 +66,20 @@
         3022, "snapshot_written", severity::Info,
         "A snapshot of the state was saved and older log segments were removed; "
         "nothing to do."};
+inline const event_kind logSetAside{3025, "log_set_aside", severity::Error,
+                                    "The files of this replica's log could not be read; they were "
+                                    "renamed to damaged-*, and the "
+                                    "replica joins the others as a new member. Check the disk; "
+                                    "remove the files once the status is "
+                                    "no longer degraded."};
+inline const event_kind logOpened{
+        3026, "log_opened", severity::Info,
+        "The replica has read its log and takes part; 'entries' follow the snapshot at 'snapshot', "
+        "'took_ms' is the time since it began to read."};
+inline const event_kind votersAwaited{3027, "voters_awaited", severity::Warning,
+                                      "This candidate gets no answer from these voters. Start "
+                                      "them, or repair their network, if a "
+                                      "quorum of the others is not enough."};
 inline const event_kind messageRefused{3023, "consensus_message_refused", severity::Warning,
                                        "A consensus message was malformed or named a wrong sender "
                                        "and was dropped; check the versions of the nodes."};
--- a/src/yuccascale/kernel/consensus/replica.hpp
+++ b/src/yuccascale/kernel/consensus/replica.hpp
@@ -22,6 +22,8 @@
     std::vector<std::string> initialMembers; ///< names of the replicas that start the first log; a
                                              ///< replica that is not a member asks them to join
     bool firstStart = true;                  ///< a new log may be started
+    bool formerLog
+            = false; ///< it had a log that it can't read; it then takes part in no first start
     std::size_t voters = 0; ///< target number of voters; 0: as many as initialMembers
     /// Silence after which a learner, or a voter beyond the target number, is removed
     milliseconds removeSilentAfter{3'000};
@@ -185,6 +187,7 @@
 
     // replica_election.cpp
     void startPreVote(instant now);
+    void recordSilentVoters();
     void startElection(instant now, bool noLeaderExists);
     void requestPreVotes();
     void requestVotes();
@@ -254,6 +257,7 @@
     nanoseconds m_syncTime{};
     bool m_preVoting = false;
     std::set<member_id> m_votes;
+    std::string m_silentVoters; ///< names of those that the last pre-vote waited for in vain
     /// Identifies this start of the replica until a message from a leader arrives; then 0.
     std::uint64_t m_bootId = 0;
     /// Boot ids of voters that grant no vote yet because they have just started
--- a/src/yuccascale/kernel/consensus/replica_election.cpp
+++ b/src/yuccascale/kernel/consensus/replica_election.cpp
@@ -15,6 +15,7 @@
 
 void replica::startPreVote(instant now)
 {
+    recordSilentVoters();
     m_role = replica_role::Candidate;
     m_preVoting = true;
     m_leader.clear();
@@ -26,6 +27,21 @@
     countVote(m_config.self, now);
 }
 
+/// Names the voters that the pre-vote before this one got no answer from, when they change.
+void replica::recordSilentVoters()
+{
+    std::string silent;
+    const bool repeated = m_role == replica_role::Candidate && m_preVoting;
+    for (const member_id &voter : m_log.members().voters) {
+        const bool answered = m_votes.contains(voter) || m_waitingBootIds.contains(voter);
+        if (repeated && !answered)
+            silent += (silent.empty() ? "" : " ") + voter.name;
+    }
+    if (!silent.empty() && silent != m_silentVoters)
+        m_events.record(votersAwaited, {{"term", m_hardState.term}, {"voters", silent}});
+    m_silentVoters = std::move(silent);
+}
+
 /// \param noLeaderExists every voter said so; voters that have just started then need not wait
 void replica::startElection(instant now, bool noLeaderExists)
 {
--- a/src/yuccascale/kernel/consensus/replica_membership.cpp
+++ b/src/yuccascale/kernel/consensus/replica_membership.cpp
@@ -34,7 +34,7 @@
 
 void replica::handle(const message &received, const join_request &, instant)
 {
-    send(received.from, join_reply{m_log.empty()});
+    send(received.from, join_reply{m_log.empty() && !m_config.formerLog});
     if (m_role == replica_role::Leader)
         m_joiners[received.from.name] = received.from.incarnation;
 }
@@ -54,7 +54,7 @@
 void replica::bootstrapIfAllEmpty(instant now)
 {
     const std::vector<std::string> &initialMembers = m_config.initialMembers;
-    if (!m_config.firstStart || !m_log.empty() || initialMembers.empty()
+    if (!m_config.firstStart || m_config.formerLog || !m_log.empty() || initialMembers.empty()
         || m_config.self.name != *std::ranges::min_element(initialMembers))
         return;
     membership members;
--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -32,10 +32,11 @@
     return (milliseconds << randomBits) | (std::random_device{}() & 0xffffU);
 }
 
-replica_config configOf(const replicated_log_settings &settings, std::uint64_t incarnation)
+replica_config configOf(const replicated_log_settings &settings, const store::recovery &found)
 {
     replica_config config;
-    config.self = {settings.self, incarnation};
+    config.self = {settings.self, found.incarnation};
+    config.formerLog = found.formerLog;
     config.initialMembers = settings.voters;
     config.firstStart = settings.firstStart;
     config.voters = static_cast<std::size_t>(settings.control.voters);
@@ -83,22 +84,48 @@
     return {};
 }
 
+/// A replica that cannot read its log may have promised what it no longer knows, as one whose disk
+/// is lost: it begins anew as another member. The only replica has nobody to copy the log from.
+result<void> replicated_log::openOrRejoin(std::uint64_t incarnation)
+{
+    kernel::error problem;
+    const auto open = [&]() -> result<void> {
+        BOOST_LEAF_ASSIGN(m_store, store::replica_store::open(m_settings.dataFolder, incarnation));
+        return {};
+    };
+    if (kernel::succeeded(open, problem))
+        return {};
+    const bool hasOthers = std::ranges::any_of(
+            m_settings.voters, [&](const std::string &name) { return name != m_settings.self; });
+    if (problem.kind != error_kind::Corrupt || !hasOthers)
+        return fail(problem.kind, problem.where, problem.message);
+    BOOST_LEAF_CHECK(store::replica_store::setAside(m_settings.dataFolder));
+    m_events.record(logSetAside, {{"where", problem.where}, {"problem", problem.message}});
+    return open();
+}
+
 /// Opens the store and restores the consumer from the stored snapshot; the log after it is applied
 /// again.
 result<void> replicated_log::openStore()
 {
+    const instant begin = m_clock.now();
     m_store.reset();
-    BOOST_LEAF_ASSIGN(
-            m_store,
-            store::replica_store::open(m_settings.dataFolder, makeIncarnation(m_clock.wallNow())));
+    BOOST_LEAF_CHECK(openOrRejoin(makeIncarnation(m_clock.wallNow())));
     store::recovery found = m_store->takeRecovery();
     if (found.tornTail)
         m_events.record(tornTailDropped, {{"folder", m_settings.dataFolder}});
     const auto &snapshot = found.state.snapshot;
     BOOST_LEAF_CHECK(m_consumer.restore(snapshot ? *snapshot->bytes : m_initialState));
     m_applied = m_snapshotIndex = snapshot ? snapshot->index : 0;
-    m_replica = std::make_unique<replica>(configOf(m_settings, found.incarnation), found.state,
-                                          m_events, m_clock.now());
+    m_replica = std::make_unique<replica>(configOf(m_settings, found), found.state, m_events,
+                                          m_clock.now());
+    const instant end = m_clock.now();
+    m_events.record(
+            logOpened,
+            {{"incarnation", found.incarnation},
+             {"snapshot", m_snapshotIndex},
+             {"entries", found.state.entries.size()},
+             {"took_ms", std::chrono::duration_cast<kernel::milliseconds>(end - begin).count()}});
     return {};
 }
 
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -108,6 +108,7 @@
 private:
     void receive(std::string_view peer, std::string_view payload);
     [[nodiscard]] kernel::result<void> openStore();
+    [[nodiscard]] kernel::result<void> openOrRejoin(std::uint64_t incarnation);
     void run();
     [[nodiscard]] std::string runUntilFailure();
     [[nodiscard]] bool waitToReopen();
--- a/src/yuccascale/store/replica_store.cpp
+++ b/src/yuccascale/store/replica_store.cpp
@@ -25,6 +25,7 @@
 constexpr std::string_view segmentPrefix = "log-";
 constexpr std::string_view snapshotPrefix = "snapshot-";
 constexpr std::string_view manifestName = "manifest";
+constexpr std::string_view setAsidePrefix = "damaged-"; ///< before the names of a log set aside
 constexpr std::uint64_t maxSegmentBytes = 8U << 20U;
 constexpr std::uint64_t firstSegmentNumber = 1;
 constexpr unsigned sequenceBits = 32; ///< low bits of a sequence number the frames of a segment
@@ -97,9 +98,38 @@
     BOOST_LEAF_ASSIGN(opened->m_lock, on.lock(folder));
     const bool hasManifest = on.exists(folder / manifestName);
     BOOST_LEAF_CHECK(hasManifest ? opened->recover() : opened->create(newIncarnation));
+    BOOST_LEAF_AUTO(names, on.list(folder));
+    opened->m_recovery.formerLog = std::ranges::any_of(
+            names, [](const std::string &name) { return name.starts_with(setAsidePrefix); });
     return opened;
 }
 
+/// The manifest goes first and by itself: an interrupted call then goes on without removing what it
+/// has set aside.
+result<void> replica_store::setAside(const fs::path &folder, disk &on)
+{
+    BOOST_LEAF_AUTO(held, on.lock(folder));
+    BOOST_LEAF_AUTO(names, on.list(folder));
+    if (on.exists(folder / manifestName)) {
+        for (const std::string &name : names) {
+            if (name.starts_with(setAsidePrefix))
+                on.remove(folder / name);
+        }
+    }
+    const auto rename = [&](std::string_view name) {
+        return on.rename(folder / name, folder / (std::string(setAsidePrefix) + std::string(name)));
+    };
+    if (on.exists(folder / manifestName)) {
+        BOOST_LEAF_CHECK(rename(manifestName));
+        BOOST_LEAF_CHECK(on.syncFolder(folder));
+    }
+    for (const std::string &name : names) {
+        if (name.starts_with(segmentPrefix) || name.starts_with(snapshotPrefix))
+            BOOST_LEAF_CHECK(rename(name));
+    }
+    return on.syncFolder(folder);
+}
+
 result<void> replica_store::create(std::uint64_t incarnation)
 {
     BOOST_LEAF_AUTO(names, m_disk.list(m_folder));
--- a/src/yuccascale/store/replica_store.hpp
+++ b/src/yuccascale/store/replica_store.hpp
@@ -30,6 +30,7 @@
     std::uint64_t incarnation = 0;
     bool created = false;  ///< the folder was empty
     bool tornTail = false; ///< an incomplete last write was dropped
+    bool formerLog = false; ///< the folder holds files of a log that was set aside
 };
 
 /// \brief Keeps a replica's state in one folder. Not thread-safe.
@@ -48,6 +49,11 @@
     open(const std::filesystem::path &folder, std::uint64_t newIncarnation,
          disk &on = systemDisk());
 
+    /// \brief Renames the files of a log that cannot be read, so that open() begins an empty one under a new
+    ///        incarnation. Those of a log that was set aside before are removed.
+    [[nodiscard]] static kernel::result<void> setAside(const std::filesystem::path &folder,
+                                                       disk &on = systemDisk());
+
     /// \returns the state that open() recovered; empty when it was taken before.
     [[nodiscard]] recovery takeRecovery() { return std::move(m_recovery); }
 
--- a/tests/fakes/replica_group.hpp
+++ b/tests/fakes/replica_group.hpp
@@ -51,6 +51,7 @@
         for (std::size_t first = 0; first < m_initialMemberCount; ++first)
             config.initialMembers.push_back(m_members[first].name);
         config.firstStart = m_firstStart;
+        config.formerLog = m_formerLogs.contains(index);
         config.voters = m_voterCount;
         config.seed = m_seed * m_members.size() + index + 1;
         m_replicas[index]
@@ -63,6 +64,13 @@
         m_members[index].incarnation = incarnation;
     }
 
+    /// \brief The replica has set its log aside when it starts the next time.
+    void setLogAside(std::size_t index)
+    {
+        loseDisk(index);
+        m_formerLogs.insert(index);
+    }
+
     /// \brief Sets whether replicas started from now on may create a new log.
     void setFirstStart(bool allowed) noexcept { m_firstStart = allowed; }
 
@@ -269,6 +277,7 @@
     std::size_t m_voterCount;
     std::size_t m_initialMemberCount;
     bool m_firstStart = true;
+    std::set<std::size_t> m_formerLogs;
     std::vector<member_id> m_members;
     std::vector<durable_state> m_disks;
     std::vector<std::unique_ptr<replica>> m_replicas;
--- a/tests/unit/consensus_membership_test.cpp
+++ b/tests/unit/consensus_membership_test.cpp
@@ -43,6 +43,20 @@
             << "the promoted learner completes the quorum";
 }
 
+/// Guards against a second log beside the files of the first one.
+TEST(consensus_membership, replicasThatSetTheirLogsAsideStartNoNewOne)
+{
+    replica_group group(seeds, 5);
+    ASSERT_LT(group.runUntilLeader(), seeds);
+    for (std::size_t index = 0; index < seeds; ++index)
+        group.setLogAside(index);
+    for (std::size_t index = 0; index < seeds; ++index)
+        group.start(index);
+    group.run(milliseconds(5'000));
+    for (std::size_t index = 0; index < seeds; ++index)
+        EXPECT_EQ(group.at(index).role(), replica_role::Joining);
+}
+
 TEST(consensus_membership, aReplicaRemovedWhileCutOffRejoinsAsALearner)
 {
     replica_group group(4, 2, seeds);
--- a/tests/unit/consensus_replicated_log_test.cpp
+++ b/tests/unit/consensus_replicated_log_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <filesystem>
+#include <fstream>
+
 namespace yuccascale::runtime {
 
 namespace {
@@ -24,6 +27,22 @@
             timeout);
 }
 
+std::filesystem::path firstSegment(const std::filesystem::path &folder)
+{
+    return folder / "log-0000000000000001";
+}
+
+/// Spoils the first write, with others after it.
+void damageFirstSegment(const std::filesystem::path &folder)
+{
+    constexpr std::int64_t insideFirstRecord = 30; ///< byte
+    std::fstream file(firstSegment(folder), std::ios::in | std::ios::out | std::ios::binary);
+    file.seekg(insideFirstRecord);
+    const char byte = static_cast<char>(file.get());
+    file.seekp(insideFirstRecord);
+    file.put(static_cast<char>(byte ^ 0x10));
+}
+
 } // namespace
 
 TEST(consensus_replicated_log, commitsOnAllNodesAndReturnsTheConsumersAnswer)
@@ -81,6 +100,46 @@
     EXPECT_TRUE(cluster.proposeOnLeader("after", timeout));
 }
 
+/// Guards against a replica that ends again and again at a damaged log, while its group lacks a
+/// quorum.
+TEST(consensus_replicated_log, aNodeWithADamagedLogJoinsAnewByItself)
+{
+    list_cluster cluster(3);
+    cluster.startAll();
+    ASSERT_TRUE(cluster.proposeOnLeader("before", timeout));
+    const std::size_t leader = cluster.waitForLeader(timeout);
+    const std::size_t damaged = (leader + 1) % cluster.size();
+    ASSERT_TRUE(everyNodeHas(cluster, {"before"}));
+    cluster.stop(damaged);
+    damageFirstSegment(cluster.folderOf(damaged));
+
+    kernel::error problem;
+    ASSERT_TRUE(cluster.start(damaged, problem)) << problem.message;
+    EXPECT_TRUE(cluster.waitFor(
+            [&] {
+                const replicated_log_status status = cluster.node(damaged).log().status();
+                return status.voters.size() == 3 && status.degraded.empty();
+            },
+            timeout));
+    cluster.stop(leader);
+    EXPECT_TRUE(cluster.proposeOnLeader("after", timeout));
+    EXPECT_EQ(cluster.node(damaged).consumer().commands(),
+              (std::vector<std::string>{"before", "after"}));
+}
+
+TEST(consensus_replicated_log, theOnlyReplicaKeepsItsDamagedLog)
+{
+    list_cluster cluster(1);
+    cluster.startAll();
+    ASSERT_TRUE(cluster.proposeOnLeader("before", timeout));
+    cluster.stop(0);
+    damageFirstSegment(cluster.folderOf(0));
+    kernel::error problem;
+    EXPECT_FALSE(cluster.start(0, problem));
+    EXPECT_EQ(problem.kind, kernel::error_kind::Corrupt);
+    EXPECT_TRUE(std::filesystem::exists(firstSegment(cluster.folderOf(0))));
+}
+
 TEST(consensus_replicated_log, logAndDiskStayBoundedOverAHundredThousandChanges)
 {
     constexpr std::size_t changes = 100'000;
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -227,6 +227,25 @@
     EXPECT_EQ(manifest->newest_segment(), 2U);
 }
 
+TEST_F(store_replica, beginsAnewOnceADamagedLogIsSetAside)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(1, 1)});
+    EXPECT_FALSE(m_recovery.formerLog);
+    ASSERT_TRUE(open());
+    m_store.reset();
+    flipByte(segment(1), 2);
+    ASSERT_FALSE(open());
+    ASSERT_TRUE(kernel::succeeded([&] { return replica_store::setAside(m_folder); }, m_problem));
+    ASSERT_TRUE(open()) << m_problem.message;
+    EXPECT_TRUE(m_recovery.created);
+    EXPECT_TRUE(m_recovery.formerLog);
+    EXPECT_TRUE(m_recovery.state.entries.empty());
+    EXPECT_TRUE(fs::exists(m_folder / ("damaged-" + segment(1).filename().string())));
+    ASSERT_TRUE(open());
+    EXPECT_TRUE(m_recovery.formerLog);
+}
+
 TEST_F(store_replica, refusesALogWhoseOldestSegmentIsMissing)
 {
     ASSERT_TRUE(open());
