Runtime: one pool of threads in place of two

duties_workers had a loop of its own beside worker_pool. It now keeps the completions only and runs its jobs on a worker_pool, which moves to runtime since the feed needs it too. Its threads are made on demand. Jobs that are queued at the end are dropped, as before; no behaviour changes. Unit tests pass.

--- a/src/yuccascale/http/caller_commits.hpp
+++ b/src/yuccascale/http/caller_commits.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "yuccascale/http/worker_pool.hpp"
+#include "yuccascale/runtime/worker_pool.hpp"
 #include "yuccascale/kernel/control_client.hpp"
 #include "yuccascale/kernel/requests/claim_verdict.hpp"
 #include "yuccascale/kernel/requests/events.hpp"
@@ -99,7 +99,7 @@
     std::uint64_t m_nextTicket = 0;
     bool m_stopping = false;
     kernel::instant m_usageDeadline = kernel::instant::max();
-    worker_pool m_background;
+    runtime::worker_pool m_background;
     std::thread m_usageThread;
 };
 
--- a/src/yuccascale/http/document_interface.cpp
+++ b/src/yuccascale/http/document_interface.cpp
@@ -2,7 +2,7 @@
 
 #include "yuccascale/http/caller_answers.hpp"
 #include "yuccascale/http/events.hpp"
-#include "yuccascale/http/worker_pool.hpp"
+#include "yuccascale/runtime/worker_pool.hpp"
 #include "yuccascale/kernel/json_text.hpp"
 
 #include <boost/asio/post.hpp>
@@ -159,7 +159,7 @@
     document_services m_services;
     std::unique_ptr<operator_protocol> m_protocol;
     std::atomic<std::int64_t> m_end{instant::max().time_since_epoch().count()}; ///< ns, boot clock
-    worker_pool m_workers;
+    runtime::worker_pool m_workers;
 };
 
 document_interface::document_interface(document_services services,
--- a/src/yuccascale/http/operator_routes.cpp
+++ b/src/yuccascale/http/operator_routes.cpp
@@ -2,7 +2,7 @@
 
 #include "yuccascale/http/caller_answers.hpp"
 #include "yuccascale/http/events.hpp"
-#include "yuccascale/http/worker_pool.hpp"
+#include "yuccascale/runtime/worker_pool.hpp"
 #include "yuccascale/kernel/json_text.hpp"
 #include "yuccascale/kernel/state/key_digest.hpp"
 
@@ -260,7 +260,7 @@
     { }
 
     operator_handlers handlers;
-    worker_pool workers;
+    runtime::worker_pool workers;
 };
 
 operator_interface::operator_interface(operator_services services)
--- a/src/yuccascale/http/stream_registry.hpp
+++ b/src/yuccascale/http/stream_registry.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "yuccascale/http/worker_pool.hpp"
+#include "yuccascale/runtime/worker_pool.hpp"
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/requests/request.hpp"
 #include "yuccascale/kernel/requests/stream_origins.hpp"
@@ -104,7 +104,7 @@
     std::mutex m_mutex;
     kernel::requests::stream_origins m_origins;
     std::set<std::string> m_ambiguousRoutes; ///< whose records were sent
-    worker_pool m_workers;
+    runtime::worker_pool m_workers;
 };
 
 } // namespace yuccascale::http
--- a/src/yuccascale/runtime/duties_workers.hpp
+++ b/src/yuccascale/runtime/duties_workers.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
-#include <condition_variable>
-#include <deque>
+#include "yuccascale/runtime/worker_pool.hpp"
+
+#include <atomic>
+#include <cstddef>
 #include <functional>
 #include <mutex>
-#include <thread>
 #include <vector>
 
 /// \file
@@ -12,7 +13,7 @@
 
 namespace yuccascale::runtime {
 
-/// \brief Runs jobs on a fixed number of threads. Each job returns a completion, which handles its
+/// \brief Runs jobs on up to a number of threads. Each job returns a completion, which handles its
 ///        outcome; the owner runs the completions on its own thread.
 class duties_workers
 {
@@ -34,14 +35,10 @@
     [[nodiscard]] std::vector<completion> takeCompletions();
 
 private:
-    void runJobs();
-
     std::mutex m_mutex;
-    std::condition_variable m_wake;
-    std::deque<job> m_jobs;
     std::vector<completion> m_completions;
-    bool m_stopped = false;
-    std::vector<std::thread> m_threads;
+    std::atomic<bool> m_stopped{false};
+    worker_pool m_pool;
 };
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/worker_pool.cpp
+++ b/src/yuccascale/runtime/worker_pool.cpp
@@ -1,8 +1,8 @@
-#include "yuccascale/http/worker_pool.hpp"
+#include "yuccascale/runtime/worker_pool.hpp"
 
 #include <utility>
 
-namespace yuccascale::http {
+namespace yuccascale::runtime {
 
 worker_pool::worker_pool(std::size_t maxThreads)
     : m_maxThreads(maxThreads)
@@ -61,4 +61,4 @@
     return m_tasks.size() + m_threads.size() - m_idle;
 }
 
-} // namespace yuccascale::http
+} // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/worker_pool.hpp
+++ b/src/yuccascale/runtime/worker_pool.hpp
@@ -11,7 +11,7 @@
 /// \file
 /// \brief Threads that are created on demand, up to a maximum.
 
-namespace yuccascale::http {
+namespace yuccascale::runtime {
 
 /// \brief Runs tasks. While all threads are busy, tasks are queued.
 class worker_pool
@@ -46,4 +46,4 @@
     bool m_stopping = false;
 };
 
-} // namespace yuccascale::http
+} // namespace yuccascale::runtime
