CONFIG, DRAIN: the feed waits for no silent node while a newer answer is to be had

What callers saw: 401 for a key that had been confirmed 2.5 s before; with real processes requests at an endpoint whose leaving was known. Cause: one thread polled, one call after the other. A call of a silent node ended after two intervals (1.2 s) and no notification ended it; a new leader read its own state on the same thread, and its followers, unknown to it as subscribers, heard of it at their own next poll. After a leader that stands still these waits add up to about 4 s, and the list of endpoints takes the same way. The entry's loop heard of what arrived only after the whole round. Class: knowledge is renewed through one question at a time, and its age is bounded by the sum of what each step may wait. Change: while a node sends nothing for half an interval the next one is asked beside it; a node that has sent a notification is asked at once; a node that leads reads its own state at once, whatever polls wait; control nodes poll as soon as another one leads, which also makes them known to it; each newer answer is put to use when it arrives. Replies may now overtake each other: an older one takes nothing back, and edits that another answer has brought are skipped. The bound on how far behind a polled node may be came from nowhere (2.5 intervals); it follows from the new setting promises.table_propagation (6 s; the platform's bound there), so that the next poll is done within the promise. An answer of an older revision counts as behind. New event feed_polled (1014); revision_in_force names the document. Messages are unchanged.

--- a/src/yuccascale/kernel/feed/feed_state.cpp
+++ b/src/yuccascale/kernel/feed/feed_state.cpp
@@ -54,11 +54,12 @@
     bool newer = false;
     for (const encoded_pointer<endpoint_list> &list : reply.endpoints)
         newer = installEndpoints(list->value()) || newer;
-    if (!reply.confirmed)
+    if (!reply.confirmed || requestedAt < m_requestedAt)
         return newer;
     newer = installTables(reply) || newer;
     if (!m_history.newest() || m_history.newest()->revision != reply.revision)
         return newer; // a reply overtaken by a newer one says nothing about what is in force now
+    m_requestedAt = requestedAt;
     installBans(reply.bansVersion, reply.bans);
     m_nodes = reply.nodes;
     if (reply.clusterWallMs != 0)
@@ -75,11 +76,15 @@
         return m_history.advance(reply.fullTables.front()->pointer());
     if (reply.edits.empty() || !m_history.newest())
         return false;
-    auto next = std::make_shared<state::table_set>(*m_history.newest());
-    if (reply.edits.front()->value().fromRevision != next->revision)
+    // an answer to another request may have brought some of the edits meanwhile
+    const auto first
+            = std::ranges::find(reply.edits, m_history.newest()->revision,
+                                [](const auto &edit) { return edit->value().fromRevision; });
+    if (first == reply.edits.end())
         return false;
-    for (const encoded_pointer<state::edit_tables> &edit : reply.edits)
-        applyRows(*next, edit->value(), reply.revision);
+    auto next = std::make_shared<state::table_set>(*m_history.newest());
+    for (auto edit = first; edit != reply.edits.end(); ++edit)
+        applyRows(*next, (*edit)->value(), reply.revision);
     return m_history.advance(next);
 }
 
@@ -87,6 +92,7 @@
                                        const confirmed_state &confirmed, const node_report &self)
 {
     m_leader = self.link;
+    m_requestedAt = std::max(m_requestedAt, requestedAt);
     const bool newer = m_history.advance(confirmed.tables);
     installBans(confirmed.bansVersion, confirmed.bans);
     m_nodes = m_directory.reports(now, nodeReportMaxAge);
--- a/src/yuccascale/kernel/feed/feed_state.hpp
+++ b/src/yuccascale/kernel/feed/feed_state.hpp
@@ -64,8 +64,14 @@
     [[nodiscard]] feed_request request(instant now, const node_report &self,
                                        bool includeRelayed) const;
 
-    /// \brief Installs a reply to a request sent at \a requestedAt.
-    /// \returns true when a newer revision or endpoint list was installed.
+    /// \returns the revision of the tables in force; 0 before the first.
+    [[nodiscard]] std::uint64_t revision() const noexcept
+    {
+        return m_history.newest() ? m_history.newest()->revision : 0;
+    }
+
+    /// \brief Installs a reply to a request sent at \a requestedAt. Replies may overtake each
+    /// other. \returns true when a newer revision or endpoint list was installed.
     bool install(instant requestedAt, const feed_reply &reply);
 
     /// \brief Installs the leader's own state, confirmed by a quorum after \a requestedAt.
@@ -91,6 +97,7 @@
     table_history m_history;
     node_directory m_directory;
     instant m_freshUntil{};
+    instant m_requestedAt{}; ///< of the newest request whose answer was installed
     std::uint64_t m_bansVersion = 0;
     std::shared_ptr<const std::set<std::string>> m_bans;
     std::vector<node_report> m_nodes;
--- a/src/yuccascale/kernel/transport.hpp
+++ b/src/yuccascale/kernel/transport.hpp
@@ -67,6 +67,14 @@
     [[nodiscard]] virtual result<std::string> call(std::string_view node, channel channel,
                                                    std::string payload, call_timeout timeout)
             = 0;
+
+    /// \returns a number that grows with the bytes that arrive as replies of \a node on \a channel.
+    [[nodiscard]] virtual std::uint64_t bytesReceived(std::string_view node, channel channel) const
+    {
+        static_cast<void>(node);
+        static_cast<void>(channel);
+        return 0;
+    }
 };
 
 } // namespace yuccascale::kernel
--- a/src/yuccascale/runtime/control_service.cpp
+++ b/src/yuccascale/runtime/control_service.cpp
@@ -6,8 +6,8 @@
 
 using namespace kernel;
 
-control_service::control_service(std::function<void()> onTablesChanged)
-    : m_onTablesChanged(std::move(onTablesChanged))
+control_service::control_service(std::function<void()> onChanged)
+    : m_onChanged(std::move(onChanged))
 { }
 
 std::string control_service::apply(std::uint64_t index, std::string_view payload)
@@ -34,7 +34,7 @@
             m_bansVersion = index;
     }
     if (feedChanged)
-        m_onTablesChanged();
+        m_onChanged();
     return toCbor(answer);
 }
 
--- a/src/yuccascale/runtime/control_service.hpp
+++ b/src/yuccascale/runtime/control_service.hpp
@@ -21,9 +21,9 @@
                               public command_proposer
 {
 public:
-    /// \param onTablesChanged called after this node applied a change of the tables or of the
-    ///        banned key fingerprints
-    explicit control_service(std::function<void()> onTablesChanged);
+    /// \param onChanged called after this node applied a change of the tables or of the banned key
+    ///        fingerprints, and when another node leads
+    explicit control_service(std::function<void()> onChanged);
 
     /// \brief Sets the log; must be called before the log is started.
     void attach(replicated_log &log) noexcept { m_log = &log; }
@@ -40,6 +40,7 @@
     [[nodiscard]] std::string apply(std::uint64_t index, std::string_view payload) override;
     [[nodiscard]] std::string snapshot() override;
     [[nodiscard]] kernel::result<void> restore(std::string_view bytes) override;
+    void leaderChanged() override { m_onChanged(); }
 
     // leader_state_reader
     [[nodiscard]] std::string leader() const override;
@@ -56,7 +57,7 @@
                                        kernel::instant deadline) override;
 
 private:
-    std::function<void()> m_onTablesChanged;
+    std::function<void()> m_onChanged;
     replicated_log *m_log = nullptr;
     mutable std::mutex m_mutex;
     kernel::state::machine m_machine;
--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -37,6 +37,12 @@
         "This node has sent tables to other nodes since its last such line. 'replies' counts all "
         "replies to polls, 'with_tables' those that held tables, 'tables_encoded' how often tables "
         "were encoded for them, 'peers' the nodes that poll this one."};
+inline const event_kind feedPolled{1014, "feed_polled", severity::Info,
+                                   "A poll of a control node had another outcome than the one "
+                                   "before. 'behind': its tables were confirmed "
+                                   "'lag_ms' before the answer, too long ago, or it holds an older "
+                                   "revision, and another node is "
+                                   "asked; 'unanswered': it was given up after 'took_ms'."};
 inline const event_kind badMessage{1020, "bad_message", severity::Warning,
                                    "A message from another node could not be decoded and was "
                                    "dropped. Upgrade the older of the two nodes."};
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -4,6 +4,7 @@
 #include "yuccascale/wire/feed_codec.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace yuccascale::runtime {
@@ -16,10 +17,6 @@
 /// these low bits.
 constexpr unsigned listCounterBits = 32;
 constexpr std::size_t maxNodesPerRound = 9; ///< control nodes polled in one round
-/// A control node whose own confirmation is older than this many feed intervals may be partitioned
-/// from the leader.
-constexpr double maxLagIntervals = 2.5;
-constexpr int silentIntervals = 2; ///< feed intervals without a byte of a reply
 /// Between two polls while a confirmation is awaited; the leader then confirms again at once.
 constexpr milliseconds awaitedPollInterval{50};
 constexpr seconds loadEventInterval{5}; ///< least time between two feed_load events
@@ -44,9 +41,12 @@
     , m_events(events)
     , m_leaderState(leaderState)
     , m_seeds(settings.seeds)
-    , m_relays({settings.linkAddress, settings.zone})
+    , m_times{settings.control.feedInterval, settings.control.freshness,
+              settings.promises.tablePropagation}
     , m_incarnation(incarnation)
     , m_state(settings.control.freshness)
+    , m_relays({settings.linkAddress, settings.zone})
+    , m_pollers(maxNodesPerRound)
 {
     m_transport.handle(channel::Feed, [this](std::string_view peer, std::string_view payload) {
         return handleRequest(peer, payload);
@@ -73,6 +73,7 @@
     m_polled.notify_all();
     if (m_thread.joinable())
         m_thread.join();
+    m_pollers.shutdown();
 }
 
 control_view feed_service::view() const
@@ -170,8 +171,7 @@
         m_pollRequested = false;
         lock.unlock();
         pollRound();
-        if (m_listener)
-            m_listener();
+        tellListener();
         recordLoad();
         const bool fresh = view().fresh(m_clock.now());
         if (fresh != wasFresh)
@@ -203,27 +203,30 @@
     return confirmed();
 }
 
-/// When a control node is unreachable or its reply is stale, the next one is polled at once.
 void feed_service::pollRound()
 {
-    const std::size_t nodes = std::min(controlNodes().size(), maxNodesPerRound);
-    std::size_t tried = 1;
-    m_unanswered.clear();
-    while (!pollOnce() && tried < nodes)
-        ++tried;
+    std::set<std::string> tried;
+    while (tried.size() < maxNodesPerRound && !readLocalLeader()) {
+        const std::string peer = selectTarget(tried);
+        if (peer.empty())
+            break;
+        tried.insert(peer);
+        if (awaitPoll(*beginPoll(peer)))
+            break;
+    }
     m_polled.notify_all();
 }
 
-/// \returns false when another node may have newer tables.
-bool feed_service::pollOnce()
+bool feed_service::isLeader() const
 {
-    const instant sentAt = m_clock.now();
-    return readLocalLeader(sentAt) || pollPeer(sentAt);
+    return m_leaderState != nullptr && m_leaderState->leader() == m_settings.linkAddress;
 }
 
-bool feed_service::readLocalLeader(instant sentAt)
+/// \returns true when this node leads, and a quorum has confirmed that.
+bool feed_service::readLocalLeader()
 {
-    if (m_leaderState == nullptr || m_leaderState->leader() != m_settings.linkAddress)
+    const instant sentAt = m_clock.now();
+    if (!isLeader())
         return false;
     feed::confirmed_state reading;
     error problem;
@@ -244,21 +247,52 @@
     return true;
 }
 
-/// Large tables may take longer than the feed interval on a slow link, and a reply that is given up
-/// is requested again from its start. Half of the freshness leaves time to ask another node before
-/// the tables expire. A node that sends nothing may be frozen, and is given up earlier.
-call_timeout feed_service::pollTimeout() const
+std::shared_ptr<feed_service::begun_poll> feed_service::beginPoll(const std::string &peer)
 {
-    const control_settings &control = m_settings.control;
-    return {std::max<nanoseconds>(control.feedInterval, control.freshness / 2),
-            silentIntervals * control.feedInterval};
+    auto begun = std::make_shared<begun_poll>();
+    begun->peer = peer;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_polls[peer] = begun;
+    }
+    m_pollers.run([this, begun] { runPoll(begun); });
+    return begun;
 }
 
-bool feed_service::pollPeer(instant sentAt)
+/// Waits until the poll has ended, or there is a reason to go on beside it: its node is silent,
+/// another one has sent a notification, or this node leads now. \returns whether the round has
+/// found what it wanted.
+bool feed_service::awaitPoll(const begun_poll &begun)
 {
-    const std::string peer = selectTarget();
-    if (peer.empty())
-        return true;
+    const auto bytes = [&] { return m_transport.bytesReceived(begun.peer, channel::Feed); };
+    std::uint64_t before = bytes();
+    std::unique_lock lock(m_mutex);
+    while (!m_stopped && !begun.ended) {
+        const bool woken = m_wake.wait_for(lock, m_times.hedgeDelay(), [&] {
+            return m_stopped || begun.ended || isNotified() || isLeader();
+        });
+        if (begun.ended || m_stopped)
+            break;
+        if (woken)
+            return false;
+        const std::uint64_t now = bytes();
+        if (now == before)
+            return false;
+        before = now;
+    }
+    return m_stopped || begun.upToDate;
+}
+
+/// Requires m_mutex to be held. \returns whether a node that has sent a notification is to be
+/// asked.
+bool feed_service::isNotified() const
+{
+    return !m_notifier.empty() && !m_polls.contains(m_notifier);
+}
+
+void feed_service::runPoll(const std::shared_ptr<begun_poll> &begun)
+{
+    const instant sentAt = m_clock.now();
     std::unique_lock lock(m_mutex);
     feed::feed_request request = m_state.request(sentAt, selfReport(), true);
     request.confirmNow = m_confirmationsAwaited > 0;
@@ -267,52 +301,108 @@
     error problem;
     const bool answered = succeeded(
             [&]() -> result<void> {
+                const call_timeout timeout{m_times.longestPoll(), m_times.silentTime()};
                 BOOST_LEAF_AUTO(bytes,
-                                m_transport.call(peer, channel::Feed,
-                                                 wire::encodeFeedRequest(request), pollTimeout()));
+                                m_transport.call(begun->peer, channel::Feed,
+                                                 wire::encodeFeedRequest(request), timeout));
                 BOOST_LEAF_ASSIGN(reply, wire::decodeFeedReply(bytes));
                 return {};
             },
             problem);
-    const nanoseconds lag = m_settings.control.freshness - milliseconds(reply.freshForMs);
-    const auto longestLag = std::chrono::duration_cast<nanoseconds>(
-            maxLagIntervals * m_settings.control.feedInterval);
-    const bool upToDate = answered && reply.confirmed && lag <= longestLag;
-    if (!answered) {
-        m_relays.unreachable(m_clock.now(), peer);
-        m_unanswered = peer;
-        return false;
-    }
-    if (upToDate)
-        m_relays.upToDate(peer);
-    else
-        m_relays.outdated(m_clock.now(), peer);
+    const nanoseconds lag = m_times.freshness - milliseconds(reply.freshForMs);
     lock.lock();
-    const bool newer = m_state.install(sentAt, reply);
+    const bool newer = answered && m_state.install(sentAt, reply);
+    const poll_outcome outcome = answered ? judge(reply) : poll_outcome::Unanswered;
+    if (outcome == poll_outcome::UpToDate)
+        m_relays.upToDate(begun->peer);
+    else if (outcome == poll_outcome::Behind)
+        m_relays.outdated(m_clock.now(), begun->peer);
+    else
+        m_relays.unreachable(m_clock.now(), begun->peer);
     lock.unlock();
+    recordOutcome(begun->peer, outcome, m_clock.now() - sentAt, answered ? lag : nanoseconds());
     notifyPeers(newer);
-    return upToDate;
+    if (newer)
+        tellListener();
+    lock.lock();
+    begun->ended = true;
+    begun->upToDate = outcome == poll_outcome::UpToDate;
+    m_polls.erase(begun->peer);
+    m_wake.notify_all();
+    m_polled.notify_all();
+}
+
+/// Requires m_mutex to be held, and \a reply to be installed as far as it can be.
+feed_service::poll_outcome feed_service::judge(const feed::feed_reply &reply) const
+{
+    const nanoseconds lag = m_times.freshness - milliseconds(reply.freshForMs);
+    const bool current = reply.confirmed && lag <= m_times.longestLag();
+    return current && reply.revision == m_state.revision() ? poll_outcome::UpToDate
+                                                           : poll_outcome::Behind;
 }
 
-/// A leader that has not answered in this round may be frozen; another poll of it would outlast the
-/// election of the next one.
-std::string feed_service::selectTarget()
+/// Records what came of a poll when it differs from the poll of that node before.
+void feed_service::recordOutcome(const std::string &peer, poll_outcome outcome, nanoseconds took,
+                                 nanoseconds lag)
 {
-    if (m_leaderState != nullptr) {
-        const std::string leader = m_leaderState->leader();
-        if (!leader.empty() && leader != m_unanswered)
-            return leader == m_settings.linkAddress ? std::string() : leader;
+    static constexpr std::array<std::string_view, 3> names{"up to date", "behind", "unanswered"};
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto [known, isNew] = m_outcomes.try_emplace(peer, poll_outcome::UpToDate);
+        if (std::exchange(known->second, outcome) == outcome)
+            return;
     }
-    std::unique_lock lock(m_mutex);
-    const std::string leader = m_state.view().leader;
-    const bool askLeader = m_confirmationsAwaited > 0 && !leader.empty() && leader != m_unanswered;
-    lock.unlock();
-    return askLeader ? leader : m_relays.choose(m_clock.now(), controlNodes());
+    const auto inMs = [](nanoseconds time) {
+        return std::chrono::duration_cast<milliseconds>(time).count();
+    };
+    m_events.record(feedPolled,
+                    {{"peer", peer},
+                     {"outcome", names.at(static_cast<std::size_t>(outcome))},
+                     {"took_ms", inMs(took)},
+                     {"lag_ms", inMs(lag)}});
+}
+
+void feed_service::tellListener()
+{
+    if (m_listener)
+        m_listener();
+}
+
+/// Requires m_mutex to be held.
+bool feed_service::mayAsk(const std::string &node, const std::set<std::string> &tried) const
+{
+    return !node.empty() && node != m_settings.linkAddress && !tried.contains(node)
+            && !m_polls.contains(node);
+}
+
+/// \returns the node to ask next in a round; empty when there is none. One that holds a newer
+/// revision goes first, then, on a control node, the leader.
+std::string feed_service::selectTarget(const std::set<std::string> &tried)
+{
+    if (isLeader())
+        return {};
+    const std::string leader = m_leaderState != nullptr ? m_leaderState->leader() : std::string();
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> nodes = knownControlNodes();
+    const std::string notifier = std::exchange(m_notifier, {});
+    if (std::ranges::find(nodes, notifier) != nodes.end() && mayAsk(notifier, tried))
+        return notifier;
+    if (mayAsk(leader, tried))
+        return leader;
+    const std::string lastLeader = m_state.view().leader;
+    if (m_confirmationsAwaited > 0 && mayAsk(lastLeader, tried))
+        return lastLeader;
+    std::erase_if(nodes, [&](const std::string &node) { return !mayAsk(node, tried); });
+    return m_relays.choose(m_clock.now(), nodes);
 }
 
 std::string feed_service::handleRequest(std::string_view peer, std::string_view payload)
 {
     if (payload.empty()) { // notification of a newer revision
+        {
+            const std::lock_guard lock(m_mutex);
+            m_notifier = std::string(peer);
+        }
         pollSoon();
         return {};
     }
@@ -378,8 +468,7 @@
     feed::node_report report;
     report.node = m_settings.node;
     report.incarnation = m_incarnation;
-    const auto tables = m_state.view().tables;
-    report.revision = tables ? tables->revision : 0;
+    report.revision = m_state.revision();
     report.leaving = m_leaving;
     report.endpointsLost = m_endpointsLost;
     report.link = m_settings.linkAddress;
@@ -397,18 +486,22 @@
         return;
     std::vector<std::string> peers;
     std::uint64_t revision = 0;
+    std::uint64_t document = 0;
     std::uint64_t endpointListVersion = 0;
     {
         const std::lock_guard lock(m_mutex);
         peers = m_state.directory().directPeers(m_clock.now(), subscriberWindow);
         const auto tables = m_state.view().tables;
-        revision = tables ? tables->revision : 0;
+        revision = m_state.revision();
+        document = tables ? tables->documentVersion : 0;
         endpointListVersion = m_state.endpoints()->version;
     }
     for (const std::string &peer : peers)
         m_transport.post(peer, channel::Feed, {});
     m_events.record(revisionInForce,
-                    {{"revision", revision}, {"endpoint_list", endpointListVersion}});
+                    {{"revision", revision},
+                     {"document", document},
+                     {"endpoint_list", endpointListVersion}});
 }
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -1,16 +1,21 @@
 #pragma once
 
 #include "yuccascale/kernel/feed/feed_state.hpp"
+#include "yuccascale/kernel/feed/poll_times.hpp"
 #include "yuccascale/kernel/feed/relay_choice.hpp"
 #include "yuccascale/kernel/transport.hpp"
 #include "yuccascale/runtime/settings.hpp"
+#include "yuccascale/runtime/worker_pool.hpp"
 
 #include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -44,6 +49,9 @@
 };
 
 /// \brief Runs the feed of one node. Thread-safe.
+///
+/// A poll of a silent node holds nothing up: another node is asked as well, a notification is
+/// followed at once, and a node that becomes the leader reads its own state.
 class feed_service
 {
 public:
@@ -78,8 +86,9 @@
     void setEndpoints(std::uint64_t fence,
                       const std::vector<kernel::feed::listed_endpoint> &endpoints);
 
-    /// \brief Sets the function that the feed's thread calls after each poll; must be called before
-    ///        start().
+    /// \brief Sets the function that is called, on any thread, after each answer and each round of
+    /// polls;
+    ///        must be called before start().
     void setListener(std::function<void()> listener) { m_listener = std::move(listener); }
 
     /// \brief Replaces the seeds.
@@ -98,8 +107,9 @@
     /// \returns false when that did not happen within \a limit.
     [[nodiscard]] bool waitConfirmed(kernel::instant since, kernel::milliseconds limit);
 
-    /// \brief Polls the control nodes in turn until one that is up to date answers. Called by the
-    /// feed's thread at each interval, and by tests.
+    /// \brief Polls the control nodes in turn until one that is up to date answers; while one is
+    /// silent, the next is asked beside it. Called by the feed's thread at each interval, and by
+    /// tests.
     void pollRound();
 
     /// \brief Reports to the other nodes that this one is shutting down.
@@ -109,13 +119,31 @@
     void setEndpointsLost(bool lost);
 
 private:
+    /// A poll that was begun; guarded by m_mutex.
+    struct begun_poll
+    {
+        std::string peer;
+        bool ended = false;
+        bool upToDate = false; ///< once it has ended
+    };
+
+    /// What came of a poll.
+    enum class poll_outcome { UpToDate, Behind, Unanswered };
+
     void pollLoop();
     [[nodiscard]] kernel::milliseconds pollInterval() const;
-    [[nodiscard]] bool pollOnce();
-    [[nodiscard]] bool readLocalLeader(kernel::instant sentAt);
-    [[nodiscard]] kernel::call_timeout pollTimeout() const;
-    [[nodiscard]] bool pollPeer(kernel::instant sentAt);
-    [[nodiscard]] std::string selectTarget();
+    [[nodiscard]] bool isLeader() const;
+    [[nodiscard]] bool readLocalLeader();
+    [[nodiscard]] std::shared_ptr<begun_poll> beginPoll(const std::string &peer);
+    [[nodiscard]] bool awaitPoll(const begun_poll &begun);
+    void runPoll(const std::shared_ptr<begun_poll> &begun);
+    [[nodiscard]] poll_outcome judge(const kernel::feed::feed_reply &reply) const;
+    void recordOutcome(const std::string &peer, poll_outcome outcome, kernel::nanoseconds took,
+                       kernel::nanoseconds lag);
+    [[nodiscard]] std::string selectTarget(const std::set<std::string> &tried);
+    [[nodiscard]] bool mayAsk(const std::string &node, const std::set<std::string> &tried) const;
+    [[nodiscard]] bool isNotified() const;
+    void tellListener();
     [[nodiscard]] std::vector<std::string> knownControlNodes() const;
     [[nodiscard]] std::string handleRequest(std::string_view peer, std::string_view payload);
     [[nodiscard]] kernel::feed::node_report selfReport() const;
@@ -129,13 +157,16 @@
     leader_state_reader *m_leaderState;
     std::vector<std::string> m_seeds;
     std::function<void()> m_listener;
-    kernel::feed::relay_choice m_relays; ///< only order() is used outside the feed's thread
-    std::string m_unanswered; ///< last node that did not answer in this round; feed's thread only
+    kernel::feed::poll_times m_times;
     std::uint64_t m_incarnation;
 
     mutable std::mutex m_mutex;
     std::condition_variable m_wake;
     kernel::feed::feed_state m_state;
+    kernel::feed::relay_choice m_relays;
+    std::map<std::string, std::shared_ptr<begun_poll>> m_polls; ///< that have not ended, by node
+    std::map<std::string, poll_outcome> m_outcomes;             ///< of the last poll, by node
+    std::string m_notifier; ///< node that holds a newer revision and was not asked since
     feed_load m_load;
     feed_load m_recordedLoad; ///< as of the last feed_load event
     kernel::instant m_loadRecordedAt{};
@@ -146,6 +177,7 @@
     bool m_leaving = false;
     bool m_endpointsLost = false;
     std::thread m_thread;
+    worker_pool m_pollers; ///< the last member, since its threads use the others
 };
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -386,6 +386,11 @@
 {
     const instant now = m_clock.now();
     m_published.publish(statusOf(*m_replica, m_applied, now), m_replica->leadershipAt(now), now);
+    const std::string &leader = m_replica->leader();
+    if (leader.empty() || leader == m_leaderTold)
+        return;
+    m_leaderTold = leader;
+    m_consumer.leaderChanged();
 }
 
 void replicated_log::failPendingRequests(const std::string &reason)
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -43,6 +43,9 @@
 
     /// \brief Replaces the state with one that snapshot() returned.
     [[nodiscard]] virtual kernel::result<void> restore(std::string_view bytes) = 0;
+
+    /// \brief Tells that another replica leads, or this one does.
+    virtual void leaderChanged() { }
 };
 
 /// \brief Settings of a replicated log.
@@ -144,6 +147,7 @@
     std::uint64_t m_nextRead = 1;
     std::uint64_t m_applied = 0;
     std::uint64_t m_snapshotIndex = 0;
+    std::string m_leaderTold; ///< last one that the consumer was told of
 
     published_log_status m_published;
 
--- a/src/yuccascale/runtime/settings.cpp
+++ b/src/yuccascale/runtime/settings.cpp
@@ -107,6 +107,7 @@
 void readPromises(yaml_reader node, promise_settings &promises)
 {
     node.duration("key_withdrawal", promises.keyWithdrawal);
+    node.duration("table_propagation", promises.tablePropagation);
     node.duration("shutdown", promises.shutdown);
     node.number("retry_share", promises.retryShare);
     node.number("retry_burst", promises.retryBurst);
@@ -166,6 +167,18 @@
         root.problem("seeds", "missing; name the link addresses of one to three control nodes");
 }
 
+/// An entry that is up to date has polled a control node within an interval, which has polled the
+/// leader within another one.
+void checkPropagation(yaml_reader &root, const settings &out)
+{
+    constexpr int intervals = 3; ///< two polls, and what they take
+    const kernel::milliseconds promised = out.promises.tablePropagation;
+    if (promised.count() > 0 && out.control.feedInterval * intervals > promised)
+        root.problem("promises.table_propagation",
+                     "must be at least three times control.feed_interval; raise it or lower the "
+                     "interval");
+}
+
 /// An entry that cannot reach the leader accepts keys for as long as its tables are fresh, so the
 /// freshness time is derived from the bound on key withdrawal.
 void deriveFreshness(settings &out)
@@ -224,6 +237,7 @@
     checkDataFolder(root, out);
     checkSecret(root, "cluster_secret", out.secretFile);
     checkSecret(root, "operator_key", out.operatorKeyFile);
+    checkPropagation(root, out);
     deriveFreshness(out);
     return out;
 }
--- a/src/yuccascale/wire/peer_link.cpp
+++ b/src/yuccascale/wire/peer_link.cpp
@@ -46,6 +46,12 @@
         m_readThread.join();
 }
 
+std::uint64_t peer_link::bytesReceived() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_connection ? m_connection->bytesRead() : 0;
+}
+
 void peer_link::post(std::string payload)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/yuccascale/wire/peer_link.hpp
+++ b/src/yuccascale/wire/peer_link.hpp
@@ -43,6 +43,9 @@
     [[nodiscard]] kernel::result<std::string> call(std::string payload,
                                                    kernel::call_timeout timeout);
 
+    /// \returns the bytes that arrived on the present connection; 0 without one.
+    [[nodiscard]] std::uint64_t bytesReceived() const;
+
     void stop();
 
 private:
@@ -66,7 +69,7 @@
     socket_address m_address;
     kernel::channel m_channel;
 
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::deque<queued_frame> m_queue;
     std::map<std::uint64_t, std::shared_ptr<pending_call>> m_calls;
--- a/src/yuccascale/wire/tcp_transport.cpp
+++ b/src/yuccascale/wire/tcp_transport.cpp
@@ -64,6 +64,13 @@
     return link->call(std::move(payload), timeout);
 }
 
+std::uint64_t tcp_transport::bytesReceived(std::string_view node, kernel::channel channel) const
+{
+    const std::lock_guard lock(m_linksMutex);
+    const auto found = m_links.find({std::string(node), channel});
+    return found == m_links.end() ? 0 : found->second->bytesReceived();
+}
+
 std::optional<socket_address> tcp_transport::addressOf(std::string_view node) const
 {
     const auto configured = m_settings.peers.find(node);
--- a/src/yuccascale/wire/tcp_transport.hpp
+++ b/src/yuccascale/wire/tcp_transport.hpp
@@ -70,6 +70,8 @@
     [[nodiscard]] kernel::result<std::string> call(std::string_view node, kernel::channel channel,
                                                    std::string payload,
                                                    kernel::call_timeout timeout) override;
+    [[nodiscard]] std::uint64_t bytesReceived(std::string_view node,
+                                              kernel::channel channel) const override;
 
 private:
     [[nodiscard]] std::optional<socket_address> addressOf(std::string_view node) const;
@@ -79,7 +81,7 @@
     transport_counters m_counters;
     std::map<kernel::channel, handler> m_handlers;
     std::unique_ptr<inbound_connections> m_inbound;
-    std::mutex m_linksMutex;
+    mutable std::mutex m_linksMutex;
     std::map<std::pair<std::string, kernel::channel>, std::shared_ptr<peer_link>> m_links;
     bool m_stopped = false;
 };
