CONFIG: 401, 403 and 404 need tables that were confirmed within the promise

What callers saw: 401 for a key that had been confirmed 2.5 s before. Cause: how long an entry uses its tables came from the withdrawal of keys alone (4.7 s on the users' sites); the promise that an edit is in force within 2 s bounded nothing. A refusal from older tables may contradict an edit that is in force. Class: a bound that is borrowed from another promise. Change: kernel/requests/negative_answer decides. From tables confirmed within promises.table_propagation before the request came, a refusal is final, as before. From older ones the request is held for one feed interval at most while a poll is asked for at once, and admitted again with what arrives; without a confirmation it is refused as not ready, not run. 256 requests are held at most. request_refused tells the document, the age of the tables and how long the request was held. Requests that older tables allow are served as before: to refuse them would stop service in each election.

--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -2,8 +2,10 @@
 
 #include "yuccascale/http/caller_session.hpp"
 #include "yuccascale/http/entry_addresses.hpp"
+#include "yuccascale/http/held_requests.hpp"
 #include "yuccascale/http/load_poller.hpp"
 #include "yuccascale/kernel/requests/events.hpp"
+#include "yuccascale/kernel/requests/negative_answer.hpp"
 #include "yuccascale/net/http_server.hpp"
 
 #include <boost/asio/post.hpp>
@@ -27,6 +29,8 @@
 constexpr int addressTtlFactor = 3;
 /// Polls of the feed for which a stream that is taken up waits to be located.
 constexpr int originWaitPolls = 2;
+/// Requests that wait for a confirmation of the tables at the same time.
+constexpr std::size_t maxHeldRequests = 256;
 
 [[nodiscard]] net::http_limits limitsFrom(const runtime::http_settings &settings)
 {
@@ -49,6 +53,18 @@
     limits.idleTimeout = milliseconds(row.idleTimeoutMs);
 }
 
+/// \returns whether an error is said for want of a row in the tables.
+[[nodiscard]] bool isNegative(kernel::error_kind kind) noexcept
+{
+    return kind == kernel::error_kind::NotFound || kind == kernel::error_kind::Unauthorized
+            || kind == kernel::error_kind::Forbidden;
+}
+
+[[nodiscard]] std::int64_t inMilliseconds(kernel::nanoseconds time) noexcept
+{
+    return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
 /// \returns the grant of another entry and removes it, so that it is never forwarded.
 [[nodiscard]] std::string takeRelayGrant(net::http_request &httpRequest)
 {
@@ -95,7 +111,11 @@
     void takeOver(std::string_view grant, kernel::requests::request &callerRequest);
     void startScheduleTimer();
     void serve(listener_kind listener, const exchange_pointer &exchange);
-    void route(const exchange_pointer &exchange);
+    void admit(const arrived_request &arrived);
+    void refuse(const arrived_request &arrived, const std::string &id, kernel::error problem,
+                const kernel::control_view &view);
+    [[nodiscard]] bool hold(const arrived_request &arrived);
+    void retryHeld();
     [[nodiscard]] entry_status status();
     [[nodiscard]] bool ready() const;
     [[nodiscard]] milliseconds addressGracePeriod() const;
@@ -107,6 +127,8 @@
     std::vector<std::unique_ptr<net::http_server>> m_servers;
     std::unique_ptr<load_poller> m_loadPoller; ///< null when the protocol polls no loads
     boost::asio::steady_timer m_timer;
+    held_requests m_held{maxHeldRequests};
+    std::atomic<kernel::instant> m_askedAt{};       ///< when a confirmation was last asked for
     std::atomic<bool> m_feedUpdateScheduled{false}; ///< applyFeedUpdate() is posted
     std::uint64_t m_revision = 0;                   ///< of the tables applied to the pools
     std::uint64_t m_endpointListVersion = 0;        ///< of the list applied to the pools
@@ -260,6 +282,7 @@
 void caller_server::implementation::applyFeedUpdate()
 {
     updatePosition();
+    retryHeld();
     m_services.relay->setHelpers(helpersAmong(nodes(), m_dependencies.settings.node));
     const kernel::control_view view = m_dependencies.control.view();
     if (!view.tables)
@@ -294,7 +317,8 @@
 void caller_server::implementation::startScheduleTimer()
 {
     const bool unsure = m_services.monitor->state() != reach_state::Reached;
-    const bool isFrequent = m_loadPoller || unsure || m_services.pools->waiting() > 0;
+    const bool isFrequent
+            = m_loadPoller || unsure || m_services.pools->waiting() > 0 || !m_held.empty();
     m_timer.expires_after(isFrequent ? scheduleInterval : idleInterval);
     m_timer.async_wait([this](const boost::system::error_code &problem) {
         if (problem || m_stopped)
@@ -304,6 +328,7 @@
         if (m_loadPoller)
             m_loadPoller->pollDue();
         m_services.monitor->probeDue();
+        retryHeld();
         startScheduleTimer();
     });
 }
@@ -343,16 +368,16 @@
         return;
     if (auto answer = m_services.protocol->answerLocally(listener, exchange->request(), status()))
         return exchange->reply(std::move(*answer));
-    route(exchange);
+    admit({exchange, takeRelayGrant(exchange->request()), m_dependencies.clock.now()});
 }
 
-void caller_server::implementation::route(const exchange_pointer &exchange)
+void caller_server::implementation::admit(const arrived_request &arrived)
 {
+    const exchange_pointer &exchange = arrived.exchange;
     reading_context context{m_dependencies.control.view(), m_dependencies.clock.now(),
                             m_services.entry, m_services.nextTicket++, m_services.secret};
     context.routes = m_services.routes.indexFor(context.view.tables);
     const std::string id = m_services.protocol->callerRequestId(exchange->request(), context);
-    const std::string grant = takeRelayGrant(exchange->request());
     request callerRequest;
     kernel::error problem;
     const bool readable = kernel::succeeded(
@@ -362,28 +387,77 @@
                 return {};
             },
             problem);
-    if (!readable) {
-        // with an idempotency key or a resume token, an earlier attempt may have been run
-        const net::http_request &httpRequest = exchange->request();
-        const bool sentBefore = !httpRequest.header("Idempotency-Key").empty()
-                || !httpRequest.header("X-Resume-Token").empty();
-        const bool mayHaveRun = sentBefore && problem.kind != kernel::error_kind::InvalidArgument;
-        const refusal reason{problem.kind, problem.where + ": " + problem.message, mayHaveRun, {}};
-        m_dependencies.events.record(
-                requestRefused,
-                {{"request_id", id},
-                 {"kind", kernel::errorKindName(problem.kind)},
-                 {"may_have_run", static_cast<int>(mayHaveRun)},
-                 {"reason", reason.message},
-                 {"revision", context.view.tables ? context.view.tables->revision : 0}});
-        return exchange->reply(m_services.protocol->errorReply(reason, id, addresses(true)));
-    }
+    if (!readable)
+        return refuse(arrived, id, std::move(problem), context.view);
+    callerRequest.deadline -= context.now - arrived.receivedAt;
+    callerRequest.receivedAt = arrived.receivedAt;
     callerRequest.entryEnd = m_services.drain.plan().end();
-    takeOver(grant, callerRequest);
+    takeOver(arrived.relayGrant, callerRequest);
     const double weight = organisationWeight(context.view, callerRequest.organisation);
     caller_session::start(m_services, std::move(callerRequest), weight, exchange);
 }
 
+/// A refusal for want of a row in the tables is put off while an edit that adds it may be in force
+/// already.
+void caller_server::implementation::refuse(const arrived_request &arrived, const std::string &id,
+                                           kernel::error problem, const kernel::control_view &view)
+{
+    const kernel::instant now = m_dependencies.clock.now();
+    const negative_answer_rule rule{m_dependencies.settings.promises.tablePropagation,
+                                    m_dependencies.settings.control.feedInterval};
+    const negative_verdict verdict = isNegative(problem.kind)
+            ? rule.judge(now, arrived.receivedAt, view.confirmedAt)
+            : negative_verdict::Final;
+    if (verdict == negative_verdict::AwaitConfirmation && hold(arrived))
+        return;
+    if (verdict != negative_verdict::Final)
+        problem = {kernel::error_kind::NotReady, "tables",
+                   "this entry cannot confirm that its tables are current; retry at another entry "
+                   "address"};
+    // with an idempotency key or a resume token, an earlier attempt may have been run
+    const net::http_request &httpRequest = arrived.exchange->request();
+    const bool sentBefore = !httpRequest.header("Idempotency-Key").empty()
+            || !httpRequest.header("X-Resume-Token").empty();
+    const bool mayHaveRun = sentBefore && problem.kind != kernel::error_kind::InvalidArgument;
+    const refusal reason{problem.kind, problem.where + ": " + problem.message, mayHaveRun, {}};
+    m_dependencies.events.record(
+            requestRefused,
+            {{"request_id", id},
+             {"kind", kernel::errorKindName(problem.kind)},
+             {"may_have_run", static_cast<int>(mayHaveRun)},
+             {"reason", reason.message},
+             {"revision", view.tables ? view.tables->revision : 0},
+             {"document", view.tables ? view.tables->documentVersion : 0},
+             {"tables_age_ms", view.tables ? inMilliseconds(now - view.confirmedAt) : -1},
+             {"held_ms", inMilliseconds(now - arrived.receivedAt)}});
+    arrived.exchange->reply(m_services.protocol->errorReply(reason, id, addresses(true)));
+}
+
+/// One confirmation serves all that are held; at most one is asked for in each feed interval,
+/// beside the usual polls.
+bool caller_server::implementation::hold(const arrived_request &arrived)
+{
+    if (!m_held.add(arrived))
+        return false;
+    const kernel::instant now = m_dependencies.clock.now();
+    kernel::instant askedAt = m_askedAt;
+    const bool due = now - askedAt >= m_dependencies.settings.control.feedInterval;
+    if (due && m_askedAt.compare_exchange_strong(askedAt, now) && m_dependencies.confirmSoon)
+        m_dependencies.confirmSoon();
+    return true;
+}
+
+/// Admits the held requests again, each on its own loop.
+void caller_server::implementation::retryHeld()
+{
+    for (const arrived_request &arrived : m_held.take()) {
+        boost::asio::post(arrived.exchange->loop(), [this, arrived] {
+            if (!m_stopped)
+                admit(arrived);
+        });
+    }
+}
+
 /// A request with a valid grant is served as if this entry had received it, but is passed on to no
 /// other entry.
 void caller_server::implementation::takeOver(std::string_view grant, request &callerRequest)
--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -41,6 +41,8 @@
     entry_exchange otherEntries = {};
     /// Called when endpointsLost() changes; may be null.
     std::function<void(bool lost)> onEndpointsLost = nullptr;
+    /// Asks for a confirmation of the tables, which scheduleFeedUpdate() tells of; may be null.
+    std::function<void()> confirmSoon = nullptr;
 };
 
 /// \brief Serves callers at the node's addresses.
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -222,7 +222,8 @@
             [this](const std::shared_ptr<net::http_exchange> &exchange) {
                 return settings.http.protocol == "own" && operators->tryServe(exchange);
             },
-            entryExchange(), [this](bool lost) { feed->setEndpointsLost(lost); }});
+            entryExchange(), [this](bool lost) { feed->setEndpointsLost(lost); },
+            [this] { feed->pollSoon(); }});
     transport->handle(channel::Streams, [this](std::string_view, std::string_view message) {
         return callersStarted ? callers->streams().handle(message) : std::string();
     });
--- a/tests/fakes/control_log.hpp
+++ b/tests/fakes/control_log.hpp
@@ -39,6 +39,7 @@
         kernel::control_view current;
         current.tables = m_machine.tables();
         current.freshUntil = m_freshUntil;
+        current.confirmedAt = m_confirmedAt;
         current.origins = std::make_shared<const kernel::feed::origin_history>(m_origins);
         return current;
     }
@@ -69,6 +70,13 @@
         m_freshUntil = until;
     }
 
+    /// \brief Sets when the tables were last confirmed; without it, they always are.
+    void setConfirmedAt(kernel::instant confirmedAt)
+    {
+        const std::scoped_lock guard(m_mutex);
+        m_confirmedAt = confirmedAt;
+    }
+
     /// \brief Sets the hooks that simulate lost commands (\a beforeApply) and lost results
     ///        (\a afterApply).
     void setFaults(fault_hook beforeApply, fault_hook afterApply)
@@ -105,6 +113,7 @@
     kernel::feed::origin_history m_origins{m_clock.now(), kernel::nanoseconds::zero()};
     std::uint64_t m_index = 0;
     kernel::instant m_freshUntil = kernel::instant::max();
+    kernel::instant m_confirmedAt = kernel::instant::max() - std::chrono::hours(24 * 365);
     std::vector<kernel::state::command> m_commands;
     fault_hook m_beforeApply;
     fault_hook m_afterApply;
