--- a/tests/processes/cluster.cpp
+++ b/tests/processes/cluster.cpp
@@ -250,8 +250,13 @@
          << "\n  weight_store: " << loopback(m_platformPorts.at("weights"))
          << "\n  vm_list: " << loopback(m_platformPorts.at("vms"))
          << "\n  usage_window: " << m_options.usageWindow << "\n";
+    if (!m_options.control.empty())
+        text << "control: {" << m_options.control << "}\n";
+    text << "promises:\n  retry_share: 0.2\n";
     if (!m_options.shutdownLimit.empty())
-        text << "promises: {shutdown: " << m_options.shutdownLimit << "}\n";
+        text << "  shutdown: " << m_options.shutdownLimit << "\n";
+    if (!m_options.tablePropagation.empty())
+        text << "  table_propagation: " << m_options.tablePropagation << "\n";
     writeFile(m_folder / (name + ".yaml"), text.str());
 }
 
--- a/tests/processes/cluster.hpp
+++ b/tests/processes/cluster.hpp
@@ -35,6 +35,8 @@
     json serviceOptions = json::object(); ///< for the plain service stand-in
     std::string usageWindow = "60s";
     std::string shutdownLimit; ///< setting promises.shutdown; empty: not set
+    std::string tablePropagation; ///< setting promises.table_propagation; empty: not set
+    std::string control;          ///< fields of the setting control, in YAML; may be empty
     std::string addressTtl = "1s";
     std::string routeDeadline = "30s"; ///< of both routes
     bool relayLastNode = false;  ///< puts relays on the last node's links, see setLastNodeCut()
