--- a/src/yuccascale/http/caller_commits.hpp
+++ b/src/yuccascale/http/caller_commits.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "yuccascale/runtime/worker_pool.hpp"
 #include "yuccascale/kernel/control_client.hpp"
 #include "yuccascale/kernel/requests/claim_verdict.hpp"
 #include "yuccascale/kernel/requests/events.hpp"
 #include "yuccascale/kernel/requests/usage_batcher.hpp"
 #include "yuccascale/runtime/settings.hpp"
+#include "yuccascale/runtime/worker_pool.hpp"
 
 #include <condition_variable>
 #include <functional>
--- a/src/yuccascale/http/document_interface.cpp
+++ b/src/yuccascale/http/document_interface.cpp
@@ -2,8 +2,8 @@
 
 #include "yuccascale/http/caller_answers.hpp"
 #include "yuccascale/http/events.hpp"
-#include "yuccascale/runtime/worker_pool.hpp"
 #include "yuccascale/kernel/json_text.hpp"
+#include "yuccascale/runtime/worker_pool.hpp"
 
 #include <boost/asio/post.hpp>
 
--- a/src/yuccascale/http/operator_routes.cpp
+++ b/src/yuccascale/http/operator_routes.cpp
@@ -2,9 +2,9 @@
 
 #include "yuccascale/http/caller_answers.hpp"
 #include "yuccascale/http/events.hpp"
-#include "yuccascale/runtime/worker_pool.hpp"
 #include "yuccascale/kernel/json_text.hpp"
 #include "yuccascale/kernel/state/key_digest.hpp"
+#include "yuccascale/runtime/worker_pool.hpp"
 
 #include <boost/asio/post.hpp>
 #include <openssl/crypto.h>
--- a/src/yuccascale/http/stream_registry.hpp
+++ b/src/yuccascale/http/stream_registry.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "yuccascale/runtime/worker_pool.hpp"
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/requests/request.hpp"
 #include "yuccascale/kernel/requests/stream_origins.hpp"
+#include "yuccascale/runtime/worker_pool.hpp"
 #include "yuccascale/wire/stream_codec.hpp"
 
 #include <functional>
--- a/src/yuccascale/store/replica_store.hpp
+++ b/src/yuccascale/store/replica_store.hpp
@@ -28,8 +28,8 @@
 {
     kernel::consensus::durable_state state;
     std::uint64_t incarnation = 0;
-    bool created = false;  ///< the folder was empty
-    bool tornTail = false; ///< an incomplete last write was dropped
+    bool created = false;   ///< the folder was empty
+    bool tornTail = false;  ///< an incomplete last write was dropped
     bool formerLog = false; ///< the folder holds files of a log that was set aside
 };
 
@@ -49,7 +49,8 @@
     open(const std::filesystem::path &folder, std::uint64_t newIncarnation,
          disk &on = systemDisk());
 
-    /// \brief Renames the files of a log that cannot be read, so that open() begins an empty one under a new
+    /// \brief Renames the files of a log that cannot be read, so that open() begins an empty one
+    /// under a new
     ///        incarnation. Those of a log that was set aside before are removed.
     [[nodiscard]] static kernel::result<void> setAside(const std::filesystem::path &folder,
                                                        disk &on = systemDisk());
--- a/tests/processes/cluster.hpp
+++ b/tests/processes/cluster.hpp
@@ -34,7 +34,7 @@
     json engineOptions = json::object();  ///< for every engine stand-in
     json serviceOptions = json::object(); ///< for the plain service stand-in
     std::string usageWindow = "60s";
-    std::string shutdownLimit; ///< setting promises.shutdown; empty: not set
+    std::string shutdownLimit;    ///< setting promises.shutdown; empty: not set
     std::string tablePropagation; ///< setting promises.table_propagation; empty: not set
     std::string control;          ///< fields of the setting control, in YAML; may be empty
     std::string addressTtl = "1s";
