Tests: the replica that joins anew is given time to hear of the commit

Traced: of three replicas one was stopped, so the commit shows that both others have the entry in their logs; a follower applies it only with the leader's next message.

--- a/tests/unit/consensus_replicated_log_test.cpp
+++ b/tests/unit/consensus_replicated_log_test.cpp
@@ -123,8 +123,13 @@
             timeout));
     cluster.stop(leader);
     EXPECT_TRUE(cluster.proposeOnLeader("after", timeout));
-    EXPECT_EQ(cluster.node(damaged).consumer().commands(),
-              (std::vector<std::string>{"before", "after"}));
+    // a follower applies an entry once it hears of the commit
+    EXPECT_TRUE(cluster.waitFor(
+            [&] {
+                return cluster.node(damaged).consumer().commands()
+                        == std::vector<std::string>{"before", "after"};
+            },
+            timeout));
 }
 
 TEST(consensus_replicated_log, theOnlyReplicaKeepsItsDamagedLog)
