LOST: a leaving entry begins on an estimate only what can be sent again

What callers saw (a report of another operator): in a planned stop, requests that may not be repeated were passed on in the grace period and cut at its end. It could happen here in the first quarter of the grace period: four of four such requests that were sent 0.1 to 1.9 s after SIGTERM began because recent answers were short, and ended at 7.5 s with an unknown outcome. Cause: drain_plan compared a request with what other requests took, whether or not its caller can repeat it. Change: a request that is not idempotent begins only if its deadline lies before the end of the plan. Idempotent requests and streams that can be taken up are begun as before.

--- a/src/yuccascale/kernel/requests/drain_plan.cpp
+++ b/src/yuccascale/kernel/requests/drain_plan.cpp
@@ -28,10 +28,12 @@
     m_estimatesUntil = since + std::min(addressTtl, limit / estimateDivisor);
 }
 
-/// The entry that passed a request on can send it to another one instead.
+/// A request that is cut must be one that can be sent again; the entry that passed one on can send
+/// it to another one instead.
 bool drain_plan::mayEstimate(const request &callerRequest) const noexcept
 {
-    return callerRequest.receivedAt <= m_estimatesUntil && !callerRequest.relay;
+    return callerRequest.receivedAt <= m_estimatesUntil && callerRequest.route.idempotent
+            && !callerRequest.relay;
 }
 
 bool drain_plan::endsInTime(instant now, const request &callerRequest,
--- a/src/yuccascale/kernel/requests/drain_plan.hpp
+++ b/src/yuccascale/kernel/requests/drain_plan.hpp
@@ -14,8 +14,8 @@
 /// \brief The time that an entry has left after a request to shut down.
 ///
 /// Only a request's deadline bounds its time. How long other requests took is an estimate, on which
-/// a request is begun only early in the shutdown, while callers cannot know of it yet and most of
-/// the time limit is left.
+/// a request is begun only if it is idempotent, and only early in the shutdown, while callers
+/// cannot know of it yet and most of the time limit is left.
 ///
 /// \example
 ///     const drain_plan plan(leavingSince, shutdownLimit, addressTtl);
