LOST: a request that is held for a confirmation is answered when its entry closes

What callers would see: a request for a route or key that the entry does not know, held because its tables are not confirmed, lost its connection without an answer when the process ended. Nobody reported it; found by reading what can be unanswered at the end of the plan. Cause: closing an entry refused each request that was admitted, but not those that were held before admission. They were tried again and held again until their patience of a feed interval was over, and the connections are closed 200 ms after the end of the plan. Change: an entry that closes holds nothing, and admits once more at once what it held: it is refused, not run. Evidence: leaving_entry.answersWhatItHoldsForAConfirmationWhenItCloses was red before (no answer in 2 s).

--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -437,7 +437,7 @@
 /// beside the usual polls.
 bool caller_server::implementation::hold(const arrived_request &arrived)
 {
-    if (!m_held.add(arrived))
+    if (m_services.drain.closed() || !m_held.add(arrived))
         return false;
     const kernel::instant now = m_dependencies.clock.now();
     kernel::instant askedAt = m_askedAt;
@@ -528,6 +528,7 @@
 void caller_server::implementation::closeToCallers()
 {
     m_services.drain.close();
+    retryHeld();
     for (const auto &server : m_servers)
         server->closeListeners();
 }
--- a/tests/unit/http_shutdown_test.cpp
+++ b/tests/unit/http_shutdown_test.cpp
@@ -318,6 +318,25 @@
     EXPECT_EQ(engine.arrivals(), recentAnswers);
 }
 
+/// Guards against a request that is held until the process ends, and cut.
+TEST_F(leaving_entry, answersWhatItHoldsForAConfirmationWhenItCloses)
+{
+    constexpr milliseconds propagation{2'000};
+    m_settings.promises.tablePropagation = propagation;
+    held_engine engine;
+    start(engine);
+    m_control.setConfirmedAt(m_clock.now() - 2 * propagation);
+    const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
+    caller.send(requestText("a route of a later edit"));
+    while (!m_asked)
+        std::this_thread::yield();
+    m_server->beginShutdown();
+    m_server->closeToCallers();
+    const std::string answer = caller.readUntil("may_have_run", 2'000);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_NE(answer.find("\"may_have_run\":false"), std::string::npos) << answer;
+}
+
 /// Guards against requests that are judged by when they began to arrive.
 TEST_F(leaving_entry, refusesARequestThatBeganToArriveBeforeAndIsWholeTooLate)
 {
