LOST: the plan of a leaving entry counts from when the signal was read

Cause: the platform's grace period begins with the signal, but the plan began when the main thread woke up and had told the feed. On a machine that is short of processor, the plan may then end after the process is killed, and what runs to its end is cut without an answer. How large the difference gets was not measured. Change: the thread that reads the signal notes the time; the node's plan and the entry's count from there. The first signal counts. Evidence: leaving_entry.countsItsTimeFromWhenItWasToldToShutDown is new and fails with the time of handling in its place (a request of 2 s began 6 s after the signal). leaving_entry.refusesAtOnceWhatWaitsInTheQueue... is new and guards what was read before the signal; it has not been seen red on its own.

--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -84,7 +84,7 @@
 
     [[nodiscard]] kernel::result<void> start();
     void scheduleFeedUpdate();
-    void beginShutdown();
+    void beginShutdown(kernel::instant since);
     [[nodiscard]] bool drained() const;
     void closeToCallers();
     [[nodiscard]] std::size_t connections() const;
@@ -473,9 +473,9 @@
                                   {"attempts", callerRequest.relay->attempts}});
 }
 
-void caller_server::implementation::beginShutdown()
+void caller_server::implementation::beginShutdown(kernel::instant since)
 {
-    if (!m_services.drain.begin(m_dependencies.clock.now()))
+    if (!m_services.drain.begin(since))
         return;
     for (const auto &server : m_servers)
         server->closeAfterAnswers();
@@ -580,9 +580,9 @@
     m_implementation->scheduleFeedUpdate();
 }
 
-void caller_server::beginShutdown()
+void caller_server::beginShutdown(kernel::instant since)
 {
-    m_implementation->beginShutdown();
+    m_implementation->beginShutdown(since);
 }
 
 bool caller_server::drained() const
--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -68,7 +68,8 @@
     /// \brief Removes this entry from the addresses that are sent to callers. It keeps serving
     /// while callers may use an older list, and then until its requests are answered. Returns at
     /// once.
-    void beginShutdown();
+    /// \param since when the node was told to shut down
+    void beginShutdown(kernel::instant since);
 
     /// \returns true after beginShutdown(), once older address lists have expired and no answer is
     /// owed, or when the time to end has come.
--- a/src/yuccascale/http/entry_drain.hpp
+++ b/src/yuccascale/http/entry_drain.hpp
@@ -22,10 +22,10 @@
     { }
 
     /// \returns false when it had begun already.
-    bool begin(kernel::instant now) noexcept
+    bool begin(kernel::instant when) noexcept
     {
         std::int64_t notLeaving = 0;
-        const std::int64_t since = std::max<std::int64_t>(now.time_since_epoch().count(), 1);
+        const std::int64_t since = std::max<std::int64_t>(when.time_since_epoch().count(), 1);
         return m_since.compare_exchange_strong(notLeaving, since);
     }
 
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -24,6 +24,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -106,6 +107,7 @@
     [[nodiscard]] std::string metricsText();
     [[nodiscard]] result<void> startAll();
     [[nodiscard]] bool drained(const requests::drain_plan &plan) const;
+    void beginShutdown();
     void closeToCallers(const requests::drain_plan &plan);
     [[nodiscard]] bool hasConnections() const;
     void stopAll(const requests::drain_plan &plan);
@@ -136,7 +138,7 @@
 
     std::mutex mutex;
     std::condition_variable changed;
-    bool leaving = false;
+    std::optional<instant> leavingSince; ///< when this node was told to shut down
 };
 
 result<void> node::parts::build()
@@ -178,11 +180,7 @@
     operators = std::make_unique<http::operator_interface>(http::operator_services{
             clock, events, *client, operatorKey, [this] { return nodeStatus(snapshot()); },
             [this](std::string_view id) { return explainId(events, control.get(), id); },
-            [this] {
-                const std::lock_guard lock(mutex);
-                leaving = true;
-                changed.notify_all();
-            }});
+            [this] { beginShutdown(); }});
 }
 
 result<void> node::parts::buildDocument()
@@ -437,6 +435,15 @@
     return open || (callers && callers->connections() > 0);
 }
 
+/// The time limit counts from the first call.
+void node::parts::beginShutdown()
+{
+    const instant now = clock.now();
+    const std::lock_guard lock(mutex);
+    leavingSince = leavingSince.value_or(now);
+    changed.notify_all();
+}
+
 /// Ends what callers and operators see first, while all that it needs still runs.
 void node::parts::closeToCallers(const requests::drain_plan &plan)
 {
@@ -502,20 +509,19 @@
 
 void node::beginShutdown()
 {
-    const std::lock_guard lock(m_parts->mutex);
-    m_parts->leaving = true;
-    m_parts->changed.notify_all();
+    m_parts->beginShutdown();
 }
 
 void node::waitUntilDrained()
 {
     std::unique_lock lock(m_parts->mutex);
-    m_parts->changed.wait(lock, [&] { return m_parts->leaving; });
+    m_parts->changed.wait(lock, [&] { return m_parts->leavingSince.has_value(); });
+    const instant since = *m_parts->leavingSince;
     m_parts->events.record(nodeLeaving, {});
     m_parts->feed->setLeaving();
-    const requests::drain_plan plan(m_parts->clock.now(), m_parts->settings.promises.shutdown);
+    const requests::drain_plan plan(since, m_parts->settings.promises.shutdown);
     if (m_parts->callers)
-        m_parts->callers->beginShutdown();
+        m_parts->callers->beginShutdown(since);
     if (m_parts->document)
         m_parts->document->answerBefore(plan.end());
     for (const auto &server : m_parts->servers)
--- a/tests/unit/http_caller_server_test.cpp
+++ b/tests/unit/http_caller_server_test.cpp
@@ -311,7 +311,7 @@
     });
     start({&engine});
     EXPECT_EQ(json::parse(m_caller->Get("/v1/addresses")->body)["addresses"].size(), 2U);
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     EXPECT_EQ(json::parse(m_caller->Get("/v1/addresses")->body)["addresses"].size(), 1U);
     EXPECT_EQ(m_caller->Get("/ready")->status, 503);
     EXPECT_EQ(ask(false)->status, 200);
--- a/tests/unit/http_shutdown_test.cpp
+++ b/tests/unit/http_shutdown_test.cpp
@@ -2,6 +2,7 @@
 #include "fakes/manual_clock.hpp"
 #include "fakes/null_event_sink.hpp"
 #include "fakes/raw_peer.hpp"
+#include "yuccascale/http/caller_pools.hpp"
 #include "yuccascale/http/caller_server.hpp"
 #include "yuccascale/kernel/json.hpp"
 #include "yuccascale/kernel/requests/key_check.hpp"
@@ -161,6 +162,7 @@
         pool.endpoints.back().name = "e0";
         pool.endpoints.back().zone = "ahmedabad";
         pool.endpoints.back().address = engine.address();
+        pool.endpoints.back().slots = m_slots;
         kernel::state::route appraisal{"appraisal", "engines"};
         appraisal.deadlineMs = longDeadline.count();
         kernel::state::route query{"query", "engines"};
@@ -237,6 +239,7 @@
 
     fakes::manual_clock m_clock;
     bool m_othersExist = true;
+    int m_slots = kernel::state::endpoint().slots; ///< of the engine
     runtime::settings m_settings;
     null_event_sink m_events;
     fakes::control_log m_control;
@@ -262,7 +265,7 @@
     held_engine engine;
     engine.releaseAll();
     start(engine);
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     for (int second = 0; second < 8; ++second) {
         const std::string answer = ask("appraisal");
         EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << second << " s: " << answer;
@@ -285,7 +288,7 @@
         earlier.send(requestText("appraisal"));
         ASSERT_NE(earlier.readUntil("completion_tokens", 5'000), "");
     }
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     EXPECT_TRUE(ask("appraisal").starts_with("HTTP/1.1 200")) << "an early request is served";
     m_clock.advance(m_settings.http.addressTtl);
     for (int second = 3; second < 8; ++second) {
@@ -310,7 +313,7 @@
         earlier.send(requestText("filing"));
         ASSERT_NE(earlier.readUntil("completion_tokens", 5'000), "");
     }
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     const std::string answer = ask("filing");
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
     EXPECT_NE(answer.find("\"may_have_run\":false"), std::string::npos) << answer;
@@ -330,13 +333,35 @@
     caller.send(requestText("a route of a later edit"));
     while (!m_asked)
         std::this_thread::yield();
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     m_server->closeToCallers();
     const std::string answer = caller.readUntil("may_have_run", 2'000);
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
     EXPECT_NE(answer.find("\"may_have_run\":false"), std::string::npos) << answer;
 }
 
+/// Guards against a request that waited when the signal came and is sent after it.
+TEST_F(leaving_entry, refusesAtOnceWhatWaitsInTheQueueAndMayOutlastTheProcess)
+{
+    m_slots = 1;
+    held_engine engine;
+    start(engine);
+    const fakes::raw_peer running = fakes::raw_peer::connect(m_server->port());
+    running.send(requestText("query"));
+    engine.waitForArrivals(1);
+    const fakes::raw_peer waiting = fakes::raw_peer::connect(m_server->port());
+    waiting.send(requestText("filing"));
+    while (m_server->pools().waiting() == 0)
+        std::this_thread::yield();
+    m_server->beginShutdown(m_clock.now());
+    const std::string refused = waiting.readUntil("may_have_run", 5'000);
+    EXPECT_TRUE(refused.starts_with("HTTP/1.1 503")) << refused;
+    EXPECT_NE(refused.find("\"may_have_run\":false"), std::string::npos) << refused;
+    engine.releaseAll();
+    EXPECT_TRUE(running.readUntil("completion_tokens", 5'000).starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(engine.arrivals(), 1);
+}
+
 /// Guards against requests that are judged by when they began to arrive.
 TEST_F(leaving_entry, refusesARequestThatBeganToArriveBeforeAndIsWholeTooLate)
 {
@@ -346,7 +371,7 @@
     const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
     const std::string text = requestText("query");
     caller.send(text.substr(0, text.size() / 2));
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     m_clock.advance(milliseconds(7'000));
     caller.send(text.substr(text.size() / 2));
     const std::string answer = caller.readUntil("", 5'000);
@@ -354,6 +379,22 @@
     EXPECT_EQ(engine.arrivals(), 0);
 }
 
+/// Guards against a plan that ends after the process, because the signal was handled late.
+TEST_F(leaving_entry, countsItsTimeFromWhenItWasToldToShutDown)
+{
+    constexpr milliseconds handledAfter{1'500};
+    held_engine engine;
+    engine.releaseAll();
+    start(engine);
+    const kernel::instant since = m_clock.now();
+    m_clock.advance(handledAfter);
+    m_server->beginShutdown(since);
+    m_clock.advance(milliseconds(4'500));
+    EXPECT_TRUE(ask("query").starts_with("HTTP/1.1 503"));
+    m_clock.advance(milliseconds(1'500));
+    EXPECT_TRUE(m_server->drained());
+}
+
 /// Guards against requests that are taken between the last answer and the end of the process.
 TEST_F(leaving_entry, refusesEveryRequestOnceItCloses)
 {
@@ -363,7 +404,7 @@
     const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
     const std::string text = requestText("query");
     caller.send(text.substr(0, text.size() / 2));
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     ASSERT_TRUE(ask("query").starts_with("HTTP/1.1 200"));
     m_server->closeToCallers();
     caller.send(text.substr(text.size() / 2));
@@ -378,7 +419,7 @@
     held_engine engine;
     engine.releaseAll();
     start(engine);
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     for (int second = 0; second < 5; ++second) {
         EXPECT_TRUE(ask("query").starts_with("HTTP/1.1 200")) << second << " s";
         m_clock.advance(kernel::seconds(1));
@@ -394,7 +435,7 @@
     caller.send(requestText("appraisal"));
     engine.waitForArrivals(1);
     m_clock.advance(milliseconds(100));
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     m_clock.advance(shutdownLimit - milliseconds(1));
     const std::string answer = caller.readUntil("may_have_run", 9'000);
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 504")) << answer;
@@ -409,7 +450,7 @@
     const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
     caller.send(requestText("query") + requestText("query"));
     engine.waitForArrivals(1);
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     engine.releaseAll();
     const std::string received = caller.readUntil("", 5'000);
     EXPECT_EQ(answersIn(received), 2U) << received;
@@ -429,7 +470,7 @@
     engine.waitForArrivals(2);
     while (m_server->metricsText().find("yuccascale_requests_running 0") == std::string::npos)
         std::this_thread::yield();
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     m_clock.advance(milliseconds(6'600));
     EXPECT_FALSE(m_server->drained());
     std::string received;
@@ -449,7 +490,7 @@
     engine.releaseAll();
     start(engine);
     m_othersExist = false;
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     EXPECT_EQ(m_server->addresses().size(), 1U);
 }
 
@@ -473,7 +514,7 @@
     const fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
     caller.send(requestText("appraisal"));
     engine.waitForArrivals(1);
-    m_server->beginShutdown();
+    m_server->beginShutdown(m_clock.now());
     m_clock.advance(milliseconds(7'000));
     while (failedLate < 2)
         std::this_thread::yield();
