--- a/tests/processes/stop_judge.cpp
+++ b/tests/processes/stop_judge.cpp
@@ -100,13 +100,17 @@
         });
     }
 
-    /// Whether a request, sent early in the grace period, was still being run near its end.
+    /// Whether a request, sent early in the grace period, was still being run near its end. A
+    /// ticket may run once and must not be begun in a grace period that it outlasts.
     [[nodiscard]] bool outlastsGrace(const request_record &record, const endpoint_run &run,
                                      const node_stop &stop) const
     {
         const std::int64_t grace = m_promises.gracePeriod.count();
         const std::int64_t graceEnd = stop.signalledMs + grace;
-        const bool sentEarly = record.sentMs <= stop.signalledMs + grace * 3 / 8;
+        const bool isTicket = record.kind == request_kind::Ticket;
+        const std::int64_t sentUntil
+                = stop.signalledMs + (isTicket ? crossingTime.count() : grace * 3 / 8);
+        const bool sentEarly = record.sentMs <= sentUntil;
         const bool endedAround = record.answeredMs >= stop.signalledMs
                 && record.answeredMs <= graceEnd + afterGrace.count();
         const bool atWork
--- a/tests/processes/stop_judge_test.cpp
+++ b/tests/processes/stop_judge_test.cpp
@@ -71,6 +71,15 @@
     EXPECT_EQ(found.excused, 1);
 }
 
+TEST(stop_judge, aTicketThatWasBegunAfterTheSignalAndCutIsGivenUp)
+{
+    request_record record = sentAfterSignal(300, 8'000);
+    record.kind = request_kind::Ticket;
+    EXPECT_EQ(judgeOne(record, runningFrom(400, 8'000)).givenUp.size(), 1U);
+    record.sentMs = signalledMs - 100;
+    EXPECT_TRUE(judgeOne(record, runningFrom(0, 8'000)).givenUp.empty());
+}
+
 TEST(stop_judge, aRequestWhoseDeadlinePassedIsNotGivenUp)
 {
     const request_record record = sentAfterSignal(-4'000, 6'000);
