Soak: three zones, control nodes cut from each other, a judge of versions by effect

Faults: links cut one way and both, held (as TCP retransmits), lossy or reset, a node or a whole zone cut off, leaders frozen, cut and killed, three elections in a row.

version_judge computes for each request which versions may have decided it; core_contact tells by the users' rule whether the bound holds. What the faults excuse is counted apart.

YUCCASCALE_PROGRAM names a program of another build.

--- a/tests/processes/cluster.cpp
+++ b/tests/processes/cluster.cpp
@@ -1,6 +1,7 @@
 #include "processes/cluster.hpp"
 
 #include "fakes/free_port.hpp"
+#include "processes/program.hpp"
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
@@ -264,7 +265,7 @@
 {
     const std::string &name = m_nodes.at(node).name;
     m_nodes[node].process = std::make_unique<child_process>(
-            std::vector<std::string>{binaryFolder + "/yuccascale", "node",
+            std::vector<std::string>{programUnderTest(), "node",
                                      "--settings=" + (m_folder / (name + ".yaml")).string()},
             m_folder / (name + ".out"));
 }
@@ -330,7 +331,7 @@
         if (nodes.empty() || std::ranges::find(nodes, index) != nodes.end())
             addresses += (addresses.empty() ? "" : ",") + m_nodes[index].callerAddress;
     }
-    words.insert(words.begin(), binaryFolder + "/yuccascale");
+    words.insert(words.begin(), programUnderTest());
     words.push_back("--address=" + addresses);
     words.push_back("--operator-key-file=" + (m_folder / "secret").string());
     words.emplace_back("--output=json");
--- a/tests/processes/edit_judge.cpp
+++ b/tests/processes/edit_judge.cpp
@@ -9,11 +9,6 @@
 constexpr int unauthorized = 401;
 constexpr int unavailable = 503;
 
-std::string inMs(std::chrono::steady_clock::duration time)
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count()) + " ms";
-}
-
 } // namespace
 
 void edit_judge::disturbed(test_time at)
--- a/tests/processes/edit_judge.hpp
+++ b/tests/processes/edit_judge.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "yuccascale/kernel/clock.hpp"
+#include "processes/test_time.hpp"
 
 #include <map>
 #include <mutex>
@@ -13,9 +13,6 @@
 
 namespace yuccascale::processes {
 
-using kernel::milliseconds;
-using test_time = std::chrono::steady_clock::time_point;
-
 /// \brief The promises that are judged.
 struct edit_bounds
 {
--- /dev/null
+++ b/tests/processes/entry_callers.cpp
@@ -0,0 +1,108 @@
+#include "processes/entry_callers.hpp"
+
+namespace yuccascale::processes {
+
+namespace {
+
+constexpr unsigned callersOfEntry = 2;
+constexpr milliseconds requestInterval{25};
+constexpr milliseconds answerLimit{2'500};
+constexpr unsigned newConnectionEvery = 40;
+
+} // namespace
+
+entry_callers::entry_callers(const zone_cluster &system, const document_edits &edits, unsigned seed)
+    : m_system(system)
+    , m_edits(edits)
+{
+    for (std::size_t entry = 0; entry < system.entries(); ++entry) {
+        for (unsigned number = 0; number < callersOfEntry; ++number) {
+            const unsigned own = seed + static_cast<unsigned>(m_threads.size()) + 1;
+            const std::string name = "e" + std::to_string(entry) + "-" + std::to_string(number);
+            m_threads.emplace_back([this, entry, own, name] { run(entry, own, name); });
+        }
+    }
+}
+
+entry_callers::~entry_callers()
+{
+    stop();
+}
+
+void entry_callers::stop()
+{
+    m_stopped = true;
+    for (std::thread &thread : m_threads)
+        thread.join();
+    m_threads.clear();
+}
+
+void entry_callers::run(std::size_t entry, unsigned seed, const std::string &name)
+{
+    std::minstd_rand random(seed);
+    fakes::keep_alive_connection connection;
+    for (unsigned number = 0; !m_stopped; ++number) {
+        if (!connection.isOpen() || number % newConnectionEvery == 0
+            || connection.hasUnreadBytesOrEnd())
+            connection = fakes::keep_alive_connection::open(m_system.callerAddress(entry));
+        if (connection.isOpen()) {
+            const std::string id = name + "-" + std::to_string(number);
+            record(id, ask(connection, entry, m_edits.subject(random), id));
+        }
+        std::this_thread::sleep_for(requestInterval);
+    }
+}
+
+called_request entry_callers::ask(fakes::keep_alive_connection &connection, std::size_t entry,
+                                  const request_subject &subject, const std::string &id) const
+{
+    called_request request{entry, subject, test_clock::now(), {}, 0};
+    const bool sent = connection.send(
+            "GET /" + subject.route + "/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: " + id
+            + "\r\nX-Request-Deadline: 2000\r\nAuthorization: Bearer " + subject.key + "\r\n\r\n");
+    const fakes::connection_answer answer
+            = sent ? connection.read(answerLimit) : fakes::connection_answer();
+    request.answeredAt = test_clock::now();
+    request.status = answer.complete ? answer.status : 0;
+    if (!answer.complete || !answer.keepsOpen)
+        connection.close();
+    return request;
+}
+
+void entry_callers::record(const std::string &id, const called_request &request)
+{
+    const std::lock_guard lock(m_mutex);
+    m_requests.emplace(id, request);
+}
+
+std::vector<handled_request> entry_callers::handled(const std::vector<service_run> &runs) const
+{
+    std::vector<handled_request> out;
+    const auto add = [&](const std::string &id, const called_request &request, test_time seenAt,
+                         const std::string &handling) {
+        out.push_back({id, request.entry, 0, request.sentAt, seenAt, request.subject.route,
+                       request.subject.key, handling});
+    };
+    for (const service_run &one : runs) {
+        const auto request = m_requests.find(one.requestId);
+        if (request != m_requests.end())
+            add(one.requestId, request->second, one.at, one.service);
+    }
+    for (const auto &[id, request] : m_requests) {
+        const bool refused
+                = request.status == 401 || request.status == 403 || request.status == 404;
+        if (refused)
+            add(id, request, request.answeredAt, std::to_string(request.status));
+    }
+    return out;
+}
+
+std::map<int, int> entry_callers::statuses() const
+{
+    std::map<int, int> out;
+    for (const auto &[id, request] : m_requests)
+        ++out[request.status];
+    return out;
+}
+
+} // namespace yuccascale::processes
--- a/tests/processes/relay.cpp
+++ b/tests/processes/relay.cpp
@@ -12,6 +12,15 @@
 constexpr kernel::milliseconds acceptWait{50};
 constexpr kernel::milliseconds connectTimeout{1'000};
 constexpr kernel::milliseconds userTimeout{60'000};
+constexpr kernel::milliseconds heldPollInterval{2};
+constexpr kernel::milliseconds firstRetransmission{200}; ///< each further one takes twice as long
+
+/// Makes the close of \a socket a reset.
+void resetOnClose(const wire::socket &socket)
+{
+    const linger none{1, 0};
+    ::setsockopt(socket.descriptor(), SOL_SOCKET, SO_LINGER, &none, sizeof none);
+}
 
 } // namespace
 
@@ -39,6 +48,10 @@
         wire::socket acceptedSocket = m_listener.accept(acceptWait);
         if (!acceptedSocket.isOpen())
             continue;
+        if (m_refusing) {
+            resetOnClose(acceptedSocket);
+            continue;
+        }
         auto targetSocket = wire::socket::connect(m_target, connectTimeout, userTimeout);
         if (!targetSocket)
             continue;
@@ -46,10 +59,12 @@
         connection &made = m_connections.emplace_back();
         made.acceptedSocket = std::move(acceptedSocket);
         made.targetSocket = std::move(targetSocket.value());
-        made.toTargetThread = std::thread(
-                [this, &made] { forward(made.acceptedSocket, made.targetSocket, m_cut); });
-        made.toAcceptedThread = std::thread(
-                [this, &made] { forward(made.targetSocket, made.acceptedSocket, m_answersCut); });
+        made.toTargetThread = std::thread([this, &made] {
+            forward(made.acceptedSocket, made.targetSocket, {m_cut, m_toTargetHeld});
+        });
+        made.toAcceptedThread = std::thread([this, &made] {
+            forward(made.targetSocket, made.acceptedSocket, {m_answersCut, m_toClientHeld});
+        });
     }
 }
 
@@ -62,7 +77,18 @@
     }
 }
 
-void relay::forward(const wire::socket &from, const wire::socket &to, const std::atomic<bool> &cut)
+void relay::waitWhileHeld(const std::atomic<bool> &held) const
+{
+    kernel::milliseconds timeout = firstRetransmission;
+    while (held && !m_stopped) {
+        const auto next = std::chrono::steady_clock::now() + timeout;
+        while (!m_stopped && std::chrono::steady_clock::now() < next)
+            std::this_thread::sleep_for(heldPollInterval);
+        timeout *= 2;
+    }
+}
+
+void relay::forward(const wire::socket &from, const wire::socket &to, direction flags)
 {
     constexpr std::size_t bufferBytes = 65'536;
     std::array<char, bufferBytes> buffer{};
@@ -72,7 +98,9 @@
         if (size <= 0)
             break;
         std::this_thread::sleep_for(m_delay.load());
-        dropping = dropping || cut || m_cut; // after losing bytes, a connection forwards no more
+        waitWhileHeld(flags.held);
+        dropping = dropping || flags.cut
+                || m_cut; // after losing bytes, a connection forwards no more
         if (!dropping && !to.writeAll({buffer.data(), static_cast<std::size_t>(size)}))
             break;
     }
