Store: tries to open on a full disk leave nothing behind

While a disk is full, a replica opens its folder each 0.5 s.

Cause: a try created the next segment before it was known whether the hard state or the manifest fit, and each later try went on from that empty segment with another one. An unfinished copy stayed on the full disk until the next try. A segment got its name before its hard state was durable, while compaction's manifest already named it as the oldest. A rewrite of the newest segment needed up to 8 MB of room beside it.

Evidence: fakes::volatile_disk can be full (writes, writes and names, or syncs; with some room or none).

Change: a segment is written whole, with its hard state, and then gets its name; the manifest follows. One that holds no more than a hard state is written over by the next opening. What could not be written whole is removed at once. Segments are 1 MB.

refusesAMissingSegmentOrManifest writes once more between two openings, since an opening without a write no longer adds the segment that it removes; what it asks is the same.

--- a/src/yuccascale/store/disk.hpp
+++ b/src/yuccascale/store/disk.hpp
@@ -101,7 +101,8 @@
 /// \brief Appends \a bytes and waits until they are durable.
 [[nodiscard]] kernel::result<void> appendDurably(disk_file &file, std::string_view bytes);
 
-/// \brief Replaces a file atomically and durably: a new file is written, synced and renamed.
+/// \brief Replaces a file atomically and durably: a new file is written, synced and renamed. When
+/// that fails, what was written is removed, so that it takes no room on a full disk.
 [[nodiscard]] kernel::result<void> replaceFile(disk &on, const std::filesystem::path &path,
                                                std::string_view bytes);
 
--- a/src/yuccascale/store/replica_store.cpp
+++ b/src/yuccascale/store/replica_store.cpp
@@ -26,7 +26,8 @@
 constexpr std::string_view snapshotPrefix = "snapshot-";
 constexpr std::string_view manifestName = "manifest";
 constexpr std::string_view setAsidePrefix = "damaged-"; ///< before the names of a log set aside
-constexpr std::uint64_t maxSegmentBytes = 8U << 20U;
+/// A start needs as much room beside the newest segment: it writes that one anew.
+constexpr std::uint64_t maxSegmentBytes = 1U << 20U;
 constexpr std::uint64_t firstSegmentNumber = 1;
 constexpr unsigned sequenceBits = 32; ///< low bits of a sequence number the frames of a segment
 
@@ -144,6 +145,10 @@
     m_recovery.incarnation = incarnation;
     m_recovery.created = true;
     m_oldestSegment = firstSegmentNumber;
+    // the manifest comes first: a first segment without one is expected to be empty
+    BOOST_LEAF_AUTO(empty, m_disk.create(segmentPath(firstSegmentNumber)));
+    BOOST_LEAF_CHECK(empty->sync());
+    BOOST_LEAF_CHECK(writeManifest(firstSegmentNumber));
     return startSegment(firstSegmentNumber);
 }
 
@@ -168,7 +173,22 @@
     BOOST_LEAF_CHECK(reconcileLogWithSnapshot());
     m_recovery.incarnation = m_incarnation;
     m_recovery.state.hardState = m_hardState;
-    return startSegment(numbers.back() + 1);
+    return beginWriting(newest);
+}
+
+/// Begins a segment; the newest one is written over when it holds no more than a hard state, so
+/// that openings in a row add no files.
+result<void> replica_store::beginWriting(std::uint64_t namedSegment)
+{
+    std::uint64_t number = m_segments.back().number;
+    if (m_segments.back().holdsLog)
+        ++number;
+    else
+        m_segments.pop_back();
+    BOOST_LEAF_CHECK(startSegment(number));
+    if (number != namedSegment)
+        BOOST_LEAF_CHECK(writeManifest(number));
+    return {};
 }
 
 void replica_store::removeUnfinished(std::span<const std::string> names)
@@ -243,7 +263,7 @@
                        "damaged after byte " + std::to_string(scan.completeBytes)
                                + " while later data is intact");
     }
-    m_segments.push_back({number, 0});
+    m_segments.push_back({number});
     for (const std::string_view record : scan.records) {
         BOOST_LEAF_CHECK(replay(record, path));
     }
@@ -278,6 +298,7 @@
     if (table->reset()) {
         entries.clear();
         expected = table->reset_index() + 1;
+        m_segments.back().holdsLog = true;
     }
     for (log_entry &entry : wire::unpackEntries(table->entries())) {
         if (expected != 0 && entry.index > expected)
@@ -285,6 +306,7 @@
         while (!entries.empty() && entries.back().index >= entry.index)
             entries.pop_back();
         expected = entry.index + 1;
+        m_segments.back().holdsLog = true;
         m_segments.back().lastIndex = std::max(m_segments.back().lastIndex, entry.index);
         entries.push_back(std::move(entry));
     }
@@ -311,49 +333,61 @@
     return {};
 }
 
+/// Each segment begins with the hard state, so that older ones can be removed. It gets its name
+/// once that is durable.
 result<void> replica_store::startSegment(std::uint64_t number)
 {
+    const std::uint64_t sequence = number << sequenceBits;
+    const std::string frame = frameRecord(sequence, packBatch({m_hardState, std::nullopt, {}}));
+    BOOST_LEAF_CHECK(replaceFile(m_disk, segmentPath(number), frame));
     BOOST_LEAF_ASSIGN(m_currentSegment, m_disk.openForAppend(segmentPath(number)));
-    m_nextSequence = number << sequenceBits;
-    m_currentSegmentBytes = 0;
-    m_segments.push_back({number, 0});
-    BOOST_LEAF_CHECK(m_disk.syncFolder(m_folder));
-    BOOST_LEAF_CHECK(writeManifest(number));
-    // each segment begins with the hard state, so that older ones can be removed
-    return append(packBatch({m_hardState, std::nullopt, {}}));
+    m_nextSequence = sequence + 1;
+    m_currentSegmentBytes = frame.size();
+    m_segments.push_back({number});
+    return {};
 }
 
 result<void> replica_store::append(std::string_view record)
 {
-    if (m_failed) {
-        return fail(error_kind::Unavailable, m_folder.string(),
-                    "an earlier write failed; check the disk and restart the node");
-    }
     const std::string frame = frameRecord(m_nextSequence, record);
-    m_failed = true; // until this write succeeds: after a failure, the content of the disk is
-                     // unknown
     BOOST_LEAF_CHECK(appendDurably(*m_currentSegment, frame));
-    m_failed = false;
     ++m_nextSequence;
     m_currentSegmentBytes += frame.size();
     return {};
 }
 
-result<void> replica_store::write(const replica_write &batch)
+/// Until the work of this call succeeds, the content of the disk is unknown.
+template<typename Work>
+result<void> replica_store::unlessFailed(Work &&work)
 {
-    if (m_currentSegmentBytes > maxSegmentBytes) {
-        BOOST_LEAF_CHECK(startSegment(m_segments.back().number + 1));
-    }
-    BOOST_LEAF_CHECK(append(packBatch(batch)));
-    if (batch.hardState)
-        m_hardState = *batch.hardState;
-    if (!batch.entries.empty()) {
-        m_segments.back().lastIndex
-                = std::max(m_segments.back().lastIndex, batch.entries.back().index);
+    if (m_failed) {
+        return fail(error_kind::Unavailable, m_folder.string(),
+                    "an earlier write failed; check the disk and restart the node");
     }
+    m_failed = true;
+    BOOST_LEAF_CHECK(std::forward<Work>(work)());
+    m_failed = false;
     return {};
 }
 
+result<void> replica_store::write(const replica_write &batch)
+{
+    return unlessFailed([&]() -> result<void> {
+        if (m_currentSegmentBytes > maxSegmentBytes) {
+            BOOST_LEAF_CHECK(startSegment(m_segments.back().number + 1));
+            BOOST_LEAF_CHECK(writeManifest(m_segments.back().number));
+        }
+        BOOST_LEAF_CHECK(append(packBatch(batch)));
+        if (batch.hardState)
+            m_hardState = *batch.hardState;
+        if (!batch.entries.empty()) {
+            m_segments.back().lastIndex
+                    = std::max(m_segments.back().lastIndex, batch.entries.back().index);
+        }
+        return {};
+    });
+}
+
 result<void> replica_store::saveSnapshot(const snapshot_data &snapshot)
 {
     const fs::path path = m_folder / numberedName(snapshotPrefix, snapshot.index);
@@ -367,14 +401,22 @@
     return {};
 }
 
-/// The manifest names the oldest segment before earlier ones are removed.
 result<void> replica_store::compact(log_index keepFrom)
+{
+    return unlessFailed([&] { return removeSegmentsBefore(keepFrom); });
+}
+
+/// The manifest names the oldest segment before earlier ones are removed, and after the hard state
+/// is in the newest one.
+result<void> replica_store::removeSegmentsBefore(log_index keepFrom)
 {
     const auto kept = std::ranges::find_if(
             m_segments, [&](const segment &each) { return each.lastIndex >= keepFrom; });
     const std::uint64_t next = m_segments.back().number + 1;
-    m_oldestSegment = kept == m_segments.end() ? next : kept->number;
+    const std::uint64_t oldest = kept == m_segments.end() ? next : kept->number;
     BOOST_LEAF_CHECK(startSegment(next));
+    m_oldestSegment = oldest;
+    BOOST_LEAF_CHECK(writeManifest(next));
     while (m_segments.front().number < m_oldestSegment) {
         m_disk.remove(segmentPath(m_segments.front().number));
         m_segments.pop_front();
--- a/src/yuccascale/store/replica_store.hpp
+++ b/src/yuccascale/store/replica_store.hpp
@@ -74,6 +74,7 @@
     {
         std::uint64_t number = 0;
         kernel::consensus::log_index lastIndex = 0; ///< largest log index in the segment
+        bool holdsLog = false; ///< entries or a reset; false: no more than a hard state
     };
 
     replica_store(std::filesystem::path folder, disk &on)
@@ -94,8 +95,12 @@
     [[nodiscard]] kernel::result<void> replay(std::string_view record,
                                               const std::filesystem::path &path);
     [[nodiscard]] kernel::result<void> reconcileLogWithSnapshot();
+    [[nodiscard]] kernel::result<void> beginWriting(std::uint64_t namedSegment);
     [[nodiscard]] kernel::result<void> startSegment(std::uint64_t number);
     [[nodiscard]] kernel::result<void> append(std::string_view record);
+    template<typename Work>
+    [[nodiscard]] kernel::result<void> unlessFailed(Work &&work);
+    [[nodiscard]] kernel::result<void> removeSegmentsBefore(kernel::consensus::log_index keepFrom);
     [[nodiscard]] std::filesystem::path segmentPath(std::uint64_t number) const;
 
     disk &m_disk;
--- a/tests/fakes/volatile_disk.cpp
+++ b/tests/fakes/volatile_disk.cpp
@@ -20,8 +20,7 @@
 
     [[nodiscard]] result<void> append(std::string_view bytes) override
     {
-        m_disk.append(*m_file, bytes);
-        return {};
+        return m_disk.append(*m_file, bytes);
     }
 
     [[nodiscard]] result<void> sync() override { return m_disk.sync(m_file); }
@@ -33,6 +32,11 @@
 
 namespace {
 
+boost::leaf::error_id noSpace(const std::string &where)
+{
+    return fail(error_kind::Unavailable, where, "no space left");
+}
+
 class volatile_lock final : public store::folder_lock
 {
 public:
@@ -74,13 +78,42 @@
     return true;
 }
 
-void volatile_disk::append(contents &file, std::string_view bytes)
+bool volatile_disk::countTowardsFull() noexcept
+{
+    if (m_callsUntilFull != never && m_callsUntilFull > 0)
+        --m_callsUntilFull;
+    return full();
+}
+
+bool volatile_disk::refusesNames() noexcept
+{
+    return countTowardsFull() && m_full == full_disk::WritesAndNames;
+}
+
+/// The file of that name is about to lose it.
+void volatile_disk::giveBack(const std::string &name)
+{
+    const auto found = m_names.find(name);
+    if (found != m_names.end())
+        m_room += found->second->visible.size();
+}
+
+result<void> volatile_disk::append(contents &file, std::string_view bytes)
 {
     const bool dying = dies();
-    file.visible += bytes;
-    file.unsynced.emplace_back(bytes);
+    const bool limited = countTowardsFull() && m_full != full_disk::Syncs;
+    const std::string_view fitting = limited ? bytes.substr(0, m_room) : bytes;
+    if (limited)
+        m_room -= fitting.size();
+    if (!fitting.empty()) {
+        file.visible += fitting;
+        file.unsynced.emplace_back(fitting);
+    }
     if (dying)
         throw process_killed();
+    if (fitting.size() < bytes.size())
+        return noSpace("append");
+    return {};
 }
 
 result<void> volatile_disk::sync(const contents_pointer &file)
@@ -91,6 +124,12 @@
         file->syncable = false;
         return fail(error_kind::Unavailable, "sync", "the disk failed");
     }
+    if (countTowardsFull() && m_full == full_disk::Syncs && !file->unsynced.empty()) {
+        file->syncable = false;
+        if (dying)
+            throw process_killed();
+        return noSpace("sync");
+    }
     if (file->syncable) {
         file->durable = file->visible;
         file->unsynced.clear();
@@ -192,6 +231,12 @@
 result<std::unique_ptr<store::disk_file>> volatile_disk::create(const fs::path &path)
 {
     const bool dying = dies();
+    if (refusesNames()) {
+        if (dying)
+            throw process_killed();
+        return noSpace(path.string());
+    }
+    giveBack(path.string());
     const auto file = std::make_shared<contents>();
     m_names[path.string()] = file;
     m_nameChanges.push_back({{}, path.string(), file});
@@ -206,6 +251,12 @@
     if (found == m_names.end())
         return fail(error_kind::Unavailable, from.string(), "no such file");
     const bool dying = dies();
+    if (refusesNames()) {
+        if (dying)
+            throw process_killed();
+        return noSpace(to.string());
+    }
+    giveBack(to.string());
     const contents_pointer file = found->second;
     m_names.erase(found);
     m_names[to.string()] = file;
@@ -221,6 +272,8 @@
     if (found == m_names.end())
         return;
     const bool dying = dies();
+    countTowardsFull();
+    giveBack(path.string());
     m_nameChanges.push_back({path.string(), {}, found->second});
     m_names.erase(found);
     if (dying)
--- a/tests/fakes/volatile_disk.hpp
+++ b/tests/fakes/volatile_disk.hpp
@@ -20,6 +20,13 @@
     [[nodiscard]] const char *what() const noexcept override { return "process killed"; }
 };
 
+/// \brief What a full disk refuses.
+enum class full_disk {
+    Writes,         ///< appended bytes that do not fit; a part of them may be written
+    WritesAndNames, ///< and new files and renames
+    Syncs           ///< accepts bytes and refuses them at the sync, as with delayed allocation
+};
+
 /// \brief Keeps files as a disk behind a cache does: a killed process loses nothing, a loss of
 /// power what was not synced.
 ///
@@ -52,6 +59,24 @@
     /// the power even if a later sync succeeds.
     void failSyncs(int syncs) noexcept { m_failingSyncs = syncs; }
 
+    /// \brief The disk is full after \a calls more that change something, until makeRoom().
+    /// \param room bytes that still fit; removed files give theirs back
+    void fillAfter(std::uint64_t calls, full_disk kind, std::uint64_t room = 0) noexcept
+    {
+        m_callsUntilFull = calls;
+        m_full = kind;
+        m_room = room;
+    }
+
+    /// \brief Ends fillAfter().
+    void makeRoom() noexcept { m_callsUntilFull = never; }
+
+    /// \returns whether the disk is full since the last makeRoom().
+    [[nodiscard]] bool full() const noexcept { return m_callsUntilFull == 0; }
+
+    /// \returns the number of files in all folders.
+    [[nodiscard]] std::size_t fileCount() const noexcept { return m_names.size(); }
+
     /// \brief Forgets what was not durable. All files must be closed.
     void losePower();
 
@@ -100,7 +125,13 @@
     /// Throws process_killed once the calls of killAfter() are used up.
     /// \returns true when the process dies after the work of this call.
     [[nodiscard]] bool dies();
-    void append(contents &file, std::string_view bytes);
+
+    /// Counts a call that changes something towards fillAfter().
+    /// \returns whether the disk is full.
+    bool countTowardsFull() noexcept;
+    [[nodiscard]] bool refusesNames() noexcept;
+    void giveBack(const std::string &name);
+    [[nodiscard]] kernel::result<void> append(contents &file, std::string_view bytes);
     [[nodiscard]] kernel::result<void> sync(const contents_pointer &file);
     void loseUnsynced(contents &file, bool everything);
 
@@ -108,6 +139,9 @@
     std::uint64_t m_callsLeft = never;
     bool m_killed = false;
     int m_failingSyncs = 0;
+    std::uint64_t m_callsUntilFull = never;
+    full_disk m_full = full_disk::Writes;
+    std::uint64_t m_room = 0; ///< bytes that fit on the full disk
     std::map<std::string, contents_pointer> m_names;
     std::map<std::string, contents_pointer> m_durableNames;
     std::vector<name_change> m_nameChanges;
--- a/tests/unit/store_power_loss_test.cpp
+++ b/tests/unit/store_power_loss_test.cpp
@@ -3,31 +3,46 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <cstdlib>
 #include <map>
 #include <random>
 
 /// \file
-/// \brief Schedules of kills, restarts and losses of power at a store on a disk that forgets.
+/// \brief Schedules of kills, restarts, losses of power and full disks at a store on a disk that
+/// forgets.
 
 namespace yuccascale::store {
 
 namespace {
 
 using namespace kernel::consensus;
+using fakes::full_disk;
 using fakes::process_killed;
 using fakes::volatile_disk;
 
 constexpr unsigned schedules = 3'000;
+constexpr unsigned schedulesOfFullDisks = 1'000; ///< each takes longer
 constexpr int stepsPerSchedule = 40;
+constexpr unsigned mostTries = 120; ///< of opening a store while the disk is full
+constexpr std::size_t mostFilesBesideWrites = 8;
 const std::filesystem::path folder = "data";
 
+[[nodiscard]] unsigned numberFromEnvironment(const char *name, unsigned fallback)
+{
+    const char *text = std::getenv(name);
+    return text ? static_cast<unsigned>(std::strtoul(text, nullptr, 10)) : fallback;
+}
+
 /// A replica's store that is written, killed and restarted at random, and what it has promised.
 class promising_store
 {
 public:
-    explicit promising_store(unsigned seed)
+    /// \param becomesFull whether the disk is full at times
+    promising_store(unsigned seed, bool becomesFull)
         : m_random(seed)
         , m_disk(seed)
+        , m_becomesFull(becomesFull)
     { }
 
     /// \returns the first broken promise; empty if all were kept.
@@ -46,6 +61,8 @@
     {
         if (draw(3) == 0)
             m_disk.killAfter(draw(12));
+        if (m_becomesFull && draw(3) == 0)
+            fillDisk();
         try {
             const unsigned kind = draw(8);
             if (kind == 0)
@@ -60,6 +77,12 @@
         }
     }
 
+    void fillDisk()
+    {
+        constexpr std::array kinds{full_disk::Writes, full_disk::WritesAndNames, full_disk::Syncs};
+        m_disk.fillAfter(draw(20), kinds[draw(kinds.size())], draw(2) == 0 ? 0 : draw(400));
+    }
+
     void crash(bool powerLost)
     {
         m_disk.letLive();
@@ -69,16 +92,21 @@
         restart();
     }
 
-    /// The process may be killed while it starts, too.
+    /// The process may be killed while it starts, too. While the disk is full, it tries again and
+    /// again.
     void restart()
     {
-        while (m_violation.empty()) {
+        for (unsigned tries = 0; m_violation.empty(); ++tries) {
             if (draw(3) == 0)
                 m_disk.killAfter(draw(10));
+            if (tries == mostTries || draw(8) == 0)
+                m_disk.makeRoom();
             try {
-                open();
+                const bool opened = open();
                 m_disk.letLive();
-                return;
+                checkFiles();
+                if (opened)
+                    return;
             } catch (const process_killed &) {
                 m_disk.letLive();
                 m_store.reset();
@@ -88,8 +116,10 @@
         }
     }
 
-    void open()
+    /// \returns false when the disk is full.
+    [[nodiscard]] bool open()
     {
+        m_store.reset();
         kernel::error problem;
         const bool opened = kernel::succeeded(
                 [&]() -> kernel::result<void> {
@@ -99,11 +129,24 @@
                 problem);
         if (m_disk.killed())
             throw process_killed();
-        if (!opened) {
+        if (opened)
+            adopt(m_store->takeRecovery().state);
+        else if (!isFull(problem))
             m_violation = "does not start: " + problem.where + ": " + problem.message;
-            return;
-        }
-        adopt(m_store->takeRecovery().state);
+        return opened;
+    }
+
+    [[nodiscard]] bool isFull(const kernel::error &problem) const
+    {
+        return m_disk.full() && problem.kind == kernel::error_kind::Unavailable;
+    }
+
+    /// Tries to open leave nothing behind that adds up.
+    void checkFiles()
+    {
+        const std::size_t files = m_disk.fileCount();
+        if (files > m_writes + mostFilesBesideWrites)
+            m_violation = "too many files: " + std::to_string(files);
     }
 
     /// Compares what was found with what was promised; from now on, what was found is promised.
@@ -134,6 +177,7 @@
         for (unsigned each = 1; each <= count; ++each)
             entries.push_back({next.term, m_last + each, entry_kind::Command,
                                std::string(1 + draw(60), 'x')});
+        ++m_writes;
         if (!done([&] { return m_store->write({next, std::nullopt, entries}); }))
             return;
         m_hardState = next;
@@ -164,18 +208,22 @@
         const bool succeeded = kernel::succeeded(std::forward<Work>(work), problem);
         if (m_disk.killed())
             throw process_killed();
-        if (!succeeded)
+        if (!succeeded && isFull(problem))
+            restart();
+        else if (!succeeded)
             m_violation = problem.where + ": " + problem.message;
         return succeeded;
     }
 
     std::minstd_rand m_random;
     volatile_disk m_disk;
+    bool m_becomesFull;
     std::unique_ptr<replica_store> m_store;
     hard_state m_hardState;
     std::map<log_index, term_number> m_terms; ///< of the promised entries that the log holds
     log_index m_last = 0;
     log_index m_covered = 0; ///< by the snapshot
+    std::size_t m_writes = 0;
     std::string m_violation;
 };
 
@@ -297,18 +345,67 @@
     }
 }
 
-TEST(store_power_loss, noPromiseIsBrokenAndEveryReplicaStarts)
+/// Guards against tries to open that each leave a file while the disk stays full.
+TEST(store_power_loss, aMinuteOfTriesOnAFullDiskAddsNoFiles)
 {
+    for (const full_disk kind : {full_disk::Writes, full_disk::WritesAndNames, full_disk::Syncs}) {
+        for (unsigned calls = 0; calls < 30; ++calls) {
+            volatile_disk disk(calls);
+            std::unique_ptr<replica_store> store;
+            static_cast<void>(reopen(store, disk));
+            const std::vector<log_entry> entries{entry(1), entry(2)};
+            kernel::error problem;
+            ASSERT_TRUE(kernel::succeeded(
+                    [&] {
+                        return store->write({hard_state{1, {}}, std::nullopt, entries});
+                    },
+                    problem));
+            disk.fillAfter(calls, kind, 100);
+            static_cast<void>(kernel::succeeded([&] { return store->compact(1); }, problem));
+            std::size_t most = 0;
+            for (unsigned tries = 0; tries < mostTries; ++tries) {
+                store.reset();
+                static_cast<void>(kernel::succeeded(
+                        [&]() -> kernel::result<void> {
+                            BOOST_LEAF_ASSIGN(store, replica_store::open(folder, 77, disk));
+                            return {};
+                        },
+                        problem));
+                most = std::max(most, disk.fileCount());
+            }
+            EXPECT_LE(most, 5U) << "full after call " << calls;
+            store.reset();
+            disk.makeRoom();
+            EXPECT_EQ(reopen(store, disk).entries.size(), 2U);
+        }
+    }
+}
+
+/// Runs the schedules and reports the broken ones, by what broke.
+void expectAllKept(bool disksBecomeFull, unsigned usualCount)
+{
+    const unsigned count = numberFromEnvironment("YUCCASCALE_SCHEDULES", usualCount);
+    const unsigned first = numberFromEnvironment("YUCCASCALE_SEED", 0);
     std::map<std::string, unsigned> broken;
-    for (unsigned seed = 0; seed < schedules; ++seed) {
-        const std::string violation = promising_store(seed).run();
+    for (unsigned seed = first; seed < first + count; ++seed) {
+        const std::string violation = promising_store(seed, disksBecomeFull).run();
         if (!violation.empty() && broken.empty())
             ADD_FAILURE() << "seed " << seed << ": " << violation;
         if (!violation.empty())
             ++broken[violation.substr(0, violation.find_first_of("0123456789"))];
     }
-    for (const auto &[violation, count] : broken)
-        ADD_FAILURE() << count << " of " << schedules << " schedules: " << violation;
+    for (const auto &[violation, number] : broken)
+        ADD_FAILURE() << number << " of " << count << " schedules: " << violation;
+}
+
+TEST(store_power_loss, noPromiseIsBrokenAndEveryReplicaStarts)
+{
+    expectAllKept(false, schedules);
+}
+
+TEST(store_power_loss, noPromiseIsBrokenWhenTheDiskIsFullAtTimes)
+{
+    expectAllKept(true, schedulesOfFullDisks);
 }
 
 } // namespace yuccascale::store
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -159,6 +159,7 @@
     ASSERT_TRUE(open());
     write(hard_state{1, std::nullopt}, {entry(1, 1)});
     ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(2, 1)});
     ASSERT_TRUE(open());
     m_store.reset();
     for (const fs::path &path : {segment(2), segment(3), m_folder / "manifest"}) {
