--- a/src/yuccascale/store/replica_store.hpp
+++ b/src/yuccascale/store/replica_store.hpp
@@ -94,9 +94,13 @@
                                                    std::string_view complete, bool newest);
     [[nodiscard]] kernel::result<void> replay(std::string_view record,
                                               const std::filesystem::path &path);
-    [[nodiscard]] kernel::result<void> reconcileLogWithSnapshot();
-    [[nodiscard]] kernel::result<void> beginWriting(std::uint64_t namedSegment);
-    [[nodiscard]] kernel::result<void> startSegment(std::uint64_t number);
+    [[nodiscard]] kernel::result<std::optional<kernel::consensus::log_index>>
+    reconcileLogWithSnapshot();
+    [[nodiscard]] kernel::result<void>
+    beginWriting(std::uint64_t namedSegment, std::optional<kernel::consensus::log_index> resetTo);
+    [[nodiscard]] kernel::result<void>
+    startSegment(std::uint64_t number,
+                 std::optional<kernel::consensus::log_index> resetTo = std::nullopt);
     [[nodiscard]] kernel::result<void> append(std::string_view record);
     template<typename Work>
     [[nodiscard]] kernel::result<void> unlessFailed(Work &&work);
--- a/tests/unit/store_replica_test.cpp
+++ b/tests/unit/store_replica_test.cpp
@@ -258,6 +258,31 @@
     EXPECT_EQ(m_problem.kind, kernel::error_kind::Corrupt);
 }
 
+/// 5080f23 went on like this when it was stopped between a leader's snapshot and the reset.
+TEST_F(store_replica, readsALogOfAFormerBuildThatHasAGapBelowItsSnapshot)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(1, 1), entry(2, 1)});
+    save(9, 2);
+    write(hard_state{3, std::nullopt}, {entry(10, 3)});
+    ASSERT_TRUE(open()) << m_problem.message;
+    EXPECT_EQ(m_recovery.state.snapshot->index, 9U);
+    EXPECT_EQ(m_recovery.state.entries, std::vector{entry(10, 3)});
+    write(std::nullopt, {entry(11, 3)});
+    ASSERT_TRUE(open()) << m_problem.message;
+    EXPECT_EQ(m_recovery.state.entries, (std::vector{entry(10, 3), entry(11, 3)}));
+}
+
+TEST_F(store_replica, refusesAGapAboveItsSnapshot)
+{
+    ASSERT_TRUE(open());
+    write(hard_state{1, std::nullopt}, {entry(1, 1), entry(2, 1)});
+    save(9, 2);
+    write(hard_state{3, std::nullopt}, {entry(11, 3)});
+    EXPECT_FALSE(open());
+    EXPECT_EQ(m_problem.kind, kernel::error_kind::Corrupt);
+}
+
 TEST_F(store_replica, aLogThatDiffersFromTheSnapshotIsDropped)
 {
     ASSERT_TRUE(open());
