Consensus: a replica that is let in again is not removed for its former silence

It holds no copy meanwhile and cannot replace a voter.

Cause: the silence of a member was reckoned from its last acknowledgement ever, or from the election. The change that lets a replica in is committed by the others; when that came before its first answer, the next change removed it, and its answer then came from no member.

Before: "not every replica is back", nine rounds of member_replaced and member_removed in the trace. aRemovedReplicaThatAnswersLaterThanTheOthersStaysALearner fails before as well.

Change: silence counts from the moment that the member is tracked.

--- a/src/yuccascale/kernel/consensus/replica.hpp
+++ b/src/yuccascale/kernel/consensus/replica.hpp
@@ -154,6 +154,7 @@
         log_index matched = 0;
         log_index nextIndex = 1;
         instant lastSent{};
+        instant trackedSince{}; ///< it became a member then, or this replica leader
         snapshot_data snapshot; ///< being sent in state Snapshot
         std::uint64_t snapshotOffset = 0;
     };
@@ -232,7 +233,7 @@
     [[nodiscard]] bool isSilent(const member_id &member, instant now, nanoseconds threshold) const;
     [[nodiscard]] std::set<std::string> joinTargets() const;
     [[nodiscard]] bool caughtUp(const member_id &learner, instant now) const;
-    void refreshProgress();
+    void refreshProgress(instant now);
     void handle(const message &received, const join_request &request, instant now);
     void handle(const message &received, const join_reply &reply, instant now);
 
--- a/src/yuccascale/kernel/consensus/replica_election.cpp
+++ b/src/yuccascale/kernel/consensus/replica_election.cpp
@@ -114,7 +114,7 @@
     m_acknowledgements.clear();
     m_joiners.clear();
     m_progress.clear();
-    refreshProgress();
+    refreshProgress(now);
     m_events.record(leaderElected, {{"term", m_hardState.term}, {"last_index", m_log.lastIndex()}});
     m_termStart = appendAsLeader(entry_kind::Noop, {});
 }
--- a/src/yuccascale/kernel/consensus/replica_membership.cpp
+++ b/src/yuccascale/kernel/consensus/replica_membership.cpp
@@ -78,7 +78,7 @@
     m_electionAt = now;
 }
 
-void replica::refreshProgress()
+void replica::refreshProgress(instant now)
 {
     const membership &members = m_log.members();
     std::erase_if(m_progress, [&](const auto &row) { return !members.has(row.first); });
@@ -86,8 +86,10 @@
         if (member == m_config.self)
             continue;
         const auto [row, isNew] = m_progress.try_emplace(member);
-        if (isNew)
-            row->second.nextIndex = m_log.lastIndex() + 1;
+        if (!isNew)
+            continue;
+        row->second.nextIndex = m_log.lastIndex() + 1;
+        row->second.trackedSince = now;
     }
 }
 
@@ -101,7 +103,7 @@
     if (!next)
         return;
     (void)appendAsLeader(entry_kind::Membership, toCbor(*next));
-    refreshProgress();
+    refreshProgress(now);
 }
 
 std::optional<membership> replica::nextMembership(instant now)
@@ -120,11 +122,14 @@
     return m_config.voters == 0 ? m_config.initialMembers.size() : m_config.voters;
 }
 
+/// What a member did not answer before it was one does not count.
 bool replica::isSilent(const member_id &member, instant now, nanoseconds threshold) const
 {
-    if (member == m_config.self)
+    const auto progress = m_progress.find(member);
+    if (progress == m_progress.end())
         return false;
-    return std::max(m_acknowledgements.lastAckedSendTime(member), m_electedAt) + threshold < now;
+    const instant lastAcked = m_acknowledgements.lastAckedSendTime(member);
+    return std::max(lastAcked, progress->second.trackedSince) + threshold < now;
 }
 
 /// Promotes a learner when a voter is missing or does not answer; otherwise learners stay spares.
--- a/tests/fakes/replica_group.hpp
+++ b/tests/fakes/replica_group.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -101,6 +102,12 @@
         appendTrace(m_members[index].name, isolated ? "cut off" : "joined again");
     }
 
+    /// \brief Messages to and from this replica take \a delay longer.
+    void setDelay(std::size_t index, kernel::milliseconds delay)
+    {
+        m_delays[m_members[index].name] = delay;
+    }
+
     /// \brief Sets how long each sync takes; meanwhile the replica handles no message and no tick.
     void setSyncTime(kernel::milliseconds time) noexcept { m_syncTime = time; }
 
@@ -232,7 +239,27 @@
 
     void sendMessages(const std::vector<message> &messages)
     {
-        m_inFlight.insert(m_inFlight.end(), messages.begin(), messages.end());
+        for (const message &sent : messages) {
+            const kernel::milliseconds delay = delayOf(sent.from.name) + delayOf(sent.to.name);
+            if (delay.count() > 0)
+                m_delayed.emplace(m_now + delay, sent);
+            else
+                m_inFlight.push_back(sent);
+        }
+    }
+
+    [[nodiscard]] kernel::milliseconds delayOf(const std::string &name) const
+    {
+        const auto found = m_delays.find(name);
+        return found == m_delays.end() ? kernel::milliseconds{} : found->second;
+    }
+
+    void takeDelayed()
+    {
+        const auto end = m_delayed.upper_bound(m_now);
+        for (auto each = m_delayed.begin(); each != end; ++each)
+            m_inFlight.push_back(each->second);
+        m_delayed.erase(m_delayed.begin(), end);
     }
 
     static std::string describeEntry(const log_entry &entry)
@@ -259,6 +286,7 @@
 
     void deliverInFlight()
     {
+        takeDelayed();
         std::deque<message> arriving;
         std::swap(arriving, m_inFlight);
         for (const message &delivered : arriving) {
@@ -287,6 +315,8 @@
     std::vector<std::unique_ptr<tracing_events>> m_sinks;
     std::set<std::string> m_isolated;
     std::deque<message> m_inFlight;
+    std::map<std::string, kernel::milliseconds> m_delays;
+    std::multimap<kernel::instant, message> m_delayed; ///< by when they go on
     std::vector<confirmed_read> m_reads;
     kernel::instant m_now{};
     std::string m_trace;
--- a/tests/unit/consensus_membership_test.cpp
+++ b/tests/unit/consensus_membership_test.cpp
@@ -74,6 +74,27 @@
     EXPECT_EQ(group.at(cutOffReplica).role(), replica_role::Learner);
 }
 
+/// Guards against a replica that is removed for its former silence as soon as it is let in again.
+TEST(consensus_membership, aRemovedReplicaThatAnswersLaterThanTheOthersStaysALearner)
+{
+    replica_group group(4, 1, seeds);
+    const std::size_t spare = seeds;
+    const std::size_t leader = group.runUntilLeader();
+    group.run(milliseconds(3'000));
+    ASSERT_EQ(group.at(spare).role(), replica_role::Learner);
+    group.setDelay(spare, milliseconds(5));
+    group.setIsolated(spare, true);
+    group.run(milliseconds(6'000));
+    ASSERT_FALSE(group.at(leader).log().members().has(group.member(spare)));
+    group.setIsolated(spare, false);
+    group.run(milliseconds(3'000));
+    const std::size_t settled = group.trace().size();
+    group.run(milliseconds(6'000));
+    EXPECT_TRUE(group.at(leader).log().members().has(group.member(spare)));
+    EXPECT_EQ(group.trace().find("member_removed", settled), std::string::npos);
+    EXPECT_EQ(group.trace().find("member_replaced", settled), std::string::npos);
+}
+
 TEST(consensus_membership, emptyReplicasBootstrapOnlyOnTheFirstStart)
 {
     replica_group group(3, 3);
