Consensus: a replica that wants to join learns who leads

It holds no copy and cannot replace a voter; the next loss costs the quorum.

Cause: it asks its seeds and the members of its own log, here none. Only the leader notes a request; the others answered without a word on who leads.

Evidence: disk_group.theSameWithKillsLossesOfPowerAndLostDisks: n4, no seed, leads; n3, with a new disk, stays outside for the 15 s of the test. aReplicaWithoutALogIsLetInByALeaderThatIsNoSeed fails without the line that uses the name. The seed stays in the list.

Change: a reply to a join request names the last known leader, who is asked as well.

--- a/src/yuccascale/kernel/consensus/messages.hpp
+++ b/src/yuccascale/kernel/consensus/messages.hpp
@@ -81,6 +81,7 @@
 struct join_reply
 {
     bool empty = false; ///< the sender has no log
+    std::string leader; ///< the last one that the sender knows; may be empty
 };
 
 using message_body = std::variant<vote_request, vote_reply, append_request, append_reply,
--- a/src/yuccascale/kernel/consensus/replica.hpp
+++ b/src/yuccascale/kernel/consensus/replica.hpp
@@ -282,6 +282,7 @@
 
     // joining
     instant m_nextJoinRequestAt{};
+    std::string m_leaderToJoin; ///< named by a reply to a join request; may be empty
     std::map<std::string, empty_peer> m_emptyPeers;
 };
 
--- a/src/yuccascale/kernel/consensus/replica_membership.cpp
+++ b/src/yuccascale/kernel/consensus/replica_membership.cpp
@@ -13,12 +13,15 @@
 
 } // namespace
 
-/// \returns the names of the replicas that may be members of the cluster.
+/// \returns the names of the replicas that may be members of the cluster; the leader, which alone
+///          lets others in, may be one that only they know.
 std::set<std::string> replica::joinTargets() const
 {
     std::set<std::string> names(m_config.initialMembers.begin(), m_config.initialMembers.end());
     for (const member_id &member : m_log.members().all())
         names.insert(member.name);
+    names.insert(m_leaderToJoin);
+    names.erase(std::string());
     names.erase(m_config.self.name);
     return names;
 }
@@ -34,7 +37,7 @@
 
 void replica::handle(const message &received, const join_request &, instant)
 {
-    send(received.from, join_reply{m_log.empty() && !m_config.formerLog});
+    send(received.from, join_reply{m_log.empty() && !m_config.formerLog, m_leader});
     if (m_role == replica_role::Leader)
         m_joiners[received.from.name] = received.from.incarnation;
 }
@@ -45,6 +48,8 @@
         m_emptyPeers[received.from.name] = {received.from.incarnation, received.term, now};
     else
         m_emptyPeers.erase(received.from.name);
+    if (!reply.leader.empty())
+        m_leaderToJoin = reply.leader;
     bootstrapIfAllEmpty(now);
 }
 
--- a/src/yuccascale/wire/consensus_codec.cpp
+++ b/src/yuccascale/wire/consensus_codec.cpp
@@ -73,7 +73,8 @@
 
 body_offset pack(buffer_builder &builder, const join_reply &body)
 {
-    return fb::CreateJoinReply(builder, body.empty).Union();
+    const auto leader = builder.CreateString(body.leader);
+    return fb::CreateJoinReply(builder, body.empty, leader).Union();
 }
 
 /// The alternatives of message_body are in the order of fb::ConsensusBody, which starts with NONE.
@@ -122,6 +123,11 @@
                           fromNanoseconds(table.sent_at())};
 }
 
+message_body unpack(const fb::JoinReply &table)
+{
+    return join_reply{table.empty(), table.leader() ? table.leader()->str() : std::string()};
+}
+
 std::optional<message_body> unpackBody(const fb::ConsensusMessage &table)
 {
     switch (table.body_type()) {
@@ -140,7 +146,7 @@
     case fb::ConsensusBody::JoinRequest:
         return join_request{};
     case fb::ConsensusBody::JoinReply:
-        return join_reply{table.body_as_JoinReply()->empty()};
+        return unpack(*table.body_as_JoinReply());
     case fb::ConsensusBody::NONE:
         break;
     }
--- a/src/yuccascale/wire/consensus_generated.h
+++ b/src/yuccascale/wire/consensus_generated.h
@@ -919,14 +919,20 @@
 struct JoinReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef JoinReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_EMPTY = 4
+    VT_EMPTY = 4,
+    VT_LEADER = 6
   };
   bool empty() const {
     return GetField<uint8_t>(VT_EMPTY, 0) != 0;
   }
+  const flatbuffers::String *leader() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEADER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_EMPTY, 1) &&
+           VerifyOffset(verifier, VT_LEADER) &&
+           verifier.VerifyString(leader()) &&
            verifier.EndTable();
   }
 };
@@ -938,6 +944,9 @@
   void add_empty(bool empty) {
     fbb_.AddElement<uint8_t>(JoinReply::VT_EMPTY, static_cast<uint8_t>(empty), 0);
   }
+  void add_leader(flatbuffers::Offset<flatbuffers::String> leader) {
+    fbb_.AddOffset(JoinReply::VT_LEADER, leader);
+  }
   explicit JoinReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -951,12 +960,25 @@
 
 inline flatbuffers::Offset<JoinReply> CreateJoinReply(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bool empty = false) {
+    bool empty = false,
+    flatbuffers::Offset<flatbuffers::String> leader = 0) {
   JoinReplyBuilder builder_(_fbb);
+  builder_.add_leader(leader);
   builder_.add_empty(empty);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<JoinReply> CreateJoinReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool empty = false,
+    const char *leader = nullptr) {
+  auto leader__ = leader ? _fbb.CreateString(leader) : 0;
+  return yuccascale::wire::fb::CreateJoinReply(
+      _fbb,
+      empty,
+      leader__);
+}
+
 struct ConsensusMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ConsensusMessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/tests/unit/consensus_membership_test.cpp
+++ b/tests/unit/consensus_membership_test.cpp
@@ -95,6 +95,31 @@
     EXPECT_EQ(group.trace().find("member_replaced", settled), std::string::npos);
 }
 
+/// Guards against a replica that asks only the seeds to let it in, while another replica leads.
+TEST(consensus_membership, aReplicaWithoutALogIsLetInByALeaderThatIsNoSeed)
+{
+    constexpr std::size_t mostElections = 40;
+    replica_group group(5, 1, seeds);
+    std::size_t leader = group.runUntilLeader();
+    group.run(milliseconds(3'000));
+    for (std::size_t tries = 0; leader < seeds && tries < mostElections; ++tries) {
+        const std::size_t former = leader;
+        group.pause(former, true);
+        leader = group.runUntilLeader(former);
+        group.run(milliseconds(6'000));
+        group.pause(former, false);
+        group.run(milliseconds(3'000));
+        leader = group.runUntilLeader();
+    }
+    ASSERT_GE(leader, seeds);
+    const std::size_t lost = leader == seeds ? seeds + 1 : seeds;
+    group.loseDisk(lost);
+    group.run(milliseconds(1'000));
+    group.start(lost);
+    group.run(milliseconds(3'000));
+    EXPECT_TRUE(group.at(leader).log().members().has(group.member(lost)));
+}
+
 TEST(consensus_membership, emptyReplicasBootstrapOnlyOnTheFirstStart)
 {
     replica_group group(3, 3);
--- a/tests/unit/consensus_replica_test.cpp
+++ b/tests/unit/consensus_replica_test.cpp
@@ -196,12 +196,12 @@
 {
     startWith({}, 0);
     advanceTime(1ms);
-    receive({"b", 2}, 0, join_reply{true});
-    receive({"c", 3}, 4, join_reply{false});
+    receive({"b", 2}, 0, join_reply{true, {}});
+    receive({"c", 3}, 4, join_reply{false, {}});
     advanceTime(300ms);
     EXPECT_TRUE(m_replica->log().empty());
-    receive({"b", 2}, 0, join_reply{true});
-    receive({"c", 3}, 4, join_reply{true});
+    receive({"b", 2}, 0, join_reply{true, {}});
+    receive({"c", 3}, 4, join_reply{true, {}});
     EXPECT_FALSE(m_replica->log().empty());
     EXPECT_GT(m_replica->term(), 4U);
 }
--- a/tests/unit/wire_former_messages_test.cpp
+++ b/tests/unit/wire_former_messages_test.cpp
@@ -1,5 +1,7 @@
+#include "fakes/former_consensus_generated.h"
 #include "fakes/former_feed_generated.h"
 #include "fakes/former_streams_generated.h"
+#include "yuccascale/wire/consensus_codec.hpp"
 #include "yuccascale/wire/feed_codec.hpp"
 #include "yuccascale/wire/stream_codec.hpp"
 
@@ -85,6 +87,34 @@
     EXPECT_EQ(formerReply->cluster_wall_ms(), 5);
 }
 
+/// 5080f23 names no leader to a replica that asks to join.
+TEST(former_messages, aJoinReplyOfAFormerBuildNamesNoLeader)
+{
+    namespace fb = former::consensus::fb;
+    flatbuffers::FlatBufferBuilder builder;
+    const auto from = fb::CreateMember(builder, builder.CreateString("a"), 1);
+    const auto to = fb::CreateMember(builder, builder.CreateString("b"), 2);
+    const auto body = fb::CreateJoinReply(builder, true).Union();
+    builder.Finish(
+            fb::CreateConsensusMessage(builder, from, to, 4, fb::ConsensusBody::JoinReply, body));
+    const auto read = decodeConsensus(bytesOf(builder)).value();
+    const auto &reply = std::get<kernel::consensus::join_reply>(read.body);
+    EXPECT_TRUE(reply.empty);
+    EXPECT_EQ(reply.leader, "");
+}
+
+TEST(former_messages, aFormerBuildReadsAJoinReplyOfThisOne)
+{
+    namespace fb = former::consensus::fb;
+    const std::string bytes
+            = encodeConsensus({{"a", 1}, {"b", 2}, 4, kernel::consensus::join_reply{true, "c"}});
+    const auto *message = readAsFormer<fb::ConsensusMessage>(bytes);
+    ASSERT_NE(message, nullptr);
+    EXPECT_TRUE(message->body_as_JoinReply()->empty());
+    const auto read = decodeConsensus(bytes).value();
+    EXPECT_EQ(std::get<kernel::consensus::join_reply>(read.body).leader, "c");
+}
+
 /// Guards against an entry of a former build that looks back for less time than it is asked to.
 TEST(former_messages, aFormerBuildReadsTheQuestionsAndRecordsOfThisOne)
 {
