Event log: a node goes on writing its log once the log's disk has room

What operators saw: after its disk was full for a moment, a node wrote no line any more, for good, while it worked.

Cause: a stream that failed once stays failed, and Boost.Log passes over streams that are not good. The process was also ended by a limit on the size of files (SIGXFSZ) in place of being told that the write failed.

Change: lines are written by line_stream, which leaves out what cannot be written, counts it (event 1030) and goes on. The program ignores SIGXFSZ.

--- a/src/yuccascale/cli/node_command.cpp
+++ b/src/yuccascale/cli/node_command.cpp
@@ -60,6 +60,7 @@
                             "no settings file given; add --settings=node.yaml");
     }
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN); // the write that is refused says so
     const sigset_t signals = blockSignals();
     BOOST_LEAF_AUTO(settings, runtime::readSettings(file));
     const auto node = std::make_shared<runtime::node>(settings);
--- a/src/yuccascale/runtime/event_log.cpp
+++ b/src/yuccascale/runtime/event_log.cpp
@@ -1,8 +1,8 @@
 #include "yuccascale/runtime/event_log.hpp"
 
 #include "yuccascale/runtime/events.hpp"
+#include "yuccascale/runtime/line_stream.hpp"
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
@@ -18,8 +18,6 @@
 #include <atomic>
 #include <chrono>
 #include <ctime>
-#include <fstream>
-#include <iostream>
 #include <utility>
 
 namespace yuccascale::runtime {
@@ -101,15 +99,6 @@
 using line_sink
         = logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend, line_queue>;
 
-[[nodiscard]] boost::shared_ptr<std::ostream> streamOf(const std::string &file)
-{
-    if (file.empty())
-        return {&std::cerr, boost::null_deleter()};
-    if (file == "-")
-        return {&std::cout, boost::null_deleter()};
-    return boost::make_shared<std::ofstream>(file, std::ios::app);
-}
-
 /// The log sink of this process; its thread writes the lines.
 boost::shared_ptr<line_sink> &processSink()
 {
@@ -120,7 +109,7 @@
 void addSink(const std::string &file)
 {
     const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-    backend->add_stream(streamOf(file));
+    backend->add_stream(boost::make_shared<line_stream>(file, droppedLines));
     backend->auto_flush(true);
     processSink() = boost::make_shared<line_sink>(backend);
     logging::core::get()->add_sink(processSink());
--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -51,9 +51,9 @@
                                             "Work on a request failed in a way that the program "
                                             "does not foresee; the request ends by its "
                                             "timeout. Report this line."};
-inline const event_kind linesDropped{
-        1030, "lines_dropped", severity::Warning,
-        "Log lines were dropped because the log's reader was too slow; the field 'count' says how "
-        "many."};
+inline const event_kind linesDropped{1030, "lines_dropped", severity::Warning,
+                                     "Log lines were dropped because the log's reader was too slow "
+                                     "or its disk was full; the field 'count' says how "
+                                     "many."};
 
 } // namespace yuccascale::runtime
--- a/tests/processes/cluster.cpp
+++ b/tests/processes/cluster.cpp
@@ -152,6 +152,18 @@
     return outcomes;
 }
 
+std::size_t cluster::eventCount(std::size_t node, std::string_view name) const
+{
+    std::size_t count = 0;
+    std::ifstream file(m_folder / (m_nodes.at(node).name + ".log"));
+    for (std::string line; std::getline(file, line);) {
+        const json read = json::parse(line, nullptr, false);
+        if (read.is_object() && read.value("name", "") == name)
+            ++count;
+    }
+    return count;
+}
+
 void cluster::startStandinProcess(const std::string &name, const json &rows)
 {
     writeFile(m_folder / (name + ".json"), rows.dump());
@@ -294,7 +306,7 @@
 
 void cluster::eraseData(std::size_t node) const
 {
-    const fs::path data = m_folder / ("data-" + m_nodes.at(node).name);
+    const fs::path data = dataFolder(node);
     fs::remove_all(data);
     fs::create_directories(data);
 }
--- a/tests/processes/cluster.hpp
+++ b/tests/processes/cluster.hpp
@@ -73,6 +73,9 @@
     /// \returns the outcome of each settings reload of node \a node, oldest first.
     [[nodiscard]] std::vector<std::string> reloadOutcomes(std::size_t node) const;
 
+    /// \returns how often node \a node recorded the event \a name.
+    [[nodiscard]] std::size_t eventCount(std::size_t node, std::string_view name) const;
+
     /// \returns the index of the leader reported by node \a queriedNode; size() if none is reported
     ///          within readyTimeout.
     [[nodiscard]] std::size_t leader(std::size_t queriedNode) const;
@@ -82,6 +85,11 @@
     [[nodiscard]] bool waitReady(std::size_t node) const;
     [[nodiscard]] bool waitAllReady() const;
 
+    [[nodiscard]] std::filesystem::path dataFolder(std::size_t node) const
+    {
+        return m_folder / ("data-" + m_nodes.at(node).name);
+    }
+
     /// \brief Deletes the contents of a node's data folder, as after a disk replacement.
     void eraseData(std::size_t node) const;
 
