Replicated log: stopped as its folder opens again, it ends

What operators saw (not observed; found by reading): a process that is told to end at the moment at which its data folder opens again after a full disk does not end, until it is killed.

Cause: log_inbox::open() opened the inbox again after stop(), and the log's thread then waited for ever.

Change: a stopped inbox stays closed.

--- a/src/yuccascale/runtime/log_inbox.cpp
+++ b/src/yuccascale/runtime/log_inbox.cpp
@@ -18,7 +18,7 @@
 void log_inbox::open()
 {
     const std::lock_guard lock(m_mutex);
-    m_open = true;
+    m_open = !m_stopped;
 }
 
 log_inbox::content log_inbox::close()
--- a/src/yuccascale/runtime/log_inbox.hpp
+++ b/src/yuccascale/runtime/log_inbox.hpp
@@ -37,7 +37,7 @@
         : m_replica(std::move(replica))
     { }
 
-    /// \brief Accepts messages and requests from now on.
+    /// \brief Accepts messages and requests from now on, unless stop() was called.
     void open();
 
     /// \brief Refuses messages and requests until the next open().
