--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -21,7 +21,11 @@
 constexpr std::size_t maxPayloadBytes = 16U << 20U;
 /// Between two attempts to reopen the data folder after a disk failure.
 constexpr kernel::milliseconds reopenInterval{500};
-constexpr std::uint64_t trailingEntriesDivisor = 4; ///< snapshotEntries / this stay in the log
+/// This part of the entries between snapshots, and of their bytes, stays in the log.
+constexpr std::uint64_t trailingDivisor = 4;
+/// Applied since the last snapshot, after which another one is made; a larger snapshot allows for
+/// more, so that the disk holds a few times the state at most.
+constexpr std::uint64_t bytesBetweenSnapshots = 16U << 20U;
 
 /// Incarnations of one name increase as long as the wall clock does; random low bits make them
 /// unique.
@@ -116,7 +120,7 @@
         m_events.record(tornTailDropped, {{"folder", m_settings.dataFolder}});
     const auto &snapshot = found.state.snapshot;
     BOOST_LEAF_CHECK(m_consumer.restore(snapshot ? *snapshot->bytes : m_initialState));
-    m_applied = m_snapshotIndex = snapshot ? snapshot->index : 0;
+    startFrom(snapshot ? snapshot->index : 0, snapshot ? snapshot->bytes->size() : 0);
     m_replica = std::make_unique<replica>(configOf(m_settings, found), found.state, m_events,
                                           m_clock.now());
     const instant end = m_clock.now();
@@ -334,13 +338,14 @@
     if (entry.kind == entry_kind::Command)
         answer = m_consumer.apply(entry.index, entry.payload);
     m_applied = entry.index;
+    m_bytesSinceSnapshot += entry.payload.size();
     m_pendingProposals.resolve(entry.index, entry.term, std::move(answer));
 }
 
 result<void> replicated_log::install(const snapshot_data &snapshot)
 {
     BOOST_LEAF_CHECK(m_consumer.restore(*snapshot.bytes));
-    m_applied = m_snapshotIndex = snapshot.index;
+    startFrom(snapshot.index, snapshot.bytes->size());
     m_pendingProposals.failCovered(snapshot.index);
     return {};
 }
@@ -359,16 +364,43 @@
     }
 }
 
+/// The consumer's state is that of a snapshot.
+void replicated_log::startFrom(std::uint64_t index, std::uint64_t snapshotBytes) noexcept
+{
+    m_applied = m_snapshotIndex = index;
+    m_snapshotBytes = snapshotBytes;
+    m_bytesSinceSnapshot = 0;
+}
+
+bool replicated_log::snapshotIsDue() const noexcept
+{
+    return m_applied >= m_snapshotIndex + m_settings.control.snapshotEntries
+            || m_bytesSinceSnapshot >= std::max(bytesBetweenSnapshots, 2 * m_snapshotBytes);
+}
+
+/// \returns the first entry that stays in the log for followers that lag a little.
+std::uint64_t replicated_log::firstTrailingEntry() const
+{
+    const entry_log &log = m_replica->log();
+    const std::uint64_t entries = m_settings.control.snapshotEntries / trailingDivisor;
+    std::uint64_t bytes = bytesBetweenSnapshots / trailingDivisor;
+    std::uint64_t first = m_applied;
+    while (first > log.baseIndex() + 1 && m_applied - first < entries
+           && log.at(first).payload.size() <= bytes) {
+        bytes -= log.at(first).payload.size();
+        --first;
+    }
+    return first;
+}
+
 result<void> replicated_log::saveSnapshotWhenDue()
 {
-    const std::uint64_t interval = m_settings.control.snapshotEntries;
-    if (m_applied < m_snapshotIndex + interval)
+    if (!snapshotIsDue())
         return {};
     snapshot_data snapshot = m_replica->snapshotAt(m_applied, m_consumer.snapshot());
     BOOST_LEAF_CHECK(m_store->saveSnapshot(snapshot));
-    m_snapshotIndex = m_applied;
-    const std::uint64_t keepFrom
-            = m_applied - std::min(m_applied, interval / trailingEntriesDivisor);
+    const std::uint64_t keepFrom = firstTrailingEntry();
+    startFrom(m_applied, snapshot.bytes->size());
     m_replica->compact(std::move(snapshot), keepFrom);
     m_events.record(snapshotWritten, {{"index", m_applied}});
     return m_store->compact(keepFrom);
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -124,6 +124,9 @@
     void apply(const kernel::consensus::log_entry &entry);
     [[nodiscard]] kernel::result<void> install(const kernel::consensus::snapshot_data &snapshot);
     void finishReads(const std::vector<kernel::consensus::confirmed_read> &reads);
+    void startFrom(std::uint64_t index, std::uint64_t snapshotBytes) noexcept;
+    [[nodiscard]] bool snapshotIsDue() const noexcept;
+    [[nodiscard]] std::uint64_t firstTrailingEntry() const;
     [[nodiscard]] kernel::result<void> saveSnapshotWhenDue();
     void revokeLostLeadership();
     void publishStatus();
@@ -147,7 +150,9 @@
     std::uint64_t m_nextRead = 1;
     std::uint64_t m_applied = 0;
     std::uint64_t m_snapshotIndex = 0;
-    std::string m_leaderTold; ///< last one that the consumer was told of
+    std::uint64_t m_snapshotBytes = 0;
+    std::uint64_t m_bytesSinceSnapshot = 0; ///< of the commands applied since
+    std::string m_leaderTold;               ///< last one that the consumer was told of
 
     published_log_status m_published;
 
--- a/tests/unit/consensus_replicated_log_test.cpp
+++ b/tests/unit/consensus_replicated_log_test.cpp
@@ -168,6 +168,27 @@
                                 timeout));
 }
 
+/// Guards against a log of large changes that grows until it fills the disk.
+TEST(consensus_replicated_log, logAndDiskStayBoundedOverLargeChanges)
+{
+    constexpr std::size_t changes = 400;
+    constexpr std::size_t payloadBytes = 256U << 10U;
+    constexpr std::size_t bytesBetweenSnapshots = 16U << 20U;
+    fakes::control_cluster<fakes::counting_consumer> cluster(1);
+    cluster.startAll();
+    ASSERT_EQ(cluster.waitForLeader(timeout), 0U);
+    ASSERT_EQ(cluster.proposeMany(0, changes, 8, std::string(payloadBytes, 'x')), changes);
+
+    EXPECT_LE(cluster.node(0).log().status().entriesInMemory,
+              2 * bytesBetweenSnapshots / payloadBytes);
+    EXPECT_LE(cluster.diskBytes(0), 2 * bytesBetweenSnapshots);
+    kernel::error problem;
+    cluster.stop(0);
+    ASSERT_TRUE(cluster.start(0, problem)) << problem.message;
+    EXPECT_TRUE(cluster.waitFor([&] { return cluster.node(0).consumer().count() == changes; },
+                                timeout));
+}
+
 TEST(consensus_replicated_log, aRestartedNodeAppliesAThousandChangesWithinASecond)
 {
     list_cluster cluster(3);
