Entries: the age of the tables that a request was admitted by

The logs told how old the tables were of a request that was refused, and nothing of one that was served, so that a lease that is too long, an entry that asks a relay that is cut off, and tables that are put to use late look the same.

Change: old_tables_used (1023) names each request admitted by tables that were confirmed longer ago than promises.table_propagation, with revision, document and age; the metric yuccascale_tables_age_greatest_ms has the greatest age since it was last read. Nothing is decided by either.

Run: caller_server_test.*, unconfirmed_tables.* (13 tests) pass; no test of its own.

--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -7,6 +7,7 @@
 #include "yuccascale/kernel/requests/events.hpp"
 #include "yuccascale/kernel/requests/negative_answer.hpp"
 #include "yuccascale/net/http_server.hpp"
+#include "yuccascale/runtime/events.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -112,6 +113,7 @@
     void startScheduleTimer();
     void serve(listener_kind listener, const exchange_pointer &exchange);
     void admit(const arrived_request &arrived);
+    void recordTablesAge(const std::string &id, const reading_context &context);
     void refuse(const arrived_request &arrived, const std::string &id, kernel::error problem,
                 const kernel::control_view &view);
     [[nodiscard]] bool hold(const arrived_request &arrived);
@@ -128,6 +130,8 @@
     std::unique_ptr<load_poller> m_loadPoller; ///< null when the protocol polls no loads
     boost::asio::steady_timer m_timer;
     held_requests m_held{maxHeldRequests};
+    std::atomic<std::int64_t> m_greatestTablesAgeMs{
+            0};                                     ///< of requests admitted since the last read
     std::atomic<kernel::instant> m_askedAt{};       ///< when a confirmation was last asked for
     std::atomic<bool> m_feedUpdateScheduled{false}; ///< applyFeedUpdate() is posted
     std::uint64_t m_revision = 0;                   ///< of the tables applied to the pools
@@ -389,6 +393,7 @@
             problem);
     if (!readable)
         return refuse(arrived, id, std::move(problem), context.view);
+    recordTablesAge(callerRequest.id, context);
     callerRequest.deadline -= context.now - arrived.receivedAt;
     callerRequest.receivedAt = arrived.receivedAt;
     callerRequest.entryEnd = m_services.drain.plan().end();
@@ -397,6 +402,25 @@
     caller_session::start(m_services, std::move(callerRequest), weight, exchange);
 }
 
+/// Tables that are older than edits take to be in force everywhere can only be right because no
+/// edit was acknowledged since.
+void caller_server::implementation::recordTablesAge(const std::string &id,
+                                                    const reading_context &context)
+{
+    const kernel::nanoseconds age = context.now - context.view.confirmedAt;
+    const std::int64_t ageMs = inMilliseconds(age);
+    std::int64_t greatest = m_greatestTablesAgeMs;
+    while (ageMs > greatest && !m_greatestTablesAgeMs.compare_exchange_weak(greatest, ageMs)) { }
+    const milliseconds promised = m_dependencies.settings.promises.tablePropagation;
+    if (promised == milliseconds::zero() || age <= promised)
+        return;
+    m_dependencies.events.record(runtime::oldTablesUsed,
+                                 {{"request_id", id},
+                                  {"revision", context.view.tables->revision},
+                                  {"document", context.view.tables->documentVersion},
+                                  {"tables_age_ms", ageMs}});
+}
+
 /// A refusal for want of a row in the tables is put off while an edit that adds it may be in force
 /// already.
 void caller_server::implementation::refuse(const arrived_request &arrived, const std::string &id,
@@ -537,6 +561,8 @@
     m_services.metrics.setGauge("yuccascale_requests_waiting",
                                 static_cast<double>(m_services.pools->waiting()));
     m_services.metrics.setGauge("yuccascale_requests_running", m_services.runningRequests);
+    m_services.metrics.setGauge("yuccascale_tables_age_greatest_ms",
+                                static_cast<double>(m_greatestTablesAgeMs.exchange(0)));
     m_services.metrics.setGauge("yuccascale_connections", static_cast<double>(connections()));
     return m_services.metrics.text();
 }
--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -51,6 +51,12 @@
                                             "Work on a request failed in a way that the program "
                                             "does not foresee; the request ends by its "
                                             "timeout. Report this line."};
+inline const event_kind oldTablesUsed{
+        1023, "old_tables_used", severity::Info,
+        "A request was admitted by tables that were confirmed 'tables_age_ms' before, longer ago "
+        "than "
+        "an edit takes to be in force everywhere. It is right as long as no edit was acknowledged "
+        "since 'revision': compare edit_settled. Many of them: the entry is cut off."};
 inline const event_kind linesDropped{
         1030, "lines_dropped", severity::Warning,
         "Log lines were dropped because the log's reader was too slow; the field 'count' says how "
