Edits are acknowledged when no node can use older tables for longer than promised

Cause: an edit was acknowledged when a quorum had it, whoever might still use older tables; an entry uses its tables for the freshness lease (4.7 s on these sites, from the withdrawal of keys), whatever cuts it off, and the promise is 2 s.

Change: leases for caches (Gray and Cheriton 1989). table_leases knows which leases on older tables can still matter; the node that takes an edit answers when the revision is settled, by the leader's word or, without anybody's, freshness less propagation (2.7 s) after it was in force anywhere. A waiting answer holds a list entry, no thread. A document sent again rests on the revision that brought it. A node tells at once of a newer revision; a relay joins the reports of 20 ms. edit_settled (1022) tells how long an answer waited and for whom.

Mixed with: one new optional field, settled_revision of the feed's reply; a former build skips it (former_messages.*), and its reply says 0, so a new node that takes an edit under an old leader waits 2.7 s. An old node that takes an edit answers at once, as before. Reports sent without a call are feed requests, which a former build reads.

--- a/src/yuccascale/http/document_interface.cpp
+++ b/src/yuccascale/http/document_interface.cpp
@@ -53,53 +53,61 @@
 
     void serve(const std::shared_ptr<net::http_exchange> &exchange)
     {
-        m_workers.run([this, exchange] {
-            net::http_reply reply = answerSafely(exchange->request());
-            boost::asio::post(exchange->loop(), [exchange, reply = std::move(reply)]() mutable {
-                exchange->reply(std::move(reply));
-            });
-        });
+        m_workers.run([this, exchange] { answerSafely(exchange); });
     }
 
 private:
+    using exchange_pointer = std::shared_ptr<net::http_exchange>;
+
+    static void reply(const exchange_pointer &exchange, net::http_reply reply)
+    {
+        boost::asio::post(exchange->loop(), [exchange, reply = std::move(reply)]() mutable {
+            exchange->reply(std::move(reply));
+        });
+    }
+
     /// An unexpected exception fails one request, not the process.
-    [[nodiscard]] net::http_reply answerSafely(const net::http_request &httpRequest)
+    void answerSafely(const exchange_pointer &exchange)
     {
         try {
-            return answer(httpRequest);
+            answer(exchange);
         } catch (const std::exception &problem) {
             recordOutcome(0, "failed", problem.what());
-            return errorReply({error_kind::Internal, "document", problem.what()});
+            reply(exchange, errorReply({error_kind::Internal, "document", problem.what()}));
         }
     }
 
-    [[nodiscard]] net::http_reply answer(const net::http_request &httpRequest)
+    void answer(const exchange_pointer &exchange)
     {
+        const net::http_request &httpRequest = exchange->request();
         const std::optional<document_call> call = m_protocol->callOf(httpRequest);
         if (!call)
-            return errorReply({error_kind::NotFound, std::string(httpRequest.path()),
-                               "no such call; see docs/platform.md"});
-        return *call == document_call::Put ? put(httpRequest) : get(httpRequest);
+            return reply(exchange,
+                         errorReply({error_kind::NotFound, std::string(httpRequest.path()),
+                                     "no such call; see docs/platform.md"}));
+        if (*call == document_call::Put)
+            return put(exchange);
+        reply(exchange, get(httpRequest));
     }
 
-    [[nodiscard]] net::http_reply put(const net::http_request &httpRequest)
+    void put(const exchange_pointer &exchange)
     {
         error problem;
         state::put_document document;
         const bool readable = succeeded(
                 [&]() -> result<void> {
-                    BOOST_LEAF_ASSIGN(document, m_protocol->readDocument(httpRequest.body));
+                    BOOST_LEAF_ASSIGN(document, m_protocol->readDocument(exchange->request().body));
                     return {};
                 },
                 problem);
         if (!readable) {
             recordOutcome(0, "refused", problem.where + ": " + problem.message);
-            return errorReply(problem);
+            return reply(exchange, errorReply(problem));
         }
-        return commit(std::move(document));
+        commit(exchange, std::move(document));
     }
 
-    [[nodiscard]] net::http_reply commit(state::put_document document)
+    void commit(const exchange_pointer &exchange, state::put_document document)
     {
         document.wallMs = m_services.clock.wallNow().time_since_epoch().count();
         const std::uint64_t version = document.version;
@@ -115,12 +123,28 @@
                 problem);
         if (!answered) {
             recordOutcome(version, "unanswered", problem.message);
-            return errorReply({error_kind::Unavailable, "document", problem.message});
+            return reply(exchange,
+                         errorReply({error_kind::Unavailable, "document", problem.message}));
         }
-        recordOutcome(version, answer.accepted ? "accepted" : "refused", answer.message);
-        if (!answer.accepted)
-            return errorReply({answer.kind, "document", answer.message});
-        return {200, jsonHeaders, toText({{"revision", answer.revision}})};
+        if (answer.accepted)
+            return acknowledgeWhenSettled(exchange, version, answer.revision);
+        recordOutcome(version, "refused", answer.message);
+        reply(exchange, errorReply({answer.kind, "document", answer.message}));
+    }
+
+    /// No thread waits for it.
+    void acknowledgeWhenSettled(const exchange_pointer &exchange, std::uint64_t version,
+                                std::uint64_t revision)
+    {
+        const auto acknowledge = [this, exchange, version, revision](bool settled) {
+            const std::string problem
+                    = settled ? "" : "committed, but not in force everywhere yet; send it again";
+            recordOutcome(version, settled ? "accepted" : "unanswered", problem);
+            if (settled)
+                return reply(exchange, {200, jsonHeaders, toText({{"revision", revision}})});
+            reply(exchange, errorReply({error_kind::Unavailable, "document", problem}));
+        };
+        m_services.whenSettled(revision, version, instant(nanoseconds(m_end)), acknowledge);
     }
 
     [[nodiscard]] net::http_reply get(const net::http_request &httpRequest)
--- a/src/yuccascale/http/document_interface.hpp
+++ b/src/yuccascale/http/document_interface.hpp
@@ -5,6 +5,7 @@
 #include "yuccascale/kernel/events.hpp"
 #include "yuccascale/net/http_exchange.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,6 +24,11 @@
     std::function<kernel::result<kernel::state::command_result>(const kernel::state::command &,
                                                                 kernel::instant deadline)>
             commit;
+    /// Answers once no node can use older tables for longer than promised; false: not by the
+    /// deadline. Called with the revision and version of a committed document.
+    std::function<void(std::uint64_t revision, std::uint64_t version, kernel::instant deadline,
+                       std::function<void(bool settled)> answer)>
+            whenSettled;
     /// Reads the document after a quorum has confirmed this node as leader.
     std::function<kernel::result<std::shared_ptr<const std::string>>(kernel::instant deadline)>
             read;
--- a/src/yuccascale/kernel/feed/feed_messages.hpp
+++ b/src/yuccascale/kernel/feed/feed_messages.hpp
@@ -86,6 +86,8 @@
     std::vector<encoded_pointer<endpoint_list>> endpoints;
     std::int64_t clusterWallMs = 0; ///< agreed time when the reply was made; 0: not known
     origin_report origins;          ///< when wanted; older builds say nothing
+    /// No node uses older tables for longer than promised; 0: not known, as in older builds
+    std::uint64_t settledRevision = 0;
 };
 
 } // namespace yuccascale::kernel::feed
--- a/src/yuccascale/kernel/feed/feed_state.cpp
+++ b/src/yuccascale/kernel/feed/feed_state.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-feed_state::feed_state(nanoseconds freshness)
+feed_state::feed_state(nanoseconds freshness, nanoseconds propagation)
     : m_freshness(freshness)
+    , m_leases(leaseWait(freshness, propagation))
     , m_bans(std::make_shared<const std::set<std::string>>())
     , m_endpoints(makeEncoded(endpoint_list()))
 { }
@@ -40,8 +41,12 @@
     out.haveBansVersion = m_bansVersion;
     out.haveEndpointsVersion = endpoints()->version;
     out.wantOrigins = !m_origins || !m_origins->knowsAll(now);
-    if (includeRelayed)
-        out.reports = m_directory.reports(now, nodeReportMaxAge);
+    if (includeRelayed) {
+        const nanoseconds window = std::max<nanoseconds>(nodeReportMaxAge, m_leases.longestWait());
+        out.reports = m_leases.replaced(now, m_directory);
+        for (node_report &report : m_directory.reports(now, window))
+            out.reports.push_back(std::move(report));
+    }
     std::erase_if(out.reports, [&](const auto &report) { return report.node == self.node; });
     out.reports.insert(out.reports.begin(), self);
     return out;
@@ -51,6 +56,7 @@
 {
     if (!reply.leader.empty())
         m_leader = reply.leader;
+    m_leases.learn(reply.settledRevision);
     bool newer = false;
     for (const encoded_pointer<endpoint_list> &list : reply.endpoints)
         newer = installEndpoints(list->value()) || newer;
@@ -170,10 +176,23 @@
     m_freshUntil = std::max(m_freshUntil, requestedAt + freshFor);
 }
 
-feed_reply feed_state::answer(instant now, std::string_view peer, const feed_request &request)
+table_leases &feed_state::leases(instant now)
+{
+    if (m_history.newest())
+        m_leases.installed(now, *m_history.newest());
+    return m_leases;
+}
+
+feed_reply feed_state::answer(instant now, std::string_view peer, const feed_request &request,
+                              std::optional<instant> leadingSince)
 {
     m_directory.update(now, peer, request.reports);
+    for (const node_report &report : request.reports) {
+        const instant askedAt = now - milliseconds(report.ageMs);
+        m_higherReports = m_leases.reported(report, askedAt) || m_higherReports;
+    }
     feed_reply reply;
+    reply.settledRevision = leases(now).settled(now, leadingSince);
     reply.leader = m_leader;
     if (endpoints()->version > request.haveEndpointsVersion)
         reply.endpoints.push_back(m_endpoints);
--- a/src/yuccascale/kernel/feed/feed_state.hpp
+++ b/src/yuccascale/kernel/feed/feed_state.hpp
@@ -6,12 +6,14 @@
 #include "yuccascale/kernel/feed/node_directory.hpp"
 #include "yuccascale/kernel/feed/origin_history.hpp"
 #include "yuccascale/kernel/feed/table_history.hpp"
+#include "yuccascale/kernel/feed/table_leases.hpp"
 
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -35,7 +37,8 @@
 {
 public:
     /// \param freshness how long tables may be used, counted from when they were requested
-    explicit feed_state(nanoseconds freshness);
+    /// \param propagation until an acknowledged edit is in force everywhere; 0: no bound
+    explicit feed_state(nanoseconds freshness, nanoseconds propagation = {});
 
     /// \returns what is in force on this node.
     [[nodiscard]] control_view view() const;
@@ -83,8 +86,18 @@
     void setLeader(const std::string &leader) { m_leader = leader; }
 
     /// \brief Answers a request of another node from what is in force on this one.
-    [[nodiscard]] feed_reply answer(instant now, std::string_view peer,
-                                    const feed_request &request);
+    /// \param leadingSince since when this node leads, while it does
+    [[nodiscard]] feed_reply answer(instant now, std::string_view peer, const feed_request &request,
+                                    std::optional<instant> leadingSince = {});
+
+    /// \returns the leases on tables, with what is in force on this node at \a now.
+    [[nodiscard]] table_leases &leases(instant now);
+
+    /// \returns whether a node has reported a higher revision since the last call.
+    [[nodiscard]] bool takeHigherReports() noexcept
+    {
+        return std::exchange(m_higherReports, false);
+    }
 
 private:
     void updateAgreedTime(instant now, const node_report &self);
@@ -96,6 +109,8 @@
     nanoseconds m_freshness;
     table_history m_history;
     node_directory m_directory;
+    table_leases m_leases;
+    bool m_higherReports = false;
     instant m_freshUntil{};
     instant m_requestedAt{}; ///< of the newest request whose answer was installed
     std::uint64_t m_bansVersion = 0;
--- a/src/yuccascale/runtime/cluster_client.cpp
+++ b/src/yuccascale/runtime/cluster_client.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/runtime/cluster_client.hpp"
 
 #include <algorithm>
+#include <future>
 #include <thread>
 
 namespace yuccascale::runtime {
@@ -64,6 +65,25 @@
 
 result<state::command_result> cluster_client::submit(const state::command &command,
                                                      instant deadline)
+{
+    BOOST_LEAF_AUTO(answer, commit(command, deadline));
+    const bool isEdit = std::holds_alternative<state::edit_tables>(command.body)
+            || std::holds_alternative<state::put_document>(command.body);
+    if (!isEdit || !answer.accepted)
+        return answer;
+    std::promise<bool> settled;
+    const auto *document = std::get_if<state::put_document>(&command.body);
+    m_feed.answerWhenSettled(answer.revision, document == nullptr ? 0 : document->version, deadline,
+                             [&](bool inTime) { settled.set_value(inTime); });
+    if (settled.get_future().get())
+        return answer;
+    return fail(error_kind::OutcomeUnknown, "control",
+                "the edit is committed, but not in force everywhere yet; send it again with the "
+                "same operation id");
+}
+
+result<state::command_result> cluster_client::commit(const state::command &command,
+                                                     instant deadline)
 {
     if (command.operationId.empty()) {
         return fail(error_kind::InvalidArgument, "command",
--- a/src/yuccascale/runtime/cluster_client.hpp
+++ b/src/yuccascale/runtime/cluster_client.hpp
@@ -50,6 +50,11 @@
 
     [[nodiscard]] kernel::result<kernel::state::command_result>
     submit(const kernel::state::command &command, kernel::instant deadline) override;
+
+    /// \brief As submit(), but an edit's answer is not held until the edit is settled.
+    [[nodiscard]] kernel::result<kernel::state::command_result>
+    commit(const kernel::state::command &command, kernel::instant deadline);
+
     [[nodiscard]] kernel::control_view view() const override { return m_feed.view(); }
     [[nodiscard]] bool waitConfirmed(kernel::instant since, kernel::milliseconds limit) override
     {
--- a/src/yuccascale/runtime/control_service.cpp
+++ b/src/yuccascale/runtime/control_service.cpp
@@ -65,6 +65,14 @@
     return feed::confirmed_state{m_machine.tables(), m_bansVersion, {bans->begin(), bans->end()}};
 }
 
+std::optional<instant> control_service::leadingSince(instant now) const
+{
+    const std::optional<leadership> authority = m_log->current(now);
+    if (!authority)
+        return std::nullopt;
+    return authority->leaseStart;
+}
+
 result<std::shared_ptr<const std::string>> control_service::confirmedDocument(instant deadline)
 {
     BOOST_LEAF_CHECK(m_log->confirmLeadership(deadline));
--- a/src/yuccascale/runtime/control_service.hpp
+++ b/src/yuccascale/runtime/control_service.hpp
@@ -46,6 +46,7 @@
     [[nodiscard]] std::string leader() const override;
     [[nodiscard]] kernel::result<kernel::feed::confirmed_state>
     confirmedReading(kernel::instant deadline) override;
+    [[nodiscard]] std::optional<kernel::instant> leadingSince(kernel::instant now) const override;
 
     /// \brief Reads the operator's document after a quorum has confirmed this node as leader.
     /// \returns error_kind::NotLeader when this node is not the leader.
--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -51,6 +51,13 @@
                                             "Work on a request failed in a way that the program "
                                             "does not foresee; the request ends by its "
                                             "timeout. Report this line."};
+inline const event_kind editSettled{
+        1022, "edit_settled", severity::Info,
+        "An edit's answer was put off after its commit until no node could use older tables for "
+        "longer than promised, for 'waited_ms'; 'slowest' is the node that was behind when the "
+        "wait "
+        "began, as far as known. 'given up': the node stops; the operator is told to send it "
+        "again."};
 inline const event_kind oldTablesUsed{
         1023, "old_tables_used", severity::Info,
         "A request was admitted by tables that were confirmed 'tables_age_ms' before, longer ago "
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -44,8 +44,11 @@
     , m_times{settings.control.feedInterval, settings.control.freshness,
               settings.promises.tablePropagation}
     , m_incarnation(incarnation)
-    , m_state(settings.control.freshness)
+    , m_state(settings.control.freshness, settings.promises.tablePropagation)
     , m_relays({settings.linkAddress, settings.zone})
+    , m_editAnswers(clock, events,
+                    {[this](instant now) { return settledRevision(now); },
+                     [this] { return slowestNode(); }})
     , m_pollers(maxNodesPerRound)
 {
     m_transport.handle(channel::Feed, [this](std::string_view peer, std::string_view payload) {
@@ -71,6 +74,7 @@
     }
     m_wake.notify_all();
     m_polled.notify_all();
+    m_editAnswers.stop();
     if (m_thread.joinable())
         m_thread.join();
     m_pollers.shutdown();
@@ -178,7 +182,29 @@
             m_events.record(fresh ? freshnessGained : freshnessLost, {});
         wasFresh = fresh;
         lock.lock();
-        m_wake.wait_for(lock, pollInterval(), [&] { return m_stopped || m_pollRequested; });
+        waitForNextPoll(lock);
+    }
+}
+
+/// Reports what is due meanwhile. Requires m_mutex to be held.
+void feed_service::waitForNextPoll(std::unique_lock<std::mutex> &lock)
+{
+    const instant pollAt = m_clock.now() + pollInterval();
+    while (!m_stopped && !m_pollRequested) {
+        const instant next = std::min(pollAt, m_reportAt);
+        const bool woken = m_wake.wait_for(lock, next - m_clock.now(), [&] {
+            return m_stopped || m_pollRequested || m_reportAt < next;
+        });
+        if (woken)
+            continue;
+        if (next == pollAt)
+            return;
+        m_reportAt = instant::max();
+        const std::string peer = m_reportPeer;
+        lock.unlock();
+        if (!isLeader())
+            reportTo(peer);
+        lock.lock();
     }
 }
 
@@ -186,6 +212,8 @@
 milliseconds feed_service::pollInterval() const
 {
     const milliseconds usual = m_settings.control.feedInterval;
+    if (editsWait() && !isLeader())
+        return settlingPollInterval();
     return m_confirmationsAwaited > 0 ? std::min(awaitedPollInterval, usual) : usual;
 }
 
@@ -241,9 +269,12 @@
     if (!confirmed)
         return false;
     std::unique_lock lock(m_mutex);
-    const bool newer = m_state.installConfirmedState(sentAt, m_clock.now(), reading, selfReport());
+    const instant now = m_clock.now();
+    const bool newer = m_state.installConfirmedState(sentAt, now, reading, selfReport());
+    static_cast<void>(m_state.leases(now));
     lock.unlock();
     notifyPeers(newer);
+    m_editAnswers.check();
     return true;
 }
 
@@ -311,7 +342,12 @@
             problem);
     const nanoseconds lag = m_times.freshness - milliseconds(reply.freshForMs);
     lock.lock();
+    const std::uint64_t revisionBefore = m_state.revision();
     const bool newer = answered && m_state.install(sentAt, reply);
+    const bool tablesNewer = m_state.revision() != revisionBefore;
+    static_cast<void>(m_state.leases(m_clock.now()));
+    if (answered)
+        m_reportPeer = begun->peer;
     const poll_outcome outcome = answered ? judge(reply) : poll_outcome::Unanswered;
     if (outcome == poll_outcome::UpToDate)
         m_relays.upToDate(begun->peer);
@@ -324,6 +360,11 @@
     notifyPeers(newer);
     if (newer)
         tellListener();
+    if (tablesNewer && m_leaderState == nullptr)
+        reportTo(begun->peer);
+    else if (tablesNewer)
+        reportSoon();
+    m_editAnswers.check();
     lock.lock();
     begun->ended = true;
     begun->upToDate = outcome == poll_outcome::UpToDate;
@@ -390,7 +431,7 @@
     if (mayAsk(leader, tried))
         return leader;
     std::string lastLeader = m_state.view().leader;
-    if (m_confirmationsAwaited > 0 && mayAsk(lastLeader, tried))
+    if ((m_confirmationsAwaited > 0 || editsWait()) && mayAsk(lastLeader, tried))
         return lastLeader;
     std::erase_if(nodes, [&](const std::string &node) { return !mayAsk(node, tried); });
     return m_relays.choose(m_clock.now(), nodes);
@@ -420,9 +461,15 @@
     }
     if (request.confirmNow && m_leaderState != nullptr)
         pollSoon();
+    const instant now = m_clock.now();
+    const std::optional<instant> leads = leadingSince(now);
     std::unique_lock lock(m_mutex);
-    const feed::feed_reply reply = m_state.answer(m_clock.now(), peer, request);
+    const feed::feed_reply reply = m_state.answer(now, peer, request, leads);
+    const bool higherReports = m_state.takeHigherReports();
     lock.unlock();
+    if (higherReports && m_leaderState != nullptr)
+        reportSoon();
+    m_editAnswers.check();
     const std::size_t unencoded = countUnencoded(reply.edits) + countUnencoded(reply.fullTables);
     std::string bytes = wire::encodeFeedReply(reply);
     lock.lock();
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -4,6 +4,7 @@
 #include "yuccascale/kernel/feed/poll_times.hpp"
 #include "yuccascale/kernel/feed/relay_choice.hpp"
 #include "yuccascale/kernel/transport.hpp"
+#include "yuccascale/runtime/edit_answers.hpp"
 #include "yuccascale/runtime/settings.hpp"
 #include "yuccascale/runtime/worker_pool.hpp"
 
@@ -13,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -37,6 +39,15 @@
     /// \returns error_kind::NotLeader when this node is not the leader.
     [[nodiscard]] virtual kernel::result<kernel::feed::confirmed_state>
     confirmedReading(kernel::instant deadline) = 0;
+
+    /// \returns since when this node leads, while it certainly does: what an earlier leader read
+    /// was
+    ///          confirmed before.
+    [[nodiscard]] virtual std::optional<kernel::instant> leadingSince(kernel::instant now) const
+    {
+        static_cast<void>(now);
+        return {};
+    }
 };
 
 /// \brief What a node has sent in its replies to the polls of other nodes.
@@ -107,6 +118,16 @@
     /// \returns false when that did not happen within \a limit.
     [[nodiscard]] bool waitConfirmed(kernel::instant since, kernel::milliseconds limit);
 
+    /// \brief Answers a committed edit once no node can use older tables for longer than promised.
+    /// \param revision of the tables with the edit
+    /// \param document version of the operator's document that the edit is, or 0
+    /// \param deadline the answer is given up then
+    void answerWhenSettled(std::uint64_t revision, std::uint64_t document, kernel::instant deadline,
+                           std::function<void(bool settled)> answer);
+
+    /// \brief Gives up the answers to edits that are not settled by \a end, since the process ends.
+    void answerEditsBefore(kernel::instant end) { m_editAnswers.answerBefore(end); }
+
     /// \brief Polls the control nodes in turn until one that is up to date answers; while one is
     /// silent, the next is asked beside it. Called by the feed's thread at each interval, and by
     /// tests.
@@ -132,12 +153,20 @@
 
     void pollLoop();
     [[nodiscard]] kernel::milliseconds pollInterval() const;
+    [[nodiscard]] kernel::milliseconds settlingPollInterval() const;
     [[nodiscard]] bool isLeader() const;
     [[nodiscard]] bool readLocalLeader();
     [[nodiscard]] std::shared_ptr<begun_poll> beginPoll(const std::string &peer);
     [[nodiscard]] bool awaitPoll(const begun_poll &begun);
     void runPoll(const std::shared_ptr<begun_poll> &begun);
     [[nodiscard]] poll_outcome judge(const kernel::feed::feed_reply &reply) const;
+    [[nodiscard]] bool editsWait() const { return m_editAnswers.newest().has_value(); }
+    [[nodiscard]] std::uint64_t settledRevision(kernel::instant now);
+    [[nodiscard]] std::string slowestNode();
+    [[nodiscard]] std::optional<kernel::instant> leadingSince(kernel::instant now) const;
+    void reportTo(const std::string &peer);
+    void reportSoon();
+    void waitForNextPoll(std::unique_lock<std::mutex> &lock);
     void recordOutcome(const std::string &peer, poll_outcome outcome, kernel::nanoseconds took,
                        kernel::nanoseconds lag);
     [[nodiscard]] std::string selectTarget(const std::set<std::string> &tried);
@@ -166,7 +195,9 @@
     kernel::feed::relay_choice m_relays;
     std::map<std::string, std::shared_ptr<begun_poll>> m_polls; ///< that have not ended, by node
     std::map<std::string, poll_outcome> m_outcomes;             ///< of the last poll, by node
-    std::string m_notifier; ///< node that holds a newer revision and was not asked since
+    kernel::instant m_reportAt = kernel::instant::max();        ///< when to report beside the polls
+    std::string m_reportPeer; ///< the node that last answered a poll of this one
+    std::string m_notifier;   ///< node that holds a newer revision and was not asked since
     feed_load m_load;
     feed_load m_recordedLoad; ///< as of the last feed_load event
     kernel::instant m_loadRecordedAt{};
@@ -176,6 +207,7 @@
     bool m_stopped = false;
     bool m_leaving = false;
     bool m_endpointsLost = false;
+    edit_answers m_editAnswers;
     std::thread m_thread;
     worker_pool m_pollers; ///< the last member, since its threads use the others
 };
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -191,9 +191,14 @@
         return {};
     BOOST_LEAF_AUTO(protocol, http::operator_protocol_registry::make(settings.http.protocol));
     http::document_services services{
-            clock, events,
+            clock,
+            events,
             [this](const state::command &command, instant deadline) {
-                return client->submit(command, deadline);
+                return client->commit(command, deadline);
+            },
+            [this](std::uint64_t revision, std::uint64_t version, instant deadline,
+                   std::function<void(bool)> answer) {
+                feed->answerWhenSettled(revision, version, deadline, std::move(answer));
             },
             [this](instant deadline) { return control->confirmedDocument(deadline); },
             [this] { return leaderDocumentAddress(); }};
@@ -518,6 +523,7 @@
         m_parts->callers->beginShutdown();
     if (m_parts->document)
         m_parts->document->answerBefore(plan.end());
+    m_parts->feed->answerEditsBefore(plan.end());
     for (const auto &server : m_parts->servers)
         server->closeAfterAnswers();
     while (!m_parts->drained(plan))
--- a/src/yuccascale/wire/feed_codec.cpp
+++ b/src/yuccascale/wire/feed_codec.cpp
@@ -251,7 +251,7 @@
     builder.Finish(fb::CreateFeedReply(builder, reply.confirmed, leader,
                                        static_cast<std::uint32_t>(reply.freshForMs), reply.revision,
                                        edits, fullTables, reply.bansVersion, bans, nodes, endpoints,
-                                       reply.clusterWallMs, origins));
+                                       reply.clusterWallMs, origins, reply.settledRevision));
     return bufferBytes(builder);
 }
 
@@ -287,6 +287,7 @@
                       rowsFromBytes<kernel::feed::endpoint_list>(table->endpoints()));
     out.clusterWallMs = table->cluster_wall_ms();
     out.origins = toOrigins(table->origins());
+    out.settledRevision = table->settled_revision();
     return out;
 }
 
--- a/src/yuccascale/wire/feed_generated.h
+++ b/src/yuccascale/wire/feed_generated.h
@@ -678,7 +678,8 @@
     VT_NODES = 20,
     VT_ENDPOINTS = 22,
     VT_CLUSTER_WALL_MS = 24,
-    VT_ORIGINS = 26
+    VT_ORIGINS = 26,
+    VT_SETTLED_REVISION = 28
   };
   bool confirmed() const {
     return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
@@ -716,6 +717,9 @@
   const yuccascale::wire::fb::OriginReport *origins() const {
     return GetPointer<const yuccascale::wire::fb::OriginReport *>(VT_ORIGINS);
   }
+  uint64_t settled_revision() const {
+    return GetField<uint64_t>(VT_SETTLED_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
@@ -739,6 +743,7 @@
            VerifyField<int64_t>(verifier, VT_CLUSTER_WALL_MS, 8) &&
            VerifyOffset(verifier, VT_ORIGINS) &&
            verifier.VerifyTable(origins()) &&
+           VerifyField<uint64_t>(verifier, VT_SETTLED_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -783,6 +788,9 @@
   void add_origins(flatbuffers::Offset<yuccascale::wire::fb::OriginReport> origins) {
     fbb_.AddOffset(FeedReply::VT_ORIGINS, origins);
   }
+  void add_settled_revision(uint64_t settled_revision) {
+    fbb_.AddElement<uint64_t>(FeedReply::VT_SETTLED_REVISION, settled_revision, 0);
+  }
   explicit FeedReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -807,8 +815,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>> nodes = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> endpoints = 0,
     int64_t cluster_wall_ms = 0,
-    flatbuffers::Offset<yuccascale::wire::fb::OriginReport> origins = 0) {
+    flatbuffers::Offset<yuccascale::wire::fb::OriginReport> origins = 0,
+    uint64_t settled_revision = 0) {
   FeedReplyBuilder builder_(_fbb);
+  builder_.add_settled_revision(settled_revision);
   builder_.add_cluster_wall_ms(cluster_wall_ms);
   builder_.add_bans_version(bans_version);
   builder_.add_revision(revision);
@@ -837,7 +847,8 @@
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *nodes = nullptr,
     const std::vector<uint8_t> *endpoints = nullptr,
     int64_t cluster_wall_ms = 0,
-    flatbuffers::Offset<yuccascale::wire::fb::OriginReport> origins = 0) {
+    flatbuffers::Offset<yuccascale::wire::fb::OriginReport> origins = 0,
+    uint64_t settled_revision = 0) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto edits__ = edits ? _fbb.CreateVector<uint8_t>(*edits) : 0;
   auto full_tables__ = full_tables ? _fbb.CreateVector<uint8_t>(*full_tables) : 0;
@@ -857,7 +868,8 @@
       nodes__,
       endpoints__,
       cluster_wall_ms,
-      origins);
+      origins,
+      settled_revision);
 }
 
 inline const yuccascale::wire::fb::FeedReply *GetFeedReply(const void *buf) {
--- a/tests/unit/feed_codec_test.cpp
+++ b/tests/unit/feed_codec_test.cpp
@@ -28,6 +28,7 @@
     reply.endpoints.push_back(
             kernel::makeEncoded(kernel::feed::endpoint_list{9, {{"engines", {}}}}));
     reply.clusterWallMs = 1'700'000'000'001;
+    reply.settledRevision = 6;
     return reply;
 }
 
@@ -53,6 +54,7 @@
     EXPECT_EQ(kernel::json(copy.nodes), kernel::json(sampleReply().nodes));
     EXPECT_EQ(copy.endpoints.front()->value().version, 9U);
     EXPECT_EQ(copy.clusterWallMs, sampleReply().clusterWallMs);
+    EXPECT_EQ(copy.settledRevision, 6U);
 }
 
 TEST(feed_codec_test, keepsTheOrderOfMoreEditsThanAShortArrayHolds)
--- a/tests/unit/feed_state_test.cpp
+++ b/tests/unit/feed_state_test.cpp
@@ -200,4 +200,37 @@
     EXPECT_EQ(m_entry.endpoints()->endpoints.size(), 1U);
 }
 
+/// Guards against an edit that is acknowledged though an entry of a relay that was cut off for a
+/// while still uses older tables.
+TEST_F(feed_state_test, aRelayNamesEachNodeWhoseLeaseMayMatter)
+{
+    feed_state relay(seconds(10), seconds(2));
+    poll(m_entry, relay, "entry");
+    m_clock.advance(milliseconds(7'900));
+    const auto reports = relay.request(m_clock.now(), reportOf("relay"), true).reports;
+    ASSERT_EQ(reports.size(), 2U);
+    EXPECT_EQ(reports.back().node, "entry");
+    EXPECT_EQ(reports.back().ageMs, 7'900);
+}
+
+/// Guards against a process that was replaced and that no relay speaks of any more.
+TEST_F(feed_state_test, aRelayNamesAProcessThatWasReplacedToo)
+{
+    feed_state relay(milliseconds(4'700), seconds(2));
+    node_report former = reportOf("entry");
+    former.incarnation = 1;
+    node_report later = former;
+    later.incarnation = 2;
+    static_cast<void>(
+            relay.answer(m_clock.now(), "entry", m_entry.request(m_clock.now(), former, true)));
+    m_clock.advance(seconds(1));
+    static_cast<void>(
+            relay.answer(m_clock.now(), "entry", m_entry.request(m_clock.now(), later, true)));
+    const auto reports = relay.request(m_clock.now(), reportOf("relay"), true).reports;
+    ASSERT_EQ(reports.size(), 3U);
+    EXPECT_EQ(reports[1].incarnation, 1U);
+    EXPECT_EQ(reports[1].ageMs, 1'000);
+    EXPECT_EQ(reports[2].incarnation, 2U);
+}
+
 } // namespace yuccascale::kernel::feed
--- a/tests/unit/http_document_interface_test.cpp
+++ b/tests/unit/http_document_interface_test.cpp
@@ -6,9 +6,13 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
+#include <vector>
 
 /// \file
 /// \brief The operator's document interface, over connections.
@@ -21,23 +25,30 @@
 
 using fakes::null_event_sink;
 
-/// A control node whose log commits nothing.
+/// A control node whose log commits nothing, unless a test says so.
 class document_interface_test : public testing::Test
 {
 protected:
     document_interface_test()
     {
         m_clock.advance(kernel::seconds(100));
-        document_services services{m_clock, m_events,
-                                   [this](const kernel::state::command &, instant deadline) {
-                                       m_commitDeadline = deadline;
-                                       return unavailable<kernel::state::command_result>();
-                                   },
-                                   [this](instant deadline) {
-                                       m_readDeadline = deadline;
-                                       return unavailable<std::shared_ptr<const std::string>>();
-                                   },
-                                   [] { return std::string(); }};
+        document_services services{
+                m_clock,
+                m_events,
+                [this](const kernel::state::command &, instant deadline) {
+                    const std::scoped_lock guard(m_mutex);
+                    m_commitDeadline = deadline;
+                    return committed();
+                },
+                [this](std::uint64_t, std::uint64_t, instant, std::function<void(bool)> answer) {
+                    const std::scoped_lock guard(m_mutex);
+                    m_unsettled.push_back(std::move(answer));
+                },
+                [this](instant deadline) {
+                    m_readDeadline = deadline;
+                    return unavailable<std::shared_ptr<const std::string>>();
+                },
+                [] { return std::string(); }};
         m_interface = std::make_unique<document_interface>(
                 std::move(services), operator_protocol_registry::make("platform").value());
         m_port = m_server.listen("127.0.0.1:0").value();
@@ -56,6 +67,31 @@
         return kernel::fail(kernel::error_kind::Unavailable, "log", "no leader");
     }
 
+    [[nodiscard]] kernel::result<kernel::state::command_result> committed() const
+    {
+        if (!m_commits)
+            return unavailable<kernel::state::command_result>();
+        kernel::state::command_result result;
+        result.accepted = true;
+        result.revision = 7;
+        return result;
+    }
+
+    [[nodiscard]] std::size_t unsettled()
+    {
+        const std::scoped_lock guard(m_mutex);
+        return m_unsettled.size();
+    }
+
+    /// Says of all committed documents whether they are settled.
+    void settle(bool settled)
+    {
+        const std::scoped_lock guard(m_mutex);
+        for (const auto &answer : m_unsettled)
+            answer(settled);
+        m_unsettled.clear();
+    }
+
     /// \returns the answer to a request, with its head.
     [[nodiscard]] std::string ask(const std::string &requestLine,
                                   const std::string &body = {}) const
@@ -68,6 +104,9 @@
 
     fakes::manual_clock m_clock;
     null_event_sink m_events;
+    bool m_commits = false;
+    std::mutex m_mutex;
+    std::vector<std::function<void(bool)>> m_unsettled;
     std::optional<instant> m_commitDeadline;
     std::optional<instant> m_readDeadline;
     net::event_loops m_loops{1};
@@ -105,4 +144,34 @@
     EXPECT_TRUE(ask("GET /config").starts_with("HTTP/1.1 503")) << "it still answers";
 }
 
+/// Guards against orders that block all workers while an entry is cut off, so that no other call is
+/// answered.
+TEST_F(document_interface_test, answersOtherCallsWhileDocumentsWaitToBeInForce)
+{
+    constexpr std::size_t orders = 24;
+    m_commits = true;
+    const std::string document = R"({"version":1,"routes":[],"services":[],"limits":{}})";
+    std::vector<std::future<std::string>> answers;
+    for (std::size_t number = 0; number < orders; ++number)
+        answers.push_back(
+                std::async(std::launch::async, [&] { return ask("PUT /config", document); }));
+    while (unsettled() < orders)
+        std::this_thread::yield();
+    EXPECT_TRUE(ask("GET /config").starts_with("HTTP/1.1 503"));
+    settle(true);
+    for (std::future<std::string> &answer : answers)
+        EXPECT_TRUE(answer.get().starts_with("HTTP/1.1 200"));
+}
+
+TEST_F(document_interface_test, aDocumentThatIsNotInForceAtTheEndIsNotAcknowledged)
+{
+    m_commits = true;
+    const std::string document = R"({"version":1,"routes":[],"services":[],"limits":{}})";
+    auto answer = std::async(std::launch::async, [&] { return ask("PUT /config", document); });
+    while (unsettled() == 0)
+        std::this_thread::yield();
+    settle(false);
+    EXPECT_TRUE(answer.get().starts_with("HTTP/1.1 503"));
+}
+
 } // namespace yuccascale::http
--- a/tests/unit/wire_former_messages_test.cpp
+++ b/tests/unit/wire_former_messages_test.cpp
@@ -43,6 +43,7 @@
     EXPECT_EQ(reply.freshForMs, 1'200);
     EXPECT_EQ(reply.revision, 7U);
     EXPECT_EQ(reply.origins, kernel::feed::origin_report());
+    EXPECT_EQ(reply.settledRevision, 0U) << "nothing is settled by its word";
 }
 
 TEST(former_messages, aFeedRequestOfAFormerBuildWantsNothingNew)
@@ -74,6 +75,7 @@
     reply.leader = "10.0.0.1:7660";
     reply.freshForMs = 1'200;
     reply.clusterWallMs = 5;
+    reply.settledRevision = 6;
     reply.origins.tables = {seconds(9), true};
     reply.origins.deadlines = {{"briefing", seconds(8), milliseconds(20)}};
     const std::string replyBytes = encodeFeedReply(reply);
