Feed: the list of endpoints has an age, and reading it hangs on no node

Cause: only the leader read the list, its copies bore a version and no age, and of two lists the one with the higher fence counted. Nobody knew that a list had not been renewed, and nobody could renew it.

Changed: requests and replies say how long ago the platform was asked for the list held (with the spread of the answers' way) and a digest of it. A list is replaced only by one that was certainly asked for later; the same content is the same list, whoever read it, and only renews the age. promises.drain_notice (the platform's drain_ms) bounds the age: the leader reads at each interval as before, another control node once its own copy is older than in calm by half of what the bound leaves, and a node whose list is older still asks two other control nodes beside the usual polls, each once in the bound's time while none has a younger one.

--- a/src/yuccascale/kernel/control_client.hpp
+++ b/src/yuccascale/kernel/control_client.hpp
@@ -7,6 +7,7 @@
 #include "yuccascale/kernel/state/tables.hpp"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -28,7 +29,9 @@
             endpoints; ///< as the platform lists them; may be null
     std::shared_ptr<const feed::origin_history>
             origins;       ///< what was in force before; null before the first confirmed revision
-    instant confirmedAt{}; ///< when tables and endpoints were certainly the newest
+    instant confirmedAt{}; ///< when the tables were certainly the newest
+    /// When the list of endpoints was asked for at the platform; nothing when that is not known
+    std::optional<instant> endpointsAskedAt = {};
 
     /// \returns where streams of a route can have begun, if it leads to \a pool now; for at least
     /// \a lookback.
--- /dev/null
+++ b/src/yuccascale/kernel/feed/endpoint_list_copy.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/feed/feed_messages.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+/// \file
+/// \brief A node's copy of the platform's list of endpoints, and when it was asked for.
+
+namespace yuccascale::kernel::feed {
+
+/// \brief A list that this node has read at the platform.
+struct endpoint_reading
+{
+    instant askedAt{};       ///< when the node began to ask
+    std::uint64_t fence = 0; ///< of the leader; 0: the node does not lead
+    std::vector<listed_endpoint> endpoints;
+};
+
+/// \brief Keeps the list that was asked for last, whoever read it. Not thread-safe.
+///
+/// A list is replaced only by one that was certainly asked for later. Two lists with the same
+/// digest are the same list, so that who reads what is known already renews its age alone. The
+/// version rises with each list that is installed here: former builds tell newer lists by it.
+class endpoint_list_copy
+{
+public:
+    endpoint_list_copy();
+
+    /// \returns the list; version 0 before the first.
+    [[nodiscard]] const std::shared_ptr<const endpoint_list> &list() const noexcept
+    {
+        return m_list->pointer();
+    }
+
+    /// \returns since when the list is known to be no older; nothing when that is not known.
+    [[nodiscard]] std::optional<instant> askedAt() const noexcept { return m_asked.earliest; }
+
+    /// \brief Takes over what this node has read.
+    /// \returns true when another list is in force now.
+    bool read(endpoint_reading reading);
+
+    /// \brief Takes over what another node answered.
+    /// \param requestedAt when the request was sent
+    /// \param arrivedAt when the answer arrived
+    /// \returns true when another list is in force now.
+    bool install(instant requestedAt, instant arrivedAt, const feed_reply &reply);
+
+    /// \brief Takes over a list whose age is not known, from a former build.
+    /// \returns true when its version is higher.
+    bool installOfUnknownAge(instant arrivedAt, endpoint_list list);
+
+    /// \brief Says in a request what is held.
+    void describe(instant now, feed_request &request) const;
+
+    /// \brief Says in a reply what is held, with the list when the other node has an older one.
+    void describe(instant now, const feed_request &request, feed_reply &reply) const;
+
+private:
+    /// When a list was asked for. Its answer took some time on its way, so that is known with a
+    /// spread.
+    struct asked_span
+    {
+        std::optional<instant> earliest; ///< nothing: not known
+        instant latest{};
+    };
+
+    [[nodiscard]] static asked_span spanOf(instant requestedAt, instant arrivedAt,
+                                           const feed_reply &reply);
+    [[nodiscard]] bool isCertainlyLater(const asked_span &span) const noexcept;
+    [[nodiscard]] bool isNewFor(instant now, const feed_request &request) const;
+    void renew(const asked_span &span);
+    void replace(endpoint_list list, std::uint64_t digest, const asked_span &span);
+
+    encoded_pointer<endpoint_list> m_list;
+    std::uint64_t m_digest = 0; ///< of its endpoints; 0 before the first list
+    asked_span m_asked;
+};
+
+} // namespace yuccascale::kernel::feed
--- a/src/yuccascale/kernel/feed/feed_messages.hpp
+++ b/src/yuccascale/kernel/feed/feed_messages.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/encoded_value.hpp"
 #include "yuccascale/kernel/feed/origin_report.hpp"
 #include "yuccascale/kernel/state/commands.hpp"
 #include "yuccascale/kernel/state/tables.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,10 +49,10 @@
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(listed_endpoint, pool, row)
 };
 
-/// \brief The platform's list of endpoints, as read by one leader.
+/// \brief The platform's list of endpoints.
 struct endpoint_list
 {
-    std::uint64_t version = 0; ///< rises with each change and with each new leader; 0: none yet
+    std::uint64_t version = 0; ///< rises on each node with each list that it installs; 0: none yet
     std::vector<listed_endpoint> endpoints;
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(endpoint_list, version, endpoints)
@@ -66,6 +68,9 @@
     std::uint64_t haveEndpointsVersion = 0; ///< version of the endpoint list held
     bool wantOrigins = false; ///< it does not know what was in force before it began to watch
     bool confirmNow = false;  ///< what the leader confirmed a moment ago is too old for it
+    std::uint64_t haveEndpointsDigest = 0; ///< of the endpoint list held; 0: none
+    /// Since the list held was asked for at the platform, at most; nothing: not known
+    std::optional<milliseconds> endpointsAge = {};
 };
 
 /// \brief What is in force, and for how long it may be used.
@@ -84,8 +89,12 @@
     std::vector<node_report> nodes; ///< those with a recent report that are not leaving
     /// One item when it is newer than haveEndpointsVersion
     std::vector<encoded_pointer<endpoint_list>> endpoints;
-    std::int64_t clusterWallMs = 0; ///< agreed time when the reply was made; 0: not known
-    origin_report origins;          ///< when wanted; older builds say nothing
+    std::int64_t clusterWallMs = 0;    ///< agreed time when the reply was made; 0: not known
+    origin_report origins;             ///< when wanted; older builds say nothing
+    std::uint64_t endpointsDigest = 0; ///< of the list that the sender holds; 0: none
+    /// Since that list was asked for at the platform, at most; nothing: not known
+    std::optional<milliseconds> endpointsAge = {};
+    milliseconds endpointsAgeSpread{}; ///< the age may be less by this
 };
 
 } // namespace yuccascale::kernel::feed
--- a/src/yuccascale/kernel/feed/feed_state.cpp
+++ b/src/yuccascale/kernel/feed/feed_state.cpp
@@ -23,13 +23,18 @@
 feed_state::feed_state(nanoseconds freshness)
     : m_freshness(freshness)
     , m_bans(std::make_shared<const std::set<std::string>>())
-    , m_endpoints(makeEncoded(endpoint_list()))
 { }
 
 control_view feed_state::view() const
 {
-    return {m_history.newest(),        m_freshUntil, m_bans, m_leader, endpoints(), m_origins,
-            m_freshUntil - m_freshness};
+    return {m_history.newest(),
+            m_freshUntil,
+            m_bans,
+            m_leader,
+            endpoints(),
+            m_origins,
+            m_freshUntil - m_freshness,
+            m_endpoints.askedAt()};
 }
 
 feed_request feed_state::request(instant now, const node_report &self, bool includeRelayed) const
@@ -38,7 +43,7 @@
     out.haveTables = m_history.newest() != nullptr;
     out.haveRevision = out.haveTables ? m_history.newest()->revision : 0;
     out.haveBansVersion = m_bansVersion;
-    out.haveEndpointsVersion = endpoints()->version;
+    m_endpoints.describe(now, out);
     out.wantOrigins = !m_origins || !m_origins->knowsAll(now);
     if (includeRelayed)
         out.reports = m_directory.reports(now, nodeReportMaxAge);
@@ -47,13 +52,12 @@
     return out;
 }
 
-bool feed_state::install(instant requestedAt, const feed_reply &reply)
+bool feed_state::install(instant requestedAt, const feed_reply &reply,
+                         std::optional<instant> arrivedAt)
 {
     if (!reply.leader.empty())
         m_leader = reply.leader;
-    bool newer = false;
-    for (const encoded_pointer<endpoint_list> &list : reply.endpoints)
-        newer = installEndpoints(list->value()) || newer;
+    bool newer = m_endpoints.install(requestedAt, arrivedAt.value_or(requestedAt), reply);
     if (!reply.confirmed || requestedAt < m_requestedAt)
         return newer;
     newer = installTables(reply) || newer;
@@ -129,10 +133,7 @@
 
 bool feed_state::installEndpoints(endpoint_list list)
 {
-    if (list.version <= endpoints()->version)
-        return false;
-    m_endpoints = makeEncoded(std::move(list));
-    return true;
+    return m_endpoints.installOfUnknownAge({}, std::move(list));
 }
 
 void feed_state::installBans(std::uint64_t version, const std::vector<std::string> &bans)
@@ -175,8 +176,7 @@
     m_directory.update(now, peer, request.reports);
     feed_reply reply;
     reply.leader = m_leader;
-    if (endpoints()->version > request.haveEndpointsVersion)
-        reply.endpoints.push_back(m_endpoints);
+    m_endpoints.describe(now, request, reply);
     const auto &newest = m_history.newest();
     if (!newest || now >= m_freshUntil)
         return reply;
--- a/src/yuccascale/kernel/feed/feed_state.hpp
+++ b/src/yuccascale/kernel/feed/feed_state.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/control_client.hpp"
+#include "yuccascale/kernel/feed/endpoint_list_copy.hpp"
 #include "yuccascale/kernel/feed/feed_messages.hpp"
 #include "yuccascale/kernel/feed/node_directory.hpp"
 #include "yuccascale/kernel/feed/origin_history.hpp"
@@ -12,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -50,13 +52,30 @@
     /// \returns the newest endpoint list; version 0 before the first.
     [[nodiscard]] const std::shared_ptr<const endpoint_list> &endpoints() const noexcept
     {
-        return m_endpoints->pointer();
+        return m_endpoints.list();
     }
 
-    /// \brief Installs a list of endpoints.
+    /// \returns since when that list is known to be no older; nothing when that is not known.
+    [[nodiscard]] std::optional<instant> endpointsAskedAt() const noexcept
+    {
+        return m_endpoints.askedAt();
+    }
+
+    /// \brief Installs a list of endpoints whose age is not known.
     /// \returns true when it is newer than the current one.
     bool installEndpoints(endpoint_list list);
 
+    /// \brief Installs what this node has read at the platform.
+    /// \returns true when another list is in force now.
+    bool readEndpoints(endpoint_reading reading) { return m_endpoints.read(std::move(reading)); }
+
+    /// \brief Installs only the list of endpoints of a reply.
+    /// \returns true when another list is in force now.
+    bool installEndpoints(instant requestedAt, instant arrivedAt, const feed_reply &reply)
+    {
+        return m_endpoints.install(requestedAt, arrivedAt, reply);
+    }
+
     [[nodiscard]] const node_directory &directory() const noexcept { return m_directory; }
 
     /// \param includeRelayed whether to add the reports of the nodes that poll this one
@@ -71,8 +90,11 @@
     }
 
     /// \brief Installs a reply to a request sent at \a requestedAt. Replies may overtake each
-    /// other. \returns true when a newer revision or endpoint list was installed.
-    bool install(instant requestedAt, const feed_reply &reply);
+    /// other.
+    /// \param arrivedAt nothing: when it was sent
+    /// \returns true when a newer revision or endpoint list was installed.
+    bool install(instant requestedAt, const feed_reply &reply,
+                 std::optional<instant> arrivedAt = std::nullopt);
 
     /// \brief Installs the leader's own state, confirmed by a quorum after \a requestedAt.
     /// \returns true when a newer revision was installed.
@@ -101,7 +123,7 @@
     std::uint64_t m_bansVersion = 0;
     std::shared_ptr<const std::set<std::string>> m_bans;
     std::vector<node_report> m_nodes;
-    encoded_pointer<endpoint_list> m_endpoints;
+    endpoint_list_copy m_endpoints;
     std::shared_ptr<const origin_history> m_origins; ///< replaced when it changes
     std::uint64_t m_originsRevision = 0;             ///< of the tables in it
     std::uint64_t m_originsEndpoints = 0;            ///< version of the list in it
--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -5,6 +5,7 @@
 #include "yuccascale/kernel/usage/entry_succession.hpp"
 #include "yuccascale/kernel/usage/events.hpp"
 #include "yuccascale/runtime/duty_times.hpp"
+#include "yuccascale/runtime/events.hpp"
 
 #include <algorithm>
 #include <set>
@@ -68,6 +69,12 @@
     return outcome.answer && outcome.answer->accepted;
 }
 
+/// \returns the milliseconds since then; -1 when that is not known.
+std::int64_t ageOf(instant now, std::optional<instant> time)
+{
+    return time ? std::chrono::duration_cast<milliseconds>(now - *time).count() : -1;
+}
+
 void recordRefusal(kernel::event_sink &events, const submit_outcome &outcome)
 {
     if (isAccepted(outcome))
@@ -87,6 +94,9 @@
               {}, policyFactory<kernel::policy::role_policy>(m_context.config.policy.roles),
               policyFactory<kernel::policy::placement_policy>(m_context.config.policy.placement),
               m_context.events)
+    , m_listReads({m_context.config.control.feedInterval, m_context.config.platform.listInterval,
+                   m_context.config.promises.drainNotice},
+                  m_context.clock.now())
     , m_task(roundInterval, [this] { tick(); })
     , m_workers(workerThreads)
 { }
@@ -119,8 +129,7 @@
         std::visit([this](auto &chosen) { execute(std::move(chosen)); }, action);
     if (auto action = m_usageReporter.step(now, wallMs(), leadership, view.usage))
         executeUsage(std::move(*action));
-    if (leadership)
-        readEndpointList(now, leadership->fence);
+    readEndpointList(now, leadership);
     if (!leadership || m_pendingSubmits != 0)
         return;
     retireEntries(now, view);
@@ -331,16 +340,23 @@
             });
 }
 
-void leader_duties::readEndpointList(instant now, std::uint64_t fence)
+void leader_duties::readEndpointList(instant now, const held_leadership &leadership)
 {
-    if (!m_drivers.endpoints || !m_context.onEndpointList || m_readingEndpoints
-        || now < m_nextEndpointRead)
+    if (!m_drivers.endpoints || !m_context.onEndpointList || m_readingEndpoints)
+        return;
+    if (!leadership && !m_context.endpointsAskedAt)
         return;
-    m_nextEndpointRead = now + m_context.config.platform.listInterval;
+    const auto askedAt = leadership ? std::nullopt : m_context.endpointsAskedAt();
+    if (!m_listReads.due(now, leadership.has_value(), askedAt))
+        return;
+    if (!leadership)
+        m_context.events.record(endpointListReadByFollower, {{"age_ms", ageOf(now, askedAt)}});
+    m_listReads.asked(now);
     m_readingEndpoints = true;
     using kernel::orders::endpoint_listing;
+    const std::uint64_t fence = leadership ? leadership->fence : 0;
     runOnWorker([lister = m_drivers.endpoints.get()] { return lister->read(); },
-                [this, fence](const call_outcome<endpoint_listing> &outcome) {
+                [this, askedAt = now, fence](const call_outcome<endpoint_listing> &outcome) {
                     m_readingEndpoints = false;
                     const bool known = outcome.answer.has_value();
                     if (std::exchange(m_endpointListAvailable, known) != known) {
@@ -349,17 +365,21 @@
                                 {{"where", "endpoint list"},
                                  {"problem", known ? "" : outcome.failure.message}});
                     }
-                    if (!outcome.answer)
-                        return;
-                    recordIgnored(outcome.answer->ignored);
-                    m_context.onEndpointList(fence, outcome.answer->endpoints);
-                    const held_leadership leadership
-                            = m_context.leadershipSource.current(m_context.clock.now());
-                    if (leadership && leadership->fence == fence)
-                        orderEndpointCounts(*leadership, outcome.answer->endpoints);
+                    if (outcome.answer)
+                        handleEndpointList(askedAt, fence, *outcome.answer);
                 });
 }
 
+void leader_duties::handleEndpointList(instant askedAt, std::uint64_t fence,
+                                       const endpoint_listing &listing)
+{
+    recordIgnored(listing.ignored);
+    m_context.onEndpointList({askedAt, fence, listing.endpoints});
+    const held_leadership leadership = m_context.leadershipSource.current(m_context.clock.now());
+    if (leadership && leadership->fence == fence)
+        orderEndpointCounts(*leadership, listing.endpoints);
+}
+
 /// An entry that stays in the list is named once.
 void leader_duties::recordIgnored(const std::vector<kernel::orders::ignored_entry> &entries)
 {
--- a/src/yuccascale/runtime/duties.hpp
+++ b/src/yuccascale/runtime/duties.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "yuccascale/kernel/control_client.hpp"
+#include "yuccascale/kernel/feed/endpoint_list_copy.hpp"
+#include "yuccascale/kernel/feed/list_read_schedule.hpp"
 #include "yuccascale/kernel/leadership.hpp"
 #include "yuccascale/kernel/orders/drivers.hpp"
 #include "yuccascale/kernel/orders/fleet_scheduler.hpp"
@@ -37,13 +39,16 @@
     kernel::event_sink &events;
     const kernel::clock &clock;
     /// Called with each endpoint list read from the platform; may be null.
-    std::function<void(std::uint64_t fence, const std::vector<kernel::feed::listed_endpoint> &)>
-            onEndpointList;
+    std::function<void(kernel::feed::endpoint_reading)> onEndpointList;
     /// The cluster's agreed wall time; null: this VM's wall clock is used.
     std::function<kernel::wall_time()> agreedTime;
+    /// When the platform was asked for this node's list of endpoints, by any node; nothing when
+    /// that is not known. Null: only the leader reads the list.
+    std::function<std::optional<kernel::instant>()> endpointsAskedAt = {};
 };
 
-/// \brief Runs the leader's duties on its own threads. Idle while this node is not the leader.
+/// \brief Runs the leader's duties on its own threads. While this node does not lead, it only reads
+/// the endpoint list, and only once its copy is too old.
 ///
 /// \example
 ///     leader_duties duties(context, std::move(drivers));
@@ -78,7 +83,9 @@
                        const kernel::state::leader_view &view);
     void retireEntries(kernel::instant now, const kernel::state::leader_view &view);
     void readVmsAndOffers(kernel::instant now);
-    void readEndpointList(kernel::instant now, std::uint64_t fence);
+    void readEndpointList(kernel::instant now, const held_leadership &leadership);
+    void handleEndpointList(kernel::instant askedAt, std::uint64_t fence,
+                            const kernel::orders::endpoint_listing &listing);
     void recordIgnored(const std::vector<kernel::orders::ignored_entry> &entries);
     void orderEndpointCounts(const kernel::leadership &leadership,
                              const std::vector<kernel::feed::listed_endpoint> &endpointList);
@@ -109,7 +116,7 @@
     std::shared_ptr<const kernel::state::table_set> m_tables; ///< read in the last round
     kernel::instant m_nextListRead{};
     bool m_readingLists = false;
-    kernel::instant m_nextEndpointRead{};
+    kernel::feed::list_read_schedule m_listReads;
     bool m_readingEndpoints = false;
     kernel::policy::cheap_headroom m_headroom;
     std::uint64_t m_headroomFence = 0;   ///< fence of the term that m_headroom belongs to
--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -43,6 +43,18 @@
                                    "'lag_ms' before the answer, too long ago, or it holds an older "
                                    "revision, and another node is "
                                    "asked; 'unanswered': it was given up after 'took_ms'."};
+inline const event_kind endpointListOld{
+        1031, "endpoint_list_old", severity::Warning,
+        "The platform was asked for this node's list of endpoints longer ago than "
+        "promises.drain_notice: a draining endpoint may still be taken for a ready one. Requests "
+        "are served; those that run once go to endpoints that were heard from, while one has room. "
+        "Check the control nodes and their path to the platform. 'age_ms' -1: not known."};
+inline const event_kind endpointListRenewed{1032, "endpoint_list_renewed", severity::Info,
+                                            "The list of endpoints is young enough again."};
+inline const event_kind endpointListReadByFollower{
+        1033, "endpoint_list_read_by_follower", severity::Info,
+        "This control node does not lead and has read the list of endpoints itself, since the "
+        "platform was last asked for its copy 'age_ms' ago."};
 inline const event_kind badMessage{1020, "bad_message", severity::Warning,
                                    "A message from another node could not be decoded and was "
                                    "dropped. Upgrade the older of the two nodes."};
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -13,15 +13,11 @@
 
 namespace {
 
-/// The version of an endpoint list holds the leader's fence in the high bits and a counter in
-/// these low bits.
-constexpr unsigned listCounterBits = 32;
 constexpr std::size_t maxNodesPerRound = 9; ///< control nodes polled in one round
 /// Between two polls while a confirmation is awaited; the leader then confirms again at once.
 constexpr milliseconds awaitedPollInterval{50};
 constexpr seconds loadEventInterval{5}; ///< least time between two feed_load events
 constexpr seconds subscriberWindow{5};  ///< a node that polled within it is a peer
-constexpr std::uint64_t listCounterMask = (std::uint64_t{1} << listCounterBits) - 1;
 
 template<typename Row>
 [[nodiscard]] std::size_t countUnencoded(const std::vector<encoded_pointer<Row>> &rows)
@@ -43,9 +39,12 @@
     , m_seeds(settings.seeds)
     , m_times{settings.control.feedInterval, settings.control.freshness,
               settings.promises.tablePropagation}
+    , m_listTimes{settings.control.feedInterval, settings.platform.listInterval,
+                  settings.promises.drainNotice}
     , m_incarnation(incarnation)
     , m_state(settings.control.freshness)
     , m_relays({settings.linkAddress, settings.zone})
+    , m_listSearch(m_listTimes)
     , m_pollers(maxNodesPerRound)
 {
     m_transport.handle(channel::Feed, [this](std::string_view peer, std::string_view payload) {
@@ -112,18 +111,14 @@
     m_seeds = std::move(seeds);
 }
 
-void feed_service::setEndpoints(std::uint64_t fence,
-                                const std::vector<feed::listed_endpoint> &endpoints)
+void feed_service::setEndpoints(feed::endpoint_reading reading)
 {
     std::unique_lock lock(m_mutex);
-    const auto current = m_state.endpoints();
-    const bool ownTerm = current->version >> listCounterBits == fence;
-    if (ownTerm && current->endpoints == endpoints)
-        return;
-    const std::uint64_t counter = ownTerm ? (current->version & listCounterMask) + 1 : 1;
-    const bool newer = m_state.installEndpoints({(fence << listCounterBits) | counter, endpoints});
+    const bool newer = m_state.readEndpoints(std::move(reading));
     lock.unlock();
     notifyPeers(newer);
+    if (newer)
+        tellListener();
 }
 
 std::vector<feed::node_report> feed_service::nodeReports() const
@@ -173,6 +168,7 @@
         pollRound();
         tellListener();
         recordLoad();
+        recordListAge();
         const bool fresh = view().fresh(m_clock.now());
         if (fresh != wasFresh)
             m_events.record(fresh ? freshnessGained : freshnessLost, {});
@@ -214,9 +210,43 @@
         if (awaitPoll(*beginPoll(peer)))
             break;
     }
+    askForList(tried);
     m_polled.notify_all();
 }
 
+/// Asks other control nodes while the list of endpoints is too old, the leader's own included. No
+/// round waits for their answers.
+void feed_service::askForList(const std::set<std::string> &tried)
+{
+    std::unique_lock lock(m_mutex);
+    if (m_state.endpoints()->version == 0)
+        return;
+    std::vector<std::string> nodes = knownControlNodes();
+    std::erase_if(nodes, [&](const std::string &node) { return !mayAsk(node, tried); });
+    nodes = m_listSearch.next(m_clock.now(), m_state.endpointsAskedAt(), nodes);
+    lock.unlock();
+    const bool leads = isLeader();
+    for (const std::string &node : nodes)
+        static_cast<void>(beginPoll(node, leads));
+}
+
+void feed_service::recordListAge()
+{
+    std::unique_lock lock(m_mutex);
+    const auto askedAt = m_state.endpointsAskedAt();
+    const std::uint64_t version = m_state.endpoints()->version;
+    lock.unlock();
+    const instant now = m_clock.now();
+    const bool old = version != 0 && m_listTimes.tooOld(now, askedAt);
+    if (std::exchange(m_listOld, old) == old)
+        return;
+    m_events.record(
+            old ? endpointListOld : endpointListRenewed,
+            {{"age_ms",
+              askedAt ? std::chrono::duration_cast<milliseconds>(now - *askedAt).count() : -1},
+             {"endpoint_list", version}});
+}
+
 bool feed_service::isLeader() const
 {
     return m_leaderState != nullptr && m_leaderState->leader() == m_settings.linkAddress;
@@ -247,10 +277,12 @@
     return true;
 }
 
-std::shared_ptr<feed_service::begun_poll> feed_service::beginPoll(const std::string &peer)
+std::shared_ptr<feed_service::begun_poll> feed_service::beginPoll(const std::string &peer,
+                                                                  bool listOnly)
 {
     auto begun = std::make_shared<begun_poll>();
     begun->peer = peer;
+    begun->listOnly = listOnly;
     {
         const std::lock_guard lock(m_mutex);
         m_polls[peer] = begun;
@@ -311,7 +343,9 @@
             problem);
     const nanoseconds lag = m_times.freshness - milliseconds(reply.freshForMs);
     lock.lock();
-    const bool newer = answered && m_state.install(sentAt, reply);
+    const bool newer = answered
+            && (begun->listOnly ? m_state.installEndpoints(sentAt, m_clock.now(), reply)
+                                : m_state.install(sentAt, reply, m_clock.now()));
     const poll_outcome outcome = answered ? judge(reply) : poll_outcome::Unanswered;
     if (outcome == poll_outcome::UpToDate)
         m_relays.upToDate(begun->peer);
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "yuccascale/kernel/feed/feed_state.hpp"
+#include "yuccascale/kernel/feed/list_search.hpp"
+#include "yuccascale/kernel/feed/list_times.hpp"
 #include "yuccascale/kernel/feed/poll_times.hpp"
 #include "yuccascale/kernel/feed/relay_choice.hpp"
 #include "yuccascale/kernel/transport.hpp"
@@ -81,10 +83,8 @@
     /// \returns the cluster's agreed wall time; this VM's wall clock before one was received.
     [[nodiscard]] kernel::wall_time agreedTime() const;
 
-    /// \brief Installs the endpoint list that this node, as leader, has read from the platform.
-    /// \param fence of the leader
-    void setEndpoints(std::uint64_t fence,
-                      const std::vector<kernel::feed::listed_endpoint> &endpoints);
+    /// \brief Installs the endpoint list that this node has read from the platform.
+    void setEndpoints(kernel::feed::endpoint_reading reading);
 
     /// \brief Sets the function that is called, on any thread, after each answer and each round of
     /// polls;
@@ -123,6 +123,7 @@
     struct begun_poll
     {
         std::string peer;
+        bool listOnly = false; ///< of the answer, only the list of endpoints is wanted
         bool ended = false;
         bool upToDate = false; ///< once it has ended
     };
@@ -134,7 +135,10 @@
     [[nodiscard]] kernel::milliseconds pollInterval() const;
     [[nodiscard]] bool isLeader() const;
     [[nodiscard]] bool readLocalLeader();
-    [[nodiscard]] std::shared_ptr<begun_poll> beginPoll(const std::string &peer);
+    [[nodiscard]] std::shared_ptr<begun_poll> beginPoll(const std::string &peer,
+                                                        bool listOnly = false);
+    void askForList(const std::set<std::string> &tried);
+    void recordListAge();
     [[nodiscard]] bool awaitPoll(const begun_poll &begun);
     void runPoll(const std::shared_ptr<begun_poll> &begun);
     [[nodiscard]] poll_outcome judge(const kernel::feed::feed_reply &reply) const;
@@ -158,12 +162,15 @@
     std::vector<std::string> m_seeds;
     std::function<void()> m_listener;
     kernel::feed::poll_times m_times;
+    kernel::feed::list_times m_listTimes;
     std::uint64_t m_incarnation;
 
     mutable std::mutex m_mutex;
     std::condition_variable m_wake;
     kernel::feed::feed_state m_state;
     kernel::feed::relay_choice m_relays;
+    kernel::feed::list_search m_listSearch;
+    bool m_listOld = false; ///< the list was older than promised after the last round
     std::map<std::string, std::shared_ptr<begun_poll>> m_polls; ///< that have not ended, by node
     std::map<std::string, poll_outcome> m_outcomes;             ///< of the last poll, by node
     std::string m_notifier; ///< node that holds a newer revision and was not asked since
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -333,11 +333,11 @@
     const auto pools = [this](instant) { return poolStates(); };
     leaderDuties = std::make_unique<leader_duties>(
             duty_context{settings, *replica, *client, state, pools, dead, events, clock,
-                         [this](std::uint64_t fence,
-                                const std::vector<kernel::feed::listed_endpoint> &listed) {
-                             feed->setEndpoints(fence, listed);
+                         [this](kernel::feed::endpoint_reading reading) {
+                             feed->setEndpoints(std::move(reading));
                          },
-                         [this] { return feed->agreedTime(); }},
+                         [this] { return feed->agreedTime(); },
+                         [this] { return feed->view().endpointsAskedAt; }},
             std::move(drivers));
     return {};
 }
--- a/src/yuccascale/runtime/settings.cpp
+++ b/src/yuccascale/runtime/settings.cpp
@@ -108,6 +108,7 @@
 {
     node.duration("key_withdrawal", promises.keyWithdrawal);
     node.duration("table_propagation", promises.tablePropagation);
+    node.duration("drain_notice", promises.drainNotice);
     node.duration("shutdown", promises.shutdown);
     node.number("retry_share", promises.retryShare);
     node.number("retry_burst", promises.retryBurst);
--- a/src/yuccascale/runtime/settings.hpp
+++ b/src/yuccascale/runtime/settings.hpp
@@ -69,6 +69,9 @@
     kernel::milliseconds keyWithdrawal{0}; ///< until a withdrawn key stops working; 0: no bound
     /// Until an acknowledged change of the tables is in force at every entry; 0: no bound
     kernel::milliseconds tablePropagation{6'000};
+    /// From when the platform's list shows an endpoint as draining or no longer until it gets no
+    /// request; 0: no bound
+    kernel::milliseconds drainNotice{0};
     kernel::milliseconds shutdown{0}; ///< from a shutdown request to the node's exit; 0: no bound
     double retryShare = 0.2;          ///< retries allowed per request, across all entries
     double retryBurst = 32;           ///< further retries allowed in one window
--- a/src/yuccascale/wire/feed_codec.cpp
+++ b/src/yuccascale/wire/feed_codec.cpp
@@ -152,6 +152,22 @@
     return kernel::milliseconds(std::min(count, longest));
 }
 
+constexpr std::uint32_t unknownAge = 0xffff'ffff; ///< the schema's default
+
+[[nodiscard]] std::uint32_t ageToCount(std::optional<kernel::milliseconds> age)
+{
+    if (!age)
+        return unknownAge;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(count(*age), unknownAge - 1));
+}
+
+[[nodiscard]] std::optional<kernel::milliseconds> toAge(std::uint32_t count)
+{
+    if (count == unknownAge)
+        return std::nullopt;
+    return kernel::milliseconds(count);
+}
+
 flatbuffers::Offset<fb::WatchedSpan> spanToTable(builder_type &builder,
                                                  const kernel::feed::watched_span &span)
 {
@@ -234,7 +250,8 @@
     const auto reports = reportsToVector(builder, request.reports);
     builder.Finish(fb::CreateFeedRequest(
             builder, request.haveRevision, request.haveTables, request.haveBansVersion, reports,
-            request.haveEndpointsVersion, request.wantOrigins, request.confirmNow));
+            request.haveEndpointsVersion, request.wantOrigins, request.confirmNow,
+            request.haveEndpointsDigest, ageToCount(request.endpointsAge)));
     return bufferBytes(builder);
 }
 
@@ -248,10 +265,11 @@
     const auto nodes = reportsToVector(builder, reply.nodes);
     const auto endpoints = rowsToBytes(builder, reply.endpoints);
     const auto origins = originsToTable(builder, reply.origins);
-    builder.Finish(fb::CreateFeedReply(builder, reply.confirmed, leader,
-                                       static_cast<std::uint32_t>(reply.freshForMs), reply.revision,
-                                       edits, fullTables, reply.bansVersion, bans, nodes, endpoints,
-                                       reply.clusterWallMs, origins));
+    builder.Finish(fb::CreateFeedReply(
+            builder, reply.confirmed, leader, static_cast<std::uint32_t>(reply.freshForMs),
+            reply.revision, edits, fullTables, reply.bansVersion, bans, nodes, endpoints,
+            reply.clusterWallMs, origins, reply.endpointsDigest, ageToCount(reply.endpointsAge),
+            ageToCount(reply.endpointsAgeSpread)));
     return bufferBytes(builder);
 }
 
@@ -265,6 +283,8 @@
     out.haveEndpointsVersion = table->have_endpoints();
     out.wantOrigins = table->want_origins();
     out.confirmNow = table->confirm_now();
+    out.haveEndpointsDigest = table->endpoints_digest();
+    out.endpointsAge = toAge(table->endpoints_age_ms());
     out.reports = reportsFromVector(table->reports());
     return out;
 }
@@ -287,6 +307,9 @@
                       rowsFromBytes<kernel::feed::endpoint_list>(table->endpoints()));
     out.clusterWallMs = table->cluster_wall_ms();
     out.origins = toOrigins(table->origins());
+    out.endpointsDigest = table->endpoints_digest();
+    out.endpointsAge = toAge(table->endpoints_age_ms());
+    out.endpointsAgeSpread = kernel::milliseconds(table->endpoints_age_spread_ms());
     return out;
 }
 
--- a/src/yuccascale/wire/feed_generated.h
+++ b/src/yuccascale/wire/feed_generated.h
@@ -549,7 +549,9 @@
     VT_REPORTS = 10,
     VT_HAVE_ENDPOINTS = 12,
     VT_WANT_ORIGINS = 14,
-    VT_CONFIRM_NOW = 16
+    VT_CONFIRM_NOW = 16,
+    VT_ENDPOINTS_DIGEST = 18,
+    VT_ENDPOINTS_AGE_MS = 20
   };
   uint64_t have_revision() const {
     return GetField<uint64_t>(VT_HAVE_REVISION, 0);
@@ -572,6 +574,12 @@
   bool confirm_now() const {
     return GetField<uint8_t>(VT_CONFIRM_NOW, 0) != 0;
   }
+  uint64_t endpoints_digest() const {
+    return GetField<uint64_t>(VT_ENDPOINTS_DIGEST, 0);
+  }
+  uint32_t endpoints_age_ms() const {
+    return GetField<uint32_t>(VT_ENDPOINTS_AGE_MS, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_HAVE_REVISION, 8) &&
@@ -583,6 +591,8 @@
            VerifyField<uint64_t>(verifier, VT_HAVE_ENDPOINTS, 8) &&
            VerifyField<uint8_t>(verifier, VT_WANT_ORIGINS, 1) &&
            VerifyField<uint8_t>(verifier, VT_CONFIRM_NOW, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ENDPOINTS_DIGEST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ENDPOINTS_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -612,6 +622,12 @@
   void add_confirm_now(bool confirm_now) {
     fbb_.AddElement<uint8_t>(FeedRequest::VT_CONFIRM_NOW, static_cast<uint8_t>(confirm_now), 0);
   }
+  void add_endpoints_digest(uint64_t endpoints_digest) {
+    fbb_.AddElement<uint64_t>(FeedRequest::VT_ENDPOINTS_DIGEST, endpoints_digest, 0);
+  }
+  void add_endpoints_age_ms(uint32_t endpoints_age_ms) {
+    fbb_.AddElement<uint32_t>(FeedRequest::VT_ENDPOINTS_AGE_MS, endpoints_age_ms, 4294967295);
+  }
   explicit FeedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -631,11 +647,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>> reports = 0,
     uint64_t have_endpoints = 0,
     bool want_origins = false,
-    bool confirm_now = false) {
+    bool confirm_now = false,
+    uint64_t endpoints_digest = 0,
+    uint32_t endpoints_age_ms = 4294967295) {
   FeedRequestBuilder builder_(_fbb);
+  builder_.add_endpoints_digest(endpoints_digest);
   builder_.add_have_endpoints(have_endpoints);
   builder_.add_have_bans(have_bans);
   builder_.add_have_revision(have_revision);
+  builder_.add_endpoints_age_ms(endpoints_age_ms);
   builder_.add_reports(reports);
   builder_.add_confirm_now(confirm_now);
   builder_.add_want_origins(want_origins);
@@ -651,7 +671,9 @@
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *reports = nullptr,
     uint64_t have_endpoints = 0,
     bool want_origins = false,
-    bool confirm_now = false) {
+    bool confirm_now = false,
+    uint64_t endpoints_digest = 0,
+    uint32_t endpoints_age_ms = 4294967295) {
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>(*reports) : 0;
   return yuccascale::wire::fb::CreateFeedRequest(
       _fbb,
@@ -661,7 +683,9 @@
       reports__,
       have_endpoints,
       want_origins,
-      confirm_now);
+      confirm_now,
+      endpoints_digest,
+      endpoints_age_ms);
 }
 
 struct FeedReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -678,7 +702,10 @@
     VT_NODES = 20,
     VT_ENDPOINTS = 22,
     VT_CLUSTER_WALL_MS = 24,
-    VT_ORIGINS = 26
+    VT_ORIGINS = 26,
+    VT_ENDPOINTS_DIGEST = 28,
+    VT_ENDPOINTS_AGE_MS = 30,
+    VT_ENDPOINTS_AGE_SPREAD_MS = 32
   };
   bool confirmed() const {
     return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
@@ -716,6 +743,15 @@
   const yuccascale::wire::fb::OriginReport *origins() const {
     return GetPointer<const yuccascale::wire::fb::OriginReport *>(VT_ORIGINS);
   }
+  uint64_t endpoints_digest() const {
+    return GetField<uint64_t>(VT_ENDPOINTS_DIGEST, 0);
+  }
+  uint32_t endpoints_age_ms() const {
+    return GetField<uint32_t>(VT_ENDPOINTS_AGE_MS, 4294967295);
+  }
+  uint32_t endpoints_age_spread_ms() const {
+    return GetField<uint32_t>(VT_ENDPOINTS_AGE_SPREAD_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
@@ -739,6 +775,9 @@
            VerifyField<int64_t>(verifier, VT_CLUSTER_WALL_MS, 8) &&
            VerifyOffset(verifier, VT_ORIGINS) &&
            verifier.VerifyTable(origins()) &&
+           VerifyField<uint64_t>(verifier, VT_ENDPOINTS_DIGEST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ENDPOINTS_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ENDPOINTS_AGE_SPREAD_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -783,6 +822,15 @@
   void add_origins(flatbuffers::Offset<yuccascale::wire::fb::OriginReport> origins) {
     fbb_.AddOffset(FeedReply::VT_ORIGINS, origins);
   }
+  void add_endpoints_digest(uint64_t endpoints_digest) {
+    fbb_.AddElement<uint64_t>(FeedReply::VT_ENDPOINTS_DIGEST, endpoints_digest, 0);
+  }
+  void add_endpoints_age_ms(uint32_t endpoints_age_ms) {
+    fbb_.AddElement<uint32_t>(FeedReply::VT_ENDPOINTS_AGE_MS, endpoints_age_ms, 4294967295);
+  }
+  void add_endpoints_age_spread_ms(uint32_t endpoints_age_spread_ms) {
+    fbb_.AddElement<uint32_t>(FeedReply::VT_ENDPOINTS_AGE_SPREAD_MS, endpoints_age_spread_ms, 0);
+  }
   explicit FeedReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -807,11 +855,17 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>> nodes = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> endpoints = 0,
     int64_t cluster_wall_ms = 0,
-    flatbuffers::Offset<yuccascale::wire::fb::OriginReport> origins = 0) {
+    flatbuffers::Offset<yuccascale::wire::fb::OriginReport> origins = 0,
+    uint64_t endpoints_digest = 0,
+    uint32_t endpoints_age_ms = 4294967295,
+    uint32_t endpoints_age_spread_ms = 0) {
   FeedReplyBuilder builder_(_fbb);
+  builder_.add_endpoints_digest(endpoints_digest);
   builder_.add_cluster_wall_ms(cluster_wall_ms);
   builder_.add_bans_version(bans_version);
   builder_.add_revision(revision);
+  builder_.add_endpoints_age_spread_ms(endpoints_age_spread_ms);
+  builder_.add_endpoints_age_ms(endpoints_age_ms);
   builder_.add_origins(origins);
   builder_.add_endpoints(endpoints);
   builder_.add_nodes(nodes);
@@ -837,7 +891,10 @@
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *nodes = nullptr,
     const std::vector<uint8_t> *endpoints = nullptr,
     int64_t cluster_wall_ms = 0,
-    flatbuffers::Offset<yuccascale::wire::fb::OriginReport> origins = 0) {
+    flatbuffers::Offset<yuccascale::wire::fb::OriginReport> origins = 0,
+    uint64_t endpoints_digest = 0,
+    uint32_t endpoints_age_ms = 4294967295,
+    uint32_t endpoints_age_spread_ms = 0) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto edits__ = edits ? _fbb.CreateVector<uint8_t>(*edits) : 0;
   auto full_tables__ = full_tables ? _fbb.CreateVector<uint8_t>(*full_tables) : 0;
@@ -857,7 +914,10 @@
       nodes__,
       endpoints__,
       cluster_wall_ms,
-      origins);
+      origins,
+      endpoints_digest,
+      endpoints_age_ms,
+      endpoints_age_spread_ms);
 }
 
 inline const yuccascale::wire::fb::FeedReply *GetFeedReply(const void *buf) {
--- a/tests/fakes/held_transport.hpp
+++ b/tests/fakes/held_transport.hpp
@@ -88,6 +88,14 @@
         m_states.try_emplace(node, m_freshness).first->second.installEndpoints(std::move(list));
     }
 
+    /// \brief Installs a list of endpoints that \a node has read at the platform.
+    void readEndpoints(const std::string &node, kernel::feed::endpoint_reading reading)
+    {
+        const std::lock_guard lock(m_mutex);
+        auto &state = m_states.try_emplace(node, m_freshness).first->second;
+        static_cast<void>(state.readEndpoints(std::move(reading)));
+    }
+
     /// \brief Sets the time at which the nodes answer.
     void setNow(kernel::instant now)
     {
--- a/tests/unit/wire_former_messages_test.cpp
+++ b/tests/unit/wire_former_messages_test.cpp
@@ -1,3 +1,4 @@
+#include "fakes/feed_of_5080f23_generated.h"
 #include "fakes/former_feed_generated.h"
 #include "fakes/former_streams_generated.h"
 #include "yuccascale/wire/feed_codec.hpp"
@@ -6,12 +7,15 @@
 #include <gtest/gtest.h>
 
 /// \file
-/// \brief Messages between this build and c7396eb, whose schemas are fakes/former_*.fbs.
+/// \brief Messages between this build and c7396eb, whose schemas are fakes/former_*.fbs, and
+/// 5080f23, whose feed is fakes/feed_of_5080f23.fbs.
 
 namespace yuccascale::wire {
 
 namespace {
 
+namespace feed_5080f23 = former_5080f23::fb;
+
 using kernel::milliseconds;
 using kernel::seconds;
 
@@ -85,6 +89,70 @@
     EXPECT_EQ(formerReply->cluster_wall_ms(), 5);
 }
 
+/// Guards against an age of zero read from an answer that says none.
+TEST(former_messages, theListOf5080f23HasNoKnownAge)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    const auto leader = builder.CreateString("10.0.0.1:7660");
+    builder.Finish(feed_5080f23::CreateFeedReply(builder, true, leader, 1'200, 7));
+    const auto reply = decodeFeedReply(bytesOf(builder)).value();
+    EXPECT_FALSE(reply.endpointsAge);
+    EXPECT_EQ(reply.endpointsDigest, 0U);
+
+    builder.Clear();
+    builder.Finish(feed_5080f23::CreateFeedRequest(builder, 7, true, 3, 0, 9, true, true));
+    const auto request = decodeFeedRequest(bytesOf(builder)).value();
+    EXPECT_EQ(request.haveEndpointsVersion, 9U);
+    EXPECT_FALSE(request.endpointsAge);
+    EXPECT_EQ(request.haveEndpointsDigest, 0U);
+}
+
+TEST(former_messages, node5080f23ReadsTheFeedOfThisBuild)
+{
+    kernel::feed::feed_request request;
+    request.haveEndpointsVersion = 9;
+    request.haveEndpointsDigest = 77;
+    request.endpointsAge = milliseconds(400);
+    request.confirmNow = true;
+    const std::string requestBytes = encodeFeedRequest(request);
+    const auto *formerRequest = readAsFormer<feed_5080f23::FeedRequest>(requestBytes);
+    ASSERT_NE(formerRequest, nullptr);
+    EXPECT_EQ(formerRequest->have_endpoints(), 9U);
+    EXPECT_TRUE(formerRequest->confirm_now());
+
+    kernel::feed::feed_reply reply;
+    reply.confirmed = true;
+    reply.freshForMs = 1'200;
+    reply.endpointsDigest = 77;
+    reply.endpointsAge = milliseconds(400);
+    reply.endpointsAgeSpread = milliseconds(3);
+    reply.endpoints.push_back(kernel::makeEncoded(kernel::feed::endpoint_list{9, {}}));
+    const std::string replyBytes = encodeFeedReply(reply);
+    const auto *formerReply = readAsFormer<feed_5080f23::FeedReply>(replyBytes);
+    ASSERT_NE(formerReply, nullptr);
+    EXPECT_EQ(formerReply->fresh_for_ms(), 1'200U);
+    EXPECT_NE(formerReply->endpoints(), nullptr);
+}
+
+TEST(former_messages, theAgeOfAListIsDecodedAsItWasEncoded)
+{
+    kernel::feed::feed_reply reply;
+    reply.endpointsDigest = 77;
+    reply.endpointsAge = milliseconds(400);
+    reply.endpointsAgeSpread = milliseconds(3);
+    const auto decodedReply = decodeFeedReply(encodeFeedReply(reply)).value();
+    EXPECT_EQ(decodedReply.endpointsDigest, 77U);
+    EXPECT_EQ(decodedReply.endpointsAge, reply.endpointsAge);
+    EXPECT_EQ(decodedReply.endpointsAgeSpread, reply.endpointsAgeSpread);
+    kernel::feed::feed_request request;
+    EXPECT_FALSE(decodeFeedRequest(encodeFeedRequest(request)).value().endpointsAge);
+    request.haveEndpointsDigest = 77;
+    request.endpointsAge = milliseconds(0);
+    const auto decodedRequest = decodeFeedRequest(encodeFeedRequest(request)).value();
+    EXPECT_EQ(decodedRequest.haveEndpointsDigest, 77U);
+    EXPECT_EQ(decodedRequest.endpointsAge, request.endpointsAge);
+}
+
 /// Guards against an entry of a former build that looks back for less time than it is asked to.
 TEST(former_messages, aFormerBuildReadsTheQuestionsAndRecordsOfThisOne)
 {
