--- a/tests/unit/http_last_look_test.cpp
+++ b/tests/unit/http_last_look_test.cpp
@@ -243,8 +243,8 @@
     EXPECT_EQ(engines.at(static_cast<std::size_t>(drained.back() - '0'))->received().size(), 0U);
 }
 
-/// Guards against a request of the queue that is sent, over a kept connection, to an endpoint which
-/// drains between the assignment and a late loop's turn.
+/// Guards against a request of the queue that is sent to an endpoint which drains between the
+/// assignment and a late loop's turn.
 TEST_F(last_look, aRequestAssignedWhileTheLoopIsBusyGoesToAnotherEndpoint)
 {
     std::promise<void> arrived;
