--- a/tests/processes/planned_stop_test.cpp
+++ b/tests/processes/planned_stop_test.cpp
@@ -98,6 +98,7 @@
     }
     system.nodeProcess(stoppedNode).signal(SIGTERM);
     std::vector<std::future<filing>> late;
+    late.reserve(sentAfter.size());
     for (const milliseconds after : sentAfter) {
         late.push_back(std::async(std::launch::async, [&system, after] {
             std::this_thread::sleep_for(after);
