--- a/src/yuccascale/kernel/requests/drain_plan.cpp
+++ b/src/yuccascale/kernel/requests/drain_plan.cpp
@@ -24,6 +24,7 @@
         return;
     const nanoseconds reserve
             = std::clamp<nanoseconds>(limit / reserveDivisor, minReserve, maxReserve);
+    m_closingTime = reserve / 2;
     m_end = since + std::max(limit - reserve, nanoseconds::zero());
     m_estimatesUntil = since + std::min(addressTtl, limit / estimateDivisor);
 }
--- a/src/yuccascale/kernel/requests/drain_plan.hpp
+++ b/src/yuccascale/kernel/requests/drain_plan.hpp
@@ -34,6 +34,10 @@
     /// \returns when the last answer must have been sent.
     [[nodiscard]] instant end() const noexcept { return m_end; }
 
+    /// \returns how long callers may take after end() to close their connections; as much again is
+    ///          left to end the process.
+    [[nodiscard]] nanoseconds closingTime() const noexcept { return m_closingTime; }
+
     /// \param longestAnswer time that recent answers of the kind took at most once sent; nothing
     ///        when none was seen
     /// \returns whether a request that is sent now ends before the process.
@@ -45,6 +49,7 @@
 
     instant m_end = instant::max();
     instant m_estimatesUntil = instant::max(); ///< for requests received by then
+    nanoseconds m_closingTime = nanoseconds::max();
 };
 
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -451,7 +451,7 @@
         callers->closeToCallers();
     for (const auto &server : servers)
         server->closeListeners();
-    const instant end = clock.now() + closingTimeout;
+    const instant end = clock.now() + std::min<nanoseconds>(closingTimeout, plan.closingTime());
     // a request may have been taken just before
     while ((hasConnections() && clock.now() < end) || !drained(plan))
         std::this_thread::sleep_for(closingPollInterval);
--- a/tests/unit/requests_drain_plan_test.cpp
+++ b/tests/unit/requests_drain_plan_test.cpp
@@ -353,6 +353,17 @@
     }
 }
 
+/// Guards against a process that is killed while it waits for its callers to close.
+TEST(drain_plan, leavesTimeToEndTheProcessOnceCallersHadTheirsToClose)
+{
+    EXPECT_EQ(drain_plan().closingTime(), nanoseconds::max());
+    for (const seconds limit : {seconds(1), seconds(2), seconds(5), seconds(8), seconds(300)}) {
+        const drain_plan plan(start, limit);
+        EXPECT_GE(plan.closingTime(), milliseconds(25)) << limit.count();
+        EXPECT_LE(plan.end() + 2 * plan.closingTime(), start + limit) << limit.count();
+    }
+}
+
 TEST(answer_times, knowsTheLongestRecentAnswerOnceThereAreSeveral)
 {
     policy::answer_times times;
