Soak: callers who always await a confirmation, the leader cut most often

Two callers an entry were both held while it awaited a confirmation, so nobody asked when it mattered: now there are six, one of them for a route that never was, and they ask for what was changed 1.5 to 6.5 s ago.

--- a/tests/processes/core_faults.cpp
+++ b/tests/processes/core_faults.cpp
@@ -49,12 +49,12 @@
 
 void core_faults::play(milliseconds time)
 {
-    static constexpr std::array<fault, 10> faults{
-            &core_faults::cutLink,    &core_faults::cutLinkOneWay,
-            &core_faults::cutNode,    &core_faults::cutLeader,
-            &core_faults::freezeNode, &core_faults::freezeLeader,
-            &core_faults::killLeader, &core_faults::cutZone,
-            &core_faults::cutZone,    &core_faults::cutEntriesFromNode};
+    // twice or three times: the likelier ones
+    static constexpr std::array<fault, 12> faults{
+            &core_faults::cutLink,    &core_faults::cutLinkOneWay, &core_faults::cutNode,
+            &core_faults::cutLeader,  &core_faults::cutLeader,     &core_faults::cutLeader,
+            &core_faults::cutZone,    &core_faults::cutZone,       &core_faults::cutEntriesFromNode,
+            &core_faults::freezeNode, &core_faults::freezeLeader,  &core_faults::killLeader};
     constexpr std::size_t seriesOneIn = 6;
     const test_time until = test_clock::now() + time;
     while (test_clock::now() < until) {
--- a/tests/processes/document_edits.cpp
+++ b/tests/processes/document_edits.cpp
@@ -3,6 +3,7 @@
 #include "fakes/http_client.hpp"
 #include "yuccascale/kernel/json.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace yuccascale::processes {
@@ -19,7 +20,9 @@
 constexpr milliseconds resendPause{150};
 constexpr milliseconds resendLimit{12'000};
 constexpr milliseconds firstLimit{30'000};
-constexpr milliseconds recentTime{8'000};
+/// Callers mostly ask for what was changed so long ago that it has to be in force, or nearly.
+constexpr milliseconds recentLeast{1'500};
+constexpr milliseconds recentMost{6'500};
 constexpr milliseconds waitStep{10};
 constexpr std::size_t keptAdditions = 4;
 const std::string lastingKey = "key-lasting";
@@ -218,17 +221,23 @@
     }
 }
 
+/// Requires m_mutex to be held.
+std::size_t document_edits::changesBefore(test_time at) const
+{
+    const auto end = std::ranges::lower_bound(m_recent, at, {}, &recent_change::at);
+    return static_cast<std::size_t>(end - m_recent.begin());
+}
+
 request_subject document_edits::subject(std::minstd_rand &random) const
 {
     constexpr unsigned inTen = 10;
-    constexpr unsigned ofTheRecent = 7;
+    constexpr unsigned ofTheRecent = 8;
     const std::lock_guard lock(m_mutex);
-    std::size_t recent = 0;
-    const test_time since = test_clock::now() - recentTime;
-    while (recent < m_recent.size() && m_recent[m_recent.size() - 1 - recent].at >= since)
-        ++recent;
-    if (recent > 0 && random() % inTen < ofTheRecent)
-        return m_recent[m_recent.size() - 1 - random() % recent].subject;
+    const test_time now = test_clock::now();
+    const std::size_t first = changesBefore(now - recentMost);
+    const std::size_t count = changesBefore(now - recentLeast) - first;
+    if (count > 0 && random() % inTen < ofTheRecent)
+        return m_recent[first + random() % count].subject;
     return {"moved-" + std::to_string(random() % movedRoutes), lastingKey};
 }
 
--- a/tests/processes/document_edits.hpp
+++ b/tests/processes/document_edits.hpp
@@ -43,7 +43,7 @@
     /// \brief Waits for the documents that are being sent.
     void stop();
 
-    /// \returns something to ask for, mostly what was changed within the last seconds.
+    /// \returns something to ask for, mostly what was changed some seconds ago.
     [[nodiscard]] request_subject subject(std::minstd_rand &random) const;
 
     /// \returns all documents sent so far, by version.
@@ -67,6 +67,7 @@
     [[nodiscard]] request_subject createOrWithdrawKey();
     [[nodiscard]] std::string bodyOf(std::uint64_t version) const;
     [[nodiscard]] const std::string &anyService();
+    [[nodiscard]] std::size_t changesBefore(test_time at) const;
     void send(std::uint64_t version, const std::string &body, unsigned firstNode);
     void acknowledged(std::uint64_t version, test_time at);
     [[nodiscard]] std::size_t draw(std::size_t count) { return m_random() % count; }
--- a/tests/processes/entry_callers.cpp
+++ b/tests/processes/entry_callers.cpp
@@ -6,11 +6,13 @@
 
 namespace {
 
-constexpr unsigned callersOfEntry = 2;
-constexpr milliseconds leastInterval{25};   ///< between a caller's requests
-constexpr milliseconds intervalPerEntry{4}; ///< bounds the requests of all callers together
+/// So many that some go on while an entry holds the requests of others.
+constexpr unsigned callersOfEntry = 6;
+constexpr milliseconds leastInterval{70};    ///< between a caller's requests
+constexpr milliseconds intervalPerEntry{12}; ///< bounds the requests of all callers together
 constexpr milliseconds answerLimit{2'500};
 constexpr unsigned newConnectionEvery = 40;
+const request_subject nowhere{"never-was", "key-lasting"};
 
 } // namespace
 
@@ -22,7 +24,10 @@
         for (unsigned number = 0; number < callersOfEntry; ++number) {
             const unsigned own = seed + static_cast<unsigned>(m_threads.size()) + 1;
             const std::string name = "e" + std::to_string(entry) + "-" + std::to_string(number);
-            m_threads.emplace_back([this, entry, own, name] { run(entry, own, name); });
+            const bool asksForNothing = number == 0;
+            m_threads.emplace_back([this, entry, own, name, asksForNothing] {
+                run(entry, own, name, asksForNothing);
+            });
         }
     }
 }
@@ -40,7 +45,9 @@
     m_threads.clear();
 }
 
-void entry_callers::run(std::size_t entry, unsigned seed, const std::string &name)
+/// \param asksForNothing for a route that never was, so that the entry always awaits a confirmation
+void entry_callers::run(std::size_t entry, unsigned seed, const std::string &name,
+                        bool asksForNothing)
 {
     std::minstd_rand random(seed);
     const milliseconds interval
@@ -52,7 +59,8 @@
             connection = fakes::keep_alive_connection::open(m_system.callerAddress(entry));
         if (connection.isOpen()) {
             const std::string id = name + "-" + std::to_string(number);
-            record(id, ask(connection, entry, m_edits.subject(random), id));
+            const request_subject subject = asksForNothing ? nowhere : m_edits.subject(random);
+            record(id, ask(connection, entry, subject, id));
         }
         std::this_thread::sleep_for(interval);
     }
--- a/tests/processes/entry_callers.hpp
+++ b/tests/processes/entry_callers.hpp
@@ -26,7 +26,7 @@
     int status = 0; ///< 0: no answer
 };
 
-/// \brief Two callers for each entry, until stop(). Thread-safe.
+/// \brief Some callers for each entry, until stop(). Thread-safe.
 class entry_callers
 {
 public:
@@ -51,7 +51,7 @@
     [[nodiscard]] std::map<int, int> statuses() const;
 
 private:
-    void run(std::size_t entry, unsigned seed, const std::string &name);
+    void run(std::size_t entry, unsigned seed, const std::string &name, bool asksForNothing);
     [[nodiscard]] called_request ask(fakes::keep_alive_connection &connection, std::size_t entry,
                                      const request_subject &subject, const std::string &id) const;
     void record(const std::string &id, const called_request &request);
