--- a/tests/processes/version_judge.cpp
+++ b/tests/processes/version_judge.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <queue>
-#include <ranges>
 #include <sstream>
 
 namespace yuccascale::processes {
@@ -86,11 +85,10 @@
 
 const sent_document *version_judge::newestExplaining(const handled_request &request) const
 {
-    for (const sent_document &document : m_documents | std::views::reverse) {
-        if (explains(document, request))
-            return &document;
-    }
-    return nullptr;
+    const auto found
+            = std::find_if(m_documents.rbegin(), m_documents.rend(),
+                           [&](const sent_document &one) { return explains(one, request); });
+    return found == m_documents.rend() ? nullptr : &*found;
 }
 
 std::uint64_t version_judge::oldestExplaining(const handled_request &request,
