--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -107,6 +107,12 @@
     return walk(0, [fields], None)[0]
 
 
+def template_for(program, role):
+    """A program of another build knows only the settings of its own checkout."""
+    own = (REPOSITORY / program).resolve().parent.parent / role["template"]
+    return (own if own.exists() else REPOSITORY / role["template"]).read_text()
+
+
 def read_deploy_file():
     text = (REPOSITORY / "deploy/system.toml").read_text()
     if tomllib:
@@ -192,17 +198,16 @@
         if self.running():
             return
         role = self.deployment.deploy["roles"][self.role]
-        template = (REPOSITORY / role["template"]).read_text()
+        command = role["run"].split()
+        if "YUCCASCALE_PROGRAM" in os.environ:
+            command[0] = os.environ["YUCCASCALE_PROGRAM"]
         settings = self.deployment.folder / f"{self.name}.yaml"
-        settings.write_text(render(template, self.fields(bootstrap)))
+        settings.write_text(render(template_for(command[0], role), self.fields(bootstrap)))
         if self.role != "entry":
             self.data.mkdir(exist_ok=True)
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG")
                        if key in os.environ}
         environment["YUCCASCALE_SETTINGS"] = str(settings)
-        command = role["run"].split()
-        if "YUCCASCALE_PROGRAM" in os.environ:
-            command[0] = os.environ["YUCCASCALE_PROGRAM"]
         with open(self.log, "ab") as output:
             self.process = subprocess.Popen(command, cwd=REPOSITORY, env=environment,
                                             stdin=subprocess.DEVNULL, stdout=output, stderr=output)
