--- a/tests/unit/feed_list_fleet_test.cpp
+++ b/tests/unit/feed_list_fleet_test.cpp
@@ -147,7 +147,8 @@
                   calm.platformCalls + static_cast<std::uint64_t>(size.control) * 20);
         // each node asks each other control node once in the bound's time
         const auto others = static_cast<std::uint64_t>(size.control - 1);
-        const auto nodes = static_cast<std::uint64_t>(size.control + size.entries);
+        const auto nodes = static_cast<std::uint64_t>(size.control)
+                + static_cast<std::uint64_t>(size.entries);
         EXPECT_LE(figures.polls, calm.polls + nodes * others * 11);
     }
 }
