Edit answers: the partition of held edits as clang's library concepts take it

The linter's front end refuses std::ranges::partition's subrange with this standard library (five errors in edit_answers.cpp). std::partition does the same; no behaviour changes.

--- a/src/yuccascale/runtime/edit_answers.cpp
+++ b/src/yuccascale/runtime/edit_answers.cpp
@@ -55,11 +55,11 @@
     std::vector<held_edit> done;
     {
         const std::lock_guard lock(m_mutex);
-        const auto ended = std::ranges::partition(m_held, [&](const held_edit &held) {
+        const auto ended = std::partition(m_held.begin(), m_held.end(), [&](const held_edit &held) {
             return !isSettled(held) && now < std::min(held.edit.deadline, m_end);
         });
-        std::ranges::move(ended, std::back_inserter(done));
-        m_held.erase(ended.begin(), ended.end());
+        std::move(ended, m_held.end(), std::back_inserter(done));
+        m_held.erase(ended, m_held.end());
     }
     for (const held_edit &held : done)
         finish(held, isSettled(held));
--- a/tests/properties/table_leases_property_test.cpp
+++ b/tests/properties/table_leases_property_test.cpp
@@ -217,10 +217,11 @@
 
     void deliver()
     {
-        const auto due = std::ranges::partition(
-                m_inFlight, [this](const message &sent) { return sent.arrivesAt > m_now; });
-        std::vector<message> arrived(due.begin(), due.end());
-        m_inFlight.erase(due.begin(), due.end());
+        const auto due
+                = std::partition(m_inFlight.begin(), m_inFlight.end(),
+                                 [this](const message &sent) { return sent.arrivesAt > m_now; });
+        std::vector<message> arrived(due, m_inFlight.end());
+        m_inFlight.erase(due, m_inFlight.end());
         for (message &received : arrived)
             receive(received);
     }
