Edits: no answer is given after the holder of answers has stopped; leadership is judged under the lock

A thread that gives an answer could be overtaken by the node's shutdown and use a document interface that is gone: edit_answers.stopWaitsForAnAnswerThatIsBeingGiven, red without the wait in stop().

A node that looked whether it leads, lost the processor for longer than a lease and learned another leader's revision meanwhile could call that revision settled. Both looks and the word now happen under one lock. By reading; no test shows it.

--- a/src/yuccascale/runtime/edit_answers.cpp
+++ b/src/yuccascale/runtime/edit_answers.cpp
@@ -47,8 +47,8 @@
 {
     if (!newest())
         return;
+    const std::uint64_t settled = m_hooks.settled();
     const instant now = m_clock.now();
-    const std::uint64_t settled = m_hooks.settled(now);
     const auto isSettled = [&](const held_edit &held) {
         return held.edit.revision <= settled || held.edit.settledBy <= now;
     };
@@ -60,9 +60,15 @@
         });
         std::move(ended, m_held.end(), std::back_inserter(done));
         m_held.erase(ended, m_held.end());
+        ++m_checks;
     }
     for (const held_edit &held : done)
         finish(held, isSettled(held));
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_checks;
+    }
+    m_changed.notify_all();
 }
 
 std::optional<instant> edit_answers::newest() const
@@ -96,6 +102,8 @@
         m_thread.join();
     for (const held_edit &held : givenUp)
         finish(held, false);
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [this] { return m_checks == 0; });
 }
 
 /// Requires m_mutex to be held.
--- a/src/yuccascale/runtime/edit_answers.hpp
+++ b/src/yuccascale/runtime/edit_answers.hpp
@@ -35,7 +35,7 @@
     struct hooks
     {
         /// \returns the highest revision that is known to be settled.
-        std::function<std::uint64_t(kernel::instant now)> settled;
+        std::function<std::uint64_t()> settled;
         /// \returns the node that keeps later revisions from being settled; may be empty.
         std::function<std::string()> slowest;
     };
@@ -57,7 +57,8 @@
     /// \brief Gives up, at \a end, the edits that are not settled by then.
     void answerBefore(kernel::instant end);
 
-    /// \brief Gives up all answers, those of later edits at once.
+    /// \brief Gives up all answers, those of later edits at once. No answer is given after it
+    /// returns.
     void stop();
 
 private:
@@ -80,6 +81,7 @@
     std::condition_variable m_changed;
     std::vector<held_edit> m_held;
     kernel::instant m_end = kernel::instant::max();
+    int m_checks = 0; ///< calls of check() that may still give answers
     bool m_stopped = false;
     std::thread m_thread; ///< started with the first edit that waits
 };
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -165,7 +165,7 @@
     void runPoll(const std::shared_ptr<begun_poll> &begun);
     [[nodiscard]] poll_outcome judge(const kernel::feed::feed_reply &reply) const;
     [[nodiscard]] bool editsWait() const { return m_editAnswers.newest().has_value(); }
-    [[nodiscard]] std::uint64_t settledRevision(kernel::instant now);
+    [[nodiscard]] std::uint64_t settledRevision();
     [[nodiscard]] std::string slowestNode();
     [[nodiscard]] std::optional<kernel::instant> leadingSince(kernel::instant now) const;
     void reportTo(const std::string &peer);
--- a/src/yuccascale/runtime/feed_service_edits.cpp
+++ b/src/yuccascale/runtime/feed_service_edits.cpp
@@ -58,11 +58,13 @@
     return m_leaderState == nullptr ? std::nullopt : m_leaderState->leadingSince(now);
 }
 
-std::uint64_t feed_service::settledRevision(instant now)
+/// Leadership is judged under the lock: what this node learns of another leader meanwhile would
+/// otherwise pass for its own.
+std::uint64_t feed_service::settledRevision()
 {
-    const std::optional<instant> leads = leadingSince(now);
     const std::lock_guard lock(m_mutex);
-    return m_state.leases(now).settled(now, leads);
+    const instant now = m_clock.now();
+    return m_state.leases(now).settled(now, leadingSince(now));
 }
 
 std::string feed_service::slowestNode()
