--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -463,6 +463,8 @@
 {
     if (m_services.drain.closed() || !m_held.add(arrived))
         return false;
+    if (m_services.drain.closed()) // since the first look
+        retryHeld();
     const kernel::instant now = m_dependencies.clock.now();
     kernel::instant askedAt = m_askedAt;
     const bool due = now - askedAt >= m_dependencies.settings.control.feedInterval;
