--- a/tests/processes/program.hpp
+++ b/tests/processes/program.hpp
@@ -24,4 +24,12 @@
             == nullptr;
 }
 
+/// \returns whether the program under test has the setting promises.drain_notice; builds up to
+///          5080f23 refuse it, so set YUCCASCALE_PROGRAM_LACKS_LIST_BOUND for those.
+[[nodiscard]] inline bool knowsListBound()
+{
+    return std::getenv("YUCCASCALE_PROGRAM_LACKS_LIST_BOUND") // NOLINT(concurrency-mt-unsafe)
+            == nullptr;
+}
+
 } // namespace yuccascale::processes
--- a/tests/processes/zone_cluster.cpp
+++ b/tests/processes/zone_cluster.cpp
@@ -149,6 +149,8 @@
          << "'}\npromises:\n  key_withdrawal: 5000ms\n  shared_retries: true\n";
     if (knowsTableBound())
         text << "  table_propagation: 2000ms\n";
+    if (knowsListBound())
+        text << "  drain_notice: 3000ms\n";
     return text.str();
 }
 
