Client: an answer that is reset while its request is written is broken; a status outside 100 to 599 is none

Cause: the system reports a reset once. When it fails the write of the request, the next read sees an ordinary end of the connection, which completes an answer without a length. A status below 200, 000 included, was taken for an interim answer. Change: such an answer needs a request that was sent whole; statuses are checked against their range.

--- a/src/yuccascale/net/client_connection.cpp
+++ b/src/yuccascale/net/client_connection.cpp
@@ -25,7 +25,9 @@
 constexpr std::size_t maxUnparsedBytes = maxHeaderBytes + readChunkBytes;
 /// Most bytes of interim answers and of answers to other requests that are skipped in one call.
 constexpr std::size_t maxSkippedBytes = 1U << 20U;
+constexpr int firstStatus = 100;
 constexpr int firstFinalStatus = 200;
+constexpr int lastStatus = 599;
 /// TCP keep-alive of a connection that is silent while an answer is awaited: seconds before and
 /// between probes, and number of lost probes after which the connection breaks.
 constexpr int keepAliveSeconds = 1;
@@ -175,11 +177,13 @@
     m_head = requestHead(request);
     m_body = request.body;
     m_writing = true;
+    m_writeFailed = false;
     const std::array<boost::asio::const_buffer, 2> parts{boost::asio::buffer(m_head),
                                                          boost::asio::buffer(m_body)};
     boost::asio::async_write(m_socket, parts,
                              [self = shared_from_this()](error_code problem, std::size_t) {
                                  self->m_writing = false;
+                                 self->m_writeFailed = static_cast<bool>(problem);
                                  self->m_head = {};
                                  self->m_body = {};
                                  // the server may have answered before it closed; the answer is
@@ -249,6 +253,10 @@
     const auto &message = m_parser->get();
     response_head head;
     head.status = static_cast<int>(message.result_int());
+    if (head.status < firstStatus || head.status > lastStatus) {
+        finishCall(call_end::Malformed);
+        return false;
+    }
     if (head.status < firstFinalStatus) {
         m_skippingMessage = true;
         return true;
@@ -305,7 +313,10 @@
 {
     if (!m_receiver)
         return close();
-    const bool endsWithConnection = problem == boost::asio::error::eof && m_parser
+    // The system reports a reset once: after it has failed the write, a read sees an ordinary end.
+    // While the request is still being written, such an end may also come right before the reset.
+    const bool requestSent = !m_writing && !m_writeFailed;
+    const bool endsWithConnection = problem == boost::asio::error::eof && requestSent && m_parser
             && m_parser->is_header_done() && m_parser->need_eof() && !m_skippingMessage;
     if (endsWithConnection) {
         error_code ignored;
--- a/src/yuccascale/net/client_connection.hpp
+++ b/src/yuccascale/net/client_connection.hpp
@@ -109,6 +109,7 @@
     bool m_skippingMessage = false;
     bool m_reading = false;
     bool m_writing = false;
+    bool m_writeFailed = false; ///< the request could not be written to its end
     bool m_closed = false;
     std::chrono::steady_clock::time_point m_idleUntil;
     std::vector<carried_request> m_carried;
--- a/tests/fakes/raw_peer.hpp
+++ b/tests/fakes/raw_peer.hpp
@@ -84,6 +84,14 @@
         return readUntil({}, timeoutMs);
     }
 
+    /// \brief Closes with a TCP reset.
+    void reset()
+    {
+        const linger abort{1, 0};
+        ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+        close();
+    }
+
     void close()
     {
         if (m_descriptor >= 0)
--- a/tests/unit/http_early_answer_test.cpp
+++ b/tests/unit/http_early_answer_test.cpp
@@ -1,5 +1,6 @@
 #include "fakes/raw_peer.hpp"
 #include "yuccascale/net/http_client.hpp"
+#include "yuccascale/plugins/platform_http.hpp"
 
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
@@ -97,7 +98,8 @@
 } // namespace
 
 /// Guards against a partial body that is taken for a whole one: the reset is reported to the write
-/// of the request, so that the read sees an ordinary end of the connection.
+/// of the request, or comes right after an end of the connection, so that the read sees an ordinary
+/// end.
 TEST_F(early_answer_test, anAnswerThatIsResetWhileTheRequestIsWrittenIsBroken)
 {
     for (int round = 0; round < 20; ++round) {
@@ -106,7 +108,7 @@
             const fakes::raw_peer peer = m_server.accept();
             static_cast<void>(peer.readUntil("\r\n\r\n"));
             peer.send(std::string(endlessHead) + "part of the bo");
-            // closing with unread bytes resets the connection
+            // closing resets the connection, since bytes of the request are unread or still come
         }
         const ended_call outcome = outcomeOf(call);
         ASSERT_EQ(outcome.end, call_end::Broken) << "round " << round << ", body " << outcome.body;
@@ -184,4 +186,49 @@
     EXPECT_EQ(outcome.status, -1);
 }
 
+namespace {
+
+/// \returns whether an exchange with the orders and platform client has an answer, when the server
+///          sends \a bytes and resets the connection.
+[[nodiscard]] bool exchangeSucceeds(std::string_view bytes, std::size_t uploadSize)
+{
+    const fakes::raw_listener server;
+    auto call = std::async(std::launch::async, [&] {
+        kernel::error problem;
+        return kernel::succeeded(
+                [&]() -> kernel::result<void> {
+                    BOOST_LEAF_AUTO(answer,
+                                    plugins::exchange({},
+                                                      {server.address(),
+                                                       "POST",
+                                                       "/a",
+                                                       std::string(uploadSize, 'x'),
+                                                       {},
+                                                       {}}));
+                    return answer.status == 200
+                            ? kernel::result<void>()
+                            : kernel::fail(kernel::error_kind::Corrupt, "answer", "no success");
+                },
+                problem);
+    });
+    {
+        fakes::raw_peer peer = server.accept();
+        static_cast<void>(peer.readUntil("\r\n\r\n"));
+        peer.send(bytes);
+        peer.reset();
+    }
+    return call.get();
+}
+
+} // namespace
+
+/// The client of orders and of the platform's interfaces is another one. Guards against an order
+/// that is taken for accepted, or a list for complete, by an answer that was reset.
+TEST(early_answer_of_the_platform, aResetOrAnInvalidStatusIsNoAnswer)
+{
+    EXPECT_FALSE(exchangeSucceeds("HTTP/1.1 200 OK\r\n\r\n{\"instances\":[]}", uploadBytes));
+    EXPECT_FALSE(exchangeSucceeds("HTTP/1.1 200 OK\r\n\r\n{\"instances\":[]}", 10));
+    EXPECT_FALSE(exchangeSucceeds("HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nhi", 10));
+}
+
 } // namespace yuccascale::net
