Links run on event loops

Each peer and channel had two threads and each accepted connection one, so a node's threads grew with the fleet.

--- a/src/yuccascale/http/caller_commits.cpp
+++ b/src/yuccascale/http/caller_commits.cpp
@@ -26,7 +26,8 @@
 caller_commits::caller_commits(std::string entry, const runtime::platform_settings &platform,
                                const kernel::clock &clock,
                                std::function<kernel::wall_time()> agreedTime,
-                               kernel::control_client &control, kernel::event_sink &events)
+                               kernel::control_client &control, kernel::event_sink &events,
+                               std::shared_ptr<runtime::worker_threads> workers)
     : m_entry(std::move(entry))
     , m_batchInterval(platform.usageBatch)
     , m_clock(clock)
@@ -34,7 +35,7 @@
     , m_control(control)
     , m_events(events)
     , m_batcher(m_entry, platform.usageWindow, platform.usageWindow / watermarksPerWindow)
-    , m_background(backgroundThreads)
+    , m_background(backgroundThreads, std::move(workers))
     , m_usageThread([this] { commitUsage(); })
 { }
 
--- a/src/yuccascale/http/caller_commits.hpp
+++ b/src/yuccascale/http/caller_commits.hpp
@@ -29,7 +29,8 @@
     /// \param agreedTime the time that the nodes agree on, for usage windows
     caller_commits(std::string entry, const runtime::platform_settings &platform,
                    const kernel::clock &clock, std::function<kernel::wall_time()> agreedTime,
-                   kernel::control_client &control, kernel::event_sink &events);
+                   kernel::control_client &control, kernel::event_sink &events,
+                   std::shared_ptr<runtime::worker_threads> workers = nullptr);
     ~caller_commits();
     caller_commits(const caller_commits &) = delete;
     caller_commits &operator=(const caller_commits &) = delete;
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -156,7 +156,7 @@
                   m_dependencies.agreedTime
                           ? m_dependencies.agreedTime
                           : [clock = &m_dependencies.clock] { return clock->wallNow(); },
-                  m_dependencies.control, m_dependencies.events},
+                  m_dependencies.control, m_dependencies.events, m_dependencies.workers},
                  {},
                  nullptr,
                  nullptr,
@@ -180,8 +180,9 @@
     BOOST_LEAF_ASSIGN(m_services.pools,
                       caller_pools::make(settings, m_dependencies.clock,
                                          std::hash<std::string>{}(m_services.entry)));
-    m_services.streams = std::make_unique<stream_registry>(
-            m_dependencies.clock, m_dependencies.otherEntries, originsSource());
+    m_services.streams
+            = std::make_unique<stream_registry>(m_dependencies.clock, m_dependencies.otherEntries,
+                                                originsSource(), m_dependencies.workers);
     m_services.pools->setCrashCauseListener([this](const std::string &pool, const part_set &parts) {
         const std::string fingerprint = partBanOf(pool, parts);
         m_services.events.record(promptPartBanned, {{"fingerprint", fingerprint}});
--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -43,6 +43,7 @@
     std::function<void(bool lost)> onEndpointsLost = nullptr;
     /// Asks for a confirmation of the tables, which scheduleFeedUpdate() tells of; may be null.
     std::function<void()> confirmSoon = nullptr;
+    std::shared_ptr<runtime::worker_threads> workers = nullptr; ///< null: threads of its own
 };
 
 /// \brief Serves callers at the node's addresses.
--- a/src/yuccascale/http/document_interface.cpp
+++ b/src/yuccascale/http/document_interface.cpp
@@ -46,7 +46,7 @@
     implementation(document_services services, std::unique_ptr<operator_protocol> protocol)
         : m_services(std::move(services))
         , m_protocol(std::move(protocol))
-        , m_workers(workerThreads)
+        , m_workers(workerThreads, m_services.workers)
     { }
 
     void answerBefore(instant end) noexcept { m_end = end.time_since_epoch().count(); }
--- a/src/yuccascale/http/document_interface.hpp
+++ b/src/yuccascale/http/document_interface.hpp
@@ -4,6 +4,7 @@
 #include "yuccascale/kernel/control_client.hpp"
 #include "yuccascale/kernel/events.hpp"
 #include "yuccascale/net/http_exchange.hpp"
+#include "yuccascale/runtime/worker_threads.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -35,6 +36,7 @@
     /// The address at which the leader serves this interface; empty when it is this node or
     /// unknown.
     std::function<std::string()> leaderAddress;
+    std::shared_ptr<runtime::worker_threads> workers = nullptr; ///< null: threads of its own
 };
 
 /// \brief Serves an operator that keeps all tables in one document.
--- a/src/yuccascale/http/operator_routes.cpp
+++ b/src/yuccascale/http/operator_routes.cpp
@@ -254,17 +254,17 @@
 class operator_interface::implementation
 {
 public:
-    explicit implementation(operator_services services)
-        : handlers(std::move(services))
-        , workers(workerThreads)
+    explicit implementation(const operator_services &services)
+        : handlers(services)
+        , workers(workerThreads, services.workers)
     { }
 
     operator_handlers handlers;
     runtime::worker_pool workers;
 };
 
-operator_interface::operator_interface(operator_services services)
-    : m_implementation(std::make_unique<implementation>(std::move(services)))
+operator_interface::operator_interface(const operator_services &services)
+    : m_implementation(std::make_unique<implementation>(services))
 { }
 
 operator_interface::~operator_interface() = default;
--- a/src/yuccascale/http/operator_routes.hpp
+++ b/src/yuccascale/http/operator_routes.hpp
@@ -3,6 +3,7 @@
 #include "yuccascale/kernel/control_client.hpp"
 #include "yuccascale/kernel/events.hpp"
 #include "yuccascale/net/http_exchange.hpp"
+#include "yuccascale/runtime/worker_threads.hpp"
 
 #include <functional>
 #include <memory>
@@ -23,13 +24,14 @@
     std::function<kernel::json()> status;
     std::function<kernel::json(std::string_view id)> explain;
     std::function<void()> beginShutdown;
+    std::shared_ptr<runtime::worker_threads> workers = nullptr; ///< null: threads of its own
 };
 
 /// \brief Serves the `/operator` paths.
 class operator_interface
 {
 public:
-    explicit operator_interface(operator_services services);
+    explicit operator_interface(const operator_services &services);
     ~operator_interface();
     operator_interface(const operator_interface &) = delete;
     operator_interface &operator=(const operator_interface &) = delete;
--- a/src/yuccascale/http/stream_registry.cpp
+++ b/src/yuccascale/http/stream_registry.cpp
@@ -42,11 +42,12 @@
 } // namespace
 
 stream_registry::stream_registry(const kernel::clock &clock, entry_exchange exchange,
-                                 origins_source origins)
+                                 origins_source origins,
+                                 std::shared_ptr<runtime::worker_threads> workers)
     : m_clock(clock)
     , m_exchange(std::move(exchange))
     , m_sources(std::move(origins))
-    , m_workers(maxThreads)
+    , m_workers(maxThreads, std::move(workers))
 { }
 
 std::vector<std::string> stream_registry::others() const
--- a/src/yuccascale/http/stream_registry.hpp
+++ b/src/yuccascale/http/stream_registry.hpp
@@ -60,7 +60,9 @@
     using origin_callback
             = std::function<void(std::optional<kernel::requests::stream_origin> origin)>;
 
-    stream_registry(const kernel::clock &clock, entry_exchange exchange, origins_source origins);
+    /// \param workers for questions to other nodes; null: threads of its own
+    stream_registry(const kernel::clock &clock, entry_exchange exchange, origins_source origins,
+                    std::shared_ptr<runtime::worker_threads> workers = nullptr);
 
     /// \brief The registry of a control node: it keeps records, and begins and takes up no streams.
     [[nodiscard]] static std::unique_ptr<stream_registry> archive(const kernel::clock &clock);
--- a/src/yuccascale/kernel/transport.hpp
+++ b/src/yuccascale/kernel/transport.hpp
@@ -5,8 +5,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <future>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 /// \file
 /// \brief Interface for messages between nodes.
@@ -52,11 +55,31 @@
     /// \returns the reply; ignored for post()
     using handler = std::function<std::string(std::string_view peer, std::string_view payload)>;
 
+    /// Passes the reply of a message on, once, from any thread.
+    using reply_function = std::function<void(std::string reply)>;
+
+    /// Returns at once and calls \a reply later.
+    using later_handler = std::function<void(std::string_view peer, std::string_view payload,
+                                             reply_function reply)>;
+
     virtual ~transport() = default;
 
-    /// \brief Sets the handler of a channel. Must be called before the transport is started.
+    /// \brief Sets the handler of a channel. Must be called before the transport is started. The
+    ///        handler of channel::Consensus must not wait for anything.
     virtual void handle(channel channel, handler handler) = 0;
 
+    /// \brief As handle(), for replies that take long: no thread waits for them.
+    virtual void handleLater(channel channel, later_handler handler)
+    {
+        handle(channel,
+               [waited = std::move(handler)](std::string_view peer, std::string_view payload) {
+                   const auto answer = std::make_shared<std::promise<std::string>>();
+                   waited(peer, payload,
+                          [answer](std::string reply) { answer->set_value(std::move(reply)); });
+                   return answer->get_future().get();
+               });
+    }
+
     /// \brief Sends without a reply. The message may be lost, and is dropped when the send queue is
     /// full.
     virtual void post(std::string_view node, channel channel, std::string payload) = 0;
--- a/src/yuccascale/runtime/cluster_client.cpp
+++ b/src/yuccascale/runtime/cluster_client.cpp
@@ -32,21 +32,28 @@
     , m_feed(feed)
     , m_proposer(proposer)
 {
-    m_transport.handle(channel::Submit, [this](std::string_view, std::string_view payload) {
-        state::command command;
-        error problem;
-        const bool decoded = succeeded(
-                [&]() -> result<void> {
-                    BOOST_LEAF_ASSIGN(command, fromCbor<state::command>(payload, "command"));
-                    return {};
-                },
-                problem);
-        if (!decoded)
-            return failureReply(error_kind::InvalidArgument, problem.message);
-        if (m_proposer == nullptr)
-            return failureReply(error_kind::NotLeader, "this node has no control role");
-        return toCbor(m_proposer->propose(command, m_clock.now() + attemptTimeout));
-    });
+    m_transport.handleLater(
+            channel::Submit,
+            [this](std::string_view, std::string_view payload, transport::reply_function reply) {
+                state::command command;
+                error problem;
+                const bool decoded = succeeded(
+                        [&]() -> result<void> {
+                            BOOST_LEAF_ASSIGN(command,
+                                              fromCbor<state::command>(payload, "command"));
+                            return {};
+                        },
+                        problem);
+                if (!decoded)
+                    return reply(failureReply(error_kind::InvalidArgument, problem.message));
+                if (m_proposer == nullptr)
+                    return reply(
+                            failureReply(error_kind::NotLeader, "this node has no control role"));
+                m_proposer->proposeLater(command, m_clock.now() + attemptTimeout,
+                                         [reply = std::move(reply)](const submit_reply &answer) {
+                                             reply(toCbor(answer));
+                                         });
+            });
 }
 
 std::string cluster_client::firstTarget() const
--- a/src/yuccascale/runtime/cluster_client.hpp
+++ b/src/yuccascale/runtime/cluster_client.hpp
@@ -38,6 +38,13 @@
     [[nodiscard]] virtual submit_reply propose(const kernel::state::command &command,
                                                kernel::instant deadline)
             = 0;
+
+    /// \brief As propose(), but passes the reply to \a done, once, from any thread.
+    virtual void proposeLater(const kernel::state::command &command, kernel::instant deadline,
+                              std::function<void(submit_reply reply)> done)
+    {
+        done(propose(command, deadline));
+    }
 };
 
 /// \brief The control_client of a running node. Thread-safe.
--- a/src/yuccascale/runtime/control_service.cpp
+++ b/src/yuccascale/runtime/control_service.cpp
@@ -81,12 +81,26 @@
 }
 
 submit_reply control_service::propose(const state::command &command, instant deadline)
+{
+    return replyTo([&] { return m_log->propose(toCbor(command), deadline); });
+}
+
+void control_service::proposeLater(const state::command &command, instant deadline,
+                                   std::function<void(submit_reply reply)> done)
+{
+    m_log->proposeLater(toCbor(command), deadline,
+                        [this, done = std::move(done)](log_outcome outcome) {
+                            done(replyTo([&] { return std::move(outcome).asResult(); }));
+                        });
+}
+
+submit_reply control_service::replyTo(const std::function<result<std::string>()> &propose) const
 {
     submit_reply reply;
     error problem;
     reply.answered = succeeded(
             [&]() -> result<void> {
-                BOOST_LEAF_AUTO(bytes, m_log->propose(toCbor(command), deadline));
+                BOOST_LEAF_AUTO(bytes, propose());
                 BOOST_LEAF_ASSIGN(reply.answer,
                                   fromCbor<state::command_result>(bytes, "state machine"));
                 return {};
--- a/src/yuccascale/runtime/control_service.hpp
+++ b/src/yuccascale/runtime/control_service.hpp
@@ -56,8 +56,13 @@
     // command_proposer
     [[nodiscard]] submit_reply propose(const kernel::state::command &command,
                                        kernel::instant deadline) override;
+    void proposeLater(const kernel::state::command &command, kernel::instant deadline,
+                      std::function<void(submit_reply reply)> done) override;
 
 private:
+    [[nodiscard]] submit_reply
+    replyTo(const std::function<kernel::result<std::string>()> &propose) const;
+
     std::function<void()> m_onChanged;
     replicated_log *m_log = nullptr;
     mutable std::mutex m_mutex;
--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -98,7 +98,7 @@
                    m_context.config.promises.drainNotice},
                   m_context.clock.now())
     , m_task(roundInterval, [this] { tick(); })
-    , m_workers(workerThreads)
+    , m_workers(workerThreads, m_context.workers)
 { }
 
 leader_duties::~leader_duties()
--- a/src/yuccascale/runtime/duties.hpp
+++ b/src/yuccascale/runtime/duties.hpp
@@ -45,6 +45,7 @@
     /// When the platform was asked for this node's list of endpoints, by any node; nothing when
     /// that is not known. Null: only the leader reads the list.
     std::function<std::optional<kernel::instant>()> endpointsAskedAt = {};
+    std::shared_ptr<worker_threads> workers = nullptr; ///< null: threads of its own
 };
 
 /// \brief Runs the leader's duties on its own threads. While this node does not lead, it only reads
--- a/src/yuccascale/runtime/duties_workers.cpp
+++ b/src/yuccascale/runtime/duties_workers.cpp
@@ -4,8 +4,8 @@
 
 namespace yuccascale::runtime {
 
-duties_workers::duties_workers(std::size_t threads)
-    : m_pool(threads)
+duties_workers::duties_workers(std::size_t threads, std::shared_ptr<worker_threads> shared)
+    : m_pool(threads, std::move(shared))
 { }
 
 duties_workers::~duties_workers()
--- a/src/yuccascale/runtime/duties_workers.hpp
+++ b/src/yuccascale/runtime/duties_workers.hpp
@@ -21,7 +21,8 @@
     using completion = std::function<void()>;
     using job = std::function<completion()>;
 
-    explicit duties_workers(std::size_t threads);
+    /// \param shared threads that other pools use too; null: threads of its own
+    explicit duties_workers(std::size_t threads, std::shared_ptr<worker_threads> shared = nullptr);
 
     /// \brief Waits for the running jobs and discards the queued ones.
     ~duties_workers();
--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -59,6 +59,12 @@
                                    "A message from another node could not be decoded and was "
                                    "dropped. Upgrade the older of the two nodes."};
 
+inline const event_kind linkFramesDropped{
+        1024, "link_frames_dropped", severity::Warning,
+        "Messages to other nodes were dropped because the send queue of a link was full: 'frames' "
+        "since the last such line, the last of them to 'peer' on 'channel'. That node or the path "
+        "to it is too slow. Such messages are sent again or replaced by later ones."};
+
 inline const event_kind unexpectedException{1021, "unexpected_exception", severity::Error,
                                             "Work on a request failed in a way that the program "
                                             "does not foresee; the request ends by its "
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -29,7 +29,8 @@
 
 feed_service::feed_service(const settings &settings, clock &clock, transport &transport,
                            event_sink &events, std::uint64_t incarnation,
-                           leader_state_reader *leaderState)
+                           leader_state_reader *leaderState,
+                           std::shared_ptr<worker_threads> workers)
     : m_settings(settings)
     , m_clock(clock)
     , m_transport(transport)
@@ -46,7 +47,7 @@
     , m_listSearch(m_listTimes)
     , m_editAnswers(clock, events,
                     {[this] { return settledRevision(); }, [this] { return slowestNode(); }})
-    , m_pollers(maxNodesPerRound)
+    , m_pollers(maxNodesPerRound, std::move(workers))
 {
     m_transport.handle(channel::Feed, [this](std::string_view peer, std::string_view payload) {
         return handleRequest(peer, payload);
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -70,9 +70,11 @@
 public:
     /// \param incarnation of this process; increases with each restart of the node
     /// \param leaderState null on nodes without the control role
+    /// \param workers for polls; null: threads of its own
     feed_service(const settings &settings, kernel::clock &clock, kernel::transport &transport,
                  kernel::event_sink &events, std::uint64_t incarnation,
-                 leader_state_reader *leaderState);
+                 leader_state_reader *leaderState,
+                 std::shared_ptr<worker_threads> workers = nullptr);
     ~feed_service();
     feed_service(const feed_service &) = delete;
     feed_service &operator=(const feed_service &) = delete;
--- a/src/yuccascale/runtime/log_request.cpp
+++ b/src/yuccascale/runtime/log_request.cpp
@@ -7,31 +7,55 @@
 using kernel::error_kind;
 using kernel::result;
 
+namespace {
+
+kernel::error notBegun(const std::string &replica)
+{
+    return {error_kind::Unavailable, replica,
+            "the request was still queued at its deadline and was not run; retry"};
+}
+
+} // namespace
+
+result<std::string> log_outcome::asResult() &&
+{
+    if (!succeeded)
+        return boost::leaf::new_error(std::move(problem));
+    return std::move(answer);
+}
+
 result<std::string> log_request::wait(kernel::nanoseconds timeout, const std::string &replica)
 {
-    std::future<outcome> future = m_promise.get_future();
+    std::future<log_outcome> future = m_promise.get_future();
     if (future.wait_for(timeout) != std::future_status::ready) {
         state expected = state::Queued;
         if (m_state.compare_exchange_strong(expected, state::GivenUp))
-            return kernel::fail(
-                    error_kind::Unavailable, replica,
-                    "the request was still queued at its deadline and was not run; retry");
+            return boost::leaf::new_error(notBegun(replica));
         return kernel::fail(error_kind::OutcomeUnknown, replica,
                             "not committed before the deadline; send it again with the same "
                             "operation id");
     }
-    outcome answered = future.get();
-    if (!answered.succeeded)
-        return boost::leaf::new_error(std::move(answered.problem));
-    return std::move(answered.answer);
+    return future.get().asResult();
 }
 
-bool log_request::begin() noexcept
+bool log_request::begin(kernel::instant now, const std::string &replica)
 {
+    if (now >= m_deadline) {
+        fail(notBegun(replica));
+        return false;
+    }
     state expected = state::Queued;
     return m_state.compare_exchange_strong(expected, state::Begun);
 }
 
+void log_request::finish(log_outcome outcome)
+{
+    if (m_done)
+        m_done(std::move(outcome));
+    else
+        m_promise.set_value(std::move(outcome));
+}
+
 void pending_proposals::add(std::uint64_t index, std::uint64_t term, log_request_pointer proposal)
 {
     resolve(index, term, {});
--- a/src/yuccascale/runtime/log_request.hpp
+++ b/src/yuccascale/runtime/log_request.hpp
@@ -5,25 +5,50 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <future>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 /// \file
 /// \brief Proposals and reads whose callers wait for the log.
 
 namespace yuccascale::runtime {
 
+/// \brief What became of a request.
+struct log_outcome
+{
+    bool succeeded = false;
+    std::string answer;
+    kernel::error problem;
+
+    /// \returns the answer, or the problem as an error.
+    [[nodiscard]] kernel::result<std::string> asResult() &&;
+};
+
 /// \brief A proposal or read. The log's thread begins it, its caller gives up at the deadline; the
 /// first of the two decides whether it is executed.
 class log_request
 {
 public:
+    using completion = std::function<void(log_outcome outcome)>;
+
+    /// \brief A request whose caller calls wait().
     explicit log_request(std::string payload)
         : m_payload(std::move(payload))
     { }
 
+    /// \brief A request whose caller does not wait.
+    /// \param deadline the request is not begun after it
+    /// \param done called once, on the log's thread
+    log_request(std::string payload, kernel::instant deadline, completion done)
+        : m_payload(std::move(payload))
+        , m_deadline(deadline)
+        , m_done(std::move(done))
+    { }
+
     /// \brief Waits for the answer; called once, by the caller.
     /// \param replica named in errors
     /// \returns error_kind::Unavailable when it was not begun before the deadline;
@@ -31,28 +56,26 @@
     [[nodiscard]] kernel::result<std::string> wait(kernel::nanoseconds timeout,
                                                    const std::string &replica);
 
-    /// \returns false when the caller has given up.
-    [[nodiscard]] bool begin() noexcept;
+    /// \returns false when the caller has given up, or the deadline of a caller that does not wait
+    ///          has passed; \a replica is named in its error.
+    [[nodiscard]] bool begin(kernel::instant now, const std::string &replica);
 
     /// \brief Takes the command of a proposal.
     [[nodiscard]] std::string takePayload() noexcept { return std::move(m_payload); }
 
-    void answer(std::string answer) { m_promise.set_value({true, std::move(answer), {}}); }
-    void fail(kernel::error problem) { m_promise.set_value({false, {}, std::move(problem)}); }
+    void answer(std::string answer) { finish({true, std::move(answer), {}}); }
+    void fail(kernel::error problem) { finish({false, {}, std::move(problem)}); }
 
 private:
     enum class state { Queued, Begun, GivenUp };
 
-    struct outcome
-    {
-        bool succeeded = false;
-        std::string answer;
-        kernel::error problem;
-    };
+    void finish(log_outcome outcome);
 
     std::string m_payload;
+    const kernel::instant m_deadline = kernel::instant::max();
+    const completion m_done; ///< null: the caller waits
     std::atomic<state> m_state{state::Queued};
-    std::promise<outcome> m_promise;
+    std::promise<log_outcome> m_promise;
 };
 
 using log_request_pointer = std::shared_ptr<log_request>;
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -41,6 +41,41 @@
 constexpr milliseconds closingPollInterval{5};
 /// How long another entry may take to tell what it knows of a stream.
 constexpr milliseconds streamAnswerTimeout{150};
+/// Threads for calls that wait: polls, commits, questions to other nodes and calls to the platform.
+/// With the threads of a node that has one role the process stays below 20.
+constexpr std::size_t workerThreads = 6;
+
+[[nodiscard]] std::string_view channelName(channel channel)
+{
+    switch (channel) {
+    case channel::Consensus:
+        return "consensus";
+    case channel::Submit:
+        return "submit";
+    case channel::Feed:
+        return "feed";
+    case channel::Load:
+        return "load";
+    case channel::Demand:
+        return "demand";
+    case channel::Streams:
+        return "streams";
+    }
+    return "unknown";
+}
+
+/// \returns the text of the links' metrics.
+[[nodiscard]] std::string linkMetrics(const wire::transport_counters &links)
+{
+    const auto line = [](std::string_view name, std::string_view type, std::uint64_t value) {
+        const std::string metric = "yuccascale_" + std::string(name);
+        return "# TYPE " + metric + " " + std::string(type) + "\n" + metric + " "
+                + std::to_string(value) + "\n";
+    };
+    return line("links_open", "gauge", links.linksOpen)
+            + line("link_frames_dropped_total", "counter", links.framesDropped)
+            + line("link_frames_lost_total", "counter", links.framesLost);
+}
 
 [[nodiscard]] result<wire::transport_settings> transportSettings(const settings &settings,
                                                                  const std::string &secret)
@@ -121,6 +156,7 @@
     std::uint64_t incarnation;               ///< of this process; increases with each restart
     std::string secret;
     std::string operatorKey;
+    const std::shared_ptr<worker_threads> workers = std::make_shared<worker_threads>(workerThreads);
     std::unique_ptr<wire::tcp_transport> transport;
     std::unique_ptr<control_service> control;
     std::unique_ptr<replicated_log> replica;
@@ -146,11 +182,17 @@
     BOOST_LEAF_ASSIGN(secret, optionalSecret(settings.secretFile));
     BOOST_LEAF_ASSIGN(operatorKey, optionalSecret(settings.operatorKeyFile));
     BOOST_LEAF_AUTO(links, transportSettings(settings, secret));
+    links.onFramesDropped = [this](const wire::drop_report &report) {
+        events.record(linkFramesDropped,
+                      {{"peer", report.peer},
+                       {"channel", channelName(report.channel)},
+                       {"frames", report.frames}});
+    };
     transport = std::make_unique<wire::tcp_transport>(std::move(links));
     if (settings.roles.control)
         buildControl();
     feed = std::make_unique<feed_service>(settings, clock, *transport, events, incarnation,
-                                          control.get());
+                                          control.get(), workers);
     client = std::make_unique<cluster_client>(settings, clock, *transport, *feed, control.get());
     buildOperators();
     BOOST_LEAF_CHECK(buildDocument());
@@ -180,7 +222,7 @@
     operators = std::make_unique<http::operator_interface>(http::operator_services{
             clock, events, *client, operatorKey, [this] { return nodeStatus(snapshot()); },
             [this](std::string_view id) { return explainId(events, control.get(), id); },
-            [this] { beginShutdown(); }});
+            [this] { beginShutdown(); }, workers});
 }
 
 result<void> node::parts::buildDocument()
@@ -199,7 +241,8 @@
                 feed->answerWhenSettled(revision, version, deadline, std::move(answer));
             },
             [this](instant deadline) { return control->confirmedDocument(deadline); },
-            [this] { return leaderDocumentAddress(); }};
+            [this] { return leaderDocumentAddress(); },
+            workers};
     document = std::make_unique<http::document_interface>(std::move(services), std::move(protocol));
     return {};
 }
@@ -226,7 +269,7 @@
                 return settings.http.protocol == "own" && operators->tryServe(exchange);
             },
             entryExchange(), [this](bool lost) { feed->setEndpointsLost(lost); },
-            [this] { feed->pollSoon(); }});
+            [this] { feed->pollSoon(); }, workers});
     transport->handle(channel::Streams, [this](std::string_view, std::string_view message) {
         return callersStarted ? callers->streams().handle(message) : std::string();
     });
@@ -273,7 +316,7 @@
 
 std::string node::parts::metricsText()
 {
-    return callers ? callers->metricsText() : std::string();
+    return (callers ? callers->metricsText() : std::string()) + linkMetrics(transport->counters());
 }
 
 std::vector<std::string> node::parts::otherEntries() const
@@ -340,7 +383,7 @@
                              feed->setEndpoints(std::move(reading));
                          },
                          [this] { return feed->agreedTime(); },
-                         [this] { return feed->view().endpointsAskedAt; }},
+                         [this] { return feed->view().endpointsAskedAt; }, workers},
             std::move(drivers));
     return {};
 }
--- a/src/yuccascale/runtime/node_status.cpp
+++ b/src/yuccascale/runtime/node_status.cpp
@@ -77,6 +77,8 @@
             {"frames_sent", links.framesSent.load()},
             {"frames_received", links.framesReceived.load()},
             {"frames_dropped", links.framesDropped.load()},
+            {"frames_lost", links.framesLost.load()},
+            {"open", links.linksOpen.load()},
             {"peers_refused", links.peersRefused.load()}};
 }
 
--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -152,15 +152,33 @@
 
 result<std::string> replicated_log::propose(std::string payload, instant deadline)
 {
-    if (payload.size() > maxPayloadBytes) {
+    const std::size_t payloadBytes = payload.size();
+    const auto request = std::make_shared<log_request>(std::move(payload));
+    BOOST_LEAF_CHECK(addProposal(request, payloadBytes));
+    return request->wait(deadline - m_clock.now(), m_settings.self);
+}
+
+void replicated_log::proposeLater(std::string payload, instant deadline,
+                                  log_request::completion done)
+{
+    const std::size_t payloadBytes = payload.size();
+    const auto request
+            = std::make_shared<log_request>(std::move(payload), deadline, std::move(done));
+    kernel::error problem;
+    if (!kernel::succeeded([&] { return addProposal(request, payloadBytes); }, problem))
+        request->fail(std::move(problem));
+}
+
+result<void> replicated_log::addProposal(const log_request_pointer &request,
+                                         std::size_t payloadBytes)
+{
+    if (payloadBytes > maxPayloadBytes) {
         return fail(error_kind::InvalidArgument, m_settings.self,
-                    "the command has " + std::to_string(payload.size())
+                    "the command has " + std::to_string(payloadBytes)
                             + " bytes, more than the limit of " + std::to_string(maxPayloadBytes)
                             + "; split it");
     }
-    const auto request = std::make_shared<log_request>(std::move(payload));
-    BOOST_LEAF_CHECK(m_inbox.addProposal(request));
-    return request->wait(deadline - m_clock.now(), m_settings.self);
+    return m_inbox.addProposal(request);
 }
 
 result<void> replicated_log::confirmLeadership(instant deadline)
@@ -253,7 +271,7 @@
 
 void replicated_log::handleProposal(const log_request_pointer &proposal)
 {
-    if (!proposal->begin())
+    if (!proposal->begin(m_clock.now(), m_settings.self))
         return;
     const kernel::consensus::proposal proposed = m_replica->propose(proposal->takePayload());
     switch (proposed.outcome) {
@@ -269,7 +287,7 @@
 
 void replicated_log::handleRead(const log_request_pointer &read, instant now)
 {
-    if (!read->begin())
+    if (!read->begin(now, m_settings.self))
         return;
     const std::uint64_t id = m_nextRead++;
     if (m_replica->requestRead(id, now))
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -95,6 +95,11 @@
     [[nodiscard]] kernel::result<std::string> propose(std::string payload,
                                                       kernel::instant deadline);
 
+    /// \brief As propose(), but passes the outcome to \a done, once, on this thread or the log's.
+    ///        After \a deadline the command is not begun; one that was begun is answered when its
+    ///        outcome is known.
+    void proposeLater(std::string payload, kernel::instant deadline, log_request::completion done);
+
     /// \brief Confirms that this node is the leader with a quorum that is contacted after this call
     ///        began, and waits until everything committed by then is applied here.
     ///
@@ -109,6 +114,8 @@
     [[nodiscard]] replicated_log_status status() const;
 
 private:
+    [[nodiscard]] kernel::result<void> addProposal(const log_request_pointer &request,
+                                                   std::size_t payloadBytes);
     void receive(std::string_view peer, std::string_view payload);
     [[nodiscard]] kernel::result<void> openStore();
     [[nodiscard]] kernel::result<void> openOrRejoin(std::uint64_t incarnation);
--- a/src/yuccascale/runtime/worker_pool.cpp
+++ b/src/yuccascale/runtime/worker_pool.cpp
@@ -4,8 +4,9 @@
 
 namespace yuccascale::runtime {
 
-worker_pool::worker_pool(std::size_t maxThreads)
-    : m_maxThreads(maxThreads)
+worker_pool::worker_pool(std::size_t maxThreads, std::shared_ptr<worker_threads> shared)
+    : m_threads(shared ? std::move(shared) : std::make_shared<worker_threads>(maxThreads))
+    , m_lane(m_threads->open(maxThreads))
 { }
 
 worker_pool::~worker_pool()
@@ -15,50 +16,17 @@
 
 void worker_pool::run(task work)
 {
-    const std::scoped_lock guard(m_mutex);
-    if (m_stopping)
-        return;
-    m_tasks.push_back(std::move(work));
-    if (m_tasks.size() > m_idle && m_threads.size() < m_maxThreads)
-        m_threads.emplace_back([this] { runTasks(); });
-    m_wake.notify_one();
-}
-
-void worker_pool::runTasks()
-{
-    std::unique_lock guard(m_mutex);
-    while (true) {
-        ++m_idle;
-        m_wake.wait(guard, [this] { return m_stopping || !m_tasks.empty(); });
-        --m_idle;
-        if (m_tasks.empty())
-            return;
-        task work = std::move(m_tasks.front());
-        m_tasks.pop_front();
-        guard.unlock();
-        work();
-        work = nullptr;
-        guard.lock();
-    }
+    m_threads->run(*m_lane, std::move(work));
 }
 
 void worker_pool::shutdown()
 {
-    std::vector<std::thread> threads;
-    {
-        const std::scoped_lock guard(m_mutex);
-        m_stopping = true;
-        threads.swap(m_threads);
-    }
-    m_wake.notify_all();
-    for (std::thread &thread : threads)
-        thread.join();
+    m_threads->close(m_lane);
 }
 
 std::size_t worker_pool::load() const
 {
-    const std::scoped_lock guard(m_mutex);
-    return m_tasks.size() + m_threads.size() - m_idle;
+    return m_threads->load(*m_lane);
 }
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/worker_pool.hpp
+++ b/src/yuccascale/runtime/worker_pool.hpp
@@ -1,15 +1,12 @@
 #pragma once
 
-#include <condition_variable>
+#include "yuccascale/runtime/worker_threads.hpp"
+
 #include <cstddef>
-#include <deque>
-#include <functional>
-#include <mutex>
-#include <thread>
-#include <vector>
+#include <memory>
 
 /// \file
-/// \brief Threads that are created on demand, up to a maximum.
+/// \brief A queue of tasks with a maximum number of threads.
 
 namespace yuccascale::runtime {
 
@@ -17,33 +14,27 @@
 class worker_pool
 {
 public:
-    using task = std::function<void()>;
+    using task = worker_threads::task;
 
-    explicit worker_pool(std::size_t maxThreads);
+    /// \param shared threads that other pools use too; null: threads of its own
+    explicit worker_pool(std::size_t maxThreads, std::shared_ptr<worker_threads> shared = nullptr);
 
-    /// \brief Runs the queued tasks and joins the threads.
+    /// \brief Waits for all tasks.
     ~worker_pool();
     worker_pool(const worker_pool &) = delete;
     worker_pool &operator=(const worker_pool &) = delete;
 
     void run(task work);
 
-    /// \brief Waits for all tasks and ends the threads; later tasks are dropped.
+    /// \brief Waits for all tasks; later tasks are dropped.
     void shutdown();
 
     /// \returns the number of running and queued tasks.
     [[nodiscard]] std::size_t load() const;
 
 private:
-    void runTasks();
-
-    const std::size_t m_maxThreads;
-    mutable std::mutex m_mutex;
-    std::condition_variable m_wake;
-    std::deque<task> m_tasks;
-    std::vector<std::thread> m_threads;
-    std::size_t m_idle = 0;
-    bool m_stopping = false;
+    const std::shared_ptr<worker_threads> m_threads;
+    const std::shared_ptr<worker_threads::lane> m_lane;
 };
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/wire/framing.cpp
+++ b/src/yuccascale/wire/framing.cpp
@@ -6,17 +6,18 @@
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <array>
 #include <cstring>
+#include <utility>
 
 namespace yuccascale::wire {
 
 namespace {
 
 constexpr std::size_t nonceBytes = 16;
-constexpr std::uint32_t maxHelloBytes = 4'096;
 
-struct hello
+struct hello_message
 {
     std::string node;
     std::string nonce;
@@ -32,17 +33,6 @@
     return out;
 }
 
-std::optional<std::string> readLengthPrefixed(const socket &connection, std::uint32_t limit)
-{
-    std::uint32_t size = 0;
-    if (!connection.readExactly(reinterpret_cast<char *>(&size), sizeof size) || size > limit)
-        return std::nullopt;
-    std::string bytes(size, '\0');
-    if (!connection.readExactly(bytes.data(), size))
-        return std::nullopt;
-    return bytes;
-}
-
 flatbuffers::Verifier makeVerifier(std::string_view bytes)
 {
     return flatbuffers::Verifier(reinterpret_cast<const std::uint8_t *>(bytes.data()),
@@ -62,28 +52,25 @@
     return {reinterpret_cast<const char *>(bytes->data()), bytes->size()};
 }
 
-bool sendHello(const socket &connection, const hello &message)
+std::string encodeHello(const hello_message &message)
 {
     flatbuffers::FlatBufferBuilder builder;
     const auto node = builder.CreateString(message.node);
     const auto nonce = createBytes(builder, message.nonce);
     const auto proof = createBytes(builder, message.proof);
     builder.Finish(fb::CreateHello(builder, node, nonce, proof));
-    return connection.writeAll(withLengthPrefix(builder));
+    return withLengthPrefix(builder);
 }
 
-std::optional<hello> readHello(const socket &connection)
+std::optional<hello_message> decodeHello(std::string_view bytes)
 {
-    const std::optional<std::string> bytes = readLengthPrefixed(connection, maxHelloBytes);
-    if (!bytes)
-        return std::nullopt;
-    flatbuffers::Verifier verifier = makeVerifier(*bytes);
+    flatbuffers::Verifier verifier = makeVerifier(bytes);
     if (!verifier.VerifyBuffer<fb::Hello>(nullptr))
         return std::nullopt;
-    const auto *table = flatbuffers::GetRoot<fb::Hello>(bytes->data());
+    const auto *table = flatbuffers::GetRoot<fb::Hello>(bytes.data());
     if (table->node() == nullptr)
         return std::nullopt;
-    return hello{table->node()->str(), toString(table->nonce()), toString(table->proof())};
+    return hello_message{table->node()->str(), toString(table->nonce()), toString(table->proof())};
 }
 
 std::string makeNonce()
@@ -136,46 +123,81 @@
                  table->reply(), toString(table->payload())};
 }
 
-std::optional<frame> readFrame(const socket &connection)
+std::optional<std::string> message_reader::next(std::string_view &bytes)
 {
-    const std::optional<std::string> bytes = readLengthPrefixed(connection, maxFrameBytes);
-    return bytes ? decodeFrame(*bytes) : std::nullopt;
+    if (!m_hasSize && !readPrefix(bytes))
+        return std::nullopt;
+    const std::size_t taken = std::min<std::size_t>(m_size - m_message.size(), bytes.size());
+    m_message.append(bytes.substr(0, taken));
+    bytes.remove_prefix(taken);
+    if (m_message.size() < m_size)
+        return std::nullopt;
+    m_hasSize = false;
+    return std::exchange(m_message, {});
 }
 
-bool openHandshake(const socket &connection, std::string_view self, std::string_view peer,
-                   std::string_view secret)
+bool message_reader::readPrefix(std::string_view &bytes)
 {
-    const std::string ownNonce = makeNonce();
-    if (!sendHello(connection, {std::string(self), ownNonce, {}}))
-        return false;
-    const std::optional<hello> serverHello = readHello(connection);
-    if (!serverHello || serverHello->node != peer)
-        return false;
-    if (!proofsEqual(serverHello->proof,
-                     makeProof(secret, peer, self, ownNonce, serverHello->nonce)))
+    const std::size_t taken = std::min(sizeof m_size - m_prefix.size(), bytes.size());
+    m_prefix.append(bytes.substr(0, taken));
+    bytes.remove_prefix(taken);
+    if (m_prefix.size() < sizeof m_size)
         return false;
-    return sendHello(
-            connection,
-            {std::string(self), {}, makeProof(secret, self, peer, serverHello->nonce, ownNonce)});
+    std::memcpy(&m_size, m_prefix.data(), sizeof m_size);
+    m_prefix.clear();
+    m_tooLong = m_size > m_limit;
+    m_hasSize = !m_tooLong;
+    return m_hasSize;
 }
 
-std::optional<std::string> acceptHandshake(const socket &connection, std::string_view self,
+connecting_handshake::connecting_handshake(std::string_view self, std::string_view peer,
                                            std::string_view secret)
+    : m_self(self)
+    , m_peer(peer)
+    , m_secret(secret)
+    , m_nonce(makeNonce())
+{ }
+
+std::string connecting_handshake::hello() const
+{
+    return encodeHello({m_self, m_nonce, {}});
+}
+
+std::optional<std::string> connecting_handshake::prove(std::string_view answer) const
 {
-    const std::optional<hello> clientHello = readHello(connection);
-    if (!clientHello || clientHello->nonce.size() != nonceBytes)
+    const std::optional<hello_message> received = decodeHello(answer);
+    if (!received || received->node != m_peer)
+        return std::nullopt;
+    if (!proofsEqual(received->proof,
+                     makeProof(m_secret, m_peer, m_self, m_nonce, received->nonce)))
         return std::nullopt;
-    const std::string ownNonce = makeNonce();
-    if (!sendHello(connection,
-                   {std::string(self), ownNonce,
-                    makeProof(secret, self, clientHello->node, clientHello->nonce, ownNonce)}))
+    return encodeHello({m_self, {}, makeProof(m_secret, m_self, m_peer, received->nonce, m_nonce)});
+}
+
+accepting_handshake::accepting_handshake(std::string_view self, std::string_view secret)
+    : m_self(self)
+    , m_secret(secret)
+    , m_nonce(makeNonce())
+{ }
+
+std::optional<std::string> accepting_handshake::answer(std::string_view hello)
+{
+    std::optional<hello_message> received = decodeHello(hello);
+    if (!received || received->nonce.size() != nonceBytes)
         return std::nullopt;
-    const std::optional<hello> clientProof = readHello(connection);
-    if (!clientProof
-        || !proofsEqual(clientProof->proof,
-                        makeProof(secret, clientHello->node, self, ownNonce, clientHello->nonce)))
+    m_peer = std::move(received->node);
+    m_peerNonce = std::move(received->nonce);
+    return encodeHello(
+            {m_self, m_nonce, makeProof(m_secret, m_self, m_peer, m_peerNonce, m_nonce)});
+}
+
+std::optional<std::string> accepting_handshake::accept(std::string_view proof) const
+{
+    const std::optional<hello_message> received = decodeHello(proof);
+    if (!received
+        || !proofsEqual(received->proof, makeProof(m_secret, m_peer, m_self, m_nonce, m_peerNonce)))
         return std::nullopt;
-    return clientHello->node;
+    return m_peer;
 }
 
 } // namespace yuccascale::wire
--- a/src/yuccascale/wire/inbound_connections.cpp
+++ b/src/yuccascale/wire/inbound_connections.cpp
@@ -1,143 +1,99 @@
 #include "yuccascale/wire/inbound_connections.hpp"
 
+#include "yuccascale/wire/inbound_connection.hpp"
+
 #include <utility>
 
 namespace yuccascale::wire {
 
 namespace {
 
-constexpr kernel::milliseconds acceptPollInterval{100};
-constexpr kernel::milliseconds handshakeTimeout{1'000};
-constexpr std::size_t maxQueuedCalls = 8'192;
+/// After a failed accept, usually for lack of descriptors.
+constexpr kernel::milliseconds acceptRetryDelay{100};
 
 } // namespace
 
 inbound_connections::inbound_connections(const transport_settings &settings,
                                          transport_counters &counters,
-                                         const handler_table &handlers, socket listener)
+                                         const handler_table &handlers, inbound_loops loops,
+                                         socket listener)
     : m_settings(settings)
     , m_counters(counters)
     , m_handlers(handlers)
-    , m_listener(std::move(listener))
+    , m_loops(loops)
+    , m_acceptor(loops.common.context(), tcp::v4(), listener.release())
+    , m_acceptTimer(loops.common.context())
+    , m_threads(settings.handlerThreads)
 {
-    for (std::size_t count = 0; count < settings.callThreads; ++count)
-        m_callThreads.emplace_back([this] { callLoop(); });
-    m_acceptThread = std::thread([this] { acceptLoop(); });
+    m_loops.common.post([this] { accept(); });
 }
 
-inbound_connections::~inbound_connections()
-{
-    stop();
-}
+inbound_connections::~inbound_connections() = default;
 
 void inbound_connections::stop()
 {
     m_stopped = true;
-    if (m_acceptThread.joinable())
-        m_acceptThread.join();
     {
-        const std::lock_guard lock(m_mutex);
-        for (const auto &connection : m_connections)
-            connection->stream.shutdown();
-        m_changed.notify_all();
-    }
-    for (std::thread &callThread : m_callThreads) {
-        if (callThread.joinable())
-            callThread.join();
+        const std::lock_guard lock(m_gate->mutex);
+        m_gate->open = false;
     }
-    for (const auto &connection : m_connections) {
-        if (connection->readThread.joinable())
-            connection->readThread.join();
-    }
-    m_connections.clear();
+    m_threads.stop();
 }
 
-void inbound_connections::acceptLoop()
+void inbound_connections::closeConnections()
 {
-    while (!m_stopped) {
-        socket stream = m_listener.accept(acceptPollInterval);
-        joinFinished();
-        if (!stream.isOpen())
-            continue;
-        const auto accepted = std::make_shared<connection>();
-        accepted->stream = std::move(stream);
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    std::set<std::shared_ptr<inbound_connection>> connections;
+    {
         const std::lock_guard lock(m_mutex);
-        accepted->readThread = std::thread([this, accepted] { readLoop(accepted); });
-        m_connections.push_back(accepted);
+        connections.swap(m_connections);
     }
+    for (const auto &connection : connections)
+        connection->close();
 }
 
-void inbound_connections::joinFinished()
+void inbound_connections::accept()
 {
-    const std::lock_guard lock(m_mutex);
-    std::erase_if(m_connections, [](const auto &connection) {
-        if (!connection->finished)
-            return false;
-        connection->readThread.join();
-        return true;
+    m_acceptor.async_accept([this](boost::system::error_code problem, tcp::socket stream) {
+        if (m_stopped || problem == boost::asio::error::operation_aborted)
+            return;
+        if (!problem) {
+            const auto accepted = std::make_shared<inbound_connection>(*this, m_loops.common,
+                                                                       std::move(stream));
+            add(accepted);
+            accepted->start();
+            return accept();
+        }
+        m_acceptTimer.expires_after(acceptRetryDelay);
+        m_acceptTimer.async_wait([this](boost::system::error_code ended) {
+            if (!ended)
+                accept();
+        });
     });
 }
 
-void inbound_connections::readLoop(const std::shared_ptr<connection> &from)
+void inbound_connections::add(const std::shared_ptr<inbound_connection> &connection)
 {
-    from->stream.setReadTimeout(handshakeTimeout);
-    const std::optional<std::string> peer
-            = acceptHandshake(from->stream, m_settings.self, m_settings.secret);
-    if (!peer) {
-        ++m_counters.peersRefused;
-        from->stream.shutdown();
-        from->finished = true;
-        return;
-    }
-    from->peer = *peer;
-    from->stream.setReadTimeout(kernel::milliseconds(0));
-    while (std::optional<frame> received = readFrame(from->stream)) {
-        m_counters.bytesReceived += received->payload.size();
-        ++m_counters.framesReceived;
-        const auto handler = m_handlers.find(received->channel);
-        if (handler == m_handlers.end())
-            continue;
-        if (received->correlation == 0) {
-            (void)handler->second(from->peer, received->payload);
-            continue;
-        }
-        const std::lock_guard lock(m_mutex);
-        if (m_calls.size() < maxQueuedCalls)
-            m_calls.push_back({from, std::move(*received)});
-        m_changed.notify_one();
-    }
-    from->stream.shutdown();
-    from->finished = true;
+    const std::lock_guard lock(m_mutex);
+    m_connections.insert(connection);
 }
 
-void inbound_connections::callLoop()
+void inbound_connections::remove(const std::shared_ptr<inbound_connection> &connection)
 {
-    std::unique_lock lock(m_mutex);
-    while (true) {
-        m_changed.wait(lock, [&] { return m_stopped || !m_calls.empty(); });
-        if (m_stopped)
-            return;
-        const queued_call call = std::move(m_calls.front());
-        m_calls.pop_front();
-        lock.unlock();
-        serveCall(call);
-        lock.lock();
-    }
+    const std::lock_guard lock(m_mutex);
+    m_connections.erase(connection);
 }
 
-void inbound_connections::serveCall(const queued_call &call)
+void inbound_connections::moveToConsensusLoop(int descriptor, std::string peer, std::string unread)
 {
-    const auto &handler = m_handlers.find(call.request.channel)->second;
-    std::string reply = handler(call.from->peer, call.request.payload);
-    const std::string bytes
-            = encodeFrame({call.request.channel, call.request.correlation, true, std::move(reply)});
-    const std::lock_guard lock(call.from->writeMutex);
-    if (!call.from->stream.writeAll(bytes)) {
-        call.from->stream.shutdown();
-        return;
-    }
-    m_counters.bytesSent += bytes.size();
-    ++m_counters.framesSent;
+    tcp::socket stream(m_loops.consensus.context(), tcp::v4(), descriptor);
+    const auto moved
+            = std::make_shared<inbound_connection>(*this, m_loops.consensus, std::move(stream));
+    add(moved);
+    m_loops.consensus.post([moved, peer = std::move(peer), unread = std::move(unread)] {
+        moved->goOn(peer, unread);
+    });
 }
 
 } // namespace yuccascale::wire
--- a/src/yuccascale/wire/socket.cpp
+++ b/src/yuccascale/wire/socket.cpp
@@ -46,16 +46,6 @@
     return out;
 }
 
-void setCommonOptions(int descriptor, milliseconds userTimeout) noexcept
-{
-    const int enabled = 1;
-    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
-    const auto userTimeoutMs = static_cast<unsigned>(userTimeout.count());
-    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
-    const timeval sendTimeout = toTimeval(userTimeout);
-    setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &sendTimeout, sizeof sendTimeout);
-}
-
 bool waitFor(int descriptor, short events, milliseconds timeout) noexcept
 {
     pollfd request{descriptor, events, 0};
@@ -74,6 +64,16 @@
 
 } // namespace
 
+void setLinkOptions(int descriptor, milliseconds userTimeout) noexcept
+{
+    const int enabled = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+    const auto userTimeoutMs = static_cast<unsigned>(userTimeout.count());
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+    const timeval sendTimeout = toTimeval(userTimeout);
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &sendTimeout, sizeof sendTimeout);
+}
+
 result<socket_address> parseAddress(std::string_view text)
 {
     const std::size_t colon = text.rfind(':');
@@ -116,7 +116,7 @@
                     "cannot connect; check that the node runs and the address is right");
     }
     fcntl(out.m_descriptor, F_SETFL, fcntl(out.m_descriptor, F_GETFL) & ~O_NONBLOCK);
-    setCommonOptions(out.m_descriptor, userTimeout);
+    setLinkOptions(out.m_descriptor, userTimeout);
     return out;
 }
 
@@ -141,7 +141,7 @@
         return {};
     socket out(::accept4(m_descriptor, nullptr, nullptr, SOCK_CLOEXEC));
     if (out.isOpen())
-        setCommonOptions(out.m_descriptor, milliseconds(2'000));
+        setLinkOptions(out.m_descriptor, milliseconds(2'000));
     return out;
 }
 
--- a/src/yuccascale/wire/socket.hpp
+++ b/src/yuccascale/wire/socket.hpp
@@ -25,6 +25,11 @@
 /// \returns error_kind::InvalidArgument, with the expected form, for any other text.
 [[nodiscard]] kernel::result<socket_address> parseAddress(std::string_view text);
 
+/// \brief Sets the options of a connection between nodes: no delay of small writes, and failure
+/// when
+///        sent bytes stay unacknowledged for \a userTimeout.
+void setLinkOptions(int descriptor, kernel::milliseconds userTimeout) noexcept;
+
 /// \brief Owns a connected or listening socket.
 class socket
 {
@@ -78,6 +83,9 @@
 
     void close() noexcept;
 
+    /// \returns the descriptor, which the caller owns from now on.
+    [[nodiscard]] int release() noexcept { return std::exchange(m_descriptor, -1); }
+
 private:
     int m_descriptor = -1;
     mutable std::atomic<std::uint64_t> m_bytesRead{0};
