--- a/src/yuccascale/runtime/demand_reporter.cpp
+++ b/src/yuccascale/runtime/demand_reporter.cpp
@@ -17,14 +17,16 @@
 
 demand_reporter::demand_reporter(
         const settings &settings, clock &clock, transport &transport, control_client &control,
-        std::function<std::vector<requests::demand_report>()> measureDemand)
+        std::function<std::vector<requests::demand_report>()> measureDemand,
+        std::shared_ptr<periodic_thread> thread)
     : m_settings(settings)
     , m_clock(clock)
     , m_transport(transport)
     , m_control(control)
     , m_measureDemand(std::move(measureDemand))
     , m_demand(reportValidity)
-    , m_task(reportInterval, [this] { report(); })
+    , m_task(
+              reportInterval, [this] { report(); }, std::move(thread))
 {
     m_transport.handle(channel::Demand, [this](std::string_view peer, std::string_view payload) {
         receive(peer, wire::decodeDemands(payload));
--- a/src/yuccascale/runtime/demand_reporter.hpp
+++ b/src/yuccascale/runtime/demand_reporter.hpp
@@ -22,9 +22,11 @@
 {
 public:
     /// \param measureDemand returns this entry's demand since the previous call
+    /// \param thread for the periodic work; null: one of its own
     demand_reporter(const settings &settings, kernel::clock &clock, kernel::transport &transport,
                     kernel::control_client &control,
-                    std::function<std::vector<kernel::requests::demand_report>()> measureDemand);
+                    std::function<std::vector<kernel::requests::demand_report>()> measureDemand,
+                    std::shared_ptr<periodic_thread> thread = nullptr);
 
     void start() { m_task.start(); }
     void stop() { m_task.stop(); }
--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -97,7 +97,8 @@
     , m_listReads({m_context.config.control.feedInterval, m_context.config.platform.listInterval,
                    m_context.config.promises.drainNotice},
                   m_context.clock.now())
-    , m_task(roundInterval, [this] { tick(); })
+    , m_task(
+              roundInterval, [this] { tick(); }, m_context.thread)
     , m_workers(workerThreads, m_context.workers)
 { }
 
--- a/src/yuccascale/runtime/duties.hpp
+++ b/src/yuccascale/runtime/duties.hpp
@@ -46,6 +46,7 @@
     /// that is not known. Null: only the leader reads the list.
     std::function<std::optional<kernel::instant>()> endpointsAskedAt = {};
     std::shared_ptr<worker_threads> workers = nullptr; ///< null: threads of its own
+    std::shared_ptr<periodic_thread> thread = nullptr; ///< for rounds; null: one of its own
 };
 
 /// \brief Runs the leader's duties on its own threads. While this node does not lead, it only reads
--- a/src/yuccascale/runtime/load_exchange.cpp
+++ b/src/yuccascale/runtime/load_exchange.cpp
@@ -15,10 +15,12 @@
 
 } // namespace
 
-load_exchange::load_exchange(transport &transport, load_hooks hooks)
+load_exchange::load_exchange(transport &transport, load_hooks hooks,
+                             std::shared_ptr<periodic_thread> thread)
     : m_transport(transport)
     , m_hooks(std::move(hooks))
-    , m_task(exchangeInterval, [this] { sendPending(); })
+    , m_task(
+              exchangeInterval, [this] { sendPending(); }, std::move(thread))
 {
     m_transport.handle(channel::Load, [this](std::string_view, std::string_view payload) {
         if (m_running)
--- a/src/yuccascale/runtime/load_exchange.hpp
+++ b/src/yuccascale/runtime/load_exchange.hpp
@@ -31,7 +31,9 @@
 class load_exchange
 {
 public:
-    load_exchange(kernel::transport &transport, load_hooks hooks);
+    /// \param thread for the periodic work; null: one of its own
+    load_exchange(kernel::transport &transport, load_hooks hooks,
+                  std::shared_ptr<periodic_thread> thread = nullptr);
     ~load_exchange();
     load_exchange(const load_exchange &) = delete;
     load_exchange &operator=(const load_exchange &) = delete;
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -43,7 +43,9 @@
 constexpr milliseconds streamAnswerTimeout{150};
 /// Threads for calls that wait: polls, commits, questions to other nodes and calls to the platform.
 /// With the threads of a node that has one role the process stays below 20.
-constexpr std::size_t workerThreads = 6;
+constexpr std::size_t workerThreads = 7;
+/// The same for a node with both roles, which has more of the other threads.
+constexpr std::size_t workerThreadsOfBothRoles = 5;
 
 [[nodiscard]] std::string_view channelName(channel channel)
 {
@@ -156,7 +158,10 @@
     std::uint64_t incarnation;               ///< of this process; increases with each restart
     std::string secret;
     std::string operatorKey;
-    const std::shared_ptr<worker_threads> workers = std::make_shared<worker_threads>(workerThreads);
+    const std::shared_ptr<worker_threads> workers = std::make_shared<worker_threads>(
+            settings.roles.entry && settings.roles.control ? workerThreadsOfBothRoles
+                                                           : workerThreads);
+    const std::shared_ptr<periodic_thread> periodic = std::make_shared<periodic_thread>();
     std::unique_ptr<wire::tcp_transport> transport;
     std::unique_ptr<control_service> control;
     std::unique_ptr<replicated_log> replica;
@@ -352,14 +357,18 @@
                     events.record(requests::endpointSuspected, {{"endpoint", endpoint}});
             },
             [this] { return otherEntries(); }};
-    load = std::make_unique<load_exchange>(*transport, std::move(hooks));
+    load = std::make_unique<load_exchange>(*transport, std::move(hooks), periodic);
 }
 
 void node::parts::buildDemandReporter()
 {
-    demand = std::make_unique<demand_reporter>(settings, clock, *transport, *client, [this] {
-        return callers ? callers->pools().takeDemand() : std::vector<requests::demand_report>();
-    });
+    demand = std::make_unique<demand_reporter>(
+            settings, clock, *transport, *client,
+            [this] {
+                return callers ? callers->pools().takeDemand()
+                               : std::vector<requests::demand_report>();
+            },
+            periodic);
 }
 
 result<void> node::parts::buildDuties()
@@ -383,7 +392,7 @@
                              feed->setEndpoints(std::move(reading));
                          },
                          [this] { return feed->agreedTime(); },
-                         [this] { return feed->view().endpointsAskedAt; }, workers},
+                         [this] { return feed->view().endpointsAskedAt; }, workers, periodic},
             std::move(drivers));
     return {};
 }
--- a/src/yuccascale/runtime/periodic_task.hpp
+++ b/src/yuccascale/runtime/periodic_task.hpp
@@ -1,14 +1,13 @@
 #pragma once
 
 #include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/runtime/periodic_thread.hpp"
 
-#include <condition_variable>
 #include <functional>
-#include <mutex>
-#include <thread>
+#include <memory>
 
 /// \file
-/// \brief A thread that runs a function at a fixed interval.
+/// \brief A function that runs at a fixed interval.
 
 namespace yuccascale::runtime {
 
@@ -20,7 +19,9 @@
 class periodic_task
 {
 public:
-    periodic_task(kernel::milliseconds interval, std::function<void()> work);
+    /// \param shared runs other tasks too, so \a work must not wait; null: a thread of its own
+    periodic_task(kernel::milliseconds interval, std::function<void()> work,
+                  std::shared_ptr<periodic_thread> shared = nullptr);
     ~periodic_task();
     periodic_task(const periodic_task &) = delete;
     periodic_task &operator=(const periodic_task &) = delete;
@@ -30,19 +31,12 @@
     /// \brief Makes the thread run the function now instead of at the end of the interval.
     void runSoon();
 
-    /// \brief Waits for a run in progress and ends the thread.
+    /// \brief Waits for a run in progress; the function is not run any more.
     void stop();
 
 private:
-    void run();
-
-    kernel::milliseconds m_interval;
-    std::function<void()> m_work;
-    std::mutex m_mutex;
-    std::condition_variable m_changed;
-    bool m_stopped = false;
-    bool m_runRequested = false;
-    std::thread m_thread;
+    const std::shared_ptr<periodic_thread> m_thread;
+    periodic_thread::task m_task;
 };
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/worker_pool.hpp
+++ b/src/yuccascale/runtime/worker_pool.hpp
@@ -4,13 +4,16 @@
 
 #include <cstddef>
 #include <memory>
+#include <mutex>
 
 /// \file
 /// \brief A queue of tasks with a maximum number of threads.
 
 namespace yuccascale::runtime {
 
-/// \brief Runs tasks. While all threads are busy, tasks are queued.
+/// \brief Runs tasks. While all threads are busy, tasks are queued. Among shared threads, one is
+/// kept
+///        for it from its first task on.
 class worker_pool
 {
 public:
@@ -33,8 +36,11 @@
     [[nodiscard]] std::size_t load() const;
 
 private:
+    const std::size_t m_maxThreads;
     const std::shared_ptr<worker_threads> m_threads;
-    const std::shared_ptr<worker_threads::lane> m_lane;
+    mutable std::mutex m_mutex;
+    std::shared_ptr<worker_threads::lane> m_lane; ///< null before the first task
+    bool m_stopping = false;
 };
 
 } // namespace yuccascale::runtime
