--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -572,7 +572,9 @@
         m_services.metrics.setGauge("yuccascale_endpoint_list_age_seconds", age.count());
     }
     m_services.metrics.setGauge("yuccascale_connections", static_cast<double>(connections()));
-    return m_services.metrics.text();
+    const std::string others
+            = m_dependencies.otherMetrics ? m_dependencies.otherMetrics() : std::string();
+    return m_services.metrics.text() + others;
 }
 
 std::size_t caller_server::implementation::connections() const
--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -44,6 +44,8 @@
     /// Asks for a confirmation of the tables, which scheduleFeedUpdate() tells of; may be null.
     std::function<void()> confirmSoon = nullptr;
     std::shared_ptr<runtime::worker_threads> workers = nullptr; ///< null: threads of its own
+    /// Metrics of the node's other parts, as text; may be null.
+    std::function<std::string()> otherMetrics = nullptr;
 };
 
 /// \brief Serves callers at the node's addresses.
--- a/src/yuccascale/runtime/cluster_client.hpp
+++ b/src/yuccascale/runtime/cluster_client.hpp
@@ -5,8 +5,9 @@
 #include "yuccascale/runtime/feed_service.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
-#include <atomic>
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -43,7 +44,8 @@
     virtual void proposeLater(const kernel::state::command &command, kernel::instant deadline,
                               std::function<void(submit_reply reply)> done)
     {
-        done(propose(command, deadline));
+        const auto finish = std::move(done);
+        finish(propose(command, deadline));
     }
 };
 
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -274,7 +274,8 @@
                 return settings.http.protocol == "own" && operators->tryServe(exchange);
             },
             entryExchange(), [this](bool lost) { feed->setEndpointsLost(lost); },
-            [this] { feed->pollSoon(); }, workers});
+            [this] { feed->pollSoon(); }, workers,
+            [this] { return linkMetrics(transport->counters()); }});
     transport->handle(channel::Streams, [this](std::string_view, std::string_view message) {
         return callersStarted ? callers->streams().handle(message) : std::string();
     });
@@ -321,7 +322,7 @@
 
 std::string node::parts::metricsText()
 {
-    return (callers ? callers->metricsText() : std::string()) + linkMetrics(transport->counters());
+    return callers ? callers->metricsText() : linkMetrics(transport->counters());
 }
 
 std::vector<std::string> node::parts::otherEntries() const
--- a/tests/unit/consensus_replicated_log_test.cpp
+++ b/tests/unit/consensus_replicated_log_test.cpp
@@ -4,6 +4,8 @@
 
 #include <filesystem>
 #include <fstream>
+#include <future>
+#include <memory>
 
 namespace yuccascale::runtime {
 
@@ -73,6 +75,34 @@
     EXPECT_EQ(problem.where, cluster.name(leader));
 }
 
+/// Guards against a proposer that does not wait and never hears, or hears the wrong outcome.
+TEST(consensus_replicated_log, answersProposersThatDoNotWait)
+{
+    list_cluster cluster(3);
+    cluster.startAll();
+    const std::size_t leader = cluster.waitForLeader(timeout);
+    ASSERT_NE(leader, cluster.size());
+    const auto proposeLater = [&](std::size_t node, kernel::instant deadline) {
+        const auto outcome = std::make_shared<std::promise<log_outcome>>();
+        cluster.node(node).log().proposeLater("later", deadline, [outcome](log_outcome ended) {
+            outcome->set_value(std::move(ended));
+        });
+        auto future = outcome->get_future();
+        EXPECT_EQ(future.wait_for(timeout), std::future_status::ready);
+        return future.get();
+    };
+    const log_outcome committed = proposeLater(leader, cluster.clock().now() + timeout);
+    EXPECT_TRUE(committed.succeeded) << committed.problem.message;
+    EXPECT_EQ(committed.answer, "later");
+    const log_outcome refused
+            = proposeLater((leader + 1) % cluster.size(), cluster.clock().now() + timeout);
+    EXPECT_EQ(refused.problem.kind, kernel::error_kind::NotLeader);
+    const log_outcome late = proposeLater(leader, cluster.clock().now());
+    EXPECT_EQ(late.problem.kind, kernel::error_kind::Unavailable);
+    cluster.stop(leader);
+    EXPECT_TRUE(cluster.proposeOnLeader("next", timeout));
+}
+
 TEST(consensus_replicated_log, aNodeThatLostItsDiskJoinsAsALearnerAndVotesAgain)
 {
     list_cluster cluster(3);
