--- a/tests/unit/links_former_build_test.cpp
+++ b/tests/unit/links_former_build_test.cpp
@@ -45,6 +45,7 @@
 std::vector<std::string> numbersUpTo(int count)
 {
     std::vector<std::string> numbers;
+    numbers.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
         numbers.push_back(std::to_string(number));
     return numbers;
