--- a/src/yuccascale/wire/outbound_connection.hpp
+++ b/src/yuccascale/wire/outbound_connection.hpp
@@ -14,7 +14,7 @@
 class outbound_connection final : public framed_connection
 {
 public:
-    outbound_connection(const std::shared_ptr<peer_link> &link);
+    explicit outbound_connection(const std::shared_ptr<peer_link> &link);
 
     /// \brief Begins to connect.
     void connect();
--- a/src/yuccascale/wire/tcp_transport.hpp
+++ b/src/yuccascale/wire/tcp_transport.hpp
@@ -42,7 +42,7 @@
     std::size_t maxQueuedFrames = 4'096;                ///< per peer and channel; later posts
                                                         ///< are dropped
     std::size_t maxQueuedBytes = std::size_t{8} << 20U; ///< likewise
-    std::size_t handlerThreads = 3;                     ///< for channels other than consensus
+    std::size_t handlerThreads = 2;                     ///< for channels other than consensus
     kernel::milliseconds connectTimeout{500};
     kernel::milliseconds userTimeout{2'000};  ///< limit for unacknowledged bytes and for a write
                                               ///< without progress
