--- a/src/yuccascale/runtime/cluster_client.hpp
+++ b/src/yuccascale/runtime/cluster_client.hpp
@@ -5,8 +5,9 @@
 #include "yuccascale/runtime/feed_service.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
-#include <atomic>
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -38,6 +39,14 @@
     [[nodiscard]] virtual submit_reply propose(const kernel::state::command &command,
                                                kernel::instant deadline)
             = 0;
+
+    /// \brief As propose(), but passes the reply to \a done, once, from any thread.
+    virtual void proposeLater(const kernel::state::command &command, kernel::instant deadline,
+                              std::function<void(submit_reply reply)> done)
+    {
+        const auto finish = std::move(done);
+        finish(propose(command, deadline));
+    }
 };
 
 /// \brief The control_client of a running node. Thread-safe.
--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -97,8 +97,9 @@
     , m_listReads({m_context.config.control.feedInterval, m_context.config.platform.listInterval,
                    m_context.config.promises.drainNotice},
                   m_context.clock.now())
-    , m_task(roundInterval, [this] { tick(); })
-    , m_workers(workerThreads)
+    , m_task(
+              roundInterval, [this] { tick(); }, m_context.thread)
+    , m_workers(workerThreads, m_context.workers)
 { }
 
 leader_duties::~leader_duties()
--- a/src/yuccascale/runtime/worker_pool.cpp
+++ b/src/yuccascale/runtime/worker_pool.cpp
@@ -4,8 +4,9 @@
 
 namespace yuccascale::runtime {
 
-worker_pool::worker_pool(std::size_t maxThreads)
+worker_pool::worker_pool(std::size_t maxThreads, std::shared_ptr<worker_threads> shared)
     : m_maxThreads(maxThreads)
+    , m_threads(shared ? std::move(shared) : std::make_shared<worker_threads>(maxThreads))
 { }
 
 worker_pool::~worker_pool()
@@ -18,47 +19,27 @@
     const std::scoped_lock guard(m_mutex);
     if (m_stopping)
         return;
-    m_tasks.push_back(std::move(work));
-    if (m_tasks.size() > m_idle && m_threads.size() < m_maxThreads)
-        m_threads.emplace_back([this] { runTasks(); });
-    m_wake.notify_one();
-}
-
-void worker_pool::runTasks()
-{
-    std::unique_lock guard(m_mutex);
-    while (true) {
-        ++m_idle;
-        m_wake.wait(guard, [this] { return m_stopping || !m_tasks.empty(); });
-        --m_idle;
-        if (m_tasks.empty())
-            return;
-        task work = std::move(m_tasks.front());
-        m_tasks.pop_front();
-        guard.unlock();
-        work();
-        work = nullptr;
-        guard.lock();
-    }
+    if (!m_lane)
+        m_lane = m_threads->open(m_maxThreads);
+    m_threads->run(*m_lane, std::move(work));
 }
 
 void worker_pool::shutdown()
 {
-    std::vector<std::thread> threads;
+    std::shared_ptr<worker_threads::lane> opened;
     {
         const std::scoped_lock guard(m_mutex);
         m_stopping = true;
-        threads.swap(m_threads);
+        opened = m_lane;
     }
-    m_wake.notify_all();
-    for (std::thread &thread : threads)
-        thread.join();
+    if (opened)
+        m_threads->close(opened);
 }
 
 std::size_t worker_pool::load() const
 {
     const std::scoped_lock guard(m_mutex);
-    return m_tasks.size() + m_threads.size() - m_idle;
+    return m_lane ? m_threads->load(*m_lane) : 0;
 }
 
 } // namespace yuccascale::runtime
