Capacity that follows demand: work measured at entries, plan by zone, reductions in steps

Cause: steady endpoints are never given back, and cheap ones are ordered whatever the demand. Change: entries report work in spans of 250 ms, the leader adds them (orders/work_book) and policy/demand_capacity orders endpoints by the plan of policy/zone_plan; policy.capacity selects it.

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -26,6 +26,7 @@
     limits.assumeOthers = settings.policy.assumeOthers;
     limits.cheapNotice = settings.policy.cheapNotice;
     limits.drainNotice = settings.promises.drainNotice;
+    limits.measureWork = settings.policy.capacity == runtime::capacity_policy::FollowDemand;
     limits.retries.share = settings.promises.retryShare;
     limits.retries.burst = settings.promises.retryBurst;
     limits.retries.window = settings.promises.retryWindow;
--- a/src/yuccascale/kernel/orders/events.hpp
+++ b/src/yuccascale/kernel/orders/events.hpp
@@ -50,8 +50,17 @@
         "An entry of the platform's list names no endpoint and is left out; the others hold. Check "
         "who wrote it."};
 inline const event_kind countOrdered{4014, "count_ordered", severity::Info,
-                                     "A number of cheap endpoints was ordered in an availability "
-                                     "zone; the outcome says whether the platform has them."};
+                                     "A number of cheap or steady endpoints was ordered in an "
+                                     "availability zone, for 'reason'; the outcome says whether "
+                                     "the platform has them. With policy.capacity follow_demand, "
+                                     "capacity_planned has the figures."};
+inline const event_kind capacityPlanned{
+        4015, "capacity_planned", severity::Info,
+        "The work that a pool's orders rest on, at most each 5 s: 'peak', 'mean' and 'steady' in "
+        "engines (busiest second, mean, and what only steady endpoints may run), the entries that "
+        "report, the prefill rate of an engine, shares of requests that are late, rejected by "
+        "endpoints or waiting, planned and serving endpoints of both kinds. 'held' says why none "
+        "is given back."};
 inline const event_kind platformHeard{
         4013, "platform_heard", severity::Info,
         "An interface of the platform answers again after a failure."};
--- a/src/yuccascale/kernel/policy/cheap_headroom.hpp
+++ b/src/yuccascale/kernel/policy/cheap_headroom.hpp
@@ -30,6 +30,11 @@
     [[nodiscard]] bool operator==(const count_order &) const = default;
 };
 
+/// \returns the listed endpoints of a pool in a zone that are not draining.
+[[nodiscard]] int countListed(std::span<const feed::listed_endpoint> listed,
+                              const std::string &pool, const std::string &zone,
+                              state::endpoint_tenure tenure);
+
 /// \brief Decides on orders of cheap endpoints; one instance per term of a leader. Not thread-safe.
 class cheap_headroom
 {
@@ -38,6 +43,11 @@
     [[nodiscard]] std::vector<count_order> decide(instant now, const state::table_set &tables,
                                                   std::span<const feed::listed_endpoint> listed);
 
+    /// \returns the orders of one pool to submit now.
+    [[nodiscard]] std::vector<count_order>
+    decidePool(instant now, const std::string &name, const state::pool &pool,
+               std::span<const feed::listed_endpoint> listed);
+
     /// \brief Records that the platform refused an order because the zone has no endpoints
     /// available.
     void refused(instant now, const count_order &order);
--- a/src/yuccascale/kernel/requests/demand_meter.cpp
+++ b/src/yuccascale/kernel/requests/demand_meter.cpp
@@ -4,9 +4,9 @@
 
 bool demand_report::idle() const noexcept
 {
-    return prefillTokensPerSecond + decodeTokensPerSecond + prefillBacklogTokens
-            + decodeBacklogTokens
-            <= 0;
+    const double load = prefillTokensPerSecond + decodeTokensPerSecond + prefillBacklogTokens
+            + decodeBacklogTokens;
+    return load <= 0 && !work;
 }
 
 void demand_meter::offered(std::int64_t promptTokens, std::int64_t outputTokens,
--- a/src/yuccascale/kernel/requests/demand_meter.hpp
+++ b/src/yuccascale/kernel/requests/demand_meter.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/requests/work_meter.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 /// \file
@@ -20,7 +22,10 @@
     double decodeBacklogTokens = 0;
     double nonIdempotentShare = 0; ///< share of the offered requests, 0 to 1
 
-    /// \returns true when no load was offered and no request is queued.
+    /// For the number of endpoints; nothing when this entry does not measure it.
+    std::optional<work_report> work = {};
+
+    /// \returns true when no load was offered, no request is queued and no work was measured.
     [[nodiscard]] bool idle() const noexcept;
 };
 
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -73,6 +73,7 @@
 void pool_scheduler::setRows(const state::pool &pool)
 {
     m_endpoints.setRows(pool);
+    m_measuresWork = m_limits.measureWork && !pool.scaling.empty();
     m_kvSecondsPerToken = kvSecondsPerToken(pool);
     m_suspectEndpointOrder.clear();
     for (const state::endpoint &row : pool.endpoints)
@@ -85,6 +86,16 @@
 std::optional<refusal> pool_scheduler::push(instant now, std::uint64_t ticket,
                                             const request &callerRequest, double weight,
                                             const enqueue &options)
+{
+    auto refused = refuseOrQueue(now, ticket, callerRequest, weight, options);
+    if (!options.retry)
+        m_work.offered(refused.has_value());
+    return refused;
+}
+
+std::optional<refusal> pool_scheduler::refuseOrQueue(instant now, std::uint64_t ticket,
+                                                     const request &callerRequest, double weight,
+                                                     const enqueue &options)
 {
     const std::optional<nanoseconds> service = m_services[callerRequest.route.name].predict(
             callerRequest.promptTokens, callerRequest.outputTokens);
@@ -210,6 +221,7 @@
         m_versionBound.erase(late.ticket);
         m_waiting.erase(late.ticket);
     }
+    m_work.refusedLater(tickets.size());
     return tickets;
 }
 
@@ -315,6 +327,9 @@
         out.prefillBacklogTokens += static_cast<double>(waiting.work.promptTokens);
         out.decodeBacklogTokens += static_cast<double>(waiting.work.outputTokens);
     }
+    work_report work = m_work.takeReport(now, m_waiting.size());
+    if (m_measuresWork)
+        out.work = std::move(work);
     return out;
 }
 
@@ -380,6 +395,7 @@
     running_request &running = found->second;
     const std::string endpoint = std::exchange(running.prefillEndpoint, {});
     m_endpoints.requestEnded(endpoint, ticket);
+    m_work.ended(now, 1, running.queued.steadyOnly);
     --m_activePrefills;
     if (outcome == prefill_outcome::Failed) {
         // an engine without an answer within the prefill timeout is treated as crashed
@@ -390,6 +406,8 @@
     if (outcome == prefill_outcome::Refused)
         return;
     running.prefilledElsewhere = true;
+    m_work.prefilled(running.queued.work.promptTokens - running.cachedTokens, running.tokensAhead,
+                     prefillTime);
     m_strategies.router->observe(now,
                                  {endpoint, running.queued.work.promptTokens, running.cachedTokens,
                                   0, prefillTime, prefillTime, 0, true, true, running.tokensAhead});
@@ -415,6 +433,20 @@
     return m_endpoints.failed(now, endpoint, crashed);
 }
 
+void pool_scheduler::measureAnswer(instant now, const running_request &answered,
+                                   const token_usage &usage, const attempt_result &result)
+{
+    const policy::waiting_request &row = answered.queued.row;
+    const bool late = answered.sentAt + result.timeToFirstToken > row.firstTokenDeadline;
+    std::int64_t moreTokens = 0;
+    if (!answered.prefilledElsewhere) {
+        moreTokens = answered.cachedTokens - usage.cachedTokens;
+        m_work.prefilled(usage.promptTokens - usage.cachedTokens, answered.tokensAhead,
+                         result.timeToFirstToken);
+    }
+    m_work.answered(now, moreTokens, answered.queued.steadyOnly, late);
+}
+
 finish_findings pool_scheduler::finish(instant now, std::uint64_t ticket,
                                        const attempt_result &result)
 {
@@ -431,6 +463,9 @@
         m_endpoints.requestEnded(running.prefillEndpoint, ticket);
         --m_activePrefills;
     }
+    m_work.ended(now, running.prefillEndpoint.empty() ? 1 : 2, running.queued.steadyOnly);
+    if (result.rejected)
+        m_work.rejected();
     if (result.crashed || result.replaced)
         m_caches.removeEngine(endpoint);
     if (result.crashed) {
@@ -459,6 +494,7 @@
             = policy::requestCost(usage.promptTokens, usage.cachedTokens, usage.completionTokens);
     m_strategies.queue->charge(running.queued.row.organisation, running.queued.row.weight,
                                cost - running.queued.row.cost);
+    measureAnswer(now, running, usage, result);
     if (running.prefilledElsewhere)
         usage.cachedTokens = usage.promptTokens;
     const policy::routing_outcome outcome{endpoint,
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -50,6 +50,7 @@
     nanoseconds cheapNotice{};
     /// After this time the platform's list no longer tells who is draining; 0: it always does.
     nanoseconds drainNotice{};
+    bool measureWork = false; ///< for pools whose numbers of endpoints can be ordered
 };
 
 /// \brief A queued request and the endpoint chosen for it.
@@ -89,6 +90,7 @@
     bool crashed = false;
     bool unreachable = false;        ///< no connection could be established
     bool replaced = false;           ///< a different endpoint answers at its address
+    bool rejected = false;           ///< the endpoint reported that it did not run the request
     bool excludedFromHealth = false; ///< counts neither as success nor as failure of the endpoint,
                                      ///< for example when cancelled or reported as not run
     token_usage usage;
@@ -245,6 +247,11 @@
         bool prefilledElsewhere = false;  ///< a separate engine has prefilled the prompt
     };
 
+    [[nodiscard]] std::optional<refusal> refuseOrQueue(instant now, std::uint64_t ticket,
+                                                       const request &callerRequest, double weight,
+                                                       const enqueue &options);
+    void measureAnswer(instant now, const running_request &answered, const token_usage &usage,
+                       const attempt_result &result);
     [[nodiscard]] std::optional<endpoint_assignment> place(instant now, queued_request &waiting);
     [[nodiscard]] std::vector<policy::endpoint_view> viewsFor(instant now,
                                                               const queued_request &waiting);
@@ -285,6 +292,8 @@
     endpoint_table m_endpoints;
     charge_accumulator m_charges;
     demand_meter m_demand;
+    bool m_measuresWork = false; ///< the demand is reported with the work of m_work
+    work_meter m_work;
     std::map<std::uint64_t, queued_request> m_waiting;
     std::set<std::uint64_t> m_versionBound; ///< of those, the ones bound to a software version
     std::deque<std::uint64_t>
--- a/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
@@ -171,6 +171,8 @@
         work.promptTokens = 0;
     }
     m_endpoints.requestSent(now, assignment.endpoint, assignment.ticket, work);
+    m_work.sent(now, uncachedTokens, assignment.prefillEndpoint.empty() ? 1 : 2,
+                waiting.steadyOnly);
     m_suspects.started(assignment.endpoint, waiting.fingerprint);
     announcePlacement(waiting, assignment, uncachedTokens);
 }
--- a/src/yuccascale/kernel/requests/request_session.cpp
+++ b/src/yuccascale/kernel/requests/request_session.cpp
@@ -123,8 +123,8 @@
     result.crashed = failed.failure == attempt_failure::Crashed;
     result.unreachable = failed.failure == attempt_failure::NeverSent;
     result.replaced = failed.failure == attempt_failure::Replaced;
-    result.excludedFromHealth = failed.failure == attempt_failure::ReportedNotRun
-            || failed.failure == attempt_failure::Disconnected
+    result.rejected = failed.failure == attempt_failure::ReportedNotRun;
+    result.excludedFromHealth = result.rejected || failed.failure == attempt_failure::Disconnected
             || failed.failure == attempt_failure::Answered;
     finishAttempt(result);
 }
--- a/src/yuccascale/runtime/demand_reporter.cpp
+++ b/src/yuccascale/runtime/demand_reporter.cpp
@@ -38,6 +38,12 @@
     return m_demand.poolDemand(m_clock.now(), pool);
 }
 
+policy::measured_work demand_reporter::workOn(std::string_view pool, int entriesRunning) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_work.work(m_clock.now(), pool, entriesRunning);
+}
+
 void demand_reporter::report()
 {
     std::vector<requests::demand_report> reports = m_measureDemand();
@@ -54,6 +60,7 @@
 {
     const std::lock_guard lock(m_mutex);
     m_demand.update(m_clock.now(), entry, reports);
+    m_work.update(m_clock.now(), entry, reports);
 }
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/demand_reporter.hpp
+++ b/src/yuccascale/runtime/demand_reporter.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccascale/kernel/control_client.hpp"
 #include "yuccascale/kernel/orders/demand_book.hpp"
+#include "yuccascale/kernel/orders/work_book.hpp"
 #include "yuccascale/kernel/transport.hpp"
 #include "yuccascale/runtime/periodic_task.hpp"
 #include "yuccascale/runtime/settings.hpp"
@@ -33,6 +34,10 @@
     ///          reports.
     [[nodiscard]] kernel::policy::pool_demand demandOn(std::string_view pool) const;
 
+    /// \returns the work on a pool that \a entriesRunning entries report to this node.
+    [[nodiscard]] kernel::policy::measured_work workOn(std::string_view pool,
+                                                       int entriesRunning) const;
+
 private:
     void report();
     void receive(std::string_view entry,
@@ -45,6 +50,7 @@
     std::function<std::vector<kernel::requests::demand_report>()> m_measureDemand;
     mutable std::mutex m_mutex;
     kernel::orders::demand_aggregator m_demand;
+    kernel::orders::work_book m_work;
     periodic_task m_task;
 };
 
--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -4,6 +4,7 @@
 #include "yuccascale/kernel/orders/permit.hpp"
 #include "yuccascale/kernel/usage/entry_succession.hpp"
 #include "yuccascale/kernel/usage/events.hpp"
+#include "yuccascale/runtime/capacity_report.hpp"
 #include "yuccascale/runtime/duty_times.hpp"
 #include "yuccascale/runtime/events.hpp"
 
@@ -25,6 +26,7 @@
 constexpr milliseconds roundInterval{50};
 constexpr milliseconds listInterval{1'000};
 constexpr milliseconds submitTimeout{3'000};
+constexpr std::chrono::seconds capacityLineInterval{5};
 
 template<typename Policy>
 std::function<std::unique_ptr<Policy>()> policyFactory(const std::string &name)
@@ -127,6 +129,8 @@
     m_tables = view.tables;
     for (order_action &action : m_orderDriver.step(now, wallMs(), leadership, view))
         std::visit([this](auto &chosen) { execute(std::move(chosen)); }, action);
+    if (!leadership)
+        forgetCapacity();
     if (auto action = m_usageReporter.step(now, wallMs(), leadership, view.usage))
         executeUsage(std::move(*action));
     readEndpointList(now, leadership);
@@ -399,30 +403,95 @@
     const instant now = m_context.clock.now();
     if (!m_drivers.counts || !m_tables || now < leadership.ordersAllowedFrom)
         return;
-    if (std::exchange(m_headroomFence, leadership.fence) != leadership.fence)
+    if (std::exchange(m_countsFence, leadership.fence) != leadership.fence) {
         m_headroom = {};
-    for (const kernel::policy::count_order &order :
-         m_headroom.decide(now, *m_tables, endpointList)) {
-        runOnWorker(
-                [counts = m_drivers.counts.get(), order, fence = leadership.fence,
-                 permit = permitFor(leadership.fence, now)] {
-                    return counts->order(order, fence, permit);
-                },
-                [this, order, fence = leadership.fence](const call_outcome<bool> &outcome) {
+        m_demandCapacity = {};
+    }
+    for (const kernel::policy::reasoned_order &chosen : decideCounts(now, endpointList))
+        sendCount(leadership, now, chosen);
+}
+
+std::vector<kernel::policy::reasoned_order>
+leader_duties::decideCounts(instant now,
+                            const std::vector<kernel::feed::listed_endpoint> &endpointList)
+{
+    using kernel::policy::measured_work;
+    if (m_context.config.policy.capacity == capacity_policy::FollowDemand) {
+        const auto unknown = [](const std::string &) { return measured_work{}; };
+        auto orders = m_context.workOf
+                ? m_demandCapacity.decide(now, *m_tables, endpointList, m_context.workOf)
+                : m_demandCapacity.decide(now, *m_tables, endpointList, unknown);
+        publishCapacity(now);
+        return orders;
+    }
+    std::vector<kernel::policy::reasoned_order> orders;
+    for (auto &order : m_headroom.decide(now, *m_tables, endpointList))
+        orders.push_back({std::move(order), "up to the zone's bound"});
+    return orders;
+}
+
+void leader_duties::sendCount(const kernel::leadership &leadership, instant now,
+                              const kernel::policy::reasoned_order &chosen)
+{
+    using kernel::state::endpoint_tenure;
+    const kernel::policy::count_order &order = chosen.order;
+    runOnWorker([counts = m_drivers.counts.get(), order, fence = leadership.fence,
+                 permit = permitFor(leadership.fence,
+                                    now)] { return counts->order(order, fence, permit); },
+                [this, order, reason = chosen.reason,
+                 fence = leadership.fence](const call_outcome<bool> &outcome) {
                     const bool accepted = outcome.answer.value_or(false);
+                    const bool cheap = order.tenure == endpoint_tenure::Cheap;
                     m_context.events.record(countOrdered,
                                             {{"pool", order.pool},
                                              {"zone", order.zone},
-                                             {"cheap", order.count},
+                                             {cheap ? "cheap" : "steady", order.count},
+                                             {"reason", reason},
                                              {"fence", fence},
                                              {"outcome",
                                               accepted                 ? "accepted"
                                                       : outcome.answer ? "refused: none available"
                                                                        : outcome.failure.message}});
-                    if (!accepted)
-                        m_headroom.refused(m_context.clock.now(), order);
+                    handleCountAnswer(order, fence, accepted);
                 });
+}
+
+/// An answer to an order of an earlier term says nothing to this one.
+void leader_duties::handleCountAnswer(const kernel::policy::count_order &order, std::uint64_t fence,
+                                      bool accepted)
+{
+    if (fence != m_countsFence)
+        return;
+    if (m_context.config.policy.capacity == capacity_policy::FollowDemand)
+        m_demandCapacity.answered(m_context.clock.now(), order, accepted);
+    else if (!accepted)
+        m_headroom.refused(m_context.clock.now(), order);
+}
+
+std::vector<kernel::policy::capacity_status> leader_duties::capacity() const
+{
+    const std::lock_guard lock(m_capacityMutex);
+    return m_capacity;
+}
+
+/// The figures of a former term are not those of the present leader.
+void leader_duties::forgetCapacity()
+{
+    const std::lock_guard lock(m_capacityMutex);
+    m_capacity.clear();
+}
+
+/// Orders rest on these figures; each pool gets a line once in a while.
+void leader_duties::publishCapacity(instant now)
+{
+    std::vector<kernel::policy::capacity_status> all = m_demandCapacity.status();
+    if (now >= m_nextCapacityLine) {
+        m_nextCapacityLine = now + capacityLineInterval;
+        for (const kernel::policy::capacity_status &status : all)
+            m_context.events.record(capacityPlanned, capacityFields(status));
     }
+    const std::lock_guard lock(m_capacityMutex);
+    m_capacity = std::move(all);
 }
 
 void leader_duties::markLeavingEndpoints(const std::vector<vm_row> &vms)
--- a/src/yuccascale/runtime/duties.hpp
+++ b/src/yuccascale/runtime/duties.hpp
@@ -7,6 +7,7 @@
 #include "yuccascale/kernel/orders/drivers.hpp"
 #include "yuccascale/kernel/orders/fleet_scheduler.hpp"
 #include "yuccascale/kernel/orders/order_driver.hpp"
+#include "yuccascale/kernel/policy/demand_capacity.hpp"
 #include "yuccascale/kernel/state/leader_view.hpp"
 #include "yuccascale/kernel/usage/window_reporter.hpp"
 #include "yuccascale/runtime/duties_workers.hpp"
@@ -16,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <vector>
@@ -45,6 +47,8 @@
     /// When the platform was asked for this node's list of endpoints, by any node; nothing when
     /// that is not known. Null: only the leader reads the list.
     std::function<std::optional<kernel::instant>()> endpointsAskedAt = {};
+    /// Measured work of a pool. Null: no endpoint is given back.
+    kernel::policy::demand_capacity::work_source workOf = {};
 };
 
 /// \brief Runs the leader's duties on its own threads. While this node does not lead, it only reads
@@ -70,6 +74,10 @@
     ///        the thread of start(), and by tests.
     void tick();
 
+    /// \returns what the orders of this leader rest on, of each pool that follows its demand; empty
+    ///          on a node that does not lead.
+    [[nodiscard]] std::vector<kernel::policy::capacity_status> capacity() const;
+
 private:
     using held_leadership = std::optional<kernel::leadership>;
 
@@ -89,6 +97,15 @@
     void recordIgnored(const std::vector<kernel::orders::ignored_entry> &entries);
     void orderEndpointCounts(const kernel::leadership &leadership,
                              const std::vector<kernel::feed::listed_endpoint> &endpointList);
+    [[nodiscard]] std::vector<kernel::policy::reasoned_order>
+    decideCounts(kernel::instant now,
+                 const std::vector<kernel::feed::listed_endpoint> &endpointList);
+    void sendCount(const kernel::leadership &leadership, kernel::instant now,
+                   const kernel::policy::reasoned_order &chosen);
+    void handleCountAnswer(const kernel::policy::count_order &order, std::uint64_t fence,
+                           bool accepted);
+    void publishCapacity(kernel::instant now);
+    void forgetCapacity();
     void markLeavingEndpoints(const std::vector<kernel::orders::vm_row> &vms);
     [[nodiscard]] kernel::orders::order_target *targetAt(const std::string &address) const;
     [[nodiscard]] kernel::orders::send_permit permitFor(std::uint64_t fence,
@@ -119,7 +136,11 @@
     kernel::feed::list_read_schedule m_listReads;
     bool m_readingEndpoints = false;
     kernel::policy::cheap_headroom m_headroom;
-    std::uint64_t m_headroomFence = 0;   ///< fence of the term that m_headroom belongs to
+    kernel::policy::demand_capacity m_demandCapacity;
+    std::uint64_t m_countsFence = 0; ///< fence of the term that both belong to
+    kernel::instant m_nextCapacityLine{};
+    mutable std::mutex m_capacityMutex;
+    std::vector<kernel::policy::capacity_status> m_capacity; ///< guarded by m_capacityMutex
     bool m_endpointListAvailable = true; ///< the last read of the endpoint list succeeded
     std::set<kernel::orders::ignored_entry> m_ignoredEntries; ///< of the last endpoint list
     int m_pendingSubmits = 0; ///< orders, retirements and notices in flight
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -7,6 +7,7 @@
 #include "yuccascale/kernel/requests/drain_plan.hpp"
 #include "yuccascale/kernel/requests/events.hpp"
 #include "yuccascale/net/http_server.hpp"
+#include "yuccascale/runtime/capacity_report.hpp"
 #include "yuccascale/runtime/cluster_client.hpp"
 #include "yuccascale/runtime/control_service.hpp"
 #include "yuccascale/runtime/decision_memory.hpp"
@@ -99,6 +100,7 @@
     void buildDemandReporter();
     [[nodiscard]] result<void> buildDuties();
     [[nodiscard]] std::vector<orders::pool_status> poolStates() const;
+    [[nodiscard]] policy::measured_work workOf(const std::string &pool) const;
     [[nodiscard]] std::vector<std::string> otherEntries() const;
     [[nodiscard]] std::vector<std::string> streamArchives() const;
     [[nodiscard]] std::string leaderDocumentAddress() const;
@@ -273,7 +275,10 @@
 
 std::string node::parts::metricsText()
 {
-    return callers ? callers->metricsText() : std::string();
+    std::string text = callers ? callers->metricsText() : std::string();
+    if (leaderDuties)
+        text += capacityMetrics(leaderDuties->capacity());
+    return text;
 }
 
 std::vector<std::string> node::parts::otherEntries() const
@@ -340,11 +345,20 @@
                              feed->setEndpoints(std::move(reading));
                          },
                          [this] { return feed->agreedTime(); },
-                         [this] { return feed->view().endpointsAskedAt; }},
+                         [this] { return feed->view().endpointsAskedAt; },
+                         [this](const std::string &pool) { return workOf(pool); }},
             std::move(drivers));
     return {};
 }
 
+policy::measured_work node::parts::workOf(const std::string &pool) const
+{
+    const auto nodes = feed->nodes();
+    const auto entries = std::ranges::count_if(
+            nodes, [](const feed::node_report &node) { return !node.callers.empty(); });
+    return demand->workOn(pool, static_cast<int>(entries));
+}
+
 std::vector<orders::pool_status> node::parts::poolStates() const
 {
     std::vector<orders::pool_status> out;
--- a/src/yuccascale/runtime/settings.cpp
+++ b/src/yuccascale/runtime/settings.cpp
@@ -142,9 +142,23 @@
     node.count("prefill_ahead", policy.prefillAhead);
     node.flag("assume_others", policy.assumeOthers);
     node.duration("cheap_notice", policy.cheapNotice);
+    node.choose("capacity",
+                {{"cheap_headroom", [&] { policy.capacity = capacity_policy::CheapHeadroom; }},
+                 {"follow_demand", [&] { policy.capacity = capacity_policy::FollowDemand; }}});
     node.rejectUnknownFields();
 }
 
+/// Without the list, orders cannot be checked, and without the interface for counts, none is sent.
+void checkCapacity(yaml_reader &root, const settings &out)
+{
+    if (!out.roles.control || out.policy.capacity != capacity_policy::FollowDemand)
+        return;
+    if (out.platform.endpointList.empty() || out.platform.endpointCounts.empty())
+        root.problem("policy.capacity",
+                     "follow_demand needs platform.endpoint_list and platform.endpoint_counts; set "
+                     "both or use cheap_headroom");
+}
+
 /// Replaces the port of each seed by seed_link_port, when that is set.
 void checkSeeds(yaml_reader &root, settings &out)
 {
@@ -239,6 +253,7 @@
     checkSecret(root, "cluster_secret", out.secretFile);
     checkSecret(root, "operator_key", out.operatorKeyFile);
     checkPropagation(root, out);
+    checkCapacity(root, out);
     deriveFreshness(out);
     return out;
 }
--- a/src/yuccascale/runtime/settings.hpp
+++ b/src/yuccascale/runtime/settings.hpp
@@ -94,6 +94,12 @@
     kernel::milliseconds usageBatch{0}; ///< longest time that usage counts are held for a batch
 };
 
+/// \brief How the numbers of a pool's endpoints are decided.
+enum class capacity_policy {
+    CheapHeadroom, ///< cheap endpoints up to the bound of each zone
+    FollowDemand,  ///< steady and cheap ones as the measured demand requires
+};
+
 /// \brief Names of the policy plug-ins in use, and their parameters.
 struct policy_settings
 {
@@ -106,6 +112,7 @@
     /// Guaranteed notice before a cheap endpoint is reclaimed. Non-idempotent requests that end
     /// within it may run there; zero keeps them all on steady endpoints.
     kernel::milliseconds cheapNotice{0};
+    capacity_policy capacity = capacity_policy::CheapHeadroom;
     bool assumeOthers = true; ///< assume that each other entry sends the same load
 };
 
--- a/src/yuccascale/wire/demand_generated.h
+++ b/src/yuccascale/wire/demand_generated.h
@@ -17,12 +17,188 @@
 namespace wire {
 namespace fb {
 
+struct WorkSpan;
+
+struct RequestCounts;
+
+struct Work;
+struct WorkBuilder;
+
 struct Demand;
 struct DemandBuilder;
 
 struct Demands;
 struct DemandsBuilder;
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) WorkSpan FLATBUFFERS_FINAL_CLASS {
+ private:
+  float uncached_tokens_;
+  float steady_tokens_;
+  float busy_seconds_;
+  float steady_seconds_;
+
+ public:
+  WorkSpan()
+      : uncached_tokens_(0),
+        steady_tokens_(0),
+        busy_seconds_(0),
+        steady_seconds_(0) {
+  }
+  WorkSpan(float _uncached_tokens, float _steady_tokens, float _busy_seconds, float _steady_seconds)
+      : uncached_tokens_(flatbuffers::EndianScalar(_uncached_tokens)),
+        steady_tokens_(flatbuffers::EndianScalar(_steady_tokens)),
+        busy_seconds_(flatbuffers::EndianScalar(_busy_seconds)),
+        steady_seconds_(flatbuffers::EndianScalar(_steady_seconds)) {
+  }
+  float uncached_tokens() const {
+    return flatbuffers::EndianScalar(uncached_tokens_);
+  }
+  float steady_tokens() const {
+    return flatbuffers::EndianScalar(steady_tokens_);
+  }
+  float busy_seconds() const {
+    return flatbuffers::EndianScalar(busy_seconds_);
+  }
+  float steady_seconds() const {
+    return flatbuffers::EndianScalar(steady_seconds_);
+  }
+};
+FLATBUFFERS_STRUCT_END(WorkSpan, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) RequestCounts FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t offered_;
+  uint32_t late_;
+  uint32_t sent_;
+  uint32_t rejected_;
+  uint32_t waiting_;
+  uint32_t running_;
+
+ public:
+  RequestCounts()
+      : offered_(0),
+        late_(0),
+        sent_(0),
+        rejected_(0),
+        waiting_(0),
+        running_(0) {
+  }
+  RequestCounts(uint32_t _offered, uint32_t _late, uint32_t _sent, uint32_t _rejected, uint32_t _waiting, uint32_t _running)
+      : offered_(flatbuffers::EndianScalar(_offered)),
+        late_(flatbuffers::EndianScalar(_late)),
+        sent_(flatbuffers::EndianScalar(_sent)),
+        rejected_(flatbuffers::EndianScalar(_rejected)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        running_(flatbuffers::EndianScalar(_running)) {
+  }
+  uint32_t offered() const {
+    return flatbuffers::EndianScalar(offered_);
+  }
+  uint32_t late() const {
+    return flatbuffers::EndianScalar(late_);
+  }
+  uint32_t sent() const {
+    return flatbuffers::EndianScalar(sent_);
+  }
+  uint32_t rejected() const {
+    return flatbuffers::EndianScalar(rejected_);
+  }
+  uint32_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint32_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RequestCounts, 24);
+
+struct Work FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WorkBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INTERVAL_MS = 4,
+    VT_SPANS = 6,
+    VT_PREFILL_TOKENS_PER_SECOND = 8,
+    VT_COUNTS = 10
+  };
+  uint32_t interval_ms() const {
+    return GetField<uint32_t>(VT_INTERVAL_MS, 0);
+  }
+  const flatbuffers::Vector<const yuccascale::wire::fb::WorkSpan *> *spans() const {
+    return GetPointer<const flatbuffers::Vector<const yuccascale::wire::fb::WorkSpan *> *>(VT_SPANS);
+  }
+  double prefill_tokens_per_second() const {
+    return GetField<double>(VT_PREFILL_TOKENS_PER_SECOND, 0.0);
+  }
+  const yuccascale::wire::fb::RequestCounts *counts() const {
+    return GetStruct<const yuccascale::wire::fb::RequestCounts *>(VT_COUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_INTERVAL_MS, 4) &&
+           VerifyOffset(verifier, VT_SPANS) &&
+           verifier.VerifyVector(spans()) &&
+           VerifyField<double>(verifier, VT_PREFILL_TOKENS_PER_SECOND, 8) &&
+           VerifyField<yuccascale::wire::fb::RequestCounts>(verifier, VT_COUNTS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct WorkBuilder {
+  typedef Work Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_interval_ms(uint32_t interval_ms) {
+    fbb_.AddElement<uint32_t>(Work::VT_INTERVAL_MS, interval_ms, 0);
+  }
+  void add_spans(flatbuffers::Offset<flatbuffers::Vector<const yuccascale::wire::fb::WorkSpan *>> spans) {
+    fbb_.AddOffset(Work::VT_SPANS, spans);
+  }
+  void add_prefill_tokens_per_second(double prefill_tokens_per_second) {
+    fbb_.AddElement<double>(Work::VT_PREFILL_TOKENS_PER_SECOND, prefill_tokens_per_second, 0.0);
+  }
+  void add_counts(const yuccascale::wire::fb::RequestCounts *counts) {
+    fbb_.AddStruct(Work::VT_COUNTS, counts);
+  }
+  explicit WorkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Work> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Work>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Work> CreateWork(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t interval_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const yuccascale::wire::fb::WorkSpan *>> spans = 0,
+    double prefill_tokens_per_second = 0.0,
+    const yuccascale::wire::fb::RequestCounts *counts = nullptr) {
+  WorkBuilder builder_(_fbb);
+  builder_.add_prefill_tokens_per_second(prefill_tokens_per_second);
+  builder_.add_counts(counts);
+  builder_.add_spans(spans);
+  builder_.add_interval_ms(interval_ms);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Work> CreateWorkDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t interval_ms = 0,
+    const std::vector<yuccascale::wire::fb::WorkSpan> *spans = nullptr,
+    double prefill_tokens_per_second = 0.0,
+    const yuccascale::wire::fb::RequestCounts *counts = nullptr) {
+  auto spans__ = spans ? _fbb.CreateVectorOfStructs<yuccascale::wire::fb::WorkSpan>(*spans) : 0;
+  return yuccascale::wire::fb::CreateWork(
+      _fbb,
+      interval_ms,
+      spans__,
+      prefill_tokens_per_second,
+      counts);
+}
+
 struct Demand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef DemandBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -31,7 +207,8 @@
     VT_DECODE_TOKENS_PER_SECOND = 8,
     VT_PREFILL_BACKLOG_TOKENS = 10,
     VT_DECODE_BACKLOG_TOKENS = 12,
-    VT_NON_IDEMPOTENT_SHARE = 14
+    VT_NON_IDEMPOTENT_SHARE = 14,
+    VT_WORK = 16
   };
   const flatbuffers::String *pool() const {
     return GetPointer<const flatbuffers::String *>(VT_POOL);
@@ -51,6 +228,9 @@
   double non_idempotent_share() const {
     return GetField<double>(VT_NON_IDEMPOTENT_SHARE, 0.0);
   }
+  const yuccascale::wire::fb::Work *work() const {
+    return GetPointer<const yuccascale::wire::fb::Work *>(VT_WORK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_POOL) &&
@@ -60,6 +240,8 @@
            VerifyField<double>(verifier, VT_PREFILL_BACKLOG_TOKENS, 8) &&
            VerifyField<double>(verifier, VT_DECODE_BACKLOG_TOKENS, 8) &&
            VerifyField<double>(verifier, VT_NON_IDEMPOTENT_SHARE, 8) &&
+           VerifyOffset(verifier, VT_WORK) &&
+           verifier.VerifyTable(work()) &&
            verifier.EndTable();
   }
 };
@@ -86,6 +268,9 @@
   void add_non_idempotent_share(double non_idempotent_share) {
     fbb_.AddElement<double>(Demand::VT_NON_IDEMPOTENT_SHARE, non_idempotent_share, 0.0);
   }
+  void add_work(flatbuffers::Offset<yuccascale::wire::fb::Work> work) {
+    fbb_.AddOffset(Demand::VT_WORK, work);
+  }
   explicit DemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -104,13 +289,15 @@
     double decode_tokens_per_second = 0.0,
     double prefill_backlog_tokens = 0.0,
     double decode_backlog_tokens = 0.0,
-    double non_idempotent_share = 0.0) {
+    double non_idempotent_share = 0.0,
+    flatbuffers::Offset<yuccascale::wire::fb::Work> work = 0) {
   DemandBuilder builder_(_fbb);
   builder_.add_non_idempotent_share(non_idempotent_share);
   builder_.add_decode_backlog_tokens(decode_backlog_tokens);
   builder_.add_prefill_backlog_tokens(prefill_backlog_tokens);
   builder_.add_decode_tokens_per_second(decode_tokens_per_second);
   builder_.add_prefill_tokens_per_second(prefill_tokens_per_second);
+  builder_.add_work(work);
   builder_.add_pool(pool);
   return builder_.Finish();
 }
@@ -122,7 +309,8 @@
     double decode_tokens_per_second = 0.0,
     double prefill_backlog_tokens = 0.0,
     double decode_backlog_tokens = 0.0,
-    double non_idempotent_share = 0.0) {
+    double non_idempotent_share = 0.0,
+    flatbuffers::Offset<yuccascale::wire::fb::Work> work = 0) {
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   return yuccascale::wire::fb::CreateDemand(
       _fbb,
@@ -131,7 +319,8 @@
       decode_tokens_per_second,
       prefill_backlog_tokens,
       decode_backlog_tokens,
-      non_idempotent_share);
+      non_idempotent_share,
+      work);
 }
 
 struct Demands FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
