--- a/src/yuccascale/kernel/orders/work_book.cpp
+++ b/src/yuccascale/kernel/orders/work_book.cpp
@@ -11,7 +11,7 @@
 using requests::workSpanLength;
 
 /// Capacity is kept for the peak of this time, which is some waves long.
-constexpr seconds peakWindow{30};
+constexpr seconds peakWindow{20};
 /// Entries report each second; a report that is lost may not make an entry count as silent.
 constexpr seconds reportValidity{3};
 /// Long enough for some reports of each entry, and short enough to show the effect of a step.
--- a/src/yuccascale/kernel/policy/demand_capacity.cpp
+++ b/src/yuccascale/kernel/policy/demand_capacity.cpp
@@ -29,6 +29,11 @@
 /// Strain within this time of a reduction is taken for its effect.
 constexpr seconds undoTime{8};
 constexpr seconds keptAfterUndo{60};
+/// Callers that wait after a reduction show that the work is more than measured.
+constexpr double undoFactor = 1.5;
+constexpr double maxLoadFactor = 10;
+/// Reductions go to the largest plan of this time, since plans vary with the waves in their window.
+constexpr seconds planMemory{10};
 /// Without reductions after steady endpoints were ordered or a reduction was undone.
 constexpr seconds pauseAfterRise{10};
 /// Shares of requests that are taken for a sign of too little capacity, and what is added to them
@@ -82,6 +87,15 @@
     (tenure == endpoint_tenure::Steady ? zone.steady : zone.cheap) = count;
 }
 
+measured_work scaled(measured_work work, double factor) noexcept
+{
+    for (work_rate *rate : {&work.peak, &work.steadyPeak, &work.mean}) {
+        rate->tokensPerSecond *= factor;
+        rate->busySlots *= factor;
+    }
+    return work;
+}
+
 } // namespace
 
 std::vector<reasoned_order> demand_capacity::decide(instant now, const state::table_set &tables,
@@ -145,9 +159,8 @@
         if (mostSteady == 0)
             continue;
         supply.minSteady = std::min(mostSteady, minSteadyInZone);
-        const auto kept = state.kept.find(zone);
-        if (kept != state.kept.end() && now < kept->second.until)
-            supply.minSteady = std::max(supply.minSteady, kept->second.steady);
+        if (now < state.keptUntil)
+            supply.minSteady = std::max(supply.minSteady, state.kept[zone].steady);
         supply.cheapAvailable = !state.orders.refusesCheap(zone);
         state.orders.listed(now, zone, endpoint_tenure::Steady, supply.steady);
         state.orders.listed(now, zone, endpoint_tenure::Cheap, supply.cheap);
@@ -165,9 +178,14 @@
         state.knownSince = current.now;
     learnUsual(state, work);
     current.strained = isStrained(work.strain, state.usual);
-    zone_plan plan = planZones(work, slots, current.scaling, current.zones);
+    if (current.now >= state.keptUntil && !current.strained)
+        state.loadFactor = 1;
+    zone_plan plan
+            = planZones(scaled(work, state.loadFactor), slots, current.scaling, current.zones);
     if (!state.knownSince || current.now - *state.knownSince < observationTime)
         planWithoutDemand(current, plan);
+    else
+        rememberPlan(current, plan);
     followReduction(current);
     undoReduction(current);
     raise(current, plan);
@@ -206,6 +224,31 @@
     }
 }
 
+void demand_capacity::rememberPlan(decision &current, const zone_plan &plan)
+{
+    auto &recent = current.state.recent;
+    recent.push_back({current.now, plan.zones});
+    while (current.now - recent.front().at > planMemory)
+        recent.pop_front();
+}
+
+/// \returns the number that a reduction may go down to.
+int demand_capacity::leastOf(const decision &current, const zone_supply &zone,
+                             endpoint_tenure tenure)
+{
+    const bool steady = tenure == endpoint_tenure::Steady;
+    int least = steady ? zone.minSteady : 0;
+    for (const planned_counts &plan : current.state.recent) {
+        const auto counts = plan.zones.find(zone.zone);
+        if (counts != plan.zones.end())
+            least = std::max(least, steady ? counts->second.steady : counts->second.cheap);
+    }
+    const auto kept = current.state.kept.find(zone.zone);
+    if (!steady && current.now < current.state.keptUntil && kept != current.state.kept.end())
+        least = std::max(least, kept->second.cheap);
+    return least;
+}
+
 void demand_capacity::raise(decision &current, const zone_plan &plan)
 {
     for (const zone_supply &zone : current.zones) {
@@ -282,13 +325,11 @@
         return;
     const instant effectFrom = state.last->shownAt.value_or(state.last->orderedAt);
     if (current.now - effectFrom < undoTime) {
-        for (zone_supply &zone : current.zones) {
-            const auto before = state.last->steadyBefore.find(zone.zone);
-            if (before == state.last->steadyBefore.end())
-                continue;
-            state.kept[zone.zone] = {before->second, current.now + keptAfterUndo};
-            zone.minSteady = std::max(zone.minSteady, before->second);
-        }
+        state.kept = state.last->before;
+        state.keptUntil = current.now + keptAfterUndo;
+        state.loadFactor = std::min(state.loadFactor * undoFactor, maxLoadFactor);
+        for (zone_supply &zone : current.zones)
+            zone.minSteady = std::max(zone.minSteady, state.kept[zone.zone].steady);
     }
     state.last.reset();
     state.reduceFrom = std::max(state.reduceFrom, current.now + pauseAfterRise);
@@ -325,7 +366,7 @@
         return;
     reduction step{current.now, std::nullopt, orders, {}};
     for (const zone_supply &zone : current.zones)
-        step.steadyBefore[zone.zone] = zone.steady;
+        step.before[zone.zone] = {zone.steady, zone.cheap};
     state.last = std::move(step);
     state.reduced = true;
     for (count_order &order : orders)
@@ -339,12 +380,10 @@
     std::ranges::sort(left, std::ranges::greater{}, &zone_supply::price);
     std::vector<count_order> orders;
     for (zone_supply &zone : left) {
-        const zone_counts &planned = plan.zones.at(zone.zone);
-        const bool steady = tenure == endpoint_tenure::Steady;
         const int listedCount = listedOf(zone, tenure);
-        const int wanted = steady ? std::max(planned.steady, zone.minSteady) : planned.cheap;
-        int step = std::min(listedCount - wanted, maxStep);
-        if (!steady && listedCount - wanted < minCheapExcess)
+        const int excess = listedCount - leastOf(current, zone, tenure);
+        int step = std::min(excess, maxStep);
+        if (tenure == endpoint_tenure::Cheap && excess < minCheapExcess)
             continue;
         for (; step > 0; --step) {
             setListed(zone, tenure, listedCount - step);
--- a/src/yuccascale/kernel/policy/demand_capacity.hpp
+++ b/src/yuccascale/kernel/policy/demand_capacity.hpp
@@ -5,6 +5,7 @@
 #include "yuccascale/kernel/policy/measured_work.hpp"
 #include "yuccascale/kernel/policy/zone_plan.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -66,23 +67,26 @@
         instant orderedAt{};
         std::optional<instant> shownAt; ///< in the list
         std::vector<count_order> orders;
-        std::map<std::string, int> steadyBefore; ///< by zone
+        std::map<std::string, zone_counts> before; ///< by zone
     };
 
-    /// What a zone is kept at after an undone reduction.
-    struct kept_count
+    struct planned_counts
     {
-        int steady = 0;
-        instant until{};
+        instant at{};
+        std::map<std::string, zone_counts> zones;
     };
 
     struct pool_state
     {
         bool small = true; ///< left to cheap_headroom
         instant firstSeenAt{};
-        std::optional<instant> knownSince;      ///< the work has been known without a gap
-        std::map<std::string, int> mostSteady;  ///< seen by zone; those zones are in use
-        std::map<std::string, kept_count> kept; ///< by zone
+        std::optional<instant> knownSince;     ///< the work has been known without a gap
+        std::map<std::string, int> mostSteady; ///< seen by zone; those zones are in use
+        std::deque<planned_counts> recent;     ///< plans of the last seconds
+        /// By zone, what is kept until keptUntil after an undone reduction.
+        std::map<std::string, zone_counts> kept;
+        instant keptUntil{};
+        double loadFactor = 1; ///< of the measured work; larger once callers waited after a step
         count_orders orders;
         std::optional<reduction> last;
         instant reduceFrom{}; ///< nothing is reduced before
@@ -110,6 +114,9 @@
     static void decidePool(decision &current, const measured_work &work, double slots);
     static void learnUsual(pool_state &state, const measured_work &work);
     [[nodiscard]] static bool reductionUnderWay(const decision &current);
+    static void rememberPlan(decision &current, const zone_plan &plan);
+    [[nodiscard]] static int leastOf(const decision &current, const zone_supply &zone,
+                                     state::endpoint_tenure tenure);
     static void planWithoutDemand(decision &current, zone_plan &plan);
     static void raise(decision &current, const zone_plan &plan);
     static void raiseCheap(decision &current, const zone_supply &zone, const zone_plan &plan);
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -130,4 +130,18 @@
     EXPECT_NE(problemsOf("control: {tolerated_losses: -1}\n"), "");
 }
 
+/// Guards against a leader that plans capacity and can't order it.
+TEST_F(settings_test, followDemandNeedsTheListAndTheCounts)
+{
+    EXPECT_EQ(problemsOf("policy: {capacity: cheap_headroom}\n"), "");
+    EXPECT_EQ(problemsOf("policy: {capacity: follow_demand}\n"
+                         "platform: {endpoint_list: 127.0.0.1:1, endpoint_counts: 127.0.0.1:1}\n"),
+              "");
+    const std::string problem = problemsOf("policy: {capacity: follow_demand}\n"
+                                           "platform: {endpoint_list: 127.0.0.1:1}\n");
+    EXPECT_NE(problem.find("policy.capacity"), std::string::npos) << problem;
+    EXPECT_NE(problem.find("platform.endpoint_counts; set both"), std::string::npos) << problem;
+    EXPECT_NE(problemsOf("policy: {capacity: all}\n").find("capacity"), std::string::npos);
+}
+
 } // namespace yuccascale::runtime
