--- a/tests/unit/duties_capacity_test.cpp
+++ b/tests/unit/duties_capacity_test.cpp
@@ -178,8 +178,9 @@
                                  view.tables = m_tables;
                                  return view;
                              },
-                             nullptr, nullptr, m_events, m_clock, [](feed::endpoint_reading) {},
-                             nullptr, nullptr, [](const std::string &) { return calm(); }},
+                             nullptr, nullptr, m_events, m_clock,
+                             [](const feed::endpoint_reading &) {}, nullptr, nullptr,
+                             [](const std::string &) { return calm(); }},
                 std::move(drivers));
     }
 
