Capacity: an undone step is tried again later each time; the rejected flag stands last

Cause: attempt_result is initialised by position in tests, so a field in its middle shifted the rest (old_list.* failed); a load factor after an undone step changed nothing that the kept counts do not. Change: attempt_result::rejected is the last field; the time for which an undone step is kept doubles from 30 s to 240 s. Result: old_list.*, demand_capacity.*, work*, duties, settings pass.

--- a/src/yuccascale/kernel/policy/demand_capacity.cpp
+++ b/src/yuccascale/kernel/policy/demand_capacity.cpp
@@ -28,10 +28,10 @@
 constexpr seconds effectTime{3};
 /// Strain within this time of a reduction is taken for its effect.
 constexpr seconds undoTime{8};
-constexpr seconds keptAfterUndo{60};
-/// Callers that wait after a reduction show that the work is more than measured.
-constexpr double undoFactor = 1.5;
-constexpr double maxLoadFactor = 10;
+/// What an undone reduction took is kept for the first time, and twice as long after each further
+/// one: the measure is wrong then, and each trial is felt.
+constexpr seconds firstKeptTime{30};
+constexpr seconds longestKeptTime{240};
 /// Reductions go to the largest plan of this time, since plans vary with the waves in their window.
 constexpr seconds planMemory{10};
 /// Without reductions after steady endpoints were ordered or a reduction was undone.
@@ -87,15 +87,6 @@
     (tenure == endpoint_tenure::Steady ? zone.steady : zone.cheap) = count;
 }
 
-measured_work scaled(measured_work work, double factor) noexcept
-{
-    for (work_rate *rate : {&work.peak, &work.steadyPeak, &work.mean}) {
-        rate->tokensPerSecond *= factor;
-        rate->busySlots *= factor;
-    }
-    return work;
-}
-
 } // namespace
 
 std::vector<reasoned_order> demand_capacity::decide(instant now, const state::table_set &tables,
@@ -178,10 +169,7 @@
         state.knownSince = current.now;
     learnUsual(state, work);
     current.strained = isStrained(work.strain, state.usual);
-    if (current.now >= state.keptUntil && !current.strained)
-        state.loadFactor = 1;
-    zone_plan plan
-            = planZones(scaled(work, state.loadFactor), slots, current.scaling, current.zones);
+    zone_plan plan = planZones(work, slots, current.scaling, current.zones);
     if (!state.knownSince || current.now - *state.knownSince < observationTime)
         planWithoutDemand(current, plan);
     else
@@ -324,10 +312,11 @@
     if (!current.strained || !state.last)
         return;
     const instant effectFrom = state.last->shownAt.value_or(state.last->orderedAt);
-    if (current.now - effectFrom < undoTime) {
+    if (!state.last->before.empty() && current.now - effectFrom < undoTime) {
         state.kept = state.last->before;
-        state.keptUntil = current.now + keptAfterUndo;
-        state.loadFactor = std::min(state.loadFactor * undoFactor, maxLoadFactor);
+        state.keptTime
+                = std::clamp<nanoseconds>(2 * state.keptTime, firstKeptTime, longestKeptTime);
+        state.keptUntil = current.now + state.keptTime;
         for (zone_supply &zone : current.zones)
             zone.minSteady = std::max(zone.minSteady, state.kept[zone.zone].steady);
     }
--- a/src/yuccascale/kernel/policy/demand_capacity.hpp
+++ b/src/yuccascale/kernel/policy/demand_capacity.hpp
@@ -86,7 +86,7 @@
         /// By zone, what is kept until keptUntil after an undone reduction.
         std::map<std::string, zone_counts> kept;
         instant keptUntil{};
-        double loadFactor = 1; ///< of the measured work; larger once callers waited after a step
+        nanoseconds keptTime{};
         count_orders orders;
         std::optional<reduction> last;
         instant reduceFrom{}; ///< nothing is reduced before
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -90,12 +90,12 @@
     bool crashed = false;
     bool unreachable = false;        ///< no connection could be established
     bool replaced = false;           ///< a different endpoint answers at its address
-    bool rejected = false;           ///< the endpoint reported that it did not run the request
     bool excludedFromHealth = false; ///< counts neither as success nor as failure of the endpoint,
                                      ///< for example when cancelled or reported as not run
     token_usage usage;
     nanoseconds timeToFirstToken{};
     nanoseconds totalTime{};
+    bool rejected = false; ///< the endpoint reported that it did not run the request
 };
 
 /// \brief Outcome of a prefill at a separate engine.
