Capacity: a gap in the reports holds what there is, and rises are followed while observing anew

Cause: after the first 10 s of a term, one gap in the reports ordered cheap endpoints up to the bound, and nothing rose by the load until 10 s were observed again. Change: the bound is ordered only after 10 s without knowledge; what is known raises at once.

--- a/src/yuccascale/kernel/policy/demand_capacity.cpp
+++ b/src/yuccascale/kernel/policy/demand_capacity.cpp
@@ -99,8 +99,8 @@
             continue;
         const state::endpoint_scaling &scaling = pool.scaling.front();
         pool_state &state = m_pools[name];
-        if (state.firstSeenAt == instant{})
-            state.firstSeenAt = now;
+        if (state.lastKnownAt == instant{})
+            state.lastKnownAt = now;
         decision current{now, name, scaling, state, suppliesOf(now, name, scaling, listed, state),
                          {},  false};
         state.small = isSmall(scaling, current.zones);
@@ -163,17 +163,16 @@
 void demand_capacity::decidePool(decision &current, const measured_work &work, double slots)
 {
     pool_state &state = current.state;
-    if (!work.known())
-        state.knownSince.reset();
-    else if (!state.knownSince)
-        state.knownSince = current.now;
+    noteKnown(current, work);
     learnUsual(state, work);
     current.strained = isStrained(work.strain, state.usual);
     zone_plan plan = planZones(work, slots, current.scaling, current.zones);
-    if (!state.knownSince || current.now - *state.knownSince < observationTime)
-        planWithoutDemand(current, plan);
-    else
+    if (state.knownSince && current.now - *state.knownSince >= observationTime) {
+        state.observed = true;
         rememberPlan(current, plan);
+    } else {
+        planWithoutDemand(current, plan);
+    }
     followReduction(current);
     undoReduction(current);
     raise(current, plan);
@@ -183,6 +182,18 @@
     state.status = {current.pool, work, std::move(plan), servingIn(current.zones), held};
 }
 
+void demand_capacity::noteKnown(decision &current, const measured_work &work)
+{
+    pool_state &state = current.state;
+    if (!work.known()) {
+        state.knownSince.reset();
+        return;
+    }
+    state.lastKnownAt = current.now;
+    if (!state.knownSince)
+        state.knownSince = current.now;
+}
+
 void demand_capacity::learnUsual(pool_state &state, const measured_work &work)
 {
     if (state.reduced || !state.knownSince)
@@ -193,18 +204,24 @@
     state.usual.waiting += rate * (work.strain.waiting - state.usual.waiting);
 }
 
-/// Keeps what a former leader has ordered, and fills zones without cheap endpoints; when the demand
-/// stays unknown, all zones.
+/// Keeps what there is, and orders what is missing by what is known so far; fills zones without
+/// cheap endpoints, and all zones when the demand stays unknown. Before the first observation
+/// steady ones are not ordered: rates are not learnt and caches are empty then, so that the load
+/// seems larger.
 void demand_capacity::planWithoutDemand(decision &current, zone_plan &plan)
 {
     const pool_state &state = current.state;
-    const bool unknownForLong
-            = !state.knownSince && current.now - state.firstSeenAt >= observationTime;
+    const bool unknownForLong = current.now - state.lastKnownAt >= observationTime;
+    const bool some = state.knownSince.has_value();
     plan.satisfiable = false;
     plan.total = {};
     for (const zone_supply &zone : current.zones) {
         zone_counts &counts = plan.zones[zone.zone];
+        const zone_counts needed = some ? counts : zone_counts{};
         counts = {std::max(zone.steady, zone.minSteady), zone.cheap};
+        if (state.observed)
+            counts.steady = std::max(counts.steady, needed.steady);
+        counts.cheap = std::max(counts.cheap, needed.cheap);
         if (offersCheap(current.scaling) && (zone.cheap == 0 || unknownForLong))
             counts.cheap = std::max(current.scaling.most - counts.steady, 0);
         plan.total.steady += counts.steady;
--- a/src/yuccascale/kernel/policy/demand_capacity.hpp
+++ b/src/yuccascale/kernel/policy/demand_capacity.hpp
@@ -78,8 +78,9 @@
 
     struct pool_state
     {
-        bool small = true; ///< left to cheap_headroom
-        instant firstSeenAt{};
+        bool small = true;                     ///< left to cheap_headroom
+        instant lastKnownAt{};                 ///< or when the pool was first seen
+        bool observed = false;                 ///< in this term, for long enough
         std::optional<instant> knownSince;     ///< the work has been known without a gap
         std::map<std::string, int> mostSteady; ///< seen by zone; those zones are in use
         std::deque<planned_counts> recent;     ///< plans of the last seconds
@@ -112,6 +113,7 @@
     suppliesOf(instant now, const std::string &pool, const state::endpoint_scaling &scaling,
                std::span<const feed::listed_endpoint> listed, pool_state &state);
     static void decidePool(decision &current, const measured_work &work, double slots);
+    static void noteKnown(decision &current, const measured_work &work);
     static void learnUsual(pool_state &state, const measured_work &work);
     [[nodiscard]] static bool reductionUnderWay(const decision &current);
     static void rememberPlan(decision &current, const zone_plan &plan);
--- a/tests/unit/policy_capacity_test.cpp
+++ b/tests/unit/policy_capacity_test.cpp
@@ -271,6 +271,27 @@
     }));
 }
 
+/// Guards against cheap endpoints that are ordered up to the bound for reports that are late once,
+/// and against a rise that is not followed while the load is observed anew.
+TEST(demand_capacity, aGapInTheReportsChangesNothingButARiseIsFollowed)
+{
+    capacity_fleet fleet;
+    demand_capacity policy;
+    fleet.run(seconds(90), constant(4), policy);
+    const int steady = fleet.steady();
+    const int cheap = fleet.cheap();
+    ASSERT_LT(cheap, 40);
+    fleet.sent.clear();
+    fleet.reportsWork = false;
+    fleet.run(seconds(5), constant(4), policy);
+    fleet.reportsWork = true;
+    fleet.run(seconds(3), constant(4), policy);
+    EXPECT_TRUE(fleet.sent.empty());
+    fleet.run(seconds(6), constant(8), policy);
+    EXPECT_GT(fleet.steady() + fleet.cheap(), steady + cheap);
+    EXPECT_EQ(fleet.result.late, 0);
+}
+
 /// Guards against a wrong measure of work: callers wait while a tenth of the work is reported, and
 /// reductions go on, or are repeated until callers wait again.
 TEST(demand_capacity, aReductionAfterWhichCallersWaitIsUndone)
