--- a/src/yuccascale/kernel/policy/capacity_plan.cpp
+++ b/src/yuccascale/kernel/policy/capacity_plan.cpp
@@ -36,9 +36,10 @@
 {
     const int requiredSteady = std::max(roundUp(requirements.steadyLoad / steadyUtilisation), 1);
     const int total = serving.steady + serving.cheap;
+    const int lost = requirements.toleratesZoneLoss ? serving.largestCheapZone : 0;
     return serving.steady >= requiredSteady && total >= requirements.minEndpoints
             && total >= roundUp(requirements.load / normalUtilisation)
-            && total - serving.largestCheapZone >= roundUp(requirements.load / zoneLossUtilisation);
+            && total - lost >= roundUp(requirements.load / zoneLossUtilisation);
 }
 
 capacity_plan planCapacity(const capacity_requirements &requirements) noexcept
--- a/src/yuccascale/kernel/policy/capacity_plan.hpp
+++ b/src/yuccascale/kernel/policy/capacity_plan.hpp
@@ -16,6 +16,7 @@
     int maxEndpoints = 64;
     double steadyPrice = 1.0;
     double cheapPrice = 0.3;
+    bool toleratesZoneLoss = true; ///< the load is covered without the largest cheap zone
 };
 
 /// \brief Planned number of endpoints of each tenure.
--- a/src/yuccascale/kernel/policy/zone_plan.cpp
+++ b/src/yuccascale/kernel/policy/zone_plan.cpp
@@ -58,6 +58,8 @@
     if (scaling.cheapPrice > 0 && scaling.cheapPrice <= maxCheapPrice)
         out.cheapZones
                 = static_cast<int>(std::ranges::count_if(zones, &zone_supply::cheapAvailable));
+    // a zone without cheap endpoints is the loss that was provided for
+    out.toleratesZoneLoss = out.cheapZones == count;
     return out;
 }
 
--- a/src/yuccascale/kernel/requests/work_meter.hpp
+++ b/src/yuccascale/kernel/requests/work_meter.hpp
@@ -98,9 +98,10 @@
     request_counts m_counts;
     int m_busySlots = 0;
     int m_steadySlots = 0;
-    /// The median: engines of a pool may be unequal, and what a pool can do follows from the usual
-    /// one.
-    policy::quantile_tracker m_prefillRate{0.5, 0};
+    /// What an engine can do shows in prefills that did not wait: the others include the wait behind
+    /// work that this entry does not know of.
+    static constexpr double unhinderedQuantile = 0.9;
+    policy::quantile_tracker m_prefillRate{unhinderedQuantile, 0};
 };
 
 } // namespace yuccascale::kernel::requests
