Feed replies carry changes of endpoints and nodes

Cause: each reply repeated every node, and each change of the endpoint list sent the whole list to every node. Change: replies carry the steps between the digest held and the sender's; whole lists remain for former builds, restarts and mismatches. Existing tests not yet run on this commit.

--- a/src/yuccascale/kernel/feed/endpoint_list_copy.hpp
+++ b/src/yuccascale/kernel/feed/endpoint_list_copy.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "yuccascale/kernel/clock.hpp"
+#include "yuccascale/kernel/feed/change_history.hpp"
+#include "yuccascale/kernel/feed/endpoint_change.hpp"
 #include "yuccascale/kernel/feed/feed_messages.hpp"
 
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -26,6 +29,9 @@
 /// A list is replaced only by one that was certainly asked for later. Two lists with the same
 /// digest are the same list, so that who reads what is known already renews its age alone. The
 /// version rises with each list that is installed here: former builds tell newer lists by it.
+///
+/// A node that holds a list of the last time is sent the changes since. A result whose digest is
+/// not the one that was announced is dropped, and whole lists are asked for until one came.
 class endpoint_list_copy
 {
 public:
@@ -54,6 +60,10 @@
     /// \returns true when its version is higher.
     bool installOfUnknownAge(instant arrivedAt, endpoint_list list);
 
+    /// \returns whether an answer since the last call did not fit to the list held, so that the
+    ///          next poll should not wait.
+    [[nodiscard]] bool takeMissed() noexcept { return std::exchange(m_missed, false); }
+
     /// \brief Says in a request what is held.
     void describe(instant now, feed_request &request) const;
 
@@ -73,12 +83,23 @@
                                            const feed_reply &reply);
     [[nodiscard]] bool isCertainlyLater(const asked_span &span) const noexcept;
     [[nodiscard]] bool isNewFor(instant now, const feed_request &request) const;
+    [[nodiscard]] bool installChanges(const feed_reply &reply, const asked_span &span);
+    [[nodiscard]] std::vector<encoded_pointer<endpoint_change>>
+    changesFor(const feed_request &request) const;
     void renew(const asked_span &span);
-    void replace(endpoint_list list, std::uint64_t digest, const asked_span &span);
+    void replaceWhole(endpoint_list next, std::optional<std::uint64_t> digest,
+                      const asked_span &span);
+    void replace(endpoint_list next, std::uint64_t digest, const asked_span &span);
+    void remember(encoded_pointer<endpoint_change> change);
+    [[nodiscard]] endpoint_encodings &encodings();
 
     encoded_pointer<endpoint_list> m_list;
     std::uint64_t m_digest = 0; ///< of its endpoints; 0 before the first list
     asked_span m_asked;
+    std::optional<endpoint_encodings> m_encodings; ///< of the list; made when first needed
+    change_history<encoded_pointer<endpoint_change>> m_changes;
+    bool m_wantsWhole = false; ///< changes led to another list than announced
+    bool m_missed = false;
 };
 
 } // namespace yuccascale::kernel::feed
--- a/src/yuccascale/kernel/feed/feed_messages.hpp
+++ b/src/yuccascale/kernel/feed/feed_messages.hpp
@@ -2,11 +2,14 @@
 
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/encoded_value.hpp"
+#include "yuccascale/kernel/feed/endpoint_change.hpp"
+#include "yuccascale/kernel/feed/endpoint_list.hpp"
 #include "yuccascale/kernel/feed/origin_report.hpp"
 #include "yuccascale/kernel/state/commands.hpp"
 #include "yuccascale/kernel/state/tables.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -37,25 +40,13 @@
                                                 operators, endpointsLost)
 };
 
-/// \brief An endpoint as the platform lists it. It is not part of the tables: the list is read
-/// again continuously and need not be stored.
-struct listed_endpoint
+/// \brief Turns the list of nodes with one digest into the list with another one.
+struct node_change
 {
-    std::string pool;
-    state::endpoint row;
-
-    [[nodiscard]] bool operator==(const listed_endpoint &) const = default;
-
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(listed_endpoint, pool, row)
-};
-
-/// \brief The platform's list of endpoints.
-struct endpoint_list
-{
-    std::uint64_t version = 0; ///< rises on each node with each list that it installs; 0: none yet
-    std::vector<listed_endpoint> endpoints;
-
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(endpoint_list, version, endpoints)
+    std::uint64_t from = 0; ///< digest of the former list
+    std::uint64_t to = 0;   ///< digest of the result
+    std::vector<node_report> put;
+    std::vector<std::string> removed; ///< names
 };
 
 /// \brief Request to a relay or the leader for what is in force.
@@ -71,6 +62,9 @@
     std::uint64_t haveEndpointsDigest = 0; ///< of the endpoint list held; 0: none
     /// Since the list held was asked for at the platform, at most; nothing: not known
     std::optional<milliseconds> endpointsAge = {};
+    bool takesEndpointChanges = false; ///< else only a whole list is of use
+    /// Of the list of nodes held; 0: a whole list is wanted
+    std::uint64_t nodesDigest = 0;
 };
 
 /// \brief What is in force, and for how long it may be used.
@@ -97,6 +91,12 @@
     /// Since that list was asked for at the platform, at most; nothing: not known
     std::optional<milliseconds> endpointsAge = {};
     milliseconds endpointsAgeSpread{}; ///< the age may be less by this
+    /// From haveEndpointsDigest to endpointsDigest, in order, in place of the list
+    std::vector<encoded_pointer<endpoint_change>> endpointChanges;
+    /// Of the sender's list of nodes; 0: the list is whole
+    std::uint64_t nodesDigest = 0;
+    /// From the requested nodesDigest to this one, in order, in place of the list
+    std::vector<std::shared_ptr<const node_change>> nodeChanges;
 };
 
 } // namespace yuccascale::kernel::feed
--- a/src/yuccascale/kernel/feed/feed_state.cpp
+++ b/src/yuccascale/kernel/feed/feed_state.cpp
@@ -45,6 +45,7 @@
     out.haveRevision = out.haveTables ? m_history.newest()->revision : 0;
     out.haveBansVersion = m_bansVersion;
     m_endpoints.describe(now, out);
+    m_nodes.describe(out);
     out.wantOrigins = !m_origins || !m_origins->knowsAll(now);
     if (includeRelayed) {
         const nanoseconds window = std::max<nanoseconds>(nodeReportMaxAge, m_leases.longestWait());
@@ -71,7 +72,7 @@
         return newer; // a reply overtaken by a newer one says nothing about what is in force now
     m_requestedAt = requestedAt;
     installBans(reply.bansVersion, reply.bans);
-    m_nodes = reply.nodes;
+    m_nodes.install(reply);
     if (reply.clusterWallMs != 0)
         m_wallOffset = milliseconds(reply.clusterWallMs) - sinceBoot(requestedAt);
     const nanoseconds freshFor = std::min<nanoseconds>(milliseconds(reply.freshForMs), m_freshness);
@@ -105,11 +106,12 @@
     m_requestedAt = std::max(m_requestedAt, requestedAt);
     const bool newer = m_history.advance(confirmed.tables);
     installBans(confirmed.bansVersion, confirmed.bans);
-    m_nodes = m_directory.reports(now, nodeReportMaxAge);
-    std::erase_if(m_nodes,
+    std::vector<node_report> nodes = m_directory.reports(now, nodeReportMaxAge);
+    std::erase_if(nodes,
                   [&](const node_report &node) { return node.leaving || node.node == self.node; });
     if (!self.leaving)
-        m_nodes.push_back(self);
+        nodes.push_back(self);
+    m_nodes.set(std::move(nodes));
     updateAgreedTime(now, self);
     updateOrigins(requestedAt, m_freshness, {});
     extendFreshness(requestedAt, m_freshness);
@@ -211,7 +213,7 @@
     reply.bansVersion = m_bansVersion;
     if (request.haveBansVersion != m_bansVersion)
         reply.bans.assign(m_bans->begin(), m_bans->end());
-    reply.nodes = m_nodes;
+    m_nodes.describe(request, reply);
     if (const auto agreed = agreedTime(now))
         reply.clusterWallMs = agreed->time_since_epoch().count();
     if (request.wantOrigins && m_origins)
--- a/src/yuccascale/kernel/feed/feed_state.hpp
+++ b/src/yuccascale/kernel/feed/feed_state.hpp
@@ -5,6 +5,7 @@
 #include "yuccascale/kernel/feed/endpoint_list_copy.hpp"
 #include "yuccascale/kernel/feed/feed_messages.hpp"
 #include "yuccascale/kernel/feed/node_directory.hpp"
+#include "yuccascale/kernel/feed/node_list_copy.hpp"
 #include "yuccascale/kernel/feed/origin_history.hpp"
 #include "yuccascale/kernel/feed/table_history.hpp"
 #include "yuccascale/kernel/feed/table_leases.hpp"
@@ -45,7 +46,7 @@
     [[nodiscard]] control_view view() const;
 
     /// \returns the nodes that are known to run and are not leaving.
-    [[nodiscard]] const std::vector<node_report> &nodes() const noexcept { return m_nodes; }
+    [[nodiscard]] const std::vector<node_report> &nodes() const noexcept { return m_nodes.nodes(); }
 
     /// \returns the median of the reported wall clocks, correct while fewer than half of them are
     /// wrong; nullopt before the first reply.
@@ -120,6 +121,14 @@
         return std::exchange(m_higherReports, false);
     }
 
+    /// \returns whether changes since the last call did not fit to what is held, so that the next
+    ///          poll should not wait.
+    [[nodiscard]] bool takeMissedChanges() noexcept
+    {
+        const bool nodes = m_nodes.takeMissed();
+        return m_endpoints.takeMissed() || nodes;
+    }
+
 private:
     void updateAgreedTime(instant now, const node_report &self);
     void updateOrigins(instant requestedAt, nanoseconds freshFor, const origin_report &earlier);
@@ -136,7 +145,7 @@
     instant m_requestedAt{}; ///< of the newest request whose answer was installed
     std::uint64_t m_bansVersion = 0;
     std::shared_ptr<const std::set<std::string>> m_bans;
-    std::vector<node_report> m_nodes;
+    node_list_copy m_nodes;
     endpoint_list_copy m_endpoints;
     std::shared_ptr<const origin_history> m_origins; ///< replaced when it changes
     std::uint64_t m_originsRevision = 0;             ///< of the tables in it
--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -34,9 +34,11 @@
         "A leader has confirmed the tables: keyed requests are served."};
 inline const event_kind feedLoad{
         1013, "feed_load", severity::Info,
-        "This node has sent tables to other nodes since its last such line. 'replies' counts all "
-        "replies to polls, 'with_tables' those that held tables, 'tables_encoded' how often tables "
-        "were encoded for them, 'peers' the nodes that poll this one."};
+        "This node has sent tables or endpoints to other nodes since its last such line. 'replies' "
+        "counts all replies to polls, 'with_tables' those that held tables, 'tables_encoded' how "
+        "often tables were encoded for them, 'peers' the nodes that poll this one, "
+        "'endpoint_lists' and 'node_lists' the replies with a whole list, 'endpoint_changes' and "
+        "'node_changes' those with changes only."};
 inline const event_kind feedPolled{1014, "feed_polled", severity::Info,
                                    "A poll of a control node had another outcome than the one "
                                    "before. 'behind': its tables were confirmed "
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -275,11 +275,22 @@
     const std::size_t unencoded = countUnencoded(reply.edits) + countUnencoded(reply.fullTables);
     std::string bytes = wire::encodeFeedReply(reply);
     lock.lock();
+    countReply(reply, unencoded, bytes.size());
+    return bytes;
+}
+
+/// Requires m_mutex to be held.
+void feed_service::countReply(const feed::feed_reply &reply, std::size_t unencoded,
+                              std::size_t bytes)
+{
     ++m_load.replies;
     m_load.repliesWithTables += reply.edits.empty() && reply.fullTables.empty() ? 0 : 1;
     m_load.tablesEncoded += unencoded;
-    m_load.bytes += bytes.size();
-    return bytes;
+    m_load.bytes += bytes;
+    m_load.wholeEndpointLists += reply.endpoints.empty() ? 0 : 1;
+    m_load.endpointChanges += reply.endpointChanges.empty() ? 0 : 1;
+    m_load.wholeNodeLists += reply.nodes.empty() ? 0 : 1;
+    m_load.nodeChanges += reply.nodeChanges.empty() ? 0 : 1;
 }
 
 feed_load feed_service::load() const
@@ -292,13 +303,19 @@
 {
     const instant now = m_clock.now();
     std::unique_lock lock(m_mutex);
-    const bool tablesSent = m_load.repliesWithTables != m_recordedLoad.repliesWithTables;
-    if (!tablesSent || now - m_loadRecordedAt < loadEventInterval)
+    const bool sent = m_load.repliesWithTables != m_recordedLoad.repliesWithTables
+            || m_load.wholeEndpointLists != m_recordedLoad.wholeEndpointLists
+            || m_load.endpointChanges != m_recordedLoad.endpointChanges;
+    if (!sent || now - m_loadRecordedAt < loadEventInterval)
         return;
     const feed_load since{m_load.replies - m_recordedLoad.replies,
                           m_load.repliesWithTables - m_recordedLoad.repliesWithTables,
                           m_load.tablesEncoded - m_recordedLoad.tablesEncoded,
-                          m_load.bytes - m_recordedLoad.bytes};
+                          m_load.bytes - m_recordedLoad.bytes,
+                          m_load.wholeEndpointLists - m_recordedLoad.wholeEndpointLists,
+                          m_load.endpointChanges - m_recordedLoad.endpointChanges,
+                          m_load.wholeNodeLists - m_recordedLoad.wholeNodeLists,
+                          m_load.nodeChanges - m_recordedLoad.nodeChanges};
     const std::size_t peers = m_state.directory().directPeers(now, subscriberWindow).size();
     m_recordedLoad = m_load;
     m_loadRecordedAt = now;
@@ -308,7 +325,11 @@
                      {"replies", since.replies},
                      {"with_tables", since.repliesWithTables},
                      {"tables_encoded", since.tablesEncoded},
-                     {"bytes", since.bytes}});
+                     {"bytes", since.bytes},
+                     {"endpoint_lists", since.wholeEndpointLists},
+                     {"endpoint_changes", since.endpointChanges},
+                     {"node_lists", since.wholeNodeLists},
+                     {"node_changes", since.nodeChanges}});
 }
 
 /// Requires m_mutex to be held.
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -59,6 +59,10 @@
     std::uint64_t repliesWithTables = 0; ///< replies that held edits or full tables
     std::uint64_t tablesEncoded = 0;     ///< edits and full tables that were encoded for them
     std::uint64_t bytes = 0;
+    std::uint64_t wholeEndpointLists = 0;
+    std::uint64_t endpointChanges = 0; ///< replies that held changes in place of the list
+    std::uint64_t wholeNodeLists = 0;
+    std::uint64_t nodeChanges = 0; ///< replies that held changes in place of the list
 };
 
 /// \brief Runs the feed of one node. Thread-safe.
@@ -181,6 +185,8 @@
     [[nodiscard]] std::string handleRequest(std::string_view peer, std::string_view payload);
     [[nodiscard]] kernel::feed::node_report selfReport() const;
     void notifyPeers(bool newer);
+    void countReply(const kernel::feed::feed_reply &reply, std::size_t unencoded,
+                    std::size_t bytes);
     void recordLoad();
 
     const settings &m_settings;
--- a/src/yuccascale/runtime/feed_service_polls.cpp
+++ b/src/yuccascale/runtime/feed_service_polls.cpp
@@ -151,6 +151,7 @@
     const bool newer = answered
             && (begun->listOnly ? m_state.installEndpoints(sentAt, arrivedAt, reply)
                                 : m_state.install(sentAt, reply, arrivedAt));
+    m_pollRequested = m_state.takeMissedChanges() || m_pollRequested;
     const bool tablesNewer = m_state.revision() != revisionBefore;
     static_cast<void>(m_state.leases(arrivedAt));
     if (answered)
--- a/src/yuccascale/wire/feed_codec.cpp
+++ b/src/yuccascale/wire/feed_codec.cpp
@@ -3,6 +3,7 @@
 #include "yuccascale/wire/feed_generated.h"
 
 #include <algorithm>
+#include <memory>
 #include <vector>
 
 namespace yuccascale::wire {
@@ -140,6 +141,35 @@
     return out;
 }
 
+using change_vector = flatbuffers::Vector<flatbuffers::Offset<fb::NodeChange>>;
+using change_list = std::vector<std::shared_ptr<const kernel::feed::node_change>>;
+
+flatbuffers::Offset<change_vector> nodeChangesToVector(builder_type &builder,
+                                                       const change_list &changes)
+{
+    if (changes.empty())
+        return 0;
+    std::vector<flatbuffers::Offset<fb::NodeChange>> rows;
+    for (const auto &change : changes) {
+        const auto put = reportsToVector(builder, change->put);
+        const auto removed = textsToVector(builder, change->removed);
+        rows.push_back(fb::CreateNodeChange(builder, change->from, change->to, put, removed));
+    }
+    return builder.CreateVector(rows);
+}
+
+change_list nodeChangesFromVector(const change_vector *changes)
+{
+    change_list out;
+    if (changes == nullptr)
+        return out;
+    for (const auto *change : *changes)
+        out.push_back(std::make_shared<const kernel::feed::node_change>(kernel::feed::node_change{
+                change->from(), change->to(), reportsFromVector(change->put()),
+                textsFromVector(change->removed())}));
+    return out;
+}
+
 [[nodiscard]] std::uint64_t count(kernel::milliseconds time)
 {
     return static_cast<std::uint64_t>(std::max<std::int64_t>(time.count(), 0));
@@ -251,7 +281,8 @@
     builder.Finish(fb::CreateFeedRequest(
             builder, request.haveRevision, request.haveTables, request.haveBansVersion, reports,
             request.haveEndpointsVersion, request.wantOrigins, request.confirmNow,
-            request.haveEndpointsDigest, ageToCount(request.endpointsAge)));
+            request.haveEndpointsDigest, ageToCount(request.endpointsAge),
+            request.takesEndpointChanges, request.nodesDigest));
     return bufferBytes(builder);
 }
 
@@ -263,13 +294,16 @@
     const auto fullTables = rowsToBytes(builder, reply.fullTables);
     const auto bans = textsToVector(builder, reply.bans);
     const auto nodes = reportsToVector(builder, reply.nodes);
+    const auto endpointChanges = rowsToBytes(builder, reply.endpointChanges);
+    const auto nodeChanges = nodeChangesToVector(builder, reply.nodeChanges);
     const auto endpoints = rowsToBytes(builder, reply.endpoints);
     const auto origins = originsToTable(builder, reply.origins);
     builder.Finish(fb::CreateFeedReply(
             builder, reply.confirmed, leader, static_cast<std::uint32_t>(reply.freshForMs),
             reply.revision, edits, fullTables, reply.bansVersion, bans, nodes, endpoints,
             reply.clusterWallMs, origins, reply.settledRevision, reply.endpointsDigest,
-            ageToCount(reply.endpointsAge), ageToCount(reply.endpointsAgeSpread)));
+            ageToCount(reply.endpointsAge), ageToCount(reply.endpointsAgeSpread), endpointChanges,
+            reply.nodesDigest, nodeChanges));
     return bufferBytes(builder);
 }
 
@@ -286,6 +320,8 @@
     out.haveEndpointsDigest = table->endpoints_digest();
     out.endpointsAge = toAge(table->endpoints_age_ms());
     out.reports = reportsFromVector(table->reports());
+    out.takesEndpointChanges = table->takes_endpoint_changes();
+    out.nodesDigest = table->nodes_digest();
     return out;
 }
 
@@ -311,6 +347,10 @@
     out.endpointsDigest = table->endpoints_digest();
     out.endpointsAge = toAge(table->endpoints_age_ms());
     out.endpointsAgeSpread = kernel::milliseconds(table->endpoints_age_spread_ms());
+    BOOST_LEAF_ASSIGN(out.endpointChanges,
+                      rowsFromBytes<kernel::feed::endpoint_change>(table->endpoint_changes()));
+    out.nodesDigest = table->nodes_digest();
+    out.nodeChanges = nodeChangesFromVector(table->node_changes());
     return out;
 }
 
--- a/src/yuccascale/wire/feed_generated.h
+++ b/src/yuccascale/wire/feed_generated.h
@@ -20,6 +20,9 @@
 struct NodeReport;
 struct NodeReportBuilder;
 
+struct NodeChange;
+struct NodeChangeBuilder;
+
 struct FormerName;
 struct FormerNameBuilder;
 
@@ -229,6 +232,97 @@
       endpoints_lost);
 }
 
+struct NodeChange FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef NodeChangeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FROM = 4,
+    VT_TO = 6,
+    VT_PUT = 8,
+    VT_REMOVED = 10
+  };
+  uint64_t from() const {
+    return GetField<uint64_t>(VT_FROM, 0);
+  }
+  uint64_t to() const {
+    return GetField<uint64_t>(VT_TO, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *put() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *>(VT_PUT);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *removed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REMOVED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TO, 8) &&
+           VerifyOffset(verifier, VT_PUT) &&
+           verifier.VerifyVector(put()) &&
+           verifier.VerifyVectorOfTables(put()) &&
+           VerifyOffset(verifier, VT_REMOVED) &&
+           verifier.VerifyVector(removed()) &&
+           verifier.VerifyVectorOfStrings(removed()) &&
+           verifier.EndTable();
+  }
+};
+
+struct NodeChangeBuilder {
+  typedef NodeChange Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_from(uint64_t from) {
+    fbb_.AddElement<uint64_t>(NodeChange::VT_FROM, from, 0);
+  }
+  void add_to(uint64_t to) {
+    fbb_.AddElement<uint64_t>(NodeChange::VT_TO, to, 0);
+  }
+  void add_put(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>> put) {
+    fbb_.AddOffset(NodeChange::VT_PUT, put);
+  }
+  void add_removed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed) {
+    fbb_.AddOffset(NodeChange::VT_REMOVED, removed);
+  }
+  explicit NodeChangeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<NodeChange> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<NodeChange>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<NodeChange> CreateNodeChange(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t from = 0,
+    uint64_t to = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>> put = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0) {
+  NodeChangeBuilder builder_(_fbb);
+  builder_.add_to(to);
+  builder_.add_from(from);
+  builder_.add_removed(removed);
+  builder_.add_put(put);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<NodeChange> CreateNodeChangeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t from = 0,
+    uint64_t to = 0,
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>> *put = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr) {
+  auto put__ = put ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>(*put) : 0;
+  auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed) : 0;
+  return yuccascale::wire::fb::CreateNodeChange(
+      _fbb,
+      from,
+      to,
+      put__,
+      removed__);
+}
+
 struct FormerName FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FormerNameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -551,7 +645,9 @@
     VT_WANT_ORIGINS = 14,
     VT_CONFIRM_NOW = 16,
     VT_ENDPOINTS_DIGEST = 18,
-    VT_ENDPOINTS_AGE_MS = 20
+    VT_ENDPOINTS_AGE_MS = 20,
+    VT_TAKES_ENDPOINT_CHANGES = 22,
+    VT_NODES_DIGEST = 24
   };
   uint64_t have_revision() const {
     return GetField<uint64_t>(VT_HAVE_REVISION, 0);
@@ -580,6 +676,12 @@
   uint32_t endpoints_age_ms() const {
     return GetField<uint32_t>(VT_ENDPOINTS_AGE_MS, 4294967295);
   }
+  bool takes_endpoint_changes() const {
+    return GetField<uint8_t>(VT_TAKES_ENDPOINT_CHANGES, 0) != 0;
+  }
+  uint64_t nodes_digest() const {
+    return GetField<uint64_t>(VT_NODES_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_HAVE_REVISION, 8) &&
@@ -593,6 +695,8 @@
            VerifyField<uint8_t>(verifier, VT_CONFIRM_NOW, 1) &&
            VerifyField<uint64_t>(verifier, VT_ENDPOINTS_DIGEST, 8) &&
            VerifyField<uint32_t>(verifier, VT_ENDPOINTS_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_TAKES_ENDPOINT_CHANGES, 1) &&
+           VerifyField<uint64_t>(verifier, VT_NODES_DIGEST, 8) &&
            verifier.EndTable();
   }
 };
@@ -628,6 +732,12 @@
   void add_endpoints_age_ms(uint32_t endpoints_age_ms) {
     fbb_.AddElement<uint32_t>(FeedRequest::VT_ENDPOINTS_AGE_MS, endpoints_age_ms, 4294967295);
   }
+  void add_takes_endpoint_changes(bool takes_endpoint_changes) {
+    fbb_.AddElement<uint8_t>(FeedRequest::VT_TAKES_ENDPOINT_CHANGES, static_cast<uint8_t>(takes_endpoint_changes), 0);
+  }
+  void add_nodes_digest(uint64_t nodes_digest) {
+    fbb_.AddElement<uint64_t>(FeedRequest::VT_NODES_DIGEST, nodes_digest, 0);
+  }
   explicit FeedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -649,14 +759,18 @@
     bool want_origins = false,
     bool confirm_now = false,
     uint64_t endpoints_digest = 0,
-    uint32_t endpoints_age_ms = 4294967295) {
+    uint32_t endpoints_age_ms = 4294967295,
+    bool takes_endpoint_changes = false,
+    uint64_t nodes_digest = 0) {
   FeedRequestBuilder builder_(_fbb);
+  builder_.add_nodes_digest(nodes_digest);
   builder_.add_endpoints_digest(endpoints_digest);
   builder_.add_have_endpoints(have_endpoints);
   builder_.add_have_bans(have_bans);
   builder_.add_have_revision(have_revision);
   builder_.add_endpoints_age_ms(endpoints_age_ms);
   builder_.add_reports(reports);
+  builder_.add_takes_endpoint_changes(takes_endpoint_changes);
   builder_.add_confirm_now(confirm_now);
   builder_.add_want_origins(want_origins);
   builder_.add_have_tables(have_tables);
@@ -673,7 +787,9 @@
     bool want_origins = false,
     bool confirm_now = false,
     uint64_t endpoints_digest = 0,
-    uint32_t endpoints_age_ms = 4294967295) {
+    uint32_t endpoints_age_ms = 4294967295,
+    bool takes_endpoint_changes = false,
+    uint64_t nodes_digest = 0) {
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>(*reports) : 0;
   return yuccascale::wire::fb::CreateFeedRequest(
       _fbb,
@@ -685,7 +801,9 @@
       want_origins,
       confirm_now,
       endpoints_digest,
-      endpoints_age_ms);
+      endpoints_age_ms,
+      takes_endpoint_changes,
+      nodes_digest);
 }
 
 struct FeedReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -706,7 +824,10 @@
     VT_SETTLED_REVISION = 28,
     VT_ENDPOINTS_DIGEST = 30,
     VT_ENDPOINTS_AGE_MS = 32,
-    VT_ENDPOINTS_AGE_SPREAD_MS = 34
+    VT_ENDPOINTS_AGE_SPREAD_MS = 34,
+    VT_ENDPOINT_CHANGES = 36,
+    VT_NODES_DIGEST = 38,
+    VT_NODE_CHANGES = 40
   };
   bool confirmed() const {
     return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
@@ -756,6 +877,15 @@
   uint32_t endpoints_age_spread_ms() const {
     return GetField<uint32_t>(VT_ENDPOINTS_AGE_SPREAD_MS, 0);
   }
+  const flatbuffers::Vector<uint8_t> *endpoint_changes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_ENDPOINT_CHANGES);
+  }
+  uint64_t nodes_digest() const {
+    return GetField<uint64_t>(VT_NODES_DIGEST, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeChange>> *node_changes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeChange>> *>(VT_NODE_CHANGES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
@@ -783,6 +913,12 @@
            VerifyField<uint64_t>(verifier, VT_ENDPOINTS_DIGEST, 8) &&
            VerifyField<uint32_t>(verifier, VT_ENDPOINTS_AGE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_ENDPOINTS_AGE_SPREAD_MS, 4) &&
+           VerifyOffset(verifier, VT_ENDPOINT_CHANGES) &&
+           verifier.VerifyVector(endpoint_changes()) &&
+           VerifyField<uint64_t>(verifier, VT_NODES_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_NODE_CHANGES) &&
+           verifier.VerifyVector(node_changes()) &&
+           verifier.VerifyVectorOfTables(node_changes()) &&
            verifier.EndTable();
   }
 };
@@ -839,6 +975,15 @@
   void add_endpoints_age_spread_ms(uint32_t endpoints_age_spread_ms) {
     fbb_.AddElement<uint32_t>(FeedReply::VT_ENDPOINTS_AGE_SPREAD_MS, endpoints_age_spread_ms, 0);
   }
+  void add_endpoint_changes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> endpoint_changes) {
+    fbb_.AddOffset(FeedReply::VT_ENDPOINT_CHANGES, endpoint_changes);
+  }
+  void add_nodes_digest(uint64_t nodes_digest) {
+    fbb_.AddElement<uint64_t>(FeedReply::VT_NODES_DIGEST, nodes_digest, 0);
+  }
+  void add_node_changes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeChange>>> node_changes) {
+    fbb_.AddOffset(FeedReply::VT_NODE_CHANGES, node_changes);
+  }
   explicit FeedReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -867,13 +1012,19 @@
     uint64_t settled_revision = 0,
     uint64_t endpoints_digest = 0,
     uint32_t endpoints_age_ms = 4294967295,
-    uint32_t endpoints_age_spread_ms = 0) {
+    uint32_t endpoints_age_spread_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> endpoint_changes = 0,
+    uint64_t nodes_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::NodeChange>>> node_changes = 0) {
   FeedReplyBuilder builder_(_fbb);
+  builder_.add_nodes_digest(nodes_digest);
   builder_.add_endpoints_digest(endpoints_digest);
   builder_.add_settled_revision(settled_revision);
   builder_.add_cluster_wall_ms(cluster_wall_ms);
   builder_.add_bans_version(bans_version);
   builder_.add_revision(revision);
+  builder_.add_node_changes(node_changes);
+  builder_.add_endpoint_changes(endpoint_changes);
   builder_.add_endpoints_age_spread_ms(endpoints_age_spread_ms);
   builder_.add_endpoints_age_ms(endpoints_age_ms);
   builder_.add_origins(origins);
@@ -905,13 +1056,18 @@
     uint64_t settled_revision = 0,
     uint64_t endpoints_digest = 0,
     uint32_t endpoints_age_ms = 4294967295,
-    uint32_t endpoints_age_spread_ms = 0) {
+    uint32_t endpoints_age_spread_ms = 0,
+    const std::vector<uint8_t> *endpoint_changes = nullptr,
+    uint64_t nodes_digest = 0,
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::NodeChange>> *node_changes = nullptr) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto edits__ = edits ? _fbb.CreateVector<uint8_t>(*edits) : 0;
   auto full_tables__ = full_tables ? _fbb.CreateVector<uint8_t>(*full_tables) : 0;
   auto bans__ = bans ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*bans) : 0;
   auto nodes__ = nodes ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::NodeReport>>(*nodes) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVector<uint8_t>(*endpoints) : 0;
+  auto endpoint_changes__ = endpoint_changes ? _fbb.CreateVector<uint8_t>(*endpoint_changes) : 0;
+  auto node_changes__ = node_changes ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::NodeChange>>(*node_changes) : 0;
   return yuccascale::wire::fb::CreateFeedReply(
       _fbb,
       confirmed,
@@ -929,7 +1085,10 @@
       settled_revision,
       endpoints_digest,
       endpoints_age_ms,
-      endpoints_age_spread_ms);
+      endpoints_age_spread_ms,
+      endpoint_changes__,
+      nodes_digest,
+      node_changes__);
 }
 
 inline const yuccascale::wire::fb::FeedReply *GetFeedReply(const void *buf) {
