--- a/tests/bench/feed_bench.cpp
+++ b/tests/bench/feed_bench.cpp
@@ -141,6 +141,117 @@
                 framedSize(upstreamRequest), answerUs);
 }
 
+std::vector<feed::listed_endpoint> listOf(int endpoints)
+{
+    std::vector<feed::listed_endpoint> list;
+    for (const auto &[name, pool] : makeTables(endpoints, 0, 1)->pools) {
+        for (const state::endpoint &row : pool.endpoints)
+            list.push_back({name, row});
+    }
+    return list;
+}
+
+/// A leader with the reports of all nodes and a list of endpoints, and an entry that polls it.
+class list_feed
+{
+public:
+    list_feed(int nodes, int endpoints)
+        : m_list(listOf(endpoints))
+    {
+        for (int number = 0; number < nodes; ++number)
+            report(number, false);
+        show();
+    }
+
+    /// \returns the bytes of the reply; the entry has installed it.
+    std::size_t poll()
+    {
+        const feed::feed_request request = m_entry.request(m_now, nodeOf(0, false), false);
+        const std::string bytes = wire::encodeFeedReply(m_leader.answer(m_now, "node-0", request));
+        const feed::feed_reply reply = wire::decodeFeedReply(bytes).value();
+        m_installMs = millisecondsOf([&] { (void)m_entry.install(m_now, reply, m_now); }, 1);
+        return framedSize(bytes);
+    }
+
+    void changeNode() { report(1, m_changed = !m_changed); }
+
+    void changeEndpoint()
+    {
+        bool &draining = m_list[m_list.size() / 2].row.draining;
+        draining = !draining;
+        show();
+    }
+
+    [[nodiscard]] double installMs() const noexcept { return m_installMs; }
+    [[nodiscard]] double showMs() const noexcept { return m_showMs; }
+
+    [[nodiscard]] double answerUs()
+    {
+        feed::feed_request request = m_entry.request(m_now, nodeOf(0, false), false);
+        return 1'000
+                * millisecondsOf(
+                        [&] {
+                            (void)wire::encodeFeedReply(m_leader.answer(m_now, "node-0", request));
+                        },
+                        2'000);
+    }
+
+private:
+    [[nodiscard]] static feed::node_report nodeOf(int number, bool endpointsLost)
+    {
+        feed::node_report node = reportOf("node-" + std::to_string(number));
+        node.link = node.callers = "10.1.2.3:" + std::to_string(10'000 + number);
+        node.zone = "zone-1";
+        node.incarnation = 1'700'000'000'000U;
+        node.endpointsLost = endpointsLost;
+        return node;
+    }
+
+    void report(int number, bool endpointsLost)
+    {
+        feed::feed_request request;
+        request.reports = {nodeOf(number, endpointsLost)};
+        (void)m_leader.answer(m_now, request.reports.front().link, request);
+        m_leader.installConfirmedState(m_now, m_now, {m_tables, 0, {}}, reportOf("leader"));
+    }
+
+    void show()
+    {
+        m_now += milliseconds(10);
+        m_showMs = millisecondsOf([&] { (void)m_leader.readEndpoints({m_now, 1, m_list}); }, 1);
+    }
+
+    instant m_now{seconds(100)};
+    std::shared_ptr<state::table_set> m_tables = makeTables(0, 0, 1);
+    std::vector<feed::listed_endpoint> m_list;
+    feed::feed_state m_leader{seconds(60)};
+    feed::feed_state m_entry{seconds(60)};
+    bool m_changed = false;
+    double m_installMs = 0;
+    double m_showMs = 0;
+};
+
+/// The first change makes the encodings that later ones use, so that the second one is printed.
+void printListCosts(int nodes, int endpoints)
+{
+    list_feed feed(nodes, endpoints);
+    const std::size_t whole = feed.poll();
+    const std::size_t unchanged = feed.poll();
+    const double answerUs = feed.answerUs();
+    feed.changeEndpoint();
+    (void)feed.poll();
+    const double firstMs = feed.installMs();
+    feed.changeEndpoint();
+    const double changeUs = feed.answerUs();
+    const std::size_t endpoint = feed.poll();
+    const double installMs = feed.installMs();
+    feed.changeNode();
+    const std::size_t node = feed.poll();
+    std::printf("%5d %9d %11zu %15zu %14zu %10zu %9.2f %9.2f %8.2f %9.2f %10.2f\n", nodes,
+                endpoints, whole, unchanged, endpoint, node, answerUs, changeUs, feed.showMs(),
+                firstMs, installMs);
+}
+
 } // namespace
 
 int main()
@@ -151,5 +262,10 @@
     std::printf("\nnodes request_bytes  reply_bytes relay_up_bytes    answer_us\n");
     for (const int nodes : {8, 70, 350})
         printNodeCosts(nodes);
+    std::printf("\nnodes endpoints whole_bytes unchanged_bytes endpoint_bytes node_bytes answer_us "
+                "change_us  read_ms  first_ms install_ms\n");
+    printListCosts(8, 21);
+    printListCosts(82, 300);
+    printListCosts(300, 3'003);
     return 0;
 }
