--- a/src/yuccascale/kernel/feed/change_history.hpp
+++ b/src/yuccascale/kernel/feed/change_history.hpp
@@ -15,7 +15,7 @@
 struct change_limits
 {
     std::size_t steps = 128;
-    std::size_t bytes = 256 * 1024; ///< of the rows in them
+    std::size_t bytes = std::size_t{256} * 1'024; ///< of the rows in them
 };
 
 /// \brief The last changes of a list in order, each from one digest to the next. Not thread-safe.
--- a/src/yuccascale/kernel/feed/node_list_copy.cpp
+++ b/src/yuccascale/kernel/feed/node_list_copy.cpp
@@ -51,7 +51,7 @@
     for (const node_report &node : change.put)
         bytes += sizeof(node) + bytesOf(node).size();
     for (const std::string &name : change.removed)
-        bytes += sizeof(name) + name.size();
+        bytes += sizeof(std::string) + name.size();
     return bytes;
 }
 
--- a/tests/bench/feed_bench.cpp
+++ b/tests/bench/feed_bench.cpp
@@ -144,7 +144,8 @@
 std::vector<feed::listed_endpoint> listOf(int endpoints)
 {
     std::vector<feed::listed_endpoint> list;
-    for (const auto &[name, pool] : makeTables(endpoints, 0, 1)->pools) {
+    const auto tables = makeTables(endpoints, 0, 1);
+    for (const auto &[name, pool] : tables->pools) {
         for (const state::endpoint &row : pool.endpoints)
             list.push_back({name, row});
     }
