Quotas of organisations over all entries, refused with 429

Cause: an organisation could use any part of the fleet; the platform names a quota over all entries together and a tolerance in any window. Change: tables carry a quota (unit, rate, burst, plain tokens), each entry keeps a copy of one token bucket per organisation and admits by its level and the demand that all entries report; Load messages carry the reports; the platform protocol answers 429 with a spread Retry-After. Tokens of requests that surely did not run are returned. Takes effect only with promises.quota_window.

--- a/src/yuccascale/cli/operator_client.cpp
+++ b/src/yuccascale/cli/operator_client.cpp
@@ -34,7 +34,7 @@
 
 error_kind errorKindFromName(const std::string &name)
 {
-    for (int number = 0; number <= static_cast<int>(error_kind::Internal); ++number) {
+    for (int number = 0; number <= static_cast<int>(error_kind::QuotaExceeded); ++number) {
         const auto kind = static_cast<error_kind>(number);
         if (kernel::errorKindName(kind) == name)
             return kind;
--- a/src/yuccascale/http/caller_answers.cpp
+++ b/src/yuccascale/http/caller_answers.cpp
@@ -11,8 +11,8 @@
 using kernel::json;
 
 /// Indexed by error_kind.
-constexpr std::array<int, 13> statusByErrorKind{400, 404, 409, 401, 403, 503, 503,
-                                                429, 504, 503, 502, 502, 500};
+constexpr std::array<int, 14> statusByErrorKind{400, 404, 409, 401, 403, 503, 503,
+                                                429, 504, 503, 502, 502, 500, 429};
 
 } // namespace
 
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -92,6 +92,7 @@
     void stop();
     [[nodiscard]] std::vector<offered_address> addresses(bool othersOnly) const;
     [[nodiscard]] caller_pools &pools() noexcept { return *m_services.pools; }
+    [[nodiscard]] caller_quotas &quotas() noexcept { return *m_services.quotas; }
     [[nodiscard]] stream_registry &streams() noexcept { return *m_services.streams; }
     [[nodiscard]] std::string metricsText();
 
@@ -116,6 +117,8 @@
     void recordTablesAge(const std::string &id, const reading_context &context);
     void refuse(const arrived_request &arrived, const std::string &id, kernel::error problem,
                 const kernel::control_view &view);
+    void refuseOverQuota(const arrived_request &arrived, const request &callerRequest,
+                         const refusal &reason);
     [[nodiscard]] bool hold(const arrived_request &arrived);
     void retryHeld();
     [[nodiscard]] entry_status status();
@@ -168,10 +171,15 @@
                  {},
                  nullptr,
                  nullptr,
+                 nullptr,
                  {},
                  {}}
     , m_timer(m_dependencies.loops.at(0))
-{ }
+{
+    m_services.quotas = std::make_unique<caller_quotas>(m_dependencies.settings.promises,
+                                                        m_dependencies.clock, m_dependencies.events,
+                                                        std::hash<std::string>{}(m_services.entry));
+}
 
 kernel::result<void> caller_server::implementation::start()
 {
@@ -299,6 +307,7 @@
     m_revision = view.tables->revision;
     m_endpointListVersion = listVersion;
     m_services.monitor->setEndpoints(m_services.pools->endpoints());
+    m_services.quotas->setOrganisations(view.tables->organisations);
     if (view.tables->limits.empty())
         return;
     net::http_limits limits = limitsFrom(m_dependencies.settings.http);
@@ -313,9 +322,11 @@
 
 void caller_server::implementation::updatePosition()
 {
-    m_services.pools->setPosition(m_dependencies.nodes
-                                          ? positionAmong(nodes(), m_dependencies.settings.node)
-                                          : entry_position());
+    const entry_position position = m_dependencies.nodes
+            ? positionAmong(nodes(), m_dependencies.settings.node)
+            : entry_position();
+    m_services.pools->setPosition(position);
+    m_services.quotas->setEntries(position.count);
 }
 
 void caller_server::implementation::startScheduleTimer()
@@ -398,8 +409,23 @@
     callerRequest.receivedAt = arrived.receivedAt;
     callerRequest.entryEnd = m_services.drain.plan().end();
     takeOver(arrived.relayGrant, callerRequest);
+    quota_charge charge;
+    if (const auto refused = m_services.quotas->admit(callerRequest, charge))
+        return refuseOverQuota(arrived, callerRequest, *refused);
     const double weight = organisationWeight(context.view, callerRequest.organisation);
-    caller_session::start(m_services, std::move(callerRequest), weight, exchange);
+    caller_session::start(m_services, std::move(callerRequest), weight, exchange,
+                          std::move(charge));
+}
+
+/// The log line of the organisation stands for those of its requests, of which there may be many.
+void caller_server::implementation::refuseOverQuota(const arrived_request &arrived,
+                                                    const request &callerRequest,
+                                                    const refusal &reason)
+{
+    m_services.metrics.refused({callerRequest.route.name, callerRequest.organisation},
+                               kernel::errorKindName(reason.kind));
+    arrived.exchange->reply(
+            m_services.protocol->errorReply(reason, callerRequest.id, addresses(true)));
 }
 
 /// Tables that are older than edits take to be in force everywhere can only be right because no
@@ -571,7 +597,7 @@
         m_services.metrics.setGauge("yuccascale_endpoint_list_age_seconds", age.count());
     }
     m_services.metrics.setGauge("yuccascale_connections", static_cast<double>(connections()));
-    return m_services.metrics.text();
+    return m_services.metrics.text() + m_services.quotas->metricsText();
 }
 
 std::size_t caller_server::implementation::connections() const
@@ -652,6 +678,11 @@
     return m_implementation->pools();
 }
 
+caller_quotas &caller_server::quotas() noexcept
+{
+    return m_implementation->quotas();
+}
+
 stream_registry &caller_server::streams() noexcept
 {
     return m_implementation->streams();
--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -20,6 +20,7 @@
 namespace yuccascale::http {
 
 class caller_pools;
+class caller_quotas;
 
 /// \brief What a caller server uses of its node.
 struct caller_server_dependencies
@@ -90,6 +91,9 @@
     /// \returns the pools' queues; after start().
     [[nodiscard]] caller_pools &pools() noexcept;
 
+    /// \returns the quotas of organisations at this entry.
+    [[nodiscard]] caller_quotas &quotas() noexcept;
+
     /// \returns the registry of streams, which handles the messages of other entries; after
     /// start().
     [[nodiscard]] stream_registry &streams() noexcept;
--- a/src/yuccascale/http/caller_services.hpp
+++ b/src/yuccascale/http/caller_services.hpp
@@ -3,6 +3,7 @@
 #include "yuccascale/http/caller_commits.hpp"
 #include "yuccascale/http/caller_pools.hpp"
 #include "yuccascale/http/caller_protocol.hpp"
+#include "yuccascale/http/caller_quotas.hpp"
 #include "yuccascale/http/endpoint_client.hpp"
 #include "yuccascale/http/endpoint_monitor.hpp"
 #include "yuccascale/http/entry_drain.hpp"
@@ -101,6 +102,7 @@
     runtime::metrics metrics;
     std::shared_ptr<endpoint_monitor> monitor = nullptr;
     std::unique_ptr<entry_relay> relay = nullptr;
+    std::unique_ptr<caller_quotas> quotas = nullptr;
     std::atomic<std::uint64_t> nextTicket{1};
     std::atomic<int> runningRequests{0}; ///< requests that have no answer yet
 
--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -72,18 +72,19 @@
 } // namespace
 
 void caller_session::start(caller_services &services, request callerRequest, double weight,
-                           std::shared_ptr<net::http_exchange> exchange)
+                           std::shared_ptr<net::http_exchange> exchange, quota_charge charge)
 {
-    const auto session = std::make_shared<caller_session>(services, std::move(callerRequest),
-                                                          weight, std::move(exchange));
+    const auto session = std::make_shared<caller_session>(
+            services, std::move(callerRequest), weight, std::move(exchange), std::move(charge));
     session->begin();
 }
 
 caller_session::caller_session(caller_services &services, request callerRequest, double weight,
-                               std::shared_ptr<net::http_exchange> exchange)
+                               std::shared_ptr<net::http_exchange> exchange, quota_charge charge)
     : m_services(services)
     , m_loop(services.loopOf(exchange->loop()))
     , m_weight(weight)
+    , m_charge(std::move(charge))
     , m_exchange(std::move(exchange))
     , m_timer(m_loop.context)
     , m_session(std::move(callerRequest), services.nextTicket++, services.entry, *this,
@@ -225,6 +226,8 @@
 {
     if (!m_session.ended())
         return;
+    if (m_session.lifecycle().attempt() == 0)
+        m_services.quotas->giveBack(m_charge);
     m_timer.cancel();
     m_mailbox->close();
     m_self.reset();
@@ -555,6 +558,8 @@
 
 void caller_session::write(const refuse &refused)
 {
+    if (!refused.reason.mayHaveRun)
+        m_services.quotas->giveBack(m_charge);
     const std::vector<offered_address> others = m_services.addresses(true);
     if (!m_streaming) {
         auto reply = m_services.protocol->errorReply(refused.reason, callerRequest().id, others);
--- a/src/yuccascale/http/caller_session.hpp
+++ b/src/yuccascale/http/caller_session.hpp
@@ -20,10 +20,12 @@
 public:
     /// \brief Starts a request; its answer goes to \a exchange.
     static void start(caller_services &services, kernel::requests::request callerRequest,
-                      double weight, std::shared_ptr<net::http_exchange> exchange);
+                      double weight, std::shared_ptr<net::http_exchange> exchange,
+                      quota_charge charge);
 
     caller_session(caller_services &services, kernel::requests::request callerRequest,
-                   double weight, std::shared_ptr<net::http_exchange> exchange);
+                   double weight, std::shared_ptr<net::http_exchange> exchange,
+                   quota_charge charge);
     ~caller_session() override;
     caller_session(const caller_session &) = delete;
     caller_session &operator=(const caller_session &) = delete;
@@ -103,6 +105,7 @@
     caller_services &m_services;
     entry_loop &m_loop;
     double m_weight;
+    quota_charge m_charge; ///< to be returned when the request surely did not run
     std::shared_ptr<net::http_exchange> m_exchange;
     kernel::requests::endpoint_assignment m_assigned; ///< of the last attempt
     bool m_relayRunning = false;                      ///< a helper is chosen and was not released
--- a/src/yuccascale/kernel/error.cpp
+++ b/src/yuccascale/kernel/error.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 13> kindNames{
+constexpr std::array<std::string_view, 14> kindNames{
         "invalid_argument", "not_found", "conflict",   "unauthorized",      "forbidden",
         "not_leader",       "not_ready", "overloaded", "deadline_exceeded", "unavailable",
-        "outcome_unknown",  "corrupt",   "internal",
+        "outcome_unknown",  "corrupt",   "internal",   "quota_exceeded",
 };
 
 } // namespace
--- a/src/yuccascale/kernel/error.hpp
+++ b/src/yuccascale/kernel/error.hpp
@@ -25,6 +25,7 @@
     OutcomeUnknown,   ///< it may have run; ask the service that runs it
     Corrupt,          ///< stored or received bytes cannot be decoded or fail their checksum
     Internal,         ///< a bug in this program
+    QuotaExceeded,    ///< the organisation has used up its quota; retry later
 };
 
 /// \brief An error with its kind, its location and a message that names the remedy.
--- a/src/yuccascale/kernel/requests/events.hpp
+++ b/src/yuccascale/kernel/requests/events.hpp
@@ -89,6 +89,11 @@
 inline const event_kind requestTakenOver{
         2037, "request_taken_over", severity::Info,
         "This entry serves a request for another entry, which reaches no endpoint."};
+inline const event_kind organisationOverQuota{
+        2051, "organisation_over_quota", severity::Info,
+        "This entry refused requests of an organisation that were beyond its quota over all "
+        "entries. At most one line a second for each organisation; 'requests' and 'tokens' count "
+        "since the last one."};
 inline const event_kind entryLeaving{
         2030, "entry_leaving", severity::Info,
         "This entry was removed from the published addresses and finishes its requests."};
--- a/src/yuccascale/kernel/requests/request.hpp
+++ b/src/yuccascale/kernel/requests/request.hpp
@@ -43,12 +43,13 @@
     std::string contentType;
     std::string body;
     std::string idempotencyKey;
-    std::string fingerprint;       ///< digest of route, method, path and body
-    bool streamed = false;         ///< the caller requested server-sent events
-    std::int64_t promptTokens = 0; ///< estimated
-    std::int64_t outputTokens = 0; ///< expected upper bound
-    bool sentBefore = false;       ///< the caller indicates an earlier attempt at an entry
-    std::int64_t resumeFrom = 0;   ///< pieces that the caller already has
+    std::string fingerprint;                       ///< digest of route, method, path and body
+    bool streamed = false;                         ///< the caller requested server-sent events
+    std::int64_t promptTokens = 0;                 ///< estimated
+    std::int64_t outputTokens = 0;                 ///< expected upper bound
+    std::optional<std::int64_t> statedTokens = {}; ///< of prompt and output, as the caller says
+    bool sentBefore = false;     ///< the caller indicates an earlier attempt at an entry
+    std::int64_t resumeFrom = 0; ///< pieces that the caller already has
     instant receivedAt{};
     instant deadline{}; ///< of the complete answer
     /// How long its caller waits for it, with all that it sends again; zero: not said.
--- a/src/yuccascale/kernel/state/table_rules.cpp
+++ b/src/yuccascale/kernel/state/table_rules.cpp
@@ -153,14 +153,31 @@
     return std::nullopt;
 }
 
+problem problemInQuota(const std::string &location, const std::vector<token_quota> &quota)
+{
+    if (quota.size() > 1)
+        return location + ".quota: more than one; give one or none";
+    for (const token_quota &row : quota) {
+        const bool valid = std::isfinite(row.ratePerSecond) && row.ratePerSecond > 0
+                && std::isfinite(row.burst) && row.burst >= 0 && std::isfinite(row.plainTokens)
+                && row.plainTokens >= 0;
+        if (!valid)
+            return location
+                    + ".quota: the rate is not above 0, or a number is negative or not finite; "
+                      "correct it or leave the quota out";
+    }
+    return std::nullopt;
+}
+
 problem problemInRow(const organisation &row)
 {
     const std::string location = "organisation/" + row.name;
     if (auto found = problemInName(location, row.name))
         return found;
-    if (std::isfinite(row.weight) && row.weight > 0 && row.weight <= maxWeight)
-        return std::nullopt;
-    return location + ".weight: must be above 0 and at most 1000000; set a weight in this range";
+    if (!std::isfinite(row.weight) || row.weight <= 0 || row.weight > maxWeight)
+        return location
+                + ".weight: must be above 0 and at most 1000000; set a weight in this range";
+    return problemInQuota(location, row.quota);
 }
 
 problem problemInRow(const key_record &row)
--- a/src/yuccascale/kernel/state/tables.hpp
+++ b/src/yuccascale/kernel/state/tables.hpp
@@ -138,17 +138,51 @@
                                                 scaling)
 };
 
+/// \brief What an organisation may use over all entries together.
+struct token_quota
+{
+    double ratePerSecond = 0;
+    double burst = 0;
+    bool countsTokens = false; ///< false: each request counts as one
+    double plainTokens = 1;    ///< of a request that does not say how many it has
+
+    [[nodiscard]] bool operator==(const token_quota &) const = default;
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(token_quota, ratePerSecond, burst, countsTokens,
+                                                plainTokens)
+};
+
 /// \brief A customer with its share of the fleet.
 struct organisation
 {
     std::string name;
-    double weight = 1.0; ///< share relative to the others' weights
-    bool ranked = false; ///< its priority takes precedence over that of its routes
-    int priority = 0;    ///< larger values first; used only when ranked
+    double weight = 1.0;                 ///< share relative to the others' weights
+    bool ranked = false;                 ///< its priority takes precedence over that of its routes
+    int priority = 0;                    ///< larger values first; used only when ranked
+    std::vector<token_quota> quota = {}; ///< one item, or none when it may use what there is
 
     [[nodiscard]] bool operator==(const organisation &) const = default;
 
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(organisation, name, weight, ranked, priority)
+    /// A row without a quota is written as builds that know none write it.
+    friend void to_json(nlohmann::json &out, const organisation &row)
+    {
+        out = {{"name", row.name},
+               {"weight", row.weight},
+               {"ranked", row.ranked},
+               {"priority", row.priority}};
+        if (!row.quota.empty())
+            out["quota"] = row.quota;
+    }
+
+    friend void from_json(const nlohmann::json &in, organisation &row)
+    {
+        const organisation usual;
+        row.name = in.value("name", usual.name);
+        row.weight = in.value("weight", usual.weight);
+        row.ranked = in.value("ranked", usual.ranked);
+        row.priority = in.value("priority", usual.priority);
+        row.quota = in.value("quota", usual.quota);
+    }
 };
 
 /// \brief A key's record; the key itself is shown once and never stored.
--- a/src/yuccascale/platform/caller_protocol.cpp
+++ b/src/yuccascale/platform/caller_protocol.cpp
@@ -73,6 +73,20 @@
     return item;
 }
 
+/// \returns the sum of the two counts; nothing when they are missing or cannot be read.
+[[nodiscard]] std::optional<std::int64_t> statedTokensOf(std::string_view tokenCounts) noexcept
+{
+    constexpr std::int64_t most = 1'000'000'000;
+    std::int64_t prompt = 0;
+    std::int64_t output = 0;
+    const bool readable = parseNumber(takeListItem(tokenCounts), prompt)
+            && parseNumber(takeListItem(tokenCounts), output);
+    const auto valid = [](std::int64_t count) { return count >= 0 && count <= most; };
+    if (!readable || !valid(prompt) || !valid(output))
+        return std::nullopt;
+    return prompt + output;
+}
+
 void readPromptHeaders(const http_request &httpRequest, request &callerRequest)
 {
     std::string_view tokenCounts = httpRequest.header(headers::tokenCounts);
@@ -80,6 +94,7 @@
     callerRequest.outputTokens = 1;
     static_cast<void>(parseNumber(takeListItem(tokenCounts), callerRequest.promptTokens));
     static_cast<void>(parseNumber(takeListItem(tokenCounts), callerRequest.outputTokens));
+    callerRequest.statedTokens = statedTokensOf(httpRequest.header(headers::tokenCounts));
     std::int64_t expected = 0;
     if (parseNumber(httpRequest.header(headers::expectedOutput), expected) && expected > 0)
         callerRequest.outputTokens = std::min(callerRequest.outputTokens, expected);
@@ -111,6 +126,8 @@
         return 404;
     case error_kind::InvalidArgument:
         return 400;
+    case error_kind::QuotaExceeded:
+        return reason.mayHaveRun ? 502 : 429;
     case error_kind::DeadlineExceeded:
         return reason.mayHaveRun ? 504 : 503;
     default:
@@ -218,7 +235,8 @@
         http_reply reply{statusOf(reason), jsonHeaders, kernel::toText(body)};
         if (!id.empty())
             reply.headers.push_back({std::string(headers::requestId), id});
-        if (reply.status == 503 && reason.retryAfter > kernel::nanoseconds::zero())
+        const bool notRun = reply.status == 503 || reply.status == 429;
+        if (notRun && reason.retryAfter > kernel::nanoseconds::zero())
             reply.headers.push_back(
                     {std::string(headers::retryAfter), secondsText(reason.retryAfter)});
         return reply;
--- a/src/yuccascale/platform/operator_document.cpp
+++ b/src/yuccascale/platform/operator_document.cpp
@@ -3,6 +3,8 @@
 #include "yuccascale/kernel/state/key_digest.hpp"
 #include "yuccascale/platform/names.hpp"
 
+#include <cmath>
+
 /// \file
 /// \brief Operator protocol "platform": converts the operator's document into tables.
 
@@ -19,6 +21,8 @@
 constexpr std::string_view safeKind = "safe";
 constexpr std::string_view unsafeKind = "unsafe";
 constexpr std::string_view streamingKind = "streaming";
+/// Unit of quotas that count tokens; others count requests.
+constexpr std::string_view tokenUnit = "generate";
 
 /// \returns a member of an object; throws json::exception when it is missing or of another type.
 template<typename T>
@@ -133,7 +137,32 @@
     return limits;
 }
 
-void addTenant(const json &object, edit_tables &tables)
+[[nodiscard]] bool isAmount(double value) noexcept
+{
+    return std::isfinite(value) && value >= 0;
+}
+
+/// A quota whose rate is 0 or missing is none.
+[[nodiscard]] result<std::vector<token_quota>> quotaFrom(const json &object,
+                                                         const std::string &tenant)
+{
+    token_quota quota;
+    quota.ratePerSecond = optional(object, "rate_per_s", 0.0);
+    quota.burst = optional(object, "burst", 0.0);
+    quota.countsTokens = optional(object, "unit", std::string()) == tokenUnit;
+    quota.plainTokens = optional(object, "plain_tokens", quota.plainTokens);
+    const bool valid
+            = isAmount(quota.ratePerSecond) && isAmount(quota.burst) && isAmount(quota.plainTokens);
+    if (!valid) {
+        return fail(error_kind::InvalidArgument, "tenant/" + tenant,
+                    "rate_per_s, burst or plain_tokens is negative or not finite; use 0 or more");
+    }
+    if (quota.ratePerSecond == 0)
+        return std::vector<token_quota>();
+    return std::vector<token_quota>{quota};
+}
+
+[[nodiscard]] result<void> addTenant(const json &object, edit_tables &tables)
 {
     organisation row;
     row.name = required<std::string>(object, "name");
@@ -145,7 +174,9 @@
         const std::string id = row.name + "." + std::to_string(tables.putKeys.size());
         tables.putKeys.push_back({id, row.name, keyDigest(key.get<std::string>())});
     }
+    BOOST_LEAF_ASSIGN(row.quota, quotaFrom(object, row.name));
     tables.putOrganisations.push_back(std::move(row));
+    return {};
 }
 
 [[nodiscard]] result<put_document> documentFrom(const json &object)
@@ -155,7 +186,7 @@
     edit_tables &tables = document.tables;
     const std::vector<json> tenants = listOf(object, "tenants", false);
     for (const json &tenant : tenants)
-        addTenant(tenant, tables);
+        BOOST_LEAF_CHECK(addTenant(tenant, tables));
     std::map<std::string, pool> pools;
     for (const json &service : listOf(object, "services", true)) {
         tables.putPools.push_back(poolFrom(service));
--- a/src/yuccascale/runtime/load_exchange.cpp
+++ b/src/yuccascale/runtime/load_exchange.cpp
@@ -20,9 +20,9 @@
     , m_hooks(std::move(hooks))
     , m_task(exchangeInterval, [this] { sendPending(); })
 {
-    m_transport.handle(channel::Load, [this](std::string_view, std::string_view payload) {
+    m_transport.handle(channel::Load, [this](std::string_view peer, std::string_view payload) {
         if (m_running)
-            m_hooks.onMessage(wire::decodeLoad(payload));
+            m_hooks.onMessage(peer, wire::decodeLoad(payload));
         return std::string();
     });
 }
@@ -60,8 +60,11 @@
         const std::lock_guard lock(m_mutex);
         message.updates = std::exchange(m_pendingUpdates, {});
     }
-    if (message.empty())
+    auto quotas = m_hooks.takeQuotas ? m_hooks.takeQuotas() : std::nullopt;
+    if (message.empty() && !quotas)
         return;
+    if (quotas)
+        message.quotas = std::move(*quotas);
     const std::string payload = wire::encodeLoad(message);
     for (const std::string &entry : m_hooks.otherEntries())
         m_transport.post(entry, channel::Load, payload);
--- a/src/yuccascale/runtime/load_exchange.hpp
+++ b/src/yuccascale/runtime/load_exchange.hpp
@@ -7,12 +7,14 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// \file
-/// \brief Exchange of load between entries: charges of organisations, placed long prompts and
-///        endpoint failures.
+/// \brief Exchange of load between entries: charges and quotas of organisations, placed long
+///        prompts and endpoint failures.
 
 namespace yuccascale::runtime {
 
@@ -20,8 +22,11 @@
 struct load_hooks
 {
     std::function<std::vector<kernel::requests::pool_charge>(std::size_t maxPerPool)> takeCharges;
-    std::function<void(const wire::load_message &)> onMessage;
+    std::function<void(std::string_view peer, const wire::load_message &)> onMessage;
     std::function<std::vector<std::string>()> otherEntries; ///< link addresses of the other entries
+    /// Nothing while no quota is in force; else the message is sent also when it is empty, since
+    /// the others count who is silent. May be null.
+    std::function<std::optional<std::vector<kernel::requests::quota_report>>()> takeQuotas = {};
 };
 
 /// \brief Sends this entry's heaviest charges to the other entries at each interval. Long prompts
@@ -44,6 +49,9 @@
     ///        the network, so it may be called with any lock held.
     void sendSoon(kernel::requests::endpoint_updates updates);
 
+    /// \brief Sends what there is without waiting for the interval. Never blocks on the network.
+    void sendSoon() { m_task.runSoon(); }
+
     /// \brief Sends what was added since the previous call. Called by the periodic thread.
     void sendPending();
 
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/runtime/node.hpp"
 
 #include "yuccascale/http/caller_pools.hpp"
+#include "yuccascale/http/caller_quotas.hpp"
 #include "yuccascale/http/caller_server.hpp"
 #include "yuccascale/http/document_interface.hpp"
 #include "yuccascale/http/operator_routes.hpp"
@@ -301,14 +302,15 @@
 {
     load_hooks hooks{
             [this](std::size_t maxPerPool) { return callers->pools().takeCharges(maxPerPool); },
-            [this](const wire::load_message &message) {
+            [this](std::string_view peer, const wire::load_message &message) {
+                callers->quotas().heard(peer, message.quotas);
                 const auto tables = client->view().tables;
                 if (tables)
                     callers->pools().applyCharges(message.charges, *tables);
                 for (const auto &endpoint : callers->pools().applyEndpointUpdates(message.updates))
                     events.record(requests::endpointSuspected, {{"endpoint", endpoint}});
             },
-            [this] { return otherEntries(); }};
+            [this] { return otherEntries(); }, [this] { return callers->quotas().takeReports(); }};
     load = std::make_unique<load_exchange>(*transport, std::move(hooks));
 }
 
@@ -408,6 +410,7 @@
         callersStarted = true;
         callers->pools().setEndpointUpdateListener(
                 [this](requests::endpoint_updates updates) { load->sendSoon(std::move(updates)); });
+        callers->quotas().setSurgeListener([this] { load->sendSoon(); });
     }
     loops.start();
     feed->start();
--- a/src/yuccascale/runtime/settings.cpp
+++ b/src/yuccascale/runtime/settings.cpp
@@ -104,6 +104,17 @@
         node.problem("feed_interval", "must be at most a third of freshness; lower it");
 }
 
+/// Entries hear of each other each half second, which a shorter window does not leave room for.
+void checkQuota(yaml_reader &node, const promise_settings &promises)
+{
+    constexpr kernel::milliseconds leastWindow{2'000};
+    if (promises.quotaWindow.count() > 0 && promises.quotaWindow < leastWindow)
+        node.problem("quota_window", "must be at least 2s, or left out to keep no quotas");
+    const bool unused = promises.quotaOver > 0 || promises.quotaSlack > 0;
+    if (promises.quotaWindow.count() == 0 && unused)
+        node.problem("quota_over", "has no effect without quota_window; set quota_window");
+}
+
 void readPromises(yaml_reader node, promise_settings &promises)
 {
     node.duration("key_withdrawal", promises.keyWithdrawal);
@@ -114,7 +125,11 @@
     node.number("retry_burst", promises.retryBurst);
     node.duration("retry_window", promises.retryWindow);
     node.flag("shared_retries", promises.sharedRetries);
+    node.duration("quota_window", promises.quotaWindow);
+    node.number("quota_over", promises.quotaOver);
+    node.number("quota_slack", promises.quotaSlack);
     node.rejectUnknownFields();
+    checkQuota(node, promises);
 }
 
 void readPlatform(yaml_reader node, platform_settings &platform)
--- a/src/yuccascale/runtime/settings.hpp
+++ b/src/yuccascale/runtime/settings.hpp
@@ -76,7 +76,10 @@
     double retryShare = 0.2;          ///< retries allowed per request, across all entries
     double retryBurst = 32;           ///< further retries allowed in one window
     kernel::milliseconds retryWindow{10'000};
-    bool sharedRetries = false; ///< all entries share one burst, also across restarts
+    bool sharedRetries = false;          ///< all entries share one burst, also across restarts
+    kernel::milliseconds quotaWindow{0}; ///< in which organisations' quotas count; 0: none are kept
+    double quotaOver = 0;                ///< share of a quota that may be used beyond it
+    double quotaSlack = 0;               ///< tokens, or requests, that may be used beyond that
 };
 
 /// \brief Interfaces of the platform; an empty address disables one.
--- a/src/yuccascale/wire/load_codec.cpp
+++ b/src/yuccascale/wire/load_codec.cpp
@@ -75,6 +75,15 @@
     return fb::CreateLimit(builder, pool, endpoint, limit.requestsPerSecond);
 }
 
+flatbuffers::Offset<fb::Quota> write(builder_type &builder, const quota_report &report)
+{
+    const auto organisation = builder.CreateSharedString(report.organisation);
+    return fb::CreateQuota(builder, organisation, report.run,
+                           static_cast<float>(report.askedPerSecond),
+                           static_cast<float>(report.admittedPerSecond), report.admittedTotal,
+                           report.admittedInWindow);
+}
+
 template<typename Row, typename Table>
 flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Table>>>
 writeAll(builder_type &builder, const std::vector<Row> &rows)
@@ -163,6 +172,19 @@
                           table.requests_per_second()};
 }
 
+[[nodiscard]] std::optional<quota_report> read(const fb::Quota &table)
+{
+    const bool valid = table.organisation() != nullptr && std::isfinite(table.asked_per_s())
+            && table.asked_per_s() >= 0 && std::isfinite(table.admitted_per_s())
+            && table.admitted_per_s() >= 0 && std::isfinite(table.admitted_total())
+            && std::isfinite(table.admitted_in_window());
+    if (!valid)
+        return std::nullopt;
+    return quota_report{table.organisation()->str(), table.run(),
+                        table.asked_per_s(),         table.admitted_per_s(),
+                        table.admitted_total(),      table.admitted_in_window()};
+}
+
 template<typename Row, typename Tables>
 void readAll(const Tables *tables, std::vector<Row> &out)
 {
@@ -187,8 +209,12 @@
     const auto crashes = writeAll<endpoint_crash, fb::Crash>(builder, message.updates.crashes);
     const auto cleared = writeAll<cleared_parts, fb::Cleared>(builder, message.updates.cleared);
     const auto limits = writeAll<endpoint_limit, fb::Limit>(builder, message.updates.limits);
+    // without quotas the message is as builds that know none write it
+    const auto quotas = message.quotas.empty()
+            ? 0
+            : writeAll<quota_report, fb::Quota>(builder, message.quotas);
     builder.Finish(fb::CreateLoad(builder, charges, placements, failures, leaving, crashes, cleared,
-                                  limits));
+                                  limits, quotas));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -207,6 +233,7 @@
     readAll(load.crashes(), out.updates.crashes);
     readAll(load.cleared(), out.updates.cleared);
     readAll(load.limits(), out.updates.limits);
+    readAll(load.quotas(), out.quotas);
     return out;
 }
 
--- a/src/yuccascale/wire/load_codec.hpp
+++ b/src/yuccascale/wire/load_codec.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccascale/kernel/requests/charge_book.hpp"
 #include "yuccascale/kernel/requests/placement.hpp"
+#include "yuccascale/kernel/requests/quota_report.hpp"
 
 #include <string>
 #include <string_view>
@@ -12,13 +13,17 @@
 
 namespace yuccascale::wire {
 
-/// \brief Charges, placements and failures of an entry since its previous message.
+/// \brief Charges, placements, failures and quotas of an entry since its previous message.
 struct load_message
 {
     std::vector<kernel::requests::pool_charge> charges;
     kernel::requests::endpoint_updates updates = {};
+    std::vector<kernel::requests::quota_report> quotas = {};
 
-    [[nodiscard]] bool empty() const noexcept { return charges.empty() && updates.empty(); }
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return charges.empty() && updates.empty() && quotas.empty();
+    }
 };
 
 [[nodiscard]] std::string encodeLoad(const load_message &message);
--- a/src/yuccascale/wire/load_generated.h
+++ b/src/yuccascale/wire/load_generated.h
@@ -40,6 +40,9 @@
 struct Limit;
 struct LimitBuilder;
 
+struct Quota;
+struct QuotaBuilder;
+
 struct Load;
 struct LoadBuilder;
 
@@ -623,6 +626,117 @@
       requests_per_second);
 }
 
+struct Quota FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORGANISATION = 4,
+    VT_RUN = 6,
+    VT_ASKED_PER_S = 8,
+    VT_ADMITTED_PER_S = 10,
+    VT_ADMITTED_TOTAL = 12,
+    VT_ADMITTED_IN_WINDOW = 14
+  };
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  float asked_per_s() const {
+    return GetField<float>(VT_ASKED_PER_S, 0.0f);
+  }
+  float admitted_per_s() const {
+    return GetField<float>(VT_ADMITTED_PER_S, 0.0f);
+  }
+  double admitted_total() const {
+    return GetField<double>(VT_ADMITTED_TOTAL, 0.0);
+  }
+  double admitted_in_window() const {
+    return GetField<double>(VT_ADMITTED_IN_WINDOW, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyField<float>(verifier, VT_ASKED_PER_S, 4) &&
+           VerifyField<float>(verifier, VT_ADMITTED_PER_S, 4) &&
+           VerifyField<double>(verifier, VT_ADMITTED_TOTAL, 8) &&
+           VerifyField<double>(verifier, VT_ADMITTED_IN_WINDOW, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaBuilder {
+  typedef Quota Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(Quota::VT_ORGANISATION, organisation);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(Quota::VT_RUN, run, 0);
+  }
+  void add_asked_per_s(float asked_per_s) {
+    fbb_.AddElement<float>(Quota::VT_ASKED_PER_S, asked_per_s, 0.0f);
+  }
+  void add_admitted_per_s(float admitted_per_s) {
+    fbb_.AddElement<float>(Quota::VT_ADMITTED_PER_S, admitted_per_s, 0.0f);
+  }
+  void add_admitted_total(double admitted_total) {
+    fbb_.AddElement<double>(Quota::VT_ADMITTED_TOTAL, admitted_total, 0.0);
+  }
+  void add_admitted_in_window(double admitted_in_window) {
+    fbb_.AddElement<double>(Quota::VT_ADMITTED_IN_WINDOW, admitted_in_window, 0.0);
+  }
+  explicit QuotaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Quota> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Quota>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Quota> CreateQuota(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    uint32_t run = 0,
+    float asked_per_s = 0.0f,
+    float admitted_per_s = 0.0f,
+    double admitted_total = 0.0,
+    double admitted_in_window = 0.0) {
+  QuotaBuilder builder_(_fbb);
+  builder_.add_admitted_in_window(admitted_in_window);
+  builder_.add_admitted_total(admitted_total);
+  builder_.add_admitted_per_s(admitted_per_s);
+  builder_.add_asked_per_s(asked_per_s);
+  builder_.add_run(run);
+  builder_.add_organisation(organisation);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Quota> CreateQuotaDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *organisation = nullptr,
+    uint32_t run = 0,
+    float asked_per_s = 0.0f,
+    float admitted_per_s = 0.0f,
+    double admitted_total = 0.0,
+    double admitted_in_window = 0.0) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  return yuccascale::wire::fb::CreateQuota(
+      _fbb,
+      organisation__,
+      run,
+      asked_per_s,
+      admitted_per_s,
+      admitted_total,
+      admitted_in_window);
+}
+
 struct Load FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoadBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -632,7 +746,8 @@
     VT_LEAVING = 10,
     VT_CRASHES = 12,
     VT_CLEARED = 14,
-    VT_LIMITS = 16
+    VT_LIMITS = 16,
+    VT_QUOTAS = 18
   };
   const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>> *charges() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>> *>(VT_CHARGES);
@@ -655,6 +770,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>> *limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>> *>(VT_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Quota>> *quotas() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Quota>> *>(VT_QUOTAS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CHARGES) &&
@@ -678,6 +796,9 @@
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
            verifier.VerifyVectorOfTables(limits()) &&
+           VerifyOffset(verifier, VT_QUOTAS) &&
+           verifier.VerifyVector(quotas()) &&
+           verifier.VerifyVectorOfTables(quotas()) &&
            verifier.EndTable();
   }
 };
@@ -707,6 +828,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>>> limits) {
     fbb_.AddOffset(Load::VT_LIMITS, limits);
   }
+  void add_quotas(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Quota>>> quotas) {
+    fbb_.AddOffset(Load::VT_QUOTAS, quotas);
+  }
   explicit LoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -726,8 +850,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>>> leaving = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Crash>>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>>> cleared = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Quota>>> quotas = 0) {
   LoadBuilder builder_(_fbb);
+  builder_.add_quotas(quotas);
   builder_.add_limits(limits);
   builder_.add_cleared(cleared);
   builder_.add_crashes(crashes);
@@ -746,7 +872,8 @@
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>> *leaving = nullptr,
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Crash>> *crashes = nullptr,
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>> *cleared = nullptr,
-    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>> *limits = nullptr) {
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>> *limits = nullptr,
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Quota>> *quotas = nullptr) {
   auto charges__ = charges ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Charge>>(*charges) : 0;
   auto placements__ = placements ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Placement>>(*placements) : 0;
   auto failures__ = failures ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Failure>>(*failures) : 0;
@@ -754,6 +881,7 @@
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Crash>>(*crashes) : 0;
   auto cleared__ = cleared ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>>(*cleared) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Limit>>(*limits) : 0;
+  auto quotas__ = quotas ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Quota>>(*quotas) : 0;
   return yuccascale::wire::fb::CreateLoad(
       _fbb,
       charges__,
@@ -762,7 +890,8 @@
       leaving__,
       crashes__,
       cleared__,
-      limits__);
+      limits__,
+      quotas__);
 }
 
 inline const yuccascale::wire::fb::Load *GetLoad(const void *buf) {
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -194,6 +194,77 @@
     EXPECT_EQ(*findHeader(refused.headers, "Retry-After"), "1.250");
 }
 
+TEST(platform_protocol, aRequestBeyondTheQuotaGets429AndWhenToReturn)
+{
+    const auto protocol = http::caller_protocol_registry::make("platform").value();
+    const auto refused = protocol->errorReply(
+            {error_kind::QuotaExceeded, "m", false, milliseconds(1'250)}, "id", {});
+    EXPECT_EQ(refused.status, 429);
+    EXPECT_EQ(*findHeader(refused.headers, "Retry-After"), "1.250");
+}
+
+/// Guards against a caller that gets more than its quota by a hint, or by counts that cannot be
+/// read.
+TEST(platform_protocol, statedTokensAreTheSumOfBothCountsWhateverTheHint)
+{
+    const auto protocol = http::caller_protocol_registry::make("platform").value();
+    const auto statedOf = [&](const std::string &counts) {
+        net::http_request httpRequest = callerRequest("/a/b/x", "key-one");
+        for (auto &field : httpRequest.headers) {
+            if (field.name == "X-Token-Counts")
+                field.value = counts;
+        }
+        httpRequest.headers.push_back({"X-Length-Hint", "1"});
+        return protocol->readRequest(httpRequest, contextOf(tables())).value().statedTokens;
+    };
+    EXPECT_EQ(statedOf("1460,80"), 1'540);
+    EXPECT_EQ(statedOf(""), std::nullopt);
+    EXPECT_EQ(statedOf("1460"), std::nullopt);
+    EXPECT_EQ(statedOf("-1460,80"), std::nullopt);
+    EXPECT_EQ(statedOf("1460,many"), std::nullopt);
+}
+
+namespace {
+
+[[nodiscard]] std::string documentWithTenant(const std::string &fields)
+{
+    return R"({"version":7,"routes":[],"services":[],"tenants":[{"name":"t1",)" + fields + "}]}";
+}
+
+[[nodiscard]] std::vector<kernel::state::token_quota> quotaOf(const std::string &fields)
+{
+    const auto document = documentFrom(documentWithTenant(fields));
+    EXPECT_EQ(document.version, 7U) << fields;
+    return document.tables.putOrganisations.front().quota;
+}
+
+} // namespace
+
+TEST(platform_document, readsQuotasInTokensAndInRequests)
+{
+    using kernel::state::token_quota;
+    const auto tokens
+            = quotaOf(R"("unit":"generate","plain_tokens":200,"rate_per_s":545473,"burst":545473)");
+    ASSERT_EQ(tokens.size(), 1U);
+    EXPECT_EQ(tokens.front(), (token_quota{545'473, 545'473, true, 200}));
+    const auto requests = quotaOf(R"("unit":"request","rate_per_s":20.5,"burst":40)");
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests.front(), (token_quota{20.5, 40, false, 1}));
+    EXPECT_EQ(quotaOf(R"("rate_per_s":20)").front(), (token_quota{20, 0, false, 1}));
+    EXPECT_TRUE(quotaOf(R"("unit":"generate","rate_per_s":0,"burst":0)").empty());
+    EXPECT_TRUE(quotaOf(R"("unit":"generate")").empty());
+}
+
+/// Guards against a document that takes effect in part.
+TEST(platform_document, aQuotaThatIsNoNumberOrNegativeRefusesTheWholeDocument)
+{
+    for (const std::string fields :
+         {R"("rate_per_s":-1)", R"("rate_per_s":"fast")", R"("rate_per_s":5,"burst":-1)",
+          R"("rate_per_s":5,"burst":[1])", R"("unit":7,"rate_per_s":5)", R"("rate_per_s":1e999)",
+          R"("unit":"generate","rate_per_s":5,"plain_tokens":-200)"})
+        EXPECT_EQ(documentFrom(documentWithTenant(fields)).version, 0U) << fields;
+}
+
 TEST(platform_driver, classifiesAnswersByStatusSignatureAndRequestId)
 {
     const request plain = subjectOf(false, true);
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -107,6 +107,30 @@
     EXPECT_NE(problemsOf("promises: {drain_notice: 3000}\n"), "");
 }
 
+/// Guards against a window too short for entries that hear of each other each half second, and
+/// against a tolerance that has no effect.
+TEST_F(settings_test, readsTheToleranceOfQuotas)
+{
+    EXPECT_EQ(problemsOf("promises: {quota_window: 8s, quota_over: 0.1, quota_slack: 190000}\n"),
+              "");
+    kernel::error problem;
+    promise_settings promises;
+    EXPECT_TRUE(kernel::succeeded(
+            [&]() -> kernel::result<void> {
+                BOOST_LEAF_AUTO(read, readSettings((m_folder / "node.yaml").string()));
+                promises = read.promises;
+                return {};
+            },
+            problem));
+    EXPECT_EQ(promises.quotaWindow, kernel::seconds(8));
+    EXPECT_EQ(promises.quotaOver, 0.1);
+    EXPECT_EQ(promises.quotaSlack, 190'000);
+    EXPECT_NE(problemsOf("promises: {quota_window: 1s}\n").find("at least 2s"), std::string::npos);
+    EXPECT_NE(problemsOf("promises: {quota_slack: 9}\n").find("set quota_window"),
+              std::string::npos);
+    EXPECT_NE(problemsOf("promises: {quota_window: 8s, quota_over: -1}\n"), "");
+}
+
 TEST_F(settings_test, derivesTheVotersFromTheLossesToTolerate)
 {
     const auto votersOf = [&](const std::string &control) {
