Quotas: a cut is noticed within a second and counts the surge of the silent entries

Change: an entry that is silent for 0.6 s counts less, after 1 s not at all; when 15 in 100 are silent they are taken to see the same surge; a smaller part of the tolerance is saved up.

--- a/src/yuccascale/kernel/requests/organisation_quota.cpp
+++ b/src/yuccascale/kernel/requests/organisation_quota.cpp
@@ -9,7 +9,7 @@
 
 /// Share of the tolerance by which the level may exceed the burst. The rest covers what entries
 /// admit before they hear of a surge.
-constexpr double bandShare = 0.3;
+constexpr double bandShare = 0.25;
 /// Time in which a level above zero may be used up.
 constexpr double useUpSeconds = 0.5;
 constexpr milliseconds askedMemory{500};
@@ -32,8 +32,8 @@
 /// Part of an entry's even share of the capacity that a report need not predict.
 constexpr double unpredictedShare = 0.25;
 /// Silence of this part of the entries is a cut rather than late messages.
-constexpr double leastCutShare = 0.25;
-constexpr milliseconds usualSilence{650};
+constexpr double leastCutShare = 0.15;
+constexpr milliseconds usualSilence{600};
 constexpr double greatestSurge = 5;
 /// Of the capacity; while the level is above it, reports wait for the next interval.
 constexpr double lowShare = 0.6;
--- a/src/yuccascale/kernel/requests/quota_book.cpp
+++ b/src/yuccascale/kernel/requests/quota_book.cpp
@@ -9,8 +9,8 @@
 
 /// Entries send a message each half second. One that is silent for longer than that and a usual
 /// delay counts less and less, and after silenceTime is out of reach or gone.
-constexpr milliseconds usualSilence{650};
-constexpr milliseconds silenceTime{1'500};
+constexpr milliseconds usualSilence{600};
+constexpr milliseconds silenceTime{1'000};
 /// How long the result for all entries is used again.
 constexpr milliseconds fleetLifetime{20};
 /// Reports in one message; the others follow in the next one.
--- a/tests/unit/requests_quota_test.cpp
+++ b/tests/unit/requests_quota_test.cpp
@@ -180,6 +180,18 @@
     }
 }
 
+/// Guards against groups that go on with what they last heard of each other.
+TEST_P(quota_seeds, aCutInTheSameSecondAsASurgeKeepsTheBound)
+{
+    for (const int groups : {2, entryCount}) {
+        quota_world world(GetParam());
+        world.play(seconds(15), everywhere(belowQuota));
+        world.setGroups([=](int entry) { return entry % groups; });
+        world.play(seconds(15), everywhere(farBeyondQuota));
+        world.expectBoundKept();
+    }
+}
+
 /// Guards against a saved burst at each entry that starts.
 TEST_P(quota_seeds, entriesThatRestartDuringASurgeKeepTheBound)
 {
