Endpoints that report a pace are predicted by their own rate, pace and requests

Cause: entries predicted by one rate for a pool and by reports that are seconds old. Without a reported pace nothing changes.

--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -2,7 +2,9 @@
 
 #include "yuccascale/kernel/requests/key_check.hpp"
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
 #include <utility>
 
 namespace yuccascale::http {
@@ -377,6 +379,29 @@
     return out;
 }
 
+std::vector<endpoint_rate> caller_pools::takeRates()
+{
+    std::vector<endpoint_rate> out;
+    for (const std::shared_ptr<guarded_pool> &pool : allPools()) {
+        const std::scoped_lock guard(pool->mutex);
+        std::ranges::move(pool->scheduler.endpoints().takeRates(m_clock.now(), pool->name),
+                          std::back_inserter(out));
+    }
+    return out;
+}
+
+std::map<std::string, std::vector<learnt_endpoint>> caller_pools::learntRates() const
+{
+    std::map<std::string, std::vector<learnt_endpoint>> out;
+    for (const std::shared_ptr<guarded_pool> &pool : allPools()) {
+        const std::scoped_lock guard(pool->mutex);
+        auto learnt = pool->scheduler.endpoints().learnt(m_clock.now());
+        if (!learnt.empty())
+            out.emplace(pool->name, std::move(learnt));
+    }
+    return out;
+}
+
 std::vector<kernel::requests::demand_report> caller_pools::takeDemand()
 {
     std::vector<kernel::requests::demand_report> out;
@@ -462,6 +487,12 @@
                                                          limit.requestsPerSecond);
         }
     }
+    for (const endpoint_rate &rate : updates.rates) {
+        if (const std::shared_ptr<guarded_pool> pool = find(rate.pool)) {
+            const std::scoped_lock guard(pool->mutex);
+            pool->scheduler.applyRemoteRate(m_clock.now(), rate);
+        }
+    }
     return suspected;
 }
 
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -94,6 +94,14 @@
     /// \param maxPerPool charges taken from one pool
     [[nodiscard]] std::vector<kernel::requests::pool_charge> takeCharges(std::size_t maxPerPool);
 
+    /// \brief Removes and returns what this entry learnt from answers of endpoints that report a
+    /// pace and has not told the other entries.
+    [[nodiscard]] std::vector<kernel::requests::endpoint_rate> takeRates();
+
+    /// \returns the learnt rates and paces of the endpoints that report a pace, by pool.
+    [[nodiscard]] std::map<std::string, std::vector<kernel::requests::learnt_endpoint>>
+    learntRates() const;
+
     /// \returns the demand on each pool at this entry since the last call.
     [[nodiscard]] std::vector<kernel::requests::demand_report> takeDemand();
 
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <array>
+#include <sstream>
 #include <utility>
 
 namespace yuccascale::http {
@@ -78,6 +80,40 @@
 
 } // namespace
 
+/// \returns gauges of the rates and paces learnt from endpoints that report a pace.
+[[nodiscard]] std::string
+learntText(const std::map<std::string, std::vector<learnt_endpoint>> &learntByPool)
+{
+    struct column
+    {
+        std::string_view name;
+        std::string_view help;
+        double learnt_endpoint::*value;
+    };
+    static constexpr std::array<column, 4> columns{
+            {{"yuccascale_endpoint_prefill_tokens_per_second",
+              "Learnt prefill rate at the usual pace; 0: not known.",
+              &learnt_endpoint::prefillTokensPerSecond},
+             {"yuccascale_endpoint_slowdown",
+              "Learnt time of other work, relative to the pool's endpoints.",
+              &learnt_endpoint::slowdown},
+             {"yuccascale_endpoint_pace", "Expected pace now; 1 is usual.", &learnt_endpoint::pace},
+             {"yuccascale_endpoint_average_pace", "Average pace with decay; 1 is usual.",
+              &learnt_endpoint::averagePace}}};
+    std::ostringstream out;
+    for (const column &each : columns) {
+        if (learntByPool.empty())
+            break;
+        out << "# HELP " << each.name << ' ' << each.help << "\n# TYPE " << each.name << " gauge\n";
+        for (const auto &[pool, endpoints] : learntByPool) {
+            for (const learnt_endpoint &one : endpoints)
+                out << each.name << "{pool=\"" << pool << "\",endpoint=\"" << one.name << "\"} "
+                    << one.*each.value << '\n';
+        }
+    }
+    return out.str();
+}
+
 class caller_server::implementation
 {
 public:
@@ -571,7 +607,7 @@
         m_services.metrics.setGauge("yuccascale_endpoint_list_age_seconds", age.count());
     }
     m_services.metrics.setGauge("yuccascale_connections", static_cast<double>(connections()));
-    return m_services.metrics.text();
+    return m_services.metrics.text() + learntText(m_services.pools->learntRates());
 }
 
 std::size_t caller_server::implementation::connections() const
--- a/src/yuccascale/kernel/policy/dispatch_window.hpp
+++ b/src/yuccascale/kernel/policy/dispatch_window.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccascale/kernel/policy/endpoint_occupancy.hpp"
 #include "yuccascale/kernel/policy/engine_backlog.hpp"
 
 /// \file
@@ -35,7 +36,10 @@
     void observe(const routing_outcome &outcome);
 
 private:
+    void markFullByPace(instant now, std::span<endpoint_view> views);
+
     window_limits m_limits;
+    occupancy_estimator m_occupancy;
     engine_estimates m_estimates;
     backlog_estimator m_backlogs;
     std::vector<std::size_t> m_usableIndexes;
--- a/src/yuccascale/kernel/policy/routing.hpp
+++ b/src/yuccascale/kernel/policy/routing.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/plugin_registry.hpp"
+#include "yuccascale/kernel/policy/endpoint_pace.hpp"
 #include "yuccascale/kernel/state/tables.hpp"
 
 #include <cstdint>
@@ -26,6 +27,21 @@
     std::int64_t decodeTokensWaiting = 0; ///< expected output tokens still to generate
     state::engine_role role = state::engine_role::Mixed;
     bool leaving = false; ///< the endpoint announced that it is leaving
+    int slots = 0;        ///< that the endpoint has; 0: not reported
+    double pace = 0;      ///< how long work takes there now, 1 is usual; 0: not reported
+};
+
+/// \brief What is known of an endpoint's speed, in pools whose endpoints report a pace.
+struct endpoint_speed
+{
+    endpoint_pace pace;
+    int slots = 1;                     ///< reported, or else listed
+    bool plainService = false;         ///< has a queue of its own and no prompts
+    double prefillTokensPerSecond = 0; ///< at the usual pace; 0: not known
+    double slowdown = 1;               ///< time that other work takes, relative to the pool's
+    double tokenSeconds = 0;           ///< usual time between tokens in the pool; 0: not known
+    double answerSeconds = 0;          ///< usual time of a whole answer in the pool; 0: not known
+    double promptTokens = 0;           ///< usual prompt tokens to prefill for a request
 };
 
 /// \brief State of one endpoint as known to this entry at the time of a choice.
@@ -48,6 +64,8 @@
     std::int64_t cachedPromptTokens = 0;  ///< estimated cached tokens of this request's prompt
     std::int64_t fetchableTokens = 0; ///< additional tokens of it that another engine has cached
     std::optional<std::size_t> fetchFrom = {}; ///< index of that engine
+    /// Nothing while no endpoint of the pool reports a pace.
+    std::optional<endpoint_speed> speed = {};
 };
 
 /// \brief Properties of a request that a router uses.
--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -26,16 +26,17 @@
 /// An older report is not used to estimate the requests in an endpoint's batch.
 constexpr seconds maxReportAge{3};
 
-[[nodiscard]] int slotCapacity(const state::endpoint &row)
+} // namespace
+
+int endpoint_table::slotCapacity(const endpoint_state &endpoint) const noexcept
 {
-    return row.slots + static_cast<int>(row.slots * queuedPerSlot);
+    const int slots = slotsOf(endpoint);
+    return slots + static_cast<int>(slots * queuedPerSlot);
 }
 
-} // namespace
-
 int endpoint_table::capacityOf(const endpoint_state &endpoint) const noexcept
 {
-    const int room = slotCapacity(endpoint.row);
+    const int room = slotCapacity(endpoint);
     if (m_maxConnections == 0)
         return room;
     return std::min(room, std::max(m_maxConnections / std::max(m_position.count, 1), 1));
@@ -78,6 +79,7 @@
 {
     m_maxConnections = pool.maxConnections;
     m_listed = pool.discovered;
+    m_plainService = pool.kind == state::backend_kind::Service;
     std::vector<endpoint_state> next;
     next.reserve(pool.endpoints.size());
     for (const state::endpoint &row : pool.endpoints) {
@@ -98,8 +100,14 @@
     if (!known || report.load.measuredAt < known->report.load.measuredAt)
         return false;
     const bool notice = report.load.leaving && !known->report.load.leaving;
+    if (report.incarnation != known->report.incarnation) {
+        known->rates = {};
+        known->untold = {};
+    }
     known->report = report;
     known->heardAt = std::max(known->heardAt, report.load.measuredAt);
+    known->reportUntold = true;
+    recordPace(*known);
     return notice;
 }
 
@@ -401,12 +409,17 @@
         return "sick";
     if (endpoint.outstanding() >= capacityOf(endpoint))
         return "full";
+    return reportedFull(now, endpoint) ? "full according to its load report" : std::string_view();
+}
+
+bool endpoint_table::reportedFull(instant now, const endpoint_state &endpoint) const
+{
+    if (paced()) // dispatch_window decides, by the age of the report
+        return false;
     const policy::load_report &load = endpoint.report.load;
     const bool recent = load.measuredAt != instant{} && now - load.measuredAt < maxReportAge;
-    if (recent
-        && load.running + load.queued + endpoint.sentSinceReport() >= slotCapacity(endpoint.row))
-        return "full according to its load report";
-    return {};
+    return recent
+            && load.running + load.queued + endpoint.sentSinceReport() >= slotCapacity(endpoint);
 }
 
 std::string_view endpoint_table::unusableReason(instant now, const endpoint_state &endpoint,
@@ -478,6 +491,8 @@
             view.timeSinceFirstUse = now - one.firstSentAt;
         countRunning(one, view);
         view.remotePrefillTokens = remotePromptTokens(now, one);
+        if (paced())
+            view.speed = speedOf(one);
         all.push_back(view);
     }
     return all;
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "yuccascale/kernel/policy/endpoint_rates.hpp"
 #include "yuccascale/kernel/policy/routing.hpp"
 #include "yuccascale/kernel/requests/circuit_breaker.hpp"
 #include "yuccascale/kernel/requests/endpoint_notice.hpp"
 #include "yuccascale/kernel/requests/endpoint_standing.hpp"
+#include "yuccascale/kernel/requests/placement.hpp"
 #include "yuccascale/kernel/requests/shared_limit.hpp"
 
 #include <algorithm>
@@ -50,6 +52,16 @@
     std::int64_t outputTokens = 0;
 };
 
+/// \brief Learnt rate and pace of an endpoint, for operators.
+struct learnt_endpoint
+{
+    std::string name;
+    double prefillTokensPerSecond = 0; ///< at the usual pace; 0: not known
+    double slowdown = 1;               ///< of other work, relative to the pool's endpoints
+    double pace = 1;                   ///< expected now
+    double averagePace = 1;
+};
+
 /// \brief Endpoints of one pool. Not thread-safe; its owner serialises calls.
 class endpoint_table
 {
@@ -79,6 +91,20 @@
     /// \returns true when it is the first to announce that the endpoint is leaving.
     bool report(const std::string &endpoint, const endpoint_report &report);
 
+    /// \brief Learns from a finished attempt, once an endpoint of the pool has reported a pace.
+    /// \param sentAt a load report measured since then came with the answer
+    void observe(instant sentAt, const policy::routing_outcome &outcome);
+
+    /// \brief Applies what another entry learnt from an endpoint's answers.
+    void applyRemoteRate(instant now, const endpoint_rate &rate);
+
+    /// \returns what this entry learnt since the last call, to tell the other entries.
+    /// \param pool name to write into the rows
+    [[nodiscard]] std::vector<endpoint_rate> takeRates(instant now, const std::string &pool);
+
+    /// \returns the learnt rate and the pace of each endpoint; empty while none reports a pace.
+    [[nodiscard]] std::vector<learnt_endpoint> learnt(instant now) const;
+
     /// \brief Applies what the endpoint asked in an answer to this entry.
     notice_effect applyNotice(instant now, const std::string &endpoint,
                               const endpoint_notice &notice);
@@ -195,11 +221,22 @@
         std::vector<remote_prompt> remotePrompts; ///< long prompts sent by other entries
         circuit_breaker breaker;
         std::vector<failure_record> failures; ///< recent failures at all entries
+        policy::endpoint_pace pace;
+        policy::endpoint_rates rates;
+        policy::rate_observation untold; ///< not yet told to the other entries
+        bool reportUntold = false;       ///< the report came to this entry and was not told
 
         [[nodiscard]] int outstanding() const noexcept { return static_cast<int>(running.size()); }
         [[nodiscard]] int sentSinceReport() const noexcept;
     };
 
+    /// \returns whether an endpoint of the pool has reported a pace.
+    [[nodiscard]] bool paced() const noexcept { return m_paced; }
+    void recordPace(endpoint_state &endpoint);
+    [[nodiscard]] int slotsOf(const endpoint_state &endpoint) const noexcept;
+    [[nodiscard]] int slotCapacity(const endpoint_state &endpoint) const noexcept;
+    [[nodiscard]] bool reportedFull(instant now, const endpoint_state &endpoint) const;
+    [[nodiscard]] policy::endpoint_speed speedOf(const endpoint_state &endpoint) const;
     [[nodiscard]] bool listTooOld(instant now) const noexcept;
     static void addFailure(instant now, endpoint_state &endpoint, bool crashed);
     [[nodiscard]] static bool suspected(instant now, const endpoint_state &endpoint);
@@ -225,6 +262,11 @@
     entry_position m_position; ///< among the entries that send to the same endpoints
     int m_maxConnections = 0;  ///< per endpoint, for all entries together; 0: unlimited
     bool m_listed = false;     ///< the platform lists the endpoints
+    bool m_paced = false;      ///< an endpoint has reported a pace
+    bool m_plainService = false;
+    policy::endpoint_rates m_poolRates;   ///< of all endpoints together
+    policy::learnt_value m_answerSeconds; ///< of a whole answer at the usual pace
+    double m_promptTokens = 0;            ///< mean prompt tokens to prefill for a request
     nanoseconds m_drainNotice{};
     std::optional<instant> m_listAskedAt;
 };
--- a/src/yuccascale/kernel/requests/placement.hpp
+++ b/src/yuccascale/kernel/requests/placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccascale/kernel/policy/endpoint_rates.hpp"
 #include "yuccascale/kernel/requests/request.hpp"
 
 #include <algorithm>
@@ -9,8 +10,8 @@
 #include <vector>
 
 /// \file
-/// \brief Endpoint updates that entries exchange: placed prompts, failures, crashes, request limits
-/// and announcements that an endpoint is leaving.
+/// \brief Endpoint updates that entries exchange: placed prompts, failures, crashes, request
+/// limits, learnt rates and announcements that an endpoint is leaving.
 
 namespace yuccascale::kernel::requests {
 
@@ -60,6 +61,22 @@
     double requestsPerSecond = 0; ///< noRequestLimit: it names none any more
 };
 
+/// \brief What an entry learnt from answers of an endpoint that reports a pace: its newest load
+/// report, and its rates at the usual pace.
+struct endpoint_rate
+{
+    std::string pool;
+    std::string endpoint;
+    std::int64_t startedMs = 0;    ///< of the endpoint's process; 0: not known
+    std::uint64_t incarnation = 0; ///< of the endpoint; 0: not reported
+    policy::rate_observation seen;
+    double pace = 0;   ///< 1 is usual; 0: not reported, and then the figures below are not either
+    nanoseconds age{}; ///< of the report
+    int running = 0;
+    int queued = 0;
+    int slots = 0; ///< 0: not reported
+};
+
 /// \brief Parts that were suspected of crashing endpoints were answered.
 struct cleared_parts
 {
@@ -76,11 +93,12 @@
     std::vector<endpoint_crash> crashes = {};
     std::vector<cleared_parts> cleared = {};
     std::vector<endpoint_limit> limits = {};
+    std::vector<endpoint_rate> rates = {}; ///< sent along, never the cause of a message
 
     [[nodiscard]] bool empty() const noexcept
     {
         return placements.empty() && failures.empty() && leaving.empty() && crashes.empty()
-                && cleared.empty() && limits.empty();
+                && cleared.empty() && limits.empty() && rates.empty();
     }
 
     /// \brief Adds later updates.
@@ -92,6 +110,7 @@
         std::ranges::move(later.crashes, std::back_inserter(crashes));
         std::ranges::move(later.cleared, std::back_inserter(cleared));
         std::ranges::move(later.limits, std::back_inserter(limits));
+        std::ranges::move(later.rates, std::back_inserter(rates));
     }
 };
 
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -390,9 +390,18 @@
     if (outcome == prefill_outcome::Refused)
         return;
     running.prefilledElsewhere = true;
-    m_strategies.router->observe(now,
-                                 {endpoint, running.queued.work.promptTokens, running.cachedTokens,
-                                  0, prefillTime, prefillTime, 0, true, true, running.tokensAhead});
+    const policy::routing_outcome prefill{endpoint,
+                                          running.queued.work.promptTokens,
+                                          running.cachedTokens,
+                                          0,
+                                          prefillTime,
+                                          prefillTime,
+                                          0,
+                                          true,
+                                          true,
+                                          running.tokensAhead};
+    m_strategies.router->observe(now, prefill);
+    m_endpoints.observe(running.sentAt, prefill);
 }
 
 notice_effect pool_scheduler::applyNotice(instant now, const std::string &pool,
@@ -472,6 +481,7 @@
                                           false,
                                           running.tokensAhead};
     m_strategies.router->observe(now, outcome);
+    m_endpoints.observe(running.sentAt, outcome);
     m_window.observe(outcome);
     m_services[running.queued.row.route].observe(outcome);
     return findings;
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -205,6 +205,12 @@
     /// \brief Clears parts that another entry saw answered.
     void applyRemoteCleared(const cleared_parts &cleared);
 
+    /// \brief Applies what another entry learnt from an endpoint's answers.
+    void applyRemoteRate(instant now, const endpoint_rate &rate)
+    {
+        m_endpoints.applyRemoteRate(now, rate);
+    }
+
     /// \brief Records a long prompt that another entry placed.
     void applyRemotePlacement(instant now, const placement &placed);
 
--- a/src/yuccascale/platform/endpoint_driver.cpp
+++ b/src/yuccascale/platform/endpoint_driver.cpp
@@ -27,6 +27,11 @@
 constexpr int defaultUrgency = 3;
 constexpr int urgencyStep = 2;
 constexpr int maxUrgency = 9;
+/// Figures of a load report beyond these bounds are taken as not reported.
+constexpr int maxReportedSlots = 100'000;
+constexpr int minPaceHundredths = 10;
+constexpr int maxPaceHundredths = 10'000;
+constexpr double hundredthsPerPace = 100;
 
 [[nodiscard]] std::string_view valueOf(const header_list &fields, std::string_view name) noexcept
 {
@@ -39,6 +44,24 @@
     return status >= 200 && status < 300;
 }
 
+/// Reads the figure after a comma and sets \a from behind it.
+/// \returns the figure; nothing when there is none or it is not a whole number in the bounds.
+[[nodiscard]] std::optional<int> parseNextFigure(const char *&from, const char *end, int least,
+                                                 int most)
+{
+    if (from == end || *from != ',')
+        return std::nullopt;
+    const char *after = std::find(from + 1, end, ',');
+    const std::string_view text(from + 1, after);
+    from = after;
+    int figure = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), figure);
+    const bool valid = read.ec == std::errc() && read.ptr == text.data() + text.size()
+            && figure >= least && figure <= most;
+    return valid ? std::optional(figure) : std::nullopt;
+}
+
+/// The slots and the pace are optional; each is left out when it cannot be read.
 [[nodiscard]] std::optional<endpoint_report> parseLoad(std::string_view text, kernel::instant now)
 {
     endpoint_report report;
@@ -50,6 +73,11 @@
     const auto queued = std::from_chars(running.ptr + 1, end, report.load.queued);
     if (queued.ec != std::errc())
         return std::nullopt;
+    const char *from = queued.ptr;
+    report.load.slots = parseNextFigure(from, end, 1, maxReportedSlots).value_or(0);
+    const int hundredths
+            = parseNextFigure(from, end, minPaceHundredths, maxPaceHundredths).value_or(0);
+    report.load.pace = hundredths / hundredthsPerPace;
     return report;
 }
 
--- a/src/yuccascale/platform/names.hpp
+++ b/src/yuccascale/platform/names.hpp
@@ -26,7 +26,8 @@
 inline constexpr std::string_view signature = "X-Server-Seal";
 /// Present when the server did not run the request.
 inline constexpr std::string_view notRun = "X-Not-Executed";
-/// "running,waiting,slots": the load of the server that answers.
+/// "running,waiting,slots,pace": the load of the server that answers. The pace is how long work
+/// takes there now in hundredths of the usual time; older servers leave it out.
 inline constexpr std::string_view load = "X-Server-Load";
 /// "P,O": tokens in the prompt and the maximum of output tokens.
 inline constexpr std::string_view tokenCounts = "X-Token-Counts";
--- a/src/yuccascale/plugins/router_prompt_homes.cpp
+++ b/src/yuccascale/plugins/router_prompt_homes.cpp
@@ -1,5 +1,8 @@
+#include "yuccascale/kernel/policy/endpoint_occupancy.hpp"
 #include "yuccascale/kernel/policy/engine_backlog.hpp"
 #include "yuccascale/kernel/policy/prefill_rates.hpp"
+#include "yuccascale/kernel/policy/request_rate.hpp"
+#include "yuccascale/kernel/policy/spread_choice.hpp"
 
 #include <algorithm>
 #include <random>
@@ -12,6 +15,9 @@
 /// token, taking into account what is cached there or can be fetched from another engine. When a
 /// long part of the prompt remains, a prefill engine computes it if that is faster than on an
 /// engine that also decodes.
+///
+/// In pools whose endpoints report a pace, each endpoint is predicted from its own rate, pace and
+/// requests, and drawn by spread_choice.
 
 namespace yuccascale::plugins {
 
@@ -64,7 +70,8 @@
 struct candidate
 {
     std::size_t index = 0;
-    double seconds = 0; ///< to the first token
+    double seconds = 0;           ///< to the first token
+    double requestsPerSecond = 0; ///< that the endpoint works off; set where it reports a pace
 };
 
 [[nodiscard]] nanoseconds toDuration(double time)
@@ -79,6 +86,18 @@
     return fullBatchDelaySeconds * backlog.running / slots + slotWaitSeconds * overflow;
 }
 
+/// \returns the requests a second that an endpoint can work off.
+/// \param tokensPerSecond of its prefill
+[[nodiscard]] double workRate(instant now, const endpoint_view &view,
+                              double tokensPerSecond) noexcept
+{
+    const endpoint_speed &speed = *view.speed;
+    const double slotRate = speed.slots / answerSecondsAt(now, view);
+    if (speed.plainService || speed.promptTokens <= 0)
+        return slotRate;
+    return std::min(slotRate, tokensPerSecond / speed.promptTokens);
+}
+
 class prompt_homes_router final : public router
 {
 public:
@@ -91,7 +110,9 @@
            std::span<const endpoint_view> views) override
     {
         scoreCandidates(now, request, views);
-        const std::optional<candidate> unsplit = pick(m_unsplit);
+        const std::optional<candidate> unsplit = m_paced
+                ? drawByPace(m_unsplit, unseenRequests(now, request, views))
+                : pick(m_unsplit);
         if (!unsplit)
             return std::nullopt;
         const endpoint_view &home = views[unsplit->index];
@@ -124,11 +145,14 @@
             if (views[index].usable)
                 m_indexes.push_back(index);
         }
-        const auto backlogs
-                = m_backlogs.estimate(now, views, m_indexes, request.entries, m_estimates);
         m_unsplit.clear();
         m_prefill.clear();
         m_decode.clear();
+        m_paced = !m_indexes.empty() && views[m_indexes.front()].speed;
+        if (m_paced)
+            return scoreByPace(now, request, views);
+        const auto backlogs
+                = m_backlogs.estimate(now, views, m_indexes, request.entries, m_estimates);
         for (std::size_t position = 0; position < m_indexes.size(); ++position) {
             const endpoint_view &view = views[m_indexes[position]];
             const engine_backlog &backlog = backlogs[position];
@@ -161,12 +185,93 @@
         }
     }
 
+    void scoreByPace(instant now, const routing_request &request,
+                     std::span<const endpoint_view> views)
+    {
+        const auto requests = m_occupancy.estimate(now, views, m_indexes);
+        for (std::size_t position = 0; position < m_indexes.size(); ++position) {
+            const std::size_t index = m_indexes[position];
+            const endpoint_view &view = views[index];
+            if (view.speed->plainService)
+                m_unsplit.push_back(scoreService(now, view, index, requests[position]));
+            else
+                scoreEngine(now, request, views, index, requests[position]);
+        }
+    }
+
+    [[nodiscard]] static candidate scoreService(instant now, const endpoint_view &view,
+                                                std::size_t index, double requests)
+    {
+        const double seconds = answerSecondsAt(now, view) + slotWaitAt(now, view, requests);
+        return {index, seconds, workRate(now, view, 0)};
+    }
+
+    void scoreEngine(instant now, const routing_request &request,
+                     std::span<const endpoint_view> views, std::size_t index, double requests)
+    {
+        const endpoint_view &view = views[index];
+        const double remainingTokens = static_cast<double>(std::max<std::int64_t>(
+                request.promptTokens - view.cachedPromptTokens - view.fetchableTokens, 0));
+        const double queuedTokens
+                = static_cast<double>(view.ownPrefillTokens + view.remotePrefillTokens);
+        const bool prefillOnly = view.row->role == engine_role::Prefill;
+        const double tokensPerSecond = prefillRateAt(now, view, queuedTokens + remainingTokens,
+                                                     m_rates.tokensPerSecond(prefillOnly));
+        const double fetchDelay = fetchSeconds(request, view, views);
+        const double prefillSeconds = (queuedTokens + remainingTokens) / tokensPerSecond;
+        const double rate = workRate(now, view, tokensPerSecond);
+        if (prefillOnly) {
+            m_prefill.push_back({index, fetchDelay + prefillSeconds, rate});
+            return;
+        }
+        const endpoint_speed &speed = *view.speed;
+        const double step = speed.tokenSeconds * speed.slowdown * speed.pace.expected(now, 0);
+        const double decodeDelay = requests * speed.promptTokens / tokensPerSecond
+                + slotWaitAt(now, view, requests) + step;
+        const double decodeStall = remainingTokens < minSplitPrefillTokens
+                ? 0.0
+                : decodeStallFactor * remainingTokens / tokensPerSecond;
+        m_unsplit.push_back({index, fetchDelay + prefillSeconds + decodeDelay + decodeStall, rate});
+        const double nonHomePenalty = view.home ? 0.0 : nonHomePenaltySeconds;
+        m_decode.push_back(
+                {index, decodeDelay + queuedTokens / tokensPerSecond + nonHomePenalty, rate});
+    }
+
+    /// Long prompts are announced at once, so that none of them is unseen for long.
+    /// \returns the requests of other entries like this one that no report shows.
+    [[nodiscard]] double unseenRequests(instant now, const routing_request &request,
+                                        std::span<const endpoint_view> views)
+    {
+        if (request.promptTokens >= minSplitPrefillTokens || m_unsplit.empty())
+            return 0;
+        m_requestRate.add(now);
+        double seconds = 0;
+        for (const candidate &each : m_unsplit)
+            seconds += unseenSecondsAt(now, views[each.index]);
+        const double others = std::max(request.fleetEntries - 1, 0);
+        return others * m_requestRate.perSecond(now) * seconds
+                / static_cast<double>(m_unsplit.size());
+    }
+
+    [[nodiscard]] std::optional<candidate> drawByPace(const std::vector<candidate> &candidates,
+                                                      double unseen)
+    {
+        if (candidates.empty())
+            return std::nullopt;
+        m_spread.clear();
+        for (const candidate &each : candidates)
+            m_spread.push_back({each.index, each.seconds, each.requestsPerSecond});
+        const double least = std::ranges::min(candidates, {}, &candidate::seconds).seconds;
+        const auto drawn = drawSpread(m_spread, unseen, least * tieFraction + tieSeconds, m_random);
+        return candidate{drawn->index, drawn->seconds, drawn->requestsPerSecond};
+    }
+
     /// Uses a separate prefill engine when its predicted first token is earlier.
     void considerSplitPrefill(const routing_request &request, std::span<const endpoint_view> views,
                               routing_choice &choice)
     {
-        const std::optional<candidate> prefill = pick(m_prefill);
-        const std::optional<candidate> decode = pick(m_decode);
+        const auto prefill = m_paced ? drawByPace(m_prefill, 0) : pick(m_prefill);
+        const auto decode = m_paced ? drawByPace(m_decode, 0) : pick(m_decode);
         if (!prefill || !decode)
             return;
         const nanoseconds splitFirstToken
@@ -199,6 +304,10 @@
     engine_estimates m_estimates;
     backlog_estimator m_backlogs;
     prefill_rates m_rates;
+    occupancy_estimator m_occupancy;
+    request_rate m_requestRate; ///< of short prompts and of requests without one
+    bool m_paced = false;       ///< the pool's endpoints report a pace
+    std::vector<spread_candidate> m_spread;
     std::vector<std::size_t> m_indexes;
     std::vector<candidate> m_unsplit; ///< engines that would prefill and decode
     std::vector<candidate> m_prefill; ///< engines that would only prefill
--- a/src/yuccascale/runtime/load_exchange.cpp
+++ b/src/yuccascale/runtime/load_exchange.cpp
@@ -60,6 +60,8 @@
         const std::lock_guard lock(m_mutex);
         message.updates = std::exchange(m_pendingUpdates, {});
     }
+    if (m_hooks.takeRates)
+        message.updates.rates = m_hooks.takeRates();
     if (message.empty())
         return;
     const std::string payload = wire::encodeLoad(message);
--- a/src/yuccascale/runtime/load_exchange.hpp
+++ b/src/yuccascale/runtime/load_exchange.hpp
@@ -22,6 +22,8 @@
     std::function<std::vector<kernel::requests::pool_charge>(std::size_t maxPerPool)> takeCharges;
     std::function<void(const wire::load_message &)> onMessage;
     std::function<std::vector<std::string>()> otherEntries; ///< link addresses of the other entries
+    /// What this entry learnt from answers since the last call; sent along with other messages.
+    std::function<std::vector<kernel::requests::endpoint_rate>()> takeRates = {};
 };
 
 /// \brief Sends this entry's heaviest charges to the other entries at each interval. Long prompts
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -308,7 +308,7 @@
                 for (const auto &endpoint : callers->pools().applyEndpointUpdates(message.updates))
                     events.record(requests::endpointSuspected, {{"endpoint", endpoint}});
             },
-            [this] { return otherEntries(); }};
+            [this] { return otherEntries(); }, [this] { return callers->pools().takeRates(); }};
     load = std::make_unique<load_exchange>(*transport, std::move(hooks));
 }
 
--- a/src/yuccascale/wire/load_codec.cpp
+++ b/src/yuccascale/wire/load_codec.cpp
@@ -16,6 +16,11 @@
 
 /// A placement with a longer time to the first token is invalid.
 constexpr std::uint32_t maxTimeToFirstTokenMs = 60'000;
+/// Bounds of the figures of a rate; a row beyond them is invalid.
+constexpr std::uint32_t maxPaceHundredths = 10'000;
+constexpr std::uint32_t maxReportAgeMs = 60'000;
+constexpr std::int32_t maxReportedRequests = 1'000'000;
+constexpr double hundredthsPerPace = 100;
 
 flatbuffers::Offset<fb::Charge> write(builder_type &builder, const pool_charge &charge)
 {
@@ -75,6 +80,25 @@
     return fb::CreateLimit(builder, pool, endpoint, limit.requestsPerSecond);
 }
 
+flatbuffers::Offset<fb::Rate> write(builder_type &builder, const endpoint_rate &rate)
+{
+    const auto pool = builder.CreateSharedString(rate.pool);
+    const auto endpoint = builder.CreateSharedString(rate.endpoint);
+    const auto ageMs = std::chrono::ceil<kernel::milliseconds>(rate.age).count();
+    const bool old = ageMs > maxReportAgeMs;
+    const double hundredths = std::clamp(std::round(rate.pace * hundredthsPerPace), 0.0,
+                                         static_cast<double>(maxPaceHundredths));
+    return fb::CreateRate(builder, pool, endpoint, rate.startedMs, rate.incarnation,
+                          rate.seen.prefillOnly,
+                          static_cast<float>(rate.seen.prefillTokensPerSecond),
+                          static_cast<float>(rate.seen.workSeconds),
+                          old ? 0U : static_cast<std::uint32_t>(hundredths),
+                          old ? 0U : static_cast<std::uint32_t>(std::max<std::int64_t>(ageMs, 0)),
+                          std::clamp(rate.running, 0, maxReportedRequests),
+                          std::clamp(rate.queued, 0, maxReportedRequests),
+                          std::clamp(rate.slots, 0, maxReportedRequests));
+}
+
 template<typename Row, typename Table>
 flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Table>>>
 writeAll(builder_type &builder, const std::vector<Row> &rows)
@@ -163,6 +187,39 @@
                           table.requests_per_second()};
 }
 
+[[nodiscard]] bool isRequestCount(std::int32_t count) noexcept
+{
+    return count >= 0 && count <= maxReportedRequests;
+}
+
+[[nodiscard]] bool isRate(float value) noexcept
+{
+    return std::isfinite(value) && value >= 0;
+}
+
+[[nodiscard]] std::optional<endpoint_rate> read(const fb::Rate &table)
+{
+    const bool valid = table.pool() != nullptr && table.endpoint() != nullptr
+            && isRate(table.prefill_tokens_per_second()) && isRate(table.work_seconds())
+            && table.pace_hundredths() <= maxPaceHundredths && table.age_ms() <= maxReportAgeMs
+            && isRequestCount(table.running()) && isRequestCount(table.queued())
+            && isRequestCount(table.slots());
+    if (!valid)
+        return std::nullopt;
+    endpoint_rate rate{
+            table.pool()->str(),
+            table.endpoint()->str(),
+            table.started_ms(),
+            table.incarnation(),
+            {table.prefill_tokens_per_second(), table.work_seconds(), table.prefill_only()}};
+    rate.pace = table.pace_hundredths() / hundredthsPerPace;
+    rate.age = kernel::milliseconds(table.age_ms());
+    rate.running = table.running();
+    rate.queued = table.queued();
+    rate.slots = table.slots();
+    return rate;
+}
+
 template<typename Row, typename Tables>
 void readAll(const Tables *tables, std::vector<Row> &out)
 {
@@ -187,8 +244,12 @@
     const auto crashes = writeAll<endpoint_crash, fb::Crash>(builder, message.updates.crashes);
     const auto cleared = writeAll<cleared_parts, fb::Cleared>(builder, message.updates.cleared);
     const auto limits = writeAll<endpoint_limit, fb::Limit>(builder, message.updates.limits);
+    const auto &learnt = message.updates.rates;
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fb::Rate>>> rates;
+    if (!learnt.empty()) // left out otherwise, so that the message is the former one
+        rates = writeAll<endpoint_rate, fb::Rate>(builder, learnt);
     builder.Finish(fb::CreateLoad(builder, charges, placements, failures, leaving, crashes, cleared,
-                                  limits));
+                                  limits, rates));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -207,6 +268,7 @@
     readAll(load.crashes(), out.updates.crashes);
     readAll(load.cleared(), out.updates.cleared);
     readAll(load.limits(), out.updates.limits);
+    readAll(load.rates(), out.updates.rates);
     return out;
 }
 
--- a/src/yuccascale/wire/load_generated.h
+++ b/src/yuccascale/wire/load_generated.h
@@ -40,6 +40,9 @@
 struct Limit;
 struct LimitBuilder;
 
+struct Rate;
+struct RateBuilder;
+
 struct Load;
 struct LoadBuilder;
 
@@ -623,6 +626,191 @@
       requests_per_second);
 }
 
+struct Rate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POOL = 4,
+    VT_ENDPOINT = 6,
+    VT_STARTED_MS = 8,
+    VT_INCARNATION = 10,
+    VT_PREFILL_ONLY = 12,
+    VT_PREFILL_TOKENS_PER_SECOND = 14,
+    VT_WORK_SECONDS = 16,
+    VT_PACE_HUNDREDTHS = 18,
+    VT_AGE_MS = 20,
+    VT_RUNNING = 22,
+    VT_QUEUED = 24,
+    VT_SLOTS = 26
+  };
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  int64_t started_ms() const {
+    return GetField<int64_t>(VT_STARTED_MS, 0);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  bool prefill_only() const {
+    return GetField<uint8_t>(VT_PREFILL_ONLY, 0) != 0;
+  }
+  float prefill_tokens_per_second() const {
+    return GetField<float>(VT_PREFILL_TOKENS_PER_SECOND, 0.0f);
+  }
+  float work_seconds() const {
+    return GetField<float>(VT_WORK_SECONDS, 0.0f);
+  }
+  uint32_t pace_hundredths() const {
+    return GetField<uint32_t>(VT_PACE_HUNDREDTHS, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  int32_t running() const {
+    return GetField<int32_t>(VT_RUNNING, 0);
+  }
+  int32_t queued() const {
+    return GetField<int32_t>(VT_QUEUED, 0);
+  }
+  int32_t slots() const {
+    return GetField<int32_t>(VT_SLOTS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PREFILL_ONLY, 1) &&
+           VerifyField<float>(verifier, VT_PREFILL_TOKENS_PER_SECOND, 4) &&
+           VerifyField<float>(verifier, VT_WORK_SECONDS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PACE_HUNDREDTHS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<int32_t>(verifier, VT_RUNNING, 4) &&
+           VerifyField<int32_t>(verifier, VT_QUEUED, 4) &&
+           VerifyField<int32_t>(verifier, VT_SLOTS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct RateBuilder {
+  typedef Rate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(Rate::VT_POOL, pool);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(Rate::VT_ENDPOINT, endpoint);
+  }
+  void add_started_ms(int64_t started_ms) {
+    fbb_.AddElement<int64_t>(Rate::VT_STARTED_MS, started_ms, 0);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(Rate::VT_INCARNATION, incarnation, 0);
+  }
+  void add_prefill_only(bool prefill_only) {
+    fbb_.AddElement<uint8_t>(Rate::VT_PREFILL_ONLY, static_cast<uint8_t>(prefill_only), 0);
+  }
+  void add_prefill_tokens_per_second(float prefill_tokens_per_second) {
+    fbb_.AddElement<float>(Rate::VT_PREFILL_TOKENS_PER_SECOND, prefill_tokens_per_second, 0.0f);
+  }
+  void add_work_seconds(float work_seconds) {
+    fbb_.AddElement<float>(Rate::VT_WORK_SECONDS, work_seconds, 0.0f);
+  }
+  void add_pace_hundredths(uint32_t pace_hundredths) {
+    fbb_.AddElement<uint32_t>(Rate::VT_PACE_HUNDREDTHS, pace_hundredths, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(Rate::VT_AGE_MS, age_ms, 0);
+  }
+  void add_running(int32_t running) {
+    fbb_.AddElement<int32_t>(Rate::VT_RUNNING, running, 0);
+  }
+  void add_queued(int32_t queued) {
+    fbb_.AddElement<int32_t>(Rate::VT_QUEUED, queued, 0);
+  }
+  void add_slots(int32_t slots) {
+    fbb_.AddElement<int32_t>(Rate::VT_SLOTS, slots, 0);
+  }
+  explicit RateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Rate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Rate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Rate> CreateRate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    int64_t started_ms = 0,
+    uint64_t incarnation = 0,
+    bool prefill_only = false,
+    float prefill_tokens_per_second = 0.0f,
+    float work_seconds = 0.0f,
+    uint32_t pace_hundredths = 0,
+    uint32_t age_ms = 0,
+    int32_t running = 0,
+    int32_t queued = 0,
+    int32_t slots = 0) {
+  RateBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_started_ms(started_ms);
+  builder_.add_slots(slots);
+  builder_.add_queued(queued);
+  builder_.add_running(running);
+  builder_.add_age_ms(age_ms);
+  builder_.add_pace_hundredths(pace_hundredths);
+  builder_.add_work_seconds(work_seconds);
+  builder_.add_prefill_tokens_per_second(prefill_tokens_per_second);
+  builder_.add_endpoint(endpoint);
+  builder_.add_pool(pool);
+  builder_.add_prefill_only(prefill_only);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Rate> CreateRateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *pool = nullptr,
+    const char *endpoint = nullptr,
+    int64_t started_ms = 0,
+    uint64_t incarnation = 0,
+    bool prefill_only = false,
+    float prefill_tokens_per_second = 0.0f,
+    float work_seconds = 0.0f,
+    uint32_t pace_hundredths = 0,
+    uint32_t age_ms = 0,
+    int32_t running = 0,
+    int32_t queued = 0,
+    int32_t slots = 0) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return yuccascale::wire::fb::CreateRate(
+      _fbb,
+      pool__,
+      endpoint__,
+      started_ms,
+      incarnation,
+      prefill_only,
+      prefill_tokens_per_second,
+      work_seconds,
+      pace_hundredths,
+      age_ms,
+      running,
+      queued,
+      slots);
+}
+
 struct Load FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoadBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -632,7 +820,8 @@
     VT_LEAVING = 10,
     VT_CRASHES = 12,
     VT_CLEARED = 14,
-    VT_LIMITS = 16
+    VT_LIMITS = 16,
+    VT_RATES = 18
   };
   const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>> *charges() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Charge>> *>(VT_CHARGES);
@@ -655,6 +844,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>> *limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>> *>(VT_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Rate>> *rates() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Rate>> *>(VT_RATES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CHARGES) &&
@@ -678,6 +870,9 @@
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
            verifier.VerifyVectorOfTables(limits()) &&
+           VerifyOffset(verifier, VT_RATES) &&
+           verifier.VerifyVector(rates()) &&
+           verifier.VerifyVectorOfTables(rates()) &&
            verifier.EndTable();
   }
 };
@@ -707,6 +902,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>>> limits) {
     fbb_.AddOffset(Load::VT_LIMITS, limits);
   }
+  void add_rates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Rate>>> rates) {
+    fbb_.AddOffset(Load::VT_RATES, rates);
+  }
   explicit LoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -726,8 +924,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>>> leaving = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Crash>>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>>> cleared = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yuccascale::wire::fb::Rate>>> rates = 0) {
   LoadBuilder builder_(_fbb);
+  builder_.add_rates(rates);
   builder_.add_limits(limits);
   builder_.add_cleared(cleared);
   builder_.add_crashes(crashes);
@@ -746,7 +946,8 @@
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Leaving>> *leaving = nullptr,
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Crash>> *crashes = nullptr,
     const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>> *cleared = nullptr,
-    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>> *limits = nullptr) {
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Limit>> *limits = nullptr,
+    const std::vector<flatbuffers::Offset<yuccascale::wire::fb::Rate>> *rates = nullptr) {
   auto charges__ = charges ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Charge>>(*charges) : 0;
   auto placements__ = placements ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Placement>>(*placements) : 0;
   auto failures__ = failures ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Failure>>(*failures) : 0;
@@ -754,6 +955,7 @@
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Crash>>(*crashes) : 0;
   auto cleared__ = cleared ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Cleared>>(*cleared) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Limit>>(*limits) : 0;
+  auto rates__ = rates ? _fbb.CreateVector<flatbuffers::Offset<yuccascale::wire::fb::Rate>>(*rates) : 0;
   return yuccascale::wire::fb::CreateLoad(
       _fbb,
       charges__,
@@ -762,7 +964,8 @@
       leaving__,
       crashes__,
       cleared__,
-      limits__);
+      limits__,
+      rates__);
 }
 
 inline const yuccascale::wire::fb::Load *GetLoad(const void *buf) {
