--- a/src/yuccascale/kernel/policy/endpoint_occupancy.cpp
+++ b/src/yuccascale/kernel/policy/endpoint_occupancy.cpp
@@ -12,7 +12,7 @@
 /// Time in which a report of other requests loses its weight, in times of an answer, and its
 /// bounds.
 constexpr double answersPerReport = 2.0;
-constexpr double minReportSeconds = 0.05;
+constexpr double minReportSeconds = 0.2;
 constexpr double maxReportSeconds = 1.0;
 /// A request that is held back is looked at again after this time at the latest, so a service may
 /// queue as much as it works off meanwhile.
@@ -85,7 +85,6 @@
     m_weights.clear();
     m_others.clear();
     m_requests.clear();
-    double weight = 0;
     double perSlot = 0;
     for (const std::size_t index : indexes) {
         const endpoint_view &view = views[index];
@@ -93,10 +92,12 @@
         const int reported = std::max(view.report.running, 0) + std::max(view.report.queued, 0);
         m_others.push_back(std::max(reported - ownReported, 0));
         m_weights.push_back(std::exp(-ageOf(now, view) / reportSecondsAt(now, view)));
-        weight += m_weights.back();
         perSlot += m_weights.back() * m_others.back() / view.speed->slots;
     }
-    const double meanPerSlot = weight > 0 ? perSlot / std::max(weight, 1.0) : 0.0;
+    // endpoints without a recent report count as empty: mostly loaded ones send reports, and the
+    // mean of those alone would keep the others from being used again
+    const double meanPerSlot
+            = indexes.empty() ? 0.0 : perSlot / static_cast<double>(indexes.size());
     for (std::size_t position = 0; position < indexes.size(); ++position) {
         const endpoint_view &view = views[indexes[position]];
         const double mean = meanPerSlot * view.speed->slots;
--- a/src/yuccascale/kernel/policy/endpoint_rates.hpp
+++ b/src/yuccascale/kernel/policy/endpoint_rates.hpp
@@ -35,18 +35,20 @@
 {
 public:
     /// \param prior value that counts as one observation; 0: none
-    /// \param slowIsLess a low value may have other causes, such as a queue, and counts half;
-    ///        otherwise a high one
-    void observe(double value, double prior, bool slowIsLess) noexcept;
+    void observe(instant now, double value, double prior) noexcept;
 
-    /// \returns the estimate; \a prior without any observation.
-    [[nodiscard]] double estimate(double prior) const noexcept;
+    /// \returns the estimate; \a prior without any observation. Without new ones it returns to the
+    ///          prior within half a minute, so that no endpoint is left out by an error for good.
+    [[nodiscard]] double estimate(instant now, double prior) const noexcept;
 
     [[nodiscard]] bool known() const noexcept { return m_weight > 0; }
 
 private:
+    [[nodiscard]] double weightAt(instant now) const noexcept;
+
     double m_weight = 0;
     double m_sum = 0; ///< of logarithms, weighted
+    instant m_observedAt{};
 };
 
 /// \brief Rates of one endpoint, or of all endpoints of a pool together.
@@ -57,17 +59,17 @@
 {
 public:
     /// \param pool rates of the whole pool, the prior; null: these are the pool's own
-    void observe(const rate_observation &seen, const endpoint_rates *pool) noexcept;
+    void observe(instant now, const rate_observation &seen, const endpoint_rates *pool) noexcept;
 
     /// \returns prompt tokens a second at the usual pace; 0 when not even the pool's are known.
-    [[nodiscard]] double prefillTokensPerSecond(bool prefillOnly,
+    [[nodiscard]] double prefillTokensPerSecond(instant now, bool prefillOnly,
                                                 const endpoint_rates &pool) const noexcept;
 
     /// \returns how many times as long work takes as in the rest of the pool at the usual pace.
-    [[nodiscard]] double slowdown(const endpoint_rates &pool) const noexcept;
+    [[nodiscard]] double slowdown(instant now, const endpoint_rates &pool) const noexcept;
 
     /// \returns the time between tokens, or of a request without tokens; 0 when not known.
-    [[nodiscard]] double workSeconds() const noexcept { return m_work.estimate(0); }
+    [[nodiscard]] double workSeconds(instant now) const noexcept { return m_work.estimate(now, 0); }
 
 private:
     std::array<learnt_value, 2> m_prefill; ///< of engines that also decode; of those that do not
--- /dev/null
+++ b/src/yuccascale/kernel/policy/prefill_queue.cpp
@@ -0,0 +1,60 @@
+#include "yuccascale/kernel/policy/prefill_queue.hpp"
+
+#include <algorithm>
+
+namespace yuccascale::kernel::policy {
+
+namespace {
+
+/// A first token tells about prompts that were placed in this time before it.
+constexpr seconds retention{4};
+/// An announcement arrives this long after its prompt was placed, at most.
+constexpr milliseconds announcementDelay{20};
+
+} // namespace
+
+void prefill_queue::add(instant now, double tokens)
+{
+    while (m_next > 0 && m_prompts.front().at + retention < now) {
+        m_prompts.pop_front();
+        --m_next;
+    }
+    if (m_next == m_prompts.size())
+        m_advancedAt = std::max(m_advancedAt, now);
+    m_prompts.push_back({now, tokens});
+}
+
+void prefill_queue::advance(instant now, double tokensPerSecond) noexcept
+{
+    if (now <= m_advancedAt)
+        return;
+    m_doneOfNext += tokensPerSecond * std::chrono::duration<double>(now - m_advancedAt).count();
+    m_advancedAt = now;
+    while (m_next < m_prompts.size() && m_prompts[m_next].tokens <= m_doneOfNext) {
+        m_doneOfNext -= m_prompts[m_next].tokens;
+        ++m_next;
+    }
+    if (m_next == m_prompts.size())
+        m_doneOfNext = 0;
+}
+
+void prefill_queue::prefilled(instant placedAt, instant firstTokenAt) noexcept
+{
+    const auto next = std::ranges::find_if(m_prompts, [&](const placed_prompt &one) {
+        return one.at > placedAt + announcementDelay;
+    });
+    m_next = static_cast<std::size_t>(next - m_prompts.begin());
+    m_doneOfNext = 0;
+    const instant begun = next == m_prompts.end() ? firstTokenAt : std::max(firstTokenAt, next->at);
+    m_advancedAt = begun;
+}
+
+double prefill_queue::tokens() const noexcept
+{
+    double sum = -m_doneOfNext;
+    for (std::size_t index = m_next; index < m_prompts.size(); ++index)
+        sum += m_prompts[index].tokens;
+    return std::max(sum, 0.0);
+}
+
+} // namespace yuccascale::kernel::policy
--- a/src/yuccascale/kernel/policy/routing.hpp
+++ b/src/yuccascale/kernel/policy/routing.hpp
@@ -41,7 +41,8 @@
     double slowdown = 1;               ///< time that other work takes, relative to the pool's
     double tokenSeconds = 0;           ///< usual time between tokens in the pool; 0: not known
     double answerSeconds = 0;          ///< usual time of a whole answer in the pool; 0: not known
-    double promptTokens = 0;           ///< usual prompt tokens to prefill for a request
+    double promptTokens = 0;           ///< usual tokens to prefill of a short prompt
+    double queuedTokens = 0;           ///< to prefill before the next prompt
 };
 
 /// \brief State of one endpoint as known to this entry at the time of a choice.
--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -224,6 +224,7 @@
     if (known->firstSentAt == instant{})
         known->firstSentAt = now;
     known->running.push_back({ticket, now, work, false});
+    queuePrompt(now, *known, work.promptTokens);
     if (known->limit)
         known->limit->sent(now);
 }
@@ -236,6 +237,7 @@
         return;
     std::erase_if(known->remotePrompts, [now](const auto &one) { return one.firstTokenAt <= now; });
     known->remotePrompts.push_back({tokens, now, now + timeToFirstToken});
+    queuePrompt(now, *known, tokens);
 }
 
 endpoint_table::running_request *endpoint_table::findRunning(const std::string &endpoint,
@@ -248,10 +250,15 @@
     return found == known->running.end() ? nullptr : &*found;
 }
 
-void endpoint_table::firstPieceArrived(const std::string &endpoint, std::uint64_t ticket)
+void endpoint_table::firstPieceArrived(instant now, const std::string &endpoint,
+                                       std::uint64_t ticket)
 {
-    if (running_request *running = findRunning(endpoint, ticket))
-        running->prefilled = true;
+    running_request *running = findRunning(endpoint, ticket);
+    if (running == nullptr)
+        return;
+    running->prefilled = true;
+    if (paced() && running->work.promptTokens >= minAnnouncedTokens)
+        recordPrefilled(now, *find(endpoint), *running);
 }
 
 void endpoint_table::requestEnded(const std::string &endpoint, std::uint64_t ticket)
@@ -492,7 +499,7 @@
         countRunning(one, view);
         view.remotePrefillTokens = remotePromptTokens(now, one);
         if (paced())
-            view.speed = speedOf(one);
+            view.speed = speedOf(now, one);
         all.push_back(view);
     }
     return all;
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccascale/kernel/policy/endpoint_rates.hpp"
+#include "yuccascale/kernel/policy/prefill_queue.hpp"
 #include "yuccascale/kernel/policy/routing.hpp"
 #include "yuccascale/kernel/requests/circuit_breaker.hpp"
 #include "yuccascale/kernel/requests/endpoint_notice.hpp"
@@ -93,7 +94,7 @@
 
     /// \brief Learns from a finished attempt, once an endpoint of the pool has reported a pace.
     /// \param sentAt a load report measured since then came with the answer
-    void observe(instant sentAt, const policy::routing_outcome &outcome);
+    void observe(instant now, instant sentAt, const policy::routing_outcome &outcome);
 
     /// \brief Applies what another entry learnt from an endpoint's answers.
     void applyRemoteRate(instant now, const endpoint_rate &rate);
@@ -138,7 +139,7 @@
                          nanoseconds timeToFirstToken);
 
     /// \brief Records the first piece of an answer: the prefill of the request is complete.
-    void firstPieceArrived(const std::string &endpoint, std::uint64_t ticket);
+    void firstPieceArrived(instant now, const std::string &endpoint, std::uint64_t ticket);
 
     /// \brief Removes a request that is no longer in flight at the endpoint.
     void requestEnded(const std::string &endpoint, std::uint64_t ticket);
@@ -192,6 +193,12 @@
         bool prefilled = false;
     };
 
+    struct prefilled_times
+    {
+        instant sentAt{};
+        instant firstTokenAt{};
+    };
+
     struct failure_record
     {
         instant at{};
@@ -223,8 +230,10 @@
         std::vector<failure_record> failures; ///< recent failures at all entries
         policy::endpoint_pace pace;
         policy::endpoint_rates rates;
+        policy::prefill_queue queue;
         policy::rate_observation untold; ///< not yet told to the other entries
-        bool reportUntold = false;       ///< the report came to this entry and was not told
+        std::optional<prefilled_times> untoldPrompt;
+        bool reportUntold = false; ///< the report came to this entry and was not told
 
         [[nodiscard]] int outstanding() const noexcept { return static_cast<int>(running.size()); }
         [[nodiscard]] int sentSinceReport() const noexcept;
@@ -236,7 +245,11 @@
     [[nodiscard]] int slotsOf(const endpoint_state &endpoint) const noexcept;
     [[nodiscard]] int slotCapacity(const endpoint_state &endpoint) const noexcept;
     [[nodiscard]] bool reportedFull(instant now, const endpoint_state &endpoint) const;
-    [[nodiscard]] policy::endpoint_speed speedOf(const endpoint_state &endpoint) const;
+    [[nodiscard]] policy::endpoint_speed speedOf(instant now, const endpoint_state &endpoint) const;
+    [[nodiscard]] double prefillRate(instant now, const endpoint_state &endpoint) const;
+    static void recordPrefilled(instant now, endpoint_state &endpoint,
+                                const running_request &prefilled);
+    void queuePrompt(instant now, endpoint_state &endpoint, std::int64_t tokens) const;
     [[nodiscard]] bool listTooOld(instant now) const noexcept;
     static void addFailure(instant now, endpoint_state &endpoint, bool crashed);
     [[nodiscard]] static bool suspected(instant now, const endpoint_state &endpoint);
@@ -266,7 +279,7 @@
     bool m_plainService = false;
     policy::endpoint_rates m_poolRates;   ///< of all endpoints together
     policy::learnt_value m_answerSeconds; ///< of a whole answer at the usual pace
-    double m_promptTokens = 0;            ///< mean prompt tokens to prefill for a request
+    double m_promptTokens = 0;            ///< mean tokens to prefill of a short prompt
     nanoseconds m_drainNotice{};
     std::optional<instant> m_listAskedAt;
 };
--- a/src/yuccascale/kernel/requests/endpoint_table_rates.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table_rates.cpp
@@ -12,6 +12,8 @@
 
 /// Weight of a request in the mean prompt.
 constexpr double promptLearningRate = 0.02;
+/// Prompt tokens a second of an engine before any is learnt.
+constexpr double unknownPrefillRate = 16'000;
 
 [[nodiscard]] double toSeconds(nanoseconds duration) noexcept
 {
@@ -36,22 +38,48 @@
     endpoint.pace.observe(load.measuredAt, load.pace);
 }
 
-policy::endpoint_speed endpoint_table::speedOf(const endpoint_state &endpoint) const
+void endpoint_table::queuePrompt(instant now, endpoint_state &endpoint, std::int64_t tokens) const
+{
+    if (!paced() || tokens <= 0)
+        return;
+    endpoint.queue.advance(now, prefillRate(now, endpoint));
+    endpoint.queue.add(now, static_cast<double>(tokens));
+}
+
+void endpoint_table::recordPrefilled(instant now, endpoint_state &endpoint,
+                                     const running_request &prefilled)
+{
+    endpoint.queue.prefilled(prefilled.sentAt, now);
+    endpoint.untoldPrompt = prefilled_times{prefilled.sentAt, now};
+}
+
+double endpoint_table::prefillRate(instant now, const endpoint_state &endpoint) const
+{
+    const bool prefillOnly = endpoint.row.role == state::engine_role::Prefill;
+    const double usual = endpoint.rates.prefillTokensPerSecond(now, prefillOnly, m_poolRates);
+    return (usual > 0 ? usual : unknownPrefillRate) / endpoint.pace.expected(now, 0);
+}
+
+policy::endpoint_speed endpoint_table::speedOf(instant now, const endpoint_state &endpoint) const
 {
     const bool prefillOnly = endpoint.row.role == state::engine_role::Prefill;
     policy::endpoint_speed speed;
     speed.pace = endpoint.pace;
     speed.slots = std::max(slotsOf(endpoint), 1);
     speed.plainService = m_plainService;
-    speed.prefillTokensPerSecond = endpoint.rates.prefillTokensPerSecond(prefillOnly, m_poolRates);
-    speed.slowdown = endpoint.rates.slowdown(m_poolRates);
-    speed.tokenSeconds = m_plainService ? 0.0 : m_poolRates.workSeconds();
-    speed.answerSeconds = m_answerSeconds.estimate(0);
+    speed.prefillTokensPerSecond
+            = endpoint.rates.prefillTokensPerSecond(now, prefillOnly, m_poolRates);
+    speed.slowdown = endpoint.rates.slowdown(now, m_poolRates);
+    speed.tokenSeconds = m_plainService ? 0.0 : m_poolRates.workSeconds(now);
+    speed.answerSeconds = m_answerSeconds.estimate(now, 0);
     speed.promptTokens = m_promptTokens;
+    policy::prefill_queue queue = endpoint.queue;
+    queue.advance(now, prefillRate(now, endpoint));
+    speed.queuedTokens = queue.tokens();
     return speed;
 }
 
-void endpoint_table::observe(instant sentAt, const policy::routing_outcome &outcome)
+void endpoint_table::observe(instant now, instant sentAt, const policy::routing_outcome &outcome)
 {
     endpoint_state *known = find(std::string(outcome.endpoint));
     if (!known || !paced() || !outcome.answered)
@@ -60,16 +88,19 @@
     const bool withAnswer = load.pace > 0 && load.measuredAt >= sentAt;
     const double pace = withAnswer ? load.pace : known->pace.average(sentAt);
     const policy::rate_observation seen = policy::observationOf(outcome, pace);
-    m_poolRates.observe(seen, nullptr);
-    known->rates.observe(seen, &m_poolRates);
+    m_poolRates.observe(now, seen, nullptr);
+    known->rates.observe(now, seen, &m_poolRates);
     if (!seen.empty())
         known->untold = seen;
     if (outcome.prefillOnly)
         return;
-    m_answerSeconds.observe(toSeconds(outcome.totalTime) / pace, 0, false);
-    const auto tokens = static_cast<double>(
-            std::max<std::int64_t>(outcome.promptTokens - outcome.cachedTokens, 0));
-    m_promptTokens += (m_promptTokens > 0 ? promptLearningRate : 1.0) * (tokens - m_promptTokens);
+    m_answerSeconds.observe(now, toSeconds(outcome.totalTime) / pace, 0);
+    const std::int64_t tokens
+            = std::max<std::int64_t>(outcome.promptTokens - outcome.cachedTokens, 0);
+    if (tokens >= minAnnouncedTokens) // counted where it is placed
+        return;
+    m_promptTokens += (m_promptTokens > 0 ? promptLearningRate : 1.0)
+            * (static_cast<double>(tokens) - m_promptTokens);
 }
 
 void endpoint_table::applyRemoteRate(instant now, const endpoint_rate &rate)
@@ -85,9 +116,11 @@
         known->report.incarnation = rate.incarnation;
     }
     if (!rate.seen.empty()) {
-        m_poolRates.observe(rate.seen, nullptr);
-        known->rates.observe(rate.seen, &m_poolRates);
+        m_poolRates.observe(now, rate.seen, nullptr);
+        known->rates.observe(now, rate.seen, &m_poolRates);
     }
+    if (rate.promptSentAge > nanoseconds::zero())
+        known->queue.prefilled(now - rate.promptSentAge, now - rate.firstTokenAge);
     policy::load_report &load = known->report.load;
     const instant measuredAt = now - rate.age;
     if (rate.pace <= 0 || measuredAt <= load.measuredAt)
@@ -105,7 +138,7 @@
 {
     std::vector<endpoint_rate> out;
     for (endpoint_state &one : m_rows) {
-        const bool told = !one.reportUntold && one.untold.empty();
+        const bool told = !one.reportUntold && one.untold.empty() && !one.untoldPrompt;
         if (!paced() || told)
             continue;
         const policy::load_report &load = one.report.load;
@@ -118,7 +151,12 @@
             rate.queued = load.queued;
             rate.slots = load.slots;
         }
-        if (rate.pace > 0 || !rate.seen.empty())
+        if (const auto prompt = std::exchange(one.untoldPrompt, std::nullopt)) {
+            rate.promptSentAge = now - prompt->sentAt;
+            rate.firstTokenAge = now - prompt->firstTokenAt;
+        }
+        const bool prefilled = rate.promptSentAge > nanoseconds::zero();
+        if (rate.pace > 0 || prefilled || !rate.seen.empty())
             out.push_back(std::move(rate));
     }
     return out;
@@ -130,7 +168,7 @@
     for (const endpoint_state &one : m_rows) {
         if (!paced())
             break;
-        const policy::endpoint_speed speed = speedOf(one);
+        const policy::endpoint_speed speed = speedOf(now, one);
         out.push_back({one.row.name, speed.prefillTokensPerSecond, speed.slowdown,
                        speed.pace.expected(now, 0), speed.pace.average(now)});
     }
--- a/src/yuccascale/kernel/requests/placement.hpp
+++ b/src/yuccascale/kernel/requests/placement.hpp
@@ -75,6 +75,9 @@
     int running = 0;
     int queued = 0;
     int slots = 0; ///< 0: not reported
+    /// Time since the newest long prompt with a first token was sent; 0: none since the last row.
+    nanoseconds promptSentAge{};
+    nanoseconds firstTokenAge{}; ///< time since that token
 };
 
 /// \brief Parts that were suspected of crashing endpoints were answered.
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -367,7 +367,7 @@
     const auto found = m_running.find(ticket);
     if (found == m_running.end())
         return;
-    m_endpoints.firstPieceArrived(found->second.endpoint, ticket);
+    m_endpoints.firstPieceArrived(now, found->second.endpoint, ticket);
     m_caches.confirm(now, found->second.endpoint, found->second.queued.parts);
 }
 
@@ -401,7 +401,7 @@
                                           true,
                                           running.tokensAhead};
     m_strategies.router->observe(now, prefill);
-    m_endpoints.observe(running.sentAt, prefill);
+    m_endpoints.observe(now, running.sentAt, prefill);
 }
 
 notice_effect pool_scheduler::applyNotice(instant now, const std::string &pool,
@@ -481,7 +481,7 @@
                                           false,
                                           running.tokensAhead};
     m_strategies.router->observe(now, outcome);
-    m_endpoints.observe(running.sentAt, outcome);
+    m_endpoints.observe(now, running.sentAt, outcome);
     m_window.observe(outcome);
     m_services[running.queued.row.route].observe(outcome);
     return findings;
--- a/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/kernel/requests/pool_scheduler.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 /// \file
@@ -8,6 +9,17 @@
 
 namespace yuccascale::kernel::requests {
 
+namespace {
+
+/// \returns the prompt tokens that an engine has to compute before the next prompt.
+[[nodiscard]] std::int64_t tokensAhead(const policy::endpoint_view &view)
+{
+    return view.speed ? std::llround(view.speed->queuedTokens)
+                      : view.ownPrefillTokens + view.remotePrefillTokens;
+}
+
+} // namespace
+
 bool pool_scheduler::mayRunOwnSuspects(const std::string &endpoint) const
 {
     const auto entryCount = static_cast<std::size_t>(m_position.count);
@@ -148,7 +160,7 @@
                             now,
                             chosen.report.running + chosen.sentSinceReport,
                             cached,
-                            prefillView.ownPrefillTokens + prefillView.remotePrefillTokens,
+                            tokensAhead(prefillView),
                             assignment.prefillEndpoint};
     m_versionBound.erase(assignment.ticket);
     m_waiting.erase(assignment.ticket);
--- a/src/yuccascale/plugins/router_prompt_homes.cpp
+++ b/src/yuccascale/plugins/router_prompt_homes.cpp
@@ -212,8 +212,7 @@
         const endpoint_view &view = views[index];
         const double remainingTokens = static_cast<double>(std::max<std::int64_t>(
                 request.promptTokens - view.cachedPromptTokens - view.fetchableTokens, 0));
-        const double queuedTokens
-                = static_cast<double>(view.ownPrefillTokens + view.remotePrefillTokens);
+        const double queuedTokens = view.speed->queuedTokens;
         const bool prefillOnly = view.row->role == engine_role::Prefill;
         const double tokensPerSecond = prefillRateAt(now, view, queuedTokens + remainingTokens,
                                                      m_rates.tokensPerSecond(prefillOnly));
--- a/src/yuccascale/wire/load_codec.cpp
+++ b/src/yuccascale/wire/load_codec.cpp
@@ -80,23 +80,32 @@
     return fb::CreateLimit(builder, pool, endpoint, limit.requestsPerSecond);
 }
 
+/// \returns an age of 1 ms at least, unless it is 0, and more than the bound when it is beyond it.
+[[nodiscard]] std::uint32_t ageInMs(kernel::nanoseconds age)
+{
+    const auto ms = std::chrono::ceil<kernel::milliseconds>(age).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, maxReportAgeMs + 1));
+}
+
 flatbuffers::Offset<fb::Rate> write(builder_type &builder, const endpoint_rate &rate)
 {
     const auto pool = builder.CreateSharedString(rate.pool);
     const auto endpoint = builder.CreateSharedString(rate.endpoint);
-    const auto ageMs = std::chrono::ceil<kernel::milliseconds>(rate.age).count();
+    const std::uint32_t ageMs = ageInMs(rate.age);
     const bool old = ageMs > maxReportAgeMs;
+    const std::uint32_t sentMs = ageInMs(rate.promptSentAge);
+    const bool longSince = sentMs > maxReportAgeMs;
     const double hundredths = std::clamp(std::round(rate.pace * hundredthsPerPace), 0.0,
                                          static_cast<double>(maxPaceHundredths));
     return fb::CreateRate(builder, pool, endpoint, rate.startedMs, rate.incarnation,
                           rate.seen.prefillOnly,
                           static_cast<float>(rate.seen.prefillTokensPerSecond),
                           static_cast<float>(rate.seen.workSeconds),
-                          old ? 0U : static_cast<std::uint32_t>(hundredths),
-                          old ? 0U : static_cast<std::uint32_t>(std::max<std::int64_t>(ageMs, 0)),
+                          old ? 0U : static_cast<std::uint32_t>(hundredths), old ? 0U : ageMs,
                           std::clamp(rate.running, 0, maxReportedRequests),
                           std::clamp(rate.queued, 0, maxReportedRequests),
-                          std::clamp(rate.slots, 0, maxReportedRequests));
+                          std::clamp(rate.slots, 0, maxReportedRequests), longSince ? 0U : sentMs,
+                          longSince ? 0U : std::min(ageInMs(rate.firstTokenAge), sentMs));
 }
 
 template<typename Row, typename Table>
@@ -203,7 +212,8 @@
             && isRate(table.prefill_tokens_per_second()) && isRate(table.work_seconds())
             && table.pace_hundredths() <= maxPaceHundredths && table.age_ms() <= maxReportAgeMs
             && isRequestCount(table.running()) && isRequestCount(table.queued())
-            && isRequestCount(table.slots());
+            && isRequestCount(table.slots()) && table.prompt_sent_ms() <= maxReportAgeMs
+            && table.first_token_ms() <= table.prompt_sent_ms();
     if (!valid)
         return std::nullopt;
     endpoint_rate rate{
@@ -217,6 +227,8 @@
     rate.running = table.running();
     rate.queued = table.queued();
     rate.slots = table.slots();
+    rate.promptSentAge = kernel::milliseconds(table.prompt_sent_ms());
+    rate.firstTokenAge = kernel::milliseconds(table.first_token_ms());
     return rate;
 }
 
--- a/src/yuccascale/wire/load_generated.h
+++ b/src/yuccascale/wire/load_generated.h
@@ -640,7 +640,9 @@
     VT_AGE_MS = 20,
     VT_RUNNING = 22,
     VT_QUEUED = 24,
-    VT_SLOTS = 26
+    VT_SLOTS = 26,
+    VT_PROMPT_SENT_MS = 28,
+    VT_FIRST_TOKEN_MS = 30
   };
   const flatbuffers::String *pool() const {
     return GetPointer<const flatbuffers::String *>(VT_POOL);
@@ -678,6 +680,12 @@
   int32_t slots() const {
     return GetField<int32_t>(VT_SLOTS, 0);
   }
+  uint32_t prompt_sent_ms() const {
+    return GetField<uint32_t>(VT_PROMPT_SENT_MS, 0);
+  }
+  uint32_t first_token_ms() const {
+    return GetField<uint32_t>(VT_FIRST_TOKEN_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_POOL) &&
@@ -694,6 +702,8 @@
            VerifyField<int32_t>(verifier, VT_RUNNING, 4) &&
            VerifyField<int32_t>(verifier, VT_QUEUED, 4) &&
            VerifyField<int32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PROMPT_SENT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FIRST_TOKEN_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -738,6 +748,12 @@
   void add_slots(int32_t slots) {
     fbb_.AddElement<int32_t>(Rate::VT_SLOTS, slots, 0);
   }
+  void add_prompt_sent_ms(uint32_t prompt_sent_ms) {
+    fbb_.AddElement<uint32_t>(Rate::VT_PROMPT_SENT_MS, prompt_sent_ms, 0);
+  }
+  void add_first_token_ms(uint32_t first_token_ms) {
+    fbb_.AddElement<uint32_t>(Rate::VT_FIRST_TOKEN_MS, first_token_ms, 0);
+  }
   explicit RateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -762,10 +778,14 @@
     uint32_t age_ms = 0,
     int32_t running = 0,
     int32_t queued = 0,
-    int32_t slots = 0) {
+    int32_t slots = 0,
+    uint32_t prompt_sent_ms = 0,
+    uint32_t first_token_ms = 0) {
   RateBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_started_ms(started_ms);
+  builder_.add_first_token_ms(first_token_ms);
+  builder_.add_prompt_sent_ms(prompt_sent_ms);
   builder_.add_slots(slots);
   builder_.add_queued(queued);
   builder_.add_running(running);
@@ -792,7 +812,9 @@
     uint32_t age_ms = 0,
     int32_t running = 0,
     int32_t queued = 0,
-    int32_t slots = 0) {
+    int32_t slots = 0,
+    uint32_t prompt_sent_ms = 0,
+    uint32_t first_token_ms = 0) {
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   return yuccascale::wire::fb::CreateRate(
@@ -808,7 +830,9 @@
       age_ms,
       running,
       queued,
-      slots);
+      slots,
+      prompt_sent_ms,
+      first_token_ms);
 }
 
 struct Load FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
