--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -256,6 +256,13 @@
         m_endpointUpdateListener(std::move(updates));
 }
 
+/// \param before whether its endpoints reported a pace before
+void caller_pools::tellPaced(const guarded_pool &pool, bool before) const
+{
+    if (!before && pool.scheduler.endpoints().paced() && m_pacedListener)
+        m_pacedListener(pool.name);
+}
+
 std::optional<refusal> caller_pools::push(std::uint64_t ticket, const request &callerRequest,
                                           double weight, const enqueue &options,
                                           std::shared_ptr<caller_mailbox> mailbox)
@@ -338,7 +345,9 @@
     if (!found)
         return false;
     const std::scoped_lock guard(found->mutex);
+    const bool paced = found->scheduler.endpoints().paced();
     const bool notice = found->scheduler.endpoints().report(endpoint, report);
+    tellPaced(*found, paced);
     runScheduler(*found);
     return notice;
 }
@@ -490,7 +499,9 @@
     for (const endpoint_rate &rate : updates.rates) {
         if (const std::shared_ptr<guarded_pool> pool = find(rate.pool)) {
             const std::scoped_lock guard(pool->mutex);
+            const bool paced = pool->scheduler.endpoints().paced();
             pool->scheduler.applyRemoteRate(m_clock.now(), rate);
+            tellPaced(*pool, paced);
         }
     }
     return suspected;
--- a/src/yuccascale/http/caller_pools.hpp
+++ b/src/yuccascale/http/caller_pools.hpp
@@ -135,6 +135,13 @@
         m_crashCauseListener = std::move(listener);
     }
 
+    /// \brief Sets the function that is told of a pool whose endpoints begin to report a pace; call
+    /// before the first request. It is called under the pool's lock and must not call back.
+    void setPacedListener(std::function<void(const std::string &pool)> listener)
+    {
+        m_pacedListener = std::move(listener);
+    }
+
     /// \returns the time that recent requests of a route took at most; nothing when too few were
     ///          answered.
     [[nodiscard]] std::optional<kernel::nanoseconds> longestAnswer(const std::string &pool,
@@ -186,6 +193,7 @@
     void refuseCrashCauses(guarded_pool &pool);
     void runScheduler(guarded_pool &pool);
     void sendUpdates(guarded_pool &pool);
+    void tellPaced(const guarded_pool &pool, bool before) const;
 
     runtime::policy_settings m_policy;
     kernel::requests::queue_limits m_limits;
@@ -200,6 +208,7 @@
     std::function<void(kernel::requests::endpoint_updates)> m_endpointUpdateListener;
     std::function<void(const std::string &, const kernel::requests::part_set &)>
             m_crashCauseListener;
+    std::function<void(const std::string &)> m_pacedListener;
 };
 
 } // namespace yuccascale::http
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -223,6 +223,9 @@
         m_services.events.record(promptPartBanned, {{"fingerprint", fingerprint}});
         m_services.commits.ban(fingerprint, {});
     });
+    m_services.pools->setPacedListener([this](const std::string &pool) {
+        m_services.events.record(poolPaced, {{"pool", pool}});
+    });
     using kernel::state::backend_kind;
     BOOST_LEAF_ASSIGN(
             m_services.engineDriver,
--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -55,8 +55,11 @@
 {
     const endpoint_driver &driver = services.driverOf(call.kind);
     const answer_head head = answerHeadOf(answer.status, answer.headers);
-    if (head.requestId == call.endpointId)
+    if (head.requestId == call.endpointId) {
         services.applyNotice(call.pool, call.endpoint, driver.notice(head));
+        if (const auto load = driver.pacedLoad(head, services.clock.now()))
+            static_cast<void>(services.pools->report(call.pool, call.endpoint, *load));
+    }
     const bool hasAnswer = answer.end == net::call_end::Whole;
     std::optional<prefilled_prompt> prefilled;
     if (hasAnswer)
--- a/src/yuccascale/kernel/requests/endpoint_driver.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_driver.hpp
@@ -121,6 +121,13 @@
     /// \returns what the endpoint asks of its callers in the head of any of its answers.
     [[nodiscard]] virtual endpoint_notice notice(const answer_head &) const { return {}; }
 
+    /// \returns the load report in the head of any of its answers, if it holds a pace.
+    [[nodiscard]] virtual std::optional<endpoint_report> pacedLoad(const answer_head &,
+                                                                   instant) const
+    {
+        return {};
+    }
+
     /// \returns the call that cancels a request, if the endpoint supports it.
     [[nodiscard]] virtual std::optional<outbound_request>
     cancel(const request &callerRequest) const = 0;
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -103,6 +103,9 @@
     /// \param pool name to write into the rows
     [[nodiscard]] std::vector<endpoint_rate> takeRates(instant now, const std::string &pool);
 
+    /// \returns whether an endpoint of the pool has reported a pace.
+    [[nodiscard]] bool paced() const noexcept { return m_paced; }
+
     /// \returns the learnt rate and the pace of each endpoint; empty while none reports a pace.
     [[nodiscard]] std::vector<learnt_endpoint> learnt(instant now) const;
 
@@ -239,8 +242,6 @@
         [[nodiscard]] int sentSinceReport() const noexcept;
     };
 
-    /// \returns whether an endpoint of the pool has reported a pace.
-    [[nodiscard]] bool paced() const noexcept { return m_paced; }
     void recordPace(endpoint_state &endpoint);
     [[nodiscard]] int slotsOf(const endpoint_state &endpoint) const noexcept;
     [[nodiscard]] int slotCapacity(const endpoint_state &endpoint) const noexcept;
--- a/src/yuccascale/kernel/requests/events.hpp
+++ b/src/yuccascale/kernel/requests/events.hpp
@@ -76,6 +76,10 @@
         2033, "stream_located", severity::Info,
         "A caller takes up a stream: known says whether an entry knows which software version "
         "began it; if none does, the request is refused."};
+inline const event_kind poolPaced{
+        2051, "pool_paced", severity::Info,
+        "An endpoint of the pool reported for the first time how long work takes there now; from "
+        "now on the pool's endpoints are predicted from their own rates, paces and reports."};
 inline const event_kind endpointsUnreached{
         2034, "endpoints_unreached", severity::Warning,
         "This entry reaches no endpoint, though it has failed at several; other entries serve its "
--- a/src/yuccascale/kernel/requests/pool_scheduler.hpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.hpp
@@ -75,6 +75,8 @@
             = 0;              ///< prompt tokens of this entry waiting at the prefilling engine
     int reportedRequests = 0; ///< running and queued requests in the endpoint's last load report
     nanoseconds reportAge{};  ///< age of that report; zero without a report
+    double pace = 0;          ///< expected of the endpoint; 0: its pool's report none
+    double prefillTokensPerSecond = 0; ///< learnt of the prefilling engine; 0: not known
     /// Age of the platform's list when the endpoint was chosen; nothing: not known, or not listed
     std::optional<nanoseconds> listAge;
     /// What has become of the endpoint when the request takes the assignment
@@ -123,6 +125,7 @@
     void setPosition(instant now, entry_position position);
 
     [[nodiscard]] endpoint_table &endpoints() noexcept { return m_endpoints; }
+    [[nodiscard]] const endpoint_table &endpoints() const noexcept { return m_endpoints; }
 
     /// \brief Queues a request.
     /// \param weight fair-share weight of its organisation
--- a/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler_placing.cpp
@@ -136,6 +136,10 @@
     assignment.backlogTokens = prefillView.ownPrefillTokens;
     assignment.reportedRequests = chosen.report.running + chosen.report.queued;
     assignment.listAge = m_endpoints.listAge(now);
+    if (chosen.speed)
+        assignment.pace = chosen.speed->pace.expected(now, 0);
+    if (prefillView.speed)
+        assignment.prefillTokensPerSecond = prefillView.speed->prefillTokensPerSecond;
     if (chosen.report.measuredAt != instant{})
         assignment.reportAge = now - chosen.report.measuredAt;
     return assignment;
--- a/src/yuccascale/kernel/requests/request_session.cpp
+++ b/src/yuccascale/kernel/requests/request_session.cpp
@@ -235,28 +235,32 @@
 
 void request_session::recordRouted(const dispatch &sent)
 {
-    m_events.record(
-            requestRouted,
-            {{"request_id", callerRequest().id},
-             {"route", callerRequest().route.name},
-             {"organisation", callerRequest().organisation},
-             {"endpoint", m_assignment->endpoint},
-             {"zone", m_assignment->zone},
-             {"software_version", m_assignment->softwareVersion},
-             {"attempt", sent.attempt},
-             {"resume_from", sent.resumeFrom},
-             {"after_event", sent.lastPieceId},
-             {"continues", callerRequest().continuedId},
-             {"prefill", m_assignment->prefillEndpoint},
-             {"fetched_from", m_assignment->cacheEndpoint},
-             {"waited_ms", inMilliseconds(m_sentAt - callerRequest().receivedAt)},
-             {"predicted_first_ms", inMilliseconds(m_assignment->predictedFirstToken)},
-             {"cached_tokens", m_assignment->cachedTokens},
-             {"backlog_tokens", m_assignment->backlogTokens},
-             {"reported_requests", m_assignment->reportedRequests},
-             {"report_age_ms", inMilliseconds(m_assignment->reportAge)},
-             {"list_age_ms", m_assignment->listAge ? inMilliseconds(*m_assignment->listAge) : -1},
-             {"reason", m_assignment->reason}});
+    std::vector<event_field> fields
+            = {{"request_id", callerRequest().id},
+               {"route", callerRequest().route.name},
+               {"organisation", callerRequest().organisation},
+               {"endpoint", m_assignment->endpoint},
+               {"zone", m_assignment->zone},
+               {"software_version", m_assignment->softwareVersion},
+               {"attempt", sent.attempt},
+               {"resume_from", sent.resumeFrom},
+               {"after_event", sent.lastPieceId},
+               {"continues", callerRequest().continuedId},
+               {"prefill", m_assignment->prefillEndpoint},
+               {"fetched_from", m_assignment->cacheEndpoint},
+               {"waited_ms", inMilliseconds(m_sentAt - callerRequest().receivedAt)},
+               {"predicted_first_ms", inMilliseconds(m_assignment->predictedFirstToken)},
+               {"cached_tokens", m_assignment->cachedTokens},
+               {"backlog_tokens", m_assignment->backlogTokens},
+               {"reported_requests", m_assignment->reportedRequests},
+               {"report_age_ms", inMilliseconds(m_assignment->reportAge)},
+               {"list_age_ms", m_assignment->listAge ? inMilliseconds(*m_assignment->listAge) : -1},
+               {"reason", m_assignment->reason}};
+    if (m_assignment->pace > 0) {
+        fields.push_back({"pace", m_assignment->pace});
+        fields.push_back({"prefill_tokens_per_s", m_assignment->prefillTokensPerSecond});
+    }
+    m_events.record(requestRouted, fields);
 }
 
 void request_session::perform(const cancel &stopped)
--- a/src/yuccascale/platform/endpoint_driver.cpp
+++ b/src/yuccascale/platform/endpoint_driver.cpp
@@ -318,6 +318,13 @@
         return notice;
     }
 
+    [[nodiscard]] std::optional<endpoint_report> pacedLoad(const answer_head &head,
+                                                           kernel::instant now) const override
+    {
+        auto report = parseLoad(valueOf(head.headers, headers::load), now);
+        return report && report->load.pace > 0 ? report : std::nullopt;
+    }
+
     /// No request is needed: a server stops when its connection is closed.
     [[nodiscard]] std::optional<outbound_request> cancel(const request &) const override
     {
