--- a/src/yuccascale/kernel/policy/prefill_queue.cpp
+++ b/src/yuccascale/kernel/policy/prefill_queue.cpp
@@ -49,9 +49,10 @@
     m_advancedAt = begun;
 }
 
-double prefill_queue::tokens() const noexcept
+double prefill_queue::tokens(instant now, double tokensPerSecond) const noexcept
 {
-    double sum = -m_doneOfNext;
+    const double seconds = std::chrono::duration<double>(now - m_advancedAt).count();
+    double sum = -m_doneOfNext - tokensPerSecond * std::max(seconds, 0.0);
     for (std::size_t index = m_next; index < m_prompts.size(); ++index)
         sum += m_prompts[index].tokens;
     return std::max(sum, 0.0);
--- a/src/yuccascale/kernel/policy/prefill_queue.hpp
+++ b/src/yuccascale/kernel/policy/prefill_queue.hpp
@@ -27,8 +27,8 @@
     /// ones before it are prefilled, the ones after it not yet begun.
     void prefilled(instant placedAt, instant firstTokenAt) noexcept;
 
-    /// \returns the tokens left at the last call of advance(), with the ones added since.
-    [[nodiscard]] double tokens() const noexcept;
+    /// \returns the tokens that are left.
+    [[nodiscard]] double tokens(instant now, double tokensPerSecond) const noexcept;
 
 private:
     struct placed_prompt
--- a/src/yuccascale/kernel/requests/endpoint_table_rates.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table_rates.cpp
@@ -73,9 +73,7 @@
     speed.tokenSeconds = m_plainService ? 0.0 : m_poolRates.workSeconds(now);
     speed.answerSeconds = m_answerSeconds.estimate(now, 0);
     speed.promptTokens = m_promptTokens;
-    policy::prefill_queue queue = endpoint.queue;
-    queue.advance(now, prefillRate(now, endpoint));
-    speed.queuedTokens = queue.tokens();
+    speed.queuedTokens = endpoint.queue.tokens(now, prefillRate(now, endpoint));
     return speed;
 }
 
--- a/tests/unit/endpoint_rates_test.cpp
+++ b/tests/unit/endpoint_rates_test.cpp
@@ -133,13 +133,14 @@
     queue.add(start, 10'000);
     queue.add(start + milliseconds(100), 5'000);
     queue.advance(start + milliseconds(100), 50'000);
-    EXPECT_NEAR(queue.tokens(), 10'000, 1);
+    EXPECT_NEAR(queue.tokens(start + milliseconds(100), 50'000), 10'000, 1);
+    EXPECT_NEAR(queue.tokens(start + milliseconds(200), 50'000), 5'000, 1);
     queue.advance(start + milliseconds(300), 50'000);
-    EXPECT_EQ(queue.tokens(), 0) << "by the rate all is done";
+    EXPECT_EQ(queue.tokens(start + milliseconds(300), 50'000), 0) << "by the rate all is done";
     queue.prefilled(start, start + milliseconds(300));
-    EXPECT_NEAR(queue.tokens(), 5'000, 1) << "the second prompt was not begun before";
-    queue.advance(start + milliseconds(350), 50'000);
-    EXPECT_NEAR(queue.tokens(), 2'500, 1);
+    EXPECT_NEAR(queue.tokens(start + milliseconds(300), 50'000), 5'000, 1)
+            << "the second prompt was not begun before";
+    EXPECT_NEAR(queue.tokens(start + milliseconds(350), 50'000), 2'500, 1);
 }
 
 TEST(spread_choice, fewUnseenRequestsGoToTheBestAndManyFollowTheSpeeds)
