Prompts that never get a first token leave the predicted prefill queue

Cause: a prompt left the queue only by work-off or by the first token of a long prompt. The tokens come from the caller. After one request that claimed 10^12 tokens and was rejected, every entry predicted years of queue at that engine and never chose it again.

Change: a prompt counts for at most 20 s of the engine's rate. It is removed when its request ends at this entry without a first token. One that another entry announced expires after four times its predicted time, at least 4 s. Every prompt expires after 60 s.

Result: endpoint_table_queue (3 tests) failed before the change and passes.

--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -25,6 +25,20 @@
 constexpr seconds limitLiftedTime{5};
 /// An older report is not used to estimate the requests in an endpoint's batch.
 constexpr seconds maxReportAge{3};
+/// A prompt of another entry is counted for this many times the predicted time to its first token,
+/// because a prediction that is too early must not remove a prompt that still waits, and for this
+/// long at least.
+constexpr int predictionMargin = 4;
+constexpr seconds minRemoteLifetime{4};
+
+/// Other entries do not tell that a prompt failed, so it expires.
+[[nodiscard]] nanoseconds remoteLifetime(nanoseconds timeToFirstToken) noexcept
+{
+    constexpr nanoseconds longest = policy::prefill_queue::maxLifetime;
+    if (timeToFirstToken >= longest / predictionMargin)
+        return longest;
+    return std::max<nanoseconds>(predictionMargin * timeToFirstToken, minRemoteLifetime);
+}
 
 } // namespace
 
@@ -224,7 +238,7 @@
     if (known->firstSentAt == instant{})
         known->firstSentAt = now;
     known->running.push_back({ticket, now, work, false});
-    queuePrompt(now, *known, work.promptTokens);
+    queuePrompt(now, *known, work.promptTokens, policy::prefill_queue::maxLifetime, ticket);
     if (known->limit)
         known->limit->sent(now);
 }
@@ -237,7 +251,7 @@
         return;
     std::erase_if(known->remotePrompts, [now](const auto &one) { return one.firstTokenAt <= now; });
     known->remotePrompts.push_back({tokens, now, now + timeToFirstToken});
-    queuePrompt(now, *known, tokens);
+    queuePrompt(now, *known, tokens, remoteLifetime(timeToFirstToken), std::nullopt);
 }
 
 endpoint_table::running_request *endpoint_table::findRunning(const std::string &endpoint,
@@ -263,8 +277,13 @@
 
 void endpoint_table::requestEnded(const std::string &endpoint, std::uint64_t ticket)
 {
-    if (endpoint_state *known = find(endpoint))
-        std::erase_if(known->running, [&](const auto &one) { return one.ticket == ticket; });
+    endpoint_state *known = find(endpoint);
+    if (!known)
+        return;
+    const running_request *running = findRunning(endpoint, ticket);
+    if (running != nullptr && !running->prefilled)
+        known->queue.remove(ticket);
+    std::erase_if(known->running, [&](const auto &one) { return one.ticket == ticket; });
 }
 
 int endpoint_table::endpoint_state::sentSinceReport() const noexcept
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -250,7 +250,8 @@
     [[nodiscard]] double prefillRate(instant now, const endpoint_state &endpoint) const;
     static void recordPrefilled(instant now, endpoint_state &endpoint,
                                 const running_request &prefilled);
-    void queuePrompt(instant now, endpoint_state &endpoint, std::int64_t tokens) const;
+    void queuePrompt(instant now, endpoint_state &endpoint, std::int64_t tokens,
+                     nanoseconds lifetime, std::optional<std::uint64_t> ticket) const;
     [[nodiscard]] bool listTooOld(instant now) const noexcept;
     static void addFailure(instant now, endpoint_state &endpoint, bool crashed);
     [[nodiscard]] static bool suspected(instant now, const endpoint_state &endpoint);
--- a/src/yuccascale/kernel/requests/endpoint_table_rates.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table_rates.cpp
@@ -14,6 +14,9 @@
 constexpr double promptLearningRate = 0.02;
 /// Prompt tokens a second of an engine before any is learnt.
 constexpr double unknownPrefillRate = 16'000;
+/// Longest prefill of a prompt at the engine's rate. Callers state the tokens of their prompts, and
+/// an engine rejects what exceeds its context.
+constexpr double maxPrefillSeconds = 20;
 
 [[nodiscard]] double toSeconds(nanoseconds duration) noexcept
 {
@@ -38,12 +41,15 @@
     endpoint.pace.observe(load.measuredAt, load.pace);
 }
 
-void endpoint_table::queuePrompt(instant now, endpoint_state &endpoint, std::int64_t tokens) const
+void endpoint_table::queuePrompt(instant now, endpoint_state &endpoint, std::int64_t tokens,
+                                 nanoseconds lifetime, std::optional<std::uint64_t> ticket) const
 {
     if (!paced() || tokens <= 0)
         return;
-    endpoint.queue.advance(now, prefillRate(now, endpoint));
-    endpoint.queue.add(now, static_cast<double>(tokens));
+    const double rate = prefillRate(now, endpoint);
+    endpoint.queue.advance(now, rate);
+    endpoint.queue.add(now, std::min(static_cast<double>(tokens), rate * maxPrefillSeconds),
+                       lifetime, ticket);
 }
 
 void endpoint_table::recordPrefilled(instant now, endpoint_state &endpoint,
--- a/tests/unit/endpoint_table_rates_test.cpp
+++ b/tests/unit/endpoint_table_rates_test.cpp
@@ -77,6 +77,14 @@
         table.observe(start, start, longPrompt(80'000));
 }
 
+/// Prompt tokens that a caller may claim in a header.
+constexpr std::int64_t claimedTokens = 1'000'000'000'000;
+
+[[nodiscard]] double queuedTokens(const endpoint_table &table, instant now)
+{
+    return table.views(now, {}).front().speed->queuedTokens;
+}
+
 [[nodiscard]] endpoint_rate rateRow()
 {
     endpoint_rate rate{"pool", "e1", 7, 3, {48'200, 0.0125, false}};
@@ -222,6 +230,46 @@
     table.applyRemoteRate(start, unknown);
 }
 
+/// Guards against an endpoint that is never chosen again since a caller claimed more prompt tokens
+/// than an engine prefills in years, and the engine rejected the request.
+TEST(endpoint_table_queue, aPromptThatEndedWithoutAFirstTokenIsRemoved)
+{
+    endpoint_table table;
+    table.setRows(poolOf(7));
+    teach(table);
+    table.requestSent(start, "e1", 1, {4'000, 1});
+    const double before = queuedTokens(table, start);
+    EXPECT_GT(before, 0);
+    table.requestSent(start, "e1", 2, {claimedTokens, 1});
+    table.requestEnded("e1", 2);
+    EXPECT_EQ(queuedTokens(table, start), before) << "the other prompt stays";
+    table.requestEnded("e1", 1);
+    EXPECT_EQ(queuedTokens(table, start), 0);
+}
+
+TEST(endpoint_table_queue, aClaimedPromptCountsForNoMoreThanAPromptThatEnginesAccept)
+{
+    endpoint_table table;
+    table.setRows(poolOf(7));
+    teach(table);
+    table.requestSent(start, "e1", 1, {claimedTokens, 1});
+    EXPECT_LE(queuedTokens(table, start), 60 * rateOf(table, "e1"));
+    EXPECT_EQ(queuedTokens(table, start + seconds(60)), 0);
+}
+
+TEST(endpoint_table_queue, promptsOfOtherEntriesExpireWhenTheirFirstTokenIsNeverTold)
+{
+    endpoint_table table;
+    table.setRows(poolOf(7));
+    teach(table);
+    for (int count = 0; count < 100; ++count)
+        table.addRemotePrompt(start, "e1", claimedTokens, seconds(100'000));
+    EXPECT_GT(queuedTokens(table, start + seconds(10)), 0);
+    EXPECT_EQ(queuedTokens(table, start + seconds(60)), 0);
+    table.addRemotePrompt(start + seconds(60), "e1", 4'000, milliseconds(50));
+    EXPECT_NEAR(queuedTokens(table, start + seconds(60)), 4'000, 1);
+}
+
 TEST(load_rates, areDecodedAsTheyWereEncoded)
 {
     const auto received = sent(rateRow());
