Learnt rates cause no load message

Change: the message is tested first. Without a message the rates stay in the table for the next one.

Result: load_exchange.learntRatesGoAlongWithAMessageAndCauseNone failed before the change and passes.

--- a/src/yuccascale/runtime/load_exchange.cpp
+++ b/src/yuccascale/runtime/load_exchange.cpp
@@ -60,10 +60,10 @@
         const std::lock_guard lock(m_mutex);
         message.updates = std::exchange(m_pendingUpdates, {});
     }
-    if (m_hooks.takeRates)
-        message.updates.rates = m_hooks.takeRates();
     if (message.empty())
         return;
+    if (m_hooks.takeRates)
+        message.updates.rates = m_hooks.takeRates();
     const std::string payload = wire::encodeLoad(message);
     for (const std::string &entry : m_hooks.otherEntries())
         m_transport.post(entry, channel::Load, payload);
--- a/tests/unit/load_exchange_test.cpp
+++ b/tests/unit/load_exchange_test.cpp
@@ -1,5 +1,6 @@
 #include "yuccascale/kernel/policy/admission.hpp"
 #include "yuccascale/kernel/requests/endpoint_notice.hpp"
+#include "yuccascale/runtime/load_exchange.hpp"
 #include "yuccascale/wire/load_codec.hpp"
 
 #include <gtest/gtest.h>
@@ -8,6 +9,8 @@
 #include <limits>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace yuccascale::kernel::requests {
 
@@ -84,6 +87,23 @@
     std::map<std::string, int> m_served;
 };
 
+/// Keeps what is posted.
+class posts_only final : public transport
+{
+public:
+    void handle(channel, handler) override { }
+    void post(std::string_view, channel, std::string payload) override
+    {
+        posted.push_back(wire::decodeLoad(payload));
+    }
+    result<std::string> call(std::string_view, channel, std::string, call_timeout) override
+    {
+        return std::string();
+    }
+
+    std::vector<wire::load_message> posted;
+};
+
 } // namespace
 
 TEST(load_exchange, exchangedChargesGiveALightOrganisationItsShareAgainstAFloodOnAnotherEntry)
@@ -188,4 +208,27 @@
     EXPECT_EQ(received[1].requestsPerSecond, noRequestLimit);
 }
 
+/// Guards against messages of entries that have nothing else to tell, and against rates that are
+/// taken from the table and then not sent.
+TEST(load_exchange, learntRatesGoAlongWithAMessageAndCauseNone)
+{
+    posts_only transport;
+    std::vector<pool_charge> charges;
+    std::vector<endpoint_rate> rates;
+    rates.push_back({"pool", "e1", 7, 3, {48'200, 0.0125, false}});
+    runtime::load_exchange exchange(transport,
+                                    {[&](std::size_t) { return std::exchange(charges, {}); },
+                                     [](const wire::load_message &) {},
+                                     [] { return std::vector<std::string>{"other"}; },
+                                     [&] { return std::exchange(rates, {}); }});
+    exchange.sendPending();
+    EXPECT_TRUE(transport.posted.empty());
+    EXPECT_EQ(rates.size(), 1U) << "kept for the next message";
+    charges.push_back({"pool", "o", 5});
+    exchange.sendPending();
+    ASSERT_EQ(transport.posted.size(), 1U);
+    EXPECT_EQ(transport.posted.front().charges.size(), 1U);
+    EXPECT_EQ(transport.posted.front().updates.rates.size(), 1U);
+}
+
 } // namespace yuccascale::kernel::requests
