A reported pace takes effect only with a router that uses it

Cause: the limit by a load report, the reported slots and the dispatch window switched as soon as an endpoint reported a pace, with any router. docs/operators.md says that this needs prompt_homes.

Change: a router states whether it uses the pace (router::usesPace, only prompt_homes does). Otherwise the endpoint table ignores paces and the rates of other entries.

Result: endpoint_table_rates.takeEffectOnlyWithARouterThatUsesThePace failed without the change for the three other routers and passes.

--- a/src/yuccascale/kernel/policy/routing.hpp
+++ b/src/yuccascale/kernel/policy/routing.hpp
@@ -128,6 +128,9 @@
     [[nodiscard]] virtual std::optional<routing_choice>
     choose(instant now, const routing_request &request, std::span<const endpoint_view> views) = 0;
 
+    /// \returns whether it uses endpoint_view::speed. Other routers are given views without it.
+    [[nodiscard]] virtual bool usesPace() const noexcept { return false; }
+
     /// \brief Updates the router's estimates from a finished attempt.
     virtual void observe(instant now, const routing_outcome &outcome) = 0;
 };
--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -75,6 +75,9 @@
     /// for ever.
     void setDrainNotice(nanoseconds notice) noexcept { m_drainNotice = notice; }
 
+    /// \brief Sets whether reported paces take effect; otherwise they are ignored.
+    void setPaceUsed(bool used) noexcept { m_paceUsed = used; }
+
     /// \brief Sets when the platform was asked for the list of endpoints; nothing: not known.
     void setListAskedAt(std::optional<instant> askedAt) noexcept { m_listAskedAt = askedAt; }
 
@@ -103,7 +106,7 @@
     /// \param pool name to write into the rows
     [[nodiscard]] std::vector<endpoint_rate> takeRates(instant now, const std::string &pool);
 
-    /// \returns whether an endpoint of the pool has reported a pace.
+    /// \returns whether an endpoint of the pool has reported a pace that takes effect.
     [[nodiscard]] bool paced() const noexcept { return m_paced; }
 
     /// \returns the learnt rate and the pace of each endpoint; empty while none reports a pace.
@@ -277,6 +280,7 @@
     entry_position m_position; ///< among the entries that send to the same endpoints
     int m_maxConnections = 0;  ///< per endpoint, for all entries together; 0: unlimited
     bool m_listed = false;     ///< the platform lists the endpoints
+    bool m_paceUsed = true;    ///< the pool's router uses it
     bool m_paced = false;      ///< an endpoint has reported a pace
     bool m_plainService = false;
     policy::endpoint_rates m_poolRates;   ///< of all endpoints together
--- a/src/yuccascale/kernel/requests/endpoint_table_rates.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table_rates.cpp
@@ -35,7 +35,7 @@
 void endpoint_table::recordPace(endpoint_state &endpoint)
 {
     const policy::load_report &load = endpoint.report.load;
-    if (load.pace <= 0)
+    if (load.pace <= 0 || !m_paceUsed)
         return;
     m_paced = true;
     endpoint.pace.observe(load.measuredAt, load.pace);
@@ -110,7 +110,7 @@
 void endpoint_table::applyRemoteRate(instant now, const endpoint_rate &rate)
 {
     endpoint_state *known = find(rate.endpoint);
-    if (!known || known->row.startedMs != rate.startedMs)
+    if (!known || !m_paceUsed || known->row.startedMs != rate.startedMs)
         return;
     if (rate.incarnation < known->report.incarnation)
         return;
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -42,6 +42,7 @@
     , m_window(limits.window)
 {
     m_endpoints.setDrainNotice(limits.drainNotice);
+    m_endpoints.setPaceUsed(m_strategies.router->usesPace());
 }
 
 void pool_scheduler::setPosition(instant now, entry_position position)
--- a/src/yuccascale/plugins/router_prompt_homes.cpp
+++ b/src/yuccascale/plugins/router_prompt_homes.cpp
@@ -105,6 +105,8 @@
         : m_random(seed)
     { }
 
+    [[nodiscard]] bool usesPace() const noexcept override { return true; }
+
     [[nodiscard]] std::optional<routing_choice>
     choose(instant now, const routing_request &request,
            std::span<const endpoint_view> views) override
--- a/tests/unit/endpoint_table_rates_test.cpp
+++ b/tests/unit/endpoint_table_rates_test.cpp
@@ -1,5 +1,6 @@
 #include "fakes/load_of_30bf086_generated.h"
 #include "yuccascale/kernel/requests/endpoint_driver.hpp"
+#include "yuccascale/kernel/requests/pool_scheduler.hpp"
 #include "yuccascale/wire/load_codec.hpp"
 #include "yuccascale/wire/load_generated.h"
 
@@ -230,6 +231,32 @@
     table.applyRemoteRate(start, unknown);
 }
 
+/// Guards against pools that are served in another way by a header alone, although their router
+/// does not use the pace: their dispatch window and the limit by a report would change.
+TEST(endpoint_table_rates, takeEffectOnlyWithARouterThatUsesThePace)
+{
+    for (const char *router :
+         {"round_robin", "least_outstanding", "predicted_first_token", "prompt_homes"}) {
+        pool_scheduler scheduler({policy::router_registry::make(router, 1).value(),
+                                  policy::admission_registry::make("deadline").value(),
+                                  policy::fair_queue_registry::make("fair_share").value()},
+                                 {});
+        scheduler.setRows(poolOf(7));
+        endpoint_table &table = scheduler.endpoints();
+        table.report("e1", *reportOf("60,0,16,100"));
+        endpoint_rate remote = rateRow();
+        remote.endpoint = "e2";
+        remote.age = {};
+        scheduler.applyRemoteRate(start, remote);
+        const bool used = std::string_view(router) == "prompt_homes";
+        const auto views = table.views(start, {});
+        EXPECT_EQ(table.paced(), used) << router;
+        EXPECT_EQ(views[0].speed.has_value(), used) << router;
+        EXPECT_EQ(views[0].usable, used) << router << ": full by its report";
+        EXPECT_EQ(views[1].report.running, used ? remote.running : 0) << router;
+    }
+}
+
 /// Guards against an endpoint that is never chosen again since a caller claimed more prompt tokens
 /// than an engine prefills in years, and the engine rejected the request.
 TEST(endpoint_table_queue, aPromptThatEndedWithoutAFirstTokenIsRemoved)
