Internal linkage for the text of learnt rates

Cause: learntText stood outside the anonymous namespace of caller_server.cpp. Change: moved into it. No change of behaviour, so no test of its own.

--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -78,8 +78,6 @@
     return grant;
 }
 
-} // namespace
-
 /// \returns gauges of the rates and paces learnt from endpoints that report a pace.
 [[nodiscard]] std::string
 learntText(const std::map<std::string, std::vector<learnt_endpoint>> &learntByPool)
@@ -114,6 +112,8 @@
     return out.str();
 }
 
+} // namespace
+
 class caller_server::implementation
 {
 public:
