--- a/src/yuccascale/kernel/requests/endpoint_table.hpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "yuccascale/kernel/policy/endpoint_rates.hpp"
+#include "yuccascale/kernel/policy/prefill_queue.hpp"
 #include "yuccascale/kernel/policy/routing.hpp"
 #include "yuccascale/kernel/requests/circuit_breaker.hpp"
 #include "yuccascale/kernel/requests/endpoint_notice.hpp"
 #include "yuccascale/kernel/requests/endpoint_standing.hpp"
+#include "yuccascale/kernel/requests/placement.hpp"
 #include "yuccascale/kernel/requests/shared_limit.hpp"
 
 #include <algorithm>
@@ -50,6 +53,16 @@
     std::int64_t outputTokens = 0;
 };
 
+/// \brief Learnt rate and pace of an endpoint, for operators.
+struct learnt_endpoint
+{
+    std::string name;
+    double prefillTokensPerSecond = 0; ///< at the usual pace; 0: not known
+    double slowdown = 1;               ///< of other work, relative to the pool's endpoints
+    double pace = 1;                   ///< expected now
+    double averagePace = 1;
+};
+
 /// \brief Endpoints of one pool. Not thread-safe; its owner serialises calls.
 class endpoint_table
 {
@@ -62,6 +75,9 @@
     /// for ever.
     void setDrainNotice(nanoseconds notice) noexcept { m_drainNotice = notice; }
 
+    /// \brief Sets whether reported paces take effect; otherwise they are ignored.
+    void setPaceUsed(bool used) noexcept { m_paceUsed = used; }
+
     /// \brief Sets when the platform was asked for the list of endpoints; nothing: not known.
     void setListAskedAt(std::optional<instant> askedAt) noexcept { m_listAskedAt = askedAt; }
 
@@ -79,6 +95,23 @@
     /// \returns true when it is the first to announce that the endpoint is leaving.
     bool report(const std::string &endpoint, const endpoint_report &report);
 
+    /// \brief Learns from a finished attempt, once an endpoint of the pool has reported a pace.
+    /// \param sentAt a load report measured since then came with the answer
+    void observe(instant now, instant sentAt, const policy::routing_outcome &outcome);
+
+    /// \brief Applies what another entry learnt from an endpoint's answers.
+    void applyRemoteRate(instant now, const endpoint_rate &rate);
+
+    /// \returns what this entry learnt since the last call, to tell the other entries.
+    /// \param pool name to write into the rows
+    [[nodiscard]] std::vector<endpoint_rate> takeRates(instant now, const std::string &pool);
+
+    /// \returns whether an endpoint of the pool has reported a pace that takes effect.
+    [[nodiscard]] bool paced() const noexcept { return m_paced; }
+
+    /// \returns the learnt rate and the pace of each endpoint; empty while none reports a pace.
+    [[nodiscard]] std::vector<learnt_endpoint> learnt(instant now) const;
+
     /// \brief Applies what the endpoint asked in an answer to this entry.
     notice_effect applyNotice(instant now, const std::string &endpoint,
                               const endpoint_notice &notice);
@@ -112,7 +145,7 @@
                          nanoseconds timeToFirstToken);
 
     /// \brief Records the first piece of an answer: the prefill of the request is complete.
-    void firstPieceArrived(const std::string &endpoint, std::uint64_t ticket);
+    void firstPieceArrived(instant now, const std::string &endpoint, std::uint64_t ticket);
 
     /// \brief Removes a request that is no longer in flight at the endpoint.
     void requestEnded(const std::string &endpoint, std::uint64_t ticket);
@@ -166,6 +199,12 @@
         bool prefilled = false;
     };
 
+    struct prefilled_times
+    {
+        instant sentAt{};
+        instant firstTokenAt{};
+    };
+
     struct failure_record
     {
         instant at{};
@@ -195,11 +234,27 @@
         std::vector<remote_prompt> remotePrompts; ///< long prompts sent by other entries
         circuit_breaker breaker;
         std::vector<failure_record> failures; ///< recent failures at all entries
+        policy::endpoint_pace pace;
+        policy::endpoint_rates rates;
+        policy::prefill_queue queue;
+        policy::rate_observation untold; ///< not yet told to the other entries
+        std::optional<prefilled_times> untoldPrompt;
+        bool reportUntold = false; ///< the report came to this entry and was not told
 
         [[nodiscard]] int outstanding() const noexcept { return static_cast<int>(running.size()); }
         [[nodiscard]] int sentSinceReport() const noexcept;
     };
 
+    void recordPace(endpoint_state &endpoint);
+    [[nodiscard]] int slotsOf(const endpoint_state &endpoint) const noexcept;
+    [[nodiscard]] int slotCapacity(const endpoint_state &endpoint) const noexcept;
+    [[nodiscard]] bool reportedFull(instant now, const endpoint_state &endpoint) const;
+    [[nodiscard]] policy::endpoint_speed speedOf(instant now, const endpoint_state &endpoint) const;
+    [[nodiscard]] double prefillRate(instant now, const endpoint_state &endpoint) const;
+    static void recordPrefilled(instant now, endpoint_state &endpoint,
+                                const running_request &prefilled);
+    void queuePrompt(instant now, endpoint_state &endpoint, std::int64_t tokens,
+                     nanoseconds lifetime, std::optional<std::uint64_t> ticket) const;
     [[nodiscard]] bool listTooOld(instant now) const noexcept;
     static void addFailure(instant now, endpoint_state &endpoint, bool crashed);
     [[nodiscard]] static bool suspected(instant now, const endpoint_state &endpoint);
@@ -225,6 +280,12 @@
     entry_position m_position; ///< among the entries that send to the same endpoints
     int m_maxConnections = 0;  ///< per endpoint, for all entries together; 0: unlimited
     bool m_listed = false;     ///< the platform lists the endpoints
+    bool m_paceUsed = true;    ///< the pool's router uses it
+    bool m_paced = false;      ///< an endpoint has reported a pace
+    bool m_plainService = false;
+    policy::endpoint_rates m_poolRates;   ///< of all endpoints together
+    policy::learnt_value m_answerSeconds; ///< of a whole answer at the usual pace
+    double m_promptTokens = 0;            ///< mean tokens to prefill of a short prompt
     nanoseconds m_drainNotice{};
     std::optional<instant> m_listAskedAt;
 };
--- a/src/yuccascale/runtime/load_exchange.cpp
+++ b/src/yuccascale/runtime/load_exchange.cpp
@@ -67,6 +67,8 @@
         return;
     if (quotas)
         message.quotas = std::move(*quotas);
+    if (m_hooks.takeRates)
+        message.updates.rates = m_hooks.takeRates();
     const std::string payload = wire::encodeLoad(message);
     for (const std::string &entry : m_hooks.otherEntries())
         m_transport.post(entry, channel::Load, payload);
--- a/src/yuccascale/runtime/load_exchange.hpp
+++ b/src/yuccascale/runtime/load_exchange.hpp
@@ -27,6 +27,8 @@
     /// Nothing while no quota is in force; else the message is sent also when it is empty, since
     /// the others count who is silent. May be null.
     std::function<std::optional<std::vector<kernel::requests::quota_report>>()> takeQuotas = {};
+    /// What this entry learnt from answers since the last call; sent along with other messages.
+    std::function<std::vector<kernel::requests::endpoint_rate>()> takeRates = {};
 };
 
 /// \brief Sends this entry's heaviest charges to the other entries at each interval. Long prompts
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -364,7 +364,8 @@
                 for (const auto &endpoint : callers->pools().applyEndpointUpdates(message.updates))
                     events.record(requests::endpointSuspected, {{"endpoint", endpoint}});
             },
-            [this] { return otherEntries(); }, [this] { return callers->quotas().takeReports(); }};
+            [this] { return otherEntries(); }, [this] { return callers->quotas().takeReports(); },
+            [this] { return callers->pools().takeRates(); }};
     load = std::make_unique<load_exchange>(*transport, std::move(hooks), periodic);
 }
 
--- a/src/yuccascale/wire/load_codec.cpp
+++ b/src/yuccascale/wire/load_codec.cpp
@@ -16,6 +16,11 @@
 
 /// A placement with a longer time to the first token is invalid.
 constexpr std::uint32_t maxTimeToFirstTokenMs = 60'000;
+/// Bounds of the figures of a rate; a row beyond them is invalid.
+constexpr std::uint32_t maxPaceHundredths = 10'000;
+constexpr std::uint32_t maxReportAgeMs = 60'000;
+constexpr std::int32_t maxReportedRequests = 1'000'000;
+constexpr double hundredthsPerPace = 100;
 
 flatbuffers::Offset<fb::Charge> write(builder_type &builder, const pool_charge &charge)
 {
@@ -84,6 +89,34 @@
                            report.admittedInWindow);
 }
 
+/// \returns an age of 1 ms at least, unless it is 0, and more than the bound when it is beyond it.
+[[nodiscard]] std::uint32_t ageInMs(kernel::nanoseconds age)
+{
+    const auto ms = std::chrono::ceil<kernel::milliseconds>(age).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, maxReportAgeMs + 1));
+}
+
+flatbuffers::Offset<fb::Rate> write(builder_type &builder, const endpoint_rate &rate)
+{
+    const auto pool = builder.CreateSharedString(rate.pool);
+    const auto endpoint = builder.CreateSharedString(rate.endpoint);
+    const std::uint32_t ageMs = ageInMs(rate.age);
+    const bool old = ageMs > maxReportAgeMs;
+    const std::uint32_t sentMs = ageInMs(rate.promptSentAge);
+    const bool longSince = sentMs > maxReportAgeMs;
+    const double hundredths = std::clamp(std::round(rate.pace * hundredthsPerPace), 0.0,
+                                         static_cast<double>(maxPaceHundredths));
+    return fb::CreateRate(builder, pool, endpoint, rate.startedMs, rate.incarnation,
+                          rate.seen.prefillOnly,
+                          static_cast<float>(rate.seen.prefillTokensPerSecond),
+                          static_cast<float>(rate.seen.workSeconds),
+                          old ? 0U : static_cast<std::uint32_t>(hundredths), old ? 0U : ageMs,
+                          std::clamp(rate.running, 0, maxReportedRequests),
+                          std::clamp(rate.queued, 0, maxReportedRequests),
+                          std::clamp(rate.slots, 0, maxReportedRequests), longSince ? 0U : sentMs,
+                          longSince ? 0U : std::min(ageInMs(rate.firstTokenAge), sentMs));
+}
+
 template<typename Row, typename Table>
 flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Table>>>
 writeAll(builder_type &builder, const std::vector<Row> &rows)
@@ -185,6 +218,42 @@
                         table.admitted_total(),      table.admitted_in_window()};
 }
 
+[[nodiscard]] bool isRequestCount(std::int32_t count) noexcept
+{
+    return count >= 0 && count <= maxReportedRequests;
+}
+
+[[nodiscard]] bool isRate(float value) noexcept
+{
+    return std::isfinite(value) && value >= 0;
+}
+
+[[nodiscard]] std::optional<endpoint_rate> read(const fb::Rate &table)
+{
+    const bool valid = table.pool() != nullptr && table.endpoint() != nullptr
+            && isRate(table.prefill_tokens_per_second()) && isRate(table.work_seconds())
+            && table.pace_hundredths() <= maxPaceHundredths && table.age_ms() <= maxReportAgeMs
+            && isRequestCount(table.running()) && isRequestCount(table.queued())
+            && isRequestCount(table.slots()) && table.prompt_sent_ms() <= maxReportAgeMs
+            && table.first_token_ms() <= table.prompt_sent_ms();
+    if (!valid)
+        return std::nullopt;
+    endpoint_rate rate{
+            table.pool()->str(),
+            table.endpoint()->str(),
+            table.started_ms(),
+            table.incarnation(),
+            {table.prefill_tokens_per_second(), table.work_seconds(), table.prefill_only()}};
+    rate.pace = table.pace_hundredths() / hundredthsPerPace;
+    rate.age = kernel::milliseconds(table.age_ms());
+    rate.running = table.running();
+    rate.queued = table.queued();
+    rate.slots = table.slots();
+    rate.promptSentAge = kernel::milliseconds(table.prompt_sent_ms());
+    rate.firstTokenAge = kernel::milliseconds(table.first_token_ms());
+    return rate;
+}
+
 template<typename Row, typename Tables>
 void readAll(const Tables *tables, std::vector<Row> &out)
 {
@@ -213,8 +282,12 @@
     const auto quotas = message.quotas.empty()
             ? 0
             : writeAll<quota_report, fb::Quota>(builder, message.quotas);
+    const auto &learnt = message.updates.rates;
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fb::Rate>>> rates;
+    if (!learnt.empty()) // left out otherwise, so that the message is the former one
+        rates = writeAll<endpoint_rate, fb::Rate>(builder, learnt);
     builder.Finish(fb::CreateLoad(builder, charges, placements, failures, leaving, crashes, cleared,
-                                  limits, quotas));
+                                  limits, quotas, rates));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -234,6 +307,7 @@
     readAll(load.cleared(), out.updates.cleared);
     readAll(load.limits(), out.updates.limits);
     readAll(load.quotas(), out.quotas);
+    readAll(load.rates(), out.updates.rates);
     return out;
 }
 
