--- a/tests/unit/duties_capacity_test.cpp
+++ b/tests/unit/duties_capacity_test.cpp
@@ -179,8 +179,8 @@
                                  return view;
                              },
                              nullptr, nullptr, m_events, m_clock,
-                             [](const feed::endpoint_reading &) {}, nullptr, nullptr,
-                             [](const std::string &) { return calm(); }},
+                             [](const feed::endpoint_reading &) {}, nullptr, nullptr, nullptr,
+                             nullptr, [](const std::string &) { return calm(); }},
                 std::move(drivers));
     }
 
