Periodic work: the longest overdue task runs first

The thread took the first task that was due. The load exchange is added first and requests its own next run, so that under many endpoint updates demand reports and the rounds of the duties did not run. A requested run is now due from the time of the request, and the longest overdue task is chosen. The new test fails without the change.

--- a/src/yuccascale/runtime/periodic_thread.cpp
+++ b/src/yuccascale/runtime/periodic_thread.cpp
@@ -27,7 +27,9 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        added.due = steady_clock::now() + added.interval;
+        added.due = steady_clock::now();
+        if (!added.runRequested)
+            added.due += added.interval;
         m_tasks.push_back(&added);
         if (!m_thread.joinable())
             m_thread = std::thread([this] { run(); });
@@ -40,6 +42,7 @@
     {
         const std::lock_guard lock(m_mutex);
         requested.runRequested = true;
+        requested.due = std::min(requested.due, steady_clock::now());
     }
     m_changed.notify_all();
 }
@@ -51,13 +54,12 @@
     m_changed.wait(lock, [&] { return !removed.running; });
 }
 
-/// Requires m_mutex to be held. \returns null when none is due.
+/// Requires m_mutex to be held. The longest overdue task comes first, so that one whose run is
+/// requested again and again does not keep the others from running. \returns null when none is due.
 periodic_thread::task *periodic_thread::dueTask(steady_clock::time_point now)
 {
-    const auto found = std::ranges::find_if(m_tasks, [&](const task *candidate) {
-        return candidate->runRequested || candidate->due <= now;
-    });
-    return found == m_tasks.end() ? nullptr : *found;
+    const auto found = std::ranges::min_element(m_tasks, {}, &task::due);
+    return found == m_tasks.end() || (*found)->due > now ? nullptr : *found;
 }
 
 /// Requires m_mutex to be held.
@@ -84,7 +86,9 @@
         due->work();
         lock.lock();
         due->running = false;
-        due->due = steady_clock::now() + due->interval;
+        due->due = steady_clock::now();
+        if (!due->runRequested)
+            due->due += due->interval;
         m_changed.notify_all();
     }
 }
--- a/tests/unit/worker_threads_test.cpp
+++ b/tests/unit/worker_threads_test.cpp
@@ -97,6 +97,28 @@
     EXPECT_EQ(pool.load(), 0U);
 }
 
+/// Guards against a task that runs again and again and keeps the others from running: under many
+/// endpoint updates the leader's duties did not run.
+TEST(periodic_task, aTaskThatRequestsItselfLeavesTurnsToTheOthers)
+{
+    const auto shared = std::make_shared<periodic_thread>();
+    std::atomic<int> ran{0};
+    periodic_task *requested = nullptr;
+    periodic_task busy(
+            std::chrono::milliseconds(1), [&] { requested->runSoon(); }, shared);
+    requested = &busy;
+    periodic_task other(
+            std::chrono::milliseconds(1), [&] { ++ran; }, shared);
+    busy.start();
+    other.start();
+    const auto end = std::chrono::steady_clock::now() + enoughTime;
+    while (ran < 10 && std::chrono::steady_clock::now() < end)
+        std::this_thread::yield();
+    EXPECT_GE(ran, 10);
+    busy.stop();
+    other.stop();
+}
+
 TEST(periodic_task, severalShareOneThreadAndRunUntilTheyAreStopped)
 {
     const auto shared = std::make_shared<periodic_thread>();
