Worker threads: reserve threads for groups of pools

One thread was kept for each pool that ran nothing, from its first task on. - Commits that waited for a lost log took the others, so that a node with two silent control nodes did not ask the third before the first poll ended, and its lease ran out. - A pool that was opened late had no thread kept for it. - With six pools, each had exactly one thread even while the others idled.

Pools now belong to groups with reserved threads (polls 3, callers 2, operators and duties 2); a pool opens its lane when it is constructed. A poll that has not begun when the feed stops is not sent. With one reserved thread a pool, aThirdNodeIsAskedWhileTwoAreSilentAndCommitsWait and keepAllReservedThreadsOfAPool fail.

--- a/src/yuccascale/http/caller_commits.cpp
+++ b/src/yuccascale/http/caller_commits.cpp
@@ -10,7 +10,8 @@
 using namespace kernel::requests;
 using kernel::milliseconds;
 
-constexpr std::size_t backgroundThreads = 16;
+/// A settlement that is repeated leaves a thread to claims.
+constexpr runtime::thread_share backgroundThreads{16, 2, runtime::worker_group::Callers};
 constexpr milliseconds claimTimeout{1'000};
 constexpr milliseconds commitTimeout{1'000};
 constexpr milliseconds retryDelay{50};
--- a/src/yuccascale/http/document_interface.cpp
+++ b/src/yuccascale/http/document_interface.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds commitTimeout{2'500};
 constexpr milliseconds readTimeout{1'500};
 /// Bounds the requests that are answered at the same time.
-constexpr std::size_t workerThreads = 8;
+constexpr runtime::thread_share workerThreads{8, 1, runtime::worker_group::Operators};
 constexpr int redirectStatus = 307;
 const net::header_list jsonHeaders{{"Content-Type", "application/json"}};
 
--- a/src/yuccascale/http/operator_routes.cpp
+++ b/src/yuccascale/http/operator_routes.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr seconds submitTimeout{5};
-constexpr std::size_t workerThreads = 4;
+constexpr runtime::thread_share workerThreads{4, 1, runtime::worker_group::Operators};
 constexpr std::string_view pathPrefix = "/operator/";
 
 void answerJson(net::http_reply &response, int status, const json &body)
--- a/src/yuccascale/http/stream_registry.cpp
+++ b/src/yuccascale/http/stream_registry.cpp
@@ -22,7 +22,7 @@
 /// Control nodes that keep the record, and that are asked for it.
 constexpr std::size_t archiveKeepers = 1;
 constexpr std::size_t askedArchives = 2;
-constexpr std::size_t maxThreads = 4;
+constexpr runtime::thread_share threads{4, 1, runtime::worker_group::Callers};
 /// A caller may wait for longer than its route's deadline, in several requests.
 [[nodiscard]] nanoseconds keptTime(const request &callerRequest)
 {
@@ -47,7 +47,7 @@
     : m_clock(clock)
     , m_exchange(std::move(exchange))
     , m_sources(std::move(origins))
-    , m_workers(maxThreads, std::move(workers))
+    , m_workers(threads, std::move(workers))
 { }
 
 std::vector<std::string> stream_registry::others() const
--- a/src/yuccascale/runtime/duties.cpp
+++ b/src/yuccascale/runtime/duties.cpp
@@ -22,7 +22,8 @@
 
 namespace {
 
-constexpr std::size_t workerThreads = 8;
+/// A call to a platform that does not answer leaves a thread to the other calls.
+constexpr thread_share workerThreads{8, 2, worker_group::Operators};
 constexpr milliseconds roundInterval{50};
 constexpr milliseconds listInterval{1'000};
 constexpr milliseconds submitTimeout{3'000};
--- a/src/yuccascale/runtime/duties_workers.cpp
+++ b/src/yuccascale/runtime/duties_workers.cpp
@@ -4,7 +4,7 @@
 
 namespace yuccascale::runtime {
 
-duties_workers::duties_workers(std::size_t threads, std::shared_ptr<worker_threads> shared)
+duties_workers::duties_workers(thread_share threads, std::shared_ptr<worker_threads> shared)
     : m_pool(threads, std::move(shared))
 { }
 
--- a/src/yuccascale/runtime/duties_workers.hpp
+++ b/src/yuccascale/runtime/duties_workers.hpp
@@ -22,7 +22,7 @@
     using job = std::function<completion()>;
 
     /// \param shared threads that other pools use too; null: threads of its own
-    explicit duties_workers(std::size_t threads, std::shared_ptr<worker_threads> shared = nullptr);
+    explicit duties_workers(thread_share threads, std::shared_ptr<worker_threads> shared = nullptr);
 
     /// \brief Waits for the running jobs and discards the queued ones.
     ~duties_workers();
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t maxNodesPerRound = 9; ///< control nodes polled in one round
+/// With two nodes silent, a third can still be asked while all other calls wait.
+constexpr thread_share pollThreads{maxNodesPerRound, 3, worker_group::Polls};
 /// Between two polls while a confirmation is awaited; the leader then confirms again at once.
 constexpr milliseconds awaitedPollInterval{50};
 constexpr seconds loadEventInterval{5}; ///< least time between two feed_load events
@@ -47,7 +49,7 @@
     , m_listSearch(m_listTimes)
     , m_editAnswers(clock, events,
                     {[this] { return settledRevision(); }, [this] { return slowestNode(); }})
-    , m_pollers(maxNodesPerRound, std::move(workers))
+    , m_pollers(pollThreads, std::move(workers))
 {
     m_transport.handle(channel::Feed, [this](std::string_view peer, std::string_view payload) {
         return handleRequest(peer, payload);
--- a/src/yuccascale/runtime/feed_service_polls.cpp
+++ b/src/yuccascale/runtime/feed_service_polls.cpp
@@ -129,6 +129,8 @@
 {
     const instant sentAt = m_clock.now();
     std::unique_lock lock(m_mutex);
+    if (m_stopped)
+        return;
     feed::feed_request request = m_state.request(sentAt, selfReport(), true);
     request.confirmNow = m_confirmationsAwaited > 0;
     lock.unlock();
--- a/src/yuccascale/runtime/worker_pool.hpp
+++ b/src/yuccascale/runtime/worker_pool.hpp
@@ -4,23 +4,21 @@
 
 #include <cstddef>
 #include <memory>
-#include <mutex>
 
 /// \file
 /// \brief A queue of tasks with a maximum number of threads.
 
 namespace yuccascale::runtime {
 
-/// \brief Runs tasks. While all threads are busy, tasks are queued. Among shared threads, one is
-/// kept
-///        for it from its first task on.
+/// \brief Runs tasks. While no thread may run one, tasks are queued. Reserved threads are kept from
+///        the construction on.
 class worker_pool
 {
 public:
     using task = worker_threads::task;
 
     /// \param shared threads that other pools use too; null: threads of its own
-    explicit worker_pool(std::size_t maxThreads, std::shared_ptr<worker_threads> shared = nullptr);
+    explicit worker_pool(thread_share share, std::shared_ptr<worker_threads> shared = nullptr);
 
     /// \brief Waits for all tasks.
     ~worker_pool();
@@ -36,11 +34,8 @@
     [[nodiscard]] std::size_t load() const;
 
 private:
-    const std::size_t m_maxThreads;
     const std::shared_ptr<worker_threads> m_threads;
-    mutable std::mutex m_mutex;
-    std::shared_ptr<worker_threads::lane> m_lane; ///< null before the first task
-    bool m_stopping = false;
+    const std::shared_ptr<worker_threads::lane> m_lane;
 };
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/worker_threads.cpp
+++ b/src/yuccascale/runtime/worker_threads.cpp
@@ -1,10 +1,17 @@
 #include "yuccascale/runtime/worker_threads.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace yuccascale::runtime {
 
+namespace {
+
+constexpr std::array groups{worker_group::Polls, worker_group::Callers, worker_group::Operators};
+
+} // namespace
+
 worker_threads::worker_threads(std::size_t maxThreads)
     : m_maxThreads(maxThreads)
 { }
@@ -20,10 +27,10 @@
         thread.join();
 }
 
-std::shared_ptr<worker_threads::lane> worker_threads::open(std::size_t maxThreads)
+std::shared_ptr<worker_threads::lane> worker_threads::open(thread_share share)
 {
     auto opened = std::make_shared<lane>();
-    opened->maxThreads = maxThreads;
+    opened->share = share;
     const std::scoped_lock guard(m_mutex);
     m_lanes.push_back(opened);
     return opened;
@@ -47,7 +54,7 @@
     pool->closed = true;
     m_finished.wait(guard, [&] { return pool->waiting.empty() && pool->running == 0; });
     std::erase(m_lanes, pool);
-    m_wake.notify_all(); // no thread is kept for it any more
+    m_wake.notify_all(); // its reserved threads are free for other pools
 }
 
 std::size_t worker_threads::load(const lane &pool) const
@@ -56,21 +63,43 @@
     return pool.waiting.size() + pool.running;
 }
 
-std::size_t worker_threads::limit() const noexcept
+/// Requires m_mutex to be held.
+worker_threads::usage worker_threads::usageOf(worker_group group) const
 {
-    return std::max(m_maxThreads, m_lanes.size());
+    usage sum;
+    for (const std::shared_ptr<lane> &pool : m_lanes) {
+        if (pool->share.group != group)
+            continue;
+        sum.running += pool->running;
+        sum.reserved = std::max(sum.reserved, pool->share.reserved);
+    }
+    return sum;
+}
+
+/// Requires m_mutex to be held.
+std::size_t worker_threads::limit() const
+{
+    std::size_t reserved = 0;
+    for (const worker_group group : groups)
+        reserved += usageOf(group).reserved;
+    return std::max(m_maxThreads, reserved);
 }
 
 /// Requires m_mutex to be held.
 bool worker_threads::mayRun(const lane &pool) const
 {
-    if (pool.waiting.empty() || pool.running >= pool.maxThreads)
+    const std::size_t most = limit();
+    if (pool.waiting.empty() || pool.running >= pool.share.most || m_running >= most)
         return false;
-    const auto kept = std::ranges::count_if(m_lanes, [&](const std::shared_ptr<lane> &other) {
-        return other.get() != &pool && other->running == 0;
-    });
-    const std::size_t spare = pool.running == 0 ? 0 : static_cast<std::size_t>(kept);
-    return m_running + spare < limit();
+    const usage own = usageOf(pool.share.group);
+    if (own.running < own.reserved)
+        return true;
+    std::size_t taken = 0;
+    for (const worker_group group : groups) {
+        const usage used = usageOf(group);
+        taken += std::max(used.running, used.reserved);
+    }
+    return taken < most;
 }
 
 /// Requires m_mutex to be held.
--- a/src/yuccascale/runtime/worker_threads.hpp
+++ b/src/yuccascale/runtime/worker_threads.hpp
@@ -14,8 +14,24 @@
 
 namespace yuccascale::runtime {
 
-/// \brief Threads that are created on demand, up to a maximum. A thread is kept free for each pool
-///        that runs nothing, so that calls of one pool that wait never hold up another pool.
+/// \brief Pools that share their reserved threads.
+enum class worker_group {
+    Polls,
+    Callers,   ///< commits and questions on behalf of callers
+    Operators, ///< calls of operators, and the leader's calls to the platform
+};
+
+/// \brief Threads of one pool.
+struct thread_share
+{
+    std::size_t most = 1;     ///< at once
+    std::size_t reserved = 1; ///< that only pools of the same group may use
+    worker_group group = worker_group::Polls;
+};
+
+/// \brief Threads that are created on demand, up to a maximum. Each group of pools has a
+///        number of reserved threads, the largest that one of its pools wants, so that calls of
+///        other groups that wait do not hold it up. The remaining threads are used by any pool.
 class worker_threads
 {
 public:
@@ -24,13 +40,13 @@
     /// \brief The tasks of one pool; guarded by the mutex of its threads.
     struct lane
     {
-        std::size_t maxThreads = 1;
+        thread_share share;
         std::size_t running = 0;
         std::deque<task> waiting = {};
         bool closed = false;
     };
 
-    /// \param maxThreads raised to the number of pools when there are more
+    /// \param maxThreads raised to the sum of the reserved threads when that is more
     explicit worker_threads(std::size_t maxThreads);
 
     /// \brief Joins the threads; all pools must have been closed.
@@ -38,8 +54,8 @@
     worker_threads(const worker_threads &) = delete;
     worker_threads &operator=(const worker_threads &) = delete;
 
-    /// \brief Adds a pool that uses at most \a maxThreads threads at once.
-    [[nodiscard]] std::shared_ptr<lane> open(std::size_t maxThreads);
+    /// \brief Adds a pool. Its reservation holds for tasks that begin later.
+    [[nodiscard]] std::shared_ptr<lane> open(thread_share share);
 
     /// \brief Queues a task; dropped when the lane is closed.
     void run(lane &pool, task work);
@@ -51,9 +67,17 @@
     [[nodiscard]] std::size_t load(const lane &pool) const;
 
 private:
+    /// Threads of one group.
+    struct usage
+    {
+        std::size_t running = 0;
+        std::size_t reserved = 0;
+    };
+
     void runTasks();
     void addThreadIfNeeded();
-    [[nodiscard]] std::size_t limit() const noexcept;
+    [[nodiscard]] usage usageOf(worker_group group) const;
+    [[nodiscard]] std::size_t limit() const;
     [[nodiscard]] bool mayRun(const lane &pool) const;
     [[nodiscard]] std::shared_ptr<lane> nextLane();
 
--- a/tests/unit/feed_waits_test.cpp
+++ b/tests/unit/feed_waits_test.cpp
@@ -57,14 +57,16 @@
     }
 
     void makeService(const std::string &link, std::vector<std::string> seeds,
-                     leader_state_reader *reader, milliseconds interval = milliseconds(600))
+                     leader_state_reader *reader, milliseconds interval = milliseconds(600),
+                     std::shared_ptr<worker_threads> workers = nullptr)
     {
         m_settings.node = m_settings.linkAddress = link;
         m_settings.zone = "perth-a";
         m_settings.seeds = std::move(seeds);
         m_settings.control.freshness = freshness;
         m_settings.control.feedInterval = interval;
-        m_feed = std::make_unique<feed_service>(m_settings, m_clock, m_nodes, m_events, 1, reader);
+        m_feed = std::make_unique<feed_service>(m_settings, m_clock, m_nodes, m_events, 1, reader,
+                                                std::move(workers));
     }
 
     void beginRound()
@@ -106,6 +108,32 @@
     EXPECT_TRUE(waitForRevision(7));
 }
 
+/// Guards against a lost lease when two control nodes vanish: commits that wait for the log took
+/// all threads but one, so that the third node was not asked before the poll of the first had
+/// ended.
+TEST_F(feed_waits, aThirdNodeIsAskedWhileTwoAreSilentAndCommitsWait)
+{
+    constexpr milliseconds interval{600};
+    const auto workers = std::make_shared<worker_threads>(7);
+    makeService("entry", {"a", "b", "c"}, nullptr, interval, workers);
+    const std::vector<std::string> order = m_feed->controlNodes();
+    m_nodes.release("a");
+    m_nodes.hold(order.at(0));
+    m_nodes.hold(order.at(1));
+    m_nodes.install(order.at(2), 7, start);
+    std::promise<void> release;
+    const std::shared_future<void> released = release.get_future().share();
+    worker_pool commits({16, 1, worker_group::Callers}, workers);
+    for (int count = 0; count < 20; ++count)
+        commits.run([released] { released.wait(); });
+    const auto begin = std::chrono::steady_clock::now();
+    m_round = std::async(std::launch::async, [this] { m_feed->pollRound(); });
+    EXPECT_TRUE(waitForRevision(7));
+    // two hedge delays of half an interval each; given up polls take longer than two intervals
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 2 * interval);
+    release.set_value();
+}
+
 /// Guards against a new leader that has its own tables in force only after a poll of the former one
 /// ends.
 TEST_F(feed_waits, aNewLeaderReadsItsOwnTablesWhileAPollOfTheFormerOneWaits)
--- a/tests/unit/worker_threads_test.cpp
+++ b/tests/unit/worker_threads_test.cpp
@@ -26,8 +26,8 @@
 TEST(worker_threads, keepOneThreadForAPoolThatRunsNothing)
 {
     const auto shared = std::make_shared<worker_threads>(threads);
-    worker_pool polls(9, shared);
-    worker_pool commits(16, shared);
+    worker_pool polls({9}, shared);
+    worker_pool commits({16, 1, worker_group::Callers}, shared);
     std::promise<void> first;
     commits.run([&] { first.set_value(); });
     ASSERT_TRUE(ready(first.get_future()));
@@ -47,7 +47,7 @@
 TEST(worker_threads, runAsManyTasksOfAPoolAtOnceAsThereAreThreads)
 {
     const auto shared = std::make_shared<worker_threads>(threads);
-    worker_pool pool(9, shared);
+    worker_pool pool({9}, shared);
     std::atomic<std::size_t> running{0};
     std::promise<void> all;
     std::promise<void> release;
@@ -70,7 +70,7 @@
     const auto shared = std::make_shared<worker_threads>(threads);
     std::atomic<int> running{0};
     std::atomic<int> most{0};
-    worker_pool pool(1, shared);
+    worker_pool pool({1}, shared);
     for (int count = 0; count < 50; ++count) {
         pool.run([&] {
             most = std::max(most.load(), ++running);
@@ -87,7 +87,7 @@
 {
     const auto shared = std::make_shared<worker_threads>(threads);
     std::atomic<int> ran{0};
-    worker_pool pool(2, shared);
+    worker_pool pool({2}, shared);
     for (int count = 0; count < 100; ++count)
         pool.run([&] { ++ran; });
     pool.shutdown();
@@ -97,6 +97,73 @@
     EXPECT_EQ(pool.load(), 0U);
 }
 
+/// Guards against a pool that cannot begin a second call while calls of others wait: a node that
+/// had two silent control nodes did not ask the third.
+TEST(worker_threads, keepAllReservedThreadsOfAPool)
+{
+    const auto shared = std::make_shared<worker_threads>(threads + 1);
+    worker_pool polls({9, 3}, shared);
+    worker_pool commits({16, 1, worker_group::Callers}, shared);
+    std::promise<void> release;
+    const std::shared_future<void> released = release.get_future().share();
+    std::atomic<std::size_t> commitsRunning{0};
+    for (int count = 0; count < 20; ++count) {
+        commits.run([&, released] {
+            ++commitsRunning;
+            released.wait();
+        });
+    }
+    std::promise<void> third;
+    std::atomic<int> pollsRunning{0};
+    for (int count = 0; count < 3; ++count) {
+        polls.run([&, released] {
+            if (++pollsRunning == 3)
+                third.set_value();
+            released.wait();
+        });
+    }
+    EXPECT_TRUE(ready(third.get_future()));
+    EXPECT_EQ(commitsRunning, 2U);
+    release.set_value();
+}
+
+/// Guards against a call that never ends and blocks all calls of its group when no thread is spare.
+TEST(worker_threads, aCallThatNeverEndsLeavesAThreadToItsGroup)
+{
+    const auto shared = std::make_shared<worker_threads>(5);
+    const worker_pool polls({9, 3, worker_group::Polls}, shared);
+    worker_pool commits({16, 2, worker_group::Callers}, shared);
+    worker_pool questions({4, 1, worker_group::Callers}, shared);
+    std::promise<void> release;
+    commits.run([released = release.get_future().share()] { released.wait(); });
+    for (int round = 0; round < 3; ++round) {
+        std::promise<void> committed;
+        std::promise<void> answered;
+        commits.run([&] { committed.set_value(); });
+        questions.run([&] { answered.set_value(); });
+        EXPECT_TRUE(ready(committed.get_future())) << round;
+        EXPECT_TRUE(ready(answered.get_future())) << round;
+    }
+    release.set_value();
+}
+
+/// Guards against a reservation that begins with the first task: the first call of one pool took
+/// the thread that another one needed.
+TEST(worker_threads, keepThreadsForAPoolBeforeItsFirstTask)
+{
+    const auto shared = std::make_shared<worker_threads>(threads);
+    worker_pool calls({9, 1}, shared);
+    worker_pool late({4, 1, worker_group::Operators}, shared);
+    std::promise<void> release;
+    const std::shared_future<void> released = release.get_future().share();
+    for (std::size_t count = 0; count < 2 * threads; ++count)
+        calls.run([released] { released.wait(); });
+    std::promise<void> ran;
+    late.run([&] { ran.set_value(); });
+    EXPECT_TRUE(ready(ran.get_future()));
+    release.set_value();
+}
+
 /// Guards against a task that runs again and again and keeps the others from running: under many
 /// endpoint updates the leader's duties did not run.
 TEST(periodic_task, aTaskThatRequestsItselfLeavesTurnsToTheOthers)
