Links: an exception closes its connection only

The event loops of links ran without a handler for exceptions: bad_alloc on a large frame, or an error while a connection moved to the consensus loop, ended the process. Reads, writes and deadlines now catch them, the connection is closed and unexpected_exception is recorded.

A connection moves to the consensus loop before its first frame is handled: a reply to that frame was lost with the former connection (anExceptionClosesItsConnectionOnly failed so). A connection that cannot move at its first frame tries again at the next one instead of staying on the common loop, and its descriptor is closed when the move fails.

--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -195,6 +195,9 @@
                        {"channel", channelName(report.channel)},
                        {"frames", report.frames}});
     };
+    links.onException = [this](const std::string &problem) {
+        events.record(unexpectedException, {{"problem", problem}});
+    };
     transport = std::make_unique<wire::tcp_transport>(std::move(links));
     if (settings.roles.control)
         buildControl();
--- a/src/yuccascale/wire/framed_connection.cpp
+++ b/src/yuccascale/wire/framed_connection.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/wire/framed_connection.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace yuccascale::wire {
@@ -25,6 +26,16 @@
     , m_lastActivity(std::chrono::steady_clock::now())
 { }
 
+void framed_connection::guarded(const std::function<void()> &work)
+{
+    try {
+        work();
+    } catch (const std::exception &problem) {
+        m_loop.report(problem);
+        close();
+    }
+}
+
 void framed_connection::begin(std::string_view bytesRead)
 {
     error_code ignored;
@@ -33,8 +44,10 @@
     m_lastActivity = std::chrono::steady_clock::now();
     updateDeadline();
     m_unread = bytesRead;
-    if (consume())
-        waitToRead();
+    guarded([this] {
+        if (consume())
+            waitToRead();
+    });
 }
 
 void framed_connection::close()
@@ -54,9 +67,9 @@
 {
     if (m_waitingToWrite || !m_output.empty())
         return -1;
-    m_closed = true;
     error_code problem;
     const int descriptor = m_socket.release(problem);
+    m_closed = !problem;
     return problem ? -1 : descriptor;
 }
 
@@ -71,7 +84,7 @@
             return;
         if (problem)
             return self->close();
-        self->readAvailable();
+        self->guarded([&] { self->readAvailable(); });
     });
 }
 
@@ -135,11 +148,18 @@
         return;
     const std::string kept = std::exchange(m_kept, {});
     m_unread = kept;
-    if (consume())
-        waitToRead();
+    guarded([this] {
+        if (consume())
+            waitToRead();
+    });
 }
 
 void framed_connection::flush()
+{
+    guarded([this] { writeWaiting(); });
+}
+
+void framed_connection::writeWaiting()
 {
     for (int writes = 0; writes < maxWritesInTurn; ++writes) {
         if (m_closed || m_waitingToWrite)
@@ -192,8 +212,10 @@
             return;
         if (problem)
             return self->close();
-        if (self->writeSome())
-            self->flush();
+        self->guarded([&] {
+            if (self->writeSome())
+                self->flush();
+        });
     });
 }
 
--- a/src/yuccascale/wire/framed_connection.hpp
+++ b/src/yuccascale/wire/framed_connection.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -81,6 +82,11 @@
     /// \returns a negative number when a write is in progress.
     [[nodiscard]] int releaseSocket();
 
+    /// \brief Runs \a work and closes the connection when it throws, so that one connection does
+    /// not
+    ///        end the process.
+    void guarded(const std::function<void()> &work);
+
     [[nodiscard]] tcp::socket &stream() noexcept { return m_socket; }
     [[nodiscard]] message_reader &reader() noexcept { return m_reader; }
     [[nodiscard]] loop_time lastActivity() const noexcept { return m_lastActivity; }
@@ -97,6 +103,7 @@
     void waitToRead();
     void readAvailable();
     [[nodiscard]] bool consume();
+    void writeWaiting();
     void waitToWrite();
     [[nodiscard]] bool writeSome();
     [[nodiscard]] loop_time deadline() const;
--- a/src/yuccascale/wire/inbound_connection.cpp
+++ b/src/yuccascale/wire/inbound_connection.cpp
@@ -39,10 +39,13 @@
     begin();
 }
 
-void inbound_connection::goOn(const std::string &peer, std::string_view unread)
+void inbound_connection::continueOpen(const std::string &peer, const frame &first,
+                                      std::string_view unread)
 {
     open(peer);
-    begin(unread);
+    guarded([&] { handle(first); });
+    if (!isClosed())
+        begin(unread);
 }
 
 void inbound_connection::open(const std::string &peer)
@@ -87,26 +90,33 @@
     ++m_counters.framesReceived;
     if (!m_owner.m_handlers.contains(received.channel))
         return next_step::Read;
-    const bool first = std::exchange(m_movable, false);
     if (received.channel == kernel::channel::Consensus) {
+        if (m_movable && moveToConsensusLoop(received))
+            return next_step::Leave;
         handle(received);
-        return first && leave() ? next_step::Leave : next_step::Read;
+        return next_step::Read;
     }
+    m_movable = false;
     if (received.correlation == 0)
         return queuePost(std::move(received));
     queueCall(std::move(received));
     return next_step::Read;
 }
 
-/// Moves a connection whose first frame is of consensus to its loop. \returns false when it cannot
-/// move now.
-bool inbound_connection::leave()
+/// Moves a connection that carries consensus to its loop, where \a first is handled. \returns false
+/// when it cannot move now; the next frame tries again.
+bool inbound_connection::moveToConsensusLoop(frame &first)
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_replies.empty())
+            return false;
+    }
     const int descriptor = releaseSocket();
     if (descriptor < 0)
         return false;
     --m_counters.linksOpen;
-    m_owner.moveToConsensusLoop(descriptor, m_peer, std::string(unread()));
+    m_owner.moveToConsensusLoop(descriptor, m_peer, std::move(first), std::string(unread()));
     m_owner.remove(self());
     return true;
 }
--- a/src/yuccascale/wire/inbound_connection.hpp
+++ b/src/yuccascale/wire/inbound_connection.hpp
@@ -12,8 +12,7 @@
 namespace yuccascale::wire {
 
 /// \brief Checks the peer's handshake, passes its messages to the handlers and writes their
-/// replies.
-///        Posts are handled one after the other.
+///        replies. Posts are handled one after the other.
 class inbound_connection final : public framed_connection
 {
 public:
@@ -22,9 +21,10 @@
     /// \brief Awaits the handshake.
     void start();
 
-    /// \brief Goes on with a connection of \a peer that another loop has authenticated.
-    /// \param unread bytes that were read there
-    void goOn(const std::string &peer, std::string_view unread);
+    /// \brief Continues a connection of \a peer that another loop has authenticated.
+    /// \param first a frame that was read there and not handled
+    /// \param unread the bytes that were read after it
+    void continueOpen(const std::string &peer, const frame &first, std::string_view unread);
 
 private:
     enum class state { Hello, Proof, Open };
@@ -37,7 +37,7 @@
     [[nodiscard]] loop_time closeAt() const override;
 
     void open(const std::string &peer);
-    [[nodiscard]] bool leave();
+    [[nodiscard]] bool moveToConsensusLoop(frame &first);
     void handle(const frame &received);
     [[nodiscard]] next_step queuePost(frame received);
     void schedulePosts(kernel::channel channel);
@@ -52,7 +52,7 @@
     loop_time m_stateSince;
     std::string m_handshakeOutput;
     std::string m_peer;
-    bool m_movable = false; ///< no frame has arrived yet, and this is not the consensus loop
+    bool m_movable = false; ///< all frames were of consensus, and this is not its loop
 
     std::mutex m_mutex;
     send_queue m_replies;
--- a/src/yuccascale/wire/inbound_connections.cpp
+++ b/src/yuccascale/wire/inbound_connections.cpp
@@ -2,6 +2,9 @@
 
 #include "yuccascale/wire/inbound_connection.hpp"
 
+#include <unistd.h>
+
+#include <exception>
 #include <utility>
 
 namespace yuccascale::wire {
@@ -59,10 +62,7 @@
         if (m_stopped || problem == boost::asio::error::operation_aborted)
             return;
         if (!problem) {
-            const auto accepted = std::make_shared<inbound_connection>(*this, m_loops.common,
-                                                                       std::move(stream));
-            add(accepted);
-            accepted->start();
+            serve(std::move(stream));
             return accept();
         }
         m_acceptTimer.expires_after(acceptRetryDelay);
@@ -73,6 +73,19 @@
     });
 }
 
+/// An exception closes this connection; others are still accepted.
+void inbound_connections::serve(tcp::socket stream)
+{
+    try {
+        const auto accepted
+                = std::make_shared<inbound_connection>(*this, m_loops.common, std::move(stream));
+        add(accepted);
+        accepted->start();
+    } catch (const std::exception &problem) {
+        m_loops.common.report(problem);
+    }
+}
+
 void inbound_connections::add(const std::shared_ptr<inbound_connection> &connection)
 {
     const std::lock_guard lock(m_mutex);
@@ -85,15 +98,22 @@
     m_connections.erase(connection);
 }
 
-void inbound_connections::moveToConsensusLoop(int descriptor, std::string peer, std::string unread)
+void inbound_connections::moveToConsensusLoop(int descriptor, std::string peer, frame first,
+                                              std::string unread)
 {
-    tcp::socket stream(m_loops.consensus.context(), tcp::v4(), descriptor);
+    tcp::socket stream(m_loops.consensus.context());
+    boost::system::error_code problem;
+    if (stream.assign(tcp::v4(), descriptor, problem)) {
+        ::close(descriptor);
+        return;
+    }
     const auto moved
             = std::make_shared<inbound_connection>(*this, m_loops.consensus, std::move(stream));
     add(moved);
-    m_loops.consensus.post([moved, peer = std::move(peer), unread = std::move(unread)] {
-        moved->goOn(peer, unread);
-    });
+    m_loops.consensus.post(
+            [moved, peer = std::move(peer), first = std::move(first), unread = std::move(unread)] {
+                moved->continueOpen(peer, first, unread);
+            });
 }
 
 } // namespace yuccascale::wire
--- a/src/yuccascale/wire/inbound_connections.hpp
+++ b/src/yuccascale/wire/inbound_connections.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccascale/wire/framing.hpp"
 #include "yuccascale/wire/handler_threads.hpp"
 #include "yuccascale/wire/link_loop.hpp"
 #include "yuccascale/wire/tcp_transport.hpp"
@@ -60,9 +61,10 @@
     using tcp = boost::asio::ip::tcp;
 
     void accept();
+    void serve(tcp::socket stream);
     void add(const std::shared_ptr<inbound_connection> &connection);
     void remove(const std::shared_ptr<inbound_connection> &connection);
-    void moveToConsensusLoop(int descriptor, std::string peer, std::string unread);
+    void moveToConsensusLoop(int descriptor, std::string peer, frame first, std::string unread);
 
     const transport_settings &m_settings;
     transport_counters &m_counters;
--- a/src/yuccascale/wire/link_loop.cpp
+++ b/src/yuccascale/wire/link_loop.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-link_loop::link_loop()
-    : m_guard(boost::asio::make_work_guard(m_context))
+link_loop::link_loop(exception_callback onException)
+    : m_onException(std::move(onException))
+    , m_guard(boost::asio::make_work_guard(m_context))
     , m_timer(m_context)
     , m_receiveBuffer(receiveBufferBytes)
 { }
@@ -30,7 +31,27 @@
 
 void link_loop::start()
 {
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] { run(); });
+}
+
+void link_loop::run()
+{
+    while (true) {
+        try {
+            m_context.run();
+            return;
+        } catch (const std::exception &problem) {
+            if (!m_onException)
+                throw;
+            report(problem);
+        }
+    }
+}
+
+void link_loop::report(const std::exception &problem) const
+{
+    if (m_onException)
+        m_onException(problem.what());
 }
 
 void link_loop::stop()
@@ -58,7 +79,11 @@
         if (problem)
             return;
         m_armedFor = loop_time::max();
-        runDue();
+        try {
+            runDue();
+        } catch (const std::exception &thrown) {
+            report(thrown); // the deadlines of the other connections are still to be met
+        }
         armTimer();
     });
 }
--- a/src/yuccascale/wire/link_loop.hpp
+++ b/src/yuccascale/wire/link_loop.hpp
@@ -6,9 +6,12 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <exception>
+#include <functional>
 #include <map>
 #include <memory>
 #include <span>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -37,7 +40,11 @@
 public:
     using io_context = boost::asio::io_context;
 
-    link_loop();
+    using exception_callback = std::function<void(const std::string &problem)>;
+
+    /// \param onException called on the loop's thread with what a handler threw and did not catch;
+    ///        null: the exception ends the process
+    explicit link_loop(exception_callback onException = nullptr);
     ~link_loop();
     link_loop(const link_loop &) = delete;
     link_loop &operator=(const link_loop &) = delete;
@@ -65,10 +72,15 @@
     /// \returns memory for received bytes that is valid until the caller returns to the loop.
     [[nodiscard]] std::span<char> receiveBuffer() noexcept { return m_receiveBuffer; }
 
+    /// \brief Reports what a handler threw.
+    void report(const std::exception &problem) const;
+
 private:
+    void run();
     void armTimer();
     void runDue();
 
+    const exception_callback m_onException;
     io_context m_context{1};
     boost::asio::executor_work_guard<io_context::executor_type> m_guard;
     boost::asio::steady_timer m_timer;
--- a/src/yuccascale/wire/tcp_transport.cpp
+++ b/src/yuccascale/wire/tcp_transport.cpp
@@ -20,7 +20,7 @@
 
 tcp_transport::tcp_transport(transport_settings settings)
     : m_settings(std::move(settings))
-    , m_loop(std::make_unique<link_loop>())
+    , m_loop(std::make_unique<link_loop>(m_settings.onException))
 { }
 
 tcp_transport::~tcp_transport()
@@ -75,7 +75,7 @@
 {
     m_handlers[channel] = std::move(handler);
     if (channel == kernel::channel::Consensus && !m_consensusLoop)
-        m_consensusLoop = std::make_unique<link_loop>();
+        m_consensusLoop = std::make_unique<link_loop>(m_settings.onException);
 }
 
 void tcp_transport::post(std::string_view node, kernel::channel channel, std::string payload)
--- a/src/yuccascale/wire/tcp_transport.hpp
+++ b/src/yuccascale/wire/tcp_transport.hpp
@@ -49,6 +49,9 @@
     kernel::milliseconds idleTimeout{60'000}; ///< after which a link that carries nothing is closed
     /// Called at most once in a few seconds, on any thread. Must not block. May be null.
     std::function<void(const drop_report &report)> onFramesDropped = nullptr;
+    /// Called on an event loop with what a handler threw and did not catch. Null: that ends the
+    /// process.
+    std::function<void(const std::string &problem)> onException = nullptr;
 };
 
 /// \brief Bytes and frames that a transport has carried since its construction.
--- a/tests/unit/links_failures_test.cpp
+++ b/tests/unit/links_failures_test.cpp
@@ -4,6 +4,7 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <vector>
 
 namespace yuccascale::wire {
@@ -335,4 +336,30 @@
     EXPECT_TRUE(waitFor([&] { return node.counters().framesLost >= 100; }));
 }
 
+/// Guards against an exception of one connection that ends the process, such as bad_alloc on a
+/// large frame.
+TEST_F(links_failures, anExceptionClosesItsConnectionOnly)
+{
+    std::atomic<int> reported{0};
+    m_settings.onException = [&](const std::string &) { ++reported; };
+    tcp_transport node(m_settings);
+    node.handleLater(channel::Consensus,
+                     [](std::string_view, std::string_view payload,
+                        const kernel::transport::reply_function &reply) {
+                         if (payload == "throw")
+                             throw std::runtime_error("thrown by the test");
+                         reply(std::string(payload));
+                     });
+    start(node);
+    const former_node other = connect("other");
+    const former_node failing = connect("failing");
+    failing.send(former_node::encode({consensusChannel, 1, false, "throw"}));
+    EXPECT_FALSE(failing.read());
+    EXPECT_EQ(reported, 1);
+    other.send(former_node::encode({consensusChannel, 2, false, "still here"}));
+    const std::optional<former_frame> answer = other.read();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->payload, "still here");
+}
+
 } // namespace yuccascale::wire
