Threads of a node: room for the reserved ones in each role

A node with both roles had one thread for each pool, whatever the others did: a call to the platform that did not answer held up the other duties, and a settlement that was repeated held up all claims. It now has the seven reserved threads, a node with one role has more. Signals are awaited on a loop of callers instead of a thread, and http.loops is 1 by default on a node with both roles. A control node has a third handler thread, of which polls of the feed may use two.

--- a/src/yuccascale/cli/node_command.cpp
+++ b/src/yuccascale/cli/node_command.cpp
@@ -6,7 +6,6 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <thread>
 
 DEFINE_string(settings, "", "settings file of the node");
 
@@ -23,31 +22,16 @@
     return fromEnvironment == nullptr ? std::string() : fromEnvironment;
 }
 
-/// Blocks the signals that the node handles, so that one thread can wait for them.
-sigset_t blockSignals()
+/// Holds the signals that the node handles back, or lets those that were held back through.
+/// \param how SIG_BLOCK or SIG_UNBLOCK
+void maskSignals(int how)
 {
     sigset_t set;
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
     sigaddset(&set, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    return set;
-}
-
-/// Starts a thread that begins a graceful shutdown on SIGTERM and SIGINT and reads the settings
-/// again on SIGHUP, until the process ends.
-void handleSignals(const sigset_t &set, const std::shared_ptr<runtime::node> &node)
-{
-    std::thread([set, node] {
-        int signalNumber = 0;
-        while (sigwait(&set, &signalNumber) == 0) {
-            if (signalNumber == SIGHUP)
-                node->reload();
-            else
-                node->beginShutdown();
-        }
-    }).detach();
+    pthread_sigmask(how, &set, nullptr);
 }
 
 } // namespace
@@ -61,12 +45,13 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGXFSZ, SIG_IGN); // the write that is refused says so
-    const sigset_t signals = blockSignals();
+    maskSignals(SIG_BLOCK);
     BOOST_LEAF_AUTO(settings, runtime::readSettings(file));
-    const auto node = std::make_shared<runtime::node>(settings);
-    BOOST_LEAF_CHECK(node->start());
-    handleSignals(signals, node);
-    node->waitUntilDrained();
+    runtime::node node(settings);
+    BOOST_LEAF_CHECK(node.start());
+    node.handleSignals();
+    maskSignals(SIG_UNBLOCK);
+    node.waitUntilDrained();
     return {};
 }
 
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -21,9 +21,13 @@
 #include "yuccascale/runtime/system_clock.hpp"
 #include "yuccascale/wire/tcp_transport.hpp"
 
+#include <boost/asio/signal_set.hpp>
+
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <csignal>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -43,10 +47,29 @@
 /// How long another entry may take to tell what it knows of a stream.
 constexpr milliseconds streamAnswerTimeout{150};
 /// Threads for calls that wait: polls, commits, questions to other nodes and calls to the platform.
-/// With the threads of a node that has one role the process stays below 20.
-constexpr std::size_t workerThreads = 7;
-/// The same for a node with both roles, which has more of the other threads.
-constexpr std::size_t workerThreadsOfBothRoles = 5;
+/// With its other threads the process of each of these roles stays below 20.
+constexpr std::size_t workerThreadsOfEntry = 9;
+constexpr std::size_t workerThreadsOfControl = 7;
+/// For messages of channels other than consensus. A control node answers the polls of all nodes
+/// with two of three.
+constexpr std::size_t handlerThreads = 2;
+constexpr std::size_t handlerThreadsOfControl = 3;
+
+[[nodiscard]] std::size_t workerThreads(const node_roles &roles)
+{
+    return roles.control ? workerThreadsOfControl : workerThreadsOfEntry;
+}
+
+/// \returns the number of loops that serve callers and operators. A node with both roles has more
+/// of the other threads.
+[[nodiscard]] std::size_t loopCount(const settings &settings)
+{
+    if (!settings.roles.entry)
+        return 1;
+    if (settings.http.loops > 0)
+        return static_cast<std::size_t>(settings.http.loops);
+    return settings.roles.control ? 1 : 2;
+}
 
 [[nodiscard]] std::string_view channelName(channel channel)
 {
@@ -120,10 +143,9 @@
         , log(settings.log, settings.node)
         , events(clock, log)
         , incarnation(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()))
-        , loops(settings.roles.entry ? static_cast<std::size_t>(settings.http.loops) : 1,
-                [this](const std::string &problem) {
-                    events.record(unexpectedException, {{"problem", problem}});
-                })
+        , loops(loopCount(settings), [this](const std::string &problem) {
+            events.record(unexpectedException, {{"problem", problem}});
+        })
     { }
 
     [[nodiscard]] result<void> build();
@@ -147,6 +169,7 @@
     [[nodiscard]] result<void> startAll();
     [[nodiscard]] bool drained(const requests::drain_plan &plan) const;
     void beginShutdown();
+    void awaitSignal(const std::function<void()> &reload);
     void closeToCallers(const requests::drain_plan &plan);
     [[nodiscard]] bool hasConnections() const;
     void stopAll(const requests::drain_plan &plan);
@@ -160,9 +183,8 @@
     std::uint64_t incarnation;               ///< of this process; increases with each restart
     std::string secret;
     std::string operatorKey;
-    const std::shared_ptr<worker_threads> workers = std::make_shared<worker_threads>(
-            settings.roles.entry && settings.roles.control ? workerThreadsOfBothRoles
-                                                           : workerThreads);
+    const std::shared_ptr<worker_threads> workers
+            = std::make_shared<worker_threads>(workerThreads(settings.roles));
     const std::shared_ptr<periodic_thread> periodic = std::make_shared<periodic_thread>();
     std::unique_ptr<wire::tcp_transport> transport;
     std::unique_ptr<control_service> control;
@@ -170,6 +192,7 @@
     std::unique_ptr<feed_service> feed;
     std::unique_ptr<cluster_client> client;
     net::event_loops loops;
+    boost::asio::signal_set signals{loops.at(0)};
     std::vector<std::unique_ptr<net::http_server>> servers; ///< other than the callers' server
     std::unique_ptr<http::operator_interface> operators;
     std::unique_ptr<http::document_interface> document; ///< null when no address is set for it
@@ -195,6 +218,8 @@
                        {"channel", channelName(report.channel)},
                        {"frames", report.frames}});
     };
+    const bool controlOnly = settings.roles.control && !settings.roles.entry;
+    links.handlerThreads = controlOnly ? handlerThreadsOfControl : handlerThreads;
     links.onException = [this](const std::string &problem) {
         events.record(unexpectedException, {{"problem", problem}});
     };
@@ -519,6 +544,20 @@
     changed.notify_all();
 }
 
+/// Reading the settings holds the loop up for a moment only.
+void node::parts::awaitSignal(const std::function<void()> &reload)
+{
+    signals.async_wait([this, reload](const boost::system::error_code &problem, int number) {
+        if (problem)
+            return;
+        awaitSignal(reload);
+        if (number == SIGHUP)
+            reload();
+        else
+            beginShutdown();
+    });
+}
+
 /// Ends what callers and operators see first, while all that it needs still runs.
 void node::parts::closeToCallers(const requests::drain_plan &plan)
 {
@@ -582,6 +621,13 @@
         m_parts->feed->setSeeds(reloaded.seeds);
 }
 
+void node::handleSignals()
+{
+    for (const int number : {SIGTERM, SIGINT, SIGHUP})
+        m_parts->signals.add(number);
+    m_parts->awaitSignal([this] { reload(); });
+}
+
 void node::beginShutdown()
 {
     m_parts->beginShutdown();
--- a/src/yuccascale/runtime/node.hpp
+++ b/src/yuccascale/runtime/node.hpp
@@ -32,6 +32,10 @@
     /// seeds. An invalid file changes nothing.
     void reload();
 
+    /// \brief Begins a graceful shutdown on SIGTERM and SIGINT and reads the settings again on
+    ///        SIGHUP; the node must have been started.
+    void handleSignals();
+
     /// \brief Begins a graceful shutdown: requests in flight are finished. Safe to call again.
     void beginShutdown();
 
--- a/src/yuccascale/runtime/settings.hpp
+++ b/src/yuccascale/runtime/settings.hpp
@@ -45,7 +45,7 @@
     kernel::milliseconds idleTimeout{15'000};  ///< between two requests on a connection
     kernel::milliseconds addressTtl{5'000};    ///< how long a caller may cache an entry's address
     int connections = 3'000;                   ///< open at the same time
-    int loops = 2;                             ///< threads that serve callers
+    int loops = 0; ///< threads that serve callers; 0: 2, or 1 on a node with both roles
 };
 
 /// \brief Settings of the control role and of the feed.
