Links: a given-up call does not close a connection opened since

The request to close a silent connection runs later on the loop and might find another connection; it now names the connection by its number. A flush keeps the connection alive that it may close.

--- a/src/yuccascale/wire/peer_link.cpp
+++ b/src/yuccascale/wire/peer_link.cpp
@@ -98,8 +98,8 @@
         return std::move(pending->reply);
     // a connection on which nothing arrived during the call may be dead
     if (m_framesReceived == receivedBefore && !m_stopped)
-        m_loop.post([self = shared_from_this(), receivedBefore] {
-            self->closeSilentConnection(receivedBefore);
+        m_loop.post([self = shared_from_this(), receivedBefore, number = m_connectionNumber] {
+            self->closeSilentConnection(receivedBefore, number);
         });
     if (pending->state == call_state::Queued || pending->state == call_state::Unsent) {
         m_queue.erase(correlation);
@@ -162,9 +162,10 @@
         if (m_stopped || m_queue.empty())
             return;
     }
-    if (m_connection && m_connection->isOpen())
-        return m_connection->flush();
-    if (m_connection)
+    const std::shared_ptr<outbound_connection> connection = m_connection; // flush() may reset it
+    if (connection && connection->isOpen())
+        return connection->flush();
+    if (connection)
         return;
     if (steady_clock::now() < m_retryAt)
         return checkAt(m_retryAt);
@@ -173,6 +174,10 @@
 
 void peer_link::connect()
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_connectionNumber;
+    }
     m_connection = std::make_shared<outbound_connection>(shared_from_this());
     const std::shared_ptr<outbound_connection> connection = m_connection;
     connection->connect();
@@ -203,11 +208,12 @@
     checkAt(std::max(idleAt, steady_clock::now() + reconnectInterval));
 }
 
-void peer_link::closeSilentConnection(std::uint64_t receivedBefore)
+/// A connection that was opened since the call was given up is kept.
+void peer_link::closeSilentConnection(std::uint64_t receivedBefore, std::uint64_t connectionNumber)
 {
     {
         const std::lock_guard lock(m_mutex);
-        if (m_framesReceived != receivedBefore)
+        if (m_framesReceived != receivedBefore || m_connectionNumber != connectionNumber)
             return;
     }
     if (m_connection && m_connection->isOpen())
--- a/src/yuccascale/wire/peer_link.hpp
+++ b/src/yuccascale/wire/peer_link.hpp
@@ -98,7 +98,7 @@
     void flush();
     void connect();
     void checkAt(loop_time when);
-    void closeSilentConnection(std::uint64_t receivedBefore);
+    void closeSilentConnection(std::uint64_t receivedBefore, std::uint64_t connectionNumber);
     void awaitReply(std::unique_lock<std::mutex> &lock, pending_call &pending,
                     kernel::call_timeout timeout);
 
@@ -124,6 +124,7 @@
     std::map<std::uint64_t, std::shared_ptr<pending_call>> m_calls;
     std::uint64_t m_nextCorrelation = 1;
     std::uint64_t m_framesReceived = 0;
+    std::uint64_t m_connectionNumber = 0; ///< of the current or last connection
     loop_time m_lastUse;
     bool m_flushRequested = false;
     bool m_stopped = false;
