Links: bounds on calls that wait for a handler, and on strangers

A channel's handler thread worked through calls of connections that had closed while their callers asked again, and calls that waited were bounded in number only. A call is now dropped, and counted in framesDropped, when its connection has closed or it has waited for 5 s, and a channel queues at most 16 MB. callsOfAClosedConnectionAreNotHandled fails without the change.

Accepted connections before the end of the handshake were not bounded; of more than 512 the oldest is closed. connectionsThatProveNothingAreBounded fails without the change.

--- a/src/yuccascale/wire/handler_threads.cpp
+++ b/src/yuccascale/wire/handler_threads.cpp
@@ -9,6 +9,7 @@
 
 /// Per channel. More would be answered after their callers have given up.
 constexpr std::size_t maxWaitingTasks = 8'192;
+constexpr std::size_t maxWaitingBytes = std::size_t{16} << 20U;
 
 } // namespace
 
@@ -25,25 +26,29 @@
 void handler_threads::run(kernel::channel channel, task work)
 {
     const std::lock_guard lock(m_mutex);
-    add(m_lanes[channel], std::move(work));
+    add(m_lanes[channel], {std::move(work), 0});
 }
 
-bool handler_threads::tryRun(kernel::channel channel, task work)
+bool handler_threads::tryRun(kernel::channel channel, std::size_t bytes, task work)
 {
     const std::lock_guard lock(m_mutex);
     lane &target = m_lanes[channel];
-    if (target.waiting.size() >= maxWaitingTasks)
+    // a task that is larger than the bound is queued when no other holds bytes
+    const bool tooManyBytes
+            = target.waitingBytes > 0 && target.waitingBytes + bytes > maxWaitingBytes;
+    if (target.waiting.size() >= maxWaitingTasks || tooManyBytes)
         return false;
-    add(target, std::move(work));
+    add(target, {std::move(work), bytes});
     return true;
 }
 
 /// Requires m_mutex to be held.
-void handler_threads::add(lane &target, task work)
+void handler_threads::add(lane &target, waiting_task added)
 {
     if (m_stopped)
         return;
-    target.waiting.push_back(std::move(work));
+    target.waitingBytes += added.bytes;
+    target.waiting.push_back(std::move(added));
     ++m_waiting;
     if (m_waiting > m_idle && m_threads.size() < m_maxThreads)
         m_threads.emplace_back([this] { runTasks(); });
@@ -94,7 +99,8 @@
             --m_idle;
             continue;
         }
-        task work = std::move(next->waiting.front());
+        task work = std::move(next->waiting.front().work);
+        next->waitingBytes -= next->waiting.front().bytes;
         next->waiting.pop_front();
         --m_waiting;
         ++next->running;
--- a/src/yuccascale/wire/handler_threads.hpp
+++ b/src/yuccascale/wire/handler_threads.hpp
@@ -31,21 +31,28 @@
     /// \brief Queues a task.
     void run(kernel::channel channel, task work);
 
-    /// \brief Queues a task unless too many of the channel wait.
-    /// \returns whether it was queued.
-    [[nodiscard]] bool tryRun(kernel::channel channel, task work);
+    /// \brief Queues a task that holds \a bytes, unless too many tasks or bytes of the channel
+    /// wait. \returns whether it was queued.
+    [[nodiscard]] bool tryRun(kernel::channel channel, std::size_t bytes, task work);
 
     /// \brief Waits for the running tasks and drops the others.
     void stop();
 
 private:
+    struct waiting_task
+    {
+        task work;
+        std::size_t bytes = 0;
+    };
+
     struct lane
     {
-        std::deque<task> waiting;
+        std::deque<waiting_task> waiting;
+        std::size_t waitingBytes = 0;
         std::size_t running = 0;
     };
 
-    void add(lane &target, task work);
+    void add(lane &target, waiting_task added);
     void runTasks();
     [[nodiscard]] lane *nextLane();
 
--- a/src/yuccascale/wire/inbound_connection.cpp
+++ b/src/yuccascale/wire/inbound_connection.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t maxWaitingPostBytes = std::size_t{4} << 20U;
 /// Posts handled before other connections get their turn.
 constexpr std::size_t maxPostsInTurn = 64;
+/// No caller waits longer for the first byte of a reply.
+constexpr kernel::seconds maxCallWait{5};
 /// Replies are joined into one write up to this size; a longer one is written alone.
 constexpr std::size_t maxJoinedBytes = std::size_t{64} << 10U;
 /// The connecting side closes idle links. This closes those of nodes that disappeared, and of
@@ -183,13 +185,28 @@
 void inbound_connection::queueCall(frame received)
 {
     const kernel::channel channel = received.channel;
-    const bool queued = m_owner.m_threads.tryRun(
-            channel, [self = self(), call = std::move(received)] { self->handle(call); });
+    const std::size_t bytes = received.payload.size();
+    const bool queued = m_owner.m_threads.tryRun(channel, bytes,
+                                                 [self = self(), call = std::move(received),
+                                                  queuedAt = std::chrono::steady_clock::now()] {
+                                                     self->handleQueuedCall(call, queuedAt);
+                                                 });
     if (!queued)
         ++m_counters.framesDropped;
 }
 
-/// A peer that asks and does not read the answers is not worth the memory.
+/// Drops a call whose caller waits no longer, so that the threads get to calls that can be
+/// answered.
+void inbound_connection::handleQueuedCall(const frame &call, loop_time queuedAt)
+{
+    if (m_ended || std::chrono::steady_clock::now() - queuedAt > maxCallWait) {
+        ++m_counters.framesDropped;
+        return;
+    }
+    handle(call);
+}
+
+/// Closes the connection of a peer that asks and does not read the answers, to bound their memory.
 void inbound_connection::reply(std::string bytes)
 {
     const std::lock_guard lock(m_mutex);
@@ -222,6 +239,7 @@
 
 void inbound_connection::closed()
 {
+    m_ended = true;
     if (m_state == state::Open)
         --m_counters.linksOpen;
     else
--- a/src/yuccascale/wire/inbound_connection.hpp
+++ b/src/yuccascale/wire/inbound_connection.hpp
@@ -4,6 +4,7 @@
 #include "yuccascale/wire/inbound_connections.hpp"
 #include "yuccascale/wire/send_queue.hpp"
 
+#include <atomic>
 #include <deque>
 
 /// \file
@@ -21,6 +22,12 @@
     /// \brief Awaits the handshake.
     void start();
 
+    /// \returns whether the peer is not yet authenticated, and the connection is open.
+    [[nodiscard]] bool isInHandshake() const noexcept
+    {
+        return !isClosed() && m_state != state::Open;
+    }
+
     /// \brief Continues a connection of \a peer that another loop has authenticated.
     /// \param first a frame that was read there and not handled
     /// \param unread the bytes that were read after it
@@ -43,6 +50,7 @@
     void schedulePosts(kernel::channel channel);
     void handlePosts();
     void queueCall(frame received);
+    void handleQueuedCall(const frame &call, loop_time queuedAt);
     void reply(std::string bytes);
     [[nodiscard]] std::shared_ptr<inbound_connection> self();
 
@@ -54,6 +62,8 @@
     std::string m_peer;
     bool m_movable = false; ///< all frames were of consensus, and this is not its loop
 
+    std::atomic<bool> m_ended{false}; ///< the connection has closed
+
     std::mutex m_mutex;
     send_queue m_replies;
     bool m_flushRequested = false;
--- a/src/yuccascale/wire/inbound_connections.cpp
+++ b/src/yuccascale/wire/inbound_connections.cpp
@@ -80,12 +80,31 @@
         const auto accepted
                 = std::make_shared<inbound_connection>(*this, m_loops.common, std::move(stream));
         add(accepted);
+        limitHandshakes();
+        m_handshakes.push_back(accepted);
         accepted->start();
     } catch (const std::exception &problem) {
         m_loops.common.report(problem);
     }
 }
 
+/// Makes room for one more connection, so that peers that never prove the secret cannot use up the
+/// descriptors.
+void inbound_connections::limitHandshakes()
+{
+    if (m_handshakes.size() < m_settings.maxHandshakes)
+        return;
+    std::erase_if(m_handshakes, [](const std::weak_ptr<inbound_connection> &candidate) {
+        const std::shared_ptr<inbound_connection> connection = candidate.lock();
+        return !connection || !connection->isInHandshake();
+    });
+    if (m_handshakes.size() < m_settings.maxHandshakes)
+        return;
+    if (const std::shared_ptr<inbound_connection> oldest = m_handshakes.front().lock())
+        oldest->close();
+    m_handshakes.pop_front();
+}
+
 void inbound_connections::add(const std::shared_ptr<inbound_connection> &connection)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/yuccascale/wire/inbound_connections.hpp
+++ b/src/yuccascale/wire/inbound_connections.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -62,6 +63,7 @@
 
     void accept();
     void serve(tcp::socket stream);
+    void limitHandshakes();
     void add(const std::shared_ptr<inbound_connection> &connection);
     void remove(const std::shared_ptr<inbound_connection> &connection);
     void moveToConsensusLoop(int descriptor, std::string peer, frame first, std::string unread);
@@ -76,6 +78,10 @@
     const std::shared_ptr<reply_gate> m_gate = std::make_shared<reply_gate>();
     handler_threads m_threads;
 
+    /// Accepted connections that may not yet be authenticated, the oldest first; used on the common
+    /// loop's thread only.
+    std::deque<std::weak_ptr<inbound_connection>> m_handshakes;
+
     std::mutex m_mutex;
     std::set<std::shared_ptr<inbound_connection>> m_connections;
 };
--- a/src/yuccascale/wire/tcp_transport.hpp
+++ b/src/yuccascale/wire/tcp_transport.hpp
@@ -43,6 +43,8 @@
                                                         ///< are dropped
     std::size_t maxQueuedBytes = std::size_t{8} << 20U; ///< likewise
     std::size_t handlerThreads = 2;                     ///< for channels other than consensus
+    std::size_t maxHandshakes = 512; ///< accepted connections that are not yet authenticated; of
+                                     ///< more, the oldest is closed
     kernel::milliseconds connectTimeout{500};
     kernel::milliseconds userTimeout{2'000};  ///< limit for unacknowledged bytes and for a write
                                               ///< without progress
--- a/tests/unit/links_failures_test.cpp
+++ b/tests/unit/links_failures_test.cpp
@@ -1,4 +1,5 @@
 #include "unit/links_fixture.hpp"
+#include "yuccascale/wire/handler_threads.hpp"
 
 #include <atomic>
 #include <future>
@@ -362,4 +363,76 @@
     EXPECT_EQ(answer->payload, "still here");
 }
 
+/// Guards against handler threads that work through calls whose callers have given up and ask
+/// again.
+TEST_F(links_failures, callsOfAClosedConnectionAreNotHandled)
+{
+    constexpr int calls = 20;
+    std::promise<void> release;
+    std::promise<void> began;
+    std::atomic<int> handled{0};
+    tcp_transport node(m_settings);
+    node.handle(channel::Submit,
+                [&, released = release.get_future().share()](std::string_view,
+                                                             std::string_view payload) {
+                    if (payload == "wait") {
+                        began.set_value();
+                        released.wait();
+                    } else {
+                        ++handled;
+                    }
+                    return std::string(payload);
+                });
+    start(node);
+    const former_node waiting = connect("waiting");
+    waiting.send(former_node::encode({submitChannel, 1, false, "wait"}));
+    ASSERT_EQ(began.get_future().wait_for(enoughTime), std::future_status::ready);
+    former_node leaving = connect("leaving");
+    for (int count = 0; count < calls; ++count)
+        leaving.send(former_node::encode({submitChannel, 2, false, "given up"}));
+    const auto received = [&] { return node.counters().framesReceived == calls + 1U; };
+    EXPECT_TRUE(waitFor(received));
+    leaving.close();
+    EXPECT_TRUE(waitFor([&] { return node.counters().linksOpen == 1; }));
+    release.set_value();
+    EXPECT_TRUE(waitFor([&] { return node.counters().framesDropped + handled == calls; }));
+    EXPECT_EQ(handled, 0);
+}
+
+/// Guards against calls that wait for a slow handler and take up the memory of the process.
+TEST(handler_threads, callsThatWaitAreBoundedInBytes)
+{
+    constexpr std::size_t size = std::size_t{6} << 20U;
+    handler_threads threads(1);
+    std::promise<void> release;
+    std::promise<void> began;
+    threads.run(channel::Feed, [&, released = release.get_future().share()] {
+        began.set_value();
+        released.wait();
+    });
+    began.get_future().wait();
+    EXPECT_TRUE(threads.tryRun(channel::Feed, size, [] {}));
+    EXPECT_TRUE(threads.tryRun(channel::Feed, size, [] {}));
+    EXPECT_FALSE(threads.tryRun(channel::Feed, size, [] {}));
+    EXPECT_TRUE(threads.tryRun(channel::Load, size, [] {}));
+    release.set_value();
+}
+
+/// Guards against strangers that connect and prove nothing, and use up the descriptors.
+TEST_F(links_failures, connectionsThatProveNothingAreBounded)
+{
+    m_settings.maxHandshakes = 4;
+    tcp_transport node(m_settings);
+    start(node);
+    const former_node oldest = former_node::connectOnly(port());
+    std::vector<former_node> others;
+    for (std::size_t count = 0; count < m_settings.maxHandshakes; ++count)
+        others.push_back(former_node::connectOnly(port()));
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_TRUE(oldest.closedByPeer());
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(500))
+            << "closed by the timeout of the handshake";
+    EXPECT_TRUE(connect("known").isOpen());
+}
+
 } // namespace yuccascale::wire
