--- a/src/yuccascale/wire/framed_connection.hpp
+++ b/src/yuccascale/wire/framed_connection.hpp
@@ -21,7 +21,8 @@
 ///        are made on the loop's thread.
 ///
 /// While nothing is read or written it holds no buffer and no timer of its own.
-class framed_connection : public watched, public std::enable_shared_from_this<framed_connection>
+class framed_connection : public deadline_subject,
+                          public std::enable_shared_from_this<framed_connection>
 {
 public:
     using tcp = boost::asio::ip::tcp;
--- a/src/yuccascale/wire/framing.hpp
+++ b/src/yuccascale/wire/framing.hpp
@@ -74,8 +74,7 @@
 
     /// \brief Checks the peer's answer.
     /// \returns this node's proof, with its length prefix; nothing when the peer has another name
-    /// or
-    ///          another secret.
+    ///          or another secret.
     [[nodiscard]] std::optional<std::string> prove(std::string_view answer) const;
 
 private:
--- a/src/yuccascale/wire/link_loop.cpp
+++ b/src/yuccascale/wire/link_loop.cpp
@@ -61,7 +61,7 @@
         m_thread.join();
 }
 
-loop_time link_loop::watch(std::weak_ptr<watched> subject, loop_time when)
+loop_time link_loop::watch(std::weak_ptr<deadline_subject> subject, loop_time when)
 {
     const loop_time scheduled = rounded(std::chrono::steady_clock::now(), when);
     m_deadlines.emplace(scheduled, std::move(subject));
@@ -94,7 +94,7 @@
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const auto [scheduled, subject] = *m_deadlines.begin();
         m_deadlines.erase(m_deadlines.begin());
-        if (const std::shared_ptr<watched> alive = subject.lock())
+        if (const std::shared_ptr<deadline_subject> alive = subject.lock())
             alive->deadlineReached(scheduled);
     }
 }
--- a/src/yuccascale/wire/link_loop.hpp
+++ b/src/yuccascale/wire/link_loop.hpp
@@ -24,10 +24,10 @@
 using loop_time = std::chrono::steady_clock::time_point;
 
 /// \brief Something that has deadlines on a loop.
-class watched
+class deadline_subject
 {
 public:
-    virtual ~watched() = default;
+    virtual ~deadline_subject() = default;
 
     /// \brief Called on the loop's thread at or after \a scheduled, which link_loop::watch() has
     ///        returned.
@@ -67,7 +67,7 @@
     /// \brief Calls deadlineReached() once, at \a when at the earliest, unless \a subject is
     ///        destroyed before. Called on the loop's thread only.
     /// \returns the time that deadlineReached() will get, which may be up to a second later.
-    loop_time watch(std::weak_ptr<watched> subject, loop_time when);
+    loop_time watch(std::weak_ptr<deadline_subject> subject, loop_time when);
 
     /// \returns memory for received bytes that is valid until the caller returns to the loop.
     [[nodiscard]] std::span<char> receiveBuffer() noexcept { return m_receiveBuffer; }
@@ -84,7 +84,7 @@
     io_context m_context{1};
     boost::asio::executor_work_guard<io_context::executor_type> m_guard;
     boost::asio::steady_timer m_timer;
-    std::multimap<loop_time, std::weak_ptr<watched>> m_deadlines;
+    std::multimap<loop_time, std::weak_ptr<deadline_subject>> m_deadlines;
     loop_time m_armedFor = loop_time::max();
     std::vector<char> m_receiveBuffer;
     std::thread m_thread;
--- a/src/yuccascale/wire/outbound_connection.hpp
+++ b/src/yuccascale/wire/outbound_connection.hpp
@@ -9,8 +9,7 @@
 namespace yuccascale::wire {
 
 /// \brief Connects, proves the cluster secret and then carries the frames of its link. All calls
-/// are
-///        made on the loop's thread.
+///        are made on the loop's thread.
 class outbound_connection final : public framed_connection
 {
 public:
--- a/src/yuccascale/wire/peer_link.hpp
+++ b/src/yuccascale/wire/peer_link.hpp
@@ -41,7 +41,7 @@
 
 /// \brief Keeps one connection to a peer on a loop. Connects when there is something to send, and
 ///        closes the connection once it has carried nothing for a while.
-class peer_link final : public watched, public std::enable_shared_from_this<peer_link>
+class peer_link final : public deadline_subject, public std::enable_shared_from_this<peer_link>
 {
 public:
     /// \brief Called on the loop's thread when the link has carried nothing for a while.
