--- a/src/yuccascale/wire/inbound_connection.cpp
+++ b/src/yuccascale/wire/inbound_connection.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t maxWaitingPostBytes = std::size_t{4} << 20U;
 /// Posts handled before other connections get their turn.
 constexpr std::size_t maxPostsInTurn = 64;
+/// No caller waits longer for the first byte of a reply.
+constexpr kernel::seconds maxCallWait{5};
 /// Replies are joined into one write up to this size; a longer one is written alone.
 constexpr std::size_t maxJoinedBytes = std::size_t{64} << 10U;
 /// The connecting side closes idle links. This closes those of nodes that disappeared, and of
@@ -39,10 +41,13 @@
     begin();
 }
 
-void inbound_connection::goOn(const std::string &peer, std::string_view unread)
+void inbound_connection::continueOpen(const std::string &peer, const frame &first,
+                                      std::string_view unread)
 {
     open(peer);
-    begin(unread);
+    guarded([&] { handle(first); });
+    if (!isClosed())
+        begin(unread);
 }
 
 void inbound_connection::open(const std::string &peer)
@@ -87,26 +92,33 @@
     ++m_counters.framesReceived;
     if (!m_owner.m_handlers.contains(received.channel))
         return next_step::Read;
-    const bool first = std::exchange(m_movable, false);
     if (received.channel == kernel::channel::Consensus) {
+        if (m_movable && moveToConsensusLoop(received))
+            return next_step::Leave;
         handle(received);
-        return first && leave() ? next_step::Leave : next_step::Read;
+        return next_step::Read;
     }
+    m_movable = false;
     if (received.correlation == 0)
         return queuePost(std::move(received));
     queueCall(std::move(received));
     return next_step::Read;
 }
 
-/// Moves a connection whose first frame is of consensus to its loop. \returns false when it cannot
-/// move now.
-bool inbound_connection::leave()
+/// Moves a connection that carries consensus to its loop, where \a first is handled. \returns false
+/// when it cannot move now; the next frame tries again.
+bool inbound_connection::moveToConsensusLoop(frame &first)
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_replies.empty())
+            return false;
+    }
     const int descriptor = releaseSocket();
     if (descriptor < 0)
         return false;
     --m_counters.linksOpen;
-    m_owner.moveToConsensusLoop(descriptor, m_peer, std::string(unread()));
+    m_owner.moveToConsensusLoop(descriptor, m_peer, std::move(first), std::string(unread()));
     m_owner.remove(self());
     return true;
 }
@@ -173,13 +185,28 @@
 void inbound_connection::queueCall(frame received)
 {
     const kernel::channel channel = received.channel;
-    const bool queued = m_owner.m_threads.tryRun(
-            channel, [self = self(), call = std::move(received)] { self->handle(call); });
+    const std::size_t bytes = received.payload.size();
+    const bool queued = m_owner.m_threads.tryRun(channel, bytes,
+                                                 [self = self(), call = std::move(received),
+                                                  queuedAt = std::chrono::steady_clock::now()] {
+                                                     self->handleQueuedCall(call, queuedAt);
+                                                 });
     if (!queued)
         ++m_counters.framesDropped;
 }
 
-/// A peer that asks and does not read the answers is not worth the memory.
+/// Drops a call whose caller waits no longer, so that the threads get to calls that can be
+/// answered.
+void inbound_connection::handleQueuedCall(const frame &call, loop_time queuedAt)
+{
+    if (m_ended || std::chrono::steady_clock::now() - queuedAt > maxCallWait) {
+        ++m_counters.framesDropped;
+        return;
+    }
+    handle(call);
+}
+
+/// Closes the connection of a peer that asks and does not read the answers, to bound their memory.
 void inbound_connection::reply(std::string bytes)
 {
     const std::lock_guard lock(m_mutex);
@@ -212,6 +239,7 @@
 
 void inbound_connection::closed()
 {
+    m_ended = true;
     if (m_state == state::Open)
         --m_counters.linksOpen;
     else
--- a/src/yuccascale/wire/inbound_connection.hpp
+++ b/src/yuccascale/wire/inbound_connection.hpp
@@ -4,6 +4,7 @@
 #include "yuccascale/wire/inbound_connections.hpp"
 #include "yuccascale/wire/send_queue.hpp"
 
+#include <atomic>
 #include <deque>
 
 /// \file
@@ -12,8 +13,7 @@
 namespace yuccascale::wire {
 
 /// \brief Checks the peer's handshake, passes its messages to the handlers and writes their
-/// replies.
-///        Posts are handled one after the other.
+///        replies. Posts are handled one after the other.
 class inbound_connection final : public framed_connection
 {
 public:
@@ -22,9 +22,16 @@
     /// \brief Awaits the handshake.
     void start();
 
-    /// \brief Goes on with a connection of \a peer that another loop has authenticated.
-    /// \param unread bytes that were read there
-    void goOn(const std::string &peer, std::string_view unread);
+    /// \returns whether the peer is not yet authenticated, and the connection is open.
+    [[nodiscard]] bool isInHandshake() const noexcept
+    {
+        return !isClosed() && m_state != state::Open;
+    }
+
+    /// \brief Continues a connection of \a peer that another loop has authenticated.
+    /// \param first a frame that was read there and not handled
+    /// \param unread the bytes that were read after it
+    void continueOpen(const std::string &peer, const frame &first, std::string_view unread);
 
 private:
     enum class state { Hello, Proof, Open };
@@ -37,12 +44,13 @@
     [[nodiscard]] loop_time closeAt() const override;
 
     void open(const std::string &peer);
-    [[nodiscard]] bool leave();
+    [[nodiscard]] bool moveToConsensusLoop(frame &first);
     void handle(const frame &received);
     [[nodiscard]] next_step queuePost(frame received);
     void schedulePosts(kernel::channel channel);
     void handlePosts();
     void queueCall(frame received);
+    void handleQueuedCall(const frame &call, loop_time queuedAt);
     void reply(std::string bytes);
     [[nodiscard]] std::shared_ptr<inbound_connection> self();
 
@@ -52,7 +60,9 @@
     loop_time m_stateSince;
     std::string m_handshakeOutput;
     std::string m_peer;
-    bool m_movable = false; ///< no frame has arrived yet, and this is not the consensus loop
+    bool m_movable = false; ///< all frames were of consensus, and this is not its loop
+
+    std::atomic<bool> m_ended{false}; ///< the connection has closed
 
     std::mutex m_mutex;
     send_queue m_replies;
--- a/src/yuccascale/wire/tcp_transport.hpp
+++ b/src/yuccascale/wire/tcp_transport.hpp
@@ -43,12 +43,17 @@
                                                         ///< are dropped
     std::size_t maxQueuedBytes = std::size_t{8} << 20U; ///< likewise
     std::size_t handlerThreads = 2;                     ///< for channels other than consensus
+    std::size_t maxHandshakes = 512; ///< accepted connections that are not yet authenticated; of
+                                     ///< more, the oldest is closed
     kernel::milliseconds connectTimeout{500};
     kernel::milliseconds userTimeout{2'000};  ///< limit for unacknowledged bytes and for a write
                                               ///< without progress
     kernel::milliseconds idleTimeout{60'000}; ///< after which a link that carries nothing is closed
     /// Called at most once in a few seconds, on any thread. Must not block. May be null.
     std::function<void(const drop_report &report)> onFramesDropped = nullptr;
+    /// Called on an event loop with what a handler threw and did not catch. Null: that ends the
+    /// process.
+    std::function<void(const std::string &problem)> onException = nullptr;
 };
 
 /// \brief Bytes and frames that a transport has carried since its construction.
