--- a/tests/unit/load_exchange_test.cpp
+++ b/tests/unit/load_exchange_test.cpp
@@ -219,7 +219,7 @@
     runtime::load_exchange exchange(transport,
                                     {[&](std::size_t) { return std::exchange(charges, {}); },
                                      [](const wire::load_message &) {},
-                                     [] { return std::vector<std::string>{"other"}; },
+                                     [] { return std::vector<std::string>{"other"}; }, nullptr,
                                      [&] { return std::exchange(rates, {}); }});
     exchange.sendPending();
     EXPECT_TRUE(transport.posted.empty());
