--- a/tests/unit/load_exchange_test.cpp
+++ b/tests/unit/load_exchange_test.cpp
@@ -218,7 +218,7 @@
     rates.push_back({"pool", "e1", 7, 3, {48'200, 0.0125, false}});
     runtime::load_exchange exchange(transport,
                                     {[&](std::size_t) { return std::exchange(charges, {}); },
-                                     [](const wire::load_message &) {},
+                                     [](std::string_view, const wire::load_message &) {},
                                      [] { return std::vector<std::string>{"other"}; }, nullptr,
                                      [&] { return std::exchange(rates, {}); }});
     exchange.sendPending();
