--- a/src/yuccascale/http/caller_pools.cpp
+++ b/src/yuccascale/http/caller_pools.cpp
@@ -2,7 +2,9 @@
 
 #include "yuccascale/kernel/requests/key_check.hpp"
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
 #include <utility>
 
 namespace yuccascale::http {
@@ -255,6 +257,13 @@
         m_endpointUpdateListener(std::move(updates));
 }
 
+/// \param before whether its endpoints reported a pace before
+void caller_pools::tellPaced(const guarded_pool &pool, bool before) const
+{
+    if (!before && pool.scheduler.endpoints().paced() && m_pacedListener)
+        m_pacedListener(pool.name);
+}
+
 std::optional<refusal> caller_pools::push(std::uint64_t ticket, const request &callerRequest,
                                           double weight, const enqueue &options,
                                           std::shared_ptr<caller_mailbox> mailbox)
@@ -337,7 +346,9 @@
     if (!found)
         return false;
     const std::scoped_lock guard(found->mutex);
+    const bool paced = found->scheduler.endpoints().paced();
     const bool notice = found->scheduler.endpoints().report(endpoint, report);
+    tellPaced(*found, paced);
     runScheduler(*found);
     return notice;
 }
@@ -366,14 +377,14 @@
     }
 }
 
-std::vector<kernel::requests::pool_charge> caller_pools::takeCharges(std::size_t maxPerPool)
+std::map<std::string, std::vector<learnt_endpoint>> caller_pools::learntRates() const
 {
-    std::vector<kernel::requests::pool_charge> out;
-    const std::shared_lock guard(m_mutex);
-    for (const auto &[name, pool] : m_pools) {
-        const std::scoped_lock poolGuard(pool->mutex);
-        for (auto &charge : pool->scheduler.charges().takeLargest(maxPerPool))
-            out.push_back({name, std::move(charge.organisation), charge.cost});
+    std::map<std::string, std::vector<learnt_endpoint>> out;
+    for (const std::shared_ptr<guarded_pool> &pool : allPools()) {
+        const std::scoped_lock guard(pool->mutex);
+        auto learnt = pool->scheduler.endpoints().learnt(m_clock.now());
+        if (!learnt.empty())
+            out.emplace(pool->name, std::move(learnt));
     }
     return out;
 }
@@ -404,68 +415,6 @@
     return out;
 }
 
-void caller_pools::applyCharges(std::span<const kernel::requests::pool_charge> charges,
-                                const kernel::state::table_set &tables)
-{
-    for (const kernel::requests::pool_charge &charge : charges) {
-        const std::shared_ptr<guarded_pool> pool = find(charge.pool);
-        const auto organisation = tables.organisations.find(charge.organisation);
-        if (!pool || organisation == tables.organisations.end())
-            continue;
-        const std::scoped_lock guard(pool->mutex);
-        pool->scheduler.applyRemoteCharge(charge.organisation, organisation->second.weight,
-                                          charge.cost);
-    }
-}
-
-std::vector<std::string> caller_pools::applyEndpointUpdates(const endpoint_updates &updates)
-{
-    std::vector<std::string> suspected;
-    for (const placement &placed : updates.placements) {
-        if (const std::shared_ptr<guarded_pool> pool = find(placed.pool)) {
-            const std::scoped_lock guard(pool->mutex);
-            pool->scheduler.applyRemotePlacement(m_clock.now(), placed);
-        }
-    }
-    for (const endpoint_failure &failure : updates.failures) {
-        if (const std::shared_ptr<guarded_pool> pool = find(failure.pool)) {
-            const std::scoped_lock guard(pool->mutex);
-            if (pool->scheduler.applyRemoteFailure(m_clock.now(), failure))
-                suspected.push_back(failure.endpoint);
-        }
-    }
-    for (const endpoint_crash &crash : updates.crashes) {
-        if (const std::shared_ptr<guarded_pool> pool = find(crash.pool)) {
-            const std::scoped_lock guard(pool->mutex);
-            pool->scheduler.applyRemoteCrash(m_clock.now(), crash);
-            refuseCrashCauses(*pool);
-        }
-    }
-    for (const cleared_parts &cleared : updates.cleared) {
-        if (const std::shared_ptr<guarded_pool> pool = find(cleared.pool)) {
-            const std::scoped_lock guard(pool->mutex);
-            pool->scheduler.applyRemoteCleared(cleared);
-            refuseCrashCauses(*pool);
-        }
-    }
-    for (const endpoint_leaving &leaving : updates.leaving) {
-        if (const std::shared_ptr<guarded_pool> pool = find(leaving.pool)) {
-            const std::scoped_lock guard(pool->mutex);
-            const endpoint_notice notice{true, {}, {}};
-            static_cast<void>(pool->scheduler.endpoints().applyNotice(m_clock.now(),
-                                                                      leaving.endpoint, notice));
-        }
-    }
-    for (const endpoint_limit &limit : updates.limits) {
-        if (const std::shared_ptr<guarded_pool> pool = find(limit.pool)) {
-            const std::scoped_lock guard(pool->mutex);
-            pool->scheduler.endpoints().applyRemoteLimit(m_clock.now(), limit.endpoint,
-                                                         limit.requestsPerSecond);
-        }
-    }
-    return suspected;
-}
-
 void caller_pools::scheduleAll()
 {
     for (const std::shared_ptr<guarded_pool> &pool : allPools()) {
--- a/src/yuccascale/kernel/requests/endpoint_table.cpp
+++ b/src/yuccascale/kernel/requests/endpoint_table.cpp
@@ -2,8 +2,6 @@
 
 #include "yuccascale/kernel/requests/placement.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -19,49 +17,39 @@
 /// Weight of recent failures at which an endpoint is suspected. A crash has this weight, any other
 /// failure weight 1.
 constexpr int suspicionThreshold = 2;
-/// The other entries are told of a limit that an endpoint names this often, since messages are lost
-/// and entries restarted, and for a while of one that it names no longer.
-constexpr milliseconds limitRefreshTime{500};
-constexpr seconds limitLiftedTime{5};
 /// An older report is not used to estimate the requests in an endpoint's batch.
 constexpr seconds maxReportAge{3};
+/// A prompt of another entry is counted for this many times the predicted time to its first token,
+/// because a prediction that is too early must not remove a prompt that still waits, and for this
+/// long at least.
+constexpr int predictionMargin = 4;
+constexpr seconds minRemoteLifetime{4};
 
-[[nodiscard]] int slotCapacity(const state::endpoint &row)
+/// Other entries do not tell that a prompt failed, so it expires.
+[[nodiscard]] nanoseconds remoteLifetime(nanoseconds timeToFirstToken) noexcept
 {
-    return row.slots + static_cast<int>(row.slots * queuedPerSlot);
+    constexpr nanoseconds longest = policy::prefill_queue::maxLifetime;
+    if (timeToFirstToken >= longest / predictionMargin)
+        return longest;
+    return std::max<nanoseconds>(predictionMargin * timeToFirstToken, minRemoteLifetime);
 }
 
 } // namespace
 
+int endpoint_table::slotCapacity(const endpoint_state &endpoint) const noexcept
+{
+    const int slots = slotsOf(endpoint);
+    return slots + static_cast<int>(slots * queuedPerSlot);
+}
+
 int endpoint_table::capacityOf(const endpoint_state &endpoint) const noexcept
 {
-    const int room = slotCapacity(endpoint.row);
+    const int room = slotCapacity(endpoint);
     if (m_maxConnections == 0)
         return room;
     return std::min(room, std::max(m_maxConnections / std::max(m_position.count, 1), 1));
 }
 
-void endpoint_table::setPosition(instant now, entry_position position)
-{
-    m_position = position;
-    for (endpoint_state &one : m_rows) {
-        if (one.limit)
-            one.limit->setPosition(now, positionAt(one));
-    }
-}
-
-/// Entries take the ranks of different endpoints in different orders, so that no entry may send to
-/// all limited endpoints while another may send to none.
-limit_position endpoint_table::positionAt(const endpoint_state &endpoint) const
-{
-    const int entries = std::max(m_position.count, 1);
-    if (!m_position.counted)
-        return {entries, entries + 1};
-    const std::string &name = endpoint.row.name;
-    const auto offset = XXH3_64bits(name.data(), name.size()) % static_cast<std::uint64_t>(entries);
-    return {static_cast<int>((m_position.index + offset) % entries), entries};
-}
-
 endpoint_table::endpoint_state *endpoint_table::find(const std::string &endpoint)
 {
     const auto found = std::ranges::find(m_rows, endpoint,
@@ -78,6 +66,7 @@
 {
     m_maxConnections = pool.maxConnections;
     m_listed = pool.discovered;
+    m_plainService = pool.kind == state::backend_kind::Service;
     std::vector<endpoint_state> next;
     next.reserve(pool.endpoints.size());
     for (const state::endpoint &row : pool.endpoints) {
@@ -98,8 +87,14 @@
     if (!known || report.load.measuredAt < known->report.load.measuredAt)
         return false;
     const bool notice = report.load.leaving && !known->report.load.leaving;
+    if (report.incarnation != known->report.incarnation) {
+        known->rates = {};
+        known->untold = {};
+    }
     known->report = report;
     known->heardAt = std::max(known->heardAt, report.load.measuredAt);
+    known->reportUntold = true;
+    recordPace(*known);
     return notice;
 }
 
@@ -119,73 +114,6 @@
     return effect;
 }
 
-/// \returns true when it is another limit than before.
-bool endpoint_table::setLimit(instant now, endpoint_state &endpoint, double requestsPerSecond)
-{
-    const bool wasLimited = endpoint.limit.has_value();
-    if (requestsPerSecond == noRequestLimit) {
-        endpoint.limit.reset();
-        if (wasLimited)
-            endpoint.limitLiftedAt = now;
-    } else if (wasLimited) {
-        const double before = endpoint.limit->requestsPerSecond();
-        endpoint.limit->named(now, requestsPerSecond);
-        if (before == requestsPerSecond)
-            return false;
-    } else {
-        endpoint.limit.emplace(now, requestsPerSecond, positionAt(endpoint));
-    }
-    const bool changed = wasLimited || endpoint.limit.has_value();
-    if (changed)
-        endpoint.limitToldAt = {};
-    return changed;
-}
-
-std::optional<double> endpoint_table::takeLimitToAnnounce(instant now, const std::string &endpoint)
-{
-    endpoint_state *known = find(endpoint);
-    if (!known)
-        return std::nullopt;
-    const bool lifted
-            = known->limitLiftedAt != instant{} && now - known->limitLiftedAt < limitLiftedTime;
-    const bool toldLately
-            = known->limitToldAt != instant{} && now - known->limitToldAt < limitRefreshTime;
-    if (toldLately || (!known->limit && !lifted))
-        return std::nullopt;
-    known->limitToldAt = now;
-    return known->limit ? known->limit->requestsPerSecond() : noRequestLimit;
-}
-
-void endpoint_table::applyRemoteLimit(instant now, const std::string &endpoint,
-                                      double requestsPerSecond)
-{
-    endpoint_state *known = find(endpoint);
-    if (!known)
-        return;
-    static_cast<void>(setLimit(now, *known, requestsPerSecond));
-    known->limitToldAt = now;
-}
-
-std::optional<nanoseconds> endpoint_table::limitedWait(instant now, bool steadyOnly,
-                                                       std::size_t waiting) const
-{
-    double rate = 0;
-    nanoseconds first = nanoseconds::max();
-    for (const endpoint_state &one : m_rows) {
-        if (one.row.role == state::engine_role::Prefill || !acceptsWork(one, steadyOnly))
-            continue;
-        if (!one.limit)
-            return std::nullopt;
-        rate += one.limit->ownRate();
-        first = std::min(first, one.limit->timeUntilAllowed(now).value_or(first));
-    }
-    if (rate <= 0)
-        return std::nullopt;
-    return first
-            + std::chrono::duration_cast<nanoseconds>(
-                    std::chrono::duration<double>(static_cast<double>(waiting) / rate));
-}
-
 bool endpoint_table::leaving(const endpoint_state &endpoint) noexcept
 {
     return endpoint.report.load.leaving || endpoint.listedLeaving || endpoint.announcedLeaving;
@@ -216,6 +144,7 @@
     if (known->firstSentAt == instant{})
         known->firstSentAt = now;
     known->running.push_back({ticket, now, work, false});
+    queuePrompt(now, *known, work.promptTokens, policy::prefill_queue::maxLifetime, ticket);
     if (known->limit)
         known->limit->sent(now);
 }
@@ -228,6 +157,7 @@
         return;
     std::erase_if(known->remotePrompts, [now](const auto &one) { return one.firstTokenAt <= now; });
     known->remotePrompts.push_back({tokens, now, now + timeToFirstToken});
+    queuePrompt(now, *known, tokens, remoteLifetime(timeToFirstToken), std::nullopt);
 }
 
 endpoint_table::running_request *endpoint_table::findRunning(const std::string &endpoint,
@@ -240,16 +170,26 @@
     return found == known->running.end() ? nullptr : &*found;
 }
 
-void endpoint_table::firstPieceArrived(const std::string &endpoint, std::uint64_t ticket)
+void endpoint_table::firstPieceArrived(instant now, const std::string &endpoint,
+                                       std::uint64_t ticket)
 {
-    if (running_request *running = findRunning(endpoint, ticket))
-        running->prefilled = true;
+    running_request *running = findRunning(endpoint, ticket);
+    if (running == nullptr)
+        return;
+    running->prefilled = true;
+    if (paced() && running->work.promptTokens >= minAnnouncedTokens)
+        recordPrefilled(now, *find(endpoint), *running);
 }
 
 void endpoint_table::requestEnded(const std::string &endpoint, std::uint64_t ticket)
 {
-    if (endpoint_state *known = find(endpoint))
-        std::erase_if(known->running, [&](const auto &one) { return one.ticket == ticket; });
+    endpoint_state *known = find(endpoint);
+    if (!known)
+        return;
+    const running_request *running = findRunning(endpoint, ticket);
+    if (running != nullptr && !running->prefilled)
+        known->queue.remove(ticket);
+    std::erase_if(known->running, [&](const auto &one) { return one.ticket == ticket; });
 }
 
 int endpoint_table::endpoint_state::sentSinceReport() const noexcept
@@ -401,12 +341,17 @@
         return "sick";
     if (endpoint.outstanding() >= capacityOf(endpoint))
         return "full";
+    return reportedFull(now, endpoint) ? "full according to its load report" : std::string_view();
+}
+
+bool endpoint_table::reportedFull(instant now, const endpoint_state &endpoint) const
+{
+    if (paced()) // dispatch_window decides, by the age of the report
+        return false;
     const policy::load_report &load = endpoint.report.load;
     const bool recent = load.measuredAt != instant{} && now - load.measuredAt < maxReportAge;
-    if (recent
-        && load.running + load.queued + endpoint.sentSinceReport() >= slotCapacity(endpoint.row))
-        return "full according to its load report";
-    return {};
+    return recent
+            && load.running + load.queued + endpoint.sentSinceReport() >= slotCapacity(endpoint);
 }
 
 std::string_view endpoint_table::unusableReason(instant now, const endpoint_state &endpoint,
@@ -478,6 +423,8 @@
             view.timeSinceFirstUse = now - one.firstSentAt;
         countRunning(one, view);
         view.remotePrefillTokens = remotePromptTokens(now, one);
+        if (paced())
+            view.speed = speedOf(now, one);
         all.push_back(view);
     }
     return all;
--- a/src/yuccascale/kernel/requests/pool_scheduler.cpp
+++ b/src/yuccascale/kernel/requests/pool_scheduler.cpp
@@ -42,6 +42,7 @@
     , m_window(limits.window)
 {
     m_endpoints.setDrainNotice(limits.drainNotice);
+    m_endpoints.setPaceUsed(m_strategies.router->usesPace());
 }
 
 void pool_scheduler::setPosition(instant now, entry_position position)
@@ -382,7 +383,7 @@
     const auto found = m_running.find(ticket);
     if (found == m_running.end())
         return;
-    m_endpoints.firstPieceArrived(found->second.endpoint, ticket);
+    m_endpoints.firstPieceArrived(now, found->second.endpoint, ticket);
     m_caches.confirm(now, found->second.endpoint, found->second.queued.parts);
 }
 
@@ -408,9 +409,18 @@
     running.prefilledElsewhere = true;
     m_work.prefilled(running.queued.work.promptTokens - running.cachedTokens, running.tokensAhead,
                      prefillTime);
-    m_strategies.router->observe(now,
-                                 {endpoint, running.queued.work.promptTokens, running.cachedTokens,
-                                  0, prefillTime, prefillTime, 0, true, true, running.tokensAhead});
+    const policy::routing_outcome prefill{endpoint,
+                                          running.queued.work.promptTokens,
+                                          running.cachedTokens,
+                                          0,
+                                          prefillTime,
+                                          prefillTime,
+                                          0,
+                                          true,
+                                          true,
+                                          running.tokensAhead};
+    m_strategies.router->observe(now, prefill);
+    m_endpoints.observe(now, running.sentAt, prefill);
 }
 
 notice_effect pool_scheduler::applyNotice(instant now, const std::string &pool,
@@ -508,6 +518,7 @@
                                           false,
                                           running.tokensAhead};
     m_strategies.router->observe(now, outcome);
+    m_endpoints.observe(now, running.sentAt, outcome);
     m_window.observe(outcome);
     m_services[running.queued.row.route].observe(outcome);
     return findings;
--- a/src/yuccascale/wire/inbound_connections.cpp
+++ b/src/yuccascale/wire/inbound_connections.cpp
@@ -2,6 +2,9 @@
 
 #include "yuccascale/wire/inbound_connection.hpp"
 
+#include <unistd.h>
+
+#include <exception>
 #include <utility>
 
 namespace yuccascale::wire {
@@ -59,10 +62,7 @@
         if (m_stopped || problem == boost::asio::error::operation_aborted)
             return;
         if (!problem) {
-            const auto accepted = std::make_shared<inbound_connection>(*this, m_loops.common,
-                                                                       std::move(stream));
-            add(accepted);
-            accepted->start();
+            serve(std::move(stream));
             return accept();
         }
         m_acceptTimer.expires_after(acceptRetryDelay);
@@ -73,6 +73,38 @@
     });
 }
 
+/// An exception closes this connection; others are still accepted.
+void inbound_connections::serve(tcp::socket stream)
+{
+    try {
+        const auto accepted
+                = std::make_shared<inbound_connection>(*this, m_loops.common, std::move(stream));
+        add(accepted);
+        limitHandshakes();
+        m_handshakes.push_back(accepted);
+        accepted->start();
+    } catch (const std::exception &problem) {
+        m_loops.common.report(problem);
+    }
+}
+
+/// Makes room for one more connection, so that peers that never prove the secret cannot use up the
+/// descriptors.
+void inbound_connections::limitHandshakes()
+{
+    if (m_handshakes.size() < m_settings.maxHandshakes)
+        return;
+    std::erase_if(m_handshakes, [](const std::weak_ptr<inbound_connection> &candidate) {
+        const std::shared_ptr<inbound_connection> connection = candidate.lock();
+        return !connection || !connection->isInHandshake();
+    });
+    if (m_handshakes.size() < m_settings.maxHandshakes)
+        return;
+    if (const std::shared_ptr<inbound_connection> oldest = m_handshakes.front().lock())
+        oldest->close();
+    m_handshakes.pop_front();
+}
+
 void inbound_connections::add(const std::shared_ptr<inbound_connection> &connection)
 {
     const std::lock_guard lock(m_mutex);
@@ -85,15 +117,22 @@
     m_connections.erase(connection);
 }
 
-void inbound_connections::moveToConsensusLoop(int descriptor, std::string peer, std::string unread)
+void inbound_connections::moveToConsensusLoop(int descriptor, std::string peer, frame first,
+                                              std::string unread)
 {
-    tcp::socket stream(m_loops.consensus.context(), tcp::v4(), descriptor);
+    tcp::socket stream(m_loops.consensus.context());
+    boost::system::error_code problem;
+    if (stream.assign(tcp::v4(), descriptor, problem)) {
+        ::close(descriptor);
+        return;
+    }
     const auto moved
             = std::make_shared<inbound_connection>(*this, m_loops.consensus, std::move(stream));
     add(moved);
-    m_loops.consensus.post([moved, peer = std::move(peer), unread = std::move(unread)] {
-        moved->goOn(peer, unread);
-    });
+    m_loops.consensus.post(
+            [moved, peer = std::move(peer), first = std::move(first), unread = std::move(unread)] {
+                moved->continueOpen(peer, first, unread);
+            });
 }
 
 } // namespace yuccascale::wire
--- a/src/yuccascale/wire/link_loop.cpp
+++ b/src/yuccascale/wire/link_loop.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-link_loop::link_loop()
-    : m_guard(boost::asio::make_work_guard(m_context))
+link_loop::link_loop(exception_callback onException)
+    : m_onException(std::move(onException))
+    , m_guard(boost::asio::make_work_guard(m_context))
     , m_timer(m_context)
     , m_receiveBuffer(receiveBufferBytes)
 { }
@@ -30,7 +31,27 @@
 
 void link_loop::start()
 {
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] { run(); });
+}
+
+void link_loop::run()
+{
+    while (true) {
+        try {
+            m_context.run();
+            return;
+        } catch (const std::exception &problem) {
+            if (!m_onException)
+                throw;
+            report(problem);
+        }
+    }
+}
+
+void link_loop::report(const std::exception &problem) const
+{
+    if (m_onException)
+        m_onException(problem.what());
 }
 
 void link_loop::stop()
@@ -40,7 +61,7 @@
         m_thread.join();
 }
 
-loop_time link_loop::watch(std::weak_ptr<watched> subject, loop_time when)
+loop_time link_loop::watch(std::weak_ptr<deadline_subject> subject, loop_time when)
 {
     const loop_time scheduled = rounded(std::chrono::steady_clock::now(), when);
     m_deadlines.emplace(scheduled, std::move(subject));
@@ -58,7 +79,11 @@
         if (problem)
             return;
         m_armedFor = loop_time::max();
-        runDue();
+        try {
+            runDue();
+        } catch (const std::exception &thrown) {
+            report(thrown); // the deadlines of the other connections are still to be met
+        }
         armTimer();
     });
 }
@@ -69,7 +94,7 @@
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const auto [scheduled, subject] = *m_deadlines.begin();
         m_deadlines.erase(m_deadlines.begin());
-        if (const std::shared_ptr<watched> alive = subject.lock())
+        if (const std::shared_ptr<deadline_subject> alive = subject.lock())
             alive->deadlineReached(scheduled);
     }
 }
--- a/src/yuccascale/wire/peer_link.hpp
+++ b/src/yuccascale/wire/peer_link.hpp
@@ -41,7 +41,7 @@
 
 /// \brief Keeps one connection to a peer on a loop. Connects when there is something to send, and
 ///        closes the connection once it has carried nothing for a while.
-class peer_link final : public watched, public std::enable_shared_from_this<peer_link>
+class peer_link final : public deadline_subject, public std::enable_shared_from_this<peer_link>
 {
 public:
     /// \brief Called on the loop's thread when the link has carried nothing for a while.
@@ -98,7 +98,7 @@
     void flush();
     void connect();
     void checkAt(loop_time when);
-    void closeSilentConnection(std::uint64_t receivedBefore);
+    void closeSilentConnection(std::uint64_t receivedBefore, std::uint64_t connectionNumber);
     void awaitReply(std::unique_lock<std::mutex> &lock, pending_call &pending,
                     kernel::call_timeout timeout);
 
@@ -124,6 +124,7 @@
     std::map<std::uint64_t, std::shared_ptr<pending_call>> m_calls;
     std::uint64_t m_nextCorrelation = 1;
     std::uint64_t m_framesReceived = 0;
+    std::uint64_t m_connectionNumber = 0; ///< of the current or last connection
     loop_time m_lastUse;
     bool m_flushRequested = false;
     bool m_stopped = false;
