--- a/src/yuccascale/cli/node_command.cpp
+++ b/src/yuccascale/cli/node_command.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/cli/node_command.hpp"
 
 #include "yuccascale/runtime/node.hpp"
+#include "yuccascale/runtime/process_memory.hpp"
 
 #include <gflags/gflags.h>
 
@@ -54,6 +55,7 @@
 
 kernel::result<void> runNode(command_arguments)
 {
+    runtime::returnFreedMemory();
     const std::string file = settingsFile();
     if (file.empty()) {
         return kernel::fail(kernel::error_kind::InvalidArgument, "--settings",
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -265,7 +265,8 @@
         return {};
     auto server = std::make_unique<net::http_server>(
             m_dependencies.loops, limitsFrom(m_dependencies.settings.http),
-            [this, kind](const exchange_pointer &exchange) { serve(kind, exchange); });
+            [this, kind](const exchange_pointer &exchange) { serve(kind, exchange); },
+            m_dependencies.memory);
     BOOST_LEAF_AUTO(bound, server->listen(address));
     if (kind == listener_kind::Callers)
         port = bound;
@@ -570,6 +571,16 @@
         const std::chrono::duration<double> age = m_dependencies.clock.now() - *askedAt;
         m_services.metrics.setGauge("yuccascale_endpoint_list_age_seconds", age.count());
     }
+    if (m_dependencies.memory) {
+        const net::memory_shortage memory = m_dependencies.memory->state();
+        const auto set = [this](const char *name, auto value) {
+            m_services.metrics.setGauge(name, static_cast<double>(value));
+        };
+        set("yuccascale_memory_held_bytes", memory.held);
+        set("yuccascale_memory_limit_bytes", memory.limit);
+        set("yuccascale_memory_refused_requests", memory.refused);
+        set("yuccascale_memory_closed_connections", memory.closed);
+    }
     m_services.metrics.setGauge("yuccascale_connections", static_cast<double>(connections()));
     return m_services.metrics.text();
 }
--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -6,6 +6,7 @@
 #include "yuccascale/kernel/feed/feed_messages.hpp"
 #include "yuccascale/net/event_loops.hpp"
 #include "yuccascale/net/http_exchange.hpp"
+#include "yuccascale/net/memory_budget.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
 #include <functional>
@@ -43,6 +44,8 @@
     std::function<void(bool lost)> onEndpointsLost = nullptr;
     /// Asks for a confirmation of the tables, which scheduleFeedUpdate() tells of; may be null.
     std::function<void()> confirmSoon = nullptr;
+    /// Shared with the other servers of the process; null: unlimited.
+    std::shared_ptr<net::memory_budget> memory = nullptr;
 };
 
 /// \brief Serves callers at the node's addresses.
--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -403,6 +403,8 @@
     }
     attempt.reader = driver.reader(callerRequest, context);
     attempt.deliver = eventsFromEndpoint();
+    attempt.holdAnswer
+            = [exchange = m_exchange](std::size_t bytes) { return exchange->holdAnswer(bytes); };
     attempt.checkCaller = [weak = weak_from_this(), number = sent.attempt] {
         if (const auto self = weak.lock())
             self->checkBeforeSend(number, next_leg::Request);
@@ -448,6 +450,8 @@
             relayGrantHeader, issueRelayGrant(m_services.secret, callerRequest.id, grant()));
     attempt.reader = driver.reader(callerRequest, context);
     attempt.deliver = eventsFromEntry(assignment.endpoint);
+    attempt.holdAnswer
+            = [exchange = m_exchange](std::size_t bytes) { return exchange->holdAnswer(bytes); };
     attempt.checkCaller = [weak = weak_from_this(), number = sent.attempt] {
         if (const auto self = weak.lock())
             self->checkBeforeSend(number, next_leg::Request);
--- a/src/yuccascale/http/endpoint_client.cpp
+++ b/src/yuccascale/http/endpoint_client.cpp
@@ -23,8 +23,9 @@
     return found == request.headers.end() ? std::string() : found->second;
 }
 
+/// \param outbound its body is moved out
 [[nodiscard]] net::outgoing_request outgoingRequestOf(const std::string &address,
-                                                      const outbound_request &outbound,
+                                                      outbound_request &&outbound,
                                                       nanoseconds timeLeft,
                                                       std::function<void()> onConnected)
 {
@@ -32,7 +33,7 @@
     request.address = address;
     request.method = outbound.method;
     request.target = outbound.path;
-    request.body = outbound.body;
+    request.body = std::move(outbound.body);
     request.freshConnection = outbound.freshConnection;
     request.requestId = requestIdOf(outbound);
     request.requestLifetime = timeLeft;
@@ -148,7 +149,10 @@
         std::vector<event> events;
         const bool wantsMore = m_attempt.reader->feed(bytes, events);
         deliver(std::move(events));
-        if (!wantsMore || mayHold(m_attempt.reader->heldBytes()))
+        const std::size_t held = m_attempt.reader->heldBytes();
+        if (wantsMore && !m_cancelled && m_attempt.holdAnswer && !m_attempt.holdAnswer(held))
+            return false;
+        if (!wantsMore || mayHold(held))
             return wantsMore;
         releaseHeldBytes();
         fail(attempt_failure::InvalidAnswer);
@@ -179,10 +183,10 @@
     void sendRequest()
     {
         if (!m_cancelled)
-            m_call = m_client.m_client.start(outgoingRequestOf(m_attempt.address, m_attempt.request,
-                                                               m_attempt.timeLeft,
-                                                               m_attempt.checkCaller),
-                                             shared_from_this());
+            m_call = m_client.m_client.start(
+                    outgoingRequestOf(m_attempt.address, std::move(m_attempt.request),
+                                      m_attempt.timeLeft, m_attempt.checkCaller),
+                    shared_from_this());
     }
 
     /// Frees a prefilled prompt that the endpoint has not fetched.
@@ -212,6 +216,8 @@
 
     void fail(attempt_failure failure)
     {
+        if (m_attempt.holdAnswer && !m_cancelled)
+            static_cast<void>(m_attempt.holdAnswer(0));
         std::vector<event> events;
         events.emplace_back(attempt_failed{m_attempt.attempt, failure, {}});
         deliver(std::move(events));
@@ -252,9 +258,10 @@
                       std::function<void(net::buffered_answer)> done,
                       std::function<void()> onConnected)
 {
-    return net::callBuffered(m_client, m_loop,
-                             outgoingRequestOf(address, request, timeLeft, std::move(onConnected)),
-                             timeout, std::move(done));
+    return net::callBuffered(
+            m_client, m_loop,
+            outgoingRequestOf(address, outbound_request(request), timeLeft, std::move(onConnected)),
+            timeout, std::move(done));
 }
 
 void endpoint_client::callIgnoringAnswer(const std::string &address,
--- a/src/yuccascale/http/events.hpp
+++ b/src/yuccascale/http/events.hpp
@@ -24,4 +24,11 @@
         "An operator's whole document was accepted, refused as a whole, or left without a clear "
         "answer because no quorum committed it in time."};
 
+inline const event_kind memoryShort{
+        6005, "memory_short", severity::Warning,
+        "Connections of callers hold as much memory as http.memory allows, so those that hold most "
+        "and progress least are shed: 'refused' unfinished requests got 503, 'closed' connections "
+        "did not read their answers, both since the start. Logged at most every 5 s; look for "
+        "callers that stop before the end of large bodies."};
+
 } // namespace yuccascale::http
--- a/src/yuccascale/net/client_connection.cpp
+++ b/src/yuccascale/net/client_connection.cpp
@@ -164,7 +164,7 @@
     m_skippingMessage = false;
 }
 
-void http_client::connection::sendRequest(const outgoing_request &request,
+void http_client::connection::sendRequest(outgoing_request &request,
                                           std::shared_ptr<answer_receiver> receiver)
 {
     m_receiver = std::move(receiver);
@@ -173,7 +173,7 @@
     remember(request);
     resetParser();
     m_head = requestHead(request);
-    m_body = request.body;
+    m_body = std::move(request.body);
     m_writing = true;
     const std::array<boost::asio::const_buffer, 2> parts{boost::asio::buffer(m_head),
                                                          boost::asio::buffer(m_body)};
--- a/src/yuccascale/net/client_connection.hpp
+++ b/src/yuccascale/net/client_connection.hpp
@@ -65,7 +65,8 @@
     }
 
     void connect(std::function<void(bool)> done);
-    void sendRequest(const outgoing_request &request, std::shared_ptr<answer_receiver> receiver);
+    /// \param request its body is moved out
+    void sendRequest(outgoing_request &request, std::shared_ptr<answer_receiver> receiver);
     [[nodiscard]] bool isReusable();
     [[nodiscard]] bool hasCarried(std::string_view requestId) const;
     void becomeIdle();
--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <random>
 #include <utility>
 
 namespace yuccascale::net {
@@ -13,6 +15,16 @@
 namespace {
 
 constexpr std::size_t readChunkBytes = 24U << 10U;
+/// Larger allocations are mapped on their own (runtime::returnFreedMemory()), so that what is not
+/// written of them takes no memory.
+constexpr std::size_t mappedBytes = 128U << 10U;
+/// Held for a request that runs, beside its body and headers.
+constexpr std::size_t requestOverheadBytes = 4U << 10U;
+/// Part of the connections' limit by which refusals that linger may exceed it.
+constexpr std::size_t lingeringDivisor = 8;
+/// Refused callers are told to return after one of these many whole seconds, drawn for each so that
+/// they do not return together.
+constexpr unsigned longestRetrySeconds = 3;
 /// Bytes of a caller's next requests that are read before its current answer has ended.
 constexpr std::size_t maxReadAheadBytes = 64U << 10U;
 /// With more bytes queued for a slow caller, the connection is closed before others are queued. One
@@ -20,6 +32,8 @@
 constexpr std::size_t maxUnsentBytes = 4U << 20U;
 /// A buffer that grew beyond this is freed after its request.
 constexpr std::size_t maxRetainedBufferBytes = 4U << 10U;
+constexpr std::string_view memoryMessage
+        = "the memory for requests is used up; send the request again, also to another address";
 /// Time for the caller to close after the last answer, so that no TCP reset overtakes the answer.
 constexpr kernel::milliseconds lingerTimeout{1'000};
 
@@ -47,6 +61,32 @@
     return status >= 200 && status != 204 && status != 304;
 }
 
+[[nodiscard]] kernel::instant accountTime() noexcept
+{
+    return kernel::instant(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+/// \returns the memory that a string takes.
+[[nodiscard]] std::size_t memoryOf(const std::string &text) noexcept
+{
+    return std::min(text.capacity(), text.size() + mappedBytes);
+}
+
+[[nodiscard]] std::string retrySeconds()
+{
+    thread_local std::minstd_rand random{std::random_device{}()};
+    return numberText(1 + random() % longestRetrySeconds, 10);
+}
+
+/// \returns what a request holds until it has ended.
+[[nodiscard]] std::size_t memoryOf(const http_request &request, std::size_t copiesOfBody)
+{
+    std::size_t bytes = requestOverheadBytes + request.target.size();
+    for (const header_field &field : request.headers)
+        bytes += field.name.size() + field.value.size();
+    return bytes + copiesOfBody * request.body.size();
+}
+
 } // namespace
 
 void http_server::loop_connections::add(const std::shared_ptr<connection> &opened)
@@ -130,8 +170,19 @@
     m_socket.set_option(tcp::no_delay(true), ignored);
     m_socket.non_blocking(true, ignored);
     m_owner->add(shared_from_this());
+    m_account = std::make_shared<memory_account>(m_shared->memory,
+                                                 [&loop = m_owner->loop, weak = weak_from_this()] {
+                                                     boost::asio::post(loop, [weak] {
+                                                         const auto self = weak.lock();
+                                                         if (self && self->m_account->beingShed())
+                                                             self->shed();
+                                                     });
+                                                 });
     awaitRequest();
-    if (m_shared->openConnections > m_limits->connections)
+    const std::size_t most = m_limits->connections;
+    if (m_shared->openConnections > most + most / lingeringDivisor)
+        return close();
+    if (m_shared->openConnections > most)
         return refuse(503, "overloaded",
                       "the maximum of open connections is reached; retry at another address");
     read();
@@ -167,27 +218,38 @@
     m_reading = false;
     if (m_phase == phase::Closed)
         return;
+    std::string_view arrived;
     if (!problem)
-        problem = receive();
+        arrived = receive(problem);
     if (problem == boost::asio::error::would_block)
         return read();
     if (problem)
         return handleCallerLeft();
-    if (m_phase == phase::Ending)
-        m_buffer.clear();
     if (m_phase == phase::Idle || m_phase == phase::Reading)
-        parse();
+        parse(arrived);
+    else if (m_phase == phase::Answering)
+        append(arrived);
+    m_account->progressed(accountTime());
+    if (!charge())
+        shed();
     read();
 }
 
-/// Appends to the buffer what has arrived.
-error_code http_server::connection::receive()
+/// \returns what has arrived, until the next call on this loop.
+std::string_view http_server::connection::receive(error_code &problem)
 {
-    error_code problem;
-    const std::size_t count = m_socket.read_some(m_buffer.prepare(readChunkBytes), problem);
-    m_buffer.commit(count);
+    // shared by the loop's connections, so that one that waits for more needs no buffer of this
+    // size
+    thread_local std::array<char, readChunkBytes> bytes{};
+    const std::size_t count = m_socket.read_some(boost::asio::buffer(bytes), problem);
     m_receivedBytes += count;
-    return problem;
+    return {bytes.data(), count};
+}
+
+void http_server::connection::append(std::string_view bytes)
+{
+    m_buffer.commit(
+            boost::asio::buffer_copy(m_buffer.prepare(bytes.size()), boost::asio::buffer(bytes)));
 }
 
 /// Bytes of the caller's next requests may lie before the end of the connection.
@@ -195,26 +257,38 @@
 {
     error_code problem;
     while (!problem && m_phase == phase::Answering && m_buffer.size() < maxReadAheadBytes)
-        problem = receive();
+        append(receive(problem));
     if (problem && problem != boost::asio::error::would_block)
         handleCallerLeft();
 }
 
-void http_server::connection::parse()
+/// Parses the buffer and then \a arrived, in place while the buffer is empty; what is left is kept.
+void http_server::connection::parse(std::string_view arrived)
 {
-    if (m_phase == phase::Idle && m_buffer.size() > 0) {
+    const bool inPlace = m_buffer.size() == 0;
+    if (!inPlace)
+        append(std::exchange(arrived, {}));
+    const auto unparsed = [&] {
+        return inPlace ? boost::asio::buffer(arrived) : boost::asio::const_buffer(m_buffer.data());
+    };
+    if (m_phase == phase::Idle && unparsed().size() > 0) {
         setPhase(phase::Reading);
         setDeadline(m_limits->readTimeout);
     }
-    while (m_phase == phase::Reading && m_buffer.size() > 0) {
+    while (m_phase == phase::Reading && unparsed().size() > 0) {
         error_code problem;
-        const std::size_t count = m_parser->put(m_buffer.data(), problem);
-        m_buffer.consume(count);
+        const std::size_t count = m_parser->put(unparsed(), problem);
+        if (inPlace)
+            arrived.remove_prefix(count);
+        else
+            m_buffer.consume(count);
         m_parsedBytes += count;
         if (m_parser->is_header_done() && !checkHeader())
             return;
+        if (inPlace && (problem == http::error::need_more || m_parser->is_done()))
+            append(std::exchange(arrived, {}));
         if (problem == http::error::need_more)
-            return;
+            return checkUnparsed();
         if (problem == http::error::header_limit)
             return refuse(431, "invalid_argument", "the header is too large; send a smaller one");
         if (problem == http::error::body_limit)
@@ -226,6 +300,13 @@
     }
 }
 
+/// The parser bounds heads, but neither chunk headers nor trailers.
+void http_server::connection::checkUnparsed()
+{
+    if (m_buffer.size() > m_limits->headerBytes && m_parser->is_header_done())
+        refuse(400, "invalid_argument", "a chunk header is too large; send a smaller one");
+}
+
 /// Checks what the parser does not, once for each request; \returns false when it was refused.
 bool http_server::connection::checkHeader()
 {
@@ -262,19 +343,59 @@
     m_parser.reset();
     m_chunked = false;
     ++m_exchangeNumber;
-    m_shared->handler(
-            std::make_shared<exchange>(shared_from_this(), m_exchangeNumber, std::move(request)));
+    const std::size_t bytes = memoryOf(request, m_limits->copiesOfBody);
+    static_cast<void>(charge()); // without the body, which is counted from here on as running
+    if (!m_account->run(bytes, accountTime())) {
+        m_shared->memory->countRefused();
+        return refuse(503, "overloaded", memoryMessage);
+    }
+    m_shared->handler(std::make_shared<exchange>(shared_from_this(), m_exchangeNumber,
+                                                 std::move(request), m_account, bytes));
+}
+
+std::size_t http_server::connection::heldBytes() const
+{
+    std::size_t bytes = m_buffer.size() > 0 ? m_buffer.capacity() : 0;
+    if (m_parser && m_phase == phase::Reading)
+        bytes += memoryOf(m_parser->get().body());
+    if (m_writing)
+        bytes += memoryOf(m_sending);
+    return bytes + m_answerBytes + (m_unsent.empty() ? 0 : memoryOf(m_unsent));
+}
+
+/// \returns false when the connection has to be shed.
+bool http_server::connection::charge()
+{
+    return m_phase == phase::Closed || m_account->hold(heldBytes(), accountTime());
+}
+
+/// What a caller has not sent to its end is refused, since it has not run. An answer that has begun
+/// can only be broken off.
+void http_server::connection::shed()
+{
+    if (m_phase == phase::Reading) {
+        m_shared->memory->countRefused();
+        return refuse(503, "overloaded", memoryMessage);
+    }
+    m_shared->memory->countClosed();
+    handleCallerLeft();
 }
 
 void http_server::connection::refuse(int status, std::string_view kind, std::string_view message)
 {
+    m_parser.reset();
+    m_buffer = {};
+    static_cast<void>(m_account->hold(0, accountTime()));
     std::string body = R"({"error":{"kind":")" + std::string(kind) + R"(","message":")";
     body += message;
     body += R"(","may_have_run":false}})";
     m_keepAlive = false;
     setPhase(phase::Answering);
     ++m_exchangeNumber;
-    reply({status, {{"Content-Type", "application/json"}}, std::move(body)});
+    header_list headers{{"Content-Type", "application/json"}};
+    if (status == 503)
+        headers.push_back({"Retry-After", retrySeconds()});
+    reply({status, std::move(headers), std::move(body)});
 }
 
 bool http_server::connection::isAnswering(std::uint64_t exchangeNumber) const noexcept
@@ -296,12 +417,14 @@
 void http_server::connection::reply(const http_reply &answer)
 {
     m_keepAlive = !closesAfterAnswer();
+    m_answerBytes = 0;
     std::string text = headText(answer.status, answer.headers, !m_keepAlive);
     if (hasBody(answer.status))
         appendHeader(text, "Content-Length", numberText(answer.body.size(), 10));
     text += "\r\n";
+    text.reserve(text.size() + answer.body.size());
     text += answer.body;
-    write(text);
+    write(std::move(text));
     onAnswerEnd();
 }
 
@@ -322,7 +445,7 @@
     std::string chunk = numberText(bytes.size(), 16) + "\r\n";
     chunk += bytes;
     chunk += "\r\n";
-    write(chunk);
+    write(std::move(chunk));
 }
 
 void http_server::connection::finish()
@@ -345,9 +468,19 @@
     m_onCallerDisconnected = std::move(action);
 }
 
+bool http_server::connection::holdAnswer(std::size_t bytes)
+{
+    m_answerBytes = bytes;
+    if (charge())
+        return true;
+    shed();
+    return false;
+}
+
 void http_server::connection::onAnswerEnd()
 {
     m_onCallerDisconnected = nullptr;
+    m_answerBytes = 0;
     if (m_phase == phase::Closed)
         return;
     if (!m_keepAlive) {
@@ -360,17 +493,25 @@
     boost::asio::post(m_owner->loop, [self = shared_from_this()] {
         if (self->m_phase != phase::Idle)
             return;
-        self->parse();
+        self->parse({});
+        if (!self->charge())
+            self->shed();
         self->read();
     });
 }
 
-void http_server::connection::write(std::string_view bytes)
+void http_server::connection::write(std::string bytes)
 {
     if (m_unsent.size() > maxUnsentBytes)
         return handleCallerLeft();
-    m_unsent += bytes;
+    if (m_unsent.empty())
+        m_unsent = std::move(bytes);
+    else
+        m_unsent += bytes;
     flush();
+    const bool fits = charge();
+    if (!fits && m_phase != phase::Reading) // while parsing, the parser's caller charges next
+        shed();
 }
 
 void http_server::connection::flush()
@@ -380,15 +521,25 @@
     m_writing = true;
     countAnswering();
     m_sending = std::exchange(m_unsent, {});
+    m_sentBytes = 0;
     m_writeDeadline = std::chrono::steady_clock::now() + m_limits->writeTimeout;
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_sending),
-                             [self = shared_from_this()](error_code problem, std::size_t) {
-                                 self->onWritten(problem);
-                             });
+    writeSome();
 }
 
-void http_server::connection::onWritten(error_code problem)
+void http_server::connection::writeSome()
 {
+    m_socket.async_write_some(boost::asio::buffer(std::string_view(m_sending).substr(m_sentBytes)),
+                              [self = shared_from_this()](error_code problem, std::size_t count) {
+                                  self->onWritten(problem, count);
+                              });
+}
+
+void http_server::connection::onWritten(error_code problem, std::size_t count)
+{
+    m_sentBytes += count;
+    m_account->progressed(accountTime());
+    if (!problem && m_phase != phase::Closed && m_sentBytes < m_sending.size())
+        return writeSome();
     m_writing = false;
     m_writeDeadline = steady_instant::max();
     if (m_sending.capacity() > maxRetainedBufferBytes)
@@ -399,6 +550,7 @@
         return handleCallerLeft();
     flush();
     countAnswering();
+    static_cast<void>(charge()); // less than before
     if (m_phase == phase::Ending)
         shutdownAfterWrite();
 }
@@ -437,6 +589,9 @@
     m_parser.reset();
     m_buffer = {};
     m_unsent = {};
+    m_answerBytes = 0;
+    if (m_account)
+        static_cast<void>(m_account->hold(0, accountTime()));
     m_owner->remove(shared_from_this());
 }
 
@@ -459,10 +614,13 @@
 }
 
 http_server::exchange::exchange(std::shared_ptr<connection> servedConnection,
-                                std::uint64_t exchangeNumber, http_request request)
+                                std::uint64_t exchangeNumber, http_request request,
+                                std::shared_ptr<memory_account> account, std::size_t runningBytes)
     : m_connection(std::move(servedConnection))
     , m_exchangeNumber(exchangeNumber)
     , m_request(std::move(request))
+    , m_account(std::move(account))
+    , m_runningBytes(runningBytes)
 { }
 
 void http_server::exchange::reply(http_reply answer)
@@ -495,6 +653,11 @@
         m_connection->abort();
 }
 
+bool http_server::exchange::holdAnswer(std::size_t bytes)
+{
+    return isCurrent() && m_connection->holdAnswer(bytes);
+}
+
 void http_server::exchange::checkCaller()
 {
     if (isCurrent())
--- a/src/yuccascale/net/http_connection.hpp
+++ b/src/yuccascale/net/http_connection.hpp
@@ -24,8 +24,9 @@
 /// \brief State that all connections of a server share.
 struct http_server::shared_state
 {
-    explicit shared_state(http_handler serve)
+    shared_state(http_handler serve, std::shared_ptr<memory_budget> sharedMemory)
         : handler(std::move(serve))
+        , memory(std::move(sharedMemory))
     { }
 
     [[nodiscard]] std::shared_ptr<const http_limits> limits() const
@@ -35,6 +36,7 @@
     }
 
     const http_handler handler;
+    const std::shared_ptr<memory_budget> memory;
     mutable std::mutex mutex;
     std::shared_ptr<const http_limits> currentLimits;
     std::vector<std::shared_ptr<loop_connections>> loopConnections; ///< by the index of their loop
@@ -90,6 +92,7 @@
     void finish();
     void abort();
     void onCallerDisconnected(std::function<void()> action);
+    [[nodiscard]] bool holdAnswer(std::size_t bytes);
     void checkCaller();
 
     [[nodiscard]] io_context &loop() noexcept { return m_owner->loop; }
@@ -107,16 +110,22 @@
 
     void read();
     void onReadable(error_code problem);
-    [[nodiscard]] error_code receive();
-    void parse();
+    [[nodiscard]] std::string_view receive(error_code &problem);
+    void append(std::string_view bytes);
+    void parse(std::string_view arrived);
+    void checkUnparsed();
     void awaitRequest();
     [[nodiscard]] bool checkHeader();
     void dispatch();
     void refuse(int status, std::string_view kind, std::string_view message);
     void onAnswerEnd();
-    void write(std::string_view bytes);
+    void write(std::string bytes);
     void flush();
-    void onWritten(error_code problem);
+    void writeSome();
+    void onWritten(error_code problem, std::size_t count);
+    [[nodiscard]] std::size_t heldBytes() const;
+    [[nodiscard]] bool charge();
+    void shed();
     void shutdownAfterWrite();
     void handleCallerLeft();
     void setDeadline(kernel::milliseconds timeout);
@@ -142,8 +151,11 @@
     std::uint64_t m_exchangeNumber = 0; ///< of the latest request
     bool m_chunked = false;
     std::function<void()> m_onCallerDisconnected;
-    std::string m_unsent;  ///< queued behind the write in progress
-    std::string m_sending; ///< buffer of the write in progress
+    std::string m_unsent;          ///< queued behind the write in progress
+    std::string m_sending;         ///< buffer of the write in progress
+    std::size_t m_sentBytes = 0;   ///< of m_sending
+    std::size_t m_answerBytes = 0; ///< held for this connection until they can be sent
+    std::shared_ptr<memory_account> m_account;
     bool m_writing = false;
     steady_instant m_deadline = steady_instant::max();
     steady_instant m_writeDeadline = steady_instant::max();
@@ -153,8 +165,13 @@
 class http_server::exchange final : public http_exchange
 {
 public:
+    /// \param account ends \a runningBytes when the request has ended
     exchange(std::shared_ptr<connection> servedConnection, std::uint64_t exchangeNumber,
-             http_request request);
+             http_request request, std::shared_ptr<memory_account> account,
+             std::size_t runningBytes);
+    ~exchange() override { m_account->ended(m_runningBytes); }
+    exchange(const exchange &) = delete;
+    exchange &operator=(const exchange &) = delete;
 
     [[nodiscard]] http_request &request() noexcept override { return m_request; }
     [[nodiscard]] io_context &loop() noexcept override { return m_connection->loop(); }
@@ -168,6 +185,7 @@
     void finish() override;
     void abort() override;
     void onCallerDisconnected(std::function<void()> action) override;
+    [[nodiscard]] bool holdAnswer(std::size_t bytes) override;
     void checkCaller() override;
 
 private:
@@ -179,6 +197,8 @@
     std::shared_ptr<connection> m_connection;
     std::uint64_t m_exchangeNumber;
     http_request m_request;
+    std::shared_ptr<memory_account> m_account;
+    std::size_t m_runningBytes;
 };
 
 } // namespace yuccascale::net
--- a/src/yuccascale/net/http_server.cpp
+++ b/src/yuccascale/net/http_server.cpp
@@ -2,8 +2,11 @@
 
 #include "yuccascale/net/http_connection.hpp"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace yuccascale::net {
@@ -16,6 +19,17 @@
 /// Delay after a failed accept, as when no file descriptor is free.
 constexpr kernel::milliseconds acceptRetryDelay{100};
 
+/// \returns how many of the process's descriptors may be connections of callers; endpoints, links
+/// and
+///          files need the others.
+[[nodiscard]] std::size_t descriptorsForCallers() noexcept
+{
+    rlimit descriptors{};
+    if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0)
+        return std::numeric_limits<std::size_t>::max();
+    return static_cast<std::size_t>(descriptors.rlim_cur / 4 * 3);
+}
+
 } // namespace
 
 /// \brief One listening address.
@@ -32,9 +46,11 @@
     std::string address;
 };
 
-http_server::http_server(event_loops &loops, const http_limits &limits, http_handler handler)
+http_server::http_server(event_loops &loops, const http_limits &limits, http_handler handler,
+                         std::shared_ptr<memory_budget> memory)
     : m_loops(loops)
-    , m_shared(std::make_shared<shared_state>(std::move(handler)))
+    , m_shared(std::make_shared<shared_state>(
+              std::move(handler), memory ? std::move(memory) : memory_budget::unlimited()))
 {
     setLimits(limits);
     for (std::size_t index = 0; index < loops.size(); ++index)
@@ -105,8 +121,10 @@
 
 void http_server::setLimits(const http_limits &limits)
 {
+    http_limits applied = limits;
+    applied.connections = std::min(limits.connections, descriptorsForCallers());
     const std::scoped_lock guard(m_shared->mutex);
-    m_shared->currentLimits = std::make_shared<const http_limits>(limits);
+    m_shared->currentLimits = std::make_shared<const http_limits>(applied);
 }
 
 void http_server::closeAfterAnswers() noexcept
--- a/src/yuccascale/net/http_server.hpp
+++ b/src/yuccascale/net/http_server.hpp
@@ -3,6 +3,7 @@
 #include "yuccascale/kernel/clock.hpp"
 #include "yuccascale/kernel/error.hpp"
 #include "yuccascale/net/http_exchange.hpp"
+#include "yuccascale/net/memory_budget.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -25,17 +26,25 @@
     kernel::milliseconds readTimeout{10'000};  ///< for the rest of a request after its first byte
     kernel::milliseconds idleTimeout{15'000};  ///< between two requests
     kernel::milliseconds writeTimeout{10'000}; ///< without progress of an answer
-    std::size_t connections = 3'000;           ///< further ones are refused
+    /// Further ones are refused; lowered to what the process's descriptors allow.
+    std::size_t connections = 3'000;
+    /// Of the body of a request, while it is served; charged to the memory budget.
+    std::size_t copiesOfBody = 2;
 };
 
 /// \brief Serves HTTP on one or more addresses. The handler runs on the connection's loop.
 ///
 /// A request with both Content-Length and chunked encoding, with an ambiguous length, or with a
 /// malformed line is refused and its connection closed; nothing of it reaches the handler.
+///
+/// While the memory budget is used up, requests that are not received whole are refused with 503,
+/// and connections whose callers do not read their answers are closed.
 class http_server
 {
 public:
-    http_server(event_loops &loops, const http_limits &limits, http_handler handler);
+    /// \param memory shared by the servers of a process; null: unlimited
+    http_server(event_loops &loops, const http_limits &limits, http_handler handler,
+                std::shared_ptr<memory_budget> memory = nullptr);
     ~http_server();
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
--- a/src/yuccascale/plugins/caller_own.cpp
+++ b/src/yuccascale/plugins/caller_own.cpp
@@ -34,6 +34,7 @@
     return out;
 }
 
+/// \returns the message without its body.
 [[nodiscard]] caller_message messageFrom(const http_request &request)
 {
     caller_message message;
@@ -47,7 +48,6 @@
     message.requestId = std::string(request.header("X-Request-Id"));
     message.resumeToken = std::string(request.header("X-Resume-Token"));
     message.resumeFrom = std::string(request.header("X-Resume-From"));
-    message.body = request.body;
     return message;
 }
 
@@ -107,9 +107,13 @@
     [[nodiscard]] kernel::result<request> readRequest(http_request &httpRequest,
                                                       const reading_context &context) const override
     {
-        const caller_message message = messageFrom(httpRequest);
-        return isModelPath(message.path) ? readModelRequest(message, context)
-                                         : readServiceRequest(message, context);
+        caller_message message = messageFrom(httpRequest);
+        message.body = std::move(httpRequest.body);
+        auto read = isModelPath(message.path) ? readModelRequest(message, context)
+                                              : readServiceRequest(message, context);
+        if (!read)
+            httpRequest.body = std::move(message.body); // it may be read again
+        return read;
     }
 
     [[nodiscard]] std::string callerRequestId(const http_request &httpRequest,
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -3,6 +3,7 @@
 #include "yuccascale/http/caller_pools.hpp"
 #include "yuccascale/http/caller_server.hpp"
 #include "yuccascale/http/document_interface.hpp"
+#include "yuccascale/http/events.hpp"
 #include "yuccascale/http/operator_routes.hpp"
 #include "yuccascale/kernel/requests/drain_plan.hpp"
 #include "yuccascale/kernel/requests/events.hpp"
@@ -17,6 +18,7 @@
 #include "yuccascale/runtime/events.hpp"
 #include "yuccascale/runtime/load_exchange.hpp"
 #include "yuccascale/runtime/node_status.hpp"
+#include "yuccascale/runtime/process_memory.hpp"
 #include "yuccascale/runtime/system_clock.hpp"
 #include "yuccascale/wire/tcp_transport.hpp"
 
@@ -35,6 +37,8 @@
 namespace {
 
 constexpr milliseconds drainPollInterval{50};
+/// A parsed document takes several times the memory of its text.
+constexpr std::size_t copiesOfDocument = 8;
 /// For the last refusals, and for callers and operators to close their ends.
 constexpr milliseconds closingTimeout{200};
 /// Between checks whether all connections are closed.
@@ -82,6 +86,8 @@
         , log(settings.log, settings.node)
         , events(clock, log)
         , incarnation(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()))
+        , memory(std::make_shared<net::memory_budget>(
+                  memoryBudgetOf(settings, availableMemory("/"))))
         , loops(settings.roles.entry ? static_cast<std::size_t>(settings.http.loops) : 1,
                 [this](const std::string &problem) {
                     events.record(unexpectedException, {{"problem", problem}});
@@ -102,6 +108,7 @@
     [[nodiscard]] std::vector<std::string> otherEntries() const;
     [[nodiscard]] std::vector<std::string> streamArchives() const;
     [[nodiscard]] std::string leaderDocumentAddress() const;
+    void recordShortages();
     [[nodiscard]] result<void> listen(const std::string &address, net::http_handler handler);
     void serveMetrics(const std::shared_ptr<net::http_exchange> &exchange);
     [[nodiscard]] std::string metricsText();
@@ -126,6 +133,7 @@
     std::unique_ptr<replicated_log> replica;
     std::unique_ptr<feed_service> feed;
     std::unique_ptr<cluster_client> client;
+    std::shared_ptr<net::memory_budget> memory; ///< of all connections of callers and operators
     net::event_loops loops;
     std::vector<std::unique_ptr<net::http_server>> servers; ///< other than the callers' server
     std::unique_ptr<http::operator_interface> operators;
@@ -145,6 +153,7 @@
 {
     BOOST_LEAF_ASSIGN(secret, optionalSecret(settings.secretFile));
     BOOST_LEAF_ASSIGN(operatorKey, optionalSecret(settings.operatorKeyFile));
+    recordShortages();
     BOOST_LEAF_AUTO(links, transportSettings(settings, secret));
     transport = std::make_unique<wire::tcp_transport>(std::move(links));
     if (settings.roles.control)
@@ -164,6 +173,17 @@
     return control ? buildDuties() : result<void>();
 }
 
+void node::parts::recordShortages()
+{
+    memory->setListener([this](const net::memory_shortage &shortage) {
+        events.record(http::memoryShort,
+                      {{"held_bytes", shortage.held},
+                       {"limit_bytes", shortage.limit},
+                       {"refused", shortage.refused},
+                       {"closed", shortage.closed}});
+    });
+}
+
 void node::parts::buildControl()
 {
     control = std::make_unique<control_service>([this] {
@@ -226,7 +246,7 @@
                 return settings.http.protocol == "own" && operators->tryServe(exchange);
             },
             entryExchange(), [this](bool lost) { feed->setEndpointsLost(lost); },
-            [this] { feed->pollSoon(); }});
+            [this] { feed->pollSoon(); }, memory});
     transport->handle(channel::Streams, [this](std::string_view, std::string_view message) {
         return callersStarted ? callers->streams().handle(message) : std::string();
     });
@@ -384,7 +404,9 @@
 {
     if (address.empty())
         return {};
-    auto server = std::make_unique<net::http_server>(loops, net::http_limits{}, std::move(handler));
+    net::http_limits limits;
+    limits.copiesOfBody = copiesOfDocument;
+    auto server = std::make_unique<net::http_server>(loops, limits, std::move(handler), memory);
     BOOST_LEAF_CHECK(server->listen(address));
     servers.push_back(std::move(server));
     return {};
--- a/src/yuccascale/runtime/settings.cpp
+++ b/src/yuccascale/runtime/settings.cpp
@@ -55,6 +55,7 @@
     node.bytes("max_header", http.maxHeaderBytes);
     node.count("max_header_fields", http.maxHeaderFields);
     node.bytes("max_body", http.maxBodyBytes);
+    node.bytes("memory", http.memoryBytes);
     node.duration("read_timeout", http.readTimeout);
     node.duration("write_timeout", http.writeTimeout);
     node.duration("idle_timeout", http.idleTimeout);
@@ -227,6 +228,7 @@
     root.text("cluster_secret", out.secretFile);
     root.text("operator_key", out.operatorKeyFile);
     root.text("data_folder", out.dataFolder);
+    root.bytes("process_memory", out.processMemoryBytes);
     readLog(root.child("log"), out.log);
     readHttp(root.child("http"), out.http);
     readControl(root.child("control"), out.control);
--- a/src/yuccascale/runtime/settings.hpp
+++ b/src/yuccascale/runtime/settings.hpp
@@ -40,6 +40,7 @@
     std::int64_t maxHeaderBytes = 16 << 10;
     std::int64_t maxHeaderFields = 128;
     std::int64_t maxBodyBytes = 8 << 20;
+    std::int64_t memoryBytes = 0; ///< held for callers in all; 0: a part of the process's memory
     kernel::milliseconds readTimeout{10'000};  ///< a caller that sends slower is refused
     kernel::milliseconds writeTimeout{10'000}; ///< a caller that reads slower is dropped
     kernel::milliseconds idleTimeout{15'000};  ///< between two requests on a connection
@@ -124,6 +125,7 @@
     std::string dataFolder;  ///< empty unless the node has the control role
     std::string secretFile;  ///< file of the cluster secret; empty: links are not authenticated
     std::string operatorKeyFile; ///< file of the key for the operator interface; empty: it is off
+    std::int64_t processMemoryBytes = 0; ///< that this process may use; 0: what the system reports
     log_settings log;
     http_settings http;
     control_settings control;
