--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -511,7 +511,7 @@
 void caller_session::deliver(caller_output output)
 {
     recordMetrics(output);
-    std::visit([this](const auto &alternative) { write(alternative); }, output);
+    std::visit([this](auto &alternative) { write(alternative); }, output);
 }
 
 void caller_session::beginStream(const stream_head *endpointHead)
@@ -543,11 +543,13 @@
     m_exchange->finish();
 }
 
-void caller_session::write(const send_answer &answer)
+void caller_session::write(send_answer &answer)
 {
     if (m_streaming)
         return m_exchange->abort();
-    m_exchange->reply(m_services.protocol->wholeReply(callerRequest(), answer.answer));
+    net::http_reply reply = m_services.protocol->wholeReply(callerRequest(), answer.answer);
+    answer.answer.body = {}; // a long one is held once
+    m_exchange->reply(std::move(reply));
 }
 
 /// \returns whether another entry can be asked to serve the request in this one's place.
--- a/src/yuccascale/http/caller_session.hpp
+++ b/src/yuccascale/http/caller_session.hpp
@@ -93,7 +93,7 @@
     void write(const kernel::requests::begin_stream &began);
     void write(const kernel::requests::forward &piece);
     void write(const kernel::requests::finish_stream &last);
-    void write(const kernel::requests::send_answer &answer);
+    void write(kernel::requests::send_answer &answer);
     void write(const kernel::requests::refuse &refused);
     [[nodiscard]] bool sentNowhere(const kernel::requests::refusal &reason) const;
     void recordSentWhileLeaving() const;
--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -20,8 +20,12 @@
 constexpr std::size_t mappedBytes = 128U << 10U;
 /// Held for a request that runs, beside its body and headers.
 constexpr std::size_t requestOverheadBytes = 4U << 10U;
-/// Part of the connections' limit by which refusals that linger may exceed it.
+/// Part of the connections that are kept for refusals, which linger until their callers have read
+/// them; beyond it connections are closed at once.
 constexpr std::size_t lingeringDivisor = 8;
+constexpr std::size_t mostLingering = 64;
+/// Longer bodies are not copied behind their heads, but sent after them.
+constexpr std::size_t copiedBodyBytes = 64U << 10U;
 /// Refused callers are told to return after one of these many whole seconds, drawn for each so that
 /// they do not return together.
 constexpr unsigned longestRetrySeconds = 3;
@@ -180,9 +184,9 @@
                                                  });
     awaitRequest();
     const std::size_t most = m_limits->connections;
-    if (m_shared->openConnections > most + most / lingeringDivisor)
-        return close();
     if (m_shared->openConnections > most)
+        return close();
+    if (m_shared->openConnections > most - std::min(most / lingeringDivisor, mostLingering))
         return refuse(503, "overloaded",
                       "the maximum of open connections is reached; retry at another address");
     read();
@@ -414,7 +418,7 @@
     return !m_keepAlive || m_parsedBytes >= *m_closeAfterBytes;
 }
 
-void http_server::connection::reply(const http_reply &answer)
+void http_server::connection::reply(http_reply answer)
 {
     m_keepAlive = !closesAfterAnswer();
     m_answerBytes = 0;
@@ -422,9 +426,13 @@
     if (hasBody(answer.status))
         appendHeader(text, "Content-Length", numberText(answer.body.size(), 10));
     text += "\r\n";
-    text.reserve(text.size() + answer.body.size());
-    text += answer.body;
-    write(std::move(text));
+    if (answer.body.size() <= copiedBodyBytes) {
+        text += answer.body;
+        write(std::move(text));
+    } else {
+        write(std::move(text));
+        write(std::move(answer.body));
+    }
     onAnswerEnd();
 }
 
@@ -502,6 +510,8 @@
 
 void http_server::connection::write(std::string bytes)
 {
+    if (m_phase == phase::Closed)
+        return;
     if (m_unsent.size() > maxUnsentBytes)
         return handleCallerLeft();
     if (m_unsent.empty())
@@ -626,7 +636,7 @@
 void http_server::exchange::reply(http_reply answer)
 {
     if (isCurrent())
-        m_connection->reply(answer);
+        m_connection->reply(std::move(answer));
 }
 
 void http_server::exchange::begin(int status, const header_list &headers)
--- a/src/yuccascale/net/http_connection.hpp
+++ b/src/yuccascale/net/http_connection.hpp
@@ -86,7 +86,7 @@
 
     // for the exchange in progress, which its number identifies
     [[nodiscard]] bool isAnswering(std::uint64_t exchangeNumber) const noexcept;
-    void reply(const http_reply &answer);
+    void reply(http_reply answer);
     void begin(int status, const header_list &headers);
     void send(std::string_view bytes);
     void finish();
--- /dev/null
+++ b/tests/unit/http_server_memory_test.cpp
@@ -0,0 +1,142 @@
+#include "fakes/raw_peer.hpp"
+#include "yuccascale/net/http_server.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace yuccascale::net {
+
+namespace {
+
+constexpr std::size_t limit = 1'000'000;
+constexpr int patienceMs = 5'000;
+
+/// A server with a small budget; keeps the requests to "/keep" running.
+class http_server_memory : public testing::Test
+{
+protected:
+    http_server_memory()
+    {
+        kernel::error problem;
+        const bool listens = kernel::succeeded(
+                [&]() -> kernel::result<void> {
+                    BOOST_LEAF_ASSIGN(m_port, m_server.listen("127.0.0.1:0"));
+                    return {};
+                },
+                problem);
+        EXPECT_TRUE(listens) << problem.message;
+        m_loops.start();
+    }
+    ~http_server_memory() override
+    {
+        m_server.stop();
+        m_loops.stop();
+    }
+
+    void serve(const std::shared_ptr<http_exchange> &exchange)
+    {
+        ++m_served;
+        if (exchange->request().target == "/keep") {
+            const std::scoped_lock guard(m_mutex);
+            m_kept.push_back(exchange);
+            return;
+        }
+        exchange->reply({200, {}, "length " + std::to_string(exchange->request().body.size())});
+    }
+
+    [[nodiscard]] fakes::raw_peer send(const std::string &target, std::size_t length,
+                                       std::size_t sent) const
+    {
+        fakes::raw_peer caller = fakes::raw_peer::connect(m_port);
+        caller.send("POST " + target + " HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                    + std::to_string(length) + "\r\n\r\n" + std::string(sent, 'x'));
+        return caller;
+    }
+
+    std::atomic<int> m_served{0};
+    std::mutex m_mutex;
+    std::vector<std::shared_ptr<http_exchange>> m_kept;
+    event_loops m_loops{1};
+    std::shared_ptr<memory_budget> m_budget = std::make_shared<memory_budget>(limit);
+    http_server m_server{
+            m_loops,
+            {},
+            [this](const std::shared_ptr<http_exchange> &exchange) { serve(exchange); },
+            m_budget};
+    int m_port = 0;
+};
+
+} // namespace
+
+/// Guards against a refusal without its promise: the request has not run, and when to return.
+TEST_F(http_server_memory, refusesTheBodyThatStoppedAndServesTheOthers)
+{
+    const fakes::raw_peer stopped = send("/a", 800'000, 700'000);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    const fakes::raw_peer second = send("/b", 800'000, 700'000);
+    const std::string refusal = stopped.readToEnd(patienceMs);
+    EXPECT_NE(refusal.find("503"), std::string::npos) << refusal;
+    EXPECT_NE(refusal.find("Retry-After: "), std::string::npos) << refusal;
+    EXPECT_NE(refusal.find("\"may_have_run\":false"), std::string::npos) << refusal;
+    EXPECT_EQ(m_served, 0);
+    const fakes::raw_peer ordinary = send("/c", 10, 10);
+    EXPECT_NE(ordinary.readUntil("length 10", patienceMs).find("length 10"), std::string::npos);
+}
+
+/// Guards against a budget that refuses a request which is larger than itself, in calm.
+TEST_F(http_server_memory, servesASingleRequestThatIsLargerThanTheBudget)
+{
+    const fakes::raw_peer caller = send("/large", 8'000'000, 8'000'000);
+    EXPECT_NE(caller.readUntil("length 8000000", patienceMs).find("length 8000000"),
+              std::string::npos);
+}
+
+/// Guards against requests that run on, though their callers left, without being counted.
+TEST_F(http_server_memory, countsRequestsUntilTheyHaveEnded)
+{
+    {
+        const fakes::raw_peer left = send("/keep", 400'000, 400'000);
+        for (int wait = 0; wait < patienceMs && m_served == 0; ++wait)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    EXPECT_GE(m_budget->held(), 800'000U);
+    const fakes::raw_peer refused = send("/b", 400'000, 400'000);
+    EXPECT_NE(refused.readToEnd(patienceMs).find("503"), std::string::npos);
+    {
+        const std::scoped_lock guard(m_mutex);
+        m_kept.clear();
+    }
+    const fakes::raw_peer served = send("/c", 400'000, 400'000);
+    EXPECT_NE(served.readUntil("length 400000", patienceMs).find("length"), std::string::npos);
+}
+
+/// Guards against a chunk header that is kept, and parsed again, without end.
+TEST_F(http_server_memory, refusesAnEndlessChunkExtension)
+{
+    const fakes::raw_peer caller = fakes::raw_peer::connect(m_port);
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;name="
+                + std::string(40'000, 'x'));
+    EXPECT_NE(caller.readToEnd(patienceMs).find(" 400 "), std::string::npos);
+    EXPECT_EQ(m_served, 0);
+}
+
+/// Guards against chunks of a byte that are joined wrongly when they arrive in any pieces.
+TEST_F(http_server_memory, joinsVerySmallChunks)
+{
+    std::string body;
+    for (int number = 0; number < 20'000; ++number)
+        body += "1\r\nx\r\n";
+    const fakes::raw_peer caller = fakes::raw_peer::connect(m_port);
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + body
+                + "0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string answers = caller.readUntil("length 0", patienceMs);
+    EXPECT_NE(answers.find("length 20000"), std::string::npos) << answers;
+    EXPECT_NE(answers.find("length 0"), std::string::npos) << answers;
+}
+
+} // namespace yuccascale::net
--- /dev/null
+++ b/tests/unit/net_memory_budget_test.cpp
@@ -0,0 +1,94 @@
+#include "yuccascale/net/memory_budget.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccascale::net {
+
+namespace {
+
+using kernel::instant;
+using kernel::milliseconds;
+
+constexpr std::size_t limit = 800'000;
+const instant start{std::chrono::seconds(1'000)};
+
+/// An account that counts how often it was chosen.
+struct counted_account
+{
+    explicit counted_account(const std::shared_ptr<memory_budget> &budget)
+        : account(budget, [this] { ++shed; })
+    { }
+
+    int shed = 0;
+    memory_account account;
+};
+
+} // namespace
+
+/// Guards against bytes that stay counted after their connection has ended.
+TEST(memory_budget, forgetsWhatAConnectionHeld)
+{
+    const auto budget = std::make_shared<memory_budget>(limit);
+    {
+        counted_account one(budget);
+        EXPECT_TRUE(one.account.hold(500'000, start));
+        EXPECT_TRUE(one.account.hold(300'000, start));
+        EXPECT_TRUE(one.account.run(100'000, start));
+        EXPECT_EQ(budget->held(), 400'000U);
+    }
+    EXPECT_EQ(budget->held(), 0U);
+}
+
+/// Guards against a stalled connection that stays while a new one is refused.
+TEST(memory_budget, shedsTheStalledConnectionForTheOneThatProgresses)
+{
+    const auto budget = std::make_shared<memory_budget>(limit);
+    counted_account stalled(budget);
+    counted_account other(budget);
+    EXPECT_TRUE(stalled.account.hold(500'000, start));
+    EXPECT_TRUE(other.account.hold(400'000, start + milliseconds(2'000)));
+    EXPECT_EQ(stalled.shed, 1);
+    EXPECT_TRUE(stalled.account.beingShed());
+    EXPECT_TRUE(other.account.hold(600'000, start + milliseconds(2'001)));
+    EXPECT_EQ(stalled.shed, 1) << "its bytes are counted as free already";
+    EXPECT_TRUE(stalled.account.hold(0, start + milliseconds(2'002)));
+    EXPECT_FALSE(stalled.account.beingShed());
+}
+
+/// Guards against requests that run being counted as if they could be given up.
+TEST(memory_budget, refusesNewBytesWhileRequestsThatRunHoldTheLimit)
+{
+    const auto budget = std::make_shared<memory_budget>(limit);
+    counted_account first(budget);
+    counted_account second(budget);
+    counted_account third(budget);
+    EXPECT_TRUE(first.account.run(400'000, start));
+    EXPECT_TRUE(second.account.run(390'000, start));
+    EXPECT_FALSE(third.account.hold(200'000, start));
+    EXPECT_TRUE(third.account.hold(0, start));
+    EXPECT_FALSE(third.account.run(200'000, start));
+    EXPECT_EQ(first.shed + second.shed, 0);
+    EXPECT_EQ(budget->held(), 790'000U);
+    first.account.ended(400'000);
+    EXPECT_TRUE(third.account.run(200'000, start));
+}
+
+/// Guards against a log line for each connection that is shed.
+TEST(memory_budget, tellsOfAShortageOnceInAWhile)
+{
+    const auto budget = std::make_shared<memory_budget>(limit);
+    int told = 0;
+    budget->setListener([&told](const memory_shortage &) { ++told; });
+    counted_account running(budget);
+    counted_account other(budget);
+    EXPECT_TRUE(running.account.run(700'000, start));
+    for (int number = 0; number < 100; ++number) {
+        EXPECT_FALSE(other.account.hold(300'000, start + milliseconds(number)));
+        EXPECT_TRUE(other.account.hold(0, start + milliseconds(number)));
+    }
+    EXPECT_EQ(told, 1);
+    EXPECT_FALSE(other.account.hold(300'000, start + milliseconds(6'000)));
+    EXPECT_EQ(told, 2);
+}
+
+} // namespace yuccascale::net
