--- a/src/yuccascale/http/caller_protocol.hpp
+++ b/src/yuccascale/http/caller_protocol.hpp
@@ -68,7 +68,7 @@
     /// \returns the reply that holds a whole answer.
     [[nodiscard]] virtual net::http_reply
     wholeReply(const kernel::requests::request &callerRequest,
-               const kernel::requests::complete_answer &answer) const = 0;
+               kernel::requests::complete_answer answer) const = 0;
 
     /// \returns status and headers of a stream.
     /// \param endpointHead those that the endpoint sent; null when it sent none
--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -547,9 +547,7 @@
 {
     if (m_streaming)
         return m_exchange->abort();
-    net::http_reply reply = m_services.protocol->wholeReply(callerRequest(), answer.answer);
-    answer.answer.body = {}; // a long one is held once
-    m_exchange->reply(std::move(reply));
+    m_exchange->reply(m_services.protocol->wholeReply(callerRequest(), std::move(answer.answer)));
 }
 
 /// \returns whether another entry can be asked to serve the request in this one's place.
--- a/src/yuccascale/kernel/requests/request_session.cpp
+++ b/src/yuccascale/kernel/requests/request_session.cpp
@@ -155,10 +155,11 @@
     m_ports.ban(callerRequest(), findings.crashingFingerprint);
 }
 
-void request_session::performAll(const std::vector<action> &actions)
+/// An answer is moved, since a long one would be held several times.
+void request_session::performAll(std::vector<action> actions)
 {
-    for (const action &next : actions)
-        std::visit([this](const auto &kind) { perform(kind); }, next);
+    for (action &next : actions)
+        std::visit([this](auto &kind) { perform(std::move(kind)); }, next);
 }
 
 void request_session::perform(const enqueue &options)
@@ -298,10 +299,10 @@
     m_ports.deliver(last);
 }
 
-void request_session::perform(const send_answer &answer)
+void request_session::perform(send_answer &&answer)
 {
     recordAnswer(answer.answer.status);
-    m_ports.deliver(answer);
+    m_ports.deliver(std::move(answer));
 }
 
 void request_session::perform(const refuse &refused)
--- a/src/yuccascale/kernel/requests/request_session.hpp
+++ b/src/yuccascale/kernel/requests/request_session.hpp
@@ -112,7 +112,7 @@
     void recordAttemptAnswer(int attempt, const token_usage &usage);
     void recordAttemptFailure(const attempt_failed &failed);
     void finishAttempt(attempt_result result);
-    void performAll(const std::vector<action> &actions);
+    void performAll(std::vector<action> actions);
     void recordRouted(const dispatch &sent);
     void recordRelayed(const dispatch &sent);
     void recordRefusal(const refusal &reason);
@@ -132,7 +132,7 @@
     void perform(const commit_usage &usage);
     void perform(const settle &end);
     void perform(const finish_stream &last);
-    void perform(const send_answer &answer);
+    void perform(send_answer &&answer);
     void perform(const refuse &refused);
 
     request_lifecycle m_lifecycle;
--- a/src/yuccascale/platform/caller_protocol.cpp
+++ b/src/yuccascale/platform/caller_protocol.cpp
@@ -224,10 +224,9 @@
         return reply;
     }
 
-    [[nodiscard]] http_reply wholeReply(const request &,
-                                        const complete_answer &answer) const override
+    [[nodiscard]] http_reply wholeReply(const request &, complete_answer answer) const override
     {
-        return {answer.status, answerHeaders(answer.headers), answer.body};
+        return {answer.status, answerHeaders(answer.headers), std::move(answer.body)};
     }
 
     [[nodiscard]] stream_head streamHead(const http::reading_context &,
--- a/src/yuccascale/plugins/caller_own.cpp
+++ b/src/yuccascale/plugins/caller_own.cpp
@@ -131,12 +131,12 @@
     }
 
     [[nodiscard]] http_reply wholeReply(const request &callerRequest,
-                                        const complete_answer &answer) const override
+                                        complete_answer answer) const override
     {
         header_list headers{{"X-Request-Id", callerRequest.id}};
         if (!answer.contentType.empty())
             headers.push_back({"Content-Type", answer.contentType});
-        return {answer.status, std::move(headers), answer.body};
+        return {answer.status, std::move(headers), std::move(answer.body)};
     }
 
     [[nodiscard]] stream_head streamHead(const reading_context &context,
