Memory of callers: bytes that wait to be freed are bounded

Cause: what connections that are being shed still held was not counted, so a burst could exceed the budget by as much again; buffers of writes in progress were counted as freed before they were. Change: while a quarter of the budget waits to be freed, connections that grow are shed themselves. Allocations beyond 64 KB are mapped on their own.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t readChunkBytes = 24U << 10U;
 /// Larger allocations are mapped on their own (runtime::returnFreedMemory()), so that what is not
 /// written of them takes no memory.
-constexpr std::size_t mappedBytes = 128U << 10U;
+constexpr std::size_t mappedBytes = 64U << 10U;
 /// Held for a request that runs, beside its body and headers.
 constexpr std::size_t requestOverheadBytes = 4U << 10U;
 /// Part of the connections that are kept for refusals, which linger until their callers have read
@@ -555,7 +555,7 @@
     if (m_sending.capacity() > maxRetainedBufferBytes)
         m_sending = {};
     if (m_phase == phase::Closed)
-        return;
+        return static_cast<void>(m_account->hold(0, accountTime()));
     if (problem)
         return handleCallerLeft();
     flush();
@@ -600,8 +600,8 @@
     m_buffer = {};
     m_unsent = {};
     m_answerBytes = 0;
-    if (m_account)
-        static_cast<void>(m_account->hold(0, accountTime()));
+    if (m_account) // the buffer of a write in progress is freed when that has ended
+        static_cast<void>(m_account->hold(m_writing ? memoryOf(m_sending) : 0, accountTime()));
     m_owner->remove(shared_from_this());
 }
 
--- a/src/yuccascale/net/memory_budget.cpp
+++ b/src/yuccascale/net/memory_budget.cpp
@@ -13,6 +13,9 @@
 
 /// A connection that holds no more than this always may: refusals and small requests.
 constexpr std::size_t alwaysHeld = 4U << 10U;
+/// Part of the limit that may wait to be freed by connections that are being shed, on loops that
+/// are late; then connections that grow are shed themselves.
+constexpr std::size_t sheddingDivisor = 4;
 
 } // namespace
 
@@ -131,7 +134,8 @@
         endShedding();
     if (bytes <= std::max(before, alwaysHeld))
         return true;
-    return m_budget->makeRoom(*this, now);
+    return m_budget->makeRoom(*this, now)
+            && m_budget->m_shedding <= m_budget->m_limit / sheddingDivisor;
 }
 
 void memory_account::progressed(kernel::instant now) noexcept
--- a/src/yuccascale/runtime/process_memory.cpp
+++ b/src/yuccascale/runtime/process_memory.cpp
@@ -23,7 +23,7 @@
 /// for a second one that is being received.
 constexpr std::size_t leastBodies = 5;
 /// glibc raises its threshold when such an allocation is freed, unless it is set.
-constexpr int mappedBytes = 128 << 10;
+constexpr int mappedBytes = 64 << 10;
 
 [[nodiscard]] std::size_t machineMemory(const fs::path &root)
 {
--- a/tests/processes/caller_crowd_test.cpp
+++ b/tests/processes/caller_crowd_test.cpp
@@ -85,6 +85,9 @@
         for (const command_answer &answer : {m_system.put("pool", json::array({pool})),
                                              m_system.put("route", json::array({route}))})
             EXPECT_EQ(answer.exitCode, 0) << answer.text;
+        // the route is in force at this entry
+        EXPECT_TRUE(waitUntil(cluster::readyTimeout,
+                              [this] { return fakes::callHttp(ordinary(0)).status == 200; }));
     }
 
     [[nodiscard]] std::string address() const override { return m_system.callerAddress(entry); }
--- a/tests/unit/net_memory_budget_test.cpp
+++ b/tests/unit/net_memory_budget_test.cpp
@@ -45,16 +45,28 @@
     const auto budget = std::make_shared<memory_budget>(limit);
     counted_account stalled(budget);
     counted_account other(budget);
-    EXPECT_TRUE(stalled.account.hold(500'000, start));
-    EXPECT_TRUE(other.account.hold(400'000, start + milliseconds(2'000)));
+    EXPECT_TRUE(stalled.account.hold(190'000, start));
+    EXPECT_TRUE(other.account.hold(640'000, start + milliseconds(2'000)));
     EXPECT_EQ(stalled.shed, 1);
     EXPECT_TRUE(stalled.account.beingShed());
-    EXPECT_TRUE(other.account.hold(600'000, start + milliseconds(2'001)));
+    EXPECT_TRUE(other.account.hold(680'000, start + milliseconds(2'001)));
     EXPECT_EQ(stalled.shed, 1) << "its bytes are counted as free already";
     EXPECT_TRUE(stalled.account.hold(0, start + milliseconds(2'002)));
     EXPECT_FALSE(stalled.account.beingShed());
 }
 
+/// Guards against a late loop that keeps what it has to shed while others grow.
+TEST(memory_budget, shedsThoseWhoGrowWhileMuchWaitsToBeFreed)
+{
+    const auto budget = std::make_shared<memory_budget>(limit);
+    counted_account late(budget);
+    counted_account other(budget);
+    EXPECT_TRUE(late.account.hold(700'000, start));
+    EXPECT_FALSE(other.account.hold(200'000, start + milliseconds(2'000)));
+    EXPECT_TRUE(late.account.hold(0, start + milliseconds(2'001)));
+    EXPECT_TRUE(other.account.hold(300'000, start + milliseconds(2'002)));
+}
+
 /// Guards against requests that run being counted as if they could be given up.
 TEST(memory_budget, refusesNewBytesWhileRequestsThatRunHoldTheLimit)
 {
