Memory of callers: an attempt that failed frees what its reader held

Cause: a session whose attempt failed kept the attempt's partial answer while it waited for another one; nothing counted it (suspected from the code). Unit tests of the clients, servers and budget: 47 of 47 after it. The crowds have not been run with this change.

--- a/src/yuccascale/http/endpoint_client.cpp
+++ b/src/yuccascale/http/endpoint_client.cpp
@@ -144,7 +144,17 @@
         return verdict::Stop;
     }
 
+    /// What a reader holds that needs no more is freed, since the session may wait long for another
+    /// attempt.
     [[nodiscard]] bool body(std::string_view bytes) override
+    {
+        const bool goesOn = read(bytes);
+        if (!goesOn)
+            m_attempt.reader.reset();
+        return goesOn;
+    }
+
+    [[nodiscard]] bool read(std::string_view bytes)
     {
         std::vector<event> events;
         const bool wantsMore = m_attempt.reader->feed(bytes, events);
@@ -216,6 +226,7 @@
 
     void fail(attempt_failure failure)
     {
+        m_attempt.reader.reset();
         if (m_attempt.holdAnswer && !m_cancelled)
             static_cast<void>(m_attempt.holdAnswer(0));
         std::vector<event> events;
