--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -21,6 +21,7 @@
 namespace yuccascale::http {
 
 class caller_pools;
+class caller_quotas;
 
 /// \brief What a caller server uses of its node.
 struct caller_server_dependencies
@@ -44,6 +45,9 @@
     std::function<void(bool lost)> onEndpointsLost = nullptr;
     /// Asks for a confirmation of the tables, which scheduleFeedUpdate() tells of; may be null.
     std::function<void()> confirmSoon = nullptr;
+    std::shared_ptr<runtime::worker_threads> workers = nullptr; ///< null: threads of its own
+    /// Metrics of the node's other parts, as text; may be null.
+    std::function<std::string()> otherMetrics = nullptr;
     /// Shared with the other servers of the process; null: unlimited.
     std::shared_ptr<net::memory_budget> memory = nullptr;
 };
@@ -93,6 +97,9 @@
     /// \returns the pools' queues; after start().
     [[nodiscard]] caller_pools &pools() noexcept;
 
+    /// \returns the quotas of organisations at this entry.
+    [[nodiscard]] caller_quotas &quotas() noexcept;
+
     /// \returns the registry of streams, which handles the messages of other entries; after
     /// start().
     [[nodiscard]] stream_registry &streams() noexcept;
--- a/src/yuccascale/runtime/demand_reporter.cpp
+++ b/src/yuccascale/runtime/demand_reporter.cpp
@@ -17,14 +17,16 @@
 
 demand_reporter::demand_reporter(
         const settings &settings, clock &clock, transport &transport, control_client &control,
-        std::function<std::vector<requests::demand_report>()> measureDemand)
+        std::function<std::vector<requests::demand_report>()> measureDemand,
+        std::shared_ptr<periodic_thread> thread)
     : m_settings(settings)
     , m_clock(clock)
     , m_transport(transport)
     , m_control(control)
     , m_measureDemand(std::move(measureDemand))
     , m_demand(reportValidity)
-    , m_task(reportInterval, [this] { report(); })
+    , m_task(
+              reportInterval, [this] { report(); }, std::move(thread))
 {
     m_transport.handle(channel::Demand, [this](std::string_view peer, std::string_view payload) {
         receive(peer, wire::decodeDemands(payload));
@@ -38,6 +40,12 @@
     return m_demand.poolDemand(m_clock.now(), pool);
 }
 
+policy::measured_work demand_reporter::workOn(std::string_view pool, int entriesRunning) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_work.work(m_clock.now(), pool, entriesRunning);
+}
+
 void demand_reporter::report()
 {
     std::vector<requests::demand_report> reports = m_measureDemand();
@@ -54,6 +62,7 @@
 {
     const std::lock_guard lock(m_mutex);
     m_demand.update(m_clock.now(), entry, reports);
+    m_work.update(m_clock.now(), entry, reports);
 }
 
 } // namespace yuccascale::runtime
--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -34,9 +34,11 @@
         "A leader has confirmed the tables: keyed requests are served."};
 inline const event_kind feedLoad{
         1013, "feed_load", severity::Info,
-        "This node has sent tables to other nodes since its last such line. 'replies' counts all "
-        "replies to polls, 'with_tables' those that held tables, 'tables_encoded' how often tables "
-        "were encoded for them, 'peers' the nodes that poll this one."};
+        "This node has sent tables or endpoints to other nodes since its last such line. 'replies' "
+        "counts all replies to polls, 'with_tables' those that held tables, 'tables_encoded' how "
+        "often tables were encoded for them, 'peers' the nodes that poll this one, "
+        "'endpoint_lists' and 'node_lists' the replies with a whole list, 'endpoint_changes' and "
+        "'node_changes' those with changes only."};
 inline const event_kind feedPolled{1014, "feed_polled", severity::Info,
                                    "A poll of a control node had another outcome than the one "
                                    "before. 'behind': its tables were confirmed "
@@ -59,6 +61,12 @@
                                    "A message from another node could not be decoded and was "
                                    "dropped. Upgrade the older of the two nodes."};
 
+inline const event_kind linkFramesDropped{
+        1024, "link_frames_dropped", severity::Warning,
+        "Messages to other nodes were dropped because the send queue of a link was full: 'frames' "
+        "since the last such line, the last of them to 'peer' on 'channel'. That node or the path "
+        "to it is too slow. Such messages are sent again or replaced by later ones."};
+
 inline const event_kind unexpectedException{1021, "unexpected_exception", severity::Error,
                                             "Work on a request failed in a way that the program "
                                             "does not foresee; the request ends by its "
--- a/src/yuccascale/runtime/feed_service.hpp
+++ b/src/yuccascale/runtime/feed_service.hpp
@@ -59,6 +59,10 @@
     std::uint64_t repliesWithTables = 0; ///< replies that held edits or full tables
     std::uint64_t tablesEncoded = 0;     ///< edits and full tables that were encoded for them
     std::uint64_t bytes = 0;
+    std::uint64_t wholeEndpointLists = 0;
+    std::uint64_t endpointChanges = 0; ///< replies that held changes in place of the list
+    std::uint64_t wholeNodeLists = 0;
+    std::uint64_t nodeChanges = 0; ///< replies that held changes in place of the list
 };
 
 /// \brief Runs the feed of one node. Thread-safe.
@@ -70,9 +74,11 @@
 public:
     /// \param incarnation of this process; increases with each restart of the node
     /// \param leaderState null on nodes without the control role
+    /// \param workers for polls; null: threads of its own
     feed_service(const settings &settings, kernel::clock &clock, kernel::transport &transport,
                  kernel::event_sink &events, std::uint64_t incarnation,
-                 leader_state_reader *leaderState);
+                 leader_state_reader *leaderState,
+                 std::shared_ptr<worker_threads> workers = nullptr);
     ~feed_service();
     feed_service(const feed_service &) = delete;
     feed_service &operator=(const feed_service &) = delete;
@@ -181,6 +187,8 @@
     [[nodiscard]] std::string handleRequest(std::string_view peer, std::string_view payload);
     [[nodiscard]] kernel::feed::node_report selfReport() const;
     void notifyPeers(bool newer);
+    void countReply(const kernel::feed::feed_reply &reply, std::size_t unencoded,
+                    std::size_t bytes);
     void recordLoad();
 
     const settings &m_settings;
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/runtime/node.hpp"
 
 #include "yuccascale/http/caller_pools.hpp"
+#include "yuccascale/http/caller_quotas.hpp"
 #include "yuccascale/http/caller_server.hpp"
 #include "yuccascale/http/document_interface.hpp"
 #include "yuccascale/http/events.hpp"
@@ -8,6 +9,7 @@
 #include "yuccascale/kernel/requests/drain_plan.hpp"
 #include "yuccascale/kernel/requests/events.hpp"
 #include "yuccascale/net/http_server.hpp"
+#include "yuccascale/runtime/capacity_report.hpp"
 #include "yuccascale/runtime/cluster_client.hpp"
 #include "yuccascale/runtime/control_service.hpp"
 #include "yuccascale/runtime/decision_memory.hpp"
@@ -45,6 +47,43 @@
 constexpr milliseconds closingPollInterval{5};
 /// How long another entry may take to tell what it knows of a stream.
 constexpr milliseconds streamAnswerTimeout{150};
+/// Threads for calls that wait: polls, commits, questions to other nodes and calls to the platform.
+/// With the threads of a node that has one role the process stays below 20.
+constexpr std::size_t workerThreads = 7;
+/// The same for a node with both roles, which has more of the other threads.
+constexpr std::size_t workerThreadsOfBothRoles = 5;
+
+[[nodiscard]] std::string_view channelName(channel channel)
+{
+    switch (channel) {
+    case channel::Consensus:
+        return "consensus";
+    case channel::Submit:
+        return "submit";
+    case channel::Feed:
+        return "feed";
+    case channel::Load:
+        return "load";
+    case channel::Demand:
+        return "demand";
+    case channel::Streams:
+        return "streams";
+    }
+    return "unknown";
+}
+
+/// \returns the text of the links' metrics.
+[[nodiscard]] std::string linkMetrics(const wire::transport_counters &links)
+{
+    const auto line = [](std::string_view name, std::string_view type, std::uint64_t value) {
+        const std::string metric = "yuccascale_" + std::string(name);
+        return "# TYPE " + metric + " " + std::string(type) + "\n" + metric + " "
+                + std::to_string(value) + "\n";
+    };
+    return line("links_open", "gauge", links.linksOpen)
+            + line("link_frames_dropped_total", "counter", links.framesDropped)
+            + line("link_frames_lost_total", "counter", links.framesLost);
+}
 
 [[nodiscard]] result<wire::transport_settings> transportSettings(const settings &settings,
                                                                  const std::string &secret)
@@ -105,6 +144,7 @@
     void buildDemandReporter();
     [[nodiscard]] result<void> buildDuties();
     [[nodiscard]] std::vector<orders::pool_status> poolStates() const;
+    [[nodiscard]] policy::measured_work workOf(const std::string &pool) const;
     [[nodiscard]] std::vector<std::string> otherEntries() const;
     [[nodiscard]] std::vector<std::string> streamArchives() const;
     [[nodiscard]] std::string leaderDocumentAddress() const;
@@ -128,6 +168,10 @@
     std::uint64_t incarnation;               ///< of this process; increases with each restart
     std::string secret;
     std::string operatorKey;
+    const std::shared_ptr<worker_threads> workers = std::make_shared<worker_threads>(
+            settings.roles.entry && settings.roles.control ? workerThreadsOfBothRoles
+                                                           : workerThreads);
+    const std::shared_ptr<periodic_thread> periodic = std::make_shared<periodic_thread>();
     std::unique_ptr<wire::tcp_transport> transport;
     std::unique_ptr<control_service> control;
     std::unique_ptr<replicated_log> replica;
@@ -155,11 +199,17 @@
     BOOST_LEAF_ASSIGN(operatorKey, optionalSecret(settings.operatorKeyFile));
     recordShortages();
     BOOST_LEAF_AUTO(links, transportSettings(settings, secret));
+    links.onFramesDropped = [this](const wire::drop_report &report) {
+        events.record(linkFramesDropped,
+                      {{"peer", report.peer},
+                       {"channel", channelName(report.channel)},
+                       {"frames", report.frames}});
+    };
     transport = std::make_unique<wire::tcp_transport>(std::move(links));
     if (settings.roles.control)
         buildControl();
     feed = std::make_unique<feed_service>(settings, clock, *transport, events, incarnation,
-                                          control.get());
+                                          control.get(), workers);
     client = std::make_unique<cluster_client>(settings, clock, *transport, *feed, control.get());
     buildOperators();
     BOOST_LEAF_CHECK(buildDocument());
@@ -200,7 +250,7 @@
     operators = std::make_unique<http::operator_interface>(http::operator_services{
             clock, events, *client, operatorKey, [this] { return nodeStatus(snapshot()); },
             [this](std::string_view id) { return explainId(events, control.get(), id); },
-            [this] { beginShutdown(); }});
+            [this] { beginShutdown(); }, workers});
 }
 
 result<void> node::parts::buildDocument()
@@ -219,7 +269,8 @@
                 feed->answerWhenSettled(revision, version, deadline, std::move(answer));
             },
             [this](instant deadline) { return control->confirmedDocument(deadline); },
-            [this] { return leaderDocumentAddress(); }};
+            [this] { return leaderDocumentAddress(); },
+            workers};
     document = std::make_unique<http::document_interface>(std::move(services), std::move(protocol));
     return {};
 }
@@ -246,7 +297,8 @@
                 return settings.http.protocol == "own" && operators->tryServe(exchange);
             },
             entryExchange(), [this](bool lost) { feed->setEndpointsLost(lost); },
-            [this] { feed->pollSoon(); }, memory});
+            [this] { feed->pollSoon(); }, workers,
+            [this] { return linkMetrics(transport->counters()); }, memory});
     transport->handle(channel::Streams, [this](std::string_view, std::string_view message) {
         return callersStarted ? callers->streams().handle(message) : std::string();
     });
@@ -293,7 +345,10 @@
 
 std::string node::parts::metricsText()
 {
-    return callers ? callers->metricsText() : std::string();
+    std::string text = callers ? callers->metricsText() : linkMetrics(transport->counters());
+    if (leaderDuties)
+        text += capacityMetrics(leaderDuties->capacity());
+    return text;
 }
 
 std::vector<std::string> node::parts::otherEntries() const
@@ -321,22 +376,27 @@
 {
     load_hooks hooks{
             [this](std::size_t maxPerPool) { return callers->pools().takeCharges(maxPerPool); },
-            [this](const wire::load_message &message) {
+            [this](std::string_view peer, const wire::load_message &message) {
+                callers->quotas().heard(peer, message.quotas);
                 const auto tables = client->view().tables;
                 if (tables)
                     callers->pools().applyCharges(message.charges, *tables);
                 for (const auto &endpoint : callers->pools().applyEndpointUpdates(message.updates))
                     events.record(requests::endpointSuspected, {{"endpoint", endpoint}});
             },
-            [this] { return otherEntries(); }};
-    load = std::make_unique<load_exchange>(*transport, std::move(hooks));
+            [this] { return otherEntries(); }, [this] { return callers->quotas().takeReports(); }};
+    load = std::make_unique<load_exchange>(*transport, std::move(hooks), periodic);
 }
 
 void node::parts::buildDemandReporter()
 {
-    demand = std::make_unique<demand_reporter>(settings, clock, *transport, *client, [this] {
-        return callers ? callers->pools().takeDemand() : std::vector<requests::demand_report>();
-    });
+    demand = std::make_unique<demand_reporter>(
+            settings, clock, *transport, *client,
+            [this] {
+                return callers ? callers->pools().takeDemand()
+                               : std::vector<requests::demand_report>();
+            },
+            periodic);
 }
 
 result<void> node::parts::buildDuties()
@@ -360,11 +420,20 @@
                              feed->setEndpoints(std::move(reading));
                          },
                          [this] { return feed->agreedTime(); },
-                         [this] { return feed->view().endpointsAskedAt; }},
+                         [this] { return feed->view().endpointsAskedAt; }, workers, periodic,
+                         [this](const std::string &pool) { return workOf(pool); }},
             std::move(drivers));
     return {};
 }
 
+policy::measured_work node::parts::workOf(const std::string &pool) const
+{
+    const auto nodes = feed->nodes();
+    const auto entries = std::ranges::count_if(
+            nodes, [](const feed::node_report &node) { return !node.callers.empty(); });
+    return demand->workOn(pool, static_cast<int>(entries));
+}
+
 std::vector<orders::pool_status> node::parts::poolStates() const
 {
     std::vector<orders::pool_status> out;
@@ -430,6 +499,7 @@
         callersStarted = true;
         callers->pools().setEndpointUpdateListener(
                 [this](requests::endpoint_updates updates) { load->sendSoon(std::move(updates)); });
+        callers->quotas().setSurgeListener([this] { load->sendSoon(); });
     }
     loops.start();
     feed->start();
--- a/src/yuccascale/runtime/settings.cpp
+++ b/src/yuccascale/runtime/settings.cpp
@@ -105,6 +105,17 @@
         node.problem("feed_interval", "must be at most a third of freshness; lower it");
 }
 
+/// Entries hear of each other each half second, which a shorter window does not leave room for.
+void checkQuota(yaml_reader &node, const promise_settings &promises)
+{
+    constexpr kernel::milliseconds leastWindow{2'000};
+    if (promises.quotaWindow.count() > 0 && promises.quotaWindow < leastWindow)
+        node.problem("quota_window", "must be at least 2s, or left out to keep no quotas");
+    const bool unused = promises.quotaOver > 0 || promises.quotaSlack > 0;
+    if (promises.quotaWindow.count() == 0 && unused)
+        node.problem("quota_over", "has no effect without quota_window; set quota_window");
+}
+
 void readPromises(yaml_reader node, promise_settings &promises)
 {
     node.duration("key_withdrawal", promises.keyWithdrawal);
@@ -115,7 +126,11 @@
     node.number("retry_burst", promises.retryBurst);
     node.duration("retry_window", promises.retryWindow);
     node.flag("shared_retries", promises.sharedRetries);
+    node.duration("quota_window", promises.quotaWindow);
+    node.number("quota_over", promises.quotaOver);
+    node.number("quota_slack", promises.quotaSlack);
     node.rejectUnknownFields();
+    checkQuota(node, promises);
 }
 
 void readPlatform(yaml_reader node, platform_settings &platform)
@@ -143,9 +158,23 @@
     node.count("prefill_ahead", policy.prefillAhead);
     node.flag("assume_others", policy.assumeOthers);
     node.duration("cheap_notice", policy.cheapNotice);
+    node.choose("capacity",
+                {{"cheap_headroom", [&] { policy.capacity = capacity_policy::CheapHeadroom; }},
+                 {"follow_demand", [&] { policy.capacity = capacity_policy::FollowDemand; }}});
     node.rejectUnknownFields();
 }
 
+/// Without the list, orders cannot be checked, and without the interface for counts, none is sent.
+void checkCapacity(yaml_reader &root, const settings &out)
+{
+    if (!out.roles.control || out.policy.capacity != capacity_policy::FollowDemand)
+        return;
+    if (out.platform.endpointList.empty() || out.platform.endpointCounts.empty())
+        root.problem("policy.capacity",
+                     "follow_demand needs platform.endpoint_list and platform.endpoint_counts; set "
+                     "both or use cheap_headroom");
+}
+
 /// Replaces the port of each seed by seed_link_port, when that is set.
 void checkSeeds(yaml_reader &root, settings &out)
 {
@@ -241,6 +270,7 @@
     checkSecret(root, "cluster_secret", out.secretFile);
     checkSecret(root, "operator_key", out.operatorKeyFile);
     checkPropagation(root, out);
+    checkCapacity(root, out);
     deriveFreshness(out);
     return out;
 }
--- a/src/yuccascale/runtime/settings.hpp
+++ b/src/yuccascale/runtime/settings.hpp
@@ -77,7 +77,10 @@
     double retryShare = 0.2;          ///< retries allowed per request, across all entries
     double retryBurst = 32;           ///< further retries allowed in one window
     kernel::milliseconds retryWindow{10'000};
-    bool sharedRetries = false; ///< all entries share one burst, also across restarts
+    bool sharedRetries = false;          ///< all entries share one burst, also across restarts
+    kernel::milliseconds quotaWindow{0}; ///< in which organisations' quotas count; 0: none are kept
+    double quotaOver = 0;                ///< share of a quota that may be used beyond it
+    double quotaSlack = 0;               ///< tokens, or requests, that may be used beyond that
 };
 
 /// \brief Interfaces of the platform; an empty address disables one.
@@ -95,6 +98,12 @@
     kernel::milliseconds usageBatch{0}; ///< longest time that usage counts are held for a batch
 };
 
+/// \brief How the numbers of a pool's endpoints are decided.
+enum class capacity_policy {
+    CheapHeadroom, ///< cheap endpoints up to the bound of each zone
+    FollowDemand,  ///< steady and cheap ones as the measured demand requires
+};
+
 /// \brief Names of the policy plug-ins in use, and their parameters.
 struct policy_settings
 {
@@ -107,6 +116,7 @@
     /// Guaranteed notice before a cheap endpoint is reclaimed. Non-idempotent requests that end
     /// within it may run there; zero keeps them all on steady endpoints.
     kernel::milliseconds cheapNotice{0};
+    capacity_policy capacity = capacity_policy::CheapHeadroom;
     bool assumeOthers = true; ///< assume that each other entry sends the same load
 };
 
