Answers of claimed requests are read to their end when the caller leaves

Cause: holdAnswer() returned false once its exchange was not current, and the reader of the endpoint's answer stopped on it. A claimed request runs on after its caller has left; its endpoint connection was closed without an event, so the session hung to its deadline and the answer was not recorded.

Change: holdAnswer() returns nothing. The reader stops only when its attempt was cancelled, which shedding does to requests that are not claimed.

Measured: readsTheAnswerOfAClaimedRequestToItsEndWhenTheCallerLeaves fails with the former sources linked in and passes with these.

--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -407,7 +407,7 @@
     attempt.reader = driver.reader(callerRequest, context);
     attempt.deliver = eventsFromEndpoint();
     attempt.holdAnswer
-            = [exchange = m_exchange](std::size_t bytes) { return exchange->holdAnswer(bytes); };
+            = [exchange = m_exchange](std::size_t bytes) { exchange->holdAnswer(bytes); };
     attempt.checkCaller = [weak = weak_from_this(), number = sent.attempt] {
         if (const auto self = weak.lock())
             self->checkBeforeSend(number, next_leg::Request);
@@ -454,7 +454,7 @@
     attempt.reader = driver.reader(callerRequest, context);
     attempt.deliver = eventsFromEntry(assignment.endpoint);
     attempt.holdAnswer
-            = [exchange = m_exchange](std::size_t bytes) { return exchange->holdAnswer(bytes); };
+            = [exchange = m_exchange](std::size_t bytes) { exchange->holdAnswer(bytes); };
     attempt.checkCaller = [weak = weak_from_this(), number = sent.attempt] {
         if (const auto self = weak.lock())
             self->checkBeforeSend(number, next_leg::Request);
--- a/src/yuccascale/http/endpoint_client.cpp
+++ b/src/yuccascale/http/endpoint_client.cpp
@@ -160,7 +160,9 @@
         const bool wantsMore = m_attempt.reader->feed(bytes, events);
         deliver(std::move(events));
         const std::size_t held = m_attempt.reader->heldBytes();
-        if (wantsMore && !m_cancelled && m_attempt.holdAnswer && !m_attempt.holdAnswer(held))
+        if (wantsMore && !m_cancelled && m_attempt.holdAnswer)
+            m_attempt.holdAnswer(held);
+        if (m_cancelled)
             return false;
         if (!wantsMore || mayHold(held))
             return wantsMore;
@@ -228,7 +230,7 @@
     {
         m_attempt.reader.reset();
         if (m_attempt.holdAnswer && !m_cancelled)
-            static_cast<void>(m_attempt.holdAnswer(0));
+            m_attempt.holdAnswer(0);
         std::vector<event> events;
         events.emplace_back(attempt_failed{m_attempt.attempt, failure, {}});
         deliver(std::move(events));
--- a/src/yuccascale/http/endpoint_client.hpp
+++ b/src/yuccascale/http/endpoint_client.hpp
@@ -31,9 +31,8 @@
     std::function<void()> checkBeforePrefill;
     std::unique_ptr<kernel::requests::answer_reader> reader;
     std::function<void(kernel::requests::event)> deliver;
-    /// Counts the bytes of the answer that the reader holds; false when they do not fit, then the
-    /// attempt was cancelled. May be null.
-    std::function<bool(std::size_t)> holdAnswer = nullptr;
+    /// Counts the bytes of the answer that the reader holds; may cancel the attempt. May be null.
+    std::function<void(std::size_t)> holdAnswer = nullptr;
     /// Called before a request that could not be sent at once is sent; may cancel the attempt. May
     /// be null.
     std::function<void()> checkCaller;
--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -476,13 +476,11 @@
     m_onCallerDisconnected = std::move(action);
 }
 
-bool http_server::connection::holdAnswer(std::size_t bytes)
+void http_server::connection::holdAnswer(std::size_t bytes)
 {
     m_answerBytes = bytes;
-    if (charge())
-        return true;
-    shed();
-    return false;
+    if (!charge())
+        shed();
 }
 
 void http_server::connection::onAnswerEnd()
@@ -663,9 +661,10 @@
         m_connection->abort();
 }
 
-bool http_server::exchange::holdAnswer(std::size_t bytes)
+void http_server::exchange::holdAnswer(std::size_t bytes)
 {
-    return isCurrent() && m_connection->holdAnswer(bytes);
+    if (isCurrent())
+        m_connection->holdAnswer(bytes);
 }
 
 void http_server::exchange::checkCaller()
--- a/src/yuccascale/net/http_connection.hpp
+++ b/src/yuccascale/net/http_connection.hpp
@@ -92,7 +92,7 @@
     void finish();
     void abort();
     void onCallerDisconnected(std::function<void()> action);
-    [[nodiscard]] bool holdAnswer(std::size_t bytes);
+    void holdAnswer(std::size_t bytes);
     void checkCaller();
 
     [[nodiscard]] io_context &loop() noexcept { return m_owner->loop; }
@@ -185,7 +185,7 @@
     void finish() override;
     void abort() override;
     void onCallerDisconnected(std::function<void()> action) override;
-    [[nodiscard]] bool holdAnswer(std::size_t bytes) override;
+    void holdAnswer(std::size_t bytes) override;
     void checkCaller() override;
 
 private:
--- a/src/yuccascale/net/http_exchange.hpp
+++ b/src/yuccascale/net/http_exchange.hpp
@@ -47,10 +47,9 @@
     /// \brief Sets what runs once when the caller disconnects before the answer has ended.
     virtual void onCallerDisconnected(std::function<void()> action) = 0;
 
-    /// \brief Counts the bytes of an answer that are held until they can be sent.
-    /// \returns false when they do not fit into the process's memory; then the caller has been
-    ///          disconnected, as it would have itself.
-    [[nodiscard]] virtual bool holdAnswer(std::size_t bytes) = 0;
+    /// \brief Counts the bytes of an answer that are held until they can be sent. When they do not
+    ///        fit into the process's memory the caller is disconnected, as it would have itself.
+    virtual void holdAnswer(std::size_t bytes) = 0;
 
     /// \brief Reads what has arrived from the caller, so that the action above runs now if the
     /// caller has disconnected. On a loop that is late its own read may come much later.
--- a/tests/unit/http_caller_server_test.cpp
+++ b/tests/unit/http_caller_server_test.cpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <future>
 #include <memory>
+#include <thread>
 
 namespace yuccascale::http {
 
@@ -304,6 +305,48 @@
     EXPECT_EQ(kindOf(other), "invalid_argument");
 }
 
+/// Guards against an answer that is not recorded since its caller left while it arrived, so that a
+/// repeat is told that the outcome is unknown.
+TEST_F(caller_server_test, readsTheAnswerOfAClaimedRequestToItsEndWhenTheCallerLeaves)
+{
+    constexpr std::size_t pieceBytes = 2'000;
+    constexpr std::size_t pieces = 3;
+    std::promise<void> begun;
+    std::promise<void> left;
+    const fakes::endpoint_server service([&](const auto &, auto &response) {
+        response.set_content_provider(
+                pieces * pieceBytes, "text/plain",
+                [&](std::size_t offset, std::size_t, httplib::DataSink &sink) {
+                    if (offset == pieceBytes) {
+                        begun.set_value();
+                        left.get_future().wait();
+                    }
+                    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                    return sink.write(std::string(pieceBytes, 'x').data(), pieceBytes);
+                });
+    });
+    start({}, &service);
+    fakes::raw_peer caller = fakes::raw_peer::connect(m_server->port());
+    caller.send("POST /s/tickets/issue HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+                + std::string(briefingKey)
+                + "\r\nIdempotency-Key: member-8\r\nContent-Length: 2\r\n\r\n{}");
+    begun.get_future().wait();
+    caller.close();
+    std::this_thread::sleep_for(std::chrono::milliseconds(200)); // until the entry knows
+    left.set_value();
+    const httplib::Headers headers{{"Authorization", std::string("Bearer ") + briefingKey},
+                                   {"Idempotency-Key", "member-8"}};
+    auto repeat = m_caller->Post("/s/tickets/issue", headers, "{}", "application/json");
+    for (int attempt = 0; attempt < 50 && repeat && repeat->status != 200; ++attempt) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        repeat = m_caller->Post("/s/tickets/issue", headers, "{}", "application/json");
+    }
+    ASSERT_TRUE(repeat);
+    EXPECT_EQ(repeat->status, 200) << repeat->body;
+    EXPECT_EQ(repeat->body.size(), pieces * pieceBytes);
+    EXPECT_EQ(service.received().size(), 1U);
+}
+
 TEST_F(caller_server_test, removesItsAddressOnShutdownAndKeepsServing)
 {
     const fakes::endpoint_server engine([](const auto &request, auto &response) {
