The count of what is being shed no longer races with freeing it

Cause: chooseAndShed() read the bytes of an account twice and marked it while its own loop freed them without the mutex. The sum could wrap for the life of the process, or an account without bytes stayed marked and its connection was closed.

Change: the bytes are read once, an account without any is left out, and ending takes the mutex. A connection that is closed or holds nothing is not shed.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -377,6 +377,9 @@
 /// can only be broken off.
 void http_server::connection::shed()
 {
+    const std::size_t held = heldBytes();
+    if (m_phase == phase::Closed || held == 0) // freed since it was chosen
+        return static_cast<void>(m_account->hold(held, accountTime()));
     if (m_phase == phase::Reading) {
         m_shared->memory->countRefused();
         return refuse(503, "overloaded", memoryMessage);
--- a/src/yuccascale/net/memory_budget.cpp
+++ b/src/yuccascale/net/memory_budget.cpp
@@ -76,9 +76,12 @@
     }
     for (const std::uint64_t id : holdersToShed(totals, std::move(holders), now)) {
         memory_account &chosen = *m_accounts.at(id);
-        chosen.m_shedBytes = chosen.m_bytes.load();
-        m_shedding += chosen.m_shedBytes;
-        totals.held -= std::min<std::size_t>(totals.held, chosen.m_shedBytes);
+        const std::size_t bytes = chosen.m_bytes;
+        if (bytes == 0)
+            continue; // freed meanwhile
+        m_shedding += bytes;
+        chosen.m_shedBytes = bytes;
+        totals.held -= std::min(totals.held, bytes);
         if (&chosen != &account)
             chosen.m_shed();
     }
@@ -130,7 +133,7 @@
         m_progressedAt = now;
     }
     m_budget->m_held += bytes - before; // wraps around when it shrinks
-    if (bytes == 0)
+    if (bytes == 0 && before > 0)
         endShedding();
     if (bytes <= std::max(before, alwaysHeld))
         return true;
@@ -159,8 +162,10 @@
     m_budget->m_held -= bytes;
 }
 
-void memory_account::endShedding() noexcept
+/// Waits for a choice in progress, which may mark this account after its bytes were freed.
+void memory_account::endShedding()
 {
+    const std::scoped_lock guard(m_budget->m_mutex);
     m_budget->m_shedding -= m_shedBytes.exchange(0);
 }
 
--- a/src/yuccascale/net/memory_budget.hpp
+++ b/src/yuccascale/net/memory_budget.hpp
@@ -118,7 +118,7 @@
 private:
     friend class memory_budget;
 
-    void endShedding() noexcept;
+    void endShedding();
 
     std::shared_ptr<memory_budget> m_budget;
     std::function<void()> m_shed;
--- a/tests/unit/net_memory_budget_test.cpp
+++ b/tests/unit/net_memory_budget_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace yuccascale::net {
 
 namespace {
@@ -85,6 +87,41 @@
     EXPECT_TRUE(third.account.run(200'000, start));
 }
 
+/// Guards against a count of what is being shed that wraps around when it is freed on another loop
+/// at the same time: from then on nobody would be shed, and whoever grows would be refused.
+TEST(memory_budget, countsWhatIsBeingShedWhileItIsFreedOnAnotherLoop)
+{
+    constexpr int rounds = 1'000'000;
+    const auto budget = std::make_shared<memory_budget>(limit);
+    counted_account one(budget);
+    counted_account other(budget);
+    int shedWithoutBytes = 0;
+    const auto toggle = [&shedWithoutBytes](counted_account &account) {
+        for (int round = 0; round < rounds; ++round) {
+            static_cast<void>(account.account.hold(500'000, start));
+            static_cast<void>(account.account.hold(0, start));
+            if (account.account.beingShed())
+                ++shedWithoutBytes;
+        }
+    };
+    {
+        const std::jthread loop([&] {
+            for (int round = 0; round < rounds; ++round) {
+                static_cast<void>(other.account.hold(500'000, start));
+                static_cast<void>(other.account.hold(0, start));
+            }
+        });
+        toggle(one);
+    }
+    EXPECT_EQ(shedWithoutBytes, 0);
+    EXPECT_EQ(budget->held(), 0U);
+    counted_account stalled(budget);
+    counted_account next(budget);
+    EXPECT_TRUE(stalled.account.hold(190'000, start));
+    EXPECT_TRUE(next.account.hold(640'000, start + milliseconds(2'000)));
+    EXPECT_EQ(stalled.shed, 1);
+}
+
 /// Guards against a log line for each connection that is shed.
 TEST(memory_budget, tellsOfAShortageOnceInAWhile)
 {
