Nobody is shed when shedding cannot reach the limit

Cause: with running requests above 7/8 of the limit the target could not be reached, so every connection that held a byte was chosen.

Change: when the limit cannot be reached, nobody is chosen and only the connection that asks is refused. When the limit can be reached but not the reserve below it, only what reaches the limit is shed. Holders of 4 KB or less are never listed.

--- a/src/yuccascale/kernel/requests/memory_shedding.cpp
+++ b/src/yuccascale/kernel/requests/memory_shedding.cpp
@@ -21,6 +21,45 @@
     return static_cast<double>(holder.bytes) * (age + idle).count();
 }
 
+[[nodiscard]] std::size_t bytesOf(const std::vector<memory_holder> &holders) noexcept
+{
+    std::size_t bytes = 0;
+    for (const memory_holder &holder : holders)
+        bytes += holder.bytes;
+    return bytes;
+}
+
+[[nodiscard]] std::vector<std::uint64_t> idsOf(const std::vector<memory_holder> &holders)
+{
+    std::vector<std::uint64_t> ids;
+    for (const memory_holder &holder : holders)
+        ids.push_back(holder.id);
+    return ids;
+}
+
+/// Keeps the first holders that have to be shed until no more than \a target is held.
+/// \returns what is held then.
+std::size_t takeUntil(std::size_t target, std::size_t held, std::vector<memory_holder> &holders)
+{
+    std::size_t count = 0;
+    while (count < holders.size() && held > target)
+        held -= std::min(held, holders[count++].bytes);
+    holders.resize(count);
+    return held;
+}
+
+/// Removes holders without which the limit is still reached. When requests that run hold nearly all
+/// of it, a large newcomer has to be shed whoever else is.
+void spareTheNeedless(std::size_t limit, std::size_t held, std::vector<memory_holder> &chosen)
+{
+    std::erase_if(chosen, [limit, &held](const memory_holder &holder) {
+        if (held + holder.bytes > limit)
+            return false;
+        held += holder.bytes;
+        return true;
+    });
+}
+
 } // namespace
 
 bool memorySuffices(const memory_totals &totals) noexcept
@@ -33,21 +72,21 @@
 std::vector<std::uint64_t> holdersToShed(const memory_totals &totals,
                                          std::vector<memory_holder> holders, instant now)
 {
-    std::vector<std::uint64_t> chosen;
     if (memorySuffices(totals))
-        return chosen;
+        return {};
     std::ranges::sort(holders, [now](const memory_holder &one, const memory_holder &other) {
         return costOf(one, now) > costOf(other, now);
     });
     const std::size_t target = totals.limit - totals.limit / reserveDivisor;
-    std::size_t held = totals.held;
-    for (const memory_holder &holder : holders) {
-        if (held <= target)
-            break;
-        chosen.push_back(holder.id);
-        held -= std::min(held, holder.bytes);
+    const std::size_t least = totals.held - std::min(totals.held, bytesOf(holders));
+    if (least <= target) {
+        takeUntil(target, totals.held, holders);
+        return idsOf(holders);
     }
-    return chosen;
+    if (least > totals.limit)
+        return {};
+    spareTheNeedless(totals.limit, takeUntil(totals.limit, totals.held, holders), holders);
+    return idsOf(holders);
 }
 
 } // namespace yuccascale::kernel::requests
--- a/src/yuccascale/kernel/requests/memory_shedding.hpp
+++ b/src/yuccascale/kernel/requests/memory_shedding.hpp
@@ -37,8 +37,9 @@
 [[nodiscard]] bool memorySuffices(const memory_totals &totals) noexcept;
 
 /// \brief Chooses the connections that hold most and progress least.
-/// \returns the ids to shed, costliest first, so many that a part of the limit becomes free;
-///          empty when the memory suffices.
+/// \returns the ids to shed, costliest first, so many that a part of the limit becomes free, or
+///          that it is reached when that is all that can be; empty when the memory suffices and
+///          when shedding all of them cannot reach the limit.
 ///
 /// \example
 ///     for (const std::uint64_t id : holdersToShed(totals, holders, clock.now()))
--- a/src/yuccascale/net/memory_budget.cpp
+++ b/src/yuccascale/net/memory_budget.cpp
@@ -71,7 +71,7 @@
         if (one->beingShed())
             continue;
         const std::size_t bytes = one->m_bytes;
-        if (bytes > 0)
+        if (bytes > alwaysHeld)
             holders.push_back({id, bytes, one->m_since, one->m_progressedAt});
     }
     for (const std::uint64_t id : holdersToShed(totals, std::move(holders), now)) {
--- a/tests/unit/memory_shedding_test.cpp
+++ b/tests/unit/memory_shedding_test.cpp
@@ -40,6 +40,17 @@
               (ids{2, 4, 1}));
 }
 
+/// Guards against shedding those whose bytes cannot make room, and against shedding all of them for
+/// a reserve that cannot be reached.
+TEST(memory_shedding, shedsNoMoreThanHelps)
+{
+    const std::vector<memory_holder> holders{
+            holder(1, megabyte, milliseconds(5'000), milliseconds(5'000)),
+            holder(2, megabyte, milliseconds(3'000), milliseconds(3'000))};
+    EXPECT_EQ(holdersToShed({16 * megabyte, 19 * megabyte, 4 * megabyte}, holders, now), ids());
+    EXPECT_EQ(holdersToShed({16 * megabyte, 17 * megabyte, 4 * megabyte}, holders, now), ids{1});
+}
+
 /// Guards against a caller that seems to progress by sending a byte now and then.
 TEST(memory_shedding, aByteNowAndThenDoesNotMakeAConnectionYoung)
 {
--- a/tests/unit/net_memory_budget_test.cpp
+++ b/tests/unit/net_memory_budget_test.cpp
@@ -76,13 +76,16 @@
     counted_account first(budget);
     counted_account second(budget);
     counted_account third(budget);
+    counted_account innocent(budget);
+    EXPECT_TRUE(innocent.account.hold(8'000, start - milliseconds(5'000)));
     EXPECT_TRUE(first.account.run(400'000, start));
     EXPECT_TRUE(second.account.run(390'000, start));
     EXPECT_FALSE(third.account.hold(200'000, start));
     EXPECT_TRUE(third.account.hold(0, start));
     EXPECT_FALSE(third.account.run(200'000, start));
     EXPECT_EQ(first.shed + second.shed, 0);
-    EXPECT_EQ(budget->held(), 790'000U);
+    EXPECT_EQ(innocent.shed, 0);
+    EXPECT_EQ(budget->held(), 798'000U);
     first.account.ended(400'000);
     EXPECT_TRUE(third.account.run(200'000, start));
 }
@@ -122,6 +125,39 @@
     EXPECT_EQ(stalled.shed, 1);
 }
 
+/// Guards against refusing those whose bytes could not make room anyway, since requests that run
+/// hold nearly all.
+TEST(memory_budget, refusesOnlyWhoeverGrowsWhenSheddingCannotMakeRoom)
+{
+    const auto budget = std::make_shared<memory_budget>(limit);
+    counted_account first(budget);
+    counted_account second(budget);
+    counted_account innocent(budget);
+    counted_account next(budget);
+    EXPECT_TRUE(first.account.run(390'000, start));
+    EXPECT_TRUE(second.account.run(390'000, start));
+    EXPECT_TRUE(innocent.account.hold(10'000, start));
+    EXPECT_FALSE(next.account.run(200'000, start + milliseconds(2'000)));
+    EXPECT_EQ(innocent.shed, 0);
+    EXPECT_FALSE(innocent.account.beingShed());
+}
+
+/// Guards against refusing small requests, which frees next to nothing.
+TEST(memory_budget, neverShedsWhoeverHoldsNextToNothing)
+{
+    const auto budget = std::make_shared<memory_budget>(limit);
+    counted_account running(budget);
+    counted_account small(budget);
+    counted_account large(budget);
+    counted_account next(budget);
+    EXPECT_TRUE(running.account.run(600'000, start));
+    EXPECT_TRUE(small.account.hold(4'000, start));
+    EXPECT_TRUE(large.account.hold(150'000, start + milliseconds(29'950)));
+    EXPECT_TRUE(next.account.hold(70'000, start + milliseconds(30'000)));
+    EXPECT_EQ(large.shed, 1);
+    EXPECT_EQ(small.shed, 0);
+}
+
 /// Guards against a log line for each connection that is shed.
 TEST(memory_budget, tellsOfAShortageOnceInAWhile)
 {
