Healthy answers are not cut while others are being shed

Cause: hold() refused whoever grew while a quarter of the limit waited to be freed, also below the limit and also answers, whose requests had run.

Change: the test is made only while the limit is exceeded, and only for unfinished bodies.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -370,7 +370,10 @@
 /// \returns false when the connection has to be shed.
 bool http_server::connection::charge()
 {
-    return m_phase == phase::Closed || m_account->hold(heldBytes(), accountTime());
+    if (m_phase == phase::Closed)
+        return true;
+    const held_for purpose = m_phase == phase::Reading ? held_for::Body : held_for::Answer;
+    return m_account->hold(heldBytes(), accountTime(), purpose);
 }
 
 /// What a caller has not sent to its end is refused, since it has not run. An answer that has begun
--- a/src/yuccascale/net/memory_budget.cpp
+++ b/src/yuccascale/net/memory_budget.cpp
@@ -14,7 +14,8 @@
 /// A connection that holds no more than this always may: refusals and small requests.
 constexpr std::size_t alwaysHeld = 4U << 10U;
 /// Part of the limit that may wait to be freed by connections that are being shed, on loops that
-/// are late; then connections that grow are shed themselves.
+/// are late; then unfinished bodies that grow are shed themselves while the limit is exceeded.
+/// Answers are not: their requests have run.
 constexpr std::size_t sheddingDivisor = 4;
 
 } // namespace
@@ -125,7 +126,7 @@
     m_budget->m_held -= m_bytes + m_running;
 }
 
-bool memory_account::hold(std::size_t bytes, kernel::instant now)
+bool memory_account::hold(std::size_t bytes, kernel::instant now, held_for purpose)
 {
     const std::size_t before = m_bytes.exchange(bytes);
     if (before == 0) {
@@ -137,8 +138,10 @@
         endShedding();
     if (bytes <= std::max(before, alwaysHeld))
         return true;
-    return m_budget->makeRoom(*this, now)
-            && m_budget->m_shedding <= m_budget->m_limit / sheddingDivisor;
+    if (!m_budget->makeRoom(*this, now))
+        return false;
+    return purpose == held_for::Answer || m_budget->m_held <= m_budget->m_limit
+            || m_budget->m_shedding <= m_budget->m_limit / sheddingDivisor;
 }
 
 void memory_account::progressed(kernel::instant now) noexcept
--- a/src/yuccascale/net/memory_budget.hpp
+++ b/src/yuccascale/net/memory_budget.hpp
@@ -81,6 +81,12 @@
     kernel::instant m_toldAt{};
 };
 
+/// \brief What a connection holds bytes for.
+enum class held_for {
+    Body,   ///< of a request that has not arrived whole
+    Answer, ///< of a request that has run
+};
+
 /// \brief What one connection holds. Its calls are made on the connection's loop, except ended().
 ///
 /// \example
@@ -98,7 +104,8 @@
 
     /// \brief Sets the bytes that can be freed by shedding the connection.
     /// \returns false when the connection itself has to be shed now.
-    [[nodiscard]] bool hold(std::size_t bytes, kernel::instant now);
+    [[nodiscard]] bool hold(std::size_t bytes, kernel::instant now,
+                            held_for purpose = held_for::Body);
 
     /// \brief Notes that bytes were received or sent.
     void progressed(kernel::instant now) noexcept;
--- a/tests/unit/net_memory_budget_test.cpp
+++ b/tests/unit/net_memory_budget_test.cpp
@@ -69,6 +69,31 @@
     EXPECT_TRUE(other.account.hold(300'000, start + milliseconds(2'002)));
 }
 
+/// Guards against cutting a healthy answer, whose request has run, since others are being shed.
+TEST(memory_budget, keepsAnswersThatGrowWhileMuchWaitsToBeFreed)
+{
+    const auto budget = std::make_shared<memory_budget>(limit);
+    counted_account late(budget);
+    counted_account other(budget);
+    counted_account answered(budget);
+    EXPECT_TRUE(late.account.hold(700'000, start));
+    EXPECT_FALSE(other.account.hold(200'000, start + milliseconds(2'000)));
+    EXPECT_TRUE(answered.account.hold(50'000, start + milliseconds(2'001), held_for::Answer));
+}
+
+/// Guards against refusing a body, though there is room, since others are being shed.
+TEST(memory_budget, takesABodyWithinTheLimitWhileMuchWaitsToBeFreed)
+{
+    const auto budget = std::make_shared<memory_budget>(limit);
+    counted_account late(budget);
+    counted_account other(budget);
+    counted_account next(budget);
+    EXPECT_TRUE(late.account.hold(700'000, start));
+    EXPECT_FALSE(other.account.hold(200'000, start + milliseconds(2'000)));
+    EXPECT_TRUE(other.account.hold(0, start + milliseconds(2'001)));
+    EXPECT_TRUE(next.account.hold(50'000, start + milliseconds(2'002)));
+}
+
 /// Guards against requests that run being counted as if they could be given up.
 TEST(memory_budget, refusesNewBytesWhileRequestsThatRunHoldTheLimit)
 {
