Bytes of an answer that was given up are not counted

Cause: cancel() and a failure that the reader reports left the count of the answer's bytes as it was, so that a session which waits for another attempt stayed charged and could be closed for bytes it did not hold.

Change: both set it to zero. A whole answer stays counted until it has been sent.

Measured: the new test fails on the former code (4 and 2 bytes counted) and passes now.

--- a/src/yuccascale/http/endpoint_client.cpp
+++ b/src/yuccascale/http/endpoint_client.cpp
@@ -51,6 +51,12 @@
 /// An attempt that holds less than this is never ended for the bytes that others hold.
 constexpr std::size_t unlimitedHeldBytes = 64U << 10U;
 
+[[nodiscard]] bool reportsFailure(const std::vector<event> &events)
+{
+    return std::ranges::any_of(
+            events, [](const event &one) { return std::holds_alternative<attempt_failed>(one); });
+}
+
 [[nodiscard]] std::string valueOf(const net::header_list &headers, std::string_view name)
 {
     const std::string *value = findHeader(headers, name);
@@ -85,6 +91,7 @@
 
     void cancel() override
     {
+        countAnswer(0);
         m_cancelled = true;
         releaseHeldBytes();
         if (const auto call = std::exchange(m_call, nullptr))
@@ -158,10 +165,9 @@
     {
         std::vector<event> events;
         const bool wantsMore = m_attempt.reader->feed(bytes, events);
-        deliver(std::move(events));
         const std::size_t held = m_attempt.reader->heldBytes();
-        if (wantsMore && !m_cancelled && m_attempt.holdAnswer)
-            m_attempt.holdAnswer(held);
+        countAnswer(reportsFailure(events) ? 0 : held);
+        deliver(std::move(events));
         if (m_cancelled)
             return false;
         if (!wantsMore || mayHold(held))
@@ -180,6 +186,8 @@
         const bool whole = outcome == net::call_end::Whole && !m_attempt.reader->insidePiece();
         if (whole) {
             m_attempt.reader->end(events);
+            if (reportsFailure(events))
+                countAnswer(0);
             return deliver(std::move(events));
         }
         if (m_attempt.reader->done() || m_cancelled)
@@ -229,13 +237,19 @@
     void fail(attempt_failure failure)
     {
         m_attempt.reader.reset();
-        if (m_attempt.holdAnswer && !m_cancelled)
-            m_attempt.holdAnswer(0);
+        countAnswer(0);
         std::vector<event> events;
         events.emplace_back(attempt_failed{m_attempt.attempt, failure, {}});
         deliver(std::move(events));
     }
 
+    /// A whole answer stays counted until it has been sent to the caller.
+    void countAnswer(std::size_t bytes)
+    {
+        if (m_attempt.holdAnswer && !m_cancelled)
+            m_attempt.holdAnswer(bytes);
+    }
+
     void deliver(std::vector<event> events)
     {
         for (event &requestEvent : events) {
--- a/src/yuccascale/net/http_server.hpp
+++ b/src/yuccascale/net/http_server.hpp
@@ -26,7 +26,8 @@
     kernel::milliseconds readTimeout{10'000};  ///< for the rest of a request after its first byte
     kernel::milliseconds idleTimeout{15'000};  ///< between two requests
     kernel::milliseconds writeTimeout{10'000}; ///< without progress of an answer
-    /// Further ones are refused; lowered to what the process's descriptors allow.
+    /// Further ones are refused, also while the process's servers together hold most of its
+    /// descriptors.
     std::size_t connections = 3'000;
     /// Of the body of a request, while it is served; charged to the memory budget.
     std::size_t copiesOfBody = 2;
--- a/tests/unit/http_endpoint_client_test.cpp
+++ b/tests/unit/http_endpoint_client_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <future>
 #include <thread>
 
@@ -21,6 +22,11 @@
 class holding_reader final : public answer_reader
 {
 public:
+    /// \param fails ends with a failure, as of an answer that calls for another attempt
+    explicit holding_reader(bool fails = false)
+        : m_fails(fails)
+    { }
+
     [[nodiscard]] head_decision head(const answer_head &, std::vector<event> &) override
     {
         return head_decision::Take;
@@ -33,12 +39,16 @@
     void end(std::vector<event> &out) override
     {
         m_done = true;
+        if (m_fails)
+            return static_cast<void>(
+                    out.emplace_back(attempt_failed{1, attempt_failure::Broken, {}}));
         out.emplace_back(answer_arrived{1, {200, {}, std::string(m_held, 'x'), {}}, {}});
     }
     [[nodiscard]] bool done() const noexcept override { return m_done; }
     [[nodiscard]] std::size_t heldBytes() const noexcept override { return m_held; }
 
 private:
+    bool m_fails;
     std::size_t m_held = 0;
     bool m_done = false;
 };
@@ -101,15 +111,18 @@
             started.attempt = 1;
             started.request.method = "GET";
             started.request.path = "/a";
-            started.reader = std::make_unique<holding_reader>();
+            started.reader = std::make_unique<holding_reader>(m_answerFails);
             started.deliver = [ended](event last) { ended->set_value(std::move(last)); };
+            started.holdAnswer = [this](std::size_t bytes) { m_counted = bytes; };
             m_exchanges.push_back(m_client->start(std::move(started)));
         });
         return ended->get_future();
     }
 
     static constexpr kernel::milliseconds prefillTimeout{300};
-    bool m_cancelsBeforeRequest = false; ///< the check before the request ends the attempt
+    bool m_cancelsBeforeRequest = false;   ///< the check before the request ends the attempt
+    bool m_answerFails = false;            ///< the reader reports a failure at the answer's end
+    std::atomic<std::size_t> m_counted{0}; ///< bytes of the answer, as last counted
 
     std::unique_ptr<endpoint_driver> m_driver = endpoint_driver_registry::make("platform").value();
     net::event_loops m_loops{1};
@@ -156,6 +169,38 @@
             << "what the ended attempts held counts no more";
 }
 
+/// Guards against a session that waits for another attempt and is charged for bytes that nobody
+/// holds.
+TEST_F(endpoint_client_test, countsNothingOfAnAnswerThatWasGivenUp)
+{
+    m_answerFails = true;
+    const fakes::raw_listener server;
+    auto failed = attempt(server.address());
+    {
+        const fakes::raw_peer peer = server.accept();
+        static_cast<void>(peer.readUntil("\r\n\r\n"));
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhi");
+        while (m_counted != 2)
+            std::this_thread::yield();
+        peer.send("ho");
+        EXPECT_TRUE(std::holds_alternative<attempt_failed>(failed.get()));
+    }
+    EXPECT_EQ(m_counted, 0U);
+    const auto cancelled = attempt(server.address());
+    const fakes::raw_peer peer = server.accept();
+    static_cast<void>(peer.readUntil("\r\n\r\n"));
+    peer.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhi");
+    while (m_counted != 2)
+        std::this_thread::yield();
+    std::promise<void> done;
+    boost::asio::post(m_loops.at(0), [&] {
+        m_exchanges.back()->cancel();
+        done.set_value();
+    });
+    done.get_future().wait();
+    EXPECT_EQ(m_counted, 0U);
+}
+
 /// Guards against a crash that is taken for a bad answer: without a length or chunks, a stream that
 /// is broken off ends like a whole one.
 TEST_F(endpoint_client_test, aStreamThatEndsInsideAnEventWasBrokenOff)
