An answer that grows counts as progress of its connection

Cause: only traffic of the caller's socket was progress. A caller that waited for a slow endpoint's long answer was closed before those who do not progress.

Change: held bytes of an answer that grow are progress while nothing waits to be read by the caller.

Measured: the new test fails with the former sources and passes now.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -484,6 +484,9 @@
 
 void http_server::connection::holdAnswer(std::size_t bytes)
 {
+    // while nothing waits for the caller, only the endpoint can be slow
+    if (bytes > m_answerBytes && !m_writing)
+        m_account->progressed(accountTime());
     m_answerBytes = bytes;
     if (!charge())
         shed();
--- a/tests/unit/http_server_memory_test.cpp
+++ b/tests/unit/http_server_memory_test.cpp
@@ -1,9 +1,11 @@
 #include "fakes/raw_peer.hpp"
 #include "yuccascale/net/http_server.hpp"
 
+#include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <future>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -115,6 +117,33 @@
     EXPECT_NE(served.readUntil("length 400000", patienceMs).find("length"), std::string::npos);
 }
 
+/// Guards against closing the caller that waits for the long answer of a slow endpoint in place of
+/// one that holds less and does not progress.
+TEST_F(http_server_memory, countsAnAnswerThatGrowsAsProgress)
+{
+    constexpr std::size_t answerBytes = 520'000;
+    constexpr int pieces = 15;
+    const fakes::raw_peer waiting = send("/keep", 10, 10);
+    for (int wait = 0; wait < patienceMs && m_served == 0; ++wait)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    ASSERT_EQ(m_served, 1);
+    const std::shared_ptr<http_exchange> exchange = m_kept.front();
+    const fakes::raw_peer stopped = send("/a", 800'000, 400'000);
+    for (int piece = 1; piece <= pieces; ++piece) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(40));
+        std::promise<void> held;
+        boost::asio::post(exchange->loop(), [&] {
+            exchange->holdAnswer(answerBytes * static_cast<std::size_t>(piece) / pieces);
+            held.set_value();
+        });
+        held.get_future().wait();
+    }
+    const fakes::raw_peer next = send("/b", 300'000, 200'000);
+    EXPECT_NE(stopped.readToEnd(patienceMs).find("503"), std::string::npos);
+    boost::asio::post(exchange->loop(), [&] { exchange->reply({200, {}, "whole"}); });
+    EXPECT_NE(waiting.readUntil("whole", patienceMs).find("whole"), std::string::npos);
+}
+
 /// Guards against a chunk header that is kept, and parsed again, without end.
 TEST_F(http_server_memory, refusesAnEndlessChunkExtension)
 {
