Refusals of connections have a reserve beyond http.connections

Cause: the reserve was taken from http.connections, so that the last of the connections that were allowed were refused, and later ones closed without a 503. The bound of three quarters of the descriptors applied to each server by itself.

Change: the reserve comes on top. All servers of a process share the bound of its descriptors.

Measured: the new test of the limit fails with the former sources and passes now. The shared bound has no test.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -1,10 +1,12 @@
 #include "yuccascale/net/http_connection.hpp"
 
 #include <boost/asio/write.hpp>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -20,8 +22,8 @@
 constexpr std::size_t mappedBytes = 64U << 10U;
 /// Held for a request that runs, beside its body and headers.
 constexpr std::size_t requestOverheadBytes = 4U << 10U;
-/// Part of the connections that are kept for refusals, which linger until their callers have read
-/// them; beyond it connections are closed at once.
+/// Part of the connections that may be open beyond them for refusals, which linger until their
+/// callers have read them; beyond it connections are closed at once.
 constexpr std::size_t lingeringDivisor = 8;
 constexpr std::size_t mostLingering = 64;
 /// Longer bodies are not copied behind their heads, but sent after them.
@@ -41,6 +43,22 @@
 /// Time for the caller to close after the last answer, so that no TCP reset overtakes the answer.
 constexpr kernel::milliseconds lingerTimeout{1'000};
 
+/// \returns how many connections are kept for refusals beside or of \a connections.
+[[nodiscard]] std::size_t lingeringOf(std::size_t connections) noexcept
+{
+    return std::min(connections / lingeringDivisor, mostLingering);
+}
+
+/// \returns how many of the process's descriptors may be connections of callers; endpoints, links
+///          and files need the others.
+[[nodiscard]] std::size_t descriptorsForCallers() noexcept
+{
+    rlimit descriptors{};
+    if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0)
+        return std::numeric_limits<std::size_t>::max();
+    return static_cast<std::size_t>(descriptors.rlim_cur / 4 * 3);
+}
+
 [[nodiscard]] std::string numberText(std::size_t number, int base)
 {
     std::array<char, 24> digits{};
@@ -146,6 +164,7 @@
     , m_listener(std::move(listener))
 {
     ++m_shared->openConnections;
+    ++shared_state::openInProcess;
 }
 
 void http_server::connection::setPhase(phase next)
@@ -183,15 +202,24 @@
                                                      });
                                                  });
     awaitRequest();
-    const std::size_t most = m_limits->connections;
-    if (m_shared->openConnections > most)
+    if (exceedsConnections(true))
         return close();
-    if (m_shared->openConnections > most - std::min(most / lingeringDivisor, mostLingering))
+    if (exceedsConnections(false))
         return refuse(503, "overloaded",
                       "the maximum of open connections is reached; retry at another address");
     read();
 }
 
+/// \param withRefusals whether the connections that are kept for refusals may be used too
+bool http_server::connection::exceedsConnections(bool withRefusals) const
+{
+    const std::size_t own = m_limits->connections;
+    const std::size_t inProcess = descriptorsForCallers();
+    const std::size_t ownMost = withRefusals ? own + lingeringOf(own) : own;
+    const std::size_t most = withRefusals ? inProcess : inProcess - lingeringOf(inProcess);
+    return m_shared->openConnections > ownMost || shared_state::openInProcess > most;
+}
+
 void http_server::connection::awaitRequest()
 {
     m_limits = m_shared->limits();
@@ -601,6 +629,7 @@
         return;
     setPhase(phase::Closed);
     --m_shared->openConnections;
+    --shared_state::openInProcess;
     error_code ignored;
     m_socket.close(ignored);
     m_parser.reset();
--- a/src/yuccascale/net/http_connection.hpp
+++ b/src/yuccascale/net/http_connection.hpp
@@ -43,6 +43,8 @@
     std::atomic<bool> closing{false};
     std::atomic<bool> stopped{false};
     std::atomic<std::size_t> openConnections{0};
+    /// Of all servers, since they share the process's descriptors.
+    static inline std::atomic<std::size_t> openInProcess{0};
     std::atomic<std::size_t> answering{0}; ///< connections that owe an answer or a part of one
 };
 
@@ -125,6 +127,7 @@
     void onWritten(error_code problem, std::size_t count);
     [[nodiscard]] std::size_t heldBytes() const;
     [[nodiscard]] bool charge();
+    [[nodiscard]] bool exceedsConnections(bool withRefusals) const;
     void shed();
     void shutdownAfterWrite();
     void handleCallerLeft();
--- a/src/yuccascale/net/http_server.cpp
+++ b/src/yuccascale/net/http_server.cpp
@@ -2,11 +2,8 @@
 
 #include "yuccascale/net/http_connection.hpp"
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <charconv>
-#include <limits>
 #include <utility>
 
 namespace yuccascale::net {
@@ -19,17 +16,6 @@
 /// Delay after a failed accept, as when no file descriptor is free.
 constexpr kernel::milliseconds acceptRetryDelay{100};
 
-/// \returns how many of the process's descriptors may be connections of callers; endpoints, links
-/// and
-///          files need the others.
-[[nodiscard]] std::size_t descriptorsForCallers() noexcept
-{
-    rlimit descriptors{};
-    if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0)
-        return std::numeric_limits<std::size_t>::max();
-    return static_cast<std::size_t>(descriptors.rlim_cur / 4 * 3);
-}
-
 } // namespace
 
 /// \brief One listening address.
@@ -121,10 +107,8 @@
 
 void http_server::setLimits(const http_limits &limits)
 {
-    http_limits applied = limits;
-    applied.connections = std::min(limits.connections, descriptorsForCallers());
     const std::scoped_lock guard(m_shared->mutex);
-    m_shared->currentLimits = std::make_shared<const http_limits>(applied);
+    m_shared->currentLimits = std::make_shared<const http_limits>(limits);
 }
 
 void http_server::closeAfterAnswers() noexcept
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -211,6 +211,29 @@
     flood.join();
 }
 
+/// Guards against connections within the limit that are refused for the sake of refusals, and
+/// against connections just beyond it that are closed without being told why.
+TEST_F(http_server_test, servesAsManyConnectionsAsTheLimitAndTellsTheNextOnes)
+{
+    constexpr std::size_t most = 16; // two more for refusals
+    http_limits few = limits();
+    few.connections = most;
+    m_server.setLimits(few);
+    std::vector<fakes::raw_peer> callers;
+    for (std::size_t number = 0; number < most; ++number) {
+        callers.push_back(fakes::raw_peer::connect(m_port));
+        callers.back().send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        EXPECT_NE(callers.back().readUntil("/a ").find(" 200 "), std::string::npos) << number;
+    }
+    for (int number = 0; number < 2; ++number) {
+        callers.push_back(fakes::raw_peer::connect(m_port));
+        const std::string refusal = callers.back().readUntil("may_have_run");
+        EXPECT_NE(refusal.find(" 503 "), std::string::npos) << refusal;
+        EXPECT_NE(refusal.find("Retry-After: "), std::string::npos) << refusal;
+    }
+    EXPECT_EQ(fakes::raw_peer::connect(m_port).readToEnd(500), "");
+}
+
 TEST_F(http_server_test, acceptsManyConnectionsAtOnce)
 {
     constexpr std::size_t callers = 300;
