Small faults of the memory budget

- The account that grows is asked to free its bytes too when it was chosen itself; not every caller of charge() sheds on false, and an account that stays marked is never chosen again.
- What follows the last request of a connection is discarded, so that the buffer is not full, which stops reading and resets the connection.
- http.memory below 1 MB is refused at start with its remedy.

Measured: the test of the buffer fails on the former code (24,529 bytes held); the three new tests pass now.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -527,7 +527,9 @@
     if (m_phase == phase::Closed)
         return;
     if (!m_keepAlive) {
+        m_buffer = {}; // else it may be full, and bytes that are not read reset the connection
         setPhase(phase::Ending);
+        static_cast<void>(charge()); // less than before
         setDeadline(lingerTimeout);
         return shutdownAfterWrite();
     }
--- a/src/yuccascale/net/memory_budget.cpp
+++ b/src/yuccascale/net/memory_budget.cpp
@@ -83,8 +83,7 @@
         m_shedding += bytes;
         chosen.m_shedBytes = bytes;
         totals.held -= std::min(totals.held, bytes);
-        if (&chosen != &account)
-            chosen.m_shed();
+        chosen.m_shed(); // also for the caller's own account, since not every caller sheds it
     }
     totals.greatest = greatestThatStays();
     return !account.beingShed() && kernel::requests::memorySuffices(totals);
--- a/src/yuccascale/runtime/settings.cpp
+++ b/src/yuccascale/runtime/settings.cpp
@@ -45,6 +45,9 @@
     node.rejectUnknownFields();
 }
 
+/// With less, the heads of a few dozen requests use it up.
+constexpr std::int64_t leastMemoryBytes = 1 << 20;
+
 void readHttp(yaml_reader node, http_settings &http)
 {
     node.text("protocol", http.protocol);
@@ -63,6 +66,10 @@
     node.count("connections", http.connections);
     node.count("loops", http.loops);
     node.rejectUnknownFields();
+    if (http.memoryBytes > 0 && http.memoryBytes < leastMemoryBytes)
+        node.problem("memory",
+                     "must be at least 1 MB; raise it, or leave it out for a third of the "
+                     "memory of the process");
 }
 
 void readToleratedLosses(yaml_reader &node, control_settings &control)
--- a/tests/unit/http_server_memory_test.cpp
+++ b/tests/unit/http_server_memory_test.cpp
@@ -144,6 +144,19 @@
     EXPECT_NE(waiting.readUntil("whole", patienceMs).find("whole"), std::string::npos);
 }
 
+/// Guards against a buffer that stays full while the connection lingers, so that nothing more is
+/// read and the close resets it, which may overtake the answer.
+TEST_F(http_server_memory, discardsWhatFollowsTheLastRequest)
+{
+    const fakes::raw_peer caller = fakes::raw_peer::connect(m_port);
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                + std::string(60'000, 'x'));
+    EXPECT_NE(caller.readUntil("length 0", patienceMs).find("length 0"), std::string::npos);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200)); // it lingers for longer
+    EXPECT_EQ(m_server.connections(), 1U);
+    EXPECT_EQ(m_budget->held(), 0U);
+}
+
 /// Guards against a chunk header that is kept, and parsed again, without end.
 TEST_F(http_server_memory, refusesAnEndlessChunkExtension)
 {
--- a/tests/unit/net_memory_budget_test.cpp
+++ b/tests/unit/net_memory_budget_test.cpp
@@ -94,6 +94,18 @@
     EXPECT_TRUE(next.account.hold(50'000, start + milliseconds(2'002)));
 }
 
+/// Guards against an account that stays marked, so that what it holds is never chosen again.
+TEST(memory_budget, asksTheAccountThatGrowsToo)
+{
+    const auto budget = std::make_shared<memory_budget>(limit);
+    counted_account running(budget);
+    counted_account grows(budget);
+    EXPECT_TRUE(running.account.run(600'000, start));
+    EXPECT_FALSE(grows.account.hold(250'000, start));
+    EXPECT_TRUE(grows.account.beingShed());
+    EXPECT_EQ(grows.shed, 1);
+}
+
 /// Guards against requests that run being counted as if they could be given up.
 TEST(memory_budget, refusesNewBytesWhileRequestsThatRunHoldTheLimit)
 {
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -72,6 +72,15 @@
               std::string::npos);
 }
 
+/// Guards against a process that starts and then refuses nearly every request.
+TEST_F(settings_test, rejectsAMemoryBudgetThatIsTooSmallToServe)
+{
+    const std::string problems = problemsOf("http: {memory: 4KB}\n");
+    EXPECT_NE(problems.find("memory: must be at least 1 MB"), std::string::npos) << problems;
+    EXPECT_NE(problems.find("raise it"), std::string::npos) << problems;
+    EXPECT_EQ(problemsOf("http: {memory: 1MB}\n"), "");
+}
+
 TEST_F(settings_test, rejectsAnAddressWithoutAPort)
 {
     EXPECT_NE(problemsOf("", "127.0.0.1").find("link: '127.0.0.1' is not an address"),
