--- a/src/yuccascale/cli/node_command.cpp
+++ b/src/yuccascale/cli/node_command.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/cli/node_command.hpp"
 
 #include "yuccascale/runtime/node.hpp"
+#include "yuccascale/runtime/process_memory.hpp"
 
 #include <gflags/gflags.h>
 
@@ -38,6 +39,7 @@
 
 kernel::result<void> runNode(command_arguments)
 {
+    runtime::returnFreedMemory();
     const std::string file = settingsFile();
     if (file.empty()) {
         return kernel::fail(kernel::error_kind::InvalidArgument, "--settings",
--- a/src/yuccascale/http/caller_server.hpp
+++ b/src/yuccascale/http/caller_server.hpp
@@ -6,6 +6,7 @@
 #include "yuccascale/kernel/feed/feed_messages.hpp"
 #include "yuccascale/net/event_loops.hpp"
 #include "yuccascale/net/http_exchange.hpp"
+#include "yuccascale/net/memory_budget.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
 #include <functional>
@@ -47,6 +48,8 @@
     std::shared_ptr<runtime::worker_threads> workers = nullptr; ///< null: threads of its own
     /// Metrics of the node's other parts, as text; may be null.
     std::function<std::string()> otherMetrics = nullptr;
+    /// Shared with the other servers of the process; null: unlimited.
+    std::shared_ptr<net::memory_budget> memory = nullptr;
 };
 
 /// \brief Serves callers at the node's addresses.
--- a/src/yuccascale/http/caller_session.cpp
+++ b/src/yuccascale/http/caller_session.cpp
@@ -409,6 +409,8 @@
     }
     attempt.reader = driver.reader(callerRequest, context);
     attempt.deliver = eventsFromEndpoint();
+    attempt.holdAnswer
+            = [exchange = m_exchange](std::size_t bytes) { exchange->holdAnswer(bytes); };
     attempt.checkCaller = [weak = weak_from_this(), number = sent.attempt] {
         if (const auto self = weak.lock())
             self->checkBeforeSend(number, next_leg::Request);
@@ -454,6 +456,8 @@
             relayGrantHeader, issueRelayGrant(m_services.secret, callerRequest.id, grant()));
     attempt.reader = driver.reader(callerRequest, context);
     attempt.deliver = eventsFromEntry(assignment.endpoint);
+    attempt.holdAnswer
+            = [exchange = m_exchange](std::size_t bytes) { exchange->holdAnswer(bytes); };
     attempt.checkCaller = [weak = weak_from_this(), number = sent.attempt] {
         if (const auto self = weak.lock())
             self->checkBeforeSend(number, next_leg::Request);
@@ -513,7 +517,7 @@
 void caller_session::deliver(caller_output output)
 {
     recordMetrics(output);
-    std::visit([this](const auto &alternative) { write(alternative); }, output);
+    std::visit([this](auto &alternative) { write(alternative); }, output);
 }
 
 void caller_session::beginStream(const stream_head *endpointHead)
@@ -545,11 +549,11 @@
     m_exchange->finish();
 }
 
-void caller_session::write(const send_answer &answer)
+void caller_session::write(send_answer &answer)
 {
     if (m_streaming)
         return m_exchange->abort();
-    m_exchange->reply(m_services.protocol->wholeReply(callerRequest(), answer.answer));
+    m_exchange->reply(m_services.protocol->wholeReply(callerRequest(), std::move(answer.answer)));
 }
 
 /// \returns whether another entry can be asked to serve the request in this one's place.
--- a/src/yuccascale/http/endpoint_client.cpp
+++ b/src/yuccascale/http/endpoint_client.cpp
@@ -23,8 +23,9 @@
     return found == request.headers.end() ? std::string() : found->second;
 }
 
+/// \param outbound its body is moved out
 [[nodiscard]] net::outgoing_request outgoingRequestOf(const std::string &address,
-                                                      const outbound_request &outbound,
+                                                      outbound_request &&outbound,
                                                       nanoseconds timeLeft,
                                                       std::function<void()> onConnected)
 {
@@ -32,7 +33,7 @@
     request.address = address;
     request.method = outbound.method;
     request.target = outbound.path;
-    request.body = outbound.body;
+    request.body = std::move(outbound.body);
     request.freshConnection = outbound.freshConnection;
     request.requestId = requestIdOf(outbound);
     request.requestLifetime = timeLeft;
@@ -50,6 +51,12 @@
 /// An attempt that holds less than this is never ended for the bytes that others hold.
 constexpr std::size_t unlimitedHeldBytes = 64U << 10U;
 
+[[nodiscard]] bool reportsFailure(const std::vector<event> &events)
+{
+    return std::ranges::any_of(
+            events, [](const event &one) { return std::holds_alternative<attempt_failed>(one); });
+}
+
 [[nodiscard]] std::string valueOf(const net::header_list &headers, std::string_view name)
 {
     const std::string *value = findHeader(headers, name);
@@ -84,6 +91,7 @@
 
     void cancel() override
     {
+        countAnswer(0);
         m_cancelled = true;
         releaseHeldBytes();
         if (const auto call = std::exchange(m_call, nullptr))
@@ -143,12 +151,26 @@
         return verdict::Stop;
     }
 
+    /// What a reader holds that needs no more is freed, since the session may wait long for another
+    /// attempt.
     [[nodiscard]] bool body(std::string_view bytes) override
+    {
+        const bool goesOn = read(bytes);
+        if (!goesOn)
+            m_attempt.reader.reset();
+        return goesOn;
+    }
+
+    [[nodiscard]] bool read(std::string_view bytes)
     {
         std::vector<event> events;
         const bool wantsMore = m_attempt.reader->feed(bytes, events);
+        const std::size_t held = m_attempt.reader->heldBytes();
+        countAnswer(reportsFailure(events) ? 0 : held);
         deliver(std::move(events));
-        if (!wantsMore || mayHold(m_attempt.reader->heldBytes()))
+        if (m_cancelled)
+            return false;
+        if (!wantsMore || mayHold(held))
             return wantsMore;
         releaseHeldBytes();
         fail(attempt_failure::InvalidAnswer);
@@ -164,6 +186,8 @@
         const bool whole = outcome == net::call_end::Whole && !m_attempt.reader->insidePiece();
         if (whole) {
             m_attempt.reader->end(events);
+            if (reportsFailure(events))
+                countAnswer(0);
             return deliver(std::move(events));
         }
         if (m_attempt.reader->done() || m_cancelled)
@@ -179,10 +203,10 @@
     void sendRequest()
     {
         if (!m_cancelled)
-            m_call = m_client.m_client.start(outgoingRequestOf(m_attempt.address, m_attempt.request,
-                                                               m_attempt.timeLeft,
-                                                               m_attempt.checkCaller),
-                                             shared_from_this());
+            m_call = m_client.m_client.start(
+                    outgoingRequestOf(m_attempt.address, std::move(m_attempt.request),
+                                      m_attempt.timeLeft, m_attempt.checkCaller),
+                    shared_from_this());
     }
 
     /// Frees a prefilled prompt that the endpoint has not fetched.
@@ -212,11 +236,20 @@
 
     void fail(attempt_failure failure)
     {
+        m_attempt.reader.reset();
+        countAnswer(0);
         std::vector<event> events;
         events.emplace_back(attempt_failed{m_attempt.attempt, failure, {}});
         deliver(std::move(events));
     }
 
+    /// A whole answer stays counted until it has been sent to the caller.
+    void countAnswer(std::size_t bytes)
+    {
+        if (m_attempt.holdAnswer && !m_cancelled)
+            m_attempt.holdAnswer(bytes);
+    }
+
     void deliver(std::vector<event> events)
     {
         for (event &requestEvent : events) {
@@ -252,9 +285,10 @@
                       std::function<void(net::buffered_answer)> done,
                       std::function<void()> onConnected)
 {
-    return net::callBuffered(m_client, m_loop,
-                             outgoingRequestOf(address, request, timeLeft, std::move(onConnected)),
-                             timeout, std::move(done));
+    return net::callBuffered(
+            m_client, m_loop,
+            outgoingRequestOf(address, outbound_request(request), timeLeft, std::move(onConnected)),
+            timeout, std::move(done));
 }
 
 void endpoint_client::callIgnoringAnswer(const std::string &address,
--- a/src/yuccascale/net/http_server.cpp
+++ b/src/yuccascale/net/http_server.cpp
@@ -32,9 +32,11 @@
     std::string address;
 };
 
-http_server::http_server(event_loops &loops, const http_limits &limits, http_handler handler)
+http_server::http_server(event_loops &loops, const http_limits &limits, http_handler handler,
+                         std::shared_ptr<memory_budget> memory)
     : m_loops(loops)
-    , m_shared(std::make_shared<shared_state>(std::move(handler)))
+    , m_shared(std::make_shared<shared_state>(
+              std::move(handler), memory ? std::move(memory) : memory_budget::unlimited()))
 {
     setLimits(limits);
     for (std::size_t index = 0; index < loops.size(); ++index)
--- a/src/yuccascale/runtime/settings.cpp
+++ b/src/yuccascale/runtime/settings.cpp
@@ -45,6 +45,9 @@
     node.rejectUnknownFields();
 }
 
+/// With less, the heads of a few dozen requests use it up.
+constexpr std::int64_t leastMemoryBytes = 1 << 20;
+
 void readHttp(yaml_reader node, http_settings &http)
 {
     node.text("protocol", http.protocol);
@@ -55,6 +58,7 @@
     node.bytes("max_header", http.maxHeaderBytes);
     node.count("max_header_fields", http.maxHeaderFields);
     node.bytes("max_body", http.maxBodyBytes);
+    node.bytes("memory", http.memoryBytes);
     node.duration("read_timeout", http.readTimeout);
     node.duration("write_timeout", http.writeTimeout);
     node.duration("idle_timeout", http.idleTimeout);
@@ -62,6 +66,10 @@
     node.count("connections", http.connections);
     node.count("loops", http.loops);
     node.rejectUnknownFields();
+    if (http.memoryBytes > 0 && http.memoryBytes < leastMemoryBytes)
+        node.problem("memory",
+                     "must be at least 1 MB; raise it, or leave it out for a third of the "
+                     "memory of the process");
 }
 
 void readToleratedLosses(yaml_reader &node, control_settings &control)
@@ -256,6 +264,7 @@
     root.text("cluster_secret", out.secretFile);
     root.text("operator_key", out.operatorKeyFile);
     root.text("data_folder", out.dataFolder);
+    root.bytes("process_memory", out.processMemoryBytes);
     readLog(root.child("log"), out.log);
     readHttp(root.child("http"), out.http);
     readControl(root.child("control"), out.control);
