The reserve for refusals is a part of http.connections again

Cause: with the reserve on top, connectionsBeyondTheLimitLeaveDescriptors- ForOthers failed: 234 descriptors against a bound of 221, since each of the 100 connections that are served also holds one to an endpoint. The bound is fixed.

Change: an eighth of http.connections, at most 64, is kept for refusals as before; the shared bound of the descriptors stays.

Open: with the default of 3,000, connections 2,937 to 3,000 are refused.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -22,8 +22,8 @@
 constexpr std::size_t mappedBytes = 64U << 10U;
 /// Held for a request that runs, beside its body and headers.
 constexpr std::size_t requestOverheadBytes = 4U << 10U;
-/// Part of the connections that may be open beyond them for refusals, which linger until their
-/// callers have read them; beyond it connections are closed at once.
+/// Part of the connections that are kept for refusals, which linger until their callers have read
+/// them; beyond it connections are closed at once.
 constexpr std::size_t lingeringDivisor = 8;
 constexpr std::size_t mostLingering = 64;
 /// Longer bodies are not copied behind their heads, but sent after them.
@@ -43,7 +43,7 @@
 /// Time for the caller to close after the last answer, so that no TCP reset overtakes the answer.
 constexpr kernel::milliseconds lingerTimeout{1'000};
 
-/// \returns how many connections are kept for refusals beside or of \a connections.
+/// \returns how many connections are kept for refusals, of \a connections.
 [[nodiscard]] std::size_t lingeringOf(std::size_t connections) noexcept
 {
     return std::min(connections / lingeringDivisor, mostLingering);
@@ -213,11 +213,11 @@
 /// \param withRefusals whether the connections that are kept for refusals may be used too
 bool http_server::connection::exceedsConnections(bool withRefusals) const
 {
-    const std::size_t own = m_limits->connections;
-    const std::size_t inProcess = descriptorsForCallers();
-    const std::size_t ownMost = withRefusals ? own + lingeringOf(own) : own;
-    const std::size_t most = withRefusals ? inProcess : inProcess - lingeringOf(inProcess);
-    return m_shared->openConnections > ownMost || shared_state::openInProcess > most;
+    const auto mostOf = [withRefusals](std::size_t connections) {
+        return withRefusals ? connections : connections - lingeringOf(connections);
+    };
+    return m_shared->openConnections > mostOf(m_limits->connections)
+            || shared_state::openInProcess > mostOf(descriptorsForCallers());
 }
 
 void http_server::connection::awaitRequest()
