--- a/src/yuccascale/kernel/requests/memory_shedding.cpp
+++ b/src/yuccascale/kernel/requests/memory_shedding.cpp
@@ -32,6 +32,7 @@
 [[nodiscard]] std::vector<std::uint64_t> idsOf(const std::vector<memory_holder> &holders)
 {
     std::vector<std::uint64_t> ids;
+    ids.reserve(holders.size());
     for (const memory_holder &holder : holders)
         ids.push_back(holder.id);
     return ids;
