--- a/src/yuccascale/runtime/settings.hpp
+++ b/src/yuccascale/runtime/settings.hpp
@@ -45,7 +45,8 @@
     kernel::milliseconds writeTimeout{10'000}; ///< a caller that reads slower is dropped
     kernel::milliseconds idleTimeout{15'000};  ///< between two requests on a connection
     kernel::milliseconds addressTtl{5'000};    ///< how long a caller may cache an entry's address
-    int connections = 3'000;                   ///< open at the same time
+    /// Open at the same time; 3,000 are served, the others are for refusals.
+    int connections = 3'064;
     int loops = 0; ///< threads that serve callers; 0: 2, or 1 on a node with both roles
 };
 
