--- a/src/yuccascale/kernel/requests/organisation_quota.cpp
+++ b/src/yuccascale/kernel/requests/organisation_quota.cpp
@@ -49,7 +49,7 @@
 
 organisation_quota::organisation_quota(instant now, state::token_quota limits,
                                        quota_tolerance tolerance)
-    : m_limits(std::move(limits))
+    : m_limits(limits)
     , m_tolerance(tolerance)
     , m_startedAt(now)
     , m_settledAt(now)
--- a/src/yuccascale/kernel/requests/recent_rate.cpp
+++ b/src/yuccascale/kernel/requests/recent_rate.cpp
@@ -33,7 +33,8 @@
 
 std::int64_t windowed_sum::numberOf(instant now) const noexcept
 {
-    const auto slotTime = std::max<std::int64_t>(m_window.count() / slotsPerWindow, 1);
+    const auto slotTime = std::max<std::int64_t>(
+            m_window.count() / static_cast<std::int64_t>(slotsPerWindow), 1);
     return now.time_since_epoch().count() / slotTime;
 }
 
