--- a/tests/fakes/quota_entries.cpp
+++ b/tests/fakes/quota_entries.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 quota_entries::quota_entries(quota_world_settings settings)
-    : m_settings(std::move(settings))
+    : m_settings(settings)
     , m_random(m_settings.seed)
     , m_entries(static_cast<std::size_t>(m_settings.entries))
     , m_listed(m_settings.entries)
--- a/tests/unit/duties_fence_test.cpp
+++ b/tests/unit/duties_fence_test.cpp
@@ -123,7 +123,7 @@
 struct node
 {
     node(unfenced_platform &platform, fakes::manual_clock &time,
-         std::shared_ptr<const state::table_set> tables)
+         const std::shared_ptr<const state::table_set> &tables)
         : path{platform, time}
     {
         duty_drivers drivers;
@@ -136,7 +136,7 @@
                                                                   return view;
                                                               },
                                                               nullptr, nullptr, events, time,
-                                                              [](feed::endpoint_reading) {},
+                                                              [](const feed::endpoint_reading &) {},
                                                               nullptr, nullptr},
                                                  std::move(drivers));
     }
