--- a/tests/processes/caller_crowd.cpp
+++ b/tests/processes/caller_crowd.cpp
@@ -60,8 +60,9 @@
 
 std::string bodyOf(const crowd_plan &plan)
 {
-    return isChunked(plan.form) ? chunkedBody(plan.bodyBytes, plan.form)
-                                : std::string(plan.bodyBytes, 'x');
+    if (isChunked(plan.form))
+        return chunkedBody(plan.bodyBytes, plan.form);
+    return plan.content.empty() ? std::string(plan.bodyBytes, 'x') : plan.content;
 }
 
 /// \returns the line that says how long the body is, and the end of the head.
@@ -129,6 +130,8 @@
     {
         if (m_socket < 0)
             return m_begun == m_plan.requestsOfCaller;
+        if (m_completes && m_plan.readsToClose)
+            return false;
         const bool awaitsAnswer = (m_completes || m_plan.bodyBytes == 0) && !m_answered;
         return m_sent == m_end && !awaitsAnswer;
     }
--- a/tests/processes/caller_crowd.hpp
+++ b/tests/processes/caller_crowd.hpp
@@ -30,9 +30,12 @@
     std::function<std::string(std::size_t)> headOf; ///< request line and headers of a request
     body_form form = body_form::Whole;
     std::size_t bodyBytes = 0; ///< 0: requests without a body
+    std::string content;       ///< of the bodies with a length; empty: any
     std::size_t callers = 60;
     std::size_t requestsOfCaller = 3; ///< further ones on new connections, each when one has ended
     std::size_t completeEvery = 6;    ///< of the callers, one sends and reads all
+    bool readsToClose
+            = false; ///< a caller that reads all has done so when the connection is closed
 };
 
 /// \brief A crowd that is driven by one thread. Its connections stay open until it is destroyed.
--- a/tests/processes/long_answers.cpp
+++ b/tests/processes/long_answers.cpp
@@ -3,6 +3,10 @@
 #include "fakes/history.hpp"
 #include "yuccascale/kernel/json.hpp"
 
+#include <chrono>
+#include <thread>
+#include <utility>
+
 namespace yuccascale::processes {
 
 namespace {
@@ -11,6 +15,7 @@
 
 constexpr std::size_t eventBytes = 16'000;
 constexpr int notFound = 404;
+constexpr std::chrono::seconds slowAnswer{1};
 const std::string instance = "i-0";
 
 std::string loopback(int port)
@@ -60,6 +65,12 @@
     return loopback(m_endpoint->port());
 }
 
+void long_answers::setListedAddress(std::string address)
+{
+    const std::scoped_lock guard(m_mutex);
+    m_listedAddress = std::move(address);
+}
+
 std::string long_answers::platformAddress() const
 {
     return loopback(m_platform->port());
@@ -77,6 +88,8 @@
     reply.headers["X-Server-Seal"] = "seal";
     reply.headers["X-Server-Load"] = "1,0,128";
     reply.contentType = "text/plain";
+    if (request.path.find("/slow") != std::string::npos)
+        std::this_thread::sleep_for(slowAnswer);
     if (request.path.find("/stream") != std::string::npos) {
         reply.contentType = "text/event-stream";
         reply.stream = writeEvents;
@@ -96,7 +109,9 @@
         reply.status = request.path == "/usage" || request.path == "/scale" ? 200 : notFound;
         return reply;
     }
-    const json listed{{"id", instance},   {"service", "answers"},   {"address", address()},
+    const std::scoped_lock guard(m_mutex);
+    const std::string listedAddress = m_listedAddress.empty() ? address() : m_listedAddress;
+    const json listed{{"id", instance},   {"service", "answers"},   {"address", listedAddress},
                       {"zone", "z0"},     {"version", "v1"},        {"slots", 128},
                       {"born", m_bornMs}, {"cold_remaining_ms", 0}, {"state", "ready"}};
     reply.body = json{{"instances", json::array({listed})}, {"next", nullptr}}.dump();
--- a/tests/processes/long_answers.hpp
+++ b/tests/processes/long_answers.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
 
 /// \file
@@ -12,7 +13,8 @@
 namespace yuccascale::processes {
 
 /// \brief Serves any route. What it answers depends on the path: "/long" and "/stream" in it give
-///        long answers, whole or as a stream of events. Thread-safe.
+///        long answers, whole or as a stream of events, and "/slow" an answer after a second.
+///        Thread-safe.
 class long_answers
 {
 public:
@@ -27,6 +29,10 @@
     /// \returns IP:port of the endpoint.
     [[nodiscard]] std::string address() const;
 
+    /// \brief Sets the address under which the platform lists the endpoint, such as a relay's. Call
+    ///        it before the system asks.
+    void setListedAddress(std::string address);
+
     /// \returns IP:port of the platform's interfaces.
     [[nodiscard]] std::string platformAddress() const;
 
@@ -35,6 +41,8 @@
     [[nodiscard]] fakes::http_reply answerPlatform(const fakes::http_request &request) const;
 
     const std::int64_t m_bornMs;
+    mutable std::mutex m_mutex; ///< guards m_listedAddress
+    std::string m_listedAddress;
     std::unique_ptr<fakes::http_server> m_endpoint;
     std::unique_ptr<fakes::http_server> m_platform;
 };
--- a/tests/processes/zone_cluster.cpp
+++ b/tests/processes/zone_cluster.cpp
@@ -78,6 +78,11 @@
         fs::remove_all(m_folder);
 }
 
+std::string zone_cluster::furtherAddress() const
+{
+    return m_options.furtherListeners ? freeAddress() : std::string();
+}
+
 void zone_cluster::addNodes(std::size_t entries)
 {
     for (std::size_t zone = 0; zone < controlNodes; ++zone)
@@ -87,6 +92,7 @@
                               {},
                               {},
                               freeAddress(),
+                              furtherAddress(),
                               nullptr});
     for (std::size_t number = 0; number < entries; ++number) {
         const std::size_t zone = number % controlNodes;
@@ -96,6 +102,7 @@
                              freeAddress(),
                              freeAddress(),
                              {},
+                             furtherAddress(),
                              nullptr});
     }
 }
@@ -159,9 +166,12 @@
     std::ofstream(m_folder / (one.name + ".yaml")) << text;
 }
 
-std::string zone_cluster::furtherHttp() const
+std::string zone_cluster::furtherHttp(const node &one, const char *listener) const
 {
-    return m_options.http.empty() ? "" : ", " + m_options.http;
+    std::string fields = m_options.http.empty() ? "" : ", " + m_options.http;
+    if (!one.further.empty())
+        fields += std::string(", ") + listener + ": '" + one.further + "'";
+    return fields;
 }
 
 void zone_cluster::writeControlSettings(std::size_t control) const
@@ -171,7 +181,8 @@
     text << commonSettings(one, m_controlLinks[control])
          << "roles: [control]\nfirst_start: true\ndata_folder: '"
          << (m_folder / ("data-" + one.name)).string()
-         << "'\nhttp: {protocol: platform, operators: '" << one.operators << "'" << furtherHttp()
+         << "'\nhttp: {protocol: platform, operators: '" << one.operators << "'"
+         << furtherHttp(one, "metrics")
          << "}\ncontrol: {feed_interval: 600ms, tolerated_losses: 1}\nplatform:\n"
             "  drivers: platform\n  usage_window: 5s\n  list_interval: 500ms\n";
     for (const char *call : {"endpoint_list", "endpoint_counts", "usage_reports"})
@@ -187,7 +198,7 @@
          << "  shutdown: 8s\n  retry_share: 0.2\n  retry_burst: 56\n  retry_window: 10s\n"
          << "roles: [entry]\ncallers: '" << one.callers
          << "'\nhttp: {protocol: platform, readiness: '" << one.readiness
-         << "', address_ttl: 2s, loops: 1" << furtherHttp()
+         << "', address_ttl: 2s, loops: 1" << furtherHttp(one, "directory")
          << "}\ncontrol: {feed_interval: 600ms}\n"
             "platform: {usage_window: 5s, usage_batch: 1s}\n"
             "policy: {routing: prompt_homes, prefill_ahead: 24000, assume_others: false, "
@@ -209,6 +220,21 @@
     return m_entries.at(entry).callers;
 }
 
+const std::string &zone_cluster::readinessAddress(std::size_t entry) const
+{
+    return m_entries.at(entry).readiness;
+}
+
+const std::string &zone_cluster::directoryAddress(std::size_t entry) const
+{
+    return m_entries.at(entry).further;
+}
+
+const std::string &zone_cluster::metricsAddress(std::size_t control) const
+{
+    return m_controls.at(control).further;
+}
+
 const std::string &zone_cluster::operatorAddress(std::size_t control) const
 {
     return m_controls.at(control).operators;
--- a/tests/processes/zone_cluster.hpp
+++ b/tests/processes/zone_cluster.hpp
@@ -22,6 +22,7 @@
     bool relaysBeforeEntries = false; ///< on the links from entries to control nodes
     std::string platform;             ///< IP:port of the platform's interfaces
     std::string http = {};            ///< further fields of the setting http, in YAML
+    bool furtherListeners = false;    ///< directories at entries, metrics at control nodes
 };
 
 /// \brief What a cut does with connections.
@@ -46,6 +47,12 @@
     [[nodiscard]] std::size_t entries() const noexcept { return m_entries.size(); }
     [[nodiscard]] const std::string &callerAddress(std::size_t entry) const;
     [[nodiscard]] const std::string &operatorAddress(std::size_t control) const;
+    /// \returns the address of an entry's readiness.
+    [[nodiscard]] const std::string &readinessAddress(std::size_t entry) const;
+    /// \returns the address of an entry's directory; zone_options::furtherListeners only.
+    [[nodiscard]] const std::string &directoryAddress(std::size_t entry) const;
+    /// \returns the address of a control node's metrics; zone_options::furtherListeners only.
+    [[nodiscard]] const std::string &metricsAddress(std::size_t control) const;
     [[nodiscard]] child_process &entryProcess(std::size_t entry) const;
     [[nodiscard]] child_process &controlProcess(std::size_t control) const;
     [[nodiscard]] const std::filesystem::path &folder() const noexcept { return m_folder; }
@@ -79,6 +86,7 @@
         std::string callers;
         std::string readiness;
         std::string operators;
+        std::string further; ///< a directory or metrics; empty: none
         std::unique_ptr<child_process> process;
     };
     /// The connections that a node opens to a control node.
@@ -97,7 +105,8 @@
     [[nodiscard]] std::string commonSettings(const node &one, const link_row &links) const;
     [[nodiscard]] std::string linkRoutes(const link_row &links) const;
     void writeSettings(const node &one, const std::string &text) const;
-    [[nodiscard]] std::string furtherHttp() const;
+    [[nodiscard]] std::string furtherAddress() const;
+    [[nodiscard]] std::string furtherHttp(const node &one, const char *listener) const;
     void writeControlSettings(std::size_t control) const;
     void writeEntrySettings(std::size_t entry) const;
     static void applyHold(routed_link &link);
