Values of events are cut at 512 bytes

Callers saw: a process that grew by 175 to 180 MB with 14,400 requests of legal size, and ended on the smallest machine.

Cause: what callers name (request ids of a head's size with protocol "platform", paths of calls without the operators' key) is a value of events. 16,384 recent events and up to 4,096 queued log lines keep them, and nothing counted that.

Change: the value of a field is cut when the field is made, so that logs and recent events are bounded alike. `explain` cuts the id that it looks up too.

--- a/src/yuccascale/kernel/events.hpp
+++ b/src/yuccascale/kernel/events.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <concepts>
+#include <cstddef>
 #include <initializer_list>
 #include <span>
 #include <string>
@@ -46,6 +47,10 @@
     std::string_view m_meaning;
 };
 
+/// \brief Longest value of a field in bytes; longer ones are cut. Callers choose some of them, and
+///        recent events are kept in memory.
+inline constexpr std::size_t maxFieldBytes = 512;
+
 /// \brief A named value of an event. Keys, prompts and answers must never be logged in one.
 struct event_field
 {
@@ -54,7 +59,7 @@
 
     event_field(std::string_view fieldName, std::string_view text)
         : name(fieldName)
-        , value(text)
+        , value(text.substr(0, maxFieldBytes))
     { }
     event_field(std::string_view fieldName, std::integral auto number)
         : name(fieldName)
--- a/src/yuccascale/runtime/decision_memory.cpp
+++ b/src/yuccascale/runtime/decision_memory.cpp
@@ -30,6 +30,7 @@
 
 json recent_events::find(std::string_view id) const
 {
+    id = id.substr(0, kernel::maxFieldBytes); // as the fields hold it
     std::vector<recent_event> found;
     for (const shard &shard : m_shards) {
         const std::lock_guard lock(shard.mutex);
