Chat bodies are read without building their value

Callers saw: a process that grew to 268 MB by chat bodies of 4 MB, sent whole and without a valid key.

Cause: an entry with protocol "own" parsed a body into a value of 20 times its size, before it looked at the key, to read three members of it. The memory budget counts two copies of the text. A route's name of 4 MB was copied into errors.

Change: three scalar members are read while the text is checked; nothing else is kept. The body is moved, not copied, into the request. Names in errors are cut.

--- a/src/yuccascale/http/caller_request.cpp
+++ b/src/yuccascale/http/caller_request.cpp
@@ -1,6 +1,6 @@
 #include "yuccascale/http/caller_request.hpp"
 
-#include "yuccascale/kernel/json.hpp"
+#include "yuccascale/kernel/json_members.hpp"
 #include "yuccascale/kernel/requests/key_check.hpp"
 #include "yuccascale/kernel/requests/resume_token.hpp"
 
@@ -28,6 +28,9 @@
 constexpr std::int64_t bytesPerToken = 4;
 constexpr std::int64_t defaultOutputTokens = 256;
 constexpr std::size_t digestDigits = 8;
+/// Of a name that a caller sent, in an error.
+constexpr std::size_t maxNameBytesInError = 128;
+constexpr std::array<std::string_view, 3> modelMembers{"model", "stream", "max_tokens"};
 
 [[nodiscard]] bool isValidRequestId(const std::string &id)
 {
@@ -114,7 +117,8 @@
     }
     const auto found = context.view.tables->routes.find(name);
     if (found == context.view.tables->routes.end() || found->second.kind != kind)
-        return fail(error_kind::NotFound, "route/" + name, "no such route; check its name");
+        return fail(error_kind::NotFound, "route/" + name.substr(0, maxNameBytesInError),
+                    "no such route; check its name");
     return found->second;
 }
 
@@ -135,10 +139,12 @@
     return {};
 }
 
-[[nodiscard]] std::string fingerprintOf(const request &callerRequest)
+[[nodiscard]] std::string fingerprintOf(const request &callerRequest, std::string_view body)
 {
-    return digestOf(callerRequest.route.name + "\n" + callerRequest.method + "\n"
-                    + callerRequest.path + "\n" + callerRequest.body);
+    std::string text = callerRequest.route.name + "\n" + callerRequest.method + "\n"
+            + callerRequest.path + "\n";
+    text += body;
+    return digestOf(text);
 }
 
 [[nodiscard]] result<void> resume(request &callerRequest, const caller_message &message,
@@ -201,35 +207,33 @@
     return found == view.tables->organisations.end() ? 1.0 : found->second.weight;
 }
 
-result<request> readModelRequest(const caller_message &message, const reading_context &context)
+result<request> readModelRequest(caller_message &message, const reading_context &context)
 {
-    const json document = json::parse(message.body, nullptr, false);
-    if (!document.is_object() || !document.contains("model") || !document["model"].is_string()) {
+    auto members = kernel::readScalarMembers(message.body, modelMembers);
+    if (!members || !(*members)["model"].is_string()) {
         return fail(error_kind::InvalidArgument, "body",
                     "not a JSON object with a string 'model'; set it to the name of a route");
     }
     request callerRequest;
     BOOST_LEAF_ASSIGN(callerRequest.route,
-                      findRoute(context, document["model"].get<std::string>(),
+                      findRoute(context, (*members)["model"].get_ref<const std::string &>(),
                                 kernel::state::backend_kind::Model));
     BOOST_LEAF_CHECK(setOrganisation(callerRequest, message, context));
     BOOST_LEAF_CHECK(setCommonFields(callerRequest, message, context));
     callerRequest.path = message.path;
-    callerRequest.body = message.body;
-    const auto stream = document.find("stream");
-    callerRequest.streamed = stream != document.end() && *stream == json(true);
+    callerRequest.streamed = (*members)["stream"] == json(true);
     callerRequest.promptTokens = static_cast<std::int64_t>(message.body.size()) / bytesPerToken + 1;
-    const auto maxTokens = document.find("max_tokens");
-    const bool hasMaxTokens = maxTokens != document.end() && maxTokens->is_number_integer();
-    callerRequest.outputTokens = hasMaxTokens
-            ? std::max<std::int64_t>(1, maxTokens->get<std::int64_t>())
+    const json &maxTokens = (*members)["max_tokens"];
+    callerRequest.outputTokens = maxTokens.is_number_integer()
+            ? std::max<std::int64_t>(1, maxTokens.get<std::int64_t>())
             : defaultOutputTokens;
-    callerRequest.fingerprint = fingerprintOf(callerRequest);
+    callerRequest.fingerprint = fingerprintOf(callerRequest, message.body);
     BOOST_LEAF_CHECK(resume(callerRequest, message, context));
+    callerRequest.body = std::move(message.body);
     return callerRequest;
 }
 
-result<request> readServiceRequest(const caller_message &message, const reading_context &context)
+result<request> readServiceRequest(caller_message &message, const reading_context &context)
 {
     const std::string_view afterPrefix
             = std::string_view(message.target).substr(servicePrefix.size());
@@ -243,10 +247,10 @@
     callerRequest.path = std::string(afterPrefix.substr(nameEnd));
     if (!callerRequest.path.starts_with('/'))
         callerRequest.path.insert(0, "/");
-    callerRequest.body = message.body;
     callerRequest.promptTokens = 1;
     callerRequest.outputTokens = 1;
-    callerRequest.fingerprint = fingerprintOf(callerRequest);
+    callerRequest.fingerprint = fingerprintOf(callerRequest, message.body);
+    callerRequest.body = std::move(message.body);
     return callerRequest;
 }
 
--- a/src/yuccascale/http/caller_request.hpp
+++ b/src/yuccascale/http/caller_request.hpp
@@ -49,12 +49,14 @@
                                              std::string_view key, const reading_context &context);
 
 /// \brief Parses a request to `/v1/chat/completions` or `/v1/completions`.
+/// \param message its body is moved out on success
 [[nodiscard]] kernel::result<kernel::requests::request>
-readModelRequest(const caller_message &message, const reading_context &context);
+readModelRequest(caller_message &message, const reading_context &context);
 
 /// \brief Parses a request to `/s/ROUTE/PATH`.
+/// \param message its body is moved out on success
 [[nodiscard]] kernel::result<kernel::requests::request>
-readServiceRequest(const caller_message &message, const reading_context &context);
+readServiceRequest(caller_message &message, const reading_context &context);
 
 /// \returns the request's id: the caller's if it is valid, else a new one.
 [[nodiscard]] std::string requestIdOf(const caller_message &message,
