Documents are read one at a time, in a bounded memory

Operators saw: a control node that ended by a document of 400 KB that nests lists (the copy of a parsed value recurses until the stack is used up), or took 1,246 MB for a document of 4 MB with 1.3 million keys.

Cause: up to seven documents were parsed at once, each into a value of up to 30 times its text and, for its lists, a copy of that; the memory budget counts 8 times the text. Rows have no bound.

Change: members that are not known are skipped unread; what nests deeper than 32, has more than 500,000 values or more than 100,000 rows is refused with 400; lists are not copied; one document is read at a time.

--- a/src/yuccascale/http/document_interface.cpp
+++ b/src/yuccascale/http/document_interface.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <functional>
 #include <utility>
 
 namespace yuccascale::http {
@@ -21,6 +22,8 @@
 constexpr milliseconds readTimeout{1'500};
 /// Bounds the requests that are answered at the same time.
 constexpr runtime::thread_share workerThreads{8, 1, runtime::worker_group::Operators};
+/// Documents are read one at a time, since a parsed one takes several times the memory of its text.
+constexpr runtime::thread_share readerThreads{1, 1, runtime::worker_group::Operators};
 constexpr int redirectStatus = 307;
 const net::header_list jsonHeaders{{"Content-Type", "application/json"}};
 
@@ -47,13 +50,18 @@
         : m_services(std::move(services))
         , m_protocol(std::move(protocol))
         , m_workers(workerThreads, m_services.workers)
+        , m_readers(readerThreads, m_services.workers)
     { }
 
     void answerBefore(instant end) noexcept { m_end = end.time_since_epoch().count(); }
 
     void serve(const std::shared_ptr<net::http_exchange> &exchange)
     {
-        m_workers.run([this, exchange] { answerSafely(exchange); });
+        const std::optional<document_call> call = m_protocol->callOf(exchange->request());
+        if (call == document_call::Put)
+            m_readers.run([this, exchange] { answerSafely(exchange, [&] { put(exchange); }); });
+        else
+            m_workers.run([this, exchange] { answerSafely(exchange, [&] { get(exchange); }); });
     }
 
 private:
@@ -67,29 +75,16 @@
     }
 
     /// An unexpected exception fails one request, not the process.
-    void answerSafely(const exchange_pointer &exchange)
+    void answerSafely(const exchange_pointer &exchange, const std::function<void()> &answer)
     {
         try {
-            answer(exchange);
+            answer();
         } catch (const std::exception &problem) {
             recordOutcome(0, "failed", problem.what());
             reply(exchange, errorReply({error_kind::Internal, "document", problem.what()}));
         }
     }
 
-    void answer(const exchange_pointer &exchange)
-    {
-        const net::http_request &httpRequest = exchange->request();
-        const std::optional<document_call> call = m_protocol->callOf(httpRequest);
-        if (!call)
-            return reply(exchange,
-                         errorReply({error_kind::NotFound, std::string(httpRequest.path()),
-                                     "no such call; see docs/platform.md"}));
-        if (*call == document_call::Put)
-            return put(exchange);
-        reply(exchange, get(httpRequest));
-    }
-
     void put(const exchange_pointer &exchange)
     {
         error problem;
@@ -104,7 +99,10 @@
             recordOutcome(0, "refused", problem.where + ": " + problem.message);
             return reply(exchange, errorReply(problem));
         }
-        commit(exchange, std::move(document));
+        // another document may be read while this one is committed
+        m_workers.run([this, exchange, document = std::move(document)]() mutable {
+            answerSafely(exchange, [&] { commit(exchange, std::move(document)); });
+        });
     }
 
     void commit(const exchange_pointer &exchange, state::put_document document)
@@ -147,7 +145,17 @@
         m_services.whenSettled(revision, version, instant(nanoseconds(m_end)), acknowledge);
     }
 
-    [[nodiscard]] net::http_reply get(const net::http_request &httpRequest)
+    void get(const exchange_pointer &exchange)
+    {
+        const net::http_request &httpRequest = exchange->request();
+        if (!m_protocol->callOf(httpRequest))
+            return reply(exchange,
+                         errorReply({error_kind::NotFound, std::string(httpRequest.path()),
+                                     "no such call; see docs/platform.md"}));
+        reply(exchange, document(httpRequest));
+    }
+
+    [[nodiscard]] net::http_reply document(const net::http_request &httpRequest)
     {
         const std::string leader = m_services.leaderAddress();
         if (!leader.empty())
@@ -184,6 +192,7 @@
     std::unique_ptr<operator_protocol> m_protocol;
     std::atomic<std::int64_t> m_end{instant::max().time_since_epoch().count()}; ///< ns, boot clock
     runtime::worker_pool m_workers;
+    runtime::worker_pool m_readers; ///< destroyed first, since its tasks use m_workers
 };
 
 document_interface::document_interface(document_services services,
--- a/src/yuccascale/platform/operator_document.cpp
+++ b/src/yuccascale/platform/operator_document.cpp
@@ -1,8 +1,9 @@
 #include "yuccascale/http/operator_protocol.hpp"
-#include "yuccascale/kernel/json.hpp"
+#include "yuccascale/kernel/json_bounds.hpp"
 #include "yuccascale/kernel/state/key_digest.hpp"
 #include "yuccascale/platform/names.hpp"
 
+#include <array>
 #include <cmath>
 
 /// \file
@@ -23,6 +24,14 @@
 constexpr std::string_view streamingKind = "streaming";
 /// Unit of quotas that count tokens; others count requests.
 constexpr std::string_view tokenUnit = "generate";
+constexpr std::array<std::string_view, 5> documentMembers{"version", "routes", "services",
+                                                          "tenants", "limits"};
+constexpr int maxDepth = 32;
+/// Of a document, objects and lists included.
+constexpr std::size_t maxValues = 500'000;
+/// Routes, services, tenants and keys of a document together; rows take more memory than their
+/// text.
+constexpr std::size_t maxRows = 100'000;
 
 /// \returns a member of an object; throws json::exception when it is missing or of another type.
 template<typename T>
@@ -39,15 +48,16 @@
     return found == object.end() || found->is_null() ? fallback : found->get<T>();
 }
 
-[[nodiscard]] std::vector<json> listOf(const json &object, const char *name, bool mustExist)
+[[nodiscard]] const json::array_t &listOf(const json &object, const char *name, bool mustExist)
 {
+    static const json::array_t none;
     const auto found = object.find(name);
     if (!mustExist && (found == object.end() || found->is_null()))
-        return {};
+        return none;
     if (found == object.end() || !found->is_array())
         throw json::other_error::create(501, std::string(name) + " is missing or not an array",
                                         &object);
-    return {found->begin(), found->end()};
+    return found->get_ref<const json::array_t &>();
 }
 
 /// Sets what the route's kind implies; \returns false when the kind is unknown.
@@ -162,6 +172,18 @@
     return std::vector<token_quota>{quota};
 }
 
+/// \returns an error when \a count more rows exceed what a document may have.
+[[nodiscard]] result<void> checkRows(const edit_tables &tables, std::size_t count)
+{
+    const std::size_t rows = tables.putRoutes.size() + tables.putPools.size()
+            + tables.putOrganisations.size() + tables.putKeys.size();
+    if (rows + count <= maxRows)
+        return {};
+    return fail(error_kind::InvalidArgument, "document",
+                "more than " + std::to_string(maxRows)
+                        + " routes, services, tenants and keys; send fewer");
+}
+
 [[nodiscard]] result<void> addTenant(const json &object, edit_tables &tables)
 {
     organisation row;
@@ -170,7 +192,9 @@
     row.ranked = priority != object.end() && !priority->is_null();
     if (row.ranked)
         row.priority = -priority->get<int>();
-    for (const json &key : listOf(object, "api_keys", false)) {
+    const json::array_t &keys = listOf(object, "api_keys", false);
+    BOOST_LEAF_CHECK(checkRows(tables, keys.size()));
+    for (const json &key : keys) {
         const std::string id = row.name + "." + std::to_string(tables.putKeys.size());
         tables.putKeys.push_back({id, row.name, keyDigest(key.get<std::string>())});
     }
@@ -184,15 +208,18 @@
     put_document document;
     document.version = required<std::uint64_t>(object, "version");
     edit_tables &tables = document.tables;
-    const std::vector<json> tenants = listOf(object, "tenants", false);
+    const json::array_t &tenants = listOf(object, "tenants", false);
+    const json::array_t &services = listOf(object, "services", true);
+    const json::array_t &routes = listOf(object, "routes", true);
+    BOOST_LEAF_CHECK(checkRows(tables, tenants.size() + services.size() + routes.size()));
     for (const json &tenant : tenants)
         BOOST_LEAF_CHECK(addTenant(tenant, tables));
     std::map<std::string, pool> pools;
-    for (const json &service : listOf(object, "services", true)) {
+    for (const json &service : services) {
         tables.putPools.push_back(poolFrom(service));
         pools[tables.putPools.back().name] = tables.putPools.back();
     }
-    for (const json &route : listOf(object, "routes", true)) {
+    for (const json &route : routes) {
         BOOST_LEAF_AUTO(row, routeFrom(route, pools, !tenants.empty()));
         tables.putRoutes.push_back(std::move(row));
     }
@@ -219,10 +246,13 @@
 
     [[nodiscard]] result<put_document> readDocument(std::string_view bytes) const override
     {
-        const json object = json::parse(bytes, nullptr, false);
+        const json object = kernel::readBounded(bytes, {documentMembers, maxDepth, maxValues});
         if (!object.is_object())
             return fail(error_kind::InvalidArgument, "document",
-                        "not a JSON object, or truncated; send the whole document");
+                        "not a JSON object, truncated, nested in more than "
+                                + std::to_string(maxDepth) + " lists, or of more than "
+                                + std::to_string(maxValues)
+                                + " values; send the whole document, or a smaller one");
         try {
             BOOST_LEAF_AUTO(document, documentFrom(object));
             document.bytes = std::string(bytes);
