Refusals before a request is read name it

Callers saw: a 503 for want of memory, a 408, 413 or 431 without X-Request-Id, though every other answer has it, so that a caller with several requests in flight cannot tell which one has not run.

Cause: the connection refuses by itself and did not look at the head.

Change: the id is copied from the head when there is a whole one.

Measured: http_server_memory.namesTheRequestsThatItRefuses (an unfinished body, and a whole one that finds no room) fails on the former code.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -39,6 +39,7 @@
 constexpr std::size_t maxUnsentBytes = 4U << 20U;
 /// A buffer that grew beyond this is freed after its request.
 constexpr std::size_t maxRetainedBufferBytes = 4U << 10U;
+constexpr std::string_view requestIdHeader = "X-Request-Id";
 constexpr std::string_view memoryMessage
         = "the memory for requests is used up; send the request again, also to another address";
 /// Time for the caller to close after the last answer, so that no TCP reset overtakes the answer.
@@ -393,7 +394,7 @@
     static_cast<void>(charge()); // without the body, which is counted from here on as running
     if (!m_account->run(bytes, accountTime())) {
         m_shared->memory->countRefused();
-        return refuse(503, "overloaded", memoryMessage);
+        return refuse(503, "overloaded", memoryMessage, request.header(requestIdHeader));
     }
     m_shared->handler(std::make_shared<exchange>(shared_from_this(), m_exchangeNumber,
                                                  std::move(request), m_account, bytes));
@@ -434,6 +435,15 @@
 }
 
 void http_server::connection::refuse(int status, std::string_view kind, std::string_view message)
+{
+    std::string requestId;
+    if (m_parser && m_parser->is_header_done())
+        requestId = std::string(m_parser->get()[requestIdHeader]);
+    refuse(status, kind, message, requestId);
+}
+
+void http_server::connection::refuse(int status, std::string_view kind, std::string_view message,
+                                     std::string_view requestId)
 {
     m_parser.reset();
     m_buffer = {};
@@ -447,6 +457,8 @@
     header_list headers{{"Content-Type", "application/json"}};
     if (status == 503)
         headers.push_back({"Retry-After", retrySeconds()});
+    if (!requestId.empty())
+        headers.push_back({std::string(requestIdHeader), std::string(requestId)});
     reply({status, std::move(headers), std::move(body)});
 }
 
--- a/src/yuccascale/net/http_connection.hpp
+++ b/src/yuccascale/net/http_connection.hpp
@@ -121,6 +121,8 @@
     [[nodiscard]] bool checkHeader();
     void dispatch();
     void refuse(int status, std::string_view kind, std::string_view message);
+    void refuse(int status, std::string_view kind, std::string_view message,
+                std::string_view requestId);
     void onAnswerEnd();
     void write(std::string bytes);
     void flush();
--- a/tests/unit/http_server_memory_test.cpp
+++ b/tests/unit/http_server_memory_test.cpp
@@ -67,6 +67,15 @@
         return caller;
     }
 
+    [[nodiscard]] fakes::raw_peer sendNamed(const std::string &id, std::size_t length,
+                                            std::size_t sent) const
+    {
+        fakes::raw_peer caller = fakes::raw_peer::connect(m_port);
+        caller.send("POST /keep HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nContent-Length: "
+                    + std::to_string(length) + "\r\n\r\n" + std::string(sent, 'x'));
+        return caller;
+    }
+
     std::atomic<int> m_served{0};
     std::mutex m_mutex;
     std::vector<std::shared_ptr<http_exchange>> m_kept;
@@ -97,6 +106,21 @@
     EXPECT_NE(ordinary.readUntil("length 10", patienceMs).find("length 10"), std::string::npos);
 }
 
+/// Guards against a refusal that does not name its request, as the other refusals do.
+TEST_F(http_server_memory, namesTheRequestsThatItRefuses)
+{
+    const fakes::raw_peer running = sendNamed("running", 450'000, 450'000);
+    for (int wait = 0; wait < patienceMs && m_served == 0; ++wait)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    const fakes::raw_peer unfinished = sendNamed("unfinished", 800'000, 200'000);
+    const std::string first = unfinished.readToEnd(patienceMs);
+    EXPECT_NE(first.find("X-Request-Id: unfinished\r\n"), std::string::npos) << first;
+    // its text fits beside the running one, but not twice
+    const fakes::raw_peer whole = sendNamed("whole", 70'000, 70'000);
+    const std::string second = whole.readToEnd(patienceMs);
+    EXPECT_NE(second.find("X-Request-Id: whole\r\n"), std::string::npos) << second;
+}
+
 /// Guards against a budget that refuses a request which is larger than itself, in calm.
 TEST_F(http_server_memory, servesASingleRequestThatIsLargerThanTheBudget)
 {
