Crowd tests: what is left of answers and bodies that were read

Ten of them belong to callers that have read their answers and keep their connections.

Change: three tests, bounds as in the others: answers that were read at open connections, bodies that were sent to 30 endpoints, answers of 250 KB of requests that run once, in the leader of the log.

--- a/tests/processes/caller_crowd_test.cpp
+++ b/tests/processes/caller_crowd_test.cpp
@@ -129,6 +129,51 @@
     crowd_check(*target).run(std::move(plan));
 }
 
+/// Guards against the memory of answers that callers have read, kept by their open connections.
+TEST(caller_crowd_kept, answersThatWereReadLeaveMemoryForOthers)
+{
+    const auto target = startTarget(called_side::OwnEntry);
+    crowd_plan plan;
+    plan.completeEvery = 1;
+    plan.requestsOfCaller = 1;
+    plan.headOf = [&](std::size_t number) {
+        return target->head("GET", target->longAnswerPath(), number);
+    };
+    crowd_check(*target).run(std::move(plan));
+}
+
+/// Guards against the memory of bodies that endpoints have read, kept by connections to them.
+TEST(caller_crowd_kept, bodiesThatWereSentLeaveMemoryForOthers)
+{
+    target_options asked;
+    asked.endpoints = 30;
+    const auto target = startTarget(called_side::OwnEntry, asked);
+    crowd_plan plan;
+    plan.bodyBytes = bodyBytes;
+    plan.callers = 4; // as many as are served at once
+    plan.requestsOfCaller = 40;
+    plan.completeEvery = 1;
+    plan.headOf = [&](std::size_t number) {
+        return target->head("POST", target->bodyPath(), number) + "Connection: close\r\n";
+    };
+    plan.readsToClose = true;
+    crowd_check(*target, asked).run(std::move(plan));
+}
+
+/// Guards against answers of requests that run once which the log has given up.
+TEST(caller_crowd_kept, answersOfClaimsLeaveMemoryForOthers)
+{
+    const auto target = startTarget(called_side::ClaimingLeader);
+    crowd_plan plan;
+    plan.completeEvery = 1;
+    plan.requestsOfCaller = 10;
+    plan.headOf = [&](std::size_t number) {
+        return target->head("GET", "/s/answers/short", number) + "Connection: close\r\n";
+    };
+    plan.readsToClose = true;
+    crowd_check(*target).run(std::move(plan));
+}
+
 /// Guards against memory that one crowd leaves behind and the next, of another shape, adds to.
 TEST(caller_crowd, shapesInSeriesLeaveMemoryForOthers)
 {
--- a/tests/processes/crowd_target.cpp
+++ b/tests/processes/crowd_target.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <vector>
 
 namespace yuccascale::processes {
 
@@ -29,13 +30,16 @@
 {
 public:
     explicit own_entry(const target_options &asked, bool idempotent = true)
-        : m_system(options(asked))
+        : m_answers(asked.endpoints)
+        , m_system(options(asked))
     {
-        const json endpoint{{"name", "answers-1"},
-                            {"address", m_answers.address()},
-                            {"zone", "perth-a"},
-                            {"slots", "64"}};
-        const json pool{{"name", "answers"}, {"kind", "service"}, {"endpoints", {endpoint}}};
+        json endpoints = json::array();
+        for (const long_answers &one : m_answers)
+            endpoints.push_back({{"name", "answers-" + std::to_string(endpoints.size() + 1)},
+                                 {"address", one.address()},
+                                 {"zone", "perth-a"},
+                                 {"slots", "64"}});
+        const json pool{{"name", "answers"}, {"kind", "service"}, {"endpoints", endpoints}};
         const json route{{"name", "answers"},
                          {"pool", "answers"},
                          {"kind", "service"},
@@ -88,7 +92,7 @@
         return made;
     }
 
-    long_answers m_answers;
+    std::vector<long_answers> m_answers;
     cluster m_system;
 };
 
--- a/tests/processes/crowd_target.hpp
+++ b/tests/processes/crowd_target.hpp
@@ -67,6 +67,7 @@
     /// as a large one.
     std::size_t headBytes = 16'384;
     std::size_t connections = 100; ///< setting http.connections
+    std::size_t endpoints = 1;     ///< of an entry with protocol "own"
 };
 
 [[nodiscard]] std::unique_ptr<crowd_target> startTarget(called_side side,
--- a/tests/processes/long_answers.cpp
+++ b/tests/processes/long_answers.cpp
@@ -88,6 +88,8 @@
         reply.stream = writeEvents;
     } else if (request.path.find("/long") != std::string::npos) {
         reply.body.assign(answerBytes, 'x');
+    } else if (request.path.find("/short") != std::string::npos) {
+        reply.body.assign(shortAnswerBytes, 'x');
     } else {
         reply.body = "served";
     }
--- a/tests/processes/long_answers.hpp
+++ b/tests/processes/long_answers.hpp
@@ -12,12 +12,13 @@
 namespace yuccascale::processes {
 
 /// \brief Serves any route. What it answers depends on the path: "/long" and "/stream" in it give
-///        long answers, whole or as a stream of events, and "/slow" an answer after a second.
-///        Thread-safe.
+///        long answers, whole or as a stream of events, "/short" one of 250 KB, and "/slow" an
+///        answer after a second. Thread-safe.
 class long_answers
 {
 public:
     static constexpr std::size_t answerBytes = 4'000'000;
+    static constexpr std::size_t shortAnswerBytes = 250'000; ///< of "/short"
     static constexpr std::size_t streamBytes = 16'000'000;
 
     long_answers();
