Connections free the buffer of an answer that was sent

Callers saw: a process that ran out of memory by callers who read long answers and keep their connections open: 4 MB for each, not counted, until the connection closes or carries another long answer. 15 connections take 60 MB.

Cause: `m_sending = {}` picks the assignment of an empty list, which keeps the capacity of a string, as clear() does; assigning an empty string keeps it too. The budget took the bytes for freed.

Change: kernel::freeMemory() swaps with an empty container.

--- a/src/yuccascale/net/http_connection.cpp
+++ b/src/yuccascale/net/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "yuccascale/net/http_connection.hpp"
 
+#include "yuccascale/kernel/free_memory.hpp"
+
 #include <boost/asio/write.hpp>
 #include <sys/resource.h>
 
@@ -636,7 +638,7 @@
     m_writing = false;
     m_writeDeadline = steady_instant::max();
     if (m_sending.capacity() > maxRetainedBufferBytes)
-        m_sending = {};
+        kernel::freeMemory(m_sending);
     if (m_phase == phase::Closed)
         return static_cast<void>(m_account->hold(0, accountTime()));
     if (problem)
@@ -682,7 +684,7 @@
     m_socket.close(ignored);
     m_parser.reset();
     m_buffer = {};
-    m_unsent = {};
+    kernel::freeMemory(m_unsent);
     m_answerBytes = 0;
     if (m_account) // the buffer of a write in progress is freed when that has ended
         static_cast<void>(m_account->hold(m_writing ? memoryOf(m_sending) : 0, accountTime()));
