Connections to endpoints free the body that was sent

Callers saw: a process that ran out of memory by large bodies, though no more were served at once than the budget allows. Each idle connection to an endpoint, up to 64 for each address, kept the body that it had last carried: 30 endpoints took 217 MB.

Change: the head and the body are freed when they have been written.

--- a/src/yuccascale/net/client_connection.cpp
+++ b/src/yuccascale/net/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "yuccascale/net/client_connection.hpp"
 
+#include "yuccascale/kernel/free_memory.hpp"
 #include "yuccascale/wire/socket.hpp"
 
 #include <boost/asio/write.hpp>
@@ -184,8 +185,8 @@
                              [self = shared_from_this()](error_code problem, std::size_t) {
                                  self->m_writing = false;
                                  self->m_writeFailed = static_cast<bool>(problem);
-                                 self->m_head = {};
-                                 self->m_body = {};
+                                 kernel::freeMemory(self->m_head);
+                                 kernel::freeMemory(self->m_body);
                                  // the server may have answered before it closed; the answer is
                                  // still read
                                  if (problem && !self->m_reading)
