--- a/src/yuccascale/kernel/consensus/replica_snapshot.cpp
+++ b/src/yuccascale/kernel/consensus/replica_snapshot.cpp
@@ -1,5 +1,6 @@
 #include "yuccascale/kernel/consensus/events.hpp"
 #include "yuccascale/kernel/consensus/replica.hpp"
+#include "yuccascale/kernel/free_memory.hpp"
 
 #include <utility>
 
@@ -34,8 +35,8 @@
             && m_snapshotHeader.total == chunk.total;
     if (!sameTransfer) {
         m_snapshotHeader = chunk;
-        m_snapshotHeader.bytes.clear();
-        m_snapshotBytes.clear();
+        freeMemory(m_snapshotHeader.bytes);
+        freeMemory(m_snapshotBytes);
     }
     if (chunk.offset == m_snapshotBytes.size())
         m_snapshotBytes += chunk.bytes;
@@ -52,7 +53,7 @@
     snapshot_data snapshot{m_snapshotHeader.index, m_snapshotHeader.snapshotTerm,
                            m_snapshotHeader.members,
                            std::make_shared<const std::string>(std::move(m_snapshotBytes))};
-    m_snapshotBytes.clear();
+    freeMemory(m_snapshotBytes);
     m_snapshotHeader = {};
     m_commitIndex = snapshot.index;
     // the log holds these entries already: they are applied one by one, and later entries are kept
--- a/src/yuccascale/kernel/state/claims.cpp
+++ b/src/yuccascale/kernel/state/claims.cpp
@@ -1,5 +1,6 @@
 #include "yuccascale/kernel/state/claims.hpp"
 
+#include "yuccascale/kernel/free_memory.hpp"
 #include "yuccascale/kernel/state/answers.hpp"
 
 #include <xxhash.h>
@@ -213,7 +214,7 @@
             continue;
         claim_record &oldest = found->second;
         m_answerBytes -= oldest.answer.size();
-        oldest.answer = {};
+        freeMemory(oldest.answer);
         oldest.answerKept = false;
     }
 }
--- a/src/yuccascale/wire/framed_connection.cpp
+++ b/src/yuccascale/wire/framed_connection.cpp
@@ -1,5 +1,7 @@
 #include "yuccascale/wire/framed_connection.hpp"
 
+#include "yuccascale/kernel/free_memory.hpp"
+
 #include <algorithm>
 #include <exception>
 #include <utility>
@@ -59,8 +61,8 @@
     m_socket.shutdown(tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
     closed();
-    m_output = {};
-    m_kept = {};
+    kernel::freeMemory(m_output);
+    kernel::freeMemory(m_kept);
 }
 
 int framed_connection::releaseSocket()
@@ -198,7 +200,7 @@
         waitToWrite();
         return false;
     }
-    m_output = {};
+    kernel::freeMemory(m_output);
     return true;
 }
 
