Records of streams keep long request ids as digests

Cause: a record of each stream is kept for some of its deadlines, at the entry, at two others and at a control node, up to 50,000 at each, with the request id twice. An id may be as long as a head: 16 KB.

Change: ids beyond 64 bytes are kept, and their keepers chosen, by a digest of 128 bits. Beside, records of such ids may be asked of other keepers; then the stream goes on as one without a record does.

Measured: stream_origins.keepsLongIdsAsDigests fails without the change.

--- a/src/yuccascale/kernel/requests/stream_origins.cpp
+++ b/src/yuccascale/kernel/requests/stream_origins.cpp
@@ -12,6 +12,20 @@
 
 /// Bounds the memory of an entry whose callers begin streams without end.
 constexpr std::size_t maxRecords = 50'000;
+/// Longer ids are kept as a digest; callers choose them, up to the size of a head.
+constexpr std::size_t maxIdBytes = 64;
+constexpr std::string_view digestScheme = "xxh128:";
+
+/// \returns what stands for an id in the records.
+[[nodiscard]] std::string keyOf(std::string_view requestId)
+{
+    if (requestId.size() <= maxIdBytes)
+        return std::string(requestId);
+    const XXH128_hash_t hash = XXH3_128bits(requestId.data(), requestId.size());
+    std::string key(digestScheme);
+    key += std::to_string(hash.high64) + "-" + std::to_string(hash.low64);
+    return key;
+}
 
 } // namespace
 
@@ -26,14 +40,14 @@
             m_origins.erase(oldest);
         m_oldestFirst.pop_front();
     }
-    if (m_origins.insert_or_assign(began.requestId, kept_origin{began.origin, now + began.kept})
-                .second)
-        m_oldestFirst.push_back(began.requestId);
+    const std::string key = keyOf(began.requestId);
+    if (m_origins.insert_or_assign(key, kept_origin{began.origin, now + began.kept}).second)
+        m_oldestFirst.push_back(key);
 }
 
 std::optional<stream_origin> stream_origins::find(instant now, std::string_view requestId) const
 {
-    const auto found = m_origins.find(requestId);
+    const auto found = m_origins.find(keyOf(requestId));
     if (found == m_origins.end() || found->second.until <= now)
         return std::nullopt;
     return found->second.origin;
@@ -119,7 +133,8 @@
 std::vector<std::string> keepersOf(std::string_view requestId, std::span<const std::string> links,
                                    std::size_t count)
 {
-    const std::uint64_t seed = XXH3_64bits(requestId.data(), requestId.size());
+    const std::string key = keyOf(requestId);
+    const std::uint64_t seed = XXH3_64bits(key.data(), key.size());
     std::vector<std::pair<std::uint64_t, std::size_t>> ranks;
     ranks.reserve(links.size());
     for (std::size_t index = 0; index < links.size(); ++index) {
--- a/src/yuccascale/kernel/requests/stream_origins.hpp
+++ b/src/yuccascale/kernel/requests/stream_origins.hpp
@@ -64,14 +64,16 @@
     origins_seen seen;                   ///< since before the stream can have begun
 };
 
-/// \brief Records of the streams that began lately. Not thread-safe.
+/// \brief Records of the streams that began lately. Long request ids are kept as digests. Not
+///        thread-safe.
 class stream_origins
 {
 public:
     void record(instant now, const stream_record &began);
     [[nodiscard]] std::optional<stream_origin> find(instant now, std::string_view requestId) const;
 
-    /// \returns the records of a pool that may still be taken up.
+    /// \returns the records of a pool that may still be taken up, with digests in place of long
+    /// ids.
     [[nodiscard]] std::vector<stream_record> recordsOf(instant now, std::string_view pool) const;
 
 private:
@@ -81,8 +83,8 @@
         instant until{};
     };
 
-    std::map<std::string, kept_origin, std::less<>> m_origins; ///< by request id
-    std::deque<std::string> m_oldestFirst;
+    std::map<std::string, kept_origin, std::less<>> m_origins; ///< by request id or digest
+    std::deque<std::string> m_oldestFirst;                     ///< keys of m_origins
 };
 
 /// \brief Decides where a stream goes on.
--- a/tests/unit/requests_stream_origins_test.cpp
+++ b/tests/unit/requests_stream_origins_test.cpp
@@ -62,6 +62,26 @@
     EXPECT_FALSE(origins.find(start, "0"));
 }
 
+/// Guards against ids of callers that are kept at any length.
+TEST(stream_origins, keepsLongIdsAsDigests)
+{
+    const std::string id(12'000, 'i');
+    stream_origins origins;
+    const instant now{seconds(10)};
+    origins.record(now, {id, {"chat", "v1"}, seconds(5)});
+    EXPECT_TRUE(origins.find(now, id));
+    EXPECT_FALSE(origins.find(now, id + "i"));
+    const auto records = origins.recordsOf(now, "chat");
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_LT(records.front().requestId.size(), 100U);
+    // another entry that is told of it finds it, and asks those who keep it
+    stream_origins other;
+    other.record(now, records.front());
+    EXPECT_TRUE(other.find(now, id));
+    const std::vector<std::string> links{"a:1", "b:1", "c:1", "d:1"};
+    EXPECT_EQ(keepersOf(id, links, 2), keepersOf(records.front().requestId, links, 2));
+}
+
 TEST(stream_origins, aRecordGoesBeforeTheOnlyVersionOfAnEntryWhoseListIsOld)
 {
     const std::vector<origin_answer> answers{saw({"v1"}), {stream_origin{"engines", "v2"}, {}}};
