What the answers to reads of the document hold is counted before it is copied

Callers saw: a leader of the log that grew by 130 MB by 60 reads of a document of 4 MB whose answers were not read.

Cause: worker threads copied the document for each read, and the copies waited for the loop, where the budget sees them only when they are written. Copying on the loop instead was tried: 250 MB, since connections that are shed are closed after all answers that wait for the loop; reverted.

Change: an exchange counts further bytes for its request, http_exchange::holdRequest(); a read is refused with 503 and Retry-After before a thread takes it when its document does not fit.

--- a/src/yuccascale/http/document_interface.cpp
+++ b/src/yuccascale/http/document_interface.cpp
@@ -25,6 +25,7 @@
 /// Documents are read one at a time, since a parsed one takes several times the memory of its text.
 constexpr runtime::thread_share readerThreads{1, 1, runtime::worker_group::Operators};
 constexpr int redirectStatus = 307;
+constexpr seconds memoryRetry{1};
 const net::header_list jsonHeaders{{"Content-Type", "application/json"}};
 
 [[nodiscard]] net::http_reply errorReply(const error &problem)
@@ -36,6 +37,16 @@
     return {statusOf(problem.kind), jsonHeaders, kernel::toText(body)};
 }
 
+/// Tells the caller that its request has not run and when to return.
+[[nodiscard]] net::http_reply shortOfMemory()
+{
+    net::http_reply reply
+            = errorReply({error_kind::Unavailable, "document",
+                          "the memory for requests is used up; send the request again later"});
+    reply.headers.push_back({"Retry-After", std::to_string(memoryRetry.count())});
+    return reply;
+}
+
 [[nodiscard]] net::http_reply redirect(const std::string &address, const std::string &target)
 {
     return {redirectStatus, {{"Location", "http://" + address + target}}, {}};
@@ -58,6 +69,8 @@
     void serve(const std::shared_ptr<net::http_exchange> &exchange)
     {
         const std::optional<document_call> call = m_protocol->callOf(exchange->request());
+        if (call == document_call::Get && !holdDocument(*exchange))
+            return exchange->reply(shortOfMemory());
         if (call == document_call::Put)
             m_readers.run([this, exchange] { answerSafely(exchange, [&] { put(exchange); }); });
         else
@@ -152,14 +165,9 @@
             return reply(exchange,
                          errorReply({error_kind::NotFound, std::string(httpRequest.path()),
                                      "no such call; see docs/platform.md"}));
-        reply(exchange, document(httpRequest));
-    }
-
-    [[nodiscard]] net::http_reply document(const net::http_request &httpRequest)
-    {
         const std::string leader = m_services.leaderAddress();
         if (!leader.empty())
-            return redirect(leader, httpRequest.target);
+            return reply(exchange, redirect(leader, httpRequest.target));
         error problem;
         std::shared_ptr<const std::string> bytes;
         const bool confirmed = succeeded(
@@ -169,11 +177,20 @@
                 },
                 problem);
         if (!confirmed || bytes->empty()) {
-            return errorReply(
-                    {error_kind::Unavailable, "document",
-                     confirmed ? "no document has been committed yet; send one" : problem.message});
+            return reply(exchange,
+                         errorReply({error_kind::Unavailable, "document",
+                                     confirmed ? "no document has been committed yet; send one"
+                                               : problem.message}));
         }
-        return {200, jsonHeaders, *bytes};
+        reply(exchange, {200, jsonHeaders, *bytes});
+    }
+
+    /// Many callers may ask for the document at once, so what their answers will hold is counted
+    /// before threads copy it. A redirect holds nothing.
+    [[nodiscard]] bool holdDocument(net::http_exchange &exchange) const
+    {
+        return !m_services.leaderAddress().empty()
+                || exchange.holdRequest(m_services.documentBytes());
     }
 
     [[nodiscard]] instant deadlineAfter(milliseconds timeout) const
--- a/src/yuccascale/http/document_interface.hpp
+++ b/src/yuccascale/http/document_interface.hpp
@@ -36,6 +36,8 @@
     /// The address at which the leader serves this interface; empty when it is this node or
     /// unknown.
     std::function<std::string()> leaderAddress;
+    /// The bytes of the document that this node has, confirmed or not.
+    std::function<std::size_t()> documentBytes = [] { return std::size_t{0}; };
     std::shared_ptr<runtime::worker_threads> workers = nullptr; ///< null: threads of its own
 };
 
--- a/src/yuccascale/net/http_connection.hpp
+++ b/src/yuccascale/net/http_connection.hpp
@@ -193,6 +193,7 @@
     void finish() override;
     void abort() override;
     void onCallerDisconnected(std::function<void()> action) override;
+    [[nodiscard]] bool holdRequest(std::size_t bytes) override;
     void holdAnswer(std::size_t bytes) override;
     void checkCaller() override;
 
--- a/src/yuccascale/net/http_connection_answers.cpp
+++ b/src/yuccascale/net/http_connection_answers.cpp
@@ -261,6 +261,14 @@
         m_connection->abort();
 }
 
+bool http_server::exchange::holdRequest(std::size_t bytes)
+{
+    if (!m_account->run(bytes, accountTime()))
+        return false;
+    m_runningBytes += bytes;
+    return true;
+}
+
 void http_server::exchange::holdAnswer(std::size_t bytes)
 {
     if (isCurrent())
--- a/src/yuccascale/net/http_exchange.hpp
+++ b/src/yuccascale/net/http_exchange.hpp
@@ -3,6 +3,7 @@
 #include "yuccascale/net/event_loops.hpp"
 #include "yuccascale/net/http_message.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -47,6 +48,10 @@
     /// \brief Sets what runs once when the caller disconnects before the answer has ended.
     virtual void onCallerDisconnected(std::function<void()> action) = 0;
 
+    /// \brief Counts further bytes that are held for the request, until the exchange is destroyed.
+    /// \returns false when they do not fit into the process's memory: refuse the request then.
+    [[nodiscard]] virtual bool holdRequest(std::size_t bytes) = 0;
+
     /// \brief Counts the bytes of an answer that are held until they can be sent. When they do not
     ///        fit into the process's memory the caller is disconnected, as it would have itself.
     virtual void holdAnswer(std::size_t bytes) = 0;
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -298,6 +298,10 @@
             },
             [this](instant deadline) { return control->confirmedDocument(deadline); },
             [this] { return leaderDocumentAddress(); },
+            [this] {
+                return control->read(
+                        [](const state::machine &machine) { return machine.document()->size(); });
+            },
             workers};
     document = std::make_unique<http::document_interface>(std::move(services), std::move(protocol));
     return {};
--- a/tests/processes/caller_crowd_test.cpp
+++ b/tests/processes/caller_crowd_test.cpp
@@ -106,7 +106,8 @@
                          nameOf);
 
 INSTANTIATE_TEST_SUITE_P(atFurther, caller_crowd_answers,
-                         testing::Values(called_side::ClaimingLeader), nameOf);
+                         testing::Values(called_side::ClaimingLeader, called_side::LeaderDocument),
+                         nameOf);
 
 /// Guards against streams that pile up for callers that do not read them.
 TEST(caller_crowd, streamsThatAreNotReadLeaveMemoryForOthers)
--- a/tests/processes/crowd_target.cpp
+++ b/tests/processes/crowd_target.cpp
@@ -273,6 +273,48 @@
     [[nodiscard]] std::string path() const override { return "/config"; }
 };
 
+class leader_document final : public listener_target
+{
+public:
+    explicit leader_document(const target_options &asked)
+        : listener_target(asked)
+    {
+        EXPECT_TRUE(waitUntil(cluster::readyTimeout, [this] {
+            m_leader = system().leader().value_or(0);
+            return putLargeDocument() == 200;
+        }));
+    }
+
+    [[nodiscard]] std::string address() const override
+    {
+        return system().operatorAddress(m_leader);
+    }
+    [[nodiscard]] child_process &process() const override
+    {
+        return system().controlProcess(m_leader);
+    }
+
+protected:
+    [[nodiscard]] std::string path() const override { return "/config"; }
+
+private:
+    [[nodiscard]] int putLargeDocument() const
+    {
+        const json document{{"version", 2},
+                            {"routes", json::array()},
+                            {"services", json::array()},
+                            {"unknown", std::string(long_answers::answerBytes, 'x')}};
+        fakes::http_call call;
+        call.address = address();
+        call.method = "PUT";
+        call.path = path();
+        call.body = document.dump();
+        return fakes::callHttp(call).status;
+    }
+
+    std::size_t m_leader = 0;
+};
+
 class metrics_listener final : public listener_target
 {
 public:
@@ -323,6 +365,8 @@
         return std::make_unique<platform_entry>(asked);
     case called_side::DocumentInterface:
         return std::make_unique<document_interface>(asked);
+    case called_side::LeaderDocument:
+        return std::make_unique<leader_document>(asked);
     case called_side::Directory:
         return std::make_unique<directory_listener>(asked);
     case called_side::Readiness:
@@ -337,8 +381,9 @@
 
 std::string sideName(called_side side)
 {
-    constexpr std::array names{"own_entry", "platform_entry", "document_interface", "directory",
-                               "readiness", "metrics",        "claiming_leader"};
+    constexpr std::array names{"own_entry",       "platform_entry", "document_interface",
+                               "leader_document", "directory",      "readiness",
+                               "metrics",         "claiming_leader"};
     return names.at(static_cast<std::size_t>(side));
 }
 
--- a/tests/processes/crowd_target.hpp
+++ b/tests/processes/crowd_target.hpp
@@ -54,6 +54,7 @@
     OwnEntry,          ///< an entry with protocol "own"
     PlatformEntry,     ///< an entry with protocol "platform"
     DocumentInterface, ///< of a control node
+    LeaderDocument,    ///< of the leader of the log, which has a document of 4 MB
     Directory,         ///< of an entry with protocol "platform"
     Readiness,         ///< of an entry with protocol "platform"
     Metrics,           ///< of a control node
--- a/tests/unit/http_server_memory_test.cpp
+++ b/tests/unit/http_server_memory_test.cpp
@@ -202,6 +202,28 @@
     EXPECT_NE(caller.readUntil("length 0", patienceMs).find("length 0"), std::string::npos);
 }
 
+/// Guards against what is derived from a request, or copied for its answer, and not counted.
+TEST_F(http_server_memory, countsWhatIsHeldForARequest)
+{
+    const fakes::raw_peer caller = send("/keep", 10, 10);
+    for (int wait = 0; wait < patienceMs && m_served == 0; ++wait)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    ASSERT_EQ(m_served, 1);
+    const std::size_t before = m_budget->held();
+    std::promise<void> held;
+    boost::asio::post(m_kept.front()->loop(), [&] {
+        EXPECT_TRUE(m_kept.front()->holdRequest(600'000));
+        EXPECT_EQ(m_budget->held(), before + 600'000);
+        held.set_value();
+    });
+    held.get_future().wait();
+    const fakes::raw_peer refused = send("/b", 300'000, 300'000);
+    EXPECT_NE(refused.readToEnd(patienceMs).find("503"), std::string::npos);
+    m_kept.clear();
+    const fakes::raw_peer served = send("/c", 300'000, 300'000);
+    EXPECT_NE(served.readUntil("length 300000", patienceMs).find("length"), std::string::npos);
+}
+
 /// Guards against heads of unfinished bodies that are held uncounted.
 TEST_F(http_server_memory, countsTheHeadOfAnUnfinishedBody)
 {
