Parts of prompts are counted while their request lives

Cause: a head of 16 KB may name 4,000 parts, 128 KB in the request and in the queue of its pool, that the budget did not count.

Change: they are counted when the request is admitted; without room it is refused as not run, with Retry-After, and counted with the refused ones.

--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -34,6 +34,8 @@
 constexpr int originWaitPolls = 2;
 /// Requests that wait for a confirmation of the tables at the same time.
 constexpr std::size_t maxHeldRequests = 256;
+/// Told to callers whose requests find no memory.
+constexpr kernel::seconds memoryRetry{1};
 
 [[nodiscard]] net::http_limits limitsFrom(const runtime::http_settings &settings)
 {
@@ -63,6 +65,19 @@
             || kind == kernel::error_kind::Forbidden;
 }
 
+/// \returns what the parts of its prompt hold, in the request and in the queue of its pool.
+[[nodiscard]] std::size_t memoryOfParts(const request &callerRequest) noexcept
+{
+    constexpr std::size_t copies = 2;
+    return copies * callerRequest.parts.capacity() * sizeof(prompt_part);
+}
+
+[[nodiscard]] refusal memoryRefusal()
+{
+    return {kernel::error_kind::Overloaded,
+            "the memory for requests is used up; retry at another address", false, memoryRetry};
+}
+
 [[nodiscard]] std::int64_t inMilliseconds(kernel::nanoseconds time) noexcept
 {
     return std::chrono::duration_cast<milliseconds>(time).count();
@@ -153,8 +168,8 @@
     void recordTablesAge(const std::string &id, const reading_context &context);
     void refuse(const arrived_request &arrived, const std::string &id, kernel::error problem,
                 const kernel::control_view &view);
-    void refuseOverQuota(const arrived_request &arrived, const request &callerRequest,
-                         const refusal &reason);
+    void refuseUnlogged(const arrived_request &arrived, const request &callerRequest,
+                        const refusal &reason);
     [[nodiscard]] bool hold(const arrived_request &arrived);
     void retryHeld();
     [[nodiscard]] entry_status status();
@@ -445,6 +460,8 @@
             problem);
     if (!readable)
         return refuse(arrived, id, std::move(problem), context.view);
+    if (!exchange->holdRequest(memoryOfParts(callerRequest)))
+        return refuseUnlogged(arrived, callerRequest, memoryRefusal());
     recordTablesAge(callerRequest.id, context);
     callerRequest.deadline -= context.now - arrived.receivedAt;
     callerRequest.receivedAt = arrived.receivedAt;
@@ -452,16 +469,17 @@
     takeOver(arrived.relayGrant, callerRequest);
     quota_charge charge;
     if (const auto refused = m_services.quotas->admit(callerRequest, charge))
-        return refuseOverQuota(arrived, callerRequest, *refused);
+        return refuseUnlogged(arrived, callerRequest, *refused);
     const double weight = organisationWeight(context.view, callerRequest.organisation);
     caller_session::start(m_services, std::move(callerRequest), weight, exchange,
                           std::move(charge));
 }
 
-/// The log line of the organisation stands for those of its requests, of which there may be many.
-void caller_server::implementation::refuseOverQuota(const arrived_request &arrived,
-                                                    const request &callerRequest,
-                                                    const refusal &reason)
+/// The log line of the organisation, or of the shortage of memory, stands for those of its
+/// requests, of which there may be many.
+void caller_server::implementation::refuseUnlogged(const arrived_request &arrived,
+                                                   const request &callerRequest,
+                                                   const refusal &reason)
 {
     m_services.metrics.refused({callerRequest.route.name, callerRequest.organisation},
                                kernel::errorKindName(reason.kind));
