--- a/tests/processes/caller_crowd_test.cpp
+++ b/tests/processes/caller_crowd_test.cpp
@@ -19,39 +19,40 @@
 constexpr std::size_t crowdBeyondConnections = 400;
 constexpr std::size_t crowdOfStreams = 90;
 
+/// \returns a crowd that sends bodies of legal size, most of them short of their end.
+crowd_plan unfinishedBodies(const crowd_target &target, body_form form)
+{
+    crowd_plan plan;
+    plan.form = form;
+    plan.bodyBytes = bodyBytes;
+    plan.headOf = [&target](std::size_t number) {
+        return target.head(target.bodyMethod(), target.bodyPath(), number);
+    };
+    return plan;
+}
+
+/// \returns a crowd most of which does not read its long answers.
+crowd_plan unreadAnswers(const crowd_target &target)
+{
+    crowd_plan plan;
+    plan.headOf = [&target](std::size_t number) {
+        return target.head("GET", target.longAnswerPath(), number);
+    };
+    return plan;
+}
+
 class caller_crowd_bodies : public testing::TestWithParam<called_side>
 {
 protected:
-    static crowd_plan planOf(const crowd_target &target, body_form form)
-    {
-        crowd_plan plan;
-        plan.form = form;
-        plan.bodyBytes = bodyBytes;
-        plan.headOf = [&target](std::size_t number) {
-            return target.head(target.bodyMethod(), target.bodyPath(), number);
-        };
-        return plan;
-    }
-
     static void run(body_form form)
     {
         const std::unique_ptr<crowd_target> target = startTarget(GetParam());
-        crowd_check(*target).run(planOf(*target, form));
+        crowd_check(*target).run(unfinishedBodies(*target, form));
     }
 };
 
 class caller_crowd_answers : public testing::TestWithParam<called_side>
-{
-protected:
-    static crowd_plan planOf(const crowd_target &target)
-    {
-        crowd_plan plan;
-        plan.headOf = [&target](std::size_t number) {
-            return target.head("GET", target.longAnswerPath(), number);
-        };
-        return plan;
-    }
-};
+{ };
 
 std::string nameOf(const testing::TestParamInfo<called_side> &side)
 {
@@ -98,7 +99,7 @@
 TEST_P(caller_crowd_answers, thatAreNotReadLeaveMemoryForOthers)
 {
     const std::unique_ptr<crowd_target> target = startTarget(GetParam());
-    crowd_check(*target).run(planOf(*target));
+    crowd_check(*target).run(unreadAnswers(*target));
 }
 
 INSTANTIATE_TEST_SUITE_P(at, caller_crowd_answers,
@@ -134,12 +135,9 @@
 TEST(caller_crowd_kept, answersThatWereReadLeaveMemoryForOthers)
 {
     const auto target = startTarget(called_side::OwnEntry);
-    crowd_plan plan;
-    plan.completeEvery = 1;
+    crowd_plan plan = unreadAnswers(*target);
+    plan.completeEvery = 1; // all read, and keep their connections
     plan.requestsOfCaller = 1;
-    plan.headOf = [&](std::size_t number) {
-        return target->head("GET", target->longAnswerPath(), number);
-    };
     crowd_check(*target).run(std::move(plan));
 }
 
@@ -182,18 +180,8 @@
     crowd_check check(*target);
     for (const body_form form :
          {body_form::SmallChunks, body_form::Whole, body_form::LargeChunks, body_form::Pieces}) {
-        crowd_plan bodies;
-        bodies.form = form;
-        bodies.bodyBytes = bodyBytes;
-        bodies.headOf = [&](std::size_t number) {
-            return target->head("POST", target->bodyPath(), number);
-        };
-        check.run(std::move(bodies));
-        crowd_plan answers;
-        answers.headOf = [&](std::size_t number) {
-            return target->head("GET", target->longAnswerPath(), number);
-        };
-        check.run(std::move(answers));
+        check.run(unfinishedBodies(*target, form));
+        check.run(unreadAnswers(*target));
     }
 }
 
--- a/tests/processes/crowd_target.cpp
+++ b/tests/processes/crowd_target.cpp
@@ -138,26 +138,6 @@
 
     [[nodiscard]] const zone_cluster &system() const noexcept { return m_system; }
 
-    [[nodiscard]] static std::string headTo(const std::string &method, const std::string &path,
-                                            const std::string &id)
-    {
-        return method + " " + path
-                + " HTTP/1.1\r\nHost: soak.example\r\nX-Request-Deadline: 20000\r\nX-Request-Id: "
-                + id + "\r\nAuthorization: Bearer " + organisationKey + "\r\n";
-    }
-
-    [[nodiscard]] fakes::http_call ordinaryCall(int number) const
-    {
-        fakes::http_call call;
-        call.address = m_system.callerAddress(0);
-        call.path = "/plain/x";
-        call.headers = {{"Host", "soak.example"},
-                        {"Authorization", "Bearer " + organisationKey},
-                        {"X-Request-Deadline", "5000"},
-                        {"X-Request-Id", "ordinary-" + std::to_string(number)}};
-        return call;
-    }
-
 private:
     [[nodiscard]] zone_options options() const
     {
@@ -224,12 +204,21 @@
     [[nodiscard]] std::string headOf(const std::string &method, const std::string &path,
                                      const std::string &id) const override
     {
-        return headTo(method, path, id);
+        return method + " " + path
+                + " HTTP/1.1\r\nHost: soak.example\r\nX-Request-Deadline: 20000\r\nX-Request-Id: "
+                + id + "\r\nAuthorization: Bearer " + organisationKey + "\r\n";
     }
 
     [[nodiscard]] fakes::http_call ordinary(int number) const override
     {
-        return ordinaryCall(number);
+        fakes::http_call call;
+        call.address = address();
+        call.path = bodyPath();
+        call.headers = {{"Host", "soak.example"},
+                        {"Authorization", "Bearer " + organisationKey},
+                        {"X-Request-Deadline", "5000"},
+                        {"X-Request-Id", "ordinary-" + std::to_string(number)}};
+        return call;
     }
 };
 
