--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -393,9 +393,13 @@
                                f"{self.net}.{50 + at}", ZONES[at % 3]) for at in range(fronts)]
 
     async def __aenter__(self):
-        await self.platform.start()
-        for machine in self.cores + self.fronts:
-            machine.start(bootstrap=True)
+        try:
+            await self.platform.start()
+            for machine in self.cores + self.fronts:
+                machine.start(bootstrap=True)
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_):
