Logs tell whether a document changed anything, and how many keys it left

A document that could not be read was logged as version 0, which is a version.

Change: document_answered has 'changed', and 'unread' in place of 0; revision_in_force has 'keys' and 'open_routes'.

--- a/src/yuccascale/http/document_interface.cpp
+++ b/src/yuccascale/http/document_interface.cpp
@@ -93,7 +93,7 @@
         try {
             answer();
         } catch (const std::exception &problem) {
-            recordOutcome(0, "failed", problem.what());
+            recordOutcome("unread", "failed", problem.what());
             reply(exchange, errorReply({error_kind::Internal, "document", problem.what()}));
         }
     }
@@ -109,7 +109,7 @@
                 },
                 problem);
         if (!readable) {
-            recordOutcome(0, "refused", problem.where + ": " + problem.message);
+            recordOutcome("unread", "refused", problem.where + ": " + problem.message);
             return reply(exchange, errorReply(problem));
         }
         // another document may be read while this one is committed
@@ -133,24 +133,27 @@
                 },
                 problem);
         if (!answered) {
-            recordOutcome(version, "unanswered", problem.message);
+            recordOutcome(std::to_string(version), "unanswered", problem.message);
             return reply(exchange,
                          errorReply({error_kind::Unavailable, "document", problem.message}));
         }
         if (answer.accepted)
-            return acknowledgeWhenSettled(exchange, version, answer.revision);
-        recordOutcome(version, "refused", answer.message);
+            return acknowledgeWhenSettled(exchange, version, answer);
+        recordOutcome(std::to_string(version), "refused", answer.message);
         reply(exchange, errorReply({answer.kind, "document", answer.message}));
     }
 
     /// No thread waits for it.
     void acknowledgeWhenSettled(const exchange_pointer &exchange, std::uint64_t version,
-                                std::uint64_t revision)
+                                const state::command_result &answer)
     {
-        const auto acknowledge = [this, exchange, version, revision](bool settled) {
+        const std::uint64_t revision = answer.revision;
+        const bool changed = hasChanged(answer);
+        const auto acknowledge = [this, exchange, version, revision, changed](bool settled) {
             const std::string problem
                     = settled ? "" : "committed, but not in force everywhere yet; send it again";
-            recordOutcome(version, settled ? "accepted" : "unanswered", problem);
+            recordOutcome(std::to_string(version), settled ? "accepted" : "unanswered", problem,
+                          changed);
             if (settled)
                 return reply(exchange, {200, jsonHeaders, toText({{"revision", revision}})});
             reply(exchange, errorReply({error_kind::Unavailable, "document", problem}));
@@ -198,11 +201,20 @@
         return std::min(m_services.clock.now() + timeout, instant(nanoseconds(m_end)));
     }
 
-    void recordOutcome(std::uint64_t version, std::string_view outcome, const std::string &message)
+    /// \returns whether a document replaced the stored one.
+    [[nodiscard]] static bool hasChanged(const state::command_result &answer)
     {
-        m_services.events.record(
-                documentAnswered,
-                {{"version", version}, {"outcome", outcome}, {"message", message}});
+        return answer.detail.is_object() && answer.detail.value("changed", false);
+    }
+
+    void recordOutcome(const std::string &version, std::string_view outcome,
+                       const std::string &message, bool changed = false)
+    {
+        m_services.events.record(documentAnswered,
+                                 {{"version", version},
+                                  {"outcome", outcome},
+                                  {"changed", changed ? "yes" : "no"},
+                                  {"message", message}});
     }
 
     document_services m_services;
--- a/src/yuccascale/http/events.hpp
+++ b/src/yuccascale/http/events.hpp
@@ -22,7 +22,9 @@
 inline const event_kind documentAnswered{
         6004, "document_answered", severity::Info,
         "An operator's whole document was accepted, refused as a whole, or left without a clear "
-        "answer because no quorum committed it in time."};
+        "answer because no quorum committed it in time. 'changed' says whether it replaced the "
+        "stored one; without that, an equal or higher version is stored. A document that could not "
+        "be read has the version 'unread'."};
 
 inline const event_kind memoryShort{
         6005, "memory_short", severity::Warning,
--- a/src/yuccascale/runtime/events.hpp
+++ b/src/yuccascale/runtime/events.hpp
@@ -24,7 +24,8 @@
         "the field 'problem' lists its errors."};
 inline const event_kind revisionInForce{
         1010, "revision_in_force", severity::Info,
-        "A newer revision of the tables or of the endpoint list is in force on this node."};
+        "A newer revision of the tables or of the endpoint list is in force on this node. 'keys' "
+        "are valid; requests to 'open_routes' need none."};
 inline const event_kind freshnessLost{
         1011, "freshness_lost", severity::Warning,
         "No leader confirmed the tables within the freshness time: keyed requests are refused as "
--- a/src/yuccascale/runtime/feed_service.cpp
+++ b/src/yuccascale/runtime/feed_service.cpp
@@ -27,6 +27,13 @@
             std::ranges::count_if(rows, [](const auto &row) { return !row->isEncoded(); }));
 }
 
+[[nodiscard]] std::size_t openRoutes(const state::table_set &tables)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(tables.routes, [](const auto &named) {
+        return named.second.access == state::route_access::Open;
+    }));
+}
+
 } // namespace
 
 feed_service::feed_service(const settings &settings, clock &clock, transport &transport,
@@ -359,21 +366,24 @@
         return;
     std::vector<std::string> peers;
     std::uint64_t revision = 0;
-    std::uint64_t document = 0;
     std::uint64_t endpointListVersion = 0;
+    std::shared_ptr<const state::table_set> tables;
     {
         const std::lock_guard lock(m_mutex);
         peers = m_state.directory().directPeers(m_clock.now(), subscriberWindow);
-        const auto tables = m_state.view().tables;
+        tables = m_state.view().tables;
         revision = m_state.revision();
-        document = tables ? tables->documentVersion : 0;
         endpointListVersion = m_state.endpoints()->version;
     }
+    if (!tables)
+        tables = std::make_shared<state::table_set>();
     for (const std::string &peer : peers)
         m_transport.post(peer, channel::Feed, {});
     m_events.record(revisionInForce,
                     {{"revision", revision},
-                     {"document", document},
+                     {"document", tables->documentVersion},
+                     {"keys", tables->keys.size()},
+                     {"open_routes", openRoutes(*tables)},
                      {"endpoint_list", endpointListVersion}});
 }
 
