--- a/src/yuccascale/platform/operator_document.cpp
+++ b/src/yuccascale/platform/operator_document.cpp
@@ -208,7 +208,9 @@
     put_document document;
     document.version = required<std::uint64_t>(object, "version");
     edit_tables &tables = document.tables;
-    const json::array_t &tenants = listOf(object, "tenants", false);
+    // a list of tenants requires keys, also an empty one: then no key is valid
+    const bool keysRequired = object.contains("tenants");
+    const json::array_t &tenants = listOf(object, "tenants", keysRequired);
     const json::array_t &services = listOf(object, "services", true);
     const json::array_t &routes = listOf(object, "routes", true);
     BOOST_LEAF_CHECK(checkRows(tables, tenants.size() + services.size() + routes.size()));
@@ -220,7 +222,7 @@
         pools[tables.putPools.back().name] = tables.putPools.back();
     }
     for (const json &route : routes) {
-        BOOST_LEAF_AUTO(row, routeFrom(route, pools, !tenants.empty()));
+        BOOST_LEAF_AUTO(row, routeFrom(route, pools, keysRequired));
         tables.putRoutes.push_back(std::move(row));
     }
     const auto limits = object.find("limits");
