--- a/src/yuccascale/http/document_interface.cpp
+++ b/src/yuccascale/http/document_interface.cpp
@@ -118,9 +118,25 @@
         });
     }
 
+    /// \returns whether versions can be compared with that of the stored document.
+    [[nodiscard]] bool isComparable(const stored_document &stored) const
+    {
+        return !stored.bytes->empty() && m_protocol->namesVersion(*stored.bytes, stored.version);
+    }
+
+    /// Makes a document replace what is stored here, when their versions do not tell that it does.
+    void nameReplaced(state::put_document &document) const
+    {
+        const stored_document stored = m_services.stored();
+        if (document.version <= stored.version && !isComparable(stored))
+            document.replacesRevision = {stored.revision};
+    }
+
     void commit(const exchange_pointer &exchange, state::put_document document)
     {
         document.wallMs = m_services.clock.wallNow().time_since_epoch().count();
+        nameReplaced(document);
+        const bool mustChange = !document.replacesRevision.empty();
         const std::uint64_t version = document.version;
         const state::command command{"document/" + std::to_string(version), std::move(document)};
         error problem;
@@ -137,12 +153,24 @@
             return reply(exchange,
                          errorReply({error_kind::Unavailable, "document", problem.message}));
         }
+        if (answer.accepted && mustChange && !hasChanged(answer))
+            return refuseUnstored(exchange, version);
         if (answer.accepted)
             return acknowledgeWhenSettled(exchange, version, answer);
         recordOutcome(std::to_string(version), "refused", answer.message);
         reply(exchange, errorReply({answer.kind, "document", answer.message}));
     }
 
+    /// Another change came first, or the leader runs a former build: that a document changes
+    /// nothing then does not say that it is stored.
+    void refuseUnstored(const exchange_pointer &exchange, std::uint64_t version)
+    {
+        const std::string problem = "not stored, since another change came first or a control node "
+                                    "runs a former build; send it again";
+        recordOutcome(std::to_string(version), "unanswered", problem);
+        reply(exchange, errorReply({error_kind::Unavailable, "document", problem}));
+    }
+
     /// No thread waits for it.
     void acknowledgeWhenSettled(const exchange_pointer &exchange, std::uint64_t version,
                                 const state::command_result &answer)
@@ -193,7 +221,7 @@
     [[nodiscard]] bool holdDocument(net::http_exchange &exchange) const
     {
         return !m_services.leaderAddress().empty()
-                || exchange.holdRequest(m_services.documentBytes());
+                || exchange.holdRequest(m_services.stored().bytes->size());
     }
 
     [[nodiscard]] instant deadlineAfter(milliseconds timeout) const
--- a/src/yuccascale/http/document_interface.hpp
+++ b/src/yuccascale/http/document_interface.hpp
@@ -16,6 +16,14 @@
 
 namespace yuccascale::http {
 
+/// \brief The document that a node has, confirmed or not.
+struct stored_document
+{
+    std::uint64_t revision = 0; ///< of the node's tables
+    std::uint64_t version = 0;  ///< under which it is stored; 0 also when there is none
+    std::shared_ptr<const std::string> bytes = std::make_shared<std::string>(); ///< empty: none
+};
+
 /// \brief What the interface uses of its node.
 struct document_services
 {
@@ -36,8 +44,8 @@
     /// The address at which the leader serves this interface; empty when it is this node or
     /// unknown.
     std::function<std::string()> leaderAddress;
-    /// The bytes of the document that this node has, confirmed or not.
-    std::function<std::size_t()> documentBytes = [] { return std::size_t{0}; };
+    /// The document that this node has.
+    std::function<stored_document()> stored = [] { return stored_document(); };
     std::shared_ptr<runtime::worker_threads> workers = nullptr; ///< null: threads of its own
 };
 
--- a/src/yuccascale/http/operator_protocol.hpp
+++ b/src/yuccascale/http/operator_protocol.hpp
@@ -29,6 +29,11 @@
     /// \returns error_kind::InvalidArgument naming the field when a part cannot be parsed.
     [[nodiscard]] virtual kernel::result<kernel::state::put_document>
     readDocument(std::string_view bytes) const = 0;
+
+    /// \returns whether a document that was accepted, maybe by a former build, is stored under the
+    ///          version that its text names. Otherwise it hides documents of higher versions.
+    [[nodiscard]] virtual bool namesVersion(std::string_view bytes,
+                                            std::uint64_t storedVersion) const = 0;
 };
 
 using operator_protocol_registry = kernel::plugin_registry<operator_protocol>;
--- a/src/yuccascale/kernel/consensus/messages.hpp
+++ b/src/yuccascale/kernel/consensus/messages.hpp
@@ -47,8 +47,9 @@
 {
     bool accepted = false;
     log_index matched = 0; ///< accepted: the logs agree up to here; refused: retry after this index
-    log_index previousIndex = 0; ///< of the request
-    instant sentAt{};            ///< of the request
+    log_index previousIndex = 0;     ///< of the request
+    instant sentAt{};                ///< of the request
+    std::uint32_t commandFormat = 0; ///< newest one that the sender applies; 0: former builds
 };
 
 /// \brief A piece of the leader's snapshot.
--- a/src/yuccascale/kernel/consensus/replica.cpp
+++ b/src/yuccascale/kernel/consensus/replica.cpp
@@ -150,7 +150,8 @@
 void replica::rejectLowerTerm(const message &received)
 {
     if (const auto *append = std::get_if<append_request>(&received.body))
-        send(received.from, append_reply{false, 0, append->previousIndex, append->sentAt});
+        send(received.from,
+             append_reply{false, 0, append->previousIndex, append->sentAt, m_config.commandFormat});
     else if (const auto *chunk = std::get_if<snapshot_chunk>(&received.body))
         send(received.from, snapshot_reply{chunk->index, 0, false, chunk->sentAt});
     else if (const auto *vote = std::get_if<vote_request>(&received.body))
@@ -228,12 +229,14 @@
     m_actions.earlyMessages.push_back({m_config.self, to, m_hardState.term, std::move(body)});
 }
 
-proposal replica::propose(std::string payload)
+proposal replica::propose(std::string payload, std::uint32_t commandFormat)
 {
     if (m_role != replica_role::Leader)
         return {proposal_outcome::NotLeader};
     if (m_log.lastIndex() - m_commitIndex >= m_config.maxUncommitted)
         return {proposal_outcome::Overloaded};
+    if (commandFormat > commonCommandFormat())
+        return {proposal_outcome::FormatNotShared};
     const log_index index = appendAsLeader(entry_kind::Command, std::move(payload));
     return {proposal_outcome::Accepted, index, m_hardState.term};
 }
@@ -302,6 +305,17 @@
                       m_electedAt + m_config.lease + m_config.orderLifetime};
 }
 
+/// A member that has not answered this leader yet may be of any build.
+std::uint32_t replica::commonCommandFormat() const
+{
+    if (m_role != replica_role::Leader)
+        return 0;
+    std::uint32_t common = m_config.commandFormat;
+    for (const auto &[member, progress] : m_progress)
+        common = std::min(common, progress.commandFormat);
+    return common;
+}
+
 std::vector<std::string> replica::degradedReasons(instant now) const
 {
     std::vector<std::string> reasons;
--- a/src/yuccascale/kernel/consensus/replica.hpp
+++ b/src/yuccascale/kernel/consensus/replica.hpp
@@ -37,13 +37,20 @@
     std::size_t maxUncommitted = 16'384; ///< uncommitted entries at which proposals are refused
     std::size_t snapshotChunkBytes = 256U << 10U;
     std::uint64_t seed = 1; ///< of the random part of election timeouts
+    /// Newest format of commands that the consumer of the log applies
+    std::uint32_t commandFormat = 0;
 };
 
 /// \brief Role of a replica.
 enum class replica_role { Joining, Learner, Follower, Candidate, Leader };
 
 /// \brief Result of replica::propose().
-enum class proposal_outcome { Accepted, NotLeader, Overloaded };
+enum class proposal_outcome {
+    Accepted,
+    NotLeader,
+    Overloaded,
+    FormatNotShared, ///< a member may run a build that does not apply the command as others do
+};
 
 /// \brief Outcome of a proposal, with its place in the log.
 struct proposal
@@ -103,7 +110,8 @@
     void receive(const message &received, instant now);
 
     /// \brief Adds a command to the log; only on the leader.
-    [[nodiscard]] proposal propose(std::string payload);
+    /// \param commandFormat the lowest format that a member must apply to decide as all others
+    [[nodiscard]] proposal propose(std::string payload, std::uint32_t commandFormat = 0);
 
     /// \brief Requests a confirmation of leadership, which is returned in actions::reads.
     /// \returns false when this replica is not the leader.
@@ -141,6 +149,10 @@
     ///          when the target number of voters is reached and, on the leader, all voters answer.
     [[nodiscard]] std::vector<std::string> degradedReasons(instant now) const;
 
+    /// \returns the newest format of commands that all members apply, as far as they have told this
+    ///          leader; 0 when this replica is not the leader.
+    [[nodiscard]] std::uint32_t commonCommandFormat() const;
+
     /// \returns how long the lease lasts after a confirmed heartbeat was sent.
     [[nodiscard]] nanoseconds effectiveLease() const noexcept;
 
@@ -154,8 +166,9 @@
         log_index matched = 0;
         log_index nextIndex = 1;
         instant lastSent{};
-        instant trackedSince{}; ///< it became a member then, or this replica leader
-        snapshot_data snapshot; ///< being sent in state Snapshot
+        instant trackedSince{};          ///< it became a member then, or this replica leader
+        std::uint32_t commandFormat = 0; ///< newest one that it applies; 0: not told
+        snapshot_data snapshot;          ///< being sent in state Snapshot
         std::uint64_t snapshotOffset = 0;
     };
 
--- a/src/yuccascale/kernel/consensus/replica_replication.cpp
+++ b/src/yuccascale/kernel/consensus/replica_replication.cpp
@@ -132,7 +132,8 @@
 
 append_reply replica::acceptEntries(const append_request &request)
 {
-    append_reply reply{true, m_commitIndex, request.previousIndex, request.sentAt};
+    append_reply reply{true, m_commitIndex, request.previousIndex, request.sentAt,
+                       m_config.commandFormat};
     const log_index lastSent = request.previousIndex + request.entries.size();
     if (lastSent <= m_commitIndex)
         return reply;
@@ -168,6 +169,7 @@
     if (m_role != replica_role::Leader || found == m_progress.end())
         return;
     peer_progress &progress = found->second;
+    progress.commandFormat = reply.commandFormat;
     if (progress.state == progress_state::Snapshot && !reply.accepted)
         return recordAcknowledgement(received.from, reply.sentAt, now);
     if (reply.accepted && reply.matched >= progress.matched) {
--- a/src/yuccascale/kernel/state/commands.cpp
+++ b/src/yuccascale/kernel/state/commands.cpp
@@ -42,4 +42,10 @@
     readBody(document.at("kind").get<std::string>(), document.at("body"), value.body);
 }
 
+std::uint32_t commandFormat(const command &value) noexcept
+{
+    const auto *document = std::get_if<put_document>(&value.body);
+    return document != nullptr && !document->replacesRevision.empty() ? 1 : 0;
+}
+
 } // namespace yuccascale::kernel::state
--- a/src/yuccascale/kernel/state/commands.hpp
+++ b/src/yuccascale/kernel/state/commands.hpp
@@ -47,8 +47,12 @@
     std::string bytes;       ///< the document as the operator sent it, for reading it back
     edit_tables tables;      ///< its rows; removals and fromRevision are not used
     std::int64_t wallMs = 0; ///< time of the proposal; endpoints are charged from then on
+    /// One item, or none: the document also replaces the tables of exactly this revision, whatever
+    /// version is stored with them. Needs command format 1.
+    std::vector<std::uint64_t> replacesRevision = {};
 
-    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(put_document, version, bytes, tables, wallMs)
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(put_document, version, bytes, tables, wallMs,
+                                                replacesRevision)
 };
 
 /// \brief Claims the single run of a non-idempotent request before it is dispatched.
@@ -250,6 +254,14 @@
 void to_json(json &document, const command &value);
 void from_json(const json &document, command &value);
 
+/// \brief Newest format of commands that this build applies. Formats only add to earlier ones; a
+/// build ignores what it does not know, so a command may enter the log only once all members apply
+/// its format.
+inline constexpr std::uint32_t newestCommandFormat = 1;
+
+/// \returns the lowest format that a replica must apply so that it decides as all others.
+[[nodiscard]] std::uint32_t commandFormat(const command &value) noexcept;
+
 /// \brief Result of applying one command.
 struct command_result
 {
--- a/src/yuccascale/kernel/state/table_store.cpp
+++ b/src/yuccascale/kernel/state/table_store.cpp
@@ -122,6 +122,13 @@
     return answer;
 }
 
+bool table_store::isReplacedBy(const put_document &document) const
+{
+    const std::vector<std::uint64_t> &revisions = document.replacesRevision;
+    return document.version > m_tables->documentVersion
+            || std::ranges::find(revisions, m_tables->revision) != revisions.end();
+}
+
 command_result table_store::putDocument(const put_document &document, const order_ledger &orders)
 {
     const edit_tables &rows = document.tables;
@@ -141,7 +148,7 @@
         problem = problemInReferences(*next);
     if (problem)
         return refusedEdit(std::move(*problem));
-    const bool newer = document.version > m_tables->documentVersion;
+    const bool newer = isReplacedBy(document);
     if (newer) {
         m_document = std::make_shared<std::string>(document.bytes);
         publish(std::move(next), earlier_edits::Conflict);
--- a/src/yuccascale/platform/operator_document.cpp
+++ b/src/yuccascale/platform/operator_document.cpp
@@ -263,6 +263,8 @@
             return fail(error_kind::InvalidArgument, "document", problem.what());
         }
     }
+
+    [[nodiscard]] bool namesVersion(std::string_view, std::uint64_t) const override { return true; }
 };
 
 const http::operator_protocol_registry::registration addPlatform{
--- a/src/yuccascale/runtime/control_service.cpp
+++ b/src/yuccascale/runtime/control_service.cpp
@@ -82,16 +82,19 @@
 
 submit_reply control_service::propose(const state::command &command, instant deadline)
 {
-    return replyTo([&] { return m_log->propose(toCbor(command), deadline); });
+    return replyTo(
+            [&] { return m_log->propose(toCbor(command), deadline, commandFormat(command)); });
 }
 
 void control_service::proposeLater(const state::command &command, instant deadline,
                                    std::function<void(submit_reply reply)> done)
 {
-    m_log->proposeLater(toCbor(command), deadline,
-                        [this, done = std::move(done)](log_outcome outcome) {
-                            done(replyTo([&] { return std::move(outcome).asResult(); }));
-                        });
+    m_log->proposeLater(
+            toCbor(command), deadline,
+            [this, done = std::move(done)](log_outcome outcome) {
+                done(replyTo([&] { return std::move(outcome).asResult(); }));
+            },
+            commandFormat(command));
 }
 
 submit_reply control_service::replyTo(const std::function<result<std::string>()> &propose) const
--- a/src/yuccascale/runtime/log_request.hpp
+++ b/src/yuccascale/runtime/log_request.hpp
@@ -36,15 +36,20 @@
     using completion = std::function<void(log_outcome outcome)>;
 
     /// \brief A request whose caller calls wait().
-    explicit log_request(std::string payload)
+    /// \param commandFormat of a proposal's command
+    explicit log_request(std::string payload, std::uint32_t commandFormat = 0)
         : m_payload(std::move(payload))
+        , m_commandFormat(commandFormat)
     { }
 
     /// \brief A request whose caller does not wait.
     /// \param deadline the request is not begun after it
     /// \param done called once, on the log's thread
-    log_request(std::string payload, kernel::instant deadline, completion done)
+    /// \param commandFormat of a proposal's command
+    log_request(std::string payload, kernel::instant deadline, completion done,
+                std::uint32_t commandFormat = 0)
         : m_payload(std::move(payload))
+        , m_commandFormat(commandFormat)
         , m_deadline(deadline)
         , m_done(std::move(done))
     { }
@@ -63,6 +68,9 @@
     /// \brief Takes the command of a proposal.
     [[nodiscard]] std::string takePayload() noexcept { return std::move(m_payload); }
 
+    /// \returns the lowest format that all members must apply before the command is proposed.
+    [[nodiscard]] std::uint32_t commandFormat() const noexcept { return m_commandFormat; }
+
     void answer(std::string answer) { finish({true, std::move(answer), {}}); }
     void fail(kernel::error problem) { finish({false, {}, std::move(problem)}); }
 
@@ -72,6 +80,7 @@
     void finish(log_outcome outcome);
 
     std::string m_payload;
+    const std::uint32_t m_commandFormat;
     const kernel::instant m_deadline = kernel::instant::max();
     const completion m_done; ///< null: the caller waits
     std::atomic<state> m_state{state::Queued};
--- a/src/yuccascale/runtime/node.cpp
+++ b/src/yuccascale/runtime/node.cpp
@@ -299,8 +299,11 @@
             [this](instant deadline) { return control->confirmedDocument(deadline); },
             [this] { return leaderDocumentAddress(); },
             [this] {
-                return control->read(
-                        [](const state::machine &machine) { return machine.document()->size(); });
+                return control->read([](const state::machine &machine) {
+                    const auto tables = machine.tables();
+                    return http::stored_document{tables->revision, tables->documentVersion,
+                                                 machine.document()};
+                });
             },
             workers};
     document = std::make_unique<http::document_interface>(std::move(services), std::move(protocol));
--- a/src/yuccascale/runtime/replicated_log.cpp
+++ b/src/yuccascale/runtime/replicated_log.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/runtime/replicated_log.hpp"
 
 #include "yuccascale/kernel/consensus/events.hpp"
+#include "yuccascale/kernel/state/commands.hpp"
 #include "yuccascale/store/replica_store.hpp"
 #include "yuccascale/wire/consensus_codec.hpp"
 
@@ -49,6 +50,7 @@
     config.lease = settings.control.lease;
     config.orderLifetime = settings.control.orderLifetime;
     config.seed = std::random_device{}();
+    config.commandFormat = kernel::state::newestCommandFormat;
     return config;
 }
 
@@ -150,20 +152,21 @@
     m_inbox.addMessage(std::move(*decoded));
 }
 
-result<std::string> replicated_log::propose(std::string payload, instant deadline)
+result<std::string> replicated_log::propose(std::string payload, instant deadline,
+                                            std::uint32_t commandFormat)
 {
     const std::size_t payloadBytes = payload.size();
-    const auto request = std::make_shared<log_request>(std::move(payload));
+    const auto request = std::make_shared<log_request>(std::move(payload), commandFormat);
     BOOST_LEAF_CHECK(addProposal(request, payloadBytes));
     return request->wait(deadline - m_clock.now(), m_settings.self);
 }
 
 void replicated_log::proposeLater(std::string payload, instant deadline,
-                                  log_request::completion done)
+                                  log_request::completion done, std::uint32_t commandFormat)
 {
     const std::size_t payloadBytes = payload.size();
-    const auto request
-            = std::make_shared<log_request>(std::move(payload), deadline, std::move(done));
+    const auto request = std::make_shared<log_request>(std::move(payload), deadline,
+                                                       std::move(done), commandFormat);
     kernel::error problem;
     if (!kernel::succeeded([&] { return addProposal(request, payloadBytes); }, problem))
         request->fail(std::move(problem));
@@ -273,7 +276,8 @@
 {
     if (!proposal->begin(m_clock.now(), m_settings.self))
         return;
-    const kernel::consensus::proposal proposed = m_replica->propose(proposal->takePayload());
+    const kernel::consensus::proposal proposed
+            = m_replica->propose(proposal->takePayload(), proposal->commandFormat());
     switch (proposed.outcome) {
     case proposal_outcome::Accepted:
         return m_pendingProposals.add(proposed.index, proposed.term, proposal);
@@ -282,6 +286,10 @@
     case proposal_outcome::Overloaded:
         return proposal->fail({error_kind::Overloaded, m_settings.self,
                                "too many commands await a quorum; retry later"});
+    case proposal_outcome::FormatNotShared:
+        return proposal->fail({error_kind::Unavailable, m_settings.self,
+                               "a control node may run a build that cannot apply this command; "
+                               "retry once all of them answer and run this build"});
     }
 }
 
--- a/src/yuccascale/runtime/replicated_log.hpp
+++ b/src/yuccascale/runtime/replicated_log.hpp
@@ -87,18 +87,20 @@
     void stop();
 
     /// \brief Commits a command; only on the leader.
+    /// \param commandFormat the lowest format that all members must apply to decide alike
     /// \returns the consumer's answer once it is committed and applied here;
     ///          error_kind::NotLeader with the leader's name in error::where;
     ///          error_kind::Unavailable or error_kind::Overloaded when it is certainly not in the
     ///          log;
     ///          error_kind::OutcomeUnknown when it may be committed later.
-    [[nodiscard]] kernel::result<std::string> propose(std::string payload,
-                                                      kernel::instant deadline);
+    [[nodiscard]] kernel::result<std::string> propose(std::string payload, kernel::instant deadline,
+                                                      std::uint32_t commandFormat = 0);
 
     /// \brief As propose(), but passes the outcome to \a done, once, on this thread or the log's.
     ///        After \a deadline the command is not begun; one that was begun is answered when its
     ///        outcome is known.
-    void proposeLater(std::string payload, kernel::instant deadline, log_request::completion done);
+    void proposeLater(std::string payload, kernel::instant deadline, log_request::completion done,
+                      std::uint32_t commandFormat = 0);
 
     /// \brief Confirms that this node is the leader with a quorum that is contacted after this call
     ///        began, and waits until everything committed by then is applied here.
--- a/src/yuccascale/wire/consensus_codec.cpp
+++ b/src/yuccascale/wire/consensus_codec.cpp
@@ -46,7 +46,7 @@
 body_offset pack(buffer_builder &builder, const append_reply &body)
 {
     return fb::CreateAppendReply(builder, body.accepted, body.matched, body.previousIndex,
-                                 toNanoseconds(body.sentAt))
+                                 toNanoseconds(body.sentAt), body.commandFormat)
             .Union();
 }
 
@@ -103,7 +103,7 @@
 message_body unpack(const fb::AppendReply &table)
 {
     return append_reply{table.accepted(), table.matched(), table.previous_index(),
-                        fromNanoseconds(table.sent_at())};
+                        fromNanoseconds(table.sent_at()), table.command_format()};
 }
 
 message_body unpack(const fb::SnapshotChunk &table)
--- a/src/yuccascale/wire/consensus_generated.h
+++ b/src/yuccascale/wire/consensus_generated.h
@@ -627,7 +627,8 @@
     VT_ACCEPTED = 4,
     VT_MATCHED = 6,
     VT_PREVIOUS_INDEX = 8,
-    VT_SENT_AT = 10
+    VT_SENT_AT = 10,
+    VT_COMMAND_FORMAT = 12
   };
   bool accepted() const {
     return GetField<uint8_t>(VT_ACCEPTED, 0) != 0;
@@ -641,12 +642,16 @@
   int64_t sent_at() const {
     return GetField<int64_t>(VT_SENT_AT, 0);
   }
+  uint32_t command_format() const {
+    return GetField<uint32_t>(VT_COMMAND_FORMAT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_ACCEPTED, 1) &&
            VerifyField<uint64_t>(verifier, VT_MATCHED, 8) &&
            VerifyField<uint64_t>(verifier, VT_PREVIOUS_INDEX, 8) &&
            VerifyField<int64_t>(verifier, VT_SENT_AT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_COMMAND_FORMAT, 4) &&
            verifier.EndTable();
   }
 };
@@ -667,6 +672,9 @@
   void add_sent_at(int64_t sent_at) {
     fbb_.AddElement<int64_t>(AppendReply::VT_SENT_AT, sent_at, 0);
   }
+  void add_command_format(uint32_t command_format) {
+    fbb_.AddElement<uint32_t>(AppendReply::VT_COMMAND_FORMAT, command_format, 0);
+  }
   explicit AppendReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -683,11 +691,13 @@
     bool accepted = false,
     uint64_t matched = 0,
     uint64_t previous_index = 0,
-    int64_t sent_at = 0) {
+    int64_t sent_at = 0,
+    uint32_t command_format = 0) {
   AppendReplyBuilder builder_(_fbb);
   builder_.add_sent_at(sent_at);
   builder_.add_previous_index(previous_index);
   builder_.add_matched(matched);
+  builder_.add_command_format(command_format);
   builder_.add_accepted(accepted);
   return builder_.Finish();
 }
--- a/tests/unit/consensus_replica_test.cpp
+++ b/tests/unit/consensus_replica_test.cpp
@@ -32,6 +32,7 @@
         replica_config config;
         config.self = {"a", 1};
         config.initialMembers = {"a", "b", "c"};
+        config.commandFormat = 1;
         m_replica = std::make_unique<replica>(config, disk, m_group.sink(0), m_now);
     }
     void advanceTime(nanoseconds time)
@@ -50,9 +51,11 @@
     {
         m_replica->receive({from, {"a", 1}, term, std::move(body)}, m_now);
     }
-    void receiveAppendAccepted(const member_id &from, log_index matched)
+    void receiveAppendAccepted(const member_id &from, log_index matched,
+                               std::uint32_t commandFormat = 0)
     {
-        receive(from, m_replica->term(), append_reply{true, matched, matched, m_now});
+        receive(from, m_replica->term(),
+                append_reply{true, matched, matched, m_now, commandFormat});
     }
     /// Wins the next election with the vote of b.
     void winElection()
@@ -108,6 +111,26 @@
     EXPECT_EQ(takeAndPersist().reads.size(), 1U);
 }
 
+/// Guards against replicas of two builds that decide differently on one command.
+TEST_F(consensus_lone_replica, proposesACommandOfAFormatOnlyOnceAllMembersApplyIt)
+{
+    startWith({membershipEntry(1)}, 1);
+    EXPECT_EQ(m_replica->propose("early", 1).outcome, proposal_outcome::NotLeader);
+    winElection();
+    (void)takeAndPersist();
+    EXPECT_EQ(m_replica->propose("c is unheard", 1).outcome, proposal_outcome::FormatNotShared);
+    receiveAppendAccepted({"b", 2}, 2, 1);
+    EXPECT_EQ(m_replica->propose("c is unheard", 1).outcome, proposal_outcome::FormatNotShared);
+    receiveAppendAccepted({"c", 3}, 2, 0);
+    EXPECT_EQ(m_replica->propose("c is a former build", 1).outcome,
+              proposal_outcome::FormatNotShared);
+    EXPECT_EQ(m_replica->propose("as before").outcome, proposal_outcome::Accepted);
+    receiveAppendAccepted({"c", 3}, 2, 1);
+    EXPECT_EQ(m_replica->propose("all apply it", 1).outcome, proposal_outcome::Accepted);
+    receiveAppendAccepted({"c", 3}, 2, 0);
+    EXPECT_EQ(m_replica->propose("c went back", 1).outcome, proposal_outcome::FormatNotShared);
+}
+
 TEST_F(consensus_lone_replica, changesTheMembershipOnceItsTermIsCommittedAndOneAtATime)
 {
     durable_state disk;
--- a/tests/unit/http_document_interface_test.cpp
+++ b/tests/unit/http_document_interface_test.cpp
@@ -35,9 +35,10 @@
         document_services services{
                 m_clock,
                 m_events,
-                [this](const kernel::state::command &, instant deadline) {
+                [this](const kernel::state::command &command, instant deadline) {
                     const std::scoped_lock guard(m_mutex);
                     m_commitDeadline = deadline;
+                    m_committed.push_back(std::get<kernel::state::put_document>(command.body));
                     return committed();
                 },
                 [this](std::uint64_t, std::uint64_t, instant, std::function<void(bool)> answer) {
@@ -48,7 +49,11 @@
                     m_readDeadline = deadline;
                     return unavailable<std::shared_ptr<const std::string>>();
                 },
-                [] { return std::string(); }};
+                [] { return std::string(); },
+                [this] {
+                    const std::scoped_lock guard(m_mutex);
+                    return m_stored;
+                }};
         m_interface = std::make_unique<document_interface>(
                 std::move(services), operator_protocol_registry::make("platform").value());
         m_port = m_server.listen("127.0.0.1:0").value();
@@ -74,6 +79,7 @@
         kernel::state::command_result result;
         result.accepted = true;
         result.revision = 7;
+        result.detail = {{"changed", m_changes}};
         return result;
     }
 
@@ -105,6 +111,9 @@
     fakes::manual_clock m_clock;
     null_event_sink m_events;
     bool m_commits = false;
+    bool m_changes = true; ///< whether a committed document replaces the stored one
+    stored_document m_stored;
+    std::vector<kernel::state::put_document> m_committed;
     std::mutex m_mutex;
     std::vector<std::function<void(bool)>> m_unsettled;
     std::optional<instant> m_commitDeadline;
@@ -174,4 +183,31 @@
     EXPECT_TRUE(answer.get().starts_with("HTTP/1.1 503"));
 }
 
+/// Guards against an acknowledgement of a first document of version 0 that no node has stored,
+/// since it rests on a leader of a former build.
+TEST_F(document_interface_test, aFirstDocumentOfVersionZeroThatChangesNothingIsNotAcknowledged)
+{
+    m_commits = true;
+    m_changes = false;
+    const std::string document = R"({"version":0,"routes":[],"services":[],"limits":{}})";
+    EXPECT_TRUE(ask("PUT /config", document).starts_with("HTTP/1.1 503"));
+    ASSERT_EQ(m_committed.size(), 1U);
+    EXPECT_EQ(m_committed.front().replacesRevision, std::vector<std::uint64_t>{0});
+}
+
+/// Guards against a document of version 0 that replaces a stored one, or is refused beside it.
+TEST_F(document_interface_test, aDocumentOfVersionZeroChangesNothingOnceOneIsStored)
+{
+    m_commits = true;
+    m_changes = false;
+    const std::string document = R"({"version":0,"routes":[],"services":[],"limits":{}})";
+    m_stored = {1, 0, std::make_shared<std::string>(document)};
+    auto answer = std::async(std::launch::async, [&] { return ask("PUT /config", document); });
+    while (unsettled() == 0)
+        std::this_thread::yield();
+    settle(true);
+    EXPECT_TRUE(answer.get().starts_with("HTTP/1.1 200"));
+    EXPECT_TRUE(m_committed.front().replacesRevision.empty());
+}
+
 } // namespace yuccascale::http
--- a/tests/unit/wire_former_messages_test.cpp
+++ b/tests/unit/wire_former_messages_test.cpp
@@ -121,6 +121,35 @@
     EXPECT_EQ(std::get<kernel::consensus::join_reply>(read.body).leader, "c");
 }
 
+/// Guards against taking a replica of a former build for one that applies newer commands.
+TEST(former_messages, anAppendReplyOfAFormerBuildNamesNoCommandFormat)
+{
+    namespace fb = former::consensus::fb;
+    flatbuffers::FlatBufferBuilder builder;
+    const auto from = fb::CreateMember(builder, builder.CreateString("a"), 1);
+    const auto to = fb::CreateMember(builder, builder.CreateString("b"), 2);
+    const auto body = fb::CreateAppendReply(builder, true, 8, 7, 9).Union();
+    builder.Finish(
+            fb::CreateConsensusMessage(builder, from, to, 4, fb::ConsensusBody::AppendReply, body));
+    const auto read = decodeConsensus(bytesOf(builder)).value();
+    const auto &reply = std::get<kernel::consensus::append_reply>(read.body);
+    EXPECT_EQ(reply.matched, 8U);
+    EXPECT_EQ(reply.commandFormat, 0U);
+}
+
+TEST(former_messages, aFormerBuildReadsAnAppendReplyOfThisOne)
+{
+    namespace fb = former::consensus::fb;
+    const kernel::consensus::append_reply reply{true, 8, 7, kernel::instant(seconds(1)), 1};
+    const std::string bytes = encodeConsensus({{"a", 1}, {"b", 2}, 4, reply});
+    const auto *message = readAsFormer<fb::ConsensusMessage>(bytes);
+    ASSERT_NE(message, nullptr);
+    EXPECT_TRUE(message->body_as_AppendReply()->accepted());
+    EXPECT_EQ(message->body_as_AppendReply()->matched(), 8U);
+    const auto read = decodeConsensus(bytes).value();
+    EXPECT_EQ(std::get<kernel::consensus::append_reply>(read.body).commandFormat, 1U);
+}
+
 /// Guards against an age of zero read from an answer that says none.
 TEST(former_messages, theListOf5080f23HasNoKnownAge)
 {
