--- a/src/yuccascale/kernel/feed/table_history.cpp
+++ b/src/yuccascale/kernel/feed/table_history.cpp
@@ -73,7 +73,8 @@
                [](const state::key_record &key) { return key.id; });
     if (!edit.putLimits.empty())
         tables.limits = edit.putLimits;
-    tables.documentVersion = std::max(tables.documentVersion, edit.documentVersion);
+    if (edit.documentVersion != 0) // a lower one replaces one that its document does not name
+        tables.documentVersion = edit.documentVersion;
     tables.revision = revision;
 }
 
--- a/src/yuccascale/kernel/feed/table_leases.cpp
+++ b/src/yuccascale/kernel/feed/table_leases.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/kernel/feed/table_leases.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace yuccascale::kernel::feed {
 
@@ -60,9 +61,15 @@
 
 std::optional<std::uint64_t> table_leases::revisionOf(std::uint64_t documentVersion) const
 {
-    const auto found = std::ranges::find_if(m_revisions, [&](const in_force &revision) {
-        return revision.documentVersion >= documentVersion;
-    });
+    // a lower version follows only on one that the document before it does not name
+    const auto comparable
+            = std::ranges::is_sorted_until(m_revisions.rbegin(), m_revisions.rend(),
+                                           std::ranges::greater(), &in_force::documentVersion)
+                      .base();
+    const auto found
+            = std::ranges::find_if(comparable, m_revisions.end(), [&](const in_force &revision) {
+                  return revision.documentVersion >= documentVersion;
+              });
     if (found == m_revisions.end())
         return std::nullopt;
     return found->revision;
--- a/src/yuccascale/kernel/json_bounds.hpp
+++ b/src/yuccascale/kernel/json_bounds.hpp
@@ -21,11 +21,13 @@
     std::size_t values = 0; ///< most of them, objects and lists included, skipped members aside
 };
 
-/// \brief Reads an object.
-/// \returns a discarded value when \a text is not a well-formed JSON object or exceeds the bounds.
+/// \brief Reads an object. Of a member that is named twice, each reader would take another value,
+/// so there must be none, skipped members aside.
+/// \returns error_kind::InvalidArgument when \a text is not a well-formed JSON object, names a
+/// member twice or exceeds the bounds.
 ///
 /// \example
-///     const json document = readBounded(bytes, {documentMembers, 32, 500'000});
-[[nodiscard]] json readBounded(std::string_view text, const json_bounds &bounds);
+///     BOOST_LEAF_AUTO(document, readBounded(bytes, {documentMembers, 32, 500'000}));
+[[nodiscard]] result<json> readBounded(std::string_view text, const json_bounds &bounds);
 
 } // namespace yuccascale::kernel
--- a/src/yuccascale/kernel/json_members.cpp
+++ b/src/yuccascale/kernel/json_members.cpp
@@ -1,5 +1,7 @@
 #include "yuccascale/kernel/json_members.hpp"
 
+#include "yuccascale/kernel/json_text.hpp"
+
 #include <algorithm>
 #include <cstddef>
 #include <utility>
@@ -92,6 +94,8 @@
 std::optional<member_map> readScalarMembers(std::string_view text,
                                             std::span<const std::string_view> names)
 {
+    if (holdsNulByte(text))
+        return std::nullopt;
     member_reader reader(names);
     if (!json::sax_parse(text, &reader))
         return std::nullopt;
--- a/src/yuccascale/kernel/json_text.cpp
+++ b/src/yuccascale/kernel/json_text.cpp
@@ -124,7 +124,7 @@
 
 json readForeign(std::string_view text)
 {
-    if (text.size() > maxForeignBytes)
+    if (text.size() > maxForeignBytes || holdsNulByte(text))
         return json(json::value_t::discarded);
     foreign_rules rules;
     json value = json::parse(text, std::ref(rules), false);
--- a/src/yuccascale/kernel/json_text.hpp
+++ b/src/yuccascale/kernel/json_text.hpp
@@ -26,6 +26,13 @@
 /// sound one, or names a member of the outermost object twice.
 [[nodiscard]] json readForeign(std::string_view text);
 
+/// \returns whether a text holds a NUL byte. No JSON does, but the parser takes one for the end and
+/// passes over what follows.
+[[nodiscard]] inline bool holdsNulByte(std::string_view text) noexcept
+{
+    return text.find('\0') != std::string_view::npos;
+}
+
 /// \returns a whole number in the given range; nothing when the value is another one, or none.
 [[nodiscard]] std::optional<std::int64_t> wholeNumber(const json &value, std::int64_t least,
                                                       std::int64_t most);
--- a/src/yuccascale/kernel/state/table_rules.cpp
+++ b/src/yuccascale/kernel/state/table_rules.cpp
@@ -14,12 +14,10 @@
 constexpr std::size_t maxNameLength = 64;
 constexpr std::size_t digestHexDigits = 64;
 constexpr std::int64_t maxDeadlineMs = maxRouteDeadline.count();
-constexpr int maxPriority = 100;
 constexpr double maxWeight = 1e6;
 constexpr double maxPricePerHour = 1e4;
 constexpr int maxSlots = 4'096;
 constexpr int maxPort = 65'535;
-constexpr int maxRouteAttempts = 100;
 
 bool isNameCharacter(char c)
 {
@@ -108,7 +106,7 @@
              problemInRange<std::int64_t>(location + ".firstTokenMs", row.firstTokenMs, 1,
                                           maxDeadlineMs),
              problemInRange(location + ".maxAttempts", row.maxAttempts, 1, maxRouteAttempts),
-             problemInRange(location + ".priority", row.priority, -maxPriority, maxPriority)});
+             problemInRange(location + ".priority", row.priority, -maxRoutePriority, maxRoutePriority)});
 }
 
 problem problemInEndpoint(const std::string &poolLocation, backend_kind kind, const endpoint &row)
--- a/src/yuccascale/kernel/state/table_rules.hpp
+++ b/src/yuccascale/kernel/state/table_rules.hpp
@@ -14,6 +14,12 @@
 /// Longest deadline of a route.
 inline constexpr milliseconds maxRouteDeadline{3'600'000};
 
+/// Most endpoints that one request of a route may be sent to.
+inline constexpr int maxRouteAttempts = 100;
+
+/// Greatest priority of a route; the lowest is its negative.
+inline constexpr int maxRoutePriority = 100;
+
 /// \brief Checks an edit on its own: each row is edited once, and names and values are in range.
 /// \returns the first problem, with row, field and remedy, or nothing.
 [[nodiscard]] std::optional<std::string> problemInEdit(const edit_tables &edit);
--- a/src/yuccascale/platform/operator_document.cpp
+++ b/src/yuccascale/platform/operator_document.cpp
@@ -1,10 +1,15 @@
 #include "yuccascale/http/operator_protocol.hpp"
 #include "yuccascale/kernel/json_bounds.hpp"
+#include "yuccascale/kernel/json_members.hpp"
 #include "yuccascale/kernel/state/key_digest.hpp"
+#include "yuccascale/kernel/state/table_rules.hpp"
+#include "yuccascale/platform/document_part.hpp"
 #include "yuccascale/platform/names.hpp"
 
+#include <algorithm>
 #include <array>
-#include <cmath>
+#include <limits>
+#include <map>
 
 /// \file
 /// \brief Operator protocol "platform": converts the operator's document into tables.
@@ -33,31 +38,27 @@
 /// text.
 constexpr std::size_t maxRows = 100'000;
 
-/// \returns a member of an object; throws json::exception when it is missing or of another type.
-template<typename T>
-[[nodiscard]] T required(const json &object, const char *name)
-{
-    return object.at(name).get<T>();
-}
-
-/// \returns a member of an object, or \a fallback when it is missing or null.
-template<typename T>
-[[nodiscard]] T optional(const json &object, const char *name, T fallback)
-{
-    const auto found = object.find(name);
-    return found == object.end() || found->is_null() ? fallback : found->get<T>();
-}
+/// Of ranks; further ones count as these.
+constexpr std::int64_t greatestRank = kernel::state::maxRoutePriority;
+constexpr whole_range routeRanks{-greatestRank, greatestRank};
+constexpr whole_range tenantRanks{-1'000'000, 1'000'000};
+constexpr whole_range attempts{0, kernel::state::maxRouteAttempts};
+constexpr whole_range milliseconds{1, std::numeric_limits<std::int64_t>::max()};
+constexpr whole_range limitRange{0, std::numeric_limits<std::int64_t>::max()};
+constexpr whole_range connectionRange{0, std::numeric_limits<int>::max()};
+/// Of a service in an availability zone.
+constexpr whole_range serverRange{0, 100'000};
+constexpr whole_range tokenByteRange{0, std::int64_t{1} << 30};
+/// Stored versions from here on may be negative numbers that a former build took for others.
+constexpr std::uint64_t firstDoubtfulVersion = std::uint64_t{1} << 63U;
+constexpr std::array<std::string_view, 1> versionMember{"version"};
 
-[[nodiscard]] const json::array_t &listOf(const json &object, const char *name, bool mustExist)
+/// Reads an integer that the range keeps within an int.
+[[nodiscard]] result<int> smallWhole(const document_part &part, std::string_view name,
+                                     const whole_range &range, int fallback)
 {
-    static const json::array_t none;
-    const auto found = object.find(name);
-    if (!mustExist && (found == object.end() || found->is_null()))
-        return none;
-    if (found == object.end() || !found->is_array())
-        throw json::other_error::create(501, std::string(name) + " is missing or not an array",
-                                        &object);
-    return found->get_ref<const json::array_t &>();
+    BOOST_LEAF_AUTO(number, part.whole(name, range, fallback));
+    return static_cast<int>(number);
 }
 
 /// Sets what the route's kind implies; \returns false when the kind is unknown.
@@ -69,104 +70,142 @@
     return kind == safeKind || kind == unsafeKind || row.streamed;
 }
 
-void setPools(const json &object, route &row)
+[[nodiscard]] result<std::vector<pool_share>> splitFrom(const document_part &part)
 {
-    for (const json &part : listOf(object, "traffic_split", false))
-        row.split.push_back(
-                {required<std::string>(part, "service"), required<double>(part, "weight")});
-    if (row.split.empty())
-        row.pool = required<std::string>(object, "service");
+    std::vector<pool_share> split;
+    BOOST_LEAF_AUTO(shares, part.optionalList("traffic_split"));
+    for (const json &share : shares) {
+        BOOST_LEAF_AUTO(item,
+                        document_part::element(share, part.where("traffic_split"), split.size()));
+        BOOST_LEAF_AUTO(service, item.text("service"));
+        BOOST_LEAF_AUTO(weight, item.number("weight"));
+        split.push_back({std::move(service), weight});
+    }
+    return split;
 }
 
-[[nodiscard]] result<route> routeFrom(const json &object, const std::map<std::string, pool> &pools,
-                                      bool keysRequired)
+using pool_table = std::map<std::string, pool>;
+
+/// A split takes precedence over a service, which must exist all the same.
+[[nodiscard]] result<void> setPools(const document_part &part, const pool_table &pools, route &row)
 {
-    route row;
-    row.name = required<std::string>(object, "name");
-    row.host = required<std::string>(object, "host");
-    row.pathPrefix = required<std::string>(object, "path_prefix");
-    if (!setKind(required<std::string>(object, "kind"), optional(object, "resumable", false),
-                 row)) {
-        return fail(error_kind::InvalidArgument, "route/" + row.name + ".kind",
-                    "unknown kind; use safe, unsafe or streaming");
+    BOOST_LEAF_ASSIGN(row.split, splitFrom(part));
+    if (row.split.empty()) {
+        BOOST_LEAF_ASSIGN(row.pool, part.text("service"));
+    } else if (part.has("service")) {
+        BOOST_LEAF_AUTO(service, part.text("service"));
+        if (!pools.contains(service)) {
+            return fail(error_kind::InvalidArgument, part.where("service"),
+                        "there is no service '" + service
+                                + "'; name one of the document's services or leave it out");
+        }
     }
-    setPools(object, row);
     const auto found = pools.find(row.split.empty() ? row.pool : row.split.front().pool);
     if (found != pools.end())
         row.kind = found->second.kind;
-    row.deadlineMs = required<std::int64_t>(object, "timeout_ms");
-    row.firstTokenMs = optional<std::int64_t>(object, "target_latency_ms", row.firstTokenMs);
-    row.maxAttempts = std::max(optional(object, "max_attempts", 1), 1);
+    return {};
+}
+
+[[nodiscard]] result<route> routeFrom(const document_part &part, const pool_table &pools,
+                                      bool keysRequired)
+{
+    route row;
+    BOOST_LEAF_ASSIGN(row.name, part.text("name"));
+    BOOST_LEAF_ASSIGN(row.host, part.text("host"));
+    BOOST_LEAF_ASSIGN(row.pathPrefix, part.text("path_prefix"));
+    BOOST_LEAF_AUTO(kind, part.text("kind"));
+    BOOST_LEAF_AUTO(resumable, part.flag("resumable", false));
+    if (!setKind(kind, resumable, row))
+        return fail(error_kind::InvalidArgument, part.where("kind"),
+                    "unknown kind; use safe, unsafe or streaming");
+    BOOST_LEAF_CHECK(setPools(part, pools, row));
+    BOOST_LEAF_ASSIGN(row.deadlineMs, part.whole("timeout_ms", milliseconds));
+    BOOST_LEAF_ASSIGN(row.firstTokenMs,
+                      part.whole("target_latency_ms", milliseconds, row.firstTokenMs));
+    BOOST_LEAF_AUTO(mostAttempts, smallWhole(part, "max_attempts", attempts, 1));
+    row.maxAttempts = std::max(mostAttempts, 1);
     // the platform serves priority 0 first, this program the greatest priority
-    row.priority = -optional(object, "priority", 0);
-    const bool openToAll = optional(object, "anonymous", false) || !keysRequired;
-    row.access = openToAll ? route_access::Open : route_access::Keyed;
+    BOOST_LEAF_AUTO(rank, smallWhole(part, "priority", routeRanks, 0));
+    row.priority = -rank;
+    BOOST_LEAF_AUTO(anonymous, part.flag("anonymous", false));
+    row.access = anonymous || !keysRequired ? route_access::Open : route_access::Keyed;
     return row;
 }
 
-[[nodiscard]] endpoint_scaling scalingFrom(const json &object)
+[[nodiscard]] result<endpoint_scaling> scalingFrom(const document_part &part)
 {
     endpoint_scaling scaling;
-    scaling.least = optional(object, "min", 0);
-    scaling.most = optional(object, "max", 0);
-    scaling.cheapPrice = optional(object, "spot_price", 0.0);
-    scaling.zonePrices = optional(object, "zone_prices", scaling.zonePrices);
+    BOOST_LEAF_ASSIGN(scaling.most, smallWhole(part, "max", serverRange, 0));
+    BOOST_LEAF_AUTO(least, smallWhole(part, "min", serverRange, 0));
+    scaling.least = std::min(least, scaling.most); // the maximum bounds the cost
+    BOOST_LEAF_ASSIGN(scaling.cheapPrice, part.amount("spot_price", 0.0));
+    BOOST_LEAF_AUTO(prices, part.object("zone_prices"));
+    if (!prices)
+        return scaling;
+    for (const std::string &zone : prices->names()) {
+        BOOST_LEAF_ASSIGN(scaling.zonePrices[zone], prices->amount(zone, 0.0));
+    }
     return scaling;
 }
 
-[[nodiscard]] pool poolFrom(const json &object)
+/// The last of several models counts.
+[[nodiscard]] result<void> setEngine(const document_part &part, pool &row)
+{
+    row.kind = backend_kind::Model;
+    row.model = "default";
+    BOOST_LEAF_ASSIGN(row.kvTokenBytes,
+                      part.whole("kv_token_bytes", tokenByteRange, row.kvTokenBytes));
+    BOOST_LEAF_ASSIGN(row.linkMbps, part.amount("link_mbps", row.linkMbps));
+    BOOST_LEAF_AUTO(models, part.optionalList("models"));
+    std::size_t index = 0;
+    for (const json &model : models) {
+        BOOST_LEAF_AUTO(item, document_part::element(model, part.where("models"), index++));
+        BOOST_LEAF_ASSIGN(row.model, item.text("name"));
+    }
+    return {};
+}
+
+[[nodiscard]] result<pool> poolFrom(const document_part &part)
 {
     pool row;
-    row.name = required<std::string>(object, "name");
+    row.kind = backend_kind::Service;
     row.discovered = true;
     row.minEndpoints = 0;
-    row.maxConnections = optional(object, "max_connections", 0);
-    const auto scaling = object.find("scaling");
-    if (scaling != object.end() && scaling->is_object())
-        row.scaling.push_back(scalingFrom(*scaling));
-    const auto engine = object.find("engine");
-    const bool model = engine != object.end() && engine->is_object();
-    row.kind = model ? backend_kind::Model : backend_kind::Service;
-    if (model) {
-        row.model = "default";
-        row.kvTokenBytes = optional(*engine, "kv_token_bytes", row.kvTokenBytes);
-        row.linkMbps = optional(*engine, "link_mbps", row.linkMbps);
-        for (const json &modelRow : listOf(*engine, "models", false))
-            row.model = required<std::string>(modelRow, "name");
+    BOOST_LEAF_ASSIGN(row.name, part.text("name"));
+    BOOST_LEAF_ASSIGN(row.maxConnections, smallWhole(part, "max_connections", connectionRange, 0));
+    BOOST_LEAF_AUTO(scaling, part.object("scaling"));
+    if (scaling) {
+        BOOST_LEAF_AUTO(bounds, scalingFrom(*scaling));
+        row.scaling.push_back(std::move(bounds));
     }
+    BOOST_LEAF_AUTO(engine, part.object("engine"));
+    if (engine)
+        BOOST_LEAF_CHECK(setEngine(*engine, row));
     return row;
 }
 
-[[nodiscard]] caller_limits limitsFrom(const json &object)
+[[nodiscard]] result<caller_limits> limitsFrom(const document_part &part)
 {
     caller_limits limits;
-    limits.headerBytes = optional(object, "max_header_bytes", limits.headerBytes);
-    limits.bodyBytes = optional(object, "max_body_bytes", limits.bodyBytes);
-    limits.readTimeoutMs = optional(object, "header_timeout_ms", limits.readTimeoutMs);
-    limits.idleTimeoutMs = optional(object, "idle_timeout_ms", limits.idleTimeoutMs);
+    BOOST_LEAF_ASSIGN(limits.headerBytes,
+                      part.whole("max_header_bytes", limitRange, limits.headerBytes));
+    BOOST_LEAF_ASSIGN(limits.bodyBytes, part.whole("max_body_bytes", limitRange, limits.bodyBytes));
+    BOOST_LEAF_ASSIGN(limits.readTimeoutMs,
+                      part.whole("header_timeout_ms", limitRange, limits.readTimeoutMs));
+    BOOST_LEAF_ASSIGN(limits.idleTimeoutMs,
+                      part.whole("idle_timeout_ms", limitRange, limits.idleTimeoutMs));
     return limits;
 }
 
-[[nodiscard]] bool isAmount(double value) noexcept
-{
-    return std::isfinite(value) && value >= 0;
-}
-
 /// A quota whose rate is 0 or missing is none.
-[[nodiscard]] result<std::vector<token_quota>> quotaFrom(const json &object,
-                                                         const std::string &tenant)
+[[nodiscard]] result<std::vector<token_quota>> quotaFrom(const document_part &part)
 {
     token_quota quota;
-    quota.ratePerSecond = optional(object, "rate_per_s", 0.0);
-    quota.burst = optional(object, "burst", 0.0);
-    quota.countsTokens = optional(object, "unit", std::string()) == tokenUnit;
-    quota.plainTokens = optional(object, "plain_tokens", quota.plainTokens);
-    const bool valid
-            = isAmount(quota.ratePerSecond) && isAmount(quota.burst) && isAmount(quota.plainTokens);
-    if (!valid) {
-        return fail(error_kind::InvalidArgument, "tenant/" + tenant,
-                    "rate_per_s, burst or plain_tokens is negative or not finite; use 0 or more");
-    }
+    BOOST_LEAF_ASSIGN(quota.ratePerSecond, part.amount("rate_per_s", 0.0));
+    BOOST_LEAF_ASSIGN(quota.burst, part.amount("burst", 0.0));
+    BOOST_LEAF_AUTO(unit, part.text("unit", ""));
+    quota.countsTokens = unit == tokenUnit;
+    BOOST_LEAF_ASSIGN(quota.plainTokens, part.amount("plain_tokens", quota.plainTokens));
     if (quota.ratePerSecond == 0)
         return std::vector<token_quota>();
     return std::vector<token_quota>{quota};
@@ -184,50 +223,76 @@
                         + " routes, services, tenants and keys; send fewer");
 }
 
-[[nodiscard]] result<void> addTenant(const json &object, edit_tables &tables)
+[[nodiscard]] result<void> addKeys(const document_part &part, const std::string &tenant,
+                                   edit_tables &tables)
 {
-    organisation row;
-    row.name = required<std::string>(object, "name");
-    const auto priority = object.find("priority");
-    row.ranked = priority != object.end() && !priority->is_null();
-    if (row.ranked)
-        row.priority = -priority->get<int>();
-    const json::array_t &keys = listOf(object, "api_keys", false);
+    BOOST_LEAF_AUTO(keys, part.optionalList("api_keys"));
     BOOST_LEAF_CHECK(checkRows(tables, keys.size()));
     for (const json &key : keys) {
-        const std::string id = row.name + "." + std::to_string(tables.putKeys.size());
-        tables.putKeys.push_back({id, row.name, keyDigest(key.get<std::string>())});
+        if (!key.is_string())
+            return fail(error_kind::InvalidArgument, part.where("api_keys"),
+                        "a key is no text; send a list of texts");
+        const std::string id = tenant + "." + std::to_string(tables.putKeys.size());
+        tables.putKeys.push_back({id, tenant, keyDigest(key.get_ref<const std::string &>())});
     }
-    BOOST_LEAF_ASSIGN(row.quota, quotaFrom(object, row.name));
+    return {};
+}
+
+[[nodiscard]] result<void> addTenant(const document_part &part, edit_tables &tables)
+{
+    organisation row;
+    BOOST_LEAF_ASSIGN(row.name, part.text("name"));
+    row.ranked = part.has("priority");
+    BOOST_LEAF_AUTO(rank, smallWhole(part, "priority", tenantRanks, 0));
+    row.priority = -rank;
+    BOOST_LEAF_CHECK(addKeys(part, row.name, tables));
+    BOOST_LEAF_ASSIGN(row.quota, quotaFrom(part));
     tables.putOrganisations.push_back(std::move(row));
     return {};
 }
 
+/// Reads each object of a list and passes it on.
+template<typename Add>
+[[nodiscard]] result<void> readEach(std::span<const json> list, const std::string &name, Add add)
+{
+    for (std::size_t index = 0; index < list.size(); ++index) {
+        BOOST_LEAF_AUTO(part, document_part::element(list[index], name, index));
+        BOOST_LEAF_CHECK(add(part));
+    }
+    return {};
+}
+
 [[nodiscard]] result<put_document> documentFrom(const json &object)
 {
+    const document_part whole(object, "");
     put_document document;
-    document.version = required<std::uint64_t>(object, "version");
+    BOOST_LEAF_ASSIGN(document.version, whole.version("version"));
     edit_tables &tables = document.tables;
     // a list of tenants requires keys, also an empty one: then no key is valid
     const bool keysRequired = object.contains("tenants");
-    const json::array_t &tenants = listOf(object, "tenants", keysRequired);
-    const json::array_t &services = listOf(object, "services", true);
-    const json::array_t &routes = listOf(object, "routes", true);
+    BOOST_LEAF_AUTO(tenants, keysRequired ? whole.list("tenants") : whole.optionalList("tenants"));
+    BOOST_LEAF_AUTO(services, whole.list("services"));
+    BOOST_LEAF_AUTO(routes, whole.list("routes"));
     BOOST_LEAF_CHECK(checkRows(tables, tenants.size() + services.size() + routes.size()));
-    for (const json &tenant : tenants)
-        BOOST_LEAF_CHECK(addTenant(tenant, tables));
-    std::map<std::string, pool> pools;
-    for (const json &service : services) {
-        tables.putPools.push_back(poolFrom(service));
-        pools[tables.putPools.back().name] = tables.putPools.back();
-    }
-    for (const json &route : routes) {
-        BOOST_LEAF_AUTO(row, routeFrom(route, pools, keysRequired));
+    BOOST_LEAF_CHECK(readEach(tenants, "tenants",
+                              [&](const document_part &part) { return addTenant(part, tables); }));
+    pool_table pools;
+    BOOST_LEAF_CHECK(readEach(services, "services", [&](const document_part &part) -> result<void> {
+        BOOST_LEAF_AUTO(row, poolFrom(part));
+        pools[row.name] = row;
+        tables.putPools.push_back(std::move(row));
+        return {};
+    }));
+    BOOST_LEAF_CHECK(readEach(routes, "routes", [&](const document_part &part) -> result<void> {
+        BOOST_LEAF_AUTO(row, routeFrom(part, pools, keysRequired));
         tables.putRoutes.push_back(std::move(row));
+        return {};
+    }));
+    BOOST_LEAF_AUTO(limits, whole.object("limits"));
+    if (limits) {
+        BOOST_LEAF_AUTO(row, limitsFrom(*limits));
+        tables.putLimits.push_back(row);
     }
-    const auto limits = object.find("limits");
-    if (limits != object.end() && limits->is_object())
-        tables.putLimits.push_back(limitsFrom(*limits));
     return document;
 }
 
@@ -248,23 +313,23 @@
 
     [[nodiscard]] result<put_document> readDocument(std::string_view bytes) const override
     {
-        const json object = kernel::readBounded(bytes, {documentMembers, maxDepth, maxValues});
-        if (!object.is_object())
-            return fail(error_kind::InvalidArgument, "document",
-                        "not a JSON object, truncated, nested in more than "
-                                + std::to_string(maxDepth) + " lists, or of more than "
-                                + std::to_string(maxValues)
-                                + " values; send the whole document, or a smaller one");
-        try {
-            BOOST_LEAF_AUTO(document, documentFrom(object));
-            document.bytes = std::string(bytes);
-            return document;
-        } catch (const json::exception &problem) {
-            return fail(error_kind::InvalidArgument, "document", problem.what());
-        }
+        BOOST_LEAF_AUTO(object, kernel::readBounded(bytes, {documentMembers, maxDepth, maxValues}));
+        BOOST_LEAF_AUTO(document, documentFrom(object));
+        document.bytes = std::string(bytes);
+        return document;
     }
 
-    [[nodiscard]] bool namesVersion(std::string_view, std::uint64_t) const override { return true; }
+    [[nodiscard]] bool namesVersion(std::string_view bytes,
+                                    std::uint64_t storedVersion) const override
+    {
+        if (storedVersion < firstDoubtfulVersion)
+            return true;
+        const auto members = kernel::readScalarMembers(bytes, versionMember);
+        const auto named
+                = members ? members->find("version") : kernel::member_map::const_iterator();
+        return members && named != members->end() && named->second.is_number_unsigned()
+                && named->second.get<std::uint64_t>() == storedVersion;
+    }
 };
 
 const http::operator_protocol_registry::registration addPlatform{
--- a/tests/unit/feed_table_leases_test.cpp
+++ b/tests/unit/feed_table_leases_test.cpp
@@ -113,6 +113,21 @@
     EXPECT_EQ(leases.revisionOf(3), 8U) << "what is settled is not kept apart";
 }
 
+/// Guards against an acknowledgement that rests on the tables before, when a document replaces one
+/// that a former build had stored under a higher version than it names.
+TEST(table_leases, aDocumentRestsOnNoRevisionBeforeALowerVersion)
+{
+    table_leases leases(wait);
+    leases.installed(start, tablesAt(7, 3));
+    leases.installed(start + milliseconds(100), tablesAt(8, std::uint64_t(-1)));
+    leases.installed(start + milliseconds(200), tablesAt(9, 4));
+    leases.installed(start + milliseconds(300), tablesAt(10, 5));
+    EXPECT_EQ(leases.revisionOf(4), 9U);
+    EXPECT_EQ(leases.revisionOf(5), 10U);
+    EXPECT_EQ(leases.revisionOf(3), 9U) << "what is in force has no version between";
+    EXPECT_EQ(leases.revisionOf(6), std::nullopt);
+}
+
 TEST(table_leases, withoutABoundNothingWaits)
 {
     EXPECT_EQ(leaseWait(milliseconds(4'700), milliseconds(0)), nanoseconds::zero());
--- a/tests/unit/http_document_interface_test.cpp
+++ b/tests/unit/http_document_interface_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -195,6 +196,28 @@
     EXPECT_EQ(m_committed.front().replacesRevision, std::vector<std::uint64_t>{0});
 }
 
+/// Guards against a fleet whose documents all hide behind one that a former build stored under the
+/// number that it made of a negative version.
+TEST_F(document_interface_test, aDocumentReplacesOneThatIsStoredUnderAVersionThatItDoesNotName)
+{
+    m_commits = true;
+    constexpr std::uint64_t greatest = std::numeric_limits<std::uint64_t>::max();
+    const auto put = [&](const std::string &stored) {
+        m_stored = {5, greatest, std::make_shared<std::string>(stored)};
+        m_committed.clear();
+        auto answer = std::async(std::launch::async, [&] {
+            return ask("PUT /config", R"({"version":8,"routes":[],"services":[]})");
+        });
+        while (unsettled() == 0)
+            std::this_thread::yield();
+        settle(true);
+        EXPECT_TRUE(answer.get().starts_with("HTTP/1.1 200"));
+        return m_committed.front().replacesRevision;
+    };
+    EXPECT_EQ(put(R"({"version":-1,"routes":[],"services":[]})"), std::vector<std::uint64_t>{5});
+    EXPECT_TRUE(put(R"({"version":18446744073709551615,"routes":[],"services":[]})").empty());
+}
+
 /// Guards against a document of version 0 that replaces a stored one, or is refused beside it.
 TEST_F(document_interface_test, aDocumentOfVersionZeroChangesNothingOnceOneIsStored)
 {
--- a/tests/unit/platform_document_version_test.cpp
+++ b/tests/unit/platform_document_version_test.cpp
@@ -161,4 +161,22 @@
     EXPECT_TRUE(changed(log.put(sampleDocument(0), 0)));
 }
 
+/// Guards against entries and followers that keep the version of a document which one of a lower
+/// version has replaced.
+TEST(platform_document_version, thatIsLowerThanAWrongOneReachesEntries)
+{
+    kernel::state::table_set before;
+    before.revision = 5;
+    before.documentVersion = std::uint64_t(-1);
+    kernel::state::table_set after = before;
+    after.revision = 6;
+    after.documentVersion = 8;
+    kernel::state::table_set atEntry = before;
+    kernel::feed::applyRows(atEntry, kernel::feed::difference(before, after), after.revision);
+    EXPECT_EQ(atEntry.documentVersion, 8U);
+    kernel::state::edit_tables ofFormerBuild;
+    kernel::feed::applyRows(atEntry, ofFormerBuild, 7);
+    EXPECT_EQ(atEntry.documentVersion, 8U) << "an edit that names none";
+}
+
 } // namespace yuccascale::platform
