Limits of a former document end once a document has none

The feed's changes held an empty list both for unchanged and for removed limits, and the entry kept its limits when the tables had none.

Change: edit_tables::removeLimits (default false, ignored by former builds); the entry always computes its limits from settings and tables.

Tests: caller_limits.areThoseOfTheSettingsOnceADocumentHasNone red before, green now; .stayWhenAChangeSaysNothingOfThem reads a change of a former build.

--- a/src/yuccascale/http/caller_limits.hpp
+++ b/src/yuccascale/http/caller_limits.hpp
@@ -31,4 +31,14 @@
     limits.idleTimeout = kernel::milliseconds(row.idleTimeoutMs);
 }
 
+/// \returns the limits of the settings, or those of the tables where these have a row.
+[[nodiscard]] inline net::http_limits limitsInForce(const runtime::http_settings &settings,
+                                                    const kernel::state::table_set &tables)
+{
+    net::http_limits limits = limitsFrom(settings);
+    if (!tables.limits.empty())
+        applyRow(limits, tables.limits.front());
+    return limits;
+}
+
 } // namespace yuccascale::http
--- a/src/yuccascale/http/caller_server.cpp
+++ b/src/yuccascale/http/caller_server.cpp
@@ -297,11 +297,7 @@
     m_endpointListVersion = listVersion;
     m_services.monitor->setEndpoints(m_services.pools->endpoints());
     m_services.quotas->setOrganisations(view.tables->organisations);
-    if (view.tables->limits.empty())
-        return;
-    net::http_limits limits = limitsFrom(m_dependencies.settings.http);
-    applyRow(limits, view.tables->limits.front());
-    m_servers.front()->setLimits(limits);
+    m_servers.front()->setLimits(limitsInForce(m_dependencies.settings.http, *view.tables));
 }
 
 std::vector<kernel::feed::node_report> caller_server::implementation::nodes() const
--- a/src/yuccascale/kernel/feed/table_history.cpp
+++ b/src/yuccascale/kernel/feed/table_history.cpp
@@ -59,6 +59,7 @@
     compareTables(from.keys, to.keys, edit.putKeys, edit.removeKeys);
     if (from.limits != to.limits)
         edit.putLimits = to.limits;
+    edit.removeLimits = !from.limits.empty() && to.limits.empty();
     edit.documentVersion = to.documentVersion;
     return edit;
 }
@@ -71,7 +72,7 @@
                rowName<state::organisation>);
     applyTable(tables.keys, edit.putKeys, edit.removeKeys,
                [](const state::key_record &key) { return key.id; });
-    if (!edit.putLimits.empty())
+    if (!edit.putLimits.empty() || edit.removeLimits)
         tables.limits = edit.putLimits;
     if (edit.documentVersion != 0) // a lower one replaces one that its document does not name
         tables.documentVersion = edit.documentVersion;
--- a/src/yuccascale/kernel/state/commands.hpp
+++ b/src/yuccascale/kernel/state/commands.hpp
@@ -32,11 +32,12 @@
     std::int64_t wallMs = 0; ///< time of the proposal; endpoints are charged from then on
     std::vector<caller_limits> putLimits = {}; ///< at most one
     std::uint64_t documentVersion = 0;         ///< set by the feed only; 0: unchanged
+    bool removeLimits = false; ///< set by the feed only: the limits of the settings apply again
 
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(edit_tables, fromRevision, putRoutes, putPools,
                                                 putOrganisations, putKeys, removeRoutes,
                                                 removePools, removeOrganisations, removeKeys,
-                                                putLimits, documentVersion, wallMs)
+                                                putLimits, documentVersion, removeLimits, wallMs)
 };
 
 /// \brief Replaces all tables by an operator's document. A document whose version is not above the
