Great limits of callers stay great

Callers saw: with max_header_bytes every request is refused with 431, since the server's parser takes 32 bits; a timeout of more than 292 years passes at once, since it wraps when nanoseconds are counted.

--- a/src/yuccascale/http/caller_limits.hpp
+++ b/src/yuccascale/http/caller_limits.hpp
@@ -4,6 +4,10 @@
 #include "yuccascale/net/http_server.hpp"
 #include "yuccascale/runtime/settings.hpp"
 
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
 /// \file
 /// \brief Limits of callers' connections, from the settings and from the tables.
 
@@ -22,13 +26,20 @@
     return limits;
 }
 
+/// Greater limits count as these, so that sums with them fit into their types.
+inline constexpr std::int64_t mostHeaderBytes = std::numeric_limits<std::int32_t>::max();
+inline constexpr kernel::milliseconds longestCallerTimeout{24 * 3'600'000};
+
 /// \brief Replaces the limits that the row of the tables states.
 inline void applyRow(net::http_limits &limits, const kernel::state::caller_limits &row)
 {
-    limits.headerBytes = static_cast<std::size_t>(row.headerBytes);
+    const auto timeout = [](std::int64_t value) {
+        return std::min(kernel::milliseconds(value), longestCallerTimeout);
+    };
+    limits.headerBytes = static_cast<std::size_t>(std::min(row.headerBytes, mostHeaderBytes));
     limits.bodyBytes = static_cast<std::uint64_t>(row.bodyBytes);
-    limits.readTimeout = kernel::milliseconds(row.readTimeoutMs);
-    limits.idleTimeout = kernel::milliseconds(row.idleTimeoutMs);
+    limits.readTimeout = timeout(row.readTimeoutMs);
+    limits.idleTimeout = timeout(row.idleTimeoutMs);
 }
 
 /// \returns the limits of the settings, or those of the tables where these have a row.
--- a/tests/unit/caller_limits_test.cpp
+++ b/tests/unit/caller_limits_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 /// \file
 /// \brief Which limits an entry sets on callers, by its settings and by the documents in force.
 
@@ -70,4 +72,24 @@
     EXPECT_FALSE(ofFormerBuild.get<kernel::state::edit_tables>().removeLimits);
 }
 
+/// Guards against a great limit that wraps when it is converted, so that every request is refused.
+TEST(caller_limits, thatAreGreatStayGreat)
+{
+    constexpr std::uint64_t greatest = std::numeric_limits<std::int64_t>::max();
+    for (const std::uint64_t value : {std::uint64_t{1} << 32U, greatest}) {
+        document_holder holder;
+        ASSERT_TRUE(holder.put(documentWithLimits(1,
+                                                  {{"max_header_bytes", value},
+                                                   {"max_body_bytes", value},
+                                                   {"header_timeout_ms", value},
+                                                   {"idle_timeout_ms", value}})));
+        const net::http_limits limits = limitsWith(*holder.tables());
+        EXPECT_EQ(limits.bodyBytes, value);
+        EXPECT_GT(static_cast<std::uint32_t>(limits.headerBytes), 1U << 30U);
+        const auto now = std::chrono::steady_clock::now();
+        EXPECT_GT(now + limits.readTimeout, now) << value;
+        EXPECT_GT(now + limits.idleTimeout, now) << value;
+    }
+}
+
 } // namespace yuccascale::http
