Figures that no caller, server or document can mean reach no sum

Change: token counts above 10^9 or below 0 count as unreadable, as they did for quotas; a load above 100,000 is no load; urgency is computed in 64 bits; soundBounds() keeps the stored numbers of servers from 0 to 100,000 and the least at most the most.

--- a/src/yuccascale/kernel/policy/demand_capacity.cpp
+++ b/src/yuccascale/kernel/policy/demand_capacity.cpp
@@ -97,7 +97,7 @@
     for (const auto &[name, pool] : tables.pools) {
         if (pool.scaling.empty())
             continue;
-        const state::endpoint_scaling &scaling = pool.scaling.front();
+        const state::endpoint_scaling scaling = soundBounds(pool.scaling.front());
         pool_state &state = m_pools[name];
         if (state.lastKnownAt == instant{})
             state.lastKnownAt = now;
--- a/src/yuccascale/kernel/policy/zone_plan.cpp
+++ b/src/yuccascale/kernel/policy/zone_plan.cpp
@@ -128,6 +128,13 @@
 
 } // namespace
 
+state::endpoint_scaling soundBounds(state::endpoint_scaling scaling)
+{
+    scaling.most = std::clamp(scaling.most, 0, mostPerZone);
+    scaling.least = std::clamp(scaling.least, 0, scaling.most);
+    return scaling;
+}
+
 zone_plan planZones(const measured_work &work, double slots, const state::endpoint_scaling &scaling,
                     std::span<const zone_supply> zones)
 {
--- a/src/yuccascale/kernel/policy/zone_plan.hpp
+++ b/src/yuccascale/kernel/policy/zone_plan.hpp
@@ -21,6 +21,13 @@
 /// \brief Highest price of a cheap endpoint, relative to a steady one, at which it is ordered.
 inline constexpr double maxCheapPrice = 0.5;
 
+/// \brief Most endpoints of a pool that are planned for an availability zone.
+inline constexpr int mostPerZone = 100'000;
+
+/// \returns bounds that can be added up over zones: no figure is negative or above mostPerZone, and
+///          the least is not above the most. Former builds stored any figures.
+[[nodiscard]] state::endpoint_scaling soundBounds(state::endpoint_scaling scaling);
+
 /// \brief What a zone has.
 struct zone_supply
 {
--- a/src/yuccascale/platform/caller_protocol.cpp
+++ b/src/yuccascale/platform/caller_protocol.cpp
@@ -76,18 +76,26 @@
     return item;
 }
 
+/// Parses a number of tokens; \returns false, and leaves \a out as it was, when \a text is not one
+/// or no request has so many.
+[[nodiscard]] bool parseTokens(std::string_view text, std::int64_t &out) noexcept
+{
+    constexpr std::int64_t most = 1'000'000'000;
+    std::int64_t value = 0;
+    if (!parseNumber(text, value) || value < 0 || value > most)
+        return false;
+    out = value;
+    return true;
+}
+
 /// \returns the sum of the two counts; nothing when they are missing or cannot be read.
 [[nodiscard]] std::optional<std::int64_t> statedTokensOf(std::string_view tokenCounts) noexcept
 {
-    constexpr std::int64_t most = 1'000'000'000;
     std::int64_t prompt = 0;
     std::int64_t output = 0;
-    const bool readable = parseNumber(takeListItem(tokenCounts), prompt)
-            && parseNumber(takeListItem(tokenCounts), output);
-    const auto valid = [](std::int64_t count) { return count >= 0 && count <= most; };
-    if (!readable || !valid(prompt) || !valid(output))
-        return std::nullopt;
-    return prompt + output;
+    const bool readable = parseTokens(takeListItem(tokenCounts), prompt)
+            && parseTokens(takeListItem(tokenCounts), output);
+    return readable ? std::optional(prompt + output) : std::nullopt;
 }
 
 void readPromptHeaders(const http_request &httpRequest, request &callerRequest)
@@ -95,8 +103,8 @@
     std::string_view tokenCounts = httpRequest.header(headers::tokenCounts);
     callerRequest.promptTokens = 1;
     callerRequest.outputTokens = 1;
-    static_cast<void>(parseNumber(takeListItem(tokenCounts), callerRequest.promptTokens));
-    static_cast<void>(parseNumber(takeListItem(tokenCounts), callerRequest.outputTokens));
+    static_cast<void>(parseTokens(takeListItem(tokenCounts), callerRequest.promptTokens));
+    static_cast<void>(parseTokens(takeListItem(tokenCounts), callerRequest.outputTokens));
     callerRequest.statedTokens = statedTokensOf(httpRequest.header(headers::tokenCounts));
     std::int64_t expected = 0;
     if (parseNumber(httpRequest.header(headers::expectedOutput), expected) && expected > 0)
@@ -107,7 +115,7 @@
         const std::size_t colon = std::min(item.find(':'), item.size());
         prompt_part part;
         if (!parseNumber(item.substr(0, colon), part.id, 16)
-            || !parseNumber(item.substr(std::min(colon + 1, item.size())), part.tokens))
+            || !parseTokens(item.substr(std::min(colon + 1, item.size())), part.tokens))
             break;
         callerRequest.parts.push_back(part);
     }
--- a/src/yuccascale/platform/endpoint_driver.cpp
+++ b/src/yuccascale/platform/endpoint_driver.cpp
@@ -61,6 +61,11 @@
     return valid ? std::optional(figure) : std::nullopt;
 }
 
+[[nodiscard]] bool isCount(int figure) noexcept
+{
+    return figure >= 0 && figure <= maxReportedSlots;
+}
+
 /// The slots and the pace are optional; each is left out when it cannot be read.
 [[nodiscard]] std::optional<endpoint_report> parseLoad(std::string_view text, kernel::instant now)
 {
@@ -71,7 +76,7 @@
     if (running.ec != std::errc() || running.ptr == end || *running.ptr != ',')
         return std::nullopt;
     const auto queued = std::from_chars(running.ptr + 1, end, report.load.queued);
-    if (queued.ec != std::errc())
+    if (queued.ec != std::errc() || !isCount(report.load.running) || !isCount(report.load.queued))
         return std::nullopt;
     const char *from = queued.ptr;
     report.load.slots = parseNextFigure(from, end, 1, maxReportedSlots).value_or(0);
@@ -357,7 +362,8 @@
 
     [[nodiscard]] static int urgencyOf(const kernel::state::route &route) noexcept
     {
-        return std::clamp(defaultUrgency - urgencyStep * route.priority, 0, maxUrgency);
+        const std::int64_t urgency = defaultUrgency - urgencyStep * std::int64_t{route.priority};
+        return static_cast<int>(std::clamp<std::int64_t>(urgency, 0, maxUrgency));
     }
 };
 
--- a/src/yuccascale/platform/operator_document.cpp
+++ b/src/yuccascale/platform/operator_document.cpp
@@ -1,6 +1,7 @@
 #include "yuccascale/http/operator_protocol.hpp"
 #include "yuccascale/kernel/json_bounds.hpp"
 #include "yuccascale/kernel/json_members.hpp"
+#include "yuccascale/kernel/policy/zone_plan.hpp"
 #include "yuccascale/kernel/state/key_digest.hpp"
 #include "yuccascale/kernel/state/table_rules.hpp"
 #include "yuccascale/platform/document_part.hpp"
@@ -47,7 +48,7 @@
 constexpr whole_range limitRange{0, std::numeric_limits<std::int64_t>::max()};
 constexpr whole_range connectionRange{0, std::numeric_limits<int>::max()};
 /// Of a service in an availability zone.
-constexpr whole_range serverRange{0, 100'000};
+constexpr whole_range serverRange{0, kernel::policy::mostPerZone};
 constexpr whole_range tokenByteRange{0, std::int64_t{1} << 30};
 /// Stored versions from here on may be negative numbers that a former build took for others.
 constexpr std::uint64_t firstDoubtfulVersion = std::uint64_t{1} << 63U;
--- a/tests/unit/policy_capacity_test.cpp
+++ b/tests/unit/policy_capacity_test.cpp
@@ -435,4 +435,21 @@
     EXPECT_EQ(fleet.cheap(), 45);
 }
 
+/// Guards against bounds of a stored document that overflow when they are added up over zones, or
+/// order more than the most.
+TEST(policy_scaling_bounds, areSoundWhateverIsStored)
+{
+    const auto boundsOf = [](int least, int most) {
+        state::endpoint_scaling scaling;
+        scaling.least = least;
+        scaling.most = most;
+        const state::endpoint_scaling sound = soundBounds(scaling);
+        return std::pair(sound.least, sound.most);
+    };
+    EXPECT_EQ(boundsOf(1, 12), std::pair(1, 12));
+    EXPECT_EQ(boundsOf(5, 2), std::pair(2, 2));
+    EXPECT_EQ(boundsOf(-1, -1), std::pair(0, 0));
+    EXPECT_EQ(boundsOf(2'147'483'647, 2'147'483'647), std::pair(mostPerZone, mostPerZone));
+}
+
 } // namespace yuccascale::kernel::policy
