--- a/src/yuccascale/net/http_connection.hpp
+++ b/src/yuccascale/net/http_connection.hpp
@@ -159,6 +159,7 @@
     bool m_keepAlive = true;
     std::uint64_t m_exchangeNumber = 0; ///< of the latest request
     bool m_chunked = false;
+    bool m_headOnly = false; ///< the latest request was a HEAD, whose answer has no body
     std::function<void()> m_onCallerDisconnected;
     std::string m_unsent;          ///< queued behind the write in progress
     std::string m_sending;         ///< buffer of the write in progress
--- a/src/yuccascale/net/http_connection_answers.cpp
+++ b/src/yuccascale/net/http_connection_answers.cpp
@@ -70,6 +70,8 @@
     if (hasBody(answer.status))
         appendHeader(text, "Content-Length", numberText(answer.body.size(), 10));
     text += "\r\n";
+    if (m_headOnly)
+        answer.body.clear();
     if (answer.body.size() <= copiedBodyBytes) {
         text += answer.body;
         write(std::move(text));
@@ -92,7 +94,7 @@
 
 void http_server::connection::send(std::string_view bytes)
 {
-    if (bytes.empty())
+    if (bytes.empty() || m_headOnly)
         return;
     std::string chunk = numberText(bytes.size(), 16) + "\r\n";
     chunk += bytes;
@@ -102,7 +104,7 @@
 
 void http_server::connection::finish()
 {
-    write("0\r\n\r\n");
+    write(m_headOnly ? "" : "0\r\n\r\n");
     onAnswerEnd();
 }
 
--- a/src/yuccascale/net/http_connection_requests.cpp
+++ b/src/yuccascale/net/http_connection_requests.cpp
@@ -42,6 +42,7 @@
     m_parser->eager(true);
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits->headerBytes));
     m_parser->body_limit(m_limits->bodyBytes);
+    m_headOnly = false;
     m_headerChecked = false;
     m_headBytes = 0;
     setDeadline(m_limits->idleTimeout);
@@ -196,6 +197,7 @@
     auto message = m_parser->release();
     http_request request;
     request.method = std::string(message.method_string());
+    m_headOnly = message.method() == http::verb::head;
     request.target = std::string(message.target());
     for (const auto &field : message)
         request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -71,6 +71,11 @@
             exchange->onCallerDisconnected([this, exchange] { m_callerLeft.set_value(); });
             return;
         }
+        if (request.target == "/stream") {
+            exchange->begin(200, {});
+            exchange->send("piece");
+            return exchange->finish();
+        }
         if (request.target == "/large") {
             return exchange->reply({200, {}, std::string(moreThanIsQueued, 'x')});
         }
@@ -113,6 +118,27 @@
     EXPECT_LT(second, third);
 }
 
+/// Guards against a body in an answer to HEAD, which the caller reads as its next answer.
+TEST_F(http_server_test, answersHeadWithoutABodyWhateverTheHandlerReplies)
+{
+    for (const std::string target : {"/short", "/stream", "/large"}) {
+        const std::string answers = ask("HEAD " + target
+                                        + " HTTP/1.1\r\nHost: h\r\n\r\n"
+                                          "GET /next HTTP/1.1\r\nHost: h\r\nConnection: close"
+                                          "\r\n\r\n");
+        const std::size_t headEnd = answers.find("\r\n\r\n");
+        ASSERT_NE(headEnd, std::string::npos) << target;
+        EXPECT_TRUE(answers.substr(headEnd + 4).starts_with("HTTP/1.1 200"))
+                << answers.substr(0, 300);
+        EXPECT_NE(answers.find("/next "), std::string::npos) << target;
+    }
+    const std::string answer = ask("HEAD /short HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_NE(answer.find("Content-Length: 7"), std::string::npos) << "the length that GET gets";
+    const std::string refused = ask("HEAD /short HTTP/1.1\r\nHost: h\r\n\r\nGET /a\r\n\r\n");
+    EXPECT_NE(refused.find("invalid_argument"), std::string::npos)
+            << "a refusal of the next request has its body";
+}
+
 TEST_F(http_server_test, refusesContentLengthWithChunkedEncodingAndClosesTheConnection)
 {
     const std::string answer = ask("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
