--- a/src/yuccascale/kernel/consensus/messages.hpp
+++ b/src/yuccascale/kernel/consensus/messages.hpp
@@ -81,8 +81,9 @@
 /// \brief Answer to a join_request.
 struct join_reply
 {
-    bool empty = false; ///< the sender has no log
-    std::string leader; ///< the last one that the sender knows; may be empty
+    bool empty = false;       ///< the sender has no log
+    std::string leader;       ///< the last one that the sender knows; may be empty
+    bool mayNotStart = false; ///< the sender starts no log: this is not its first start
 };
 
 using message_body = std::variant<vote_request, vote_reply, append_request, append_reply,
--- a/src/yuccascale/kernel/consensus/replica.hpp
+++ b/src/yuccascale/kernel/consensus/replica.hpp
@@ -184,6 +184,7 @@
         std::uint64_t incarnation = 0;
         term_number term = 0;
         instant lastContactAt{};
+        bool mayNotStart = false; ///< it starts no log
     };
 
     // replica.cpp
@@ -236,6 +237,7 @@
 
     // replica_membership.cpp
     void sendJoinRequests(instant now, nanoseconds interval);
+    [[nodiscard]] bool startsTheLog() const;
     void bootstrapIfAllEmpty(instant now);
     void changeMembership(instant now);
     [[nodiscard]] std::optional<membership> nextMembership(instant now);
--- a/src/yuccascale/kernel/consensus/replica_membership.cpp
+++ b/src/yuccascale/kernel/consensus/replica_membership.cpp
@@ -37,7 +37,8 @@
 
 void replica::handle(const message &received, const join_request &, instant)
 {
-    send(received.from, join_reply{m_log.empty() && !m_config.formerLog, m_leader});
+    send(received.from,
+         join_reply{m_log.empty() && !m_config.formerLog, m_leader, !m_config.firstStart});
     if (m_role == replica_role::Leader)
         m_joiners[received.from.name] = received.from.incarnation;
 }
@@ -45,7 +46,8 @@
 void replica::handle(const message &received, const join_reply &reply, instant now)
 {
     if (reply.empty)
-        m_emptyPeers[received.from.name] = {received.from.incarnation, received.term, now};
+        m_emptyPeers[received.from.name]
+                = {received.from.incarnation, received.term, now, reply.mayNotStart};
     else
         m_emptyPeers.erase(received.from.name);
     if (!reply.leader.empty())
@@ -53,14 +55,27 @@
     bootstrapIfAllEmpty(now);
 }
 
-/// The replica with the lowest name starts the log once every initial member has replied, within
-/// the election timeout, that it is empty. A replica that lost its disk therefore cannot start a
-/// second cluster beside the existing one, whose members reply that they are not empty.
-void replica::bootstrapIfAllEmpty(instant now)
+/// Of the replicas that may start a log, the one with the lowest name does. One that was restarted
+/// during the first start may not, and tells the others so.
+bool replica::startsTheLog() const
 {
     const std::vector<std::string> &initialMembers = m_config.initialMembers;
-    if (!m_config.firstStart || m_config.formerLog || !m_log.empty() || initialMembers.empty()
-        || m_config.self.name != *std::ranges::min_element(initialMembers))
+    if (!m_config.firstStart || m_config.formerLog || !m_log.empty()
+        || std::ranges::find(initialMembers, m_config.self.name) == initialMembers.end())
+        return false;
+    return std::ranges::all_of(initialMembers, [this](const std::string &name) {
+        const auto peer = m_emptyPeers.find(name);
+        return name >= m_config.self.name
+                || (peer != m_emptyPeers.end() && peer->second.mayNotStart);
+    });
+}
+
+/// A replica starts the log once every initial member has replied, within the election timeout,
+/// that it is empty. A replica that lost its disk therefore cannot start a second cluster beside
+/// the existing one, whose members reply that they are not empty.
+void replica::bootstrapIfAllEmpty(instant now)
+{
+    if (!startsTheLog())
         return;
     membership members;
     term_number newestTerm = m_hardState.term;
@@ -76,7 +91,12 @@
         members.voters.push_back({name, peer->second.incarnation});
         newestTerm = std::max(newestTerm, peer->second.term);
     }
-    m_hardState = {newestTerm + 1, std::nullopt};
+    // logs that two replicas start one after the other differ in their terms
+    const auto rank
+            = std::ranges::count_if(m_config.initialMembers, [this](const std::string &name) {
+                  return name < m_config.self.name;
+              });
+    m_hardState = {newestTerm + 1 + static_cast<term_number>(rank), std::nullopt};
     m_log.append({m_hardState.term, 1, entry_kind::Membership, toCbor(members)});
     m_events.record(clusterBootstrapped, {{"voters", members.voters.size()}});
     refreshRole();
--- a/src/yuccascale/wire/consensus_codec.cpp
+++ b/src/yuccascale/wire/consensus_codec.cpp
@@ -74,7 +74,7 @@
 body_offset pack(buffer_builder &builder, const join_reply &body)
 {
     const auto leader = builder.CreateString(body.leader);
-    return fb::CreateJoinReply(builder, body.empty, leader).Union();
+    return fb::CreateJoinReply(builder, body.empty, leader, body.mayNotStart).Union();
 }
 
 /// The alternatives of message_body are in the order of fb::ConsensusBody, which starts with NONE.
@@ -125,7 +125,8 @@
 
 message_body unpack(const fb::JoinReply &table)
 {
-    return join_reply{table.empty(), table.leader() ? table.leader()->str() : std::string()};
+    return join_reply{table.empty(), table.leader() ? table.leader()->str() : std::string(),
+                      table.may_not_start()};
 }
 
 std::optional<message_body> unpackBody(const fb::ConsensusMessage &table)
--- a/src/yuccascale/wire/consensus_generated.h
+++ b/src/yuccascale/wire/consensus_generated.h
@@ -930,7 +930,8 @@
   typedef JoinReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_EMPTY = 4,
-    VT_LEADER = 6
+    VT_LEADER = 6,
+    VT_MAY_NOT_START = 8
   };
   bool empty() const {
     return GetField<uint8_t>(VT_EMPTY, 0) != 0;
@@ -938,11 +939,15 @@
   const flatbuffers::String *leader() const {
     return GetPointer<const flatbuffers::String *>(VT_LEADER);
   }
+  bool may_not_start() const {
+    return GetField<uint8_t>(VT_MAY_NOT_START, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_EMPTY, 1) &&
            VerifyOffset(verifier, VT_LEADER) &&
            verifier.VerifyString(leader()) &&
+           VerifyField<uint8_t>(verifier, VT_MAY_NOT_START, 1) &&
            verifier.EndTable();
   }
 };
@@ -957,6 +962,9 @@
   void add_leader(flatbuffers::Offset<flatbuffers::String> leader) {
     fbb_.AddOffset(JoinReply::VT_LEADER, leader);
   }
+  void add_may_not_start(bool may_not_start) {
+    fbb_.AddElement<uint8_t>(JoinReply::VT_MAY_NOT_START, static_cast<uint8_t>(may_not_start), 0);
+  }
   explicit JoinReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -971,9 +979,11 @@
 inline flatbuffers::Offset<JoinReply> CreateJoinReply(
     flatbuffers::FlatBufferBuilder &_fbb,
     bool empty = false,
-    flatbuffers::Offset<flatbuffers::String> leader = 0) {
+    flatbuffers::Offset<flatbuffers::String> leader = 0,
+    bool may_not_start = false) {
   JoinReplyBuilder builder_(_fbb);
   builder_.add_leader(leader);
+  builder_.add_may_not_start(may_not_start);
   builder_.add_empty(empty);
   return builder_.Finish();
 }
@@ -981,12 +991,14 @@
 inline flatbuffers::Offset<JoinReply> CreateJoinReplyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     bool empty = false,
-    const char *leader = nullptr) {
+    const char *leader = nullptr,
+    bool may_not_start = false) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   return yuccascale::wire::fb::CreateJoinReply(
       _fbb,
       empty,
-      leader__);
+      leader__,
+      may_not_start);
 }
 
 struct ConsensusMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/unit/consensus_membership_test.cpp
+++ b/tests/unit/consensus_membership_test.cpp
@@ -57,6 +57,55 @@
         EXPECT_EQ(group.at(index).role(), replica_role::Joining);
 }
 
+/// Guards against a system that never starts since the replica with the lowest name was killed
+/// during the first start, after which it may start no log.
+TEST(consensus_membership, anotherReplicaStartsTheLogWhenTheLowestMayNot)
+{
+    for (const std::size_t restarted : {1U, 2U}) {
+        replica_group group(seeds, 5);
+        group.setFirstStart(false);
+        for (std::size_t index = 0; index < restarted; ++index) {
+            group.stop(index);
+            group.start(index);
+        }
+        const std::size_t leader = group.runUntilLeader();
+        ASSERT_LT(leader, seeds) << restarted;
+        group.run(milliseconds(2'000));
+        EXPECT_EQ(votersOf(group, leader), (std::vector<std::string>{"a", "b", "c"}));
+        for (std::size_t index = 0; index < seeds; ++index)
+            EXPECT_EQ(group.at(index).log().termAt(1), group.at(leader).log().termAt(1)) << index;
+    }
+}
+
+/// Guards against an empty system that starts a log though none of its replicas may.
+TEST(consensus_membership, noReplicaStartsALogWhenNoneMay)
+{
+    replica_group group(seeds, 5);
+    group.setFirstStart(false);
+    for (std::size_t index = 0; index < seeds; ++index) {
+        group.stop(index);
+        group.start(index);
+    }
+    group.run(milliseconds(5'000));
+    for (std::size_t index = 0; index < seeds; ++index)
+        EXPECT_EQ(group.at(index).role(), replica_role::Joining);
+}
+
+/// Guards against a second log beside one that a former incarnation had started.
+TEST(consensus_membership, noReplicaStartsALogBesideOneThatTheLowestHasStarted)
+{
+    replica_group group(seeds, 5);
+    ASSERT_LT(group.runUntilLeader(), seeds);
+    group.run(milliseconds(1'000));
+    const auto term = group.at(1).log().termAt(1);
+    group.setFirstStart(false);
+    group.stop(0);
+    group.start(0);
+    group.run(milliseconds(5'000));
+    for (std::size_t index = 0; index < seeds; ++index)
+        EXPECT_EQ(group.at(index).log().termAt(1), term) << index;
+}
+
 TEST(consensus_membership, aReplicaRemovedWhileCutOffRejoinsAsALearner)
 {
     replica_group group(4, 2, seeds);
--- a/tests/unit/wire_former_messages_test.cpp
+++ b/tests/unit/wire_former_messages_test.cpp
@@ -107,6 +107,7 @@
     const auto &reply = std::get<kernel::consensus::join_reply>(read.body);
     EXPECT_TRUE(reply.empty);
     EXPECT_EQ(reply.leader, "");
+    EXPECT_FALSE(reply.mayNotStart) << "a former build with the lowest name may start the log";
 }
 
 TEST(former_messages, aFormerBuildReadsAJoinReplyOfThisOne)
