A route may be split between an engine service and a plain one

Cause: the tables want one kind for a route and its pools, and that rule is part of what replicas decide, so it stays. The document's reader took the kind of a route from the first service of its split.

Change: split_kinds reads a plain service that shares a route with an engine service as a pool of engines of which nothing is known, and what other splits connect with it likewise. Documents without such splits are read as before.

--- a/src/yuccascale/platform/operator_document.cpp
+++ b/src/yuccascale/platform/operator_document.cpp
@@ -6,11 +6,12 @@
 #include "yuccascale/kernel/state/table_rules.hpp"
 #include "yuccascale/platform/document_part.hpp"
 #include "yuccascale/platform/names.hpp"
+#include "yuccascale/platform/split_kinds.hpp"
 
 #include <algorithm>
 #include <array>
 #include <limits>
-#include <map>
+#include <set>
 
 /// \file
 /// \brief Operator protocol "platform": converts the operator's document into tables.
@@ -85,29 +86,27 @@
     return split;
 }
 
-using pool_table = std::map<std::string, pool>;
+using service_names = std::set<std::string, std::less<>>;
 
 /// A split takes precedence over a service, which must exist all the same.
-[[nodiscard]] result<void> setPools(const document_part &part, const pool_table &pools, route &row)
+[[nodiscard]] result<void> setPools(const document_part &part, const service_names &services,
+                                    route &row)
 {
     BOOST_LEAF_ASSIGN(row.split, splitFrom(part));
     if (row.split.empty()) {
         BOOST_LEAF_ASSIGN(row.pool, part.text("service"));
     } else if (part.has("service")) {
         BOOST_LEAF_AUTO(service, part.text("service"));
-        if (!pools.contains(service)) {
+        if (!services.contains(service)) {
             return fail(error_kind::InvalidArgument, part.where("service"),
                         "there is no service '" + service
                                 + "'; name one of the document's services or leave it out");
         }
     }
-    const auto found = pools.find(row.split.empty() ? row.pool : row.split.front().pool);
-    if (found != pools.end())
-        row.kind = found->second.kind;
     return {};
 }
 
-[[nodiscard]] result<route> routeFrom(const document_part &part, const pool_table &pools,
+[[nodiscard]] result<route> routeFrom(const document_part &part, const service_names &services,
                                       bool keysRequired)
 {
     route row;
@@ -119,7 +118,7 @@
     if (!setKind(kind, resumable, row))
         return fail(error_kind::InvalidArgument, part.where("kind"),
                     "unknown kind; use safe, unsafe or streaming");
-    BOOST_LEAF_CHECK(setPools(part, pools, row));
+    BOOST_LEAF_CHECK(setPools(part, services, row));
     BOOST_LEAF_ASSIGN(row.deadlineMs, part.whole("timeout_ms", milliseconds));
     BOOST_LEAF_ASSIGN(row.firstTokenMs,
                       part.whole("target_latency_ms", milliseconds, row.firstTokenMs));
@@ -153,7 +152,7 @@
 [[nodiscard]] result<void> setEngine(const document_part &part, pool &row)
 {
     row.kind = backend_kind::Model;
-    row.model = "default";
+    row.model = unnamedModel;
     BOOST_LEAF_ASSIGN(row.kvTokenBytes,
                       part.whole("kv_token_bytes", tokenByteRange, row.kvTokenBytes));
     BOOST_LEAF_ASSIGN(row.linkMbps, part.amount("link_mbps", row.linkMbps));
@@ -277,18 +276,19 @@
     BOOST_LEAF_CHECK(checkRows(tables, tenants.size() + services.size() + routes.size()));
     BOOST_LEAF_CHECK(readEach(tenants, "tenants",
                               [&](const document_part &part) { return addTenant(part, tables); }));
-    pool_table pools;
+    service_names names;
     BOOST_LEAF_CHECK(readEach(services, "services", [&](const document_part &part) -> result<void> {
         BOOST_LEAF_AUTO(row, poolFrom(part));
-        pools[row.name] = row;
+        names.insert(row.name);
         tables.putPools.push_back(std::move(row));
         return {};
     }));
     BOOST_LEAF_CHECK(readEach(routes, "routes", [&](const document_part &part) -> result<void> {
-        BOOST_LEAF_AUTO(row, routeFrom(part, pools, keysRequired));
+        BOOST_LEAF_AUTO(row, routeFrom(part, names, keysRequired));
         tables.putRoutes.push_back(std::move(row));
         return {};
     }));
+    alignKinds(tables);
     BOOST_LEAF_AUTO(limits, whole.object("limits"));
     if (limits) {
         BOOST_LEAF_AUTO(row, limitsFrom(*limits));
