--- a/src/yuccascale/kernel/state/table_rules.cpp
+++ b/src/yuccascale/kernel/state/table_rules.cpp
@@ -106,7 +106,8 @@
              problemInRange<std::int64_t>(location + ".firstTokenMs", row.firstTokenMs, 1,
                                           maxDeadlineMs),
              problemInRange(location + ".maxAttempts", row.maxAttempts, 1, maxRouteAttempts),
-             problemInRange(location + ".priority", row.priority, -maxRoutePriority, maxRoutePriority)});
+             problemInRange(location + ".priority", row.priority, -maxRoutePriority,
+                            maxRoutePriority)});
 }
 
 problem problemInEndpoint(const std::string &poolLocation, backend_kind kind, const endpoint &row)
