Documents of odd versions and empty lists at real processes

Cause: no test sent a document of version 0, one that is invalid among valid ones, or one that takes all keys away, to real processes.

What it does otherwise is drawn as before.

--- a/tests/processes/document_edits.cpp
+++ b/tests/processes/document_edits.cpp
@@ -26,6 +26,9 @@
 constexpr milliseconds waitStep{10};
 constexpr std::size_t keptAdditions = 4;
 const std::string lastingKey = "key-lasting";
+/// One in so many documents takes all keys away, and as many times an invalid one is sent beside
+/// it.
+constexpr unsigned rareShare = 6;
 
 json serviceRow(const std::string &name)
 {
@@ -44,6 +47,31 @@
             {"anonymous", false}};
 }
 
+/// An invalid document.
+struct invalid_document
+{
+    std::string name;
+    std::string body;
+};
+
+/// \returns \a body with its version, which is its last member, replaced.
+std::string withVersion(const std::string &body, const std::string &version)
+{
+    return body.substr(0, body.rfind("\"version\":")) + "\"version\":" + version + "}";
+}
+
+std::vector<invalid_document> invalidOnes(const std::string &body)
+{
+    const std::string newest = "18446744073709551614";
+    const std::string above = withVersion(body, newest);
+    return {{"a negative version", withVersion(body, "-1")},
+            {"a version with a fraction", withVersion(body, newest + ".5")},
+            {"a version of more than 64 bits", withVersion(body, "18446744073709551616")},
+            {"a NUL byte behind it", above + std::string(1, '\0')},
+            {"tenants named twice", "{\"tenants\":[]," + above.substr(1)},
+            {"no list of tenants", "{\"tenants\":null," + above.substr(1)}};
+}
+
 } // namespace
 
 document_edits::document_edits(const zone_cluster &system, std::vector<std::string> services,
@@ -51,6 +79,7 @@
     : m_system(system)
     , m_services(std::move(services))
     , m_random(seed)
+    , m_oddRandom(seed + 1)
 {
     m_draft.keys.insert(lastingKey);
     for (int number = 0; number < movedRoutes; ++number)
@@ -100,6 +129,8 @@
         const test_time next
                 = test_clock::now() + leastInterval + milliseconds(m_random() % moreIntervalMs);
         const std::uint64_t version = record(changeSomething());
+        if (m_oddRandom() % rareShare == 0)
+            sendInvalid(bodyOf(version), unsigned(m_oddRandom()));
         ++m_sending;
         m_senders.emplace_back(
                 [this, version, body = bodyOf(version), first = unsigned(m_random())] {
@@ -113,6 +144,11 @@
 
 request_subject document_edits::changeSomething()
 {
+    if (!m_withdrawnKeys.empty())
+        m_draft.keys.merge(m_withdrawnKeys);
+    m_withdrawnKeys.clear();
+    if (m_oddRandom() % rareShare == 0)
+        return withdrawAllKeys();
     using change = request_subject (document_edits::*)();
     static constexpr std::array<change, 4> changes{
             &document_edits::moveRoute, &document_edits::moveRoute, &document_edits::addOrDropRoute,
@@ -157,6 +193,13 @@
     return {route, m_addedKeys.back()};
 }
 
+/// The next document has the keys again.
+request_subject document_edits::withdrawAllKeys()
+{
+    m_withdrawnKeys.swap(m_draft.keys);
+    return {"moved-" + std::to_string(m_oddRandom() % movedRoutes), lastingKey};
+}
+
 /// Versions grow in uneven steps.
 std::uint64_t document_edits::record(const request_subject &changed)
 {
@@ -177,6 +220,7 @@
     for (const auto &[name, service] : m_draft.services)
         routes.push_back(routeRow(name, service));
     const json tenant{{"name", "albany"}, {"api_keys", m_draft.keys}, {"priority", 1}};
+    const json tenants = m_draft.keys.empty() ? json::array() : json::array({tenant});
     return json{{"version", version},
                 {"routes", routes},
                 {"services", services},
@@ -185,7 +229,7 @@
                   {"max_body_bytes", 4'194'304},
                   {"header_timeout_ms", 3'000},
                   {"idle_timeout_ms", 15'000}}},
-                {"tenants", json::array({tenant})}}
+                {"tenants", tenants}}
             .dump();
 }
 
@@ -212,6 +256,24 @@
     }
 }
 
+void document_edits::sendInvalid(const std::string &body, unsigned node)
+{
+    const std::vector<invalid_document> all = invalidOnes(body);
+    const invalid_document &one = all[m_oddRandom() % all.size()];
+    fakes::http_call call;
+    call.address = m_system.operatorAddress(node % zone_cluster::controlNodes);
+    call.method = "PUT";
+    call.path = "/config";
+    call.body = one.body;
+    call.timeoutMs = answerLimitMs;
+    const int status = fakes::callHttp(call).status;
+    if (status >= 400 && status < 500)
+        ++m_refusedInvalid;
+    const std::lock_guard lock(m_mutex);
+    if (status == 200)
+        m_acceptedInvalid.push_back(one.name);
+}
+
 void document_edits::acknowledged(std::uint64_t version, test_time at)
 {
     const std::lock_guard lock(m_mutex);
@@ -253,4 +315,10 @@
     return m_refusals;
 }
 
+std::vector<std::string> document_edits::acceptedInvalid() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_acceptedInvalid;
+}
+
 } // namespace yuccascale::processes
--- a/tests/processes/document_edits.hpp
+++ b/tests/processes/document_edits.hpp
@@ -8,6 +8,7 @@
 #include <list>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -24,8 +25,9 @@
     std::string key;
 };
 
-/// \brief Moves routes, adds and drops routes, creates and withdraws keys, one change a document,
-///        until stop(). Thread-safe.
+/// \brief Moves routes, adds and drops routes, creates and withdraws keys, now and then all of
+/// them,
+///        one change a document, and sends invalid documents among them, until stop(). Thread-safe.
 class document_edits
 {
 public:
@@ -52,6 +54,12 @@
     /// \returns the clear refusals of valid documents.
     [[nodiscard]] std::vector<std::string> refusals() const;
 
+    /// \returns the invalid documents that were acknowledged, by their names.
+    [[nodiscard]] std::vector<std::string> acceptedInvalid() const;
+
+    /// \returns how many invalid documents were refused.
+    [[nodiscard]] int refusedInvalid() const noexcept { return m_refusedInvalid; }
+
 private:
     struct recent_change
     {
@@ -65,6 +73,8 @@
     [[nodiscard]] request_subject moveRoute();
     [[nodiscard]] request_subject addOrDropRoute();
     [[nodiscard]] request_subject createOrWithdrawKey();
+    [[nodiscard]] request_subject withdrawAllKeys();
+    void sendInvalid(const std::string &body, unsigned node);
     [[nodiscard]] std::string bodyOf(std::uint64_t version) const;
     [[nodiscard]] const std::string &anyService();
     [[nodiscard]] std::size_t changesBefore(test_time at) const;
@@ -75,14 +85,18 @@
     const zone_cluster &m_system;
     const std::vector<std::string> m_services;
     std::minstd_rand m_random;
-    sent_document m_draft; ///< content of the newest document
+    std::minstd_rand m_oddRandom; ///< for what is rare, so that the usual changes stay the same
+    sent_document m_draft;        ///< content of the newest document
+    std::set<std::string> m_withdrawnKeys; ///< all at once, until the next document
     std::vector<std::string> m_addedRoutes;
     std::vector<std::string> m_addedKeys;
     int m_names = 0;
-    mutable std::mutex m_mutex; ///< guards the next three
+    mutable std::mutex m_mutex; ///< guards the next four
     std::vector<sent_document> m_documents;
     std::deque<recent_change> m_recent;
     std::vector<std::string> m_refusals;
+    std::vector<std::string> m_acceptedInvalid;
+    std::atomic<int> m_refusedInvalid{0};
     std::atomic<int> m_sending{0};
     std::atomic<bool> m_stopped{false};
     std::list<std::thread> m_senders;
--- a/tests/processes/soak_zones_test.cpp
+++ b/tests/processes/soak_zones_test.cpp
@@ -94,6 +94,8 @@
         judgeDrain(callers, runs);
         for (const std::string &refusal : m_edits.refusals())
             ADD_FAILURE() << "CONFIG: a valid document is refused: " << refusal;
+        for (const std::string &name : m_edits.acceptedInvalid())
+            ADD_FAILURE() << "CONFIG: an invalid document is acknowledged: " << name;
         printFigures(callers, handled.size());
         std::cout << "; late in touch " << inTouch << ", late in all " << found.late.size()
                   << ", regressed " << found.regressed.size() << ", revoked "
@@ -146,7 +148,7 @@
         EXPECT_GT(waits.size(), documents.size() / 2) << m_history;
         EXPECT_GT(handled, 1'000U) << m_history;
         std::cout << "seed " << m_seed << ": " << documents.size() << " documents, " << waits.size()
-                  << " acknowledged";
+                  << " acknowledged, " << m_edits.refusedInvalid() << " invalid ones refused";
         if (!waits.empty())
             std::cout << " (" << inMs(waits[waits.size() / 2]) << " mid, " << inMs(waits.back())
                       << " most)";
