operator_document: shorter functions, ranges named for what they bound

Cause: read as a newcomer would, documentFrom() did five things, and ranges were called attempts and milliseconds. A zone's price of null counted as 0, where null counts as missing elsewhere.

--- a/src/yuccascale/kernel/state/table_store.hpp
+++ b/src/yuccascale/kernel/state/table_store.hpp
@@ -57,7 +57,8 @@
     enum class earlier_edits { StayValid, Conflict };
 
     void publish(std::shared_ptr<table_set> next, earlier_edits earlier);
-    /// A version cannot be compared with none, nor with one that the stored document does not name.
+    /// \returns whether a document replaces the stored one, by its version or since it names the
+    /// present revision.
     [[nodiscard]] bool isReplacedBy(const put_document &document) const;
     [[nodiscard]] command_result refusedEdit(std::string problem) const;
 
--- a/src/yuccascale/platform/document_part.hpp
+++ b/src/yuccascale/platform/document_part.hpp
@@ -40,8 +40,7 @@
         , m_where(std::move(where))
     { }
 
-    /// \returns an element of a list, which is named by its index.
-    /// \returns an error when the element is no object.
+    /// \returns an element of a list, named by its index; an error when it is no object.
     [[nodiscard]] static kernel::result<document_part>
     element(const kernel::json &value, const std::string &list, std::size_t index);
 
--- a/src/yuccascale/platform/operator_document.cpp
+++ b/src/yuccascale/platform/operator_document.cpp
@@ -11,7 +11,9 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <optional>
 #include <set>
+#include <span>
 
 /// \file
 /// \brief Operator protocol "platform": converts the operator's document into tables.
@@ -40,16 +42,13 @@
 /// text.
 constexpr std::size_t maxRows = 100'000;
 
-/// Of ranks; further ones count as these.
-constexpr std::int64_t greatestRank = kernel::state::maxRoutePriority;
-constexpr whole_range routeRanks{-greatestRank, greatestRank};
-constexpr whole_range tenantRanks{-1'000'000, 1'000'000};
-constexpr whole_range attempts{0, kernel::state::maxRouteAttempts};
-constexpr whole_range milliseconds{1, std::numeric_limits<std::int64_t>::max()};
-constexpr whole_range limitRange{0, std::numeric_limits<std::int64_t>::max()};
+constexpr whole_range routePriorityRange{-maxRoutePriority, maxRoutePriority};
+constexpr whole_range tenantPriorityRange{-1'000'000, 1'000'000};
+constexpr whole_range attemptRange{0, maxRouteAttempts};
+constexpr whole_range timeoutRange{1, std::numeric_limits<std::int64_t>::max()}; ///< ms
+constexpr whole_range limitRange{0, std::numeric_limits<std::int64_t>::max()};   ///< bytes or ms
 constexpr whole_range connectionRange{0, std::numeric_limits<int>::max()};
-/// Of a service in an availability zone.
-constexpr whole_range serverRange{0, kernel::policy::mostPerZone};
+constexpr whole_range serverRange{0, kernel::policy::mostPerZone}; ///< of an availability zone
 constexpr whole_range tokenByteRange{0, std::int64_t{1} << 30};
 /// Stored versions from here on may be negative numbers that a former build took for others.
 constexpr std::uint64_t firstDoubtfulVersion = std::uint64_t{1} << 63U;
@@ -119,13 +118,13 @@
         return fail(error_kind::InvalidArgument, part.where("kind"),
                     "unknown kind; use safe, unsafe or streaming");
     BOOST_LEAF_CHECK(setPools(part, services, row));
-    BOOST_LEAF_ASSIGN(row.deadlineMs, part.whole("timeout_ms", milliseconds));
+    BOOST_LEAF_ASSIGN(row.deadlineMs, part.whole("timeout_ms", timeoutRange));
     BOOST_LEAF_ASSIGN(row.firstTokenMs,
-                      part.whole("target_latency_ms", milliseconds, row.firstTokenMs));
-    BOOST_LEAF_AUTO(mostAttempts, smallWhole(part, "max_attempts", attempts, 1));
+                      part.whole("target_latency_ms", timeoutRange, row.firstTokenMs));
+    BOOST_LEAF_AUTO(mostAttempts, smallWhole(part, "max_attempts", attemptRange, 1));
     row.maxAttempts = std::max(mostAttempts, 1);
     // the platform serves priority 0 first, this program the greatest priority
-    BOOST_LEAF_AUTO(rank, smallWhole(part, "priority", routeRanks, 0));
+    BOOST_LEAF_AUTO(rank, smallWhole(part, "priority", routePriorityRange, 0));
     row.priority = -rank;
     BOOST_LEAF_AUTO(anonymous, part.flag("anonymous", false));
     row.access = anonymous || !keysRequired ? route_access::Open : route_access::Keyed;
@@ -143,6 +142,8 @@
     if (!prices)
         return scaling;
     for (const std::string &zone : prices->names()) {
+        if (!prices->has(zone))
+            continue;
         BOOST_LEAF_ASSIGN(scaling.zonePrices[zone], prices->amount(zone, 0.0));
     }
     return scaling;
@@ -243,7 +244,7 @@
     organisation row;
     BOOST_LEAF_ASSIGN(row.name, part.text("name"));
     row.ranked = part.has("priority");
-    BOOST_LEAF_AUTO(rank, smallWhole(part, "priority", tenantRanks, 0));
+    BOOST_LEAF_AUTO(rank, smallWhole(part, "priority", tenantPriorityRange, 0));
     row.priority = -rank;
     BOOST_LEAF_CHECK(addKeys(part, row.name, tables));
     BOOST_LEAF_ASSIGN(row.quota, quotaFrom(part));
@@ -262,20 +263,9 @@
     return {};
 }
 
-[[nodiscard]] result<put_document> documentFrom(const json &object)
+/// \returns the names of the services.
+[[nodiscard]] result<service_names> addServices(std::span<const json> services, edit_tables &tables)
 {
-    const document_part whole(object, "");
-    put_document document;
-    BOOST_LEAF_ASSIGN(document.version, whole.version("version"));
-    edit_tables &tables = document.tables;
-    // a list of tenants requires keys, also an empty one: then no key is valid
-    const bool keysRequired = object.contains("tenants");
-    BOOST_LEAF_AUTO(tenants, keysRequired ? whole.list("tenants") : whole.optionalList("tenants"));
-    BOOST_LEAF_AUTO(services, whole.list("services"));
-    BOOST_LEAF_AUTO(routes, whole.list("routes"));
-    BOOST_LEAF_CHECK(checkRows(tables, tenants.size() + services.size() + routes.size()));
-    BOOST_LEAF_CHECK(readEach(tenants, "tenants",
-                              [&](const document_part &part) { return addTenant(part, tables); }));
     service_names names;
     BOOST_LEAF_CHECK(readEach(services, "services", [&](const document_part &part) -> result<void> {
         BOOST_LEAF_AUTO(row, poolFrom(part));
@@ -283,20 +273,57 @@
         tables.putPools.push_back(std::move(row));
         return {};
     }));
-    BOOST_LEAF_CHECK(readEach(routes, "routes", [&](const document_part &part) -> result<void> {
-        BOOST_LEAF_AUTO(row, routeFrom(part, names, keysRequired));
+    return names;
+}
+
+[[nodiscard]] result<void> addLimits(const document_part &document, edit_tables &tables)
+{
+    BOOST_LEAF_AUTO(limits, document.object("limits"));
+    if (!limits)
+        return {};
+    BOOST_LEAF_AUTO(row, limitsFrom(*limits));
+    tables.putLimits.push_back(row);
+    return {};
+}
+
+[[nodiscard]] result<put_document> documentFrom(const json &object)
+{
+    const document_part part(object, "");
+    put_document document;
+    BOOST_LEAF_ASSIGN(document.version, part.version("version"));
+    edit_tables &tables = document.tables;
+    // a list of tenants requires keys, also an empty one: then no key is valid
+    const bool keysRequired = object.contains("tenants");
+    BOOST_LEAF_AUTO(tenants, keysRequired ? part.list("tenants") : part.optionalList("tenants"));
+    BOOST_LEAF_AUTO(services, part.list("services"));
+    BOOST_LEAF_AUTO(routes, part.list("routes"));
+    BOOST_LEAF_CHECK(checkRows(tables, tenants.size() + services.size() + routes.size()));
+    BOOST_LEAF_CHECK(readEach(tenants, "tenants", [&](const document_part &tenant) {
+        return addTenant(tenant, tables);
+    }));
+    BOOST_LEAF_AUTO(names, addServices(services, tables));
+    BOOST_LEAF_CHECK(readEach(routes, "routes", [&](const document_part &route) -> result<void> {
+        BOOST_LEAF_AUTO(row, routeFrom(route, names, keysRequired));
         tables.putRoutes.push_back(std::move(row));
         return {};
     }));
     alignKinds(tables);
-    BOOST_LEAF_AUTO(limits, whole.object("limits"));
-    if (limits) {
-        BOOST_LEAF_AUTO(row, limitsFrom(*limits));
-        tables.putLimits.push_back(row);
-    }
+    BOOST_LEAF_CHECK(addLimits(part, tables));
     return document;
 }
 
+/// \returns the version that a text names; nothing when it is none that is read today.
+[[nodiscard]] std::optional<std::uint64_t> namedVersion(std::string_view bytes)
+{
+    const auto members = kernel::readScalarMembers(bytes, versionMember);
+    if (!members)
+        return std::nullopt;
+    const auto found = members->find("version");
+    if (found == members->end() || !found->second.is_number_unsigned())
+        return std::nullopt;
+    return found->second.get<std::uint64_t>();
+}
+
 class platform_operator_protocol final : public http::operator_protocol
 {
 public:
@@ -323,13 +350,7 @@
     [[nodiscard]] bool namesVersion(std::string_view bytes,
                                     std::uint64_t storedVersion) const override
     {
-        if (storedVersion < firstDoubtfulVersion)
-            return true;
-        const auto members = kernel::readScalarMembers(bytes, versionMember);
-        const auto named
-                = members ? members->find("version") : kernel::member_map::const_iterator();
-        return members && named != members->end() && named->second.is_number_unsigned()
-                && named->second.get<std::uint64_t>() == storedVersion;
+        return storedVersion < firstDoubtfulVersion || namedVersion(bytes) == storedVersion;
     }
 };
 
--- a/tests/unit/platform_document_numbers_test.cpp
+++ b/tests/unit/platform_document_numbers_test.cpp
@@ -211,6 +211,10 @@
 {
     EXPECT_TRUE(tablesWith("/limits", "null").putLimits.empty());
     EXPECT_TRUE(tablesWith("/services/0/scaling", "null").putPools.front().scaling.empty());
+    EXPECT_TRUE(tablesWith("/services/0/scaling/zone_prices/perth", "null")
+                        .putPools.front()
+                        .scaling.front()
+                        .zonePrices.empty());
     EXPECT_EQ(tablesWith("/services/0/engine", "null").putPools.front().kind,
               kernel::state::backend_kind::Service);
     EXPECT_TRUE(tablesWith("/tenants/0/api_keys", "null").putKeys.empty());
