--- a/tests/processes/documents_test.cpp
+++ b/tests/processes/documents_test.cpp
@@ -63,7 +63,7 @@
             auto answer = call(m_system.operatorAddress(control), "GET", {});
             const std::string location = answer.header("location");
             if (answer.status == 307)
-                answer = call(location.substr(7, location.rfind("/") - 7), "GET", {});
+                answer = call(location.substr(7, location.rfind('/') - 7), "GET", {});
             body = answer.body;
             return answer.status == 200;
         });
--- a/tests/unit/platform_document_reading.hpp
+++ b/tests/unit/platform_document_reading.hpp
@@ -65,9 +65,11 @@
     bool put(const std::string &text)
     {
         const document_reading reading = readDocument(text);
-        return reading.document
-                && m_machine.apply(++m_index, {"d" + std::to_string(m_index), *reading.document})
-                           .accepted;
+        if (!reading.document)
+            return false;
+        ++m_index;
+        const std::string operation = "d" + std::to_string(m_index);
+        return m_machine.apply(m_index, {operation, *reading.document}).accepted;
     }
     bool put(const json &document) { return put(kernel::toText(document)); }
 
