--- a/tests/unit/platform_numbers_test.cpp
+++ b/tests/unit/platform_numbers_test.cpp
@@ -32,6 +32,13 @@
     return protocol->readRequest(httpRequest, contextWith(holder.tables())).value();
 }
 
+/// \returns three parts of a prompt, of which the second has these tokens.
+std::string partsWith(const std::string &tokens)
+{
+    std::string parts = "5c:800,9f:";
+    return parts.append(tokens).append(",a0:5");
+}
+
 /// \returns the load that a server's answer reports.
 std::optional<endpoint_report> loadOf(const std::string &value)
 {
@@ -60,7 +67,9 @@
 {
     for (const std::string count :
          {"-1", "1000000001", "9223372036854775807", "9223372036854775808", "1.5", "many", ""}) {
-        const request of = readWith("X-Token-Counts", count + "," + count);
+        std::string counts = count;
+        counts.append(",").append(count);
+        const request of = readWith("X-Token-Counts", counts);
         EXPECT_EQ(of.promptTokens, 1) << count;
         EXPECT_EQ(of.outputTokens, 1) << count;
         EXPECT_EQ(of.statedTokens, std::nullopt) << count;
@@ -71,7 +80,7 @@
 TEST(platform_numbers, promptPartsEndBeforeOneThatNoPromptHas)
 {
     for (const std::string tokens : {"-1", "1000000001", "9223372036854775807", "x", ""}) {
-        const request of = readWith("X-Prompt-Prefix", "5c:800,9f:" + tokens + ",a0:5");
+        const request of = readWith("X-Prompt-Prefix", partsWith(tokens));
         ASSERT_EQ(of.parts.size(), 1U) << tokens;
         EXPECT_EQ(of.parts.front().tokens, 800);
     }
