An edit's digest is that of former builds

Change: the digest leaves the new member out; no operator's edit sets it.

Tests: state_tables.theDigestOfAnEditIsThatOfFormerBuilds, red before, green now.

--- a/src/yuccascale/kernel/state/operation_answers.cpp
+++ b/src/yuccascale/kernel/state/operation_answers.cpp
@@ -8,11 +8,15 @@
 
 namespace {
 
+/// Digests are kept in snapshots and compared by replicas of all builds, so they cover the members
+/// that former builds know.
 std::uint64_t digestOf(const edit_tables &edit)
 {
     edit_tables withoutTime = edit;
     withoutTime.wallMs = 0;
-    const std::string bytes = toCbor(withoutTime);
+    json members = withoutTime;
+    members.erase("removeLimits"); // no operator's edit sets it
+    const std::string bytes = toCbor(members);
     return XXH3_64bits(bytes.data(), bytes.size());
 }
 
--- a/tests/unit/state_tables_test.cpp
+++ b/tests/unit/state_tables_test.cpp
@@ -2,6 +2,7 @@
 #include "yuccascale/kernel/state/key_digest.hpp"
 
 #include <gtest/gtest.h>
+#include <xxhash.h>
 
 namespace yuccascale::kernel::state {
 
@@ -54,6 +55,20 @@
     EXPECT_EQ(log.state().tables()->revision, 2U);
 }
 
+/// Guards against replicas of two builds that take a resent edit for another one.
+TEST(state_tables, theDigestOfAnEditIsThatOfFormerBuilds)
+{
+    applied_log log;
+    EXPECT_TRUE(log.apply(firstEdit(), "op-a").accepted);
+    edit_tables withoutTime = firstEdit();
+    withoutTime.wallMs = 0;
+    json asBefore = withoutTime;
+    asBefore.erase("removeLimits");
+    const std::string bytes = toCbor(asBefore);
+    const std::string digest = toCbor(XXH3_64bits(bytes.data(), bytes.size()));
+    EXPECT_NE(log.state().snapshot().find(digest), std::string::npos);
+}
+
 TEST(state_tables, refusesAnOperationIdReusedForADifferentEdit)
 {
     applied_log log;
